--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -109,6 +109,13 @@
 # ends this much before it would be killed.
 STOP_LEAST_S = 2.5
 STOP_MARGIN_S = 0.5
+# The balancer sends new connections for about two seconds; streams that come
+# later might outlast the grace time, so that they are sent elsewhere.
+STOP_STREAMS_S = 2.5
+# Plain answers take well below a second.
+STOP_PLAIN_MARGIN_S = 1.5
+# Other entries have room now.
+STOP_RETRY_AFTER_S = 0.05
 
 MAX_OPEN_REQUESTS = 4_096
 # Events that may wait for a caller that reads slowly.
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/intake.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/intake.py
@@ -68,6 +68,15 @@
             errors.ErrorCode.NOT_FOUND,
             inputs=inputs,
         )
+    if is_too_late(state, route, now=now):
+        return refuse(
+            state,
+            request,
+            http.HTTPStatus.SERVICE_UNAVAILABLE,
+            errors.ErrorCode.SHUTTING_DOWN,
+            inputs=inputs,
+            retry_after_s=defaults.STOP_RETRY_AFTER_S,
+        )
     organisation = configuration.Organisation(name="")
     if needs_key and current.keys is not None:
         found = current.keys.get(request.key)
@@ -129,6 +138,19 @@
     ]
 
 
+def is_too_late(
+    state: states.RouterState, route: configuration.Route, *, now: float
+) -> bool:
+    """Returns whether a request might outlast this entry's stop."""
+    if state.stop_at is None:
+        return False
+    stopping_s = now - state.stop_at
+    if not dispatch.is_plain(route):
+        return stopping_s > defaults.STOP_STREAMS_S
+    grace_s = state.settings.bounds.grace_s
+    return stopping_s > grace_s - defaults.STOP_PLAIN_MARGIN_S
+
+
 def choose_service(
     route: configuration.Route,
     request: callers.IncomingRequest,
