--- a/packages/rhubarbbank-core/src/rhubarbbank_core/program_start.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/program_start.py
@@ -17,13 +17,6 @@
 from rhubarbbank_core import sidecar
 from rhubarbbank_core import sidecar_control
 
-SEED_BITS = 63
-
-
-def draw_seed(seed: int) -> int:
-    """Returns the seed as set, or for 0 one of the system's randomness."""
-    return seed or random.SystemRandom().getrandbits(SEED_BITS)
-
 
 class EntryStart(
     msgspec.Struct, frozen=True, array_like=True, kw_only=True, tag="entry"
--- a/packages/rhubarbbank-entry/src/rhubarbbank_entry/entry_service.py
+++ b/packages/rhubarbbank-entry/src/rhubarbbank_entry/entry_service.py
@@ -11,11 +11,13 @@
 from rhubarbbank_core import options
 from rhubarbbank_core import program_effects as fx
 from rhubarbbank_core import program_start
+from rhubarbbank_core import random_seed
 from rhubarbbank_core import texts
 from rhubarbbank_entry import reports
 from rhubarbbank_runtime import caller_http
 from rhubarbbank_runtime import event_loop
 from rhubarbbank_runtime import platform_shell
+from rhubarbbank_runtime import recorded_shell
 from rhubarbbank_runtime import shell
 
 
@@ -59,12 +61,14 @@
         start = program_start.EntryStart(
             settings=settings,
             incarnation=time.time_ns(),
-            seed=program_start.draw_seed(settings.seed),
+            seed=random_seed.draw_seed(settings.seed),
             clock_offset_s=time.time() - asyncio.get_running_loop().time(),
         )
         self.reducer = start.build_reducer()
         self.shell = shell.Shell(
-            settings=settings, start=start, reducer=self.reducer
+            settings=settings,
+            reducer=self.reducer,
+            parts=recorded_shell.build_parts(settings, start),
         )
         self.callers = caller_http.CallerHttp(
             apply=self.shell.apply, describe=describe
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
@@ -362,14 +362,20 @@
     now: float,
     failed: bool,
 ) -> None:
-    """Learns from an attempt that has ended with an answer or a failure."""
+    """Learns from an attempt that has ended with an answer or a failure.
+
+    A connection that breaks off says something of the upstream's host, and
+    often of many requests at once; for or against the upstream's version
+    speak its answers alone.
+    """
     times = state.view.read_times(attempt.service)
     waited_s = (attempt.first_event_at or now) - attempt.sent_at
     usual_s = times.first_event_s if opened.is_stream else times.whole_s
     slow = waited_s > defaults.SLOW_TIMES * usual_s
     trial = state.trials.get(attempt.service)
-    if trial is not None:
-        trial.note(version=attempt.version, failed=failed, slow=slow)
+    if trial is not None and (attempt.status or not failed):
+        own = attempt.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR
+        trial.note(version=attempt.version, failed=own, slow=slow)
     if failed:
         state.view.note_failure(attempt.upstream, now=now)
         return
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -83,7 +83,7 @@
 PEER_FORGET_S = 30.0
 
 # Share of sessions that try a new version before half of its time is over.
-TRIAL_SHARE = 0.06
+TRIAL_SHARE = 0.1
 # Shares after that, one step each TRIAL_STEP_S while nothing speaks against.
 TRIAL_STEPS = (0.2, 0.5, 1.0)
 TRIAL_STEP_S = 0.8
@@ -92,7 +92,7 @@
 # Answers of the new version that must have been seen before it gets more.
 TRIAL_LEAST_ANSWERS = 8
 # Rise of the failure rate and of the share of slow answers that is let pass.
-TRIAL_ERROR_TOLERANCE = 0.05
+TRIAL_ERROR_TOLERANCE = 0.03
 TRIAL_SLOW_TOLERANCE = 0.15
 # Chance of a false alarm in a whole roll-out.
 TRIAL_FALSE_ALARM = 0.01
@@ -108,7 +108,7 @@
 # The graceful stop: open connections are served this long, and the process
 # ends this much before it would be killed.
 STOP_LEAST_S = 2.5
-STOP_MARGIN_S = 0.5
+STOP_MARGIN_S = 1.2
 # The balancer sends new connections for about two seconds; streams that come
 # later might outlast the grace time, so that they are sent elsewhere.
 STOP_STREAMS_S = 2.5
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
@@ -26,6 +26,7 @@
 from rhubarbbank_router import route_match
 from rhubarbbank_router import size_plan
 from rhubarbbank_router import state as states
+from rhubarbbank_router import trial_judge
 from rhubarbbank_router import version_trial
 from rhubarbbank_router import watch
 from rhubarbbank_router import window_budget
@@ -61,7 +62,7 @@
                 rng=rng, session_credit_s=defaults.SESSION_CREDIT_S
             ),
             sizes=sizes or size_plan.SmallestThenLargest(),
-            judge=judge or version_trial.AnytimeJudge(),
+            judge=judge or trial_judge.LikelihoodJudge(),
             budget=window_budget.WindowBudget(
                 limits=window_budget.BudgetLimits(
                     ratio=bounds.retry_ratio,
--- /dev/null
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/trial_judge.py
@@ -0,0 +1,105 @@
+"""Judges a new version from few answers, at any time.
+
+Wald's likelihood ratio, averaged over several ways of being worse: under a
+version that is no worse its expectation stays at most 1, so that it passes
+1/alpha with probability alpha at most, however often one looks. It needs
+about three failures in six answers where the incumbent hardly fails, far
+fewer than `sequential_test` in `rhubarbbank_core`, which takes the
+incumbent's rate as unknown and so waits for dozens of answers: more than the
+trial share of a small deployment brings in half of a roll-out.
+"""
+
+import math
+
+from rhubarbbank_router import defaults
+from rhubarbbank_router import version_trial
+
+# The incumbent's rate is taken as if it had shown this many answers more, of
+# which one was bad.
+PRIOR_ANSWERS = 30.0
+MOST_BASE_RATE = 0.5
+# Rates above the tolerated one that count as worse.
+RISES = (0.1, 0.2, 0.4)
+MOST_RATE = 0.95
+COMPARISONS = 2
+# Likelihood ratio from which a target gets no larger share.
+DOUBTFUL_RATIO = 3.0
+
+
+class LikelihoodJudge:
+    """Compares failure rates and shares of slow answers."""
+
+    def is_worse(self, evidence: version_trial.TrialEvidence) -> bool:
+        """Returns whether the evidence speaks against the target."""
+        limit = math.log(COMPARISONS / defaults.TRIAL_FALSE_ALARM)
+        return self.weigh(evidence) >= limit
+
+    def is_doubtful(self, evidence: version_trial.TrialEvidence) -> bool:
+        """Returns whether "worse" is likelier by far than "no worse"."""
+        return self.weigh(evidence) >= math.log(DOUBTFUL_RATIO)
+
+    def weigh(self, evidence: version_trial.TrialEvidence) -> float:
+        """Returns the log likelihood ratio for the worse of two measures."""
+        target, incumbent = evidence.target, evidence.incumbent
+        failures = log_ratio(
+            bad=target.failures,
+            count=target.answers,
+            base_rate=estimate_rate(incumbent.failures, incumbent.answers)
+            + defaults.TRIAL_ERROR_TOLERANCE,
+        )
+        slow = log_ratio(
+            bad=target.slow,
+            count=target.answers - target.failures,
+            base_rate=estimate_rate(
+                incumbent.slow, incumbent.answers - incumbent.failures
+            )
+            + defaults.TRIAL_SLOW_TOLERANCE,
+        )
+        return max(failures, slow)
+
+
+class FixedCountJudge:
+    """The naive baseline: a fixed number of bad answers is too many.
+
+    Attributes:
+        bad_answers: The number.
+    """
+
+    def __init__(self, *, bad_answers: int = 5) -> None:
+        self.bad_answers = bad_answers
+
+    def is_worse(self, evidence: version_trial.TrialEvidence) -> bool:
+        """Returns whether the evidence speaks against the target."""
+        target = evidence.target
+        return target.failures + target.slow >= self.bad_answers
+
+    def is_doubtful(self, evidence: version_trial.TrialEvidence) -> bool:
+        """Returns the same: a fixed number knows no doubt."""
+        return self.is_worse(evidence)
+
+
+def estimate_rate(bad: int, count: int) -> float:
+    """Returns the incumbent's rate, on the cautious side for few answers."""
+    return (bad + 1.0) / (count + PRIOR_ANSWERS)
+
+
+def log_ratio(*, bad: int, count: int, base_rate: float) -> float:
+    """Returns the log likelihood ratio of "worse" against "at the rate".
+
+    Args:
+        bad: Bad answers seen.
+        count: All answers seen.
+        base_rate: The highest rate that is let pass.
+    """
+    base = min(MOST_BASE_RATE, base_rate)
+    good = count - bad
+    ratios = []
+    for rise in RISES:
+        rate = min(MOST_RATE, base + rise)
+        ratios.append(
+            bad * math.log(rate / base)
+            + good * math.log((1.0 - rate) / (1.0 - base))
+        )
+    highest = max(ratios)
+    total = sum(math.exp(ratio - highest) for ratio in ratios)
+    return highest + math.log(total / len(ratios))
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/version_trial.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/version_trial.py
@@ -5,21 +5,17 @@
 that all entries agree and sessions stay where they are. After that the share
 grows in steps while nothing speaks against the target. Evidence is the
 failures and slow answers of both versions, this entry's own and what peers
-tell; the test is anytime-valid (`sequential_test`), so that it may be asked
-after each answer.
+tell; a `TrialJudge` weighs it after each answer.
 """
 
 import dataclasses
 import enum
-import math
 from typing import Protocol
 
 from rhubarbbank_core import rendezvous
-from rhubarbbank_core import sequential_test
 from rhubarbbank_router import defaults
 
 HASH_RANGE = 2.0**64
-COMPARISONS = 2
 
 
 class OrderState(enum.StrEnum):
@@ -110,73 +106,8 @@
     def is_worse(self, evidence: TrialEvidence) -> bool:
         """Returns whether the evidence speaks against the target."""
 
-
-class AnytimeJudge:
-    """Compares failure rates and shares of slow answers, valid at any time."""
-
-    def is_worse(self, evidence: TrialEvidence) -> bool:
-        """Returns whether the evidence speaks against the target."""
-        limit = math.log(COMPARISONS / defaults.TRIAL_FALSE_ALARM)
-        target, incumbent = evidence.target, evidence.incumbent
-        if not target.failures + target.slow:
-            return False
-        worse = max(
-            compare(
-                target.answers,
-                target.failures,
-                incumbent.answers,
-                incumbent.failures,
-                tolerance=defaults.TRIAL_ERROR_TOLERANCE,
-            ),
-            compare(
-                target.answers - target.failures,
-                target.slow,
-                incumbent.answers - incumbent.failures,
-                incumbent.slow,
-                tolerance=defaults.TRIAL_SLOW_TOLERANCE,
-            ),
-        )
-        return worse >= limit
-
-
-class FixedCountJudge:
-    """The naive baseline: a fixed number of bad answers is too many.
-
-    Attributes:
-        bad_answers: The number.
-    """
-
-    def __init__(self, *, bad_answers: int = 5) -> None:
-        self.bad_answers = bad_answers
-
-    def is_worse(self, evidence: TrialEvidence) -> bool:
-        """Returns whether the evidence speaks against the target."""
-        target = evidence.target
-        return target.failures + target.slow >= self.bad_answers
-
-
-def compare(
-    new_count: int,
-    new_bad: int,
-    old_count: int,
-    old_bad: int,
-    *,
-    tolerance: float,
-) -> float:
-    """Returns the log e-value against "new is at most tolerance worse"."""
-    return sequential_test.log_e_worse(
-        new=tally(new_count, new_bad),
-        incumbent=tally(old_count, old_bad),
-        tolerance=tolerance,
-    )
-
-
-def tally(count: int, bad: int) -> sequential_test.Tally:
-    """Returns the tally of good answers, as one batch."""
-    good = float(count - bad)
-    return sequential_test.EMPTY_TALLY.add(
-        count=count, total=good, square_total=good
-    )
+    def is_doubtful(self, evidence: TrialEvidence) -> bool:
+        """Returns whether the target should get no more than it has."""
 
 
 def draw(affinity_key: str, target: str) -> float:
@@ -259,7 +190,7 @@
         else:
             due = now - self.stepped_at >= defaults.TRIAL_STEP_S
         seen = evidence.target.answers >= defaults.TRIAL_LEAST_ANSWERS
-        if not (due and seen):
+        if not (due and seen) or self.judge.is_doubtful(evidence):
             return False
         self.step += 1
         self.stepped_at = now
--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/peer_link.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/peer_link.py
@@ -17,7 +17,6 @@
 import zmq
 
 from rhubarbbank_core import effects
-from rhubarbbank_core import wire
 
 LOG = logging.getLogger(__name__)
 HIGH_WATER_FRAMES = 10_000
@@ -25,6 +24,7 @@
 RECONNECT_MAX_MS = 1_000
 MAX_FRAME_BYTES = 8_000_000
 FRAMES_PER_TURN = 64
+ENCODER = msgspec.msgpack.Encoder()
 
 
 class PeerLink:
@@ -45,7 +45,7 @@
         address: str,
         loop: asyncio.AbstractEventLoop,
         deliver: Callable[[Any], None],
-        decode: Callable[[bytes], list[Any]] = wire.decode_frame,
+        decode: Callable[[bytes], list[Any]],
     ) -> None:
         self.address = address
         self.loop = loop
@@ -92,7 +92,7 @@
         self.pending = {}
         for address, messages in pending.items():
             sender = self.senders.get(address) or self.connect(address)
-            frame = wire.ENCODER.encode(messages)
+            frame = ENCODER.encode(messages)
             try:
                 sender.send(frame, zmq.NOBLOCK)
             except zmq.Again:
--- /dev/null
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/recorded_shell.py
@@ -0,0 +1,58 @@
+"""What entries and sidecars of the own interface choose of their shell.
+
+Their events can be recorded to the log and replayed, their metrics go to
+statsd, and their messages are those of `rhubarbbank_core.wire`.
+"""
+
+import base64
+import logging
+from typing import Any
+
+from rhubarbbank_core import event_log
+from rhubarbbank_core import program_start
+from rhubarbbank_core import wire
+from rhubarbbank_runtime import metrics
+from rhubarbbank_runtime import shell
+
+EVENT_LOG = logging.getLogger("rhubarbbank.events")
+
+
+class LogRecorder:
+    """Writes every event and a digest of its effects to the log.
+
+    Attributes:
+        start: What the reducer was built of.
+    """
+
+    def __init__(self, *, start: program_start.AnyStart) -> None:
+        self.start = start
+
+    def record_start(self) -> None:
+        """Records what the reducer begins with."""
+        record(self.start)
+
+    def record_event(self, now: float, event: Any) -> None:
+        """Records an event before the step that takes it."""
+        record(event_log.RecordedEvent(now, event))
+
+    def record_effects(self, found: list[Any]) -> None:
+        """Records what a step led to."""
+        record(event_log.digest(found))
+
+
+def build_parts(
+    settings: shell.ShellSettings, start: program_start.AnyStart
+) -> shell.ShellParts:
+    """Returns the parts of a program's shell."""
+    recorder = LogRecorder(start=start) if settings.record_events else None
+    return shell.ShellParts(
+        metrics=metrics.Metrics(address=settings.statsd_address),
+        decode=wire.decode_frame,
+        recorder=recorder,
+    )
+
+
+def record(entry: event_log.AnyRecord) -> None:
+    """Writes one record to the log, in the form that can be replayed."""
+    text = base64.b64encode(event_log.encode(entry)).decode()
+    EVENT_LOG.info("%s", text)
--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/shell.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/shell.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import base64
 from collections.abc import Callable
 from collections.abc import Coroutine
 from collections.abc import Sequence
@@ -21,19 +20,14 @@
 
 from rhubarbbank_core import defaults
 from rhubarbbank_core import effects
-from rhubarbbank_core import event_log
 from rhubarbbank_core import events
 from rhubarbbank_core import program_effects as fx
-from rhubarbbank_core import program_start
-from rhubarbbank_core import wire
 from rhubarbbank_runtime import http_once
 from rhubarbbank_runtime import logs
-from rhubarbbank_runtime import metrics
 from rhubarbbank_runtime import peer_link
 from rhubarbbank_runtime import timers
 
 LOG = logging.getLogger(__name__)
-EVENT_LOG = logging.getLogger("rhubarbbank.events")
 
 
 class Reducer(Protocol):
@@ -59,24 +53,36 @@
         """Releases what the sink holds."""
 
 
+class Recorder(Protocol):
+    """Keeps all that drives a reducer, so that it can be replayed."""
+
+    def record_start(self) -> None:
+        """Records what the reducer begins with."""
+
+    def record_event(self, now: float, event: Any) -> None:
+        """Records an event before the step that takes it."""
+
+    def record_effects(self, found: list[Any]) -> None:
+        """Records what a step led to."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ShellParts:
-    """What a program may choose of its shell.
+    """What a program chooses of its shell.
 
     Attributes:
-        metrics: Where metrics go; None for statsd as the settings say.
-        clock: Tells the reducer's time in seconds; None for the loop's.
+        metrics: Where metrics go.
         decode: Returns the messages of a frame of another process.
+        clock: Tells the reducer's time in seconds; None for the loop's.
         tick_s: Seconds between two beats.
+        recorder: Records events; None if they aren't recorded.
     """
 
-    metrics: MetricsSink | None = None
+    metrics: MetricsSink
+    decode: Callable[[bytes], list[Any]]
     clock: Callable[[], float] | None = None
-    decode: Callable[[bytes], list[Any]] = wire.decode_frame
     tick_s: float = defaults.TICK_S
-
-
-DEFAULT_PARTS = ShellParts()
+    recorder: Recorder | None = None
 
 
 class ShellSettings(Protocol):
@@ -92,7 +98,7 @@
 
     @property
     def statsd_address(self) -> str:
-        """Where metrics go."""
+        """Where metrics go; empty for nowhere."""
 
     @property
     def record_events(self) -> bool:
@@ -104,8 +110,6 @@
 
     Attributes:
         settings: The process's settings.
-        start: What the reducer was built of; None if events can't be
-            recorded.
         parts: What the program chose of its shell.
         clock: Tells the reducer's time in seconds.
         reducer: What decides.
@@ -121,13 +125,11 @@
         self,
         *,
         settings: ShellSettings,
-        start: program_start.AnyStart | None,
         reducer: Reducer,
-        parts: ShellParts = DEFAULT_PARTS,
+        parts: ShellParts,
     ) -> None:
         self.settings = settings
         self.parts = parts
-        self.start = start
         self.reducer = reducer
         self.loop = asyncio.get_running_loop()
         self.stack = contextlib.AsyncExitStack()
@@ -136,9 +138,7 @@
             middlewares=(http_once.send_once,),
         )
         self.clock = parts.clock or self.loop.time
-        self.metrics = parts.metrics or metrics.Metrics(
-            address=settings.statsd_address
-        )
+        self.metrics = parts.metrics
         self.timers = timers.TimerService(loop=self.loop)
         self.link = peer_link.PeerLink(
             address=settings.peer_address,
@@ -160,8 +160,8 @@
 
     async def open(self) -> None:
         """Opens links and timers."""
-        if self.settings.record_events and self.start is not None:
-            record(self.start)
+        if self.parts.recorder is not None:
+            self.parts.recorder.record_start()
         self.stack.push_async_callback(self.session.close)
         self.stack.callback(self.metrics.close)
         self.link.open()
@@ -181,14 +181,14 @@
     def apply(self, event: Any) -> None:
         """Steps the reducer and carries out its effects."""
         now = self.clock()
-        recording = self.settings.record_events
-        if recording:
+        recorder = self.parts.recorder
+        if recorder is not None:
             # Before the step, so that an event that it fails on is kept.
-            record(event_log.RecordedEvent(now, event))
+            recorder.record_event(now, event)
         found = self.reducer.step(now=now, event=event)
-        if recording:
+        if recorder is not None:
             # Before the handlers, which may apply events of their own.
-            record(event_log.digest(list(found)))
+            recorder.record_effects(list(found))
         handlers = self.handlers
         for effect in found:
             handlers[type(effect)](effect)
@@ -233,9 +233,3 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
-
-
-def record(entry: event_log.AnyRecord) -> None:
-    """Writes one record to the log, in the form that can be replayed."""
-    text = base64.b64encode(event_log.encode(entry)).decode()
-    EVENT_LOG.info("%s", text)
--- a/packages/rhubarbbank-sidecar/src/rhubarbbank_sidecar/sidecar_service.py
+++ b/packages/rhubarbbank-sidecar/src/rhubarbbank_sidecar/sidecar_service.py
@@ -6,7 +6,9 @@
 from rhubarbbank_core import options
 from rhubarbbank_core import program_effects as fx
 from rhubarbbank_core import program_start
+from rhubarbbank_core import random_seed
 from rhubarbbank_runtime import event_loop
+from rhubarbbank_runtime import recorded_shell
 from rhubarbbank_runtime import shell
 from rhubarbbank_runtime import upstream_http
 
@@ -28,11 +30,13 @@
         start = program_start.SidecarStart(
             settings=settings,
             incarnation=time.time_ns(),
-            seed=program_start.draw_seed(settings.seed),
+            seed=random_seed.draw_seed(settings.seed),
         )
         self.reducer = start.build_reducer()
         self.shell = shell.Shell(
-            settings=settings, start=start, reducer=self.reducer
+            settings=settings,
+            reducer=self.reducer,
+            parts=recorded_shell.build_parts(settings, start),
         )
         self.upstream = upstream_http.UpstreamHttp(
             url=settings.upstream_url,
