--- a/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
@@ -180,6 +180,7 @@
             )
         )
     opened.last_event_id = event.event_id
+    opened.note_event(now=now)
     out.append(effects.WriteAnswer(opened.request.request_id, event.raw))
     return out
 
@@ -278,6 +279,7 @@
         inputs=(
             ("status", attempt.status),
             ("age_s", round(now - opened.arrived_at, 3)),
+            *describe_events(opened),
         ),
     )
     took = fx.Timing("answer", (now - opened.arrived_at) * MS_PER_S)
@@ -295,6 +297,17 @@
     ]
 
 
+def describe_events(opened: states.OpenRequest) -> tuple[fx.LogInput, ...]:
+    """Returns when a stream's events were passed on, for the log."""
+    if opened.first_event_at is None:
+        return ()
+    waited_s = opened.first_event_at - opened.arrived_at
+    return (
+        ("first_event_s", round(waited_s, 3)),
+        ("longest_pause_s", round(opened.longest_pause_s, 3)),
+    )
+
+
 def retry_failure(
     state: states.RouterState,
     opened: states.OpenRequest,
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
@@ -46,6 +46,9 @@
         begun: Whether the caller has received a part of the answer.
         version: Version of the upstream whose answer has begun.
         last_event_id: Id of the last event passed on.
+        first_event_at: When the caller's first event was passed on.
+        last_event_at: When the last one was.
+        longest_pause_s: Longest time between two of them.
         excluded: Upstreams that an attempt failed on.
     """
 
@@ -64,6 +67,9 @@
     begun: bool = False
     version: str = ""
     last_event_id: str = ""
+    first_event_at: float | None = None
+    last_event_at: float = 0.0
+    longest_pause_s: float = 0.0
     excluded: set[str] = dataclasses.field(default_factory=set)
 
     @property
@@ -73,6 +79,15 @@
             return self.attempts[-1]
         return None
 
+    def note_event(self, *, now: float) -> None:
+        """Notes that an event is passed on."""
+        if self.first_event_at is None:
+            self.first_event_at = now
+        else:
+            pause_s = now - self.last_event_at
+            self.longest_pause_s = max(self.longest_pause_s, pause_s)
+        self.last_event_at = now
+
     @property
     def is_stream(self) -> bool:
         """Whether its answer is a stream of events."""
