Listen before the libraries load, and keep to the own data centre

The callers' socket is now opened first, and requests wait up to 0.8 s for the first configuration and list of upstreams.

--- a/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
@@ -445,6 +445,7 @@
     state: states.RouterState, request_id: str, *, now: float
 ) -> list[effects.Effect]:
     """Ends a request whose caller has left."""
+    state.held.pop(request_id, None)
     opened = state.open.pop(request_id, None)
     if opened is None:
         return []
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -63,7 +63,7 @@
 PLACEMENT_CHOICES = 8
 # What an upstream in another data centre must save: bytes between data
 # centres cost, and requests carry their prompt.
-OTHER_DATA_CENTRE_MS = 60.0
+OTHER_DATA_CENTRE_MS = 300.0
 # How much longer the upstream that all entries prefer for a prompt may take.
 HOME_CREDIT_S = 0.1
 # Share of its work that another entry's attempt is taken to have before it.
@@ -131,6 +131,9 @@
 # Other entries have room now.
 STOP_RETRY_AFTER_S = 0.05
 
+# Requests that come while an entry starts wait this long for the first
+# configuration and list of upstreams, which take milliseconds to read.
+START_WAIT_S = 0.8
 MAX_OPEN_REQUESTS = 4_096
 # Events that may wait for a caller that reads slowly.
 MAX_CALLER_BACKLOG = 1_024
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/intake.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/intake.py
@@ -20,6 +20,49 @@
     state: states.RouterState, request: callers.IncomingRequest, *, now: float
 ) -> list[effects.Effect]:
     """Takes a request in: refuses it, or sends it on its way."""
+    if not state.is_informed and is_starting(state, now=now):
+        state.held[request.request_id] = states.HeldRequest(request, now)
+        return [
+            fx.LogDecision(
+                decision="held",
+                request_id=request.attempt_id,
+                reason="the entry is starting",
+                inputs=(("listed", ",".join(sorted(state.listed))),),
+            )
+        ]
+    return admit(state, request, arrived_at=now, now=now)
+
+
+def is_starting(state: states.RouterState, *, now: float) -> bool:
+    """Returns whether the first reads of the store may be on their way."""
+    started_at = now if state.started_at is None else state.started_at
+    return now - started_at < defaults.START_WAIT_S
+
+
+def release_held(
+    state: states.RouterState, *, now: float
+) -> list[effects.Effect]:
+    """Goes on with the requests that waited for the entry to start."""
+    if not state.held:
+        return []
+    if not state.is_informed and is_starting(state, now=now):
+        return []
+    held = list(state.held.values())
+    state.held.clear()
+    out: list[effects.Effect] = []
+    for each in held:
+        out += admit(state, each.request, arrived_at=each.arrived_at, now=now)
+    return out
+
+
+def admit(
+    state: states.RouterState,
+    request: callers.IncomingRequest,
+    *,
+    arrived_at: float,
+    now: float,
+) -> list[effects.Effect]:
+    """Refuses a request, or sends it on its way."""
     current = state.in_force
     if current is None:
         return refuse(
@@ -89,7 +132,9 @@
                 inputs=inputs,
             )
         organisation = found
-    return open_request(state, request, route, organisation, now=now)
+    return open_request(
+        state, request, route, organisation, arrived_at=arrived_at, now=now
+    )
 
 
 def open_request(
@@ -98,6 +143,7 @@
     route: configuration.Route,
     organisation: configuration.Organisation,
     *,
+    arrived_at: float,
     now: float,
 ) -> list[effects.Effect]:
     """Opens a request that may be served, and sends it."""
@@ -124,8 +170,8 @@
         organisation=organisation.name,
         priority=priority,
         fingerprint=mark,
-        arrived_at=now,
-        ends_at=now + wait_s,
+        arrived_at=arrived_at,
+        ends_at=arrived_at + wait_s,
     )
     state.open[request.request_id] = opened
     state.budget.count_request(opened.service, now=now)
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
@@ -33,7 +33,6 @@
 from rhubarbbank_router import work_placement
 
 MS_PER_S = 1000.0
-LISTS_NEEDED = frozenset((events.Subject.UPSTREAMS, events.Subject.ROLLOUTS))
 
 
 class Router:
@@ -83,6 +82,8 @@
     ) -> list[effects.Effect]:
         """Applies one event at time `now` (seconds); returns the effects."""
         state = self.state
+        if state.started_at is None:
+            state.started_at = now
         match event:
             case events.UpstreamData():
                 return answers.take_data(state, event, now=now)
@@ -108,8 +109,7 @@
         state = self.state
         return (
             not state.stopping
-            and state.in_force is not None
-            and state.listed >= LISTS_NEEDED
+            and state.is_informed
             and state.proof.holds(now=now)
         )
 
@@ -318,6 +318,7 @@
         """Does what is due at this time."""
         state = self.state
         out = watch.watch_requests(state, now=now)
+        out += intake.release_held(state, now=now)
         out += rollouts.tick(state, now=now)
         away = state.contact(events.Subject.UPSTREAMS).is_away
         for upstream_id in state.view.drop_lapsed(now=now, store_away=away):
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
@@ -17,6 +17,7 @@
 from rhubarbbank_router import configuration
 from rhubarbbank_router import crash_suspects
 from rhubarbbank_router import engine_work
+from rhubarbbank_router import events
 from rhubarbbank_router import freshness_proof
 from rhubarbbank_router import options
 from rhubarbbank_router import peers
@@ -27,6 +28,8 @@
 from rhubarbbank_router import version_trial
 from rhubarbbank_router import window_budget
 
+LISTS_NEEDED = frozenset((events.Subject.UPSTREAMS, events.Subject.ROLLOUTS))
+
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class OpenRequest:
@@ -95,6 +98,14 @@
         return self.route.kind is configuration.RouteKind.STREAM
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HeldRequest:
+    """A request that waits until the entry knows enough to serve it."""
+
+    request: callers.IncomingRequest
+    arrived_at: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class SessionPin:
     """The version that a session's last request ran on."""
@@ -148,6 +159,9 @@
         entries: The other entries.
         suspects: Requests that may crash upstreams.
         contacts: When the store was last heard of, by subject.
+        started_at: When the first event came; None before.
+        held: Requests that came while the entry knew too little, with the
+            time at which they came.
         listed: Subjects of which a whole list has been read.
         stop_at: When the process was asked to stop; None while it isn't.
         exiting: Whether the process has been told that it may end.
@@ -185,11 +199,18 @@
     settled: dict[str, set[str]] = dataclasses.field(default_factory=dict)
     recording: dict[str, float] = dataclasses.field(default_factory=dict)
     contacts: dict[str, StoreContact] = dataclasses.field(default_factory=dict)
+    started_at: float | None = None
+    held: dict[str, HeldRequest] = dataclasses.field(default_factory=dict)
     listed: set[str] = dataclasses.field(default_factory=set)
     stop_at: float | None = None
     exiting: bool = False
     news_at: float = 0.0
 
+    @property
+    def is_informed(self) -> bool:
+        """Whether enough has been read to serve requests."""
+        return self.in_force is not None and self.listed >= LISTS_NEEDED
+
     def contact(self, subject: str) -> StoreContact:
         """Returns when the store was last heard of for a subject."""
         return self.contacts.setdefault(subject, StoreContact())
