Test the router in memory: requests, streams, freshness, load, stops, roll-outs

Two of them found faults: a short wait counted as slow where the usual one was near zero (an answer under 0.25 s is never slow now). The suite prints each failed step and its reason, which it did not.

--- a/experiments/src/rhubarbbank_experiments/run_features.py
+++ b/experiments/src/rhubarbbank_experiments/run_features.py
@@ -46,6 +46,20 @@
     return passed, failed
 
 
+def describe_failures(features: list[model.Feature]) -> list[str]:
+    """Returns, for each failed step, where it stands and why it failed."""
+    lines: list[str] = []
+    for feature in features:
+        for scenario in feature.walk_scenarios():
+            lines += [
+                f"{scenario.location} {step.keyword} {step.name}: "
+                f"{step.error_message or step.status.name}"
+                for step in scenario.all_steps
+                if step.status.name in {"failed", "error", "undefined"}
+            ]
+    return lines
+
+
 def main(arguments: list[str]) -> int:
     """Runs behave and returns the exit code: 0 when nothing new failed."""
     settings = configuration.Configuration(
@@ -60,6 +74,8 @@
         print(f"No such feature: {error}")
         return 2
     passed, failed = collect_scenarios(bench.features)
+    for line in describe_failures(bench.features):
+        print(line)
     known_red = read_known_red(KNOWN_RED_FILE)
     for name in failed:
         if name in known_red:
--- /dev/null
+++ b/features/router_rollouts.feature
@@ -0,0 +1,77 @@
+@quick
+Feature: New versions come in with little exposure, and sessions keep theirs
+
+  Scenario: A version without an order gets nothing
+    Given a router that knows its configuration and 3 upstreams
+    When upstreams of version "v2" are listed
+    Then no request of 50 goes to version "v2"
+
+  Scenario: In the first half a small share of sessions tries the target
+    Given a router with a roll-out to version "v2" over 20 s
+    Then between 1 and 40 requests of 200 go to version "v2"
+    And all entries send the same sessions there
+
+  Scenario: A session keeps its version in the first half
+    Given a router with a roll-out to version "v2" over 20 s
+    When a session has run on version "v1"
+    Then its next request within 5 s runs on version "v1"
+
+  Scenario: A good target gets everything, and completion is recorded
+    Given a router with a roll-out to version "v2" over 20 s
+    When requests are answered well for 18 s
+    Then every request of 50 goes to version "v2"
+    And the roll-out is recorded as "completed"
+
+  Scenario: Completion waits for requests on the old version
+    Given a router with a roll-out to version "v2" over 20 s
+    When requests are answered well for 9 s
+    And a stream begins on version "v1"
+    And requests are answered well for 8 s
+    Then the roll-out isn't recorded as "completed"
+    When that stream ends
+    And requests are answered well for 1 s
+    Then the roll-out is recorded as "completed"
+
+  Scenario: Completion waits for every live entry
+    Given a router with a roll-out to version "v2" over 20 s
+    And a peer that still sends to version "v1"
+    When requests are answered well for 18 s
+    Then the roll-out isn't recorded as "completed"
+
+  Scenario: A bad target is stopped and rolled back
+    Given a router with a roll-out to version "v2" over 20 s
+    When a third of the target's answers are failures for 10 s
+    Then no request of 50 goes to version "v2"
+    And the roll-out is recorded as "rolled_back"
+
+  Scenario: A peer's word that a target is held holds it here
+    Given a router with a roll-out to version "v2" over 20 s
+    And a peer that holds version "v2"
+    When requests are answered well for 1 s
+    Then no request of 50 goes to version "v2"
+
+  Scenario: Only one entry records, and another takes over from a dead one
+    Given a router with a roll-out to version "v2" over 20 s
+    And a live peer whose name comes first
+    When requests are answered well for 2 s
+    Then nothing is recorded
+    When that peer falls silent for 4 s
+    And requests are answered well for 1 s
+    Then the roll-out is recorded as "running"
+
+  Scenario: Connections that break with their host don't speak against a version
+    Given a router with a roll-out to version "v2" over 20 s
+    When 20 requests on version "v2" break off
+    Then version "v2" isn't held
+
+  Scenario Outline: False alarms and misses over generated roll-outs
+    Then of 300 generated roll-outs with <base> and <target> of failures, <held> are held within <answers> answers
+
+    Examples:
+      | base | target | held          | answers |
+      | 0.00 | 0.00   | at most 1 %   | 60      |
+      | 0.02 | 0.02   | at most 2 %   | 60      |
+      | 0.14 | 0.14   | at most 2 %   | 60      |
+      | 0.02 | 0.31   | at least 90 % | 60      |
+      | 0.02 | 0.55   | at least 99 % | 60      |
+      | 0.14 | 0.55   | at least 95 % | 60      |
--- /dev/null
+++ b/features/router_stop.feature
@@ -0,0 +1,42 @@
+@quick
+Feature: A planned stop cuts nothing off
+
+  Background:
+    Given a router that knows its configuration and 3 upstreams
+
+  Scenario: Not ready at once, and nothing is refused yet
+    When the router is asked to stop
+    Then the router isn't ready
+    When a caller asks "chat"
+    Then the request has been sent 1 times
+
+  Scenario: Streams that might outlast the stop are sent elsewhere
+    When the router is asked to stop
+    And 3 s pass
+    And a caller asks "chat"
+    Then the caller has a 503 with Retry-After
+    And the request has been sent 0 times
+
+  Scenario: Short requests are served nearly to the end
+    When the router is asked to stop
+    And 5 s pass
+    And a caller asks "look"
+    Then the request has been sent 1 times
+
+  Scenario: The process ends once all are answered
+    When a caller asks "look"
+    And the router is asked to stop
+    And 3 s pass
+    Then the process goes on
+    When its upstream answers 200
+    And 0.1 s pass
+    Then the process may end
+
+  Scenario: The process ends before it would be killed
+    When a caller asks "chat"
+    And the upstream is confident and sends events 1 to 3
+    And the router is asked to stop
+    And 6.7 s pass in which the upstream sends events
+    Then the process goes on
+    When 0.3 s pass in which the upstream sends events
+    Then the process may end
--- /dev/null
+++ b/features/steps/router_steps.py
@@ -0,0 +1,435 @@
+"""Steps for a router in memory: requests, streams, freshness, stops."""
+
+import itertools
+
+from behave import given
+from behave import then
+from behave import when
+from hypothesis import given as examples
+from hypothesis import settings as trial_settings
+from hypothesis import strategies
+from support import router_world
+
+from rhubarbbank_core import events as core_events
+from rhubarbbank_core import program_effects as fx
+from rhubarbbank_router import attempt_states
+from rhubarbbank_router import effects
+from rhubarbbank_router import event_stream
+from rhubarbbank_router import events
+from rhubarbbank_router import freshness_proof
+from rhubarbbank_router import route_match
+
+PLACED_INPUTS = {"candidates", "load_age_s", "left_s"}
+
+
+def make_world(context, count, **changes):
+    context.world = router_world.World(**changes)
+    context.world.start(count)
+
+
+@given("a router that knows its configuration and {count:d} upstreams")
+def start(context, count):
+    make_world(context, count)
+
+
+@given("a router that has just started")
+def start_empty(context):
+    context.world = router_world.World()
+    context.world.apply(core_events.Ticked())
+
+
+@when("the router reads its configuration and {count:d} upstreams")
+def read_all(context, count):
+    context.world.start(count)
+    context.world.run(0.1)
+
+
+@when('a caller asks "{route}"')
+def ask(context, route):
+    context.request = context.world.ask(route)
+
+
+@when('a caller that waits {wait:g} s asks "{route}"')
+def ask_waiting(context, wait, route):
+    context.request = context.world.ask(route, wait_s=wait)
+
+
+@when('a caller with key "{key}" asks "{route}"')
+def ask_with_key(context, key, route):
+    context.request = context.world.ask(route, key=key)
+
+
+@when('a caller with key "" asks "{route}"')
+def ask_without_key(context, route):
+    context.request = context.world.ask(route, key="")
+
+
+OUTCOMES = {
+    "answers 200": lambda world, r: world.answer_whole(r),
+    "answers 500": lambda world, r: world.answer_whole(r, 500),
+    "breaks off": lambda world, r: world.end(r, "broken"),
+    "can't be reached": lambda world, r: world.end(r, "unreached"),
+    "refuses for want of room": lambda world, r: world.head(
+        r, 503, refused=True
+    ),
+    "is another one": lambda world, r: world.head(
+        r, 421, misdirected=True, genuine=False
+    ),
+    "sends no genuine answer": lambda world, r: world.head(
+        r, 200, genuine=False
+    ),
+}
+
+
+@when("its upstream {outcome}")
+def let_upstream(context, outcome):
+    OUTCOMES[outcome](context.world, context.request)
+
+
+@when("each upstream refuses for want of room")
+def refuse_all(context):
+    world = context.world
+    while not world.answers(context.request):
+        world.head(context.request, 503, refused=True)
+
+
+@then("the request has been sent {count:d} times")
+def check_sendings(context, count):
+    found = context.world.sent(context.request)
+    assert len(found) == count, found
+    assert len({each.upstream_id for each in found}) == count, found
+
+
+@then("the caller has no answer yet")
+def check_no_answer(context):
+    assert not context.world.answers(context.request)
+
+
+@then("the caller has the upstream's {status:d}")
+def check_relayed(context, status):
+    (answer,) = context.world.answers(context.request)
+    assert isinstance(answer, effects.RelayAnswer), answer
+    assert (answer.status, answer.body) == (status, b"body"), answer
+
+
+def check_own(context, status):
+    (answer,) = context.world.answers(context.request)
+    assert isinstance(answer, effects.RefuseRequest), answer
+    assert answer.status == status, answer
+    return answer
+
+
+@then("the caller has a {status:d} without Retry-After")
+def check_final(context, status):
+    assert check_own(context, status).retry_after_s is None
+
+
+@then("the caller has a {status:d} with Retry-After")
+def check_refused(context, status):
+    answer = check_own(context, status)
+    assert answer.retry_after_s is not None, answer
+    opened = context.world.sent(context.request)
+    # A 503 says that the request has not run: nothing sent is left in doubt.
+    assert len(opened) == 0 or status == 503, opened
+
+
+@then("no attempt is still open")
+@then("nothing is open")
+def check_nothing_open(context):
+    world = context.world
+    assert not world.state.open
+    assert not any(x.in_flight for x in world.state.view.beliefs.values())
+
+
+@when("{duration:g} s pass")
+@when("{duration:g} s pass in which the upstream is silent")
+def let_pass(context, duration):
+    world = context.world
+    steps = max(1, round(duration / 0.5))
+    for _ in range(steps):
+        world.configure(world.state.in_force) if world.state.in_force else None
+        world.run(duration / steps)
+
+
+@when("{duration:g} s pass in which the upstream sends events")
+def let_pass_sending(context, duration):
+    world = context.world
+    number = world.written(context.request)[-1]
+    for _ in range(max(1, round(duration / 0.1))):
+        number += 1
+        world.stream(context.request, number, number)
+        world.configure(world.state.in_force)
+        world.run(0.1)
+
+
+@when("{duration:g} s pass without a read of the configuration")
+def let_pass_unread(context, duration):
+    context.world.run(duration)
+
+
+@when("the machine is suspended for {duration:g} s")
+def suspend(context, duration):
+    context.world.now += duration
+
+
+@then("the attempt is cancelled")
+def check_cancelled(context):
+    assert context.world.cancelled(context.request)
+
+
+@then("the upstream is told that {left:g} s are left")
+def check_told(context, left):
+    assert context.world.sent(context.request)[-1].time_left_s == left
+
+
+@then("the upstream is told at most {left:g} s")
+def check_told_less(context, left):
+    assert context.world.sent(context.request)[-1].time_left_s <= left
+
+
+@when("the caller leaves")
+def leave(context):
+    context.world.apply(events.CallerLeft(context.request))
+
+
+@when("the first upstream answers after all")
+def answer_late(context):
+    context.world.apply(
+        events.UpstreamHead(request_id=context.request, attempt=1, status=200)
+    )
+    context.world.apply(
+        events.UpstreamEnded(
+            request_id=context.request,
+            attempt=1,
+            end=events.AttemptEnd.COMPLETE,
+        )
+    )
+
+
+@then('the request\'s lines are "{names}"')
+def check_lines(context, names):
+    found = context.world.decisions(context.request)
+    assert [each.decision for each in found] == names.split(", "), found
+
+
+@then("each line on placing names candidates, age of the load and time left")
+def check_inputs(context):
+    for each in context.world.decisions(context.request):
+        if each.decision == "placed":
+            assert dict(each.inputs).keys() >= PLACED_INPUTS, each
+
+
+# Streams.
+
+
+@when("the upstream is confident and sends events {first:d} to {last:d}")
+def stream_first(context, first, last):
+    context.world.head(context.request, confidence=90)
+    context.world.stream(context.request, first, last)
+
+
+@when("the upstream sends events {first:d} to {last:d} and ends")
+def stream_rest(context, first, last):
+    stream_first(context, first, last)
+    context.world.end(context.request)
+
+
+@when("the upstream breaks off in the middle of an event")
+def break_in_event(context):
+    context.world.data(context.request, b"id: 4\ndata: ha")
+    context.world.end(context.request, "broken")
+
+
+@when("the upstream ends inside an event")
+def end_in_event(context):
+    context.world.data(context.request, b"id: 4\ndata: ha")
+    context.world.end(context.request)
+
+
+@then("the request is sent to another upstream from event {number} on")
+def check_resumed(context, number):
+    first, second = context.world.sent(context.request)
+    assert second.upstream_id != first.upstream_id
+    assert second.resume_after == number, second
+
+
+@then("the caller has events {first:d} to {last:d}, and the stream {state}")
+def check_events(context, first, last, state):
+    world = context.world
+    assert world.written(context.request) == list(range(first, last + 1))
+    ended = isinstance(world.answers(context.request)[-1], effects.FinishAnswer)
+    assert ended == (state == "has ended"), world.answers(context.request)
+
+
+@then("the caller's stream is cut off")
+def check_cut(context):
+    found = context.world.answers(context.request)
+    assert isinstance(found[-1], effects.BreakAnswer), found
+    assert len(context.world.sent(context.request)) == 1
+
+
+@given('upstreams 1 and 2 have left, and one of version "{version}" is listed')
+def list_other_version(context, version):
+    for number in (1, 2):
+        context.world.apply(events.UpstreamUnlisted(f"up-{number}"))
+    listed = router_world.build_upstream(7, version)
+    context.world.apply(events.UpstreamChanged(listed))
+
+
+@then('the request is sent to model "{model}"')
+def check_model(context, model):
+    assert context.world.sent(context.request)[-1].model == model
+
+
+@when("the upstream answers with confidence {confidence:d}")
+def answer_confident(context, confidence):
+    context.world.head(context.request, confidence=confidence)
+
+
+@then("cutting a stream anywhere gives the same events")
+def check_cutting(context):
+    whole = b"".join(router_world.build_event(n) for n in range(1, 6))
+    expected = event_stream.EventCutter().feed(whole)
+    assert [each.event_id for each in expected] == ["1", "2", "3", "4", "5"]
+
+    @trial_settings(max_examples=200, deadline=None, derandomize=True)
+    @examples(strategies.lists(strategies.integers(0, len(whole))))
+    def check(places):
+        cuts = [0, *sorted(places), len(whole)]
+        cutter = event_stream.EventCutter()
+        found = []
+        for start_at, end_at in itertools.pairwise(cuts):
+            found += cutter.feed(whole[start_at:end_at])
+        assert found == expected
+        assert not cutter.rest
+
+    check()
+
+
+# Freshness.
+
+
+@when("a read that was sent {age:g} s ago confirms the configuration")
+def confirm_late(context, age):
+    world = context.world
+    world.now += age
+    world.apply(
+        events.ConfigurationRead(
+            asked_at=world.now - age, found=world.state.in_force
+        )
+    )
+
+
+@when("revision {revision:d} without any key is read")
+def read_without_keys(context, revision):
+    context.world.configure(router_world.build_configuration(revision, keys=()))
+
+
+@when("revision {revision:d} is read after it")
+def read_old(context, revision):
+    context.world.configure(router_world.build_configuration(revision))
+
+
+@then("routes are found as a naive scan finds them")
+def check_routes(context):
+    pieces = strategies.sampled_from(["a", "b", "ab", "c"])
+    prefixes = strategies.lists(pieces, max_size=4).map(
+        lambda found: "/" + "".join(f"{piece}/" for piece in found)
+    )
+
+    @trial_settings(max_examples=300, deadline=None, derandomize=True)
+    @examples(
+        strategies.lists(prefixes, unique=True, max_size=12),
+        prefixes,
+        strategies.sampled_from(["", "x", "a"]),
+        strategies.sampled_from(["api.example", "API.example:80", "other"]),
+    )
+    def check(listed, path, rest, host):
+        routes = tuple(
+            router_world.build_route(
+                f"n{number}", "idempotent", path_prefix=prefix
+            )
+            for number, prefix in enumerate(listed)
+        )
+        index = route_match.RouteIndex(routes=routes)
+        assert index.find(
+            host=host, path=path + rest
+        ) == route_match.find_by_scan(routes, host=host, path=path + rest)
+
+    check()
+
+
+@then("no key is accepted later than its bound in any history")
+def check_histories(context):
+    bound_s, limit_s = 5.0, 4.6
+    steps = strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from(["ask", "answer", "revoke", "request"]),
+            strategies.floats(0.0, 3.0),
+        ),
+        max_size=40,
+    )
+
+    @trial_settings(max_examples=400, deadline=None, derandomize=True)
+    @examples(steps)
+    def check(history):
+        now = 0.0
+        revoked_at = None
+        key_in_force = True
+        proof = freshness_proof.FreshnessProof(limit_s=limit_s)
+        asked = []
+        for step, wait_s in history:
+            now += wait_s
+            match step:
+                case "ask":
+                    # A linearizable read sees all that was accepted by then.
+                    asked.append((now, revoked_at is None))
+                case "answer" if asked:
+                    asked_at, holds_key = asked.pop(0)
+                    key_in_force = key_in_force and holds_key
+                    proof.confirm(asked_at=asked_at)
+                case "revoke":
+                    revoked_at = now if revoked_at is None else revoked_at
+                case "request":
+                    accepted = proof.holds(now=now) and key_in_force
+                    late = revoked_at is not None and (
+                        now > revoked_at + bound_s
+                    )
+                    assert not (accepted and late), (now, revoked_at)
+
+    check()
+
+
+# Stops.
+
+
+@when("the router is asked to stop")
+def stop(context):
+    context.world.apply(core_events.StopRequested())
+
+
+@then("the router isn't ready")
+def check_not_ready(context):
+    assert not context.world.router.is_ready(now=context.world.now)
+
+
+def has_exited(context):
+    return any(isinstance(each, fx.Exit) for each in context.world.done)
+
+
+@then("the process goes on")
+def check_going_on(context):
+    assert not has_exited(context)
+
+
+@then("the process may end")
+def check_ended(context):
+    assert has_exited(context)
+    assert not context.world.state.open
+
+
+@then("only a proof of not having run allows a refusal")
+def check_states(context):
+    for state in attempt_states.AttemptState:
+        proof = state in attempt_states.PROOFS_OF_NOT_RUN
+        assert proof == (state.value in {"not_sent", "refused"})
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
@@ -385,7 +385,7 @@
     times = state.view.read_times(attempt.service)
     waited_s = (attempt.first_event_at or now) - attempt.sent_at
     usual_s = times.first_event_s if opened.is_stream else times.whole_s
-    slow = waited_s > defaults.SLOW_TIMES * usual_s
+    slow = waited_s > max(defaults.SLOW_TIMES * usual_s, defaults.SLOW_FLOOR_S)
     trial = state.trials.get(attempt.service)
     if trial is not None and (attempt.status or not failed):
         own = attempt.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -112,6 +112,8 @@
 TRIAL_FALSE_ALARM = 0.01
 # An answer is slow if its first event took this many times the usual wait.
 SLOW_TIMES = 3.0
+# Shorter waits are never slow, however short the usual one is.
+SLOW_FLOOR_S = 0.25
 
 # Attempts that end by a break-off, after which a request is suspected to
 # crash its upstreams.
