Try each order by itself, look at each route, and count silence as slowness

Changes: orders are told apart by record and target; evidence by route; silence and a slow pace count as slow; a fifth of a plain service.

--- a/features/router_rollouts.feature
+++ b/features/router_rollouts.feature
@@ -44,6 +44,23 @@
     Then no request of 50 goes to version "v2"
     And the roll-out is recorded as "rolled_back"
 
+  Scenario: A target that is bad on one route is stopped
+    Given a router with a roll-out to version "v2" over 20 s
+    When half of the target's answers on one route are failures for 20 s
+    Then no request of 50 goes to version "v2"
+
+  Scenario: A slow target is stopped
+    Given a router with a roll-out to version "v2" over 20 s
+    When the target answers 8 times slower than the old version for 10 s
+    Then no request of 50 goes to version "v2"
+
+  Scenario: A second order in the record of the first is tried anew
+    Given a router with a roll-out to version "v2" over 20 s
+    When the roll-out to "v2" is completed
+    And an order for version "v3" is written into the same record
+    Then less than half of 100 requests go to version "v3"
+    And the roll-out isn't recorded as "completed"
+
   Scenario: A peer's word that a target is held holds it here
     Given a router with a roll-out to version "v2" over 20 s
     And a peer that holds version "v2"
--- a/features/steps/router_rollout_steps.py
+++ b/features/steps/router_rollout_steps.py
@@ -16,6 +16,7 @@
 
 SERVICE = "pool"
 CREATED = 40
+KEY = f"{CREATED}/v2"
 
 
 def build_order(target, duration_s, state="ordered", revision=41):
@@ -154,13 +155,12 @@
 def build_trial_news(*, held=False, whole=True, old=0):
     return messages.TrialNews(
         service=SERVICE,
-        created_revision=CREATED,
+        key=KEY,
         age_s=0.0,
         held=held,
         whole=whole,
         old_in_flight=old,
-        target=(0, 0, 0),
-        incumbent=(0, 0, 0),
+        routes=(),
     )
 
 
@@ -298,7 +298,13 @@
             for _ in range(9):
                 old = old.add(failed=rng.random() < base, slow=False)
             new = new.add(failed=rng.random() < target, slow=False)
-            evidence = version_trial.TrialEvidence(target=new, incumbent=old)
+            evidence = version_trial.TrialEvidence(
+                {
+                    "chat": version_trial.Comparison(target=new, incumbent=old),
+                    "plan": version_trial.NOTHING,
+                    "tag": version_trial.NOTHING,
+                }
+            )
             if judge.is_worse(evidence):
                 held += 1
                 break
@@ -308,3 +314,70 @@
         assert share <= percent, share
     else:
         assert share >= percent, share
+
+
+@when('an order for version "{target}" is written into the same record')
+def write_again(context, target):
+    context.world.apply(
+        events.RolloutChanged(build_order(target, 20.0, revision=90))
+    )
+    for number in range(20, 24):
+        listed = router_world.build_upstream(number, target)
+        context.world.apply(events.UpstreamChanged(listed))
+
+
+@when('the roll-out to "{target}" is completed')
+def complete(context, target):
+    context.world.apply(
+        events.RolloutChanged(
+            build_order(target, 20.0, state="completed", revision=80)
+        )
+    )
+
+
+@then('less than half of {count:d} requests go to version "{version}"')
+def check_trial_again(context, count, version):
+    world = context.world
+    found = 0
+    for number in range(count):
+        request, sending = ask_one(world, f"again-{number}")
+        found += int(sending.upstream_id.removeprefix("up-")) >= 20
+        answer_well(world, request)
+    assert 0 < found < count / 2, found
+
+
+@when(
+    "the target answers {times:d} times slower than the old version"
+    " for {duration:g} s"
+)
+def run_slowly(context, times, duration):
+    world = context.world
+    waiting = []
+    for number in range(round(duration * 20)):
+        world.configure(world.state.in_force)
+        request, sending = ask_one(world, f"slow{number}")
+        wait_s = 0.1 * (times if is_new(sending) else 1)
+        waiting.append((world.now + wait_s, request))
+        due = [each for at, each in waiting if at <= world.now]
+        waiting = [each for each in waiting if each[0] > world.now]
+        for each in due:
+            answer_well(world, each)
+        world.run(0.05)
+
+
+@when(
+    "half of the target's answers on one route are failures for {duration:g} s"
+)
+def run_badly_on_one_route(context, duration):
+    world = context.world
+    rng = random.Random(5)
+    for number in range(round(duration * 20)):
+        world.configure(world.state.in_force)
+        request, sending = ask_one(world, f"o{number}")
+        answer_well(world, request)
+        if number % 4 == 0:
+            request = world.ask("book", attempt_id=f"book-{number}")
+            sending = world.sent(request)[0]
+            bad = is_new(sending) and rng.random() < 0.5
+            world.answer_whole(request, 500 if bad else 200)
+        world.run(0.05)
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
@@ -165,6 +165,7 @@
 ) -> list[effects.Effect]:
     """Passes one event on, unless the caller has it."""
     out: list[effects.Effect] = []
+    attempt.events += 1
     if attempt.first_event_at is None:
         attempt.first_event_at = now
         out += note_first_event(state, opened, attempt, now=now)
@@ -375,21 +376,34 @@
     *,
     now: float,
     failed: bool,
+    silent: bool = False,
 ) -> None:
     """Learns from an attempt that has ended with an answer or a failure.
 
     A connection that breaks off says something of the upstream's host, and
     often of many requests at once; for or against the upstream's version
-    speak its answers alone.
+    speak its answers alone, and how long they take.
+
+    Args:
+        state: The router's state.
+        opened: The request.
+        attempt: The attempt.
+        now: In seconds.
+        failed: Whether it failed.
+        silent: Whether it was given up since nothing came.
     """
     times = state.view.read_times(attempt.service)
-    waited_s = (attempt.first_event_at or now) - attempt.sent_at
-    usual_s = times.first_event_s if opened.is_stream else times.whole_s
-    slow = waited_s > max(defaults.SLOW_TIMES * usual_s, defaults.SLOW_FLOOR_S)
     trial = state.trials.get(attempt.service)
-    if trial is not None and (attempt.status or not failed):
+    if trial is not None and (attempt.status or silent or not failed):
         own = attempt.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR
-        trial.note(version=attempt.version, failed=own, slow=slow)
+        trial.note(
+            route=opened.route.name,
+            version=attempt.version,
+            failed=own,
+            slow=silent or is_slow(opened, attempt, times, now=now),
+        )
+    if opened.is_stream:
+        learn_pace(attempt, times, now=now)
     if failed:
         state.view.note_failure(attempt.upstream, now=now)
         return
@@ -399,6 +413,54 @@
         times.whole_s = upstreams.smooth(times.whole_s, took_s)
 
 
+def is_slow(
+    opened: states.OpenRequest,
+    attempt: attempt_states.Attempt,
+    times: upstreams.ServiceTimes,
+    *,
+    now: float,
+) -> bool:
+    """Returns whether an attempt took several times what was expected."""
+    waited_s = (attempt.first_event_at or now) - attempt.sent_at
+    expected_s = times.whole_s
+    if opened.is_stream:
+        work_s = attempt.backlog_s + attempt.work_s
+        expected_s = max(times.first_event_s, work_s)
+    limit_s = max(defaults.SLOW_TIMES * expected_s, defaults.SLOW_FLOOR_S)
+    if waited_s > limit_s:
+        return True
+    pace_s = measure_pace_s(attempt, now=now)
+    usual_s = times.pace_s.get(attempt.model)
+    if pace_s is None or usual_s is None:
+        return False
+    return pace_s > defaults.SLOW_PACE_TIMES * usual_s
+
+
+def measure_pace_s(
+    attempt: attempt_states.Attempt, *, now: float
+) -> float | None:
+    """Returns the mean time between a stream's events, or None."""
+    if attempt.first_event_at is None:
+        return None
+    if attempt.events < defaults.LEAST_EVENTS_FOR_PACE:
+        return None
+    return (now - attempt.first_event_at) / (attempt.events - 1)
+
+
+def learn_pace(
+    attempt: attempt_states.Attempt,
+    times: upstreams.ServiceTimes,
+    *,
+    now: float,
+) -> None:
+    """Learns how fast a model's events come."""
+    pace_s = measure_pace_s(attempt, now=now)
+    if pace_s is None:
+        return
+    usual_s = times.pace_s.get(attempt.model, pace_s)
+    times.pace_s[attempt.model] = upstreams.smooth(usual_s, pace_s)
+
+
 def set_aside(
     state: states.RouterState, upstream: str, *, now: float, weight: int
 ) -> list[effects.Effect]:
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -98,6 +98,8 @@
 
 # Share of sessions that try a new version before half of its time is over.
 TRIAL_SHARE = 0.1
+# The same for a plain service, which sees few requests.
+PLAIN_TRIAL_SHARE = 0.2
 # Shares after that, one step each TRIAL_STEP_S while nothing speaks against.
 TRIAL_STEPS = (0.2, 0.5, 1.0)
 TRIAL_STEP_S = 0.8
@@ -114,6 +116,10 @@
 SLOW_TIMES = 3.0
 # Shorter waits are never slow, however short the usual one is.
 SLOW_FLOOR_S = 0.25
+# A stream is slow if its events come this many times slower than usual.
+SLOW_PACE_TIMES = 3.0
+# Streams with fewer events tell little of their pace.
+LEAST_EVENTS_FOR_PACE = 5
 
 # Attempts that end by a break-off, after which a request is suspected to
 # crash its upstreams.
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/messages.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/messages.py
@@ -9,28 +9,40 @@
 from rhubarbbank_core import effects
 
 
+class RouteNews(msgspec.Struct, frozen=True, array_like=True):
+    """Answers on one route, each as answers, failures and slow answers.
+
+    Attributes:
+        route: The route's name.
+        target: Of the target.
+        incumbent: Of other versions.
+    """
+
+    route: str
+    target: tuple[int, int, int]
+    incumbent: tuple[int, int, int]
+
+
 class TrialNews(msgspec.Struct, frozen=True, array_like=True):
     """What an entry knows of one roll-out.
 
     Attributes:
         service: The service.
-        created_revision: Of the order.
+        key: Of the order.
         age_s: Since the order was first seen by anyone.
         held: Whether the target gets no new work.
         whole: Whether all new work goes to the target here.
         old_in_flight: Open attempts here on other versions.
-        target: Answers, failures and slow answers of the target.
-        incumbent: The same of other versions.
+        routes: Answers by route.
     """
 
     service: str
-    created_revision: int
+    key: str
     age_s: float
     held: bool
     whole: bool
     old_in_flight: int
-    target: tuple[int, int, int]
-    incumbent: tuple[int, int, int]
+    routes: tuple[RouteNews, ...]
 
 
 class SuspectNews(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/peers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/peers.py
@@ -45,14 +45,14 @@
         name: This entry.
         registered: Addresses by name, as the store lists them.
         heard: By name.
-        retired: Evidence of earlier incarnations, by service and order.
+        retired: Evidence of earlier incarnations, by service and order key.
     """
 
     def __init__(self, *, name: str) -> None:
         self.name = name
         self.registered: dict[str, str] = {}
         self.heard: dict[str, KnownPeer] = {}
-        self.retired: dict[tuple[str, int], version_trial.TrialEvidence] = {}
+        self.retired: dict[str, version_trial.TrialEvidence] = {}
 
     def replace_registered(
         self, listed: collections.abc.Iterable[PeerAddress]
@@ -85,7 +85,7 @@
     def retire(self, news: messages.EntryNews) -> None:
         """Keeps the evidence of an incarnation that has ended."""
         for trial in news.trials:
-            key = (trial.service, trial.created_revision)
+            key = f"{trial.service}/{trial.key}"
             before = self.retired.get(key, version_trial.TrialEvidence())
             self.retired[key] = before.plus(read_evidence(trial))
 
@@ -123,15 +123,15 @@
         return all(self.name < name for name in names)
 
     def sum_evidence(
-        self, service: str, created_revision: int
+        self, service: str, order_key: str
     ) -> version_trial.TrialEvidence:
         """Returns what all other entries have seen of a roll-out."""
         total = self.retired.get(
-            (service, created_revision), version_trial.TrialEvidence()
+            f"{service}/{order_key}", version_trial.TrialEvidence()
         )
         for known in self.heard.values():
             for trial in known.news.trials:
-                same = trial.created_revision == created_revision
+                same = trial.key == order_key
                 if trial.service == service and same:
                     total = total.plus(read_evidence(trial))
         return total
@@ -139,12 +139,20 @@
 
 def read_evidence(trial: messages.TrialNews) -> version_trial.TrialEvidence:
     """Returns the evidence that a heartbeat carries."""
-    answers, failures, slow = trial.target
-    target = version_trial.AnswerCounts(
-        answers=answers, failures=failures, slow=slow
+    return version_trial.TrialEvidence(
+        {
+            found.route: version_trial.Comparison(
+                target=read_counts(found.target),
+                incumbent=read_counts(found.incumbent),
+            )
+            for found in trial.routes
+        }
     )
-    answers, failures, slow = trial.incumbent
-    incumbent = version_trial.AnswerCounts(
+
+
+def read_counts(found: tuple[int, int, int]) -> version_trial.AnswerCounts:
+    """Returns counts as they stand in a heartbeat."""
+    answers, failures, slow = found
+    return version_trial.AnswerCounts(
         answers=answers, failures=failures, slow=slow
     )
-    return version_trial.TrialEvidence(target=target, incumbent=incumbent)
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/rollouts.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/rollouts.py
@@ -7,6 +7,7 @@
 """
 
 from rhubarbbank_core import program_effects as fx
+from rhubarbbank_router import defaults
 from rhubarbbank_router import effects
 from rhubarbbank_router import messages
 from rhubarbbank_router import state as states
@@ -27,10 +28,13 @@
     known = trial.order if trial else None
     if known is not None and order.revision < known.revision:
         return []
-    if known is None or known.created_revision != order.created_revision:
+    if known is None or is_another(known, order):
         settle(state, order.service)
         trial = version_trial.VersionTrial(
-            order=order, judge=state.judge, now=now
+            order=order,
+            judge=state.judge,
+            first_share=choose_first_share(state, order.service),
+            now=now,
         )
         state.trials[order.service] = trial
     assert trial is not None
@@ -57,6 +61,33 @@
     ]
 
 
+def is_another(
+    known: version_trial.RolloutOrder, order: version_trial.RolloutOrder
+) -> bool:
+    """Returns whether an order isn't the one that is known.
+
+    An operator may write a new order into the record of an old one, also for
+    the same target.
+    """
+    if known.key != order.key:
+        return True
+    begun = order.state is version_trial.OrderState.ORDERED
+    return begun and known.state in version_trial.FINAL_STATES
+
+
+def choose_first_share(state: states.RouterState, service: str) -> float:
+    """Returns the share that a new version of a service gets at first.
+
+    Plain services see fewer requests, and keep no sessions that a larger
+    share would move.
+    """
+    current = state.in_force
+    found = current.services.get(service) if current else None
+    if found is not None and not found.models:
+        return defaults.PLAIN_TRIAL_SHARE
+    return defaults.TRIAL_SHARE
+
+
 def take_orders(
     state: states.RouterState,
     orders: tuple[version_trial.RolloutOrder, ...],
@@ -173,7 +204,7 @@
     for service, trial in state.trials.items():
         adopt_age(state, trial, now=now)
         evidence = trial.own.plus(
-            state.entries.sum_evidence(service, trial.order.created_revision)
+            state.entries.sum_evidence(service, trial.order.key)
         )
         if trial.advance(evidence, now=now):
             out.append(log_step(service, trial, evidence, now=now))
@@ -190,7 +221,7 @@
     """Takes over from peers when the order began, and that it is held."""
     for news in state.entries.list_live(now=now):
         for told in news.trials:
-            if told.created_revision == trial.order.created_revision:
+            if told.key == trial.order.key:
                 trial.started_at = min(trial.started_at, now - told.age_s)
                 trial.held = trial.held or told.held
 
@@ -210,16 +241,23 @@
         inputs=(
             ("service", service),
             ("age_s", round(now - trial.started_at, 3)),
-            ("target_answers", evidence.target.answers),
-            ("target_failures", evidence.target.failures),
-            ("target_slow", evidence.target.slow),
-            ("incumbent_answers", evidence.incumbent.answers),
-            ("incumbent_failures", evidence.incumbent.failures),
-            ("incumbent_slow", evidence.incumbent.slow),
+            *describe("target", evidence.pooled.target),
+            *describe("incumbent", evidence.pooled.incumbent),
         ),
     )
 
 
+def describe(
+    name: str, counts: version_trial.AnswerCounts
+) -> tuple[fx.LogInput, ...]:
+    """Returns a version's counts for the log."""
+    return (
+        (f"{name}_answers", counts.answers),
+        (f"{name}_failures", counts.failures),
+        (f"{name}_slow", counts.slow),
+    )
+
+
 def record(
     state: states.RouterState,
     service: str,
@@ -260,11 +298,7 @@
     if not trial.is_whole or count_on_others(state, trial):
         return version_trial.OrderState.RUNNING
     for news in state.entries.list_live(now=now):
-        told = [
-            each
-            for each in news.trials
-            if each.created_revision == trial.order.created_revision
-        ]
+        told = [each for each in news.trials if each.key == trial.order.key]
         if not told or not told[0].whole or told[0].old_in_flight:
             return version_trial.OrderState.RUNNING
     return version_trial.OrderState.COMPLETED
@@ -289,13 +323,17 @@
     return tuple(
         messages.TrialNews(
             service=service,
-            created_revision=trial.order.created_revision,
+            key=trial.order.key,
             age_s=now - trial.started_at,
             held=trial.held,
             whole=trial.is_whole,
             old_in_flight=count_on_others(state, trial),
-            target=pack(trial.own.target),
-            incumbent=pack(trial.own.incumbent),
+            routes=tuple(
+                messages.RouteNews(
+                    route, pack(found.target), pack(found.incumbent)
+                )
+                for route, found in trial.own.routes.items()
+            ),
         )
         for service, trial in state.trials.items()
     )
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/trial_judge.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/trial_judge.py
@@ -39,23 +39,34 @@
         return self.weigh(evidence) >= math.log(DOUBTFUL_RATIO)
 
     def weigh(self, evidence: version_trial.TrialEvidence) -> float:
-        """Returns the log likelihood ratio for the worse of two measures."""
-        target, incumbent = evidence.target, evidence.incumbent
-        failures = log_ratio(
-            bad=target.failures,
-            count=target.answers,
-            base_rate=estimate_rate(incumbent.failures, incumbent.answers)
-            + defaults.TRIAL_ERROR_TOLERANCE,
+        """Returns the highest log likelihood ratio of all comparisons.
+
+        Routes that are looked at beside the whole are paid for: each ratio
+        is divided by their number.
+        """
+        found = [evidence.pooled, *evidence.routes.values()]
+        penalty = math.log(max(1, len(evidence.routes)))
+        return max(weigh_comparison(each) for each in found) - penalty
+
+
+def weigh_comparison(found: version_trial.Comparison) -> float:
+    """Returns the log likelihood ratio for the worse of two measures."""
+    target, incumbent = found.target, found.incumbent
+    failures = log_ratio(
+        bad=target.failures,
+        count=target.answers,
+        base_rate=estimate_rate(incumbent.failures, incumbent.answers)
+        + defaults.TRIAL_ERROR_TOLERANCE,
+    )
+    slow = log_ratio(
+        bad=target.slow,
+        count=target.answers - target.failures,
+        base_rate=estimate_rate(
+            incumbent.slow, incumbent.answers - incumbent.failures
         )
-        slow = log_ratio(
-            bad=target.slow,
-            count=target.answers - target.failures,
-            base_rate=estimate_rate(
-                incumbent.slow, incumbent.answers - incumbent.failures
-            )
-            + defaults.TRIAL_SLOW_TOLERANCE,
-        )
-        return max(failures, slow)
+        + defaults.TRIAL_SLOW_TOLERANCE,
+    )
+    return max(failures, slow)
 
 
 class FixedCountJudge:
@@ -70,7 +81,7 @@
 
     def is_worse(self, evidence: version_trial.TrialEvidence) -> bool:
         """Returns whether the evidence speaks against the target."""
-        target = evidence.target
+        target = evidence.pooled.target
         return target.failures + target.slow >= self.bad_answers
 
     def is_doubtful(self, evidence: version_trial.TrialEvidence) -> bool:
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/version_trial.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/version_trial.py
@@ -43,7 +43,8 @@
         duration_s: When the move should be over, after the order.
         state: As last recorded.
         revision: Of the record in the store, for conditional changes.
-        created_revision: Tells two orders for one service apart.
+        created_revision: Of the order's record, which a later order for the
+            same service may reuse.
     """
 
     service: str
@@ -53,6 +54,11 @@
     revision: int
     created_revision: int
 
+    @property
+    def key(self) -> str:
+        """Tells orders for one service apart."""
+        return f"{self.created_revision}/{self.target}"
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class AnswerCounts:
@@ -86,20 +92,49 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class TrialEvidence:
+class Comparison:
     """Counts of the target and of the version before it."""
 
     target: AnswerCounts = AnswerCounts()
     incumbent: AnswerCounts = AnswerCounts()
 
-    def plus(self, other: "TrialEvidence") -> "TrialEvidence":
+    def plus(self, other: "Comparison") -> "Comparison":
         """Returns the sum of both."""
-        return TrialEvidence(
+        return Comparison(
             target=self.target.plus(other.target),
             incumbent=self.incumbent.plus(other.incumbent),
         )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TrialEvidence:
+    """Counts by route: a version may be bad on one route alone.
+
+    Attributes:
+        routes: By the route's name.
+    """
+
+    routes: dict[str, Comparison] = dataclasses.field(default_factory=dict)
+
+    def plus(self, other: "TrialEvidence") -> "TrialEvidence":
+        """Returns the sum of both."""
+        total = dict(self.routes)
+        for route, found in other.routes.items():
+            total[route] = total.get(route, NOTHING).plus(found)
+        return TrialEvidence(total)
+
+    @property
+    def pooled(self) -> Comparison:
+        """The sum over all routes."""
+        total = NOTHING
+        for found in self.routes.values():
+            total = total.plus(found)
+        return total
+
+
+NOTHING = Comparison()
+
+
 class TrialJudge(Protocol):
     """Decides whether a target is worse than the version before it."""
 
@@ -121,6 +156,7 @@
     Attributes:
         order: The operators' order, as last read.
         judge: Decides whether the target is worse.
+        first_share: Share that the target gets in the first part.
         started_at: When the order was first seen, here or by a peer.
         own: This entry's evidence.
         held: Whether the target gets no new work, for good.
@@ -129,9 +165,15 @@
     """
 
     def __init__(
-        self, *, order: RolloutOrder, judge: TrialJudge, now: float
+        self,
+        *,
+        order: RolloutOrder,
+        judge: TrialJudge,
+        first_share: float = defaults.TRIAL_SHARE,
+        now: float,
     ) -> None:
         self.order = order
+        self.first_share = first_share
         self.judge = judge
         self.started_at = now
         self.own = TrialEvidence()
@@ -139,15 +181,15 @@
         self.step = -1
         self.stepped_at = now
 
-    def note(self, *, version: str, failed: bool, slow: bool) -> None:
+    def note(
+        self, *, route: str, version: str, failed: bool, slow: bool
+    ) -> None:
         """Takes the end of an attempt on one of the service's versions."""
-        own = self.own
+        counts = AnswerCounts().add(failed=failed, slow=slow)
+        found = Comparison(incumbent=counts)
         if version == self.order.target:
-            counts = own.target.add(failed=failed, slow=slow)
-            self.own = dataclasses.replace(own, target=counts)
-        else:
-            counts = own.incumbent.add(failed=failed, slow=slow)
-            self.own = dataclasses.replace(own, incumbent=counts)
+            found = Comparison(target=counts)
+        self.own = self.own.plus(TrialEvidence({route: found}))
 
     @property
     def share(self) -> float:
@@ -157,8 +199,8 @@
         if self.held:
             return 0.0
         if self.step < 0:
-            return defaults.TRIAL_SHARE
-        return defaults.TRIAL_STEPS[self.step]
+            return self.first_share
+        return max(self.first_share, defaults.TRIAL_STEPS[self.step])
 
     @property
     def moves_sessions(self) -> bool:
@@ -189,7 +231,7 @@
             due = now - self.started_at >= half_s
         else:
             due = now - self.stepped_at >= defaults.TRIAL_STEP_S
-        seen = evidence.target.answers >= defaults.TRIAL_LEAST_ANSWERS
+        seen = evidence.pooled.target.answers >= defaults.TRIAL_LEAST_ANSWERS
         if not (due and seen) or self.judge.is_doubtful(evidence):
             return False
         self.step += 1
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/watch.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/watch.py
@@ -57,7 +57,9 @@
         # Asked again at the next beat; by then there may be room.
         return []
     cancel = answers.close_attempt(state, opened, attempt)
-    answers.finish_attempt(state, opened, attempt, now=now, failed=True)
+    answers.finish_attempt(
+        state, opened, attempt, now=now, failed=True, silent=True
+    )
     log = fx.LogDecision(
         decision="silent_attempt",
         request_id=opened.request.attempt_id,
