Tell a slow version by the answers whose speed can be told

Cause: of a version that answers 2 of 5 requests 8 times slower only 4 in 30 answers were called slow: streams that a step up dropped counted as fast, slow ones told at their end only, they became the measure of themselves, and one host that fell silent silenced a dozen requests of the old version.

--- a/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
@@ -16,6 +16,7 @@
 from rhubarbbank_router import events
 from rhubarbbank_router import state as states
 from rhubarbbank_router import upstreams
+from rhubarbbank_router import version_trial
 
 MS_PER_S = 1000.0
 
@@ -169,6 +170,11 @@
     if attempt.first_event_at is None:
         attempt.first_event_at = now
         out += note_first_event(state, opened, attempt, now=now)
+    elif attempt.events == defaults.LEAST_EVENTS_FOR_PACE:
+        # A slow stream would tell too late at its end.
+        times = state.view.read_times(attempt.service)
+        if is_slow(opened, attempt, times, now=now):
+            judge_attempt(state, opened, attempt, failed=False, slow=True)
     last = opened.last_event_id
     if last and not event_stream.follows(event.event_id, last):
         return out
@@ -393,15 +399,10 @@
         silent: Whether it was given up since nothing came.
     """
     times = state.view.read_times(attempt.service)
-    trial = state.trials.get(attempt.service)
-    if trial is not None and (attempt.status or silent or not failed):
+    if attempt.status or silent or not failed:
         own = attempt.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR
-        trial.note(
-            route=opened.route.name,
-            version=attempt.version,
-            failed=own,
-            slow=silent or is_slow(opened, attempt, times, now=now),
-        )
+        slow = silent or is_slow(opened, attempt, times, now=now)
+        judge_attempt(state, opened, attempt, failed=own, slow=slow)
     if opened.is_stream:
         learn_pace(attempt, times, now=now)
     if failed:
@@ -413,6 +414,30 @@
         times.whole_s = upstreams.smooth(times.whole_s, took_s)
 
 
+def judge_attempt(
+    state: states.RouterState,
+    opened: states.OpenRequest,
+    attempt: attempt_states.Attempt,
+    *,
+    failed: bool,
+    slow: bool,
+) -> None:
+    """Takes an attempt as evidence on its version, once."""
+    trial = state.trials.get(attempt.service)
+    if trial is None or attempt.judged:
+        return
+    attempt.judged = True
+    timed = not opened.is_stream
+    timed = timed or attempt.events >= defaults.LEAST_EVENTS_FOR_PACE
+    trial.note(
+        route=opened.route.name,
+        version=attempt.version,
+        counts=version_trial.AnswerCounts().add(
+            failed=failed, slow=slow, timed=timed
+        ),
+    )
+
+
 def is_slow(
     opened: states.OpenRequest,
     attempt: attempt_states.Attempt,
@@ -458,6 +483,8 @@
     if pace_s is None:
         return
     usual_s = times.pace_s.get(attempt.model, pace_s)
+    # A slow version must not become the measure of itself.
+    pace_s = min(pace_s, defaults.SLOW_PACE_TIMES * usual_s)
     times.pace_s[attempt.model] = upstreams.smooth(usual_s, pace_s)
 
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_states.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_states.py
@@ -50,6 +50,7 @@
         heard_at: When bytes came last; `sent_at` before the first.
         first_event_at: When a stream's first event came; None before.
         events: Events that came.
+        judged: Whether it has been taken as evidence on its version.
         unread_tokens: Tokens of the prompt that the upstream had to read.
         work_s: How long it was expected to hold others up.
         backlog_s: Work that this entry had there before it.
@@ -72,6 +73,7 @@
     heard_at: float = 0.0
     first_event_at: float | None = None
     events: int = 0
+    judged: bool = False
     unread_tokens: int = 0
     work_s: float = 0.0
     backlog_s: float = 0.0
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -100,16 +100,17 @@
 TRIAL_SHARE = 0.1
 # The same for a plain service, which sees few requests.
 PLAIN_TRIAL_SHARE = 0.2
-# Shares after that, one step each TRIAL_STEP_S while nothing speaks against.
+# Shares after that, while nothing speaks against; a step takes this share of
+# the roll-out's time.
 TRIAL_STEPS = (0.2, 0.5, 1.0)
-TRIAL_STEP_S = 0.8
+TRIAL_STEP_SHARE = 0.06
 # The first half of a roll-out keeps sessions on their version (bound).
 TRIAL_HALF = 0.5
 # Answers of the new version that must have been seen before it gets more.
 TRIAL_LEAST_ANSWERS = 8
 # Rise of the failure rate and of the share of slow answers that is let pass.
 TRIAL_ERROR_TOLERANCE = 0.03
-TRIAL_SLOW_TOLERANCE = 0.15
+TRIAL_SLOW_TOLERANCE = 0.08
 # Chance of a false alarm in a whole roll-out.
 TRIAL_FALSE_ALARM = 0.01
 # An answer is slow if its first event took this many times the usual wait.
@@ -117,7 +118,9 @@
 # Shorter waits are never slow, however short the usual one is.
 SLOW_FLOOR_S = 0.25
 # A stream is slow if its events come this many times slower than usual.
-SLOW_PACE_TIMES = 3.0
+SLOW_PACE_TIMES = 2.5
+# Silences of one upstream that follow each other within this are one.
+SILENCE_EPISODE_S = 2.0
 # Streams with fewer events tell little of their pace.
 LEAST_EVENTS_FOR_PACE = 5
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/messages.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/messages.py
@@ -10,7 +10,7 @@
 
 
 class RouteNews(msgspec.Struct, frozen=True, array_like=True):
-    """Answers on one route, each as answers, failures and slow answers.
+    """Counts on one route, in the order of `version_trial.AnswerCounts`.
 
     Attributes:
         route: The route's name.
@@ -19,8 +19,8 @@
     """
 
     route: str
-    target: tuple[int, int, int]
-    incumbent: tuple[int, int, int]
+    target: tuple[int, int, int, int]
+    incumbent: tuple[int, int, int, int]
 
 
 class TrialNews(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/peers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/peers.py
@@ -150,9 +150,9 @@
     )
 
 
-def read_counts(found: tuple[int, int, int]) -> version_trial.AnswerCounts:
+def read_counts(found: tuple[int, int, int, int]) -> version_trial.AnswerCounts:
     """Returns counts as they stand in a heartbeat."""
-    answers, failures, slow = found
+    answers, failures, timed, slow = found
     return version_trial.AnswerCounts(
-        answers=answers, failures=failures, slow=slow
+        answers=answers, failures=failures, timed=timed, slow=slow
     )
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/rollouts.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/rollouts.py
@@ -254,6 +254,7 @@
     return (
         (f"{name}_answers", counts.answers),
         (f"{name}_failures", counts.failures),
+        (f"{name}_timed", counts.timed),
         (f"{name}_slow", counts.slow),
     )
 
@@ -339,6 +340,8 @@
     )
 
 
-def pack(counts: version_trial.AnswerCounts) -> tuple[int, int, int]:
+def pack(
+    counts: version_trial.AnswerCounts,
+) -> tuple[int, int, int, int]:
     """Returns counts as a heartbeat carries them."""
-    return counts.answers, counts.failures, counts.slow
+    return counts.answers, counts.failures, counts.timed, counts.slow
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/trial_judge.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/trial_judge.py
@@ -23,7 +23,7 @@
 MOST_RATE = 0.95
 COMPARISONS = 2
 # Likelihood ratio from which a target gets no larger share.
-DOUBTFUL_RATIO = 3.0
+DOUBTFUL_RATIO = 2.0
 
 
 class LikelihoodJudge:
@@ -41,12 +41,14 @@
     def weigh(self, evidence: version_trial.TrialEvidence) -> float:
         """Returns the highest log likelihood ratio of all comparisons.
 
-        Routes that are looked at beside the whole are paid for: each ratio
-        is divided by their number.
+        Routes that are looked at beside the whole are paid for: their
+        ratios are divided by their number.
         """
-        found = [evidence.pooled, *evidence.routes.values()]
-        penalty = math.log(max(1, len(evidence.routes)))
-        return max(weigh_comparison(each) for each in found) - penalty
+        whole = weigh_comparison(evidence.pooled)
+        if not evidence.routes:
+            return whole
+        routes = max(map(weigh_comparison, evidence.routes.values()))
+        return max(whole, routes - math.log(len(evidence.routes)))
 
 
 def weigh_comparison(found: version_trial.Comparison) -> float:
@@ -60,10 +62,8 @@
     )
     slow = log_ratio(
         bad=target.slow,
-        count=target.answers - target.failures,
-        base_rate=estimate_rate(
-            incumbent.slow, incumbent.answers - incumbent.failures
-        )
+        count=target.timed,
+        base_rate=estimate_rate(incumbent.slow, incumbent.timed)
         + defaults.TRIAL_SLOW_TOLERANCE,
     )
     return max(failures, slow)
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
@@ -64,6 +64,7 @@
         failures: Attempts that failed since the last good one.
         set_aside_until: No new work before then, if others will do.
         set_aside_s: How long it was set aside the last time.
+        silent_at: When an attempt was last given up for its silence.
         full_until: It refused for want of room; not preferred before then.
         lapsed: Whether the list dropped it while the store was in trouble.
         misdirected: Another process answered at its address.
@@ -79,6 +80,7 @@
     failures: int = 0
     set_aside_until: float = 0.0
     set_aside_s: float = 0.0
+    silent_at: float | None = None
     full_until: float = 0.0
     lapsed: bool = False
     misdirected: bool = False
@@ -272,6 +274,18 @@
         belief.set_aside_until = now + belief.set_aside_s
         return True
 
+    def note_silence(self, upstream_id: str, *, now: float) -> bool:
+        """Notes that an upstream was silent too long.
+
+        Returns:
+            Whether this is the first time within the episode.
+        """
+        belief = self.beliefs.get(upstream_id)
+        if belief is None:
+            return False
+        last, belief.silent_at = belief.silent_at, now
+        return last is None or now - last > defaults.SILENCE_EPISODE_S
+
     def note_full(self, upstream_id: str, *, now: float) -> None:
         """Notes that an upstream refused for want of room."""
         belief = self.beliefs.get(upstream_id)
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/version_trial.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/version_trial.py
@@ -67,19 +67,26 @@
     Attributes:
         answers: Attempts that ended with an answer or a failure.
         failures: How many of them failed.
-        slow: How many of the others were slow.
+        timed: Attempts whose speed could be told; a stream that is dropped
+            after its first event tells nothing of it.
+        slow: How many of those were slow.
     """
 
     answers: int = 0
     failures: int = 0
+    timed: int = 0
     slow: int = 0
 
-    def add(self, *, failed: bool, slow: bool) -> "AnswerCounts":
+    def add(
+        self, *, failed: bool, slow: bool = False, timed: bool = True
+    ) -> "AnswerCounts":
         """Returns the counts with one more attempt."""
+        told = slow or (timed and not failed)
         return AnswerCounts(
             answers=self.answers + 1,
             failures=self.failures + failed,
-            slow=self.slow + (slow and not failed),
+            timed=self.timed + told,
+            slow=self.slow + slow,
         )
 
     def plus(self, other: "AnswerCounts") -> "AnswerCounts":
@@ -87,6 +94,7 @@
         return AnswerCounts(
             answers=self.answers + other.answers,
             failures=self.failures + other.failures,
+            timed=self.timed + other.timed,
             slow=self.slow + other.slow,
         )
 
@@ -181,11 +189,8 @@
         self.step = -1
         self.stepped_at = now
 
-    def note(
-        self, *, route: str, version: str, failed: bool, slow: bool
-    ) -> None:
-        """Takes the end of an attempt on one of the service's versions."""
-        counts = AnswerCounts().add(failed=failed, slow=slow)
+    def note(self, *, route: str, version: str, counts: AnswerCounts) -> None:
+        """Takes an attempt on one of the service's versions."""
         found = Comparison(incumbent=counts)
         if version == self.order.target:
             found = Comparison(target=counts)
@@ -230,7 +235,8 @@
             half_s = defaults.TRIAL_HALF * self.order.duration_s
             due = now - self.started_at >= half_s
         else:
-            due = now - self.stepped_at >= defaults.TRIAL_STEP_S
+            step_s = self.order.duration_s * defaults.TRIAL_STEP_SHARE
+            due = now - self.stepped_at >= step_s
         seen = evidence.pooled.target.answers >= defaults.TRIAL_LEAST_ANSWERS
         if not (due and seen) or self.judge.is_doubtful(evidence):
             return False
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/watch.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/watch.py
@@ -57,8 +57,11 @@
         # Asked again at the next beat; by then there may be room.
         return []
     cancel = answers.close_attempt(state, opened, attempt)
+    # A host that falls silent silences many requests, which together say
+    # no more of its version than one.
+    first = state.view.note_silence(attempt.upstream, now=now)
     answers.finish_attempt(
-        state, opened, attempt, now=now, failed=True, silent=True
+        state, opened, attempt, now=now, failed=True, silent=first
     )
     log = fx.LogDecision(
         decision="silent_attempt",
