Test entries as processes against stand-ins of store and runners

Found by them: a request that breaks off now and then was suspected to crash its upstreams, though it was answered in between, and refused for a minute; an answer clears the suspicion now.

--- a/features/router_load.feature
+++ b/features/router_load.feature
@@ -62,6 +62,11 @@
     And upstream 0 leaves the list
     Then the next 20 requests go elsewhere
 
+  Scenario: A request that is answered in between isn't suspected
+    Given a router that knows its configuration and 9 upstreams
+    When the same request breaks off once and is answered then, 5 times
+    Then its next sending is sent to an upstream
+
   Scenario: A request that crashes its upstreams is stopped, at any entry
     Given a router that knows its configuration and 9 upstreams
     When the same request breaks off 3 upstreams
--- /dev/null
+++ b/features/steps/platform_steps.py
@@ -0,0 +1,721 @@
+"""Steps for entries on the platform, as processes on loopback addresses."""
+
+import contextlib
+import http.client
+import itertools
+import json
+import os
+import pathlib
+import re
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+import urllib.request
+
+from behave import given
+from behave import then
+from behave import when
+
+from rhubarbbank_experiments import platform_fleet
+from rhubarbbank_standins import platform_runner
+from rhubarbbank_standins import platform_store
+
+LOCAL = platform_fleet.LOCAL
+SYSTEM_HEADERS = {
+    "X-Tenant": "somebody",
+    "X-Expect-Instance": "i-nobody",
+    "X-Hold": "h1",
+    "X-Pin-Ms": "100",
+    "X-Kv-Backup": "127.0.0.1:1",
+    "Kv-From": "127.0.0.1:1/x",
+    "X-Request-Priority": "0",
+}
+FAULTS = {
+    "is busy": platform_store.Fault.BUSY,
+    "is silent": platform_store.Fault.SILENT,
+    "resets": platform_store.Fault.RESET,
+    "loses answers": platform_store.Fault.LOST,
+    "does writes late": platform_store.Fault.LATE,
+}
+ASK_EVERY_S = 0.1
+STATUS_LINE = re.compile(rb"HTTP/1\.[01] (\d{3}) ")
+
+
+def find_fleet(context):
+    """The fleet that the feature's scenarios share, quiet again."""
+    fleet = getattr(context.feature, "shared_fleet", None)
+    if fleet is None:
+        fleet = platform_fleet.PlatformFleet()
+        context.feature_stack.enter_context(fleet)
+        context.feature.shared_fleet = fleet
+    fleet.misbehave("none")
+    return fleet
+
+
+def start_asking(context):
+    context.platform = find_fleet(context)
+    # What an earlier scenario set aside gets its time to come back.
+    context.platform.wait_until(
+        lambda: all(
+            context.platform.ask(path).status == 200
+            for path in ("/look/warm", "/book/warm", "/chat/warm")
+        ),
+        "warm",
+    )
+    for runner in context.platform.runners.values():
+        runner.runs.clear()
+
+
+@when('a caller asks the platform for "{path}"')
+def ask(context, path):
+    start_asking(context)
+    context.path = path
+    context.reply = context.platform.ask(path)
+
+
+@when('a caller asks the platform for "{path}" with a body')
+def ask_with_body(context, path):
+    start_asking(context)
+    context.path = path
+    context.body = b'{"court": 2}'
+    context.reply = context.platform.ask(path, body=context.body)
+
+
+@then("the platform's answer is the runner's, signature and all")
+def check_reply(context):
+    (run,) = context.platform.list_runs(context.path.split("?")[0])
+    reply = context.reply
+    assert reply.status == 200, reply
+    assert reply.body == platform_runner.build_body(run), reply
+    assert reply.headers["x-response-stamp"] == f"stamp.{run.runner}", reply
+    assert reply.headers["x-attempt-id"] == run.attempt_id, reply
+    context.run = run
+
+
+@then("the runner got method, target and body as they were sent")
+def check_unchanged(context):
+    run = context.run
+    assert run.method == "POST"
+    assert run.target == context.path, run
+    assert run.body == context.body
+
+
+@then("the runner got the organisation, not the key")
+def check_organisation(context):
+    found = context.run.headers
+    assert found["x-tenant"] == platform_fleet.ORGANISATION
+    assert "authorization" not in found
+
+
+@then("the runner got a deadline below the caller's, and its own name")
+def check_deadline(context):
+    found = context.run.headers
+    assert 0 < int(found["x-deadline-ms"]) <= 2500, found
+    assert found["x-expect-instance"] == context.run.runner
+
+
+@then("the platform's answer is a stream of events {first:d} to {last:d}")
+def check_stream(context, first, last):
+    reply = context.reply
+    assert reply.status == 200, reply
+    assert reply.whole, reply
+    assert reply.events == list(range(first, last + 1)), reply
+
+
+@then('the events are of model "{model}"')
+def check_model(context, model):
+    lines = [x for x in context.reply.body.splitlines() if b"data" in x]
+    assert all(model.encode() in line for line in lines), lines
+
+
+@when("a caller sends the platform a body in chunks")
+def ask_chunked(context):
+    start_asking(context)
+    context.path = "/book/chunks"
+    context.reply = context.platform.ask(
+        context.path,
+        body=iter([b"one", b"two"]),
+        headers={"Transfer-Encoding": "chunked"},
+    )
+
+
+@when("a caller sends the platform headers that only the system may set")
+def ask_with_headers(context):
+    start_asking(context)
+    context.reply = context.platform.ask("/look/own", headers=SYSTEM_HEADERS)
+
+
+@then("the runner got none of them")
+def check_dropped(context):
+    (run,) = context.platform.list_runs("/look/own")
+    for name, value in SYSTEM_HEADERS.items():
+        assert run.headers.get(name.lower()) != value, (name, run.headers)
+
+
+@when(
+    'runners {misdeed} with {count:d} requests, and a caller asks for "{path}"'
+)
+def ask_spoilt(context, misdeed, count, path):
+    start_asking(context)
+    service = platform_fleet.BOOKINGS
+    if path.startswith("/chat"):
+        service = platform_fleet.MODELS
+    # The same request again and again would be taken for one that crashes.
+    path = f"{path}-{misdeed}-{context.platform.asked}"
+    # One misdeed in all: whichever runner is asked first does it.
+    deeds = [platform_runner.Misdeed(misdeed)] * count
+    for name, runner in context.platform.runners.items():
+        if name.startswith("m-" if service == "model-pool" else "b-"):
+            runner.misdeeds = deeds
+    began = time.monotonic()
+    context.reply = context.platform.ask(path)
+    context.took_s = time.monotonic() - began
+    deeds.clear()
+    context.path = path
+
+
+@then("the platform answers {answer}, and {count:d} runs began")
+def check_answer(context, answer, count):
+    reply = context.reply
+    whose, status = answer.rsplit(" ", 1)
+    assert reply.status == int(status), reply
+    signed = "x-response-stamp" in reply.headers
+    assert signed == (whose == "the runner's"), reply
+    assert ("retry-after" in reply.headers) == (status == "503"), reply
+    runs = context.platform.list_runs(context.path)
+    assert len(runs) == count, runs
+
+
+@then("it took at most {most:g} s")
+def check_took(context, most):
+    assert context.took_s <= most, context.took_s
+
+
+@when("runners hang with 1 requests, and a caller leaves after {wait:g} s")
+def leave(context, wait):
+    start_asking(context)
+    fleet = context.platform
+    fleet.misbehave("hang", service=platform_fleet.BOOKINGS)
+    with open_socket(fleet) as caller:
+        caller.sendall(build_request("/book/leave"))
+        fleet.wait_until(lambda: fleet.list_runs("/book/leave"), "it runs")
+        time.sleep(wait)
+
+
+@then("no runner works on anything within {wait:g} s")
+def check_idle(context, wait):
+    fleet = context.platform
+    fleet.wait_until(
+        lambda: not any(x.working for x in fleet.runners.values()),
+        "idle",
+        wait_s=wait,
+    )
+
+
+# Bad input.
+
+
+def open_socket(fleet, entry=0):
+    return socket.create_connection(
+        (LOCAL, fleet.entries[entry].ports[0]), timeout=5.0
+    )
+
+
+def build_request(target, *, lines=(), body=b"", key=platform_fleet.KEY):
+    head = [
+        f"POST {target} HTTP/1.1",
+        f"Host: {platform_fleet.HOST}",
+        f"X-Attempt-Id: raw-{time.monotonic_ns()}",
+        "X-Deadline-Ms: 2500",
+        f"Authorization: Bearer {key}",
+        *lines,
+    ]
+    if not any(
+        line.lower().startswith(("content", "transf")) for line in lines
+    ):
+        head.append(f"Content-Length: {len(body)}")
+    return ("\r\n".join(head) + "\r\n\r\n").encode() + body
+
+
+BAD_INPUTS = {
+    "both framings at once": lambda: build_request(
+        "/book/bad",
+        lines=("Content-Length: 4", "Transfer-Encoding: chunked"),
+        body=b"0\r\n\r\nGET /book/smuggled HTTP/1.1\r\n\r\n",
+    ),
+    "two different lengths": lambda: build_request(
+        "/book/bad",
+        lines=("Content-Length: 4", "Content-Length: 40"),
+        body=b"abcd",
+    ),
+    "an oversize head": lambda: build_request(
+        "/book/bad", lines=("X-Long: " + "x" * 70_000,)
+    ),
+    "an oversize body": lambda: build_request("/book/bad", body=b"x" * 200_000),
+    "no attempt id": lambda: build_request("/book/bad").replace(
+        b"X-Attempt-Id", b"X-Other"
+    ),
+    "an unknown key": lambda: build_request("/book/bad", key="nobodys"),
+    "a key in the path": lambda: build_request(
+        f"/book/bad?key={platform_fleet.KEY}", key=""
+    ),
+    "an unknown route": lambda: build_request("/nosuch/bad"),
+    "half a head": lambda: build_request("/book/bad")[:40],
+    "half a body": lambda: build_request(
+        "/book/bad", lines=("Content-Length: 40",), body=b"abcd"
+    ),
+}
+
+
+def send_raw(fleet, data, *, answers=1):
+    """Returns the statuses that come back; 0 for a close without one."""
+    with open_socket(fleet) as caller:
+        caller.sendall(data)
+        caller.settimeout(1.0)
+        found = b""
+        with contextlib.suppress(TimeoutError, ConnectionError):
+            while piece := caller.recv(65_536):
+                found += piece
+                if len(STATUS_LINE.findall(found)) >= answers:
+                    caller.settimeout(0.2)
+    statuses = [int(each) for each in STATUS_LINE.findall(found)]
+    return statuses, found
+
+
+@when("a caller sends the platform two requests at once")
+def send_two(context):
+    start_asking(context)
+    data = build_request("/look/first") + build_request("/look/second")
+    context.statuses, context.raw = send_raw(context.platform, data, answers=2)
+
+
+@then("it gets both answers in order")
+def check_both(context):
+    assert context.statuses == [200, 200], context.raw
+    first, second = (context.raw.index(x) for x in (b"/first", b"/second"))
+    assert first < second
+
+
+@when("a caller sends as bad input {what}")
+def send_bad(context, what):
+    start_asking(context)
+    context.statuses, context.raw = send_raw(
+        context.platform, BAD_INPUTS[what]()
+    )
+
+
+@then("the platform's status is {status:d}")
+def check_status(context, status):
+    found = context.statuses or [0]
+    assert found == [status], context.raw[:300]
+
+
+@then("no runner got anything")
+def check_nothing_ran(context):
+    assert not context.platform.list_runs()
+
+
+def count_descriptors(fleet):
+    process = fleet.entries[0].process
+    return len(os.listdir(f"/proc/{process.pid}/fd"))
+
+
+@when("{count:d} callers come and go in all these ways")
+def send_many(context, count):
+    start_asking(context)
+    fleet = context.platform
+    time.sleep(0.5)
+    context.before = count_descriptors(fleet)
+    deeds = itertools.cycle(["none", "cut", "shed", "fail", "foreign"])
+    for number in range(count):
+        fleet.misbehave(next(deeds))
+        if number % 4 == 0:
+            with open_socket(fleet) as caller:
+                caller.sendall(build_request("/look/gone"))
+        else:
+            fleet.ask(("/look/n", "/book/n", "/chat/n")[number % 3])
+    fleet.misbehave("none")
+
+
+@then("the entry has no more descriptors open than before")
+def check_descriptors(context):
+    fleet = context.platform
+    fleet.wait_until(
+        lambda: count_descriptors(fleet) <= context.before + 2,
+        "descriptors closed",
+        wait_s=10.0,
+    )
+
+
+@when("the operators add a route and take the key away")
+def change_configuration(context):
+    start_asking(context)
+    added = platform_fleet.build_route(
+        "added", "idempotent", platform_fleet.BOOKINGS
+    )
+    context.platform.configure(9, keys=("key-new",), extra=(added,))
+    context.changed_at = time.monotonic()
+
+
+@then("within {bound:g} s the old key gets 401 and the new route is known")
+def check_in_force(context, bound):
+    fleet = context.platform
+    new = {"Authorization": "Bearer key-new"}
+    fleet.wait_until(
+        lambda: (
+            fleet.ask("/look/x").status == 401
+            and fleet.ask("/added/x", headers=new).status == 200
+        ),
+        "in force",
+        wait_s=bound,
+    )
+    fleet.configure(10)
+    fleet.wait_until(lambda: fleet.ask("/look/x").status == 200, "back")
+
+
+@then("the entry's log says who ran it and why")
+def check_log(context):
+    fleet = context.platform
+    (run,) = fleet.list_runs(context.path)
+
+    def find():
+        return [
+            line
+            for line in fleet.entries[0].read_log()
+            if line.get("request_id") == run.attempt_id
+        ]
+
+    fleet.wait_until(lambda: len(find()) == 2, "two lines")
+    placed, answered = find()
+    assert placed["decision"] == "placed", placed
+    assert placed["upstream"] == run.runner, placed
+    assert {"candidates", "left_s"} <= placed["inputs"].keys(), placed
+    assert answered["decision"] == "answered", answered
+
+
+@then("the entry's metrics count it")
+def check_metrics(context):
+    entry = context.platform.entries[0]
+    with urllib.request.urlopen(
+        f"http://{LOCAL}:{entry.ports[2]}/metrics", timeout=5.0
+    ) as answer:
+        text = answer.read().decode()
+    assert "rhubarbbank_requests_total" in text, text
+    assert "rhubarbbank_answer_seconds_bucket" in text, text
+
+
+# Store, stops and kills.
+
+
+@given("{count:d} entries on the platform")
+def start_fleet(context, count):
+    context.platform = platform_fleet.PlatformFleet(entries=count)
+    context.stack.enter_context(context.platform)
+
+
+@when("the store {fault} for entry {number:d}")
+def fail_store(context, fault, number):
+    fleet = context.platform
+    fleet.store.faults[fleet.store_ports[number]] = FAULTS[fault]
+    context.failed_at = time.monotonic()
+
+
+@then(
+    "entry {number:d} refuses keys between {least:g} s and {most:g} s later,"
+    " as not run"
+)
+def check_refusing(context, number, least, most):
+    fleet = context.platform
+    while (reply := fleet.ask("/book/stale", entry=number)).status == 200:
+        time.sleep(ASK_EVERY_S)
+    took_s = time.monotonic() - context.failed_at
+    assert least <= took_s <= most, took_s
+    assert reply.status == 503, reply
+    assert "retry-after" in reply.headers, reply
+    before = len(fleet.list_runs("/book/stale"))
+    assert fleet.ask("/book/stale", entry=number).status == 503
+    assert len(fleet.list_runs("/book/stale")) == before
+
+
+@then("entry 0 isn't ready, but entry 1 is and serves")
+def check_other(context):
+    fleet = context.platform
+    assert not fleet.is_ready(fleet.entries[0])
+    assert fleet.is_ready(fleet.entries[1])
+    assert fleet.ask("/book/other", entry=1).status == 200
+
+
+@when("the store serves entry {number:d} again")
+def heal_store(context, number):
+    fleet = context.platform
+    fleet.store.faults.clear()
+
+
+@then("entry {number:d} serves again within {wait:g} s")
+def check_serving(context, number, wait):
+    fleet = context.platform
+    fleet.wait_until(
+        lambda: fleet.ask("/book/back", entry=number).status == 200,
+        "serves",
+        wait_s=wait,
+    )
+
+
+@when(
+    "entry {number:d} is suspended, the key is taken away, and {wait:g} s pass"
+)
+def suspend(context, number, wait):
+    fleet = context.platform
+    fleet.entries[number].process.send_signal(signal.SIGSTOP)
+    fleet.configure(5, keys=("key-new",))
+    time.sleep(wait)
+
+
+@when("entry {number:d} is resumed")
+def resume(context, number):
+    context.platform.entries[number].process.send_signal(signal.SIGCONT)
+
+
+@then("no request that is sent to entry 0 with that key runs")
+def check_none_runs(context):
+    fleet = context.platform
+    for _ in range(20):
+        reply = fleet.ask("/book/revoked")
+        assert reply.status in (401, 503), reply
+    assert not fleet.list_runs("/book/revoked")
+
+
+@when("the store drops its history and a runner leaves unseen")
+def drop_history(context):
+    fleet = context.platform
+    fleet.call(lambda: fleet.store.remove("servers", "b-0"))
+    fleet.call(fleet.store.drop_history)
+
+
+@when("a runner says that it is leaving")
+def leave_runner(context):
+    context.platform.register("b-0", platform_fleet.BOOKINGS, state="draining")
+
+
+@then("no request reaches that runner after {wait:g} s")
+def check_unused(context, wait):
+    fleet = context.platform
+    time.sleep(wait)
+    before = len(fleet.runners["b-0"].runs)
+    for _ in range(30):
+        assert fleet.ask("/look/x").status == 200
+    assert len(fleet.runners["b-0"].runs) == before
+
+
+@when("foreign entries are written beside the runners'")
+def write_foreign(context):
+    fleet = context.platform
+    for name, spec in (
+        ("f-0", {"service": "bookings"}),
+        ("f-1", {"service": 7, "addr": [], "state": None}),
+        ("f-2", "not an object"),
+        ("f-3", {"service": "bookings", "addr": "nowhere", "state": "ready"}),
+    ):
+        fleet.call(
+            lambda name=name, spec=spec: fleet.store.put(
+                "servers", name, spec=spec
+            )
+        )
+
+
+@then("the entry goes on serving and logs them")
+def check_foreign(context):
+    fleet = context.platform
+    for _ in range(20):
+        assert fleet.ask("/look/x").status == 200
+    fleet.wait_until(
+        lambda: (
+            sum(
+                "foreign" in line.get("message", "")
+                for line in fleet.entries[0].read_log()
+            )
+            >= 4
+        ),
+        "logged",
+    )
+
+
+@when("callers stream from entry 0 and it is asked to stop")
+def stream_and_stop(context):
+    fleet = context.platform
+    for runner in fleet.runners.values():
+        runner.events = 100
+    context.replies = []
+
+    def stream():
+        context.replies.append(fleet.ask("/chat/long"))
+
+    threads = [threading.Thread(target=stream) for _ in range(8)]
+    for thread in threads:
+        thread.start()
+    time.sleep(0.3)
+    fleet.stop(0)
+    context.stopped_at = time.monotonic()
+    time.sleep(0.1)
+    context.ready_after = fleet.is_ready(fleet.entries[0])
+    for thread in threads:
+        thread.join()
+
+
+@then("all their streams are whole")
+def check_whole(context):
+    assert len(context.replies) == 8
+    for reply in context.replies:
+        assert reply.whole, reply
+        assert reply.events == list(range(1, 101)), reply.status
+
+
+@then("entry 0 isn't ready at once, ends within {bound:g} s with code 0")
+def check_ended(context, bound):
+    assert not context.ready_after
+    left_s = bound - (time.monotonic() - context.stopped_at)
+    assert context.platform.entries[0].process.wait(left_s) == 0
+
+
+@then("its registration is gone")
+def check_unregistered(context):
+    kinds = context.platform.store.kinds
+    assert "entry-0" not in kinds["rhubarbbank-entries"], kinds
+    assert "entry-1" in kinds["rhubarbbank-entries"]
+
+
+@when("entry 0 is killed and started again")
+def kill(context):
+    fleet = context.platform
+    fleet.entries[0].process.kill()
+    fleet.entries[0].process.wait()
+    ports = fleet.entries[0].ports
+    fleet.restart_entry(0)
+    context.old_ports = ports
+
+
+@then("a caller that connects meanwhile is served")
+def check_meanwhile(context):
+    fleet = context.platform
+    # The first moment at which the port is open, long before it is ready.
+    ends_at = time.monotonic() + 10.0
+    while time.monotonic() < ends_at:
+        try:
+            early_ready = fleet.is_ready(fleet.entries[0])
+            reply = fleet.ask("/look/early", wait_ms=8000)
+        except ConnectionRefusedError:
+            time.sleep(0.005)
+            continue
+        assert not early_ready
+        assert reply.status == 200, reply
+        return
+    raise AssertionError("never served")
+
+
+def order_version(context, duration, misdeed):
+    fleet = context.platform
+    for number in range(3):
+        name = f"b-{10 + number}"
+        fleet.add_runner(name, platform_fleet.BOOKINGS, version="v2")
+        fleet.runners[name].misdeed = platform_runner.Misdeed(misdeed)
+    spec = {
+        "service": platform_fleet.BOOKINGS,
+        "target": "v2",
+        "duration_s": duration,
+    }
+    fleet.call(
+        lambda: fleet.store.put("rollouts", platform_fleet.BOOKINGS, spec=spec)
+    )
+    context.ordered_at = time.monotonic()
+    context.stop_asking = threading.Event()
+
+    def ask_on():
+        number = itertools.count()
+        while not context.stop_asking.is_set():
+            entry = next(number) % len(fleet.entries)
+            with contextlib.suppress(OSError, http.client.HTTPException):
+                fleet.ask(f"/look/r{entry}", entry=entry)
+
+    thread = threading.Thread(target=ask_on)
+    thread.start()
+    context.stack.callback(thread.join)
+    context.stack.callback(context.stop_asking.set)
+
+
+@when("a good version is ordered within {duration:g} s")
+def order_good(context, duration):
+    order_version(context, duration, "none")
+
+
+@when("a version that fails is ordered within {duration:g} s")
+def order_bad(context, duration):
+    order_version(context, duration, "fail")
+
+
+@then('the roll-out\'s status is "{state}" within {wait:g} s')
+def check_rollout(context, state, wait):
+    kinds = context.platform.store.kinds
+    context.platform.wait_until(
+        lambda: (
+            (kinds["rollouts"][platform_fleet.BOOKINGS].status or {}).get(
+                "state"
+            )
+            == state
+        ),
+        state,
+        wait_s=wait - (time.monotonic() - context.ordered_at),
+    )
+
+
+@then("its status was written by conditional calls")
+def check_conditional(context):
+    store = context.platform.store
+    states = [
+        change.rendered["status"]["state"]
+        for change in store.history
+        if change.kind == "rollouts" and change.rendered["status"]
+    ]
+    assert states == ["running", "completed"], states
+
+
+@then("an entry with bad settings ends with code 1 and names each fault")
+def check_bad_settings(context):
+    root = platform_fleet.ROOT
+    folder = pathlib.Path(context.config.base_dir)
+    del folder
+    with contextlib.ExitStack() as stack:
+        path = (
+            pathlib.Path(
+                stack.enter_context(__import__("tempfile").TemporaryDirectory())
+            )
+            / "bad.json"
+        )
+        path.write_text(
+            json.dumps(
+                {
+                    "name": "",
+                    "data_centre": "west-a",
+                    "caller_address": "nowhere",
+                    "ready_address": "127.0.0.1:1",
+                    "metrics_address": "127.0.0.1:2",
+                    "peer_address": "127.0.0.1:3",
+                    "store_address": "127.0.0.1:0",
+                    "bounds": {"revoke_ms": -1},
+                }
+            ),
+            encoding="utf-8",
+        )
+        found = subprocess.run(
+            [sys.executable, str(root / "platform" / "entry.py")],
+            env=os.environ | {"RHUBARBBANK_CONFIG": str(path)},
+            capture_output=True,
+            text=True,
+            timeout=20.0,
+            check=False,
+        )
+    assert found.returncode == 1, found
+    for field in ("name", "caller_address", "store_address", "revoke_ms"):
+        assert field in found.stderr, found.stderr
--- a/features/steps/router_load_steps.py
+++ b/features/steps/router_load_steps.py
@@ -291,3 +291,21 @@
     assert suspects
     other.state.suspects.take("entry-0", suspects)
     check_suspect(other)
+
+
+@when("the same request breaks off once and is answered then, {count:d} times")
+def break_and_answer(context, count):
+    world = context.world
+    for _ in range(count):
+        request = world.ask("look", body=b"hot", target="/look/hot")
+        world.end(request, "broken")
+        world.answer_whole(request)
+        world.run(0.5)
+        world.configure(world.state.in_force)
+
+
+@then("its next sending is sent to an upstream")
+def check_not_suspect(context):
+    world = context.world
+    request = world.ask("look", body=b"hot", target="/look/hot")
+    assert len(world.sent(request)) == 1
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
@@ -275,6 +275,7 @@
     finish_attempt(state, opened, attempt, now=now, failed=failed)
     request_id = opened.request.request_id
     del state.open[request_id]
+    state.suspects.clear(opened.fingerprint)
     log = fx.LogDecision(
         decision="answered",
         request_id=opened.request.attempt_id,
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/crash_suspects.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/crash_suspects.py
@@ -1,7 +1,7 @@
 """Notices requests that crash the upstreams that run them.
 
-A request that breaks off several upstreams is refused before it reaches
-another one. Entries tell each other of their counts, so that a caller that
+A request that breaks off several upstreams, without an answer in between, is
+refused before it reaches another one. Entries tell each other of their counts, so that a caller that
 comes again elsewhere doesn't start anew.
 """
 
@@ -47,6 +47,10 @@
             self.own.popitem(last=False)
         return self.count(mark)
 
+    def clear(self, mark: str) -> None:
+        """Notes that the request was answered: it crashes nothing."""
+        self.own.pop(mark, None)
+
     def take(self, peer: str, told: tuple[messages.SuspectNews, ...]) -> None:
         """Takes a peer's counts, which replace its earlier ones."""
         for counts in self.told.values():
--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/logs.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/logs.py
@@ -142,10 +142,19 @@
     )
 
 
-def set_up(level: str) -> None:
-    """Sends all logs to standard output as JSON lines."""
+def set_up(level: str, *, lossless: bool = False) -> None:
+    """Sends all logs to standard output as JSON lines.
+
+    Args:
+        level: Least level that is written, such as INFO.
+        lossless: Whether to wait for the reader and drop nothing; needed
+            where events are recorded to be replayed.
+    """
     writer = logging.StreamHandler(sys.stdout)
     writer.setFormatter(JsonFormatter())
+    if lossless:
+        logging.basicConfig(level=level, handlers=[writer], force=True)
+        return
     lines: queue.Queue[logging.LogRecord] = queue.Queue(MAX_QUEUED_LINES)
     handler = BoundedQueueHandler(lines)
     logging.basicConfig(level=level, handlers=[handler], force=True)
