Cut a stream off whose rest was answered with a failure

The scenario that plays it was red before: the request was sent twice in place of three times, and the stream ended as complete. Now it is tried again within its attempts, and cut off then.

--- a/features/router_streams.feature
+++ b/features/router_streams.feature
@@ -37,6 +37,16 @@
     And its upstream breaks off
     Then the caller's stream is cut off
 
+  Scenario: A failure in place of the rest of a stream isn't its end
+    When a caller asks "chat"
+    And the upstream is confident and sends events 1 to 3
+    And its upstream breaks off
+    And its upstream answers 500
+    Then the request has been sent 3 times
+    And the caller has events 1 to 3, and the stream is open
+    When its upstream answers 500
+    Then the caller's stream is cut off in the end
+
   Scenario: An end inside an event isn't an end
     When a caller asks "note"
     And the upstream is confident and sends events 1 to 3
--- a/features/steps/router_steps.py
+++ b/features/steps/router_steps.py
@@ -268,6 +268,12 @@
     assert len(context.world.sent(context.request)) == 1
 
 
+@then("the caller's stream is cut off in the end")
+def check_cut_late(context):
+    found = context.world.answers(context.request)
+    assert isinstance(found[-1], effects.BreakAnswer), found
+
+
 @given('upstreams 1 and 2 have left, and one of version "{version}" is listed')
 def list_other_version(context, version):
     for number in (1, 2):
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
@@ -273,6 +273,10 @@
         if retry is not None:
             return retry
     finish_attempt(state, opened, attempt, now=now, failed=failed)
+    if opened.begun and attempt.status != http.HTTPStatus.OK:
+        # The rest of the stream is missing.
+        code = errors.ErrorCode.UPSTREAM_FAILED
+        return dispatch.give_up(state, opened, code, now=now)
     request_id = opened.request.request_id
     del state.open[request_id]
     state.suspects.clear(opened.fingerprint)
@@ -325,7 +329,7 @@
     now: float,
 ) -> list[effects.Effect] | None:
     """Tries again after an upstream's own failure; None if that can't be."""
-    if opened.begun or attempt.status == http.HTTPStatus.GATEWAY_TIMEOUT:
+    if attempt.status == http.HTTPStatus.GATEWAY_TIMEOUT:
         return None
     opened.excluded.add(attempt.upstream)
     if not dispatch.may_try_again(state, opened, now=now):
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/crash_suspects.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/crash_suspects.py
@@ -1,8 +1,8 @@
 """Notices requests that crash the upstreams that run them.
 
 A request that breaks off several upstreams, without an answer in between, is
-refused before it reaches another one. Entries tell each other of their counts, so that a caller that
-comes again elsewhere doesn't start anew.
+refused before it reaches another one. Entries tell each other of their
+counts, so that a caller that comes again elsewhere doesn't start anew.
 """
 
 import collections
