--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -108,6 +108,10 @@
 TRIAL_HALF = 0.5
 # Answers of the new version that must have been seen before it gets more.
 TRIAL_LEAST_ANSWERS = 8
+# A target that is still doubtful after this share of its time, or after this
+# many bad answers, is given up.
+TRIAL_DOUBT_SHARE = 0.75
+TRIAL_MOST_BAD = 20
 # Rise of the failure rate and of the share of slow answers that is let pass.
 TRIAL_ERROR_TOLERANCE = 0.03
 TRIAL_SLOW_TOLERANCE = 0.08
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/trial_judge.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/trial_judge.py
@@ -22,8 +22,9 @@
 RISES = (0.1, 0.2, 0.4)
 MOST_RATE = 0.95
 COMPARISONS = 2
-# Likelihood ratio from which a target gets no larger share.
+# Likelihood ratio from which a target with a small share gets no larger one.
 DOUBTFUL_RATIO = 2.0
+SMALL_SHARE = 0.15
 
 
 class LikelihoodJudge:
@@ -34,9 +35,16 @@
         limit = math.log(COMPARISONS / defaults.TRIAL_FALSE_ALARM)
         return self.weigh(evidence) >= limit
 
-    def is_doubtful(self, evidence: version_trial.TrialEvidence) -> bool:
-        """Returns whether "worse" is likelier by far than "no worse"."""
-        return self.weigh(evidence) >= math.log(DOUBTFUL_RATIO)
+    def is_doubtful(
+        self, evidence: version_trial.TrialEvidence, *, share: float
+    ) -> bool:
+        """Returns whether "worse" is likelier than "no worse".
+
+        For a small share it has to be likelier by far: little is at stake,
+        and more answers are what tells.
+        """
+        ratio = DOUBTFUL_RATIO if share <= SMALL_SHARE else 1.0
+        return self.weigh(evidence) > math.log(ratio)
 
     def weigh(self, evidence: version_trial.TrialEvidence) -> float:
         """Returns the highest log likelihood ratio of all comparisons.
@@ -84,8 +92,11 @@
         target = evidence.pooled.target
         return target.failures + target.slow >= self.bad_answers
 
-    def is_doubtful(self, evidence: version_trial.TrialEvidence) -> bool:
+    def is_doubtful(
+        self, evidence: version_trial.TrialEvidence, *, share: float
+    ) -> bool:
         """Returns the same: a fixed number knows no doubt."""
+        del share
         return self.is_worse(evidence)
 
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/version_trial.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/version_trial.py
@@ -149,8 +149,8 @@
     def is_worse(self, evidence: TrialEvidence) -> bool:
         """Returns whether the evidence speaks against the target."""
 
-    def is_doubtful(self, evidence: TrialEvidence) -> bool:
-        """Returns whether the target should get no more than it has."""
+    def is_doubtful(self, evidence: TrialEvidence, *, share: float) -> bool:
+        """Returns whether the target should get no more than its share."""
 
 
 def draw(affinity_key: str, target: str) -> float:
@@ -226,7 +226,7 @@
         """
         if self.held or self.order.state in FINAL_STATES:
             return False
-        if self.judge.is_worse(evidence):
+        if self.judge.is_worse(evidence) or self.is_overdue(evidence, now=now):
             self.held = True
             return True
         if self.step + 1 >= len(defaults.TRIAL_STEPS):
@@ -238,12 +238,27 @@
             step_s = self.order.duration_s * defaults.TRIAL_STEP_SHARE
             due = now - self.stepped_at >= step_s
         seen = evidence.pooled.target.answers >= defaults.TRIAL_LEAST_ANSWERS
-        if not (due and seen) or self.judge.is_doubtful(evidence):
+        if not (due and seen):
+            return False
+        if self.judge.is_doubtful(evidence, share=self.share):
             return False
         self.step += 1
         self.stepped_at = now
         return True
 
+    def is_overdue(self, evidence: TrialEvidence, *, now: float) -> bool:
+        """Returns whether a doubtful target has had its time or its chances.
+
+        One that is good would be late by then in any case.
+        """
+        target = evidence.pooled.target
+        due_s = defaults.TRIAL_DOUBT_SHARE * self.order.duration_s
+        late = now - self.started_at >= due_s
+        many = target.failures + target.slow >= defaults.TRIAL_MOST_BAD
+        if not (late or many):
+            return False
+        return self.judge.is_doubtful(evidence, share=1.0)
+
     def wants_target(self, affinity_key: str) -> bool:
         """Returns whether new work with this key goes to the target."""
         return draw(affinity_key, self.order.target) < self.share
