--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 export UV_USE_IO_URING = 0
 export PYTHONHASHSEED = 0
 
-.PHONY: setup demo test format lint types
+.PHONY: setup demo test quick format lint types
 
 setup: $(VENV)/.ready
 
@@ -28,6 +28,10 @@
 test: setup
 	$(BIN)/python -m rhubarbbank_experiments.run_features
 
+# The scenarios that need no processes; for a check after each change.
+quick: setup
+	$(BIN)/python -m rhubarbbank_experiments.run_features --tags=quick
+
 format: setup
 	$(BIN)/ruff format --check .
 
--- a/experiments/src/rhubarbbank_experiments/demo.py
+++ b/experiments/src/rhubarbbank_experiments/demo.py
@@ -18,6 +18,7 @@
 from rhubarbbank_entry import table_commands
 from rhubarbbank_experiments import deployment as deployments
 from rhubarbbank_experiments import fleet
+from rhubarbbank_experiments import platform_demo
 
 FOLDER = pathlib.Path(__file__).parents[2] / "deployments"
 DEPLOYMENTS = ("platzwart", "tsukushi")
@@ -135,6 +136,7 @@
 
 
 def main() -> None:
-    """Runs the demo of both deployments."""
+    """Runs the demo of both deployments, then that of the platform."""
     results = [run_deployment(name) for name in DEPLOYMENTS]
+    results.append(platform_demo.main())
     sys.exit(0 if all(results) else 1)
--- a/experiments/src/rhubarbbank_experiments/platform_fleet.py
+++ b/experiments/src/rhubarbbank_experiments/platform_fleet.py
@@ -381,12 +381,14 @@
     def misbehave(
         self, misdeed: str, *, service: str = "", count: int = 0
     ) -> None:
-        """Lets runners misbehave: with so many requests, or with all."""
+        """Lets runners misbehave: with so many requests in all, or with all."""
         prefix = {"": "", MODELS: "m-", BOOKINGS: "b-"}[service]
         found = platform_runner.Misdeed(misdeed)
+        # Shared, so that whichever runner is asked first does it.
+        deeds = [found] * count
         for name, runner in self.runners.items():
             if name.startswith(prefix):
-                runner.misdeeds = [found] * count
+                runner.misdeeds = deeds
                 runner.misdeed = (
                     platform_runner.Misdeed.NONE if count else found
                 )
--- a/features/steps/router_steps.py
+++ b/features/steps/router_steps.py
@@ -352,9 +352,7 @@
     )
     def check(listed, path, rest, host):
         routes = tuple(
-            router_world.build_route(
-                f"n{number}", "idempotent", path_prefix=prefix
-            )
+            router_world.build_route(f"n{number}", "idempotent", prefix=prefix)
             for number, prefix in enumerate(listed)
         )
         index = route_match.RouteIndex(routes=routes)
--- a/features/support/router_world.py
+++ b/features/support/router_world.py
@@ -48,7 +48,7 @@
     given = {
         "name": name,
         "host": HOST,
-        "path_prefix": f"/{name}/",
+        "prefix": f"/{name}/",
         "kind": configuration.RouteKind(kind),
         "services": (
             configuration.WeightedService(service="pool", weight=1.0),
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/configuration.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/configuration.py
@@ -40,7 +40,7 @@
     Attributes:
         name: Unique in the configuration.
         host: The Host header that it serves, without a port.
-        path_prefix: The path's beginning, with a slash at both ends.
+        prefix: The path's beginning, with a slash at both ends.
         kind: What may be repeated.
         services: Where its requests go, by weight.
         max_attempts: Most upstreams that one request may run on.
@@ -57,7 +57,7 @@
 
     name: str
     host: str
-    path_prefix: str
+    prefix: str
     kind: RouteKind
     services: tuple[WeightedService, ...]
     max_attempts: int
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
@@ -67,7 +67,7 @@
                 ("candidates", len(usable)),
                 ("wait_s", round(decision.expected_wait_s, 3)),
                 ("in_flight", belief.in_flight),
-                ("load_age_s", round(now - belief.load_at, 3)),
+                ("load_age_s", describe_load_age(belief, now=now)),
                 ("left_s", round(opened.ends_at - now, 3)),
             ),
         ),
@@ -75,6 +75,13 @@
     ]
 
 
+def describe_load_age(belief: upstreams.Belief, *, now: float) -> float | str:
+    """Returns the age of an upstream's load report, for the log."""
+    if belief.load is None:
+        return "no report"
+    return round(now - belief.load_at, 3)
+
+
 def begin_attempt(
     state: states.RouterState,
     opened: states.OpenRequest,
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/route_match.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/route_match.py
@@ -12,7 +12,7 @@
 
     def __init__(self, *, routes: tuple[configuration.Route, ...]) -> None:
         self.by_prefix = {
-            (route.host.lower(), route.path_prefix): route for route in routes
+            (route.host.lower(), route.prefix): route for route in routes
         }
 
     def find(self, *, host: str, path: str) -> configuration.Route | None:
@@ -40,6 +40,6 @@
     fitting = [
         route
         for route in routes
-        if route.host.lower() == name and path.startswith(route.path_prefix)
+        if route.host.lower() == name and path.startswith(route.prefix)
     ]
-    return max(fitting, key=lambda route: len(route.path_prefix), default=None)
+    return max(fitting, key=lambda route: len(route.prefix), default=None)
