--- /dev/null
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_evidence.py
@@ -0,0 +1,127 @@
+"""Learns from attempts: usual times, and evidence on versions.
+
+`answers` and `watch` hand each attempt over once it has ended. Speeds are
+kept by service and model; what speaks for or against a version that is being
+rolled out goes to its trial.
+"""
+
+import http
+
+from rhubarbbank_router import attempt_states
+from rhubarbbank_router import defaults
+from rhubarbbank_router import state as states
+from rhubarbbank_router import upstreams
+from rhubarbbank_router import version_trial
+
+
+def finish_attempt(
+    state: states.RouterState,
+    opened: states.OpenRequest,
+    attempt: attempt_states.Attempt,
+    *,
+    now: float,
+    failed: bool,
+    silent: bool = False,
+) -> None:
+    """Learns from an attempt that has ended with an answer or a failure.
+
+    A connection that breaks off says something of the upstream's host, and
+    often of many requests at once; for or against the upstream's version
+    speak its answers alone, and how long they take.
+
+    Args:
+        state: The router's state.
+        opened: The request.
+        attempt: The attempt.
+        now: In seconds.
+        failed: Whether it failed.
+        silent: Whether it was given up since nothing came.
+    """
+    times = state.view.read_times(attempt.service)
+    if attempt.status or silent or not failed:
+        own = attempt.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR
+        slow = silent or is_slow(opened, attempt, times, now=now)
+        judge_attempt(state, opened, attempt, failed=own, slow=slow)
+    if opened.is_stream:
+        learn_pace(attempt, times, now=now)
+    if failed:
+        state.view.note_failure(attempt.upstream, now=now)
+        return
+    state.view.note_good(attempt.upstream)
+    if attempt.status == http.HTTPStatus.OK:
+        took_s = now - attempt.sent_at
+        times.whole_s = upstreams.smooth(times.whole_s, took_s)
+
+
+def judge_attempt(
+    state: states.RouterState,
+    opened: states.OpenRequest,
+    attempt: attempt_states.Attempt,
+    *,
+    failed: bool,
+    slow: bool,
+) -> None:
+    """Takes an attempt as evidence on its version, once."""
+    trial = state.trials.get(attempt.service)
+    if trial is None or attempt.judged:
+        return
+    attempt.judged = True
+    timed = not opened.is_stream
+    timed = timed or attempt.events >= defaults.LEAST_EVENTS_FOR_PACE
+    trial.note(
+        route=opened.route.name,
+        version=attempt.version,
+        counts=version_trial.AnswerCounts().add(
+            failed=failed, slow=slow, timed=timed
+        ),
+    )
+
+
+def is_slow(
+    opened: states.OpenRequest,
+    attempt: attempt_states.Attempt,
+    times: upstreams.ServiceTimes,
+    *,
+    now: float,
+) -> bool:
+    """Returns whether an attempt took several times what was expected."""
+    waited_s = (attempt.first_event_at or now) - attempt.sent_at
+    expected_s = times.whole_s
+    if opened.is_stream:
+        work_s = attempt.backlog_s + attempt.work_s
+        expected_s = max(times.first_event_s, work_s)
+    limit_s = max(defaults.SLOW_TIMES * expected_s, defaults.SLOW_FLOOR_S)
+    if waited_s > limit_s:
+        return True
+    pace_s = measure_pace_s(attempt, now=now)
+    usual_s = times.pace_s.get(attempt.model)
+    if pace_s is None or usual_s is None:
+        return False
+    return pace_s > defaults.SLOW_PACE_TIMES * usual_s
+
+
+def measure_pace_s(
+    attempt: attempt_states.Attempt, *, now: float
+) -> float | None:
+    """Returns the mean time between a stream's events, or None."""
+    if attempt.first_event_at is None:
+        return None
+    if attempt.events < defaults.LEAST_EVENTS_FOR_PACE:
+        return None
+    return (now - attempt.first_event_at) / (attempt.events - 1)
+
+
+def learn_pace(
+    attempt: attempt_states.Attempt,
+    times: upstreams.ServiceTimes,
+    *,
+    now: float,
+) -> None:
+    """Learns how fast a model's events come."""
+    pace_s = measure_pace_s(attempt, now=now)
+    if pace_s is None:
+        return
+    usual_s = times.pace_s.get(attempt.model, pace_s)
+    # A slow version must not become the measure of itself.
+    pace_s = min(pace_s, defaults.SLOW_PACE_TIMES * usual_s)
+    times.pace_s[attempt.model] = upstreams.smooth(usual_s, pace_s)
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/messages.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/messages.py
@@ -67,7 +67,6 @@
         stopping: Whether it is about to leave.
         trials: Its roll-outs.
         suspects: Requests that it suspects.
-        leaving: Ids of upstreams that it knows to be leaving.
     """
 
     name: str
@@ -76,7 +75,6 @@
     stopping: bool
     trials: tuple[TrialNews, ...] = ()
     suspects: tuple[SuspectNews, ...] = ()
-    leaving: tuple[str, ...] = ()
 
 
 DECODER = msgspec.msgpack.Decoder(list[EntryNews])
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/options.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/options.py
@@ -39,8 +39,6 @@
         peer_address: Where other entries connect, "ip:port".
         store_address: The platform's store, "ip:port".
         bounds: What has been agreed with users.
-        statsd_address: Not used with a metrics address; empty.
-        record_events: Not offered by this program; false.
         log_level: Such as INFO.
         seed: Of the process's randomness; 0 takes the system's.
     """
@@ -53,8 +51,6 @@
     peer_address: str
     store_address: str
     bounds: RouterBounds = RouterBounds()
-    statsd_address: str = ""
-    record_events: bool = False
     log_level: str = "INFO"
     seed: int = 0
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/watch.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/watch.py
@@ -3,6 +3,7 @@
 from rhubarbbank_core import errors
 from rhubarbbank_core import program_effects as fx
 from rhubarbbank_router import answers
+from rhubarbbank_router import attempt_evidence
 from rhubarbbank_router import attempt_states
 from rhubarbbank_router import defaults
 from rhubarbbank_router import dispatch
@@ -36,7 +37,9 @@
     if attempt is not None:
         out += answers.close_attempt(state, opened, attempt)
         if attempt.status == 0:
-            answers.finish_attempt(state, opened, attempt, now=now, failed=True)
+            attempt_evidence.finish_attempt(
+                state, opened, attempt, now=now, failed=True
+            )
     return [*out, *dispatch.give_up(state, opened, code, now=now)]
 
 
@@ -60,7 +63,7 @@
     # A host that falls silent silences many requests, which together say
     # no more of its version than one.
     first = state.view.note_silence(attempt.upstream, now=now)
-    answers.finish_attempt(
+    attempt_evidence.finish_attempt(
         state, opened, attempt, now=now, failed=True, silent=first
     )
     log = fx.LogDecision(
--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/recorded_shell.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/recorded_shell.py
@@ -7,6 +7,7 @@
 import base64
 import logging
 from typing import Any
+from typing import Protocol
 
 from rhubarbbank_core import event_log
 from rhubarbbank_core import program_start
@@ -17,6 +18,18 @@
 EVENT_LOG = logging.getLogger("rhubarbbank.events")
 
 
+class RecordedSettings(Protocol):
+    """The settings that decide how such a program is observed."""
+
+    @property
+    def statsd_address(self) -> str:
+        """Where metrics go; empty for nowhere."""
+
+    @property
+    def record_events(self) -> bool:
+        """Whether every event is written to the log."""
+
+
 class LogRecorder:
     """Writes every event and a digest of its effects to the log.
 
@@ -41,7 +54,7 @@
 
 
 def build_parts(
-    settings: shell.ShellSettings, start: program_start.AnyStart
+    settings: RecordedSettings, start: program_start.AnyStart
 ) -> shell.ShellParts:
     """Returns the parts of a program's shell."""
     recorder = LogRecorder(start=start) if settings.record_events else None
--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/shell.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/shell.py
@@ -86,7 +86,7 @@
 
 
 class ShellSettings(Protocol):
-    """The settings that both programs have."""
+    """The settings that all programs have."""
 
     @property
     def name(self) -> str:
@@ -96,14 +96,6 @@
     def peer_address(self) -> str:
         """Where other processes reach this one."""
 
-    @property
-    def statsd_address(self) -> str:
-        """Where metrics go; empty for nowhere."""
-
-    @property
-    def record_events(self) -> bool:
-        """Whether every event is written to the log."""
-
 
 class Shell:
     """Carries out the effects that both programs have.
