--- a/packages/rhubarbbank-router/src/rhubarbbank_router/intake.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/intake.py
@@ -3,6 +3,7 @@
 What can't be served is refused here at once, before anything is sent.
 """
 
+import dataclasses
 import http
 
 from rhubarbbank_core import errors
@@ -16,6 +17,49 @@
 from rhubarbbank_router import state as states
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Hindrance:
+    """Why a request isn't served.
+
+    Attributes:
+        status: HTTP status of the answer.
+        code: What hinders it.
+        retry_after_s: When coming back helps; None to draw a time for a 503,
+            and for none otherwise.
+    """
+
+    status: http.HTTPStatus
+    code: errors.ErrorCode
+    retry_after_s: float | None = None
+
+
+NO_CONFIGURATION = Hindrance(
+    status=http.HTTPStatus.SERVICE_UNAVAILABLE,
+    code=errors.ErrorCode.TABLE_NOT_CONFIRMED,
+)
+OVERLOADED = Hindrance(
+    status=http.HTTPStatus.SERVICE_UNAVAILABLE,
+    code=errors.ErrorCode.OVERLOADED,
+)
+STOPPING = Hindrance(
+    status=http.HTTPStatus.SERVICE_UNAVAILABLE,
+    code=errors.ErrorCode.SHUTTING_DOWN,
+    retry_after_s=defaults.STOP_RETRY_AFTER_S,
+)
+CRASH_SUSPECT = Hindrance(
+    status=http.HTTPStatus.SERVICE_UNAVAILABLE,
+    code=errors.ErrorCode.CRASH_SUSPECT,
+    retry_after_s=defaults.SUSPECT_MEMORY_S,
+)
+NO_ROUTE = Hindrance(
+    status=http.HTTPStatus.NOT_FOUND, code=errors.ErrorCode.NOT_FOUND
+)
+UNKNOWN_KEY = Hindrance(
+    status=http.HTTPStatus.UNAUTHORIZED,
+    code=errors.ErrorCode.UNKNOWN_ORGANISATION,
+)
+
+
 def take_request(
     state: states.RouterState, request: callers.IncomingRequest, *, now: float
 ) -> list[effects.Effect]:
@@ -64,79 +108,47 @@
 ) -> list[effects.Effect]:
     """Refuses a request, or sends it on its way."""
     current = state.in_force
-    if current is None:
-        return refuse(
-            state,
-            request,
-            http.HTTPStatus.SERVICE_UNAVAILABLE,
-            errors.ErrorCode.TABLE_NOT_CONFIRMED,
-            inputs=(("configuration", "none"),),
-        )
-    if len(state.open) >= defaults.MAX_OPEN_REQUESTS:
-        return refuse(
-            state,
-            request,
-            http.HTTPStatus.SERVICE_UNAVAILABLE,
-            errors.ErrorCode.OVERLOADED,
-            inputs=(("open", len(state.open)),),
-        )
     route = state.routes.find(host=request.host, path=request.path)
-    fresh = state.proof.holds(now=now)
-    inputs: tuple[fx.LogInput, ...] = (
-        ("configuration", current.version),
-        ("proof_age_s", round(state.proof.age(now=now) or 0.0, 3)),
-    )
-    if route is None and fresh:
-        return refuse(
-            state,
-            request,
-            http.HTTPStatus.NOT_FOUND,
-            errors.ErrorCode.NOT_FOUND,
-            inputs=inputs,
-        )
-    needs_key = route is None or not route.public
-    if needs_key and current.keys is not None and not fresh:
-        return refuse(
-            state,
-            request,
-            http.HTTPStatus.SERVICE_UNAVAILABLE,
-            errors.ErrorCode.TABLE_NOT_CONFIRMED,
-            inputs=inputs,
-        )
-    if route is None:
-        return refuse(
-            state,
-            request,
-            http.HTTPStatus.NOT_FOUND,
-            errors.ErrorCode.NOT_FOUND,
-            inputs=inputs,
-        )
-    if is_too_late(state, route, now=now):
-        return refuse(
-            state,
-            request,
-            http.HTTPStatus.SERVICE_UNAVAILABLE,
-            errors.ErrorCode.SHUTTING_DOWN,
-            inputs=inputs,
-            retry_after_s=defaults.STOP_RETRY_AFTER_S,
-        )
+    hindrance = find_hindrance(state, request, route, now=now)
+    if current is None or route is None or hindrance is not None:
+        return refuse(state, request, hindrance or NO_CONFIGURATION, now=now)
     organisation = configuration.Organisation(name="")
-    if needs_key and current.keys is not None:
-        found = current.keys.get(request.key)
-        if found is None:
-            return refuse(
-                state,
-                request,
-                http.HTTPStatus.UNAUTHORIZED,
-                errors.ErrorCode.UNKNOWN_ORGANISATION,
-                inputs=inputs,
-            )
-        organisation = found
+    if current.keys is not None and not route.public:
+        organisation = current.keys[request.key]
     return open_request(
         state, request, route, organisation, arrived_at=arrived_at, now=now
     )
 
 
+def find_hindrance(
+    state: states.RouterState,
+    request: callers.IncomingRequest,
+    route: configuration.Route | None,
+    *,
+    now: float,
+) -> Hindrance | None:
+    """Returns what hinders a request from being served, or None.
+
+    While the proof of freshness doesn't hold, nothing is denied for good: the
+    route or the key may be newer than what is known.
+    """
+    current = state.in_force
+    if current is None:
+        return NO_CONFIGURATION
+    if len(state.open) >= defaults.MAX_OPEN_REQUESTS:
+        return OVERLOADED
+    needs_key = current.keys is not None and not (route and route.public)
+    if needs_key and not state.proof.holds(now=now):
+        return NO_CONFIGURATION
+    if route is None:
+        return NO_ROUTE
+    if is_too_late(state, route, now=now):
+        return STOPPING
+    if needs_key and request.key not in (current.keys or {}):
+        return UNKNOWN_KEY
+    return None
+
+
 def open_request(
     state: states.RouterState,
     request: callers.IncomingRequest,
@@ -149,14 +161,7 @@
     """Opens a request that may be served, and sends it."""
     mark = crash_suspects.fingerprint(request)
     if state.suspects.is_suspect(mark):
-        return refuse(
-            state,
-            request,
-            http.HTTPStatus.SERVICE_UNAVAILABLE,
-            errors.ErrorCode.CRASH_SUSPECT,
-            inputs=(("crashes", state.suspects.count(mark)),),
-            retry_after_s=defaults.SUSPECT_MEMORY_S,
-        )
+        return refuse(state, request, CRASH_SUSPECT, now=now)
     wait_s = route.timeout_s
     if request.wait_s is not None:
         wait_s = min(wait_s, request.wait_s)
@@ -214,27 +219,39 @@
 def refuse(
     state: states.RouterState,
     request: callers.IncomingRequest,
-    status: int,
-    code: errors.ErrorCode,
+    hindrance: Hindrance,
     *,
-    inputs: tuple[fx.LogInput, ...] = (),
-    retry_after_s: float | None = None,
+    now: float,
 ) -> list[effects.Effect]:
     """Refuses a request that has not been sent anywhere."""
-    if status == http.HTTPStatus.SERVICE_UNAVAILABLE and retry_after_s is None:
+    retry_after_s = hindrance.retry_after_s
+    if (
+        hindrance.status == http.HTTPStatus.SERVICE_UNAVAILABLE
+        and retry_after_s is None
+    ):
         retry_after_s = dispatch.draw_retry_after(state)
+    current = state.in_force
+    proof_age_s = state.proof.age(now=now)
     return [
         fx.LogDecision(
             decision="refused",
             request_id=request.attempt_id,
-            reason=code.value,
-            inputs=(("status", int(status)), *inputs),
+            reason=hindrance.code.value,
+            inputs=(
+                ("status", int(hindrance.status)),
+                ("configuration", current.version if current else "none"),
+                (
+                    "proof_age_s",
+                    "none" if proof_age_s is None else round(proof_age_s, 3),
+                ),
+                ("open", len(state.open)),
+            ),
         ),
-        fx.Count(f"refused.{code.value}"),
+        fx.Count(f"refused.{hindrance.code.value}"),
         effects.RefuseRequest(
             request_id=request.request_id,
-            status=int(status),
-            code=code.value,
+            status=int(hindrance.status),
+            code=hindrance.code.value,
             retry_after_s=retry_after_s,
         ),
     ]
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/rollouts.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/rollouts.py
@@ -25,10 +25,9 @@
 ) -> list[effects.Effect]:
     """Takes an order as the store holds it."""
     trial = state.trials.get(order.service)
-    known = trial.order if trial else None
-    if known is not None and order.revision < known.revision:
+    if trial is not None and order.revision < trial.order.revision:
         return []
-    if known is None or is_another(known, order):
+    if trial is None or is_another(trial.order, order):
         settle(state, order.service)
         trial = version_trial.VersionTrial(
             order=order,
@@ -37,7 +36,6 @@
             now=now,
         )
         state.trials[order.service] = trial
-    assert trial is not None
     trial.order = order
     if order.state is version_trial.OrderState.ROLLED_BACK:
         trial.held = True
