Begin work anew that fails unexpectedly, and own each descriptor once

Cause: an exception that nobody foresaw ended the loop that follows a kind of the store for good, so that an entry would refuse all keys from then on; and it left an attempt without an end, so that its request waited for the route's time-out. Two such exceptions were found by reading: a status that http.HTTPStatus doesn't know (299, 599) raised ValueError in both store clients. A third is the RuntimeError of an event loop whose descriptor was closed twice; the own interface's calls could still do that, as they break off at time-outs.

Ruled out: that the platform's own calls close a descriptor twice since (features/platform_cancel.feature, 120 break-offs each).

Change: loops are begun anew with a log line; any failed exchange ends as broken off, logged; unknown statuses have the outcome of an unknown end; the HTTP session of the own interface owns its descriptors as the platform's do.

Before, with each change taken back alone: 6 of 10 scenarios of platform_failures and platform_cancel fail (ValueError, RuntimeError, another's descriptor closed). After: 10 of 10 pass.

--- /dev/null
+++ b/features/platform_failures.feature
@@ -0,0 +1,31 @@
+@quick
+Feature: What fails unexpectedly is logged, and nothing waits for it for ever
+
+  Scenario: Work that others rely on
+    Given work that fails 2 times and then returns
+    When a shell keeps it running
+    Then it has been begun 3 times
+    And each failure is in the log
+
+  Scenario Outline: An exchange fails with an error that nobody foresaw
+    When the HTTP client fails an attempt with <error>
+    Then the router hears that the attempt broke off, and why
+
+    Examples:
+      | error        |
+      | RuntimeError |
+      | ValueError   |
+
+  Scenario Outline: The store answers with a status that nobody foresaw
+    Given a store that answers every call with status <status>
+    Then a read of the configuration ends with "unknown"
+
+    Examples:
+      | status |
+      | 299    |
+      | 418    |
+      | 599    |
+
+  Scenario: The object API answers with a status that nobody foresaw
+    Given a store that answers every call with status 599
+    Then a read of an object ends with "unavailable"
--- a/features/steps/platform_cancel_steps.py
+++ b/features/steps/platform_cancel_steps.py
@@ -5,53 +5,33 @@
 
 import aiohttp
 from behave import then
+from support import raw_servers
 import uvloop
 
+from rhubarbbank_core import store
 from rhubarbbank_platform import runners
 from rhubarbbank_platform import store_api
-from rhubarbbank_platform import watched_socket
-from rhubarbbank_router import effects
+from rhubarbbank_runtime import shell
+from rhubarbbank_runtime import store_http
+from rhubarbbank_runtime import watched_socket
 
-LOCAL = "127.0.0.1"
 MOST_TURNS = 12
 ROUNDS = 10
 
 
-def build_sending(port):
-    return effects.SendAttempt(
-        request_id="a1",
-        attempt=1,
-        attempt_id="a1",
-        upstream_id="i",
-        address=f"{LOCAL}:{port}",
-        method="GET",
-        target="/",
-        host="h",
-        headers=(),
-        body=b"",
-        time_left_s=2.0,
-        organisation="",
-        model="",
-        priority=1,
-        resume_after="",
-        streamed=False,
-        connect_timeout_s=1.0,
-    )
-
-
 async def hold(reader, writer):
     """Takes a request and never answers."""
     await reader.read()
     writer.close()
 
 
-async def break_off(begin):
+async def break_off(begin, middlewares=()):
     """Breaks exchanges off after any number of turns of the loop.
 
     Returns:
         How many descriptors of others were closed by it.
     """
-    server = await asyncio.start_server(hold, LOCAL, 0)
+    server = await asyncio.start_server(hold, raw_servers.LOCAL, 0)
     port = server.sockets[0].getsockname()[1]
     closed = 0
     async with aiohttp.ClientSession(
@@ -59,6 +39,7 @@
             force_close=True, socket_factory=watched_socket.open_socket
         ),
         response_class=runners.WatchedResponse,
+        middlewares=middlewares,
     ) as session:
         for turns in list(range(MOST_TURNS)) * ROUNDS:
             task = asyncio.ensure_future(begin(session, port))
@@ -84,11 +65,13 @@
     exchange = runners.Runners(
         session=session, apply=lambda _: None, spawn=lambda _: None
     )
-    await exchange.exchange(build_sending(port))
+    await exchange.exchange(raw_servers.build_sending(port=port))
 
 
 async def call_store(session, port):
-    api = store_api.StoreApi(address=f"{LOCAL}:{port}", session=session)
+    api = store_api.StoreApi(
+        address=f"{raw_servers.LOCAL}:{port}", session=session
+    )
     await api.get("config", "main")
 
 
@@ -100,3 +83,23 @@
 @then("breaking off a store call while it connects closes nobody else's socket")
 def check_store_calls(context):
     assert uvloop.run(break_off(call_store)) == 0
+
+
+async def call_object_api(session, port):
+    api = store_http.StoreHttp(
+        url=f"http://{raw_servers.LOCAL}:{port}", session=session, client="t"
+    )
+    await api.call(
+        store.StoreCall(
+            call_id=1,
+            operation=store.StoreOperation.GET,
+            key="k",
+            timeout_s=1.0,
+        )
+    )
+
+
+@then("breaking off an object call while it connects closes no other socket")
+def check_object_calls(context):
+    found = break_off(call_object_api, middlewares=shell.MIDDLEWARES)
+    assert uvloop.run(found) == 0
--- /dev/null
+++ b/features/steps/platform_failure_steps.py
@@ -0,0 +1,158 @@
+"""Steps on failures that no code foresaw."""
+
+import asyncio
+import builtins
+import contextlib
+import logging
+
+import aiohttp
+from behave import given
+from behave import then
+from behave import when
+from support import raw_servers
+import uvloop
+
+from rhubarbbank_core import store
+from rhubarbbank_platform import runners
+from rhubarbbank_platform import store_api
+from rhubarbbank_router import events
+from rhubarbbank_runtime import shell
+from rhubarbbank_runtime import store_http
+
+
+class FailingWork:
+    """Work that fails a number of times, then returns."""
+
+    def __init__(self, failures):
+        self.failures = failures
+        self.begun = 0
+
+    async def run(self):
+        self.begun += 1
+        if self.begun <= self.failures:
+            raise RuntimeError("unforeseen")
+
+
+class FailingSession:
+    """An HTTP client whose every request fails."""
+
+    def __init__(self, error):
+        self.error = error
+
+    def request(self, *args, **more):
+        raise self.error
+
+
+class LogMemory(logging.Handler):
+    """Keeps what is logged."""
+
+    def __init__(self):
+        super().__init__()
+        self.records = []
+
+    def emit(self, record):
+        self.records.append(record)
+
+
+@contextlib.contextmanager
+def remember_log(name):
+    """Keeps what a logger is told until the block ends."""
+    memory = LogMemory()
+    logger = logging.getLogger(name)
+    logger.addHandler(memory)
+    logger.propagate = False
+    try:
+        yield memory.records
+    finally:
+        logger.propagate = True
+        logger.removeHandler(memory)
+
+
+@given("work that fails {failures:d} times and then returns")
+def make_work(context, failures):
+    context.work = FailingWork(failures)
+
+
+@when("a shell keeps it running")
+def keep_running(context):
+    with remember_log(shell.LOG.name) as context.records:
+        uvloop.run(shell.restart_failed(context.work.run))
+
+
+@then("it has been begun {times:d} times")
+def check_begun(context, times):
+    assert context.work.begun == times, context.work.begun
+
+
+@then("each failure is in the log")
+def check_log(context):
+    found = [str(record.exc_info[1]) for record in context.records]
+    assert found == ["unforeseen"] * context.work.failures, found
+
+
+@when("the HTTP client fails an attempt with {error}")
+def fail_attempt(context, error):
+    context.applied = []
+    context.error = error
+    exchange = runners.Runners(
+        session=FailingSession(getattr(builtins, error)("unforeseen")),
+        apply=context.applied.append,
+        spawn=lambda work: None,
+    )
+    with remember_log(runners.LOG.name):
+        uvloop.run(exchange.run(raw_servers.build_sending(port=1)))
+
+
+@then("the router hears that the attempt broke off, and why")
+def check_broken_off(context):
+    (ended,) = context.applied
+    assert ended.end is events.AttemptEnd.BROKEN, ended
+    assert ended.detail == f"{context.error}: unforeseen", ended
+
+
+@given("a store that answers every call with status {status:d}")
+def set_status(context, status):
+    context.status = status
+
+
+async def ask_odd_server(status, ask):
+    """Returns what a call to a server that knows one status only brings."""
+
+    async def answer(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(
+            f"HTTP/1.1 {status} Odd\r\nContent-Length: 0\r\n\r\n".encode()
+        )
+        writer.close()
+
+    server = await asyncio.start_server(answer, raw_servers.LOCAL, 0)
+    port = server.sockets[0].getsockname()[1]
+    async with server, aiohttp.ClientSession() as session:
+        return await ask(f"{raw_servers.LOCAL}:{port}", session)
+
+
+async def read_configuration(address, session):
+    api = store_api.StoreApi(address=address, session=session)
+    return (await api.get("config", "main")).outcome
+
+
+async def read_object(address, session):
+    api = store_http.StoreHttp(
+        url=f"http://{address}", session=session, client="test"
+    )
+    call = store.StoreCall(
+        call_id=1, operation=store.StoreOperation.GET, key="k", timeout_s=1.0
+    )
+    return (await api.call(call)).outcome
+
+
+@then('a read of the configuration ends with "{outcome}"')
+def check_configuration(context, outcome):
+    found = uvloop.run(ask_odd_server(context.status, read_configuration))
+    assert found == outcome, found
+
+
+@then('a read of an object ends with "{outcome}"')
+def check_object(context, outcome):
+    found = uvloop.run(ask_odd_server(context.status, read_object))
+    assert found == outcome, found
--- /dev/null
+++ b/features/support/raw_servers.py
@@ -0,0 +1,28 @@
+"""What steps on single exchanges share: addresses and an attempt."""
+
+from rhubarbbank_router import effects
+
+LOCAL = "127.0.0.1"
+
+
+def build_sending(*, port):
+    """Returns the effect that sends an attempt to a local port."""
+    return effects.SendAttempt(
+        request_id="a1",
+        attempt=1,
+        attempt_id="a1",
+        upstream_id="i",
+        address=f"{LOCAL}:{port}",
+        method="GET",
+        target="/",
+        host="h",
+        headers=(),
+        body=b"",
+        time_left_s=2.0,
+        organisation="",
+        model="",
+        priority=1,
+        resume_after="",
+        streamed=False,
+        connect_timeout_s=1.0,
+    )
--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/shell.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/shell.py
@@ -26,8 +26,13 @@
 from rhubarbbank_runtime import logs
 from rhubarbbank_runtime import peer_link
 from rhubarbbank_runtime import timers
+from rhubarbbank_runtime import watched_socket
 
 LOG = logging.getLogger(__name__)
+MIDDLEWARES = (http_once.send_once, watched_socket.own_descriptor)
+# Long enough that work which fails at once doesn't fill the log, short
+# against the seconds for which what it keeps up to date stays usable.
+RESTART_PAUSE_S = 0.2
 
 
 class Reducer(Protocol):
@@ -126,8 +131,12 @@
         self.loop = asyncio.get_running_loop()
         self.stack = contextlib.AsyncExitStack()
         self.session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, limit_per_host=0),
-            middlewares=(http_once.send_once,),
+            connector=aiohttp.TCPConnector(
+                limit=0,
+                limit_per_host=0,
+                socket_factory=watched_socket.open_socket,
+            ),
+            middlewares=MIDDLEWARES,
         )
         self.clock = parts.clock or self.loop.time
         self.metrics = parts.metrics
@@ -213,6 +222,12 @@
         self.tasks.add(task)
         task.add_done_callback(self.finish_task)
 
+    def keep_running(
+        self, work: Callable[[], Coroutine[Any, Any, None]]
+    ) -> None:
+        """Runs work beside the loop until it returns, anew if it fails."""
+        self.spawn(restart_failed(work))
+
     def finish_task(self, task: "asyncio.Task[None]") -> None:
         """Forgets a task, and logs its failure."""
         self.tasks.discard(task)
@@ -225,3 +240,18 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+
+
+async def restart_failed(
+    work: Callable[[], Coroutine[Any, Any, None]],
+) -> None:
+    """Runs work until it returns; logs each failure and begins anew."""
+    while True:
+        try:
+            await work()
+        except Exception:
+            # What others rely on goes on, whatever befell it once.
+            LOG.exception("work failed, begun anew")
+            await asyncio.sleep(RESTART_PAUSE_S)
+        else:
+            return
--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/store_http.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/store_http.py
@@ -29,7 +29,7 @@
     objects: list[ListedObject]
 
 
-STATUS_OUTCOMES: dict[http.HTTPStatus, store.StoreOutcome] = {
+STATUS_OUTCOMES: dict[int, store.StoreOutcome] = {
     http.HTTPStatus.OK: store.StoreOutcome.OK,
     http.HTTPStatus.NO_CONTENT: store.StoreOutcome.OK,
     http.HTTPStatus.NOT_FOUND: store.StoreOutcome.NOT_FOUND,
@@ -155,7 +155,7 @@
     A write that ends with any other status may have taken effect behind
     whatever answered, so that it has to be read back.
     """
-    known = STATUS_OUTCOMES.get(http.HTTPStatus(status))
+    known = STATUS_OUTCOMES.get(status)
     if known is not None:
         return known
     writes = (store.StoreOperation.PUT, store.StoreOperation.DELETE)
--- a/platform/rhubarbbank_platform/watched_socket.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/watched_socket.py
@@ -19,6 +19,8 @@
 import socket
 from typing import Any
 
+import aiohttp
+
 
 class ExchangeSocket:
     """The socket of one exchange.
@@ -67,6 +69,17 @@
         yield begin(stack)
 
 
+async def own_descriptor(
+    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    """Keeps the descriptor that a request opens from being closed twice.
+
+    For sessions whose exchanges need not know how their connection ended.
+    """
+    async with watch_exchange():
+        return await handler(request)
+
+
 def open_socket(address: Any) -> socket.socket:
     """Returns a socket for an address, for the HTTP client's connector."""
     family, kind, protocol, _, _ = address
