Count the traffic's streams before an entry is asked to stop

Cause: the scenario 'An entry stops with open streams' waited until the entry had as many open requests as it had asked streams, but the feature's traffic has up to three of its own open there. So the stop could come before the last streams had arrived, and those were refused with 503 and Retry-After, as they should be.

Ruled out: a fault of the stop. With the last stream asked one second late the old step fails each time with just what was seen (shutting_down, not_run, Retry-After 1); the entry itself did what its promise says.

The check is stricter: it waits for six streams beyond the three that others may have.

--- a/features/steps/failure_member_steps.py
+++ b/features/steps/failure_member_steps.py
@@ -18,6 +18,7 @@
 
 LONG_TEXT = "Tell me all about clay. "
 STREAMS = 6
+CALLERS_PER_ENTRY = 3
 SLOW_FACTOR = 8.0
 BOOKINGS = 24
 WATCHED_S = 3.0
@@ -39,7 +40,7 @@
 def stream_on(context):
     failures.start_traffic(
         context,
-        callers=3,
+        callers=CALLERS_PER_ENTRY,
         model="lang",
         stream=True,
         headers={"X-Request-Class": "chat"},
@@ -192,8 +193,10 @@
         )
         for x in range(STREAMS)
     ]
+    # The traffic has up to one stream per caller open there, too.
+    least = STREAMS + CALLERS_PER_ENTRY
     fleets.wait_until(
-        lambda: read_open(context) >= STREAMS, "the streams are open"
+        lambda: read_open(context) >= least, "the streams are open"
     )
     context.fleet.members[context.stopped].send(signal.SIGTERM)
     context.stack.callback(failures.restore, context.fleet, context.stopped)
