Judge new versions by the pace of their streams, too

The target was slow on 40 of 100 requests while crashes loaded the incumbent so much that 25 to 29 of 100 of its answers counted as slow, too (three times the expected wait, or 2.5 times the usual pace): 8 slow of 17 against 78 of 267 tells nothing. Half of the target's streams came more than 2.03 times slower than usual and nine in ten 1.32 times, of the incumbent's one in ten 1.67 times.

Change: a third measure, streams that drag (1.5 times the usual pace), let pass a rise of 0.10; the rise of slow answers that is let pass is 0.05 in place of 0.08; what is usual is learnt from versions that aren't on trial. Heartbeats carry the counts as a struct whose tail may be missing.

--- a/features/router_rollouts.feature
+++ b/features/router_rollouts.feature
@@ -81,6 +81,27 @@
     When 20 requests on version "v2" break off
     Then version "v2" isn't held
 
+  Scenario Outline: Slow versions beside load, over generated roll-outs
+    Then of 300 generated roll-outs, <slow> slow and <drag> dragging before, <new slow> and <new drag> after, <held> are held within <answers> answers
+
+    Examples: Good versions, on calm and on loaded engines, and plain ones
+      | slow | drag | new slow | new drag | held        | answers |
+      | 0.02 | 0.15 | 0.02     | 0.15     | at most 1 % | 60      |
+      | 0.05 | 0.20 | 0.05     | 0.20     | at most 1 % | 60      |
+      | 0.29 | 0.25 | 0.29     | 0.25     | at most 2 % | 60      |
+      | 0.09 | none | 0.09     | none     | at most 2 % | 60      |
+
+    Examples: Slow versions, seen on a loaded service and on a plain one
+      | slow | drag | new slow | new drag | held          | answers |
+      | 0.29 | 0.13 | 0.47     | 0.80     | at least 95 % | 40      |
+      | 0.07 | 0.14 | 0.25     | 0.85     | at least 95 % | 40      |
+      | 0.08 | none | 0.40     | none     | at least 95 % | 60      |
+
+  Scenario: What is usual isn't learnt from the version on trial
+    Given a router with a roll-out to version "v2" over 20 s
+    When the target answers 8 times slower than the old version for 3 s
+    Then the usual times are those of version "v1"
+
   Scenario Outline: False alarms and misses over generated roll-outs
     Then of 300 generated roll-outs with <base> and <target> of failures, <held> are held within <answers> answers
 
--- a/features/steps/router_rollout_steps.py
+++ b/features/steps/router_rollout_steps.py
@@ -308,8 +308,48 @@
             if judge.is_worse(evidence):
                 held += 1
                 break
-    share = 100.0 * held / count
-    print(f"{held} of {count} held")
+    check_share_held(100.0 * held / count, bound, percent)
+
+
+PACED_SHARE = 0.55
+
+
+def add_timed(counts, rng, slow, drag):
+    """Adds an answer; the pace of some streams can't be told."""
+    dragging = None
+    if drag != "none" and rng.random() < PACED_SHARE:
+        dragging = rng.random() < float(drag)
+    return counts.add(failed=False, slow=rng.random() < slow, dragging=dragging)
+
+
+@then(
+    "of {count:d} generated roll-outs, {slow:g} slow and {drag} dragging "
+    "before, {new_slow:g} and {new_drag} after, {bound} {percent:d} % are "
+    "held within {answers:d} answers"
+)
+def check_speeds(  # noqa: PLR0917
+    context, count, slow, drag, new_slow, new_drag, bound, percent, answers
+):
+    judge = trial_judge.LikelihoodJudge()
+    held = 0
+    for seed in range(count):
+        rng = random.Random(seed)
+        old = version_trial.AnswerCounts()
+        new = version_trial.AnswerCounts()
+        for _ in range(answers):
+            for _ in range(9):
+                old = add_timed(old, rng, slow, drag)
+            new = add_timed(new, rng, new_slow, new_drag)
+            found = version_trial.Comparison(target=new, incumbent=old)
+            evidence = version_trial.TrialEvidence({"chat": found})
+            if judge.is_worse(evidence):
+                held += 1
+                break
+    check_share_held(100.0 * held / count, bound, percent)
+
+
+def check_share_held(share, bound, percent):
+    print(f"{share:.1f} % held")
     if bound.endswith("at most"):
         assert share <= percent, share
     else:
@@ -365,6 +405,14 @@
         world.run(0.05)
 
 
+@then('the usual times are those of version "{version}"')
+def check_usual(context, version):
+    times = context.world.state.view.read_times(SERVICE)
+    # The old version takes 0.1 s, and is looked at each 0.05 s.
+    assert times.whole_s <= 0.16, times
+    assert times.first_event_s <= 0.16, times
+
+
 @when(
     "half of the target's answers on one route are failures for {duration:g} s"
 )
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
@@ -177,7 +177,7 @@
         times = state.view.read_times(attempt.service)
         if attempt_evidence.is_slow(opened, attempt, times, now=now):
             attempt_evidence.judge_attempt(
-                state, opened, attempt, failed=False, slow=True
+                state, opened, attempt, failed=False, slow=True, now=now
             )
     last = opened.last_event_id
     if last and not event_stream.follows(event.event_id, last):
@@ -206,7 +206,8 @@
     """Learns from the time to an attempt's first event."""
     times = state.view.read_times(attempt.service)
     waited_s = now - attempt.sent_at
-    times.first_event_s = upstreams.smooth(times.first_event_s, waited_s)
+    if not attempt_evidence.is_on_trial(state, attempt):
+        times.first_event_s = upstreams.smooth(times.first_event_s, waited_s)
     state.speeds.learn(attempt, waited_s=waited_s)
     if opened.begun:
         return []
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_evidence.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_evidence.py
@@ -41,18 +41,33 @@
     if attempt.status or silent or not failed:
         own = attempt.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR
         slow = silent or is_slow(opened, attempt, times, now=now)
-        judge_attempt(state, opened, attempt, failed=own, slow=slow)
-    if opened.is_stream:
+        judge_attempt(state, opened, attempt, failed=own, slow=slow, now=now)
+    usual = not is_on_trial(state, attempt)
+    if opened.is_stream and usual:
         learn_pace(attempt, times, now=now)
     if failed:
         state.view.note_failure(attempt.upstream, now=now)
         return
     state.view.note_good(attempt.upstream)
-    if attempt.status == http.HTTPStatus.OK:
+    if attempt.status == http.HTTPStatus.OK and usual:
         took_s = now - attempt.sent_at
         times.whole_s = upstreams.smooth(times.whole_s, took_s)
 
 
+def is_on_trial(
+    state: states.RouterState, attempt: attempt_states.Attempt
+) -> bool:
+    """Returns whether an attempt runs on a version that is being tried.
+
+    What is usual is learnt from the others, so that a slow version doesn't
+    become the measure of itself.
+    """
+    trial = state.trials.get(attempt.service)
+    if trial is None or trial.order.target != attempt.version:
+        return False
+    return trial.order.state not in version_trial.FINAL_STATES
+
+
 def judge_attempt(
     state: states.RouterState,
     opened: states.OpenRequest,
@@ -60,6 +75,7 @@
     *,
     failed: bool,
     slow: bool,
+    now: float,
 ) -> None:
     """Takes an attempt as evidence on its version, once."""
     trial = state.trials.get(attempt.service)
@@ -72,7 +88,10 @@
         route=opened.route.name,
         version=attempt.version,
         counts=version_trial.AnswerCounts().add(
-            failed=failed, slow=slow, timed=timed
+            failed=failed,
+            slow=slow,
+            timed=timed,
+            dragging=is_dragging(state, attempt, now=now),
         ),
     )
 
@@ -100,6 +119,18 @@
     return pace_s > defaults.SLOW_PACE_TIMES * usual_s
 
 
+def is_dragging(
+    state: states.RouterState, attempt: attempt_states.Attempt, *, now: float
+) -> bool | None:
+    """Returns whether a stream's pace is slow; None if that can't be told."""
+    pace_s = measure_pace_s(attempt, now=now)
+    times = state.view.read_times(attempt.service)
+    usual_s = times.pace_s.get(attempt.model)
+    if pace_s is None or usual_s is None:
+        return None
+    return pace_s > defaults.DRAG_PACE_TIMES * usual_s
+
+
 def measure_pace_s(
     attempt: attempt_states.Attempt, *, now: float
 ) -> float | None:
@@ -122,6 +153,6 @@
     if pace_s is None:
         return
     usual_s = times.pace_s.get(attempt.model, pace_s)
-    # A slow version must not become the measure of itself.
+    # One stream that hangs says little of the usual pace.
     pace_s = min(pace_s, defaults.SLOW_PACE_TIMES * usual_s)
     times.pace_s[attempt.model] = upstreams.smooth(usual_s, pace_s)
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -114,7 +114,8 @@
 TRIAL_MOST_BAD = 20
 # Rise of the failure rate and of the share of slow answers that is let pass.
 TRIAL_ERROR_TOLERANCE = 0.03
-TRIAL_SLOW_TOLERANCE = 0.08
+TRIAL_SLOW_TOLERANCE = 0.05
+TRIAL_DRAG_TOLERANCE = 0.1
 # Chance of a false alarm in a whole roll-out.
 TRIAL_FALSE_ALARM = 0.01
 # An answer is slow if its first event took this many times the usual wait.
@@ -123,6 +124,9 @@
 SLOW_FLOOR_S = 0.25
 # A stream is slow if its events come this many times slower than usual.
 SLOW_PACE_TIMES = 2.5
+# A stream drags if its events come this many times slower than usual; of the
+# streams of good versions a sixth does, of slow ones most (measured).
+DRAG_PACE_TIMES = 1.5
 # Silences of one upstream that follow each other within this are one.
 SILENCE_EPISODE_S = 2.0
 # Streams with fewer events tell little of their pace.
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/messages.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/messages.py
@@ -9,8 +9,23 @@
 from rhubarbbank_core import effects
 
 
+class CountNews(msgspec.Struct, frozen=True, array_like=True):
+    """Counts of attempts, as `version_trial.AnswerCounts` has them.
+
+    New counts are added at the end, so that entries of two releases read one
+    another's.
+    """
+
+    answers: int = 0
+    failures: int = 0
+    timed: int = 0
+    slow: int = 0
+    paced: int = 0
+    dragging: int = 0
+
+
 class RouteNews(msgspec.Struct, frozen=True, array_like=True):
-    """Counts on one route, in the order of `version_trial.AnswerCounts`.
+    """Counts on one route.
 
     Attributes:
         route: The route's name.
@@ -19,8 +34,8 @@
     """
 
     route: str
-    target: tuple[int, int, int, int]
-    incumbent: tuple[int, int, int, int]
+    target: CountNews
+    incumbent: CountNews
 
 
 class TrialNews(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/peers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/peers.py
@@ -7,6 +7,8 @@
 import collections.abc
 import dataclasses
 
+import msgspec
+
 from rhubarbbank_router import defaults
 from rhubarbbank_router import messages
 from rhubarbbank_router import version_trial
@@ -150,9 +152,6 @@
     )
 
 
-def read_counts(found: tuple[int, int, int, int]) -> version_trial.AnswerCounts:
+def read_counts(found: messages.CountNews) -> version_trial.AnswerCounts:
     """Returns counts as they stand in a heartbeat."""
-    answers, failures, timed, slow = found
-    return version_trial.AnswerCounts(
-        answers=answers, failures=failures, timed=timed, slow=slow
-    )
+    return version_trial.AnswerCounts(**msgspec.structs.asdict(found))
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/rollouts.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/rollouts.py
@@ -6,6 +6,8 @@
 believe to be first do no harm.
 """
 
+import dataclasses
+
 from rhubarbbank_core import program_effects as fx
 from rhubarbbank_router import defaults
 from rhubarbbank_router import effects
@@ -254,6 +256,8 @@
         (f"{name}_failures", counts.failures),
         (f"{name}_timed", counts.timed),
         (f"{name}_slow", counts.slow),
+        (f"{name}_paced", counts.paced),
+        (f"{name}_dragging", counts.dragging),
     )
 
 
@@ -338,8 +342,6 @@
     )
 
 
-def pack(
-    counts: version_trial.AnswerCounts,
-) -> tuple[int, int, int, int]:
+def pack(counts: version_trial.AnswerCounts) -> messages.CountNews:
     """Returns counts as a heartbeat carries them."""
-    return counts.answers, counts.failures, counts.timed, counts.slow
+    return messages.CountNews(**dataclasses.asdict(counts))
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/trial_judge.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/trial_judge.py
@@ -21,14 +21,15 @@
 # Rates above the tolerated one that count as worse.
 RISES = (0.1, 0.2, 0.4)
 MOST_RATE = 0.95
-COMPARISONS = 2
+# Failures, slow answers, dragging streams.
+COMPARISONS = 3
 # Likelihood ratio from which a target with a small share gets no larger one.
 DOUBTFUL_RATIO = 2.0
 SMALL_SHARE = 0.15
 
 
 class LikelihoodJudge:
-    """Compares failure rates and shares of slow answers."""
+    """Compares failures, slow answers and the pace of streams."""
 
     def is_worse(self, evidence: version_trial.TrialEvidence) -> bool:
         """Returns whether the evidence speaks against the target."""
@@ -60,7 +61,7 @@
 
 
 def weigh_comparison(found: version_trial.Comparison) -> float:
-    """Returns the log likelihood ratio for the worse of two measures."""
+    """Returns the log likelihood ratio for the worst of the measures."""
     target, incumbent = found.target, found.incumbent
     failures = log_ratio(
         bad=target.failures,
@@ -74,7 +75,13 @@
         base_rate=estimate_rate(incumbent.slow, incumbent.timed)
         + defaults.TRIAL_SLOW_TOLERANCE,
     )
-    return max(failures, slow)
+    dragging = log_ratio(
+        bad=target.dragging,
+        count=target.paced,
+        base_rate=estimate_rate(incumbent.dragging, incumbent.paced)
+        + defaults.TRIAL_DRAG_TOLERANCE,
+    )
+    return max(failures, slow, dragging)
 
 
 class FixedCountJudge:
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/version_trial.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/version_trial.py
@@ -70,23 +70,42 @@
         timed: Attempts whose speed could be told; a stream that is dropped
             after its first event tells nothing of it.
         slow: How many of those were slow.
+        paced: Streams whose pace could be told.
+        dragging: How many of those came clearly slower than usual. Less than
+            slow, but load hardly touches it, so that few of them tell much.
     """
 
     answers: int = 0
     failures: int = 0
     timed: int = 0
     slow: int = 0
+    paced: int = 0
+    dragging: int = 0
 
     def add(
-        self, *, failed: bool, slow: bool = False, timed: bool = True
+        self,
+        *,
+        failed: bool,
+        slow: bool = False,
+        timed: bool = True,
+        dragging: bool | None = None,
     ) -> "AnswerCounts":
-        """Returns the counts with one more attempt."""
+        """Returns the counts with one more attempt.
+
+        Args:
+            failed: Whether it failed.
+            slow: Whether it was slow.
+            timed: Whether its speed could be told.
+            dragging: Whether its pace was; None if it couldn't be told.
+        """
         told = slow or (timed and not failed)
         return AnswerCounts(
             answers=self.answers + 1,
             failures=self.failures + failed,
             timed=self.timed + told,
             slow=self.slow + slow,
+            paced=self.paced + (dragging is not None),
+            dragging=self.dragging + bool(dragging),
         )
 
     def plus(self, other: "AnswerCounts") -> "AnswerCounts":
@@ -96,6 +115,8 @@
             failures=self.failures + other.failures,
             timed=self.timed + other.timed,
             slow=self.slow + other.slow,
+            paced=self.paced + other.paced,
+            dragging=self.dragging + other.dragging,
         )
 
 
