Hold a target that gets everything on proof only, not on doubt

Since three quarters of the time were over, doubt was enough to hold it, and the pace of streams, added today, raises doubt sooner.

Ruled out: proof by the judge (the likelihood ratio stayed under its limit: the log shows no hold before the three quarters were over); failures (0 of 238).

Change: once the target gets everything, only the judge's proof holds it.

Before: the new scenario fails for 30 slow and 19 dragging.

--- a/features/router_rollouts.feature
+++ b/features/router_rollouts.feature
@@ -97,6 +97,18 @@
       | 0.07 | 0.14 | 0.25     | 0.85     | at least 95 % | 40      |
       | 0.08 | none | 0.40     | none     | at least 95 % | 60      |
 
+  Scenario Outline: Doubt that rests on another time's load
+    Given a trial over 20 s whose target has got everything since 13 s
+    When it comes to <slow> slow of 96 answers and <drag> dragging of 81, against 65 of 326 and 4 of 311 before
+    Then at 16 s the target is <outcome>
+
+    Examples:
+      | slow | drag | outcome  |
+      | 30   | 19   | not held |
+      | 20   | 8    | not held |
+      | 60   | 19   | held     |
+      | 30   | 50   | held     |
+
   Scenario: What is usual isn't learnt from the version on trial
     Given a router with a roll-out to version "v2" over 20 s
     When the target answers 8 times slower than the old version for 3 s
--- a/features/steps/router_rollout_steps.py
+++ b/features/steps/router_rollout_steps.py
@@ -8,6 +8,7 @@
 from support import router_world
 
 from rhubarbbank_core import events as core_events
+from rhubarbbank_router import defaults
 from rhubarbbank_router import effects
 from rhubarbbank_router import events
 from rhubarbbank_router import messages
@@ -356,6 +357,50 @@
         assert share >= percent, share
 
 
+@given(
+    "a trial over {duration:g} s whose target has got everything since"
+    " {since:g} s"
+)
+def build_whole_trial(context, duration, since):
+    context.trial = version_trial.VersionTrial(
+        order=build_order("v2", duration, state="running"),
+        judge=trial_judge.LikelihoodJudge(),
+        now=0.0,
+    )
+    context.trial.step = len(defaults.TRIAL_STEPS) - 1
+    context.trial.stepped_at = since
+    assert context.trial.is_whole
+
+
+@when(
+    "it comes to {slow:d} slow of {timed:d} answers and {drag:d} dragging of"
+    " {paced:d}, against {old_slow:d} of {old_timed:d} and {old_drag:d} of"
+    " {old_paced:d} before"
+)
+def build_evidence(  # noqa: PLR0917
+    context, slow, timed, drag, paced, old_slow, old_timed, old_drag, old_paced
+):
+    found = version_trial.Comparison(
+        target=version_trial.AnswerCounts(
+            answers=timed, timed=timed, slow=slow, paced=paced, dragging=drag
+        ),
+        incumbent=version_trial.AnswerCounts(
+            answers=old_timed,
+            timed=old_timed,
+            slow=old_slow,
+            paced=old_paced,
+            dragging=old_drag,
+        ),
+    )
+    context.evidence = version_trial.TrialEvidence({"chat": found})
+
+
+@then("at {now:g} s the target is {outcome}")
+def check_held(context, now, outcome):
+    context.trial.advance(context.evidence, now=now)
+    assert context.trial.held is (outcome == "held")
+
+
 @when('an order for version "{target}" is written into the same record')
 def write_again(context, target):
     context.world.apply(
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/version_trial.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/version_trial.py
@@ -270,8 +270,12 @@
     def is_overdue(self, evidence: TrialEvidence, *, now: float) -> bool:
         """Returns whether a doubtful target has had its time or its chances.
 
-        One that is good would be late by then in any case.
+        One that is good would be late by then in any case. Once the target
+        gets everything, the incumbent's answers are of another time, with
+        another load, and doubt isn't enough any more.
         """
+        if self.is_whole:
+            return False
         target = evidence.pooled.target
         due_s = defaults.TRIAL_DOUBT_SHARE * self.order.duration_s
         late = now - self.started_at >= due_s
