Watch the list of entries by reads that may be old

Ruled out for now: the list of upstreams and the configuration, whose bounds count from the store's answer.

The stand-in answers such watches a second late.

--- a/features/platform_store.feature
+++ b/features/platform_store.feature
@@ -54,6 +54,11 @@
     Then the roll-out's status is "completed" within 7 s
     And its status was written by conditional calls
 
+  Scenario: Entries find each other from what may be old
+    Given 3 entries on the platform
+    Then every entry hears 2 others within 6 s
+    And of its calls to the store, those for entries allow an old answer
+
   Scenario: A bad version is rolled back
     Given 2 entries on the platform
     When a version that fails is ordered within 12 s
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -18,8 +18,10 @@
 from behave import given
 from behave import then
 from behave import when
+from support import fleets
 
 from rhubarbbank_experiments import platform_fleet
+from rhubarbbank_platform import wire
 from rhubarbbank_standins import platform_runner
 from rhubarbbank_standins import platform_store
 
@@ -681,6 +683,35 @@
     assert states == ["running", "completed"], states
 
 
+@then("every entry hears {count:d} others within {wait:g} s")
+def check_heard(context, count, wait):
+    def have_heard():
+        return all(
+            len(
+                {
+                    line["reason"]
+                    for line in entry.read_log()
+                    if line.get("decision") == "entry_heard"
+                }
+            )
+            >= count
+            for entry in context.platform.entries
+        )
+
+    fleets.wait_until(have_heard, "entries hear each other", wait_s=wait)
+
+
+@then("of its calls to the store, those for entries allow an old answer")
+def check_old_answers(context):
+    fleet = context.platform
+    # An entry's name for other entries is the platform folder's own.
+    watches = dict(fleet.call(lambda: fleet.store.watches))
+    cheap = {kind for kind, is_cheap in watches if is_cheap}
+    fresh = {kind for kind, is_cheap in watches if not is_cheap}
+    assert cheap == {wire.ENTRY_KIND}, watches
+    assert fresh == {wire.UPSTREAM_KIND, wire.ROLLOUT_KIND}, watches
+
+
 @then("an entry with bad settings ends with code 1 and names each fault")
 def check_bad_settings(context):
     root = platform_fleet.ROOT
--- a/standins/src/rhubarbbank_standins/platform_store.py
+++ b/standins/src/rhubarbbank_standins/platform_store.py
@@ -6,15 +6,19 @@
 """
 
 import asyncio
+import collections
 import dataclasses
 import enum
 import http
+import time
 from typing import Any
 
 from aiohttp import web
 
 PAGE = 50
 POLL_S = 0.02
+# How old a read may be that allows it.
+STALE_S = 1.0
 LOCAL = "127.0.0.1"
 
 
@@ -67,6 +71,7 @@
     kind: str
     rendered: dict[str, Any]
     removed: bool
+    noted_at: float = dataclasses.field(default_factory=time.monotonic)
 
 
 class PlatformStore:
@@ -79,6 +84,8 @@
         history_from: Watches from before this revision get 410.
         faults: By port.
         calls: Number of calls by port.
+        watches: Number of watches by kind and whether they allowed an old
+            answer.
     """
 
     def __init__(self) -> None:
@@ -88,6 +95,9 @@
         self.history_from = 0
         self.faults: dict[int, Fault] = {}
         self.calls: dict[int, int] = {}
+        self.watches: collections.Counter[tuple[str, bool]] = (
+            collections.Counter()
+        )
 
     def build_app(self) -> web.Application:
         """Returns the HTTP application."""
@@ -185,19 +195,25 @@
     async def watch(self, request: web.Request, kind: str) -> web.Response:
         """Answers as soon as something has changed."""
         since = int(request.query["watch"])
+        self.watches[kind, is_cheap(request)] += 1
         loop = asyncio.get_running_loop()
         ends_at = loop.time() + int(request.query.get("wait_ms", "0")) / 1000
         while True:
             if since < self.history_from:
                 return web.json_response({}, status=http.HTTPStatus.GONE)
+            known, revision = self.history, self.revision
+            if is_cheap(request):
+                until = time.monotonic() - STALE_S
+                known = [x for x in known if x.noted_at <= until]
+                revision = known[-1].revision if known else self.history_from
             found = [
                 {"object": each.rendered, "removed": each.removed}
-                for each in self.history
+                for each in known
                 if each.kind == kind and each.revision > since
             ]
             if found or loop.time() >= ends_at:
                 return web.json_response(
-                    {"events": found, "store_revision": self.revision}
+                    {"events": found, "store_revision": revision}
                 )
             await asyncio.sleep(POLL_S)
 
@@ -272,3 +288,8 @@
         server: Any = site._server
         found.append(server.sockets[0].getsockname()[1])
     return runner, found
+
+
+def is_cheap(request: web.Request) -> bool:
+    """Returns whether a call allows an old answer."""
+    return request.query.get("allow_stale") == "1"
