Watch roll-out orders by reads that may be old, too

An order that is heard seconds late sends nothing to its target meanwhile, and the entries agree on its age by their heartbeats; records in the store stay conditional on a revision.

The stand-in tells orders a second late; its roll-out scenarios pass.

--- a/features/platform_store.feature
+++ b/features/platform_store.feature
@@ -57,7 +57,7 @@
   Scenario: Entries find each other from what may be old
     Given 3 entries on the platform
     Then every entry hears 2 others within 6 s
-    And of its calls to the store, those for entries allow an old answer
+    And of its calls to the store, those for entries and roll-outs allow an old answer
 
   Scenario: A bad version is rolled back
     Given 2 entries on the platform
