--- a/features/router_rollouts.feature
+++ b/features/router_rollouts.feature
@@ -38,6 +38,15 @@
     When requests are answered well for 18 s
     Then the roll-out isn't recorded as "completed"
 
+  Scenario: A roll-out that is over adds no counts to heartbeats
+    Given a router with a roll-out to version "v2" over 20 s
+    And a peer that still sends to version "v1"
+    When requests are answered well for 2 s
+    Then its last heartbeat tells counts of the roll-out
+    When the roll-out to "v2" is completed
+    And requests are answered well for 1 s
+    Then its last heartbeat tells no counts, but the roll-out
+
   Scenario: A bad target is stopped and rolled back
     Given a router with a roll-out to version "v2" over 20 s
     When a third of the target's answers are failures for 10 s
--- a/features/steps/router_rollout_steps.py
+++ b/features/steps/router_rollout_steps.py
@@ -7,6 +7,7 @@
 from behave import when
 from support import router_world
 
+from rhubarbbank_core import effects as core_effects
 from rhubarbbank_core import events as core_events
 from rhubarbbank_router import defaults
 from rhubarbbank_router import effects
@@ -255,6 +256,30 @@
     assert state not in recorded(context)
 
 
+def find_last_news(world):
+    """Returns what the last heartbeat told of the roll-out."""
+    sent = [
+        each.message
+        for each in world.done
+        if isinstance(each, core_effects.Send)
+    ]
+    (told,) = sent[-1].trials
+    return told
+
+
+@then("its last heartbeat tells counts of the roll-out")
+def check_counts_told(context):
+    told = find_last_news(context.world)
+    assert sum(each.incumbent.answers for each in told.routes) > 0, told
+
+
+@then("its last heartbeat tells no counts, but the roll-out")
+def check_no_counts_told(context):
+    told = find_last_news(context.world)
+    assert told.key == KEY, told
+    assert told.routes == (), told
+
+
 @then("nothing is recorded")
 def check_nothing_recorded(context):
     assert not recorded(context)
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/rollouts.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/rollouts.py
@@ -331,17 +331,22 @@
             held=trial.held,
             whole=trial.is_whole,
             old_in_flight=count_on_others(state, trial),
-            routes=tuple(
-                messages.RouteNews(
-                    route, pack(found.target), pack(found.incumbent)
-                )
-                for route, found in trial.own.routes.items()
-            ),
+            routes=() if trial.is_over else list_counts(trial),
         )
         for service, trial in state.trials.items()
     )
 
 
+def list_counts(
+    trial: version_trial.VersionTrial,
+) -> tuple[messages.RouteNews, ...]:
+    """Returns this entry's evidence as a heartbeat carries it."""
+    return tuple(
+        messages.RouteNews(route, pack(found.target), pack(found.incumbent))
+        for route, found in trial.own.routes.items()
+    )
+
+
 def pack(counts: version_trial.AnswerCounts) -> messages.CountNews:
     """Returns counts as a heartbeat carries them."""
     return messages.CountNews(**dataclasses.asdict(counts))
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/version_trial.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/version_trial.py
@@ -233,6 +233,11 @@
         """Whether a session may leave its version for the target."""
         return self.step >= 0 or self.order.state is OrderState.COMPLETED
 
+    @property
+    def is_over(self) -> bool:
+        """Whether the store holds what the roll-out came to."""
+        return self.order.state in FINAL_STATES
+
     @property
     def is_whole(self) -> bool:
         """Whether all new work goes to the target."""
@@ -245,7 +250,7 @@
             evidence: Summed over all entries.
             now: In seconds.
         """
-        if self.held or self.order.state in FINAL_STATES:
+        if self.held or self.is_over:
             return False
         if self.judge.is_worse(evidence) or self.is_overdue(evidence, now=now):
             self.held = True
