Bound how long callers take for a head, a body's next bytes, and rest

Ruled out: closing a connection whose answer is still being written: a request now counts as served until its answer's last byte is handed over, and a run that takes longer than the time of rest is answered (scenario).

Change: one timer a connection while it serves nothing, by the bounds in force when it is set; 408 when a body's next bytes don't come, which promises what holds: the request has not run. Steps on bad input have files of their own.

--- a/experiments/src/rhubarbbank_experiments/platform_fleet.py
+++ b/experiments/src/rhubarbbank_experiments/platform_fleet.py
@@ -60,7 +60,11 @@
 
 
 def build_configuration(
-    version: int, *, keys: tuple[str, ...] = (KEY,), extra: tuple[Any, ...] = ()
+    version: int,
+    *,
+    keys: tuple[str, ...] = (KEY,),
+    extra: tuple[Any, ...] = (),
+    **limits: int,
 ) -> Any:
     """Returns a configuration as the operators write it."""
     routes = [
@@ -91,7 +95,7 @@
             {"name": MODELS, "max_conns": 100, "engine": engine},
             {"name": BOOKINGS, "max_conns": 100},
         ],
-        "limits": {"max_body_bytes": 100_000},
+        "limits": {"max_body_bytes": 100_000} | limits,
         "tenants": [{"name": ORGANISATION, "api_keys": list(keys)}],
     }
 
--- a/features/platform_path.feature
+++ b/features/platform_path.feature
@@ -87,6 +87,32 @@
       | half a head                 | 0      |
       | half a body                 | 0      |
 
+  Scenario Outline: Callers that take too long
+    Given callers may take 0.6 s for a head and rest for 1.2 s
+    When a tardy caller sends <what>
+    Then its connection is closed after <least> to <most> s
+    And no runner got more than <runs> requests
+
+    Examples:
+      | what                              | least | most | runs |
+      | nothing                           | 1.1   | 1.9  | 0    |
+      | half a head                       | 0.5   | 1.1  | 0    |
+      | a head byte by byte               | 0.5   | 1.1  | 0    |
+      | a whole request, then nothing     | 1.1   | 1.9  | 1    |
+      | a whole request, then half a head | 0.5   | 1.1  | 1    |
+
+  Scenario: A body that stops halfway is answered, then closed
+    Given callers may take 0.6 s for a head and rest for 1.2 s
+    When a tardy caller sends half a body
+    Then the platform's status is 408
+    And its connection is closed after 1.1 to 2.9 s
+    And no runner got anything
+
+  Scenario: A slow answer outlasts the time of rest
+    Given callers may take 0.6 s for a head and rest for 1.2 s
+    When runners hang with 1 requests, and a caller asks for "/book/1"
+    Then the platform answers an own 504, and 1 runs began
+
   Scenario: Pipelined requests are answered in order
     When a caller sends the platform two requests at once
     Then it gets both answers in order
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -8,7 +8,6 @@
 import pathlib
 import re
 import signal
-import socket
 import subprocess
 import sys
 import threading
@@ -19,6 +18,7 @@
 from behave import then
 from behave import when
 from support import fleets
+from support import platform_callers
 
 from rhubarbbank_experiments import platform_fleet
 from rhubarbbank_platform import wire
@@ -46,41 +46,16 @@
 STATUS_LINE = re.compile(rb"HTTP/1\.[01] (\d{3}) ")
 
 
-def find_fleet(context):
-    """The fleet that the feature's scenarios share, quiet again."""
-    fleet = getattr(context.feature, "shared_fleet", None)
-    if fleet is None:
-        fleet = platform_fleet.PlatformFleet()
-        context.feature_stack.enter_context(fleet)
-        context.feature.shared_fleet = fleet
-    fleet.misbehave("none")
-    return fleet
-
-
-def start_asking(context):
-    context.platform = find_fleet(context)
-    # What an earlier scenario set aside gets its time to come back.
-    context.platform.wait_until(
-        lambda: all(
-            context.platform.ask(path).status == 200
-            for path in ("/look/warm", "/book/warm", "/chat/warm")
-        ),
-        "warm",
-    )
-    for runner in context.platform.runners.values():
-        runner.runs.clear()
-
-
 @when('a caller asks the platform for "{path}"')
 def ask(context, path):
-    start_asking(context)
+    platform_callers.start_asking(context)
     context.path = path
     context.reply = context.platform.ask(path)
 
 
 @when('a caller asks the platform for "{path}" with a body')
 def ask_with_body(context, path):
-    start_asking(context)
+    platform_callers.start_asking(context)
     context.path = path
     context.body = b'{"court": 2}'
     context.reply = context.platform.ask(path, body=context.body)
@@ -135,7 +110,7 @@
 
 @when("a caller sends the platform a body in chunks")
 def ask_chunked(context):
-    start_asking(context)
+    platform_callers.start_asking(context)
     context.path = "/book/chunks"
     context.reply = context.platform.ask(
         context.path,
@@ -146,7 +121,7 @@
 
 @when("a caller sends the platform headers that only the system may set")
 def ask_with_headers(context):
-    start_asking(context)
+    platform_callers.start_asking(context)
     context.reply = context.platform.ask("/look/own", headers=SYSTEM_HEADERS)
 
 
@@ -161,7 +136,7 @@
     'runners {misdeed} with {count:d} requests, and a caller asks for "{path}"'
 )
 def ask_spoilt(context, misdeed, count, path):
-    start_asking(context)
+    platform_callers.start_asking(context)
     service = platform_fleet.BOOKINGS
     if path.startswith("/chat"):
         service = platform_fleet.MODELS
@@ -198,11 +173,11 @@
 
 @when("runners hang with 1 requests, and a caller leaves after {wait:g} s")
 def leave(context, wait):
-    start_asking(context)
+    platform_callers.start_asking(context)
     fleet = context.platform
     fleet.misbehave("hang", service=platform_fleet.BOOKINGS)
-    with open_socket(fleet) as caller:
-        caller.sendall(build_request("/book/leave"))
+    with platform_callers.open_socket(fleet) as caller:
+        caller.sendall(platform_callers.build_request("/book/leave"))
         fleet.wait_until(lambda: fleet.list_runs("/book/leave"), "it runs")
         time.sleep(wait)
 
@@ -217,144 +192,9 @@
     )
 
 
-# Bad input.
-
-
-def open_socket(fleet, entry=0):
-    return socket.create_connection(
-        (LOCAL, fleet.entries[entry].ports[0]), timeout=5.0
-    )
-
-
-def build_request(target, *, lines=(), body=b"", key=platform_fleet.KEY):
-    head = [
-        f"POST {target} HTTP/1.1",
-        f"Host: {platform_fleet.HOST}",
-        f"X-Attempt-Id: raw-{time.monotonic_ns()}",
-        "X-Deadline-Ms: 2500",
-        f"Authorization: Bearer {key}",
-        *lines,
-    ]
-    if not any(
-        line.lower().startswith(("content", "transf")) for line in lines
-    ):
-        head.append(f"Content-Length: {len(body)}")
-    return ("\r\n".join(head) + "\r\n\r\n").encode() + body
-
-
-BAD_INPUTS = {
-    "both framings at once": lambda: build_request(
-        "/book/bad",
-        lines=("Content-Length: 4", "Transfer-Encoding: chunked"),
-        body=b"0\r\n\r\nGET /book/smuggled HTTP/1.1\r\n\r\n",
-    ),
-    "two different lengths": lambda: build_request(
-        "/book/bad",
-        lines=("Content-Length: 4", "Content-Length: 40"),
-        body=b"abcd",
-    ),
-    "an oversize head": lambda: build_request(
-        "/book/bad", lines=("X-Long: " + "x" * 70_000,)
-    ),
-    "an oversize body": lambda: build_request("/book/bad", body=b"x" * 200_000),
-    "no attempt id": lambda: build_request("/book/bad").replace(
-        b"X-Attempt-Id", b"X-Other"
-    ),
-    "an unknown key": lambda: build_request("/book/bad", key="nobodys"),
-    "a key in the path": lambda: build_request(
-        f"/book/bad?key={platform_fleet.KEY}", key=""
-    ),
-    "an unknown route": lambda: build_request("/nosuch/bad"),
-    "half a head": lambda: build_request("/book/bad")[:40],
-    "half a body": lambda: build_request(
-        "/book/bad", lines=("Content-Length: 40",), body=b"abcd"
-    ),
-}
-
-
-def send_raw(fleet, data, *, answers=1):
-    """Returns the statuses that come back; 0 for a close without one."""
-    with open_socket(fleet) as caller:
-        caller.sendall(data)
-        caller.settimeout(1.0)
-        found = b""
-        with contextlib.suppress(TimeoutError, ConnectionError):
-            while piece := caller.recv(65_536):
-                found += piece
-                if len(STATUS_LINE.findall(found)) >= answers:
-                    caller.settimeout(0.2)
-    statuses = [int(each) for each in STATUS_LINE.findall(found)]
-    return statuses, found
-
-
-@when("a caller sends the platform two requests at once")
-def send_two(context):
-    start_asking(context)
-    data = build_request("/look/first") + build_request("/look/second")
-    context.statuses, context.raw = send_raw(context.platform, data, answers=2)
-
-
-@then("it gets both answers in order")
-def check_both(context):
-    assert context.statuses == [200, 200], context.raw
-    first, second = (context.raw.index(x) for x in (b"/first", b"/second"))
-    assert first < second
-
-
-@when("a caller sends as bad input {what}")
-def send_bad(context, what):
-    start_asking(context)
-    context.statuses, context.raw = send_raw(
-        context.platform, BAD_INPUTS[what]()
-    )
-
-
-@then("the platform's status is {status:d}")
-def check_status(context, status):
-    found = context.statuses or [0]
-    assert found == [status], context.raw[:300]
-
-
-@then("no runner got anything")
-def check_nothing_ran(context):
-    assert not context.platform.list_runs()
-
-
-def count_descriptors(fleet):
-    process = fleet.entries[0].process
-    return len(os.listdir(f"/proc/{process.pid}/fd"))
-
-
-@when("{count:d} callers come and go in all these ways")
-def send_many(context, count):
-    start_asking(context)
-    fleet = context.platform
-    time.sleep(0.5)
-    context.before = count_descriptors(fleet)
-    deeds = itertools.cycle(["none", "cut", "shed", "fail", "foreign"])
-    for number in range(count):
-        fleet.misbehave(next(deeds))
-        if number % 4 == 0:
-            with open_socket(fleet) as caller:
-                caller.sendall(build_request("/look/gone"))
-        else:
-            fleet.ask(("/look/n", "/book/n", "/chat/n")[number % 3])
-    fleet.misbehave("none")
-
-
-@then("the entry has no more descriptors open than before")
-def check_descriptors(context):
-    fleet = context.platform
-    fleet.wait_until(
-        lambda: count_descriptors(fleet) <= context.before + 2,
-        "descriptors closed",
-        wait_s=10.0,
-    )
-
-
 @when("the operators add a route and take the key away")
 def change_configuration(context):
-    start_asking(context)
+    platform_callers.start_asking(context)
     added = platform_fleet.build_route(
         "added", "idempotent", platform_fleet.BOOKINGS
     )
