--- a/experiments/src/rhubarbbank_experiments/__main__.py
+++ b/experiments/src/rhubarbbank_experiments/__main__.py
@@ -7,6 +7,7 @@
 from rhubarbbank_experiments import demo
 from rhubarbbank_experiments import load_main
 from rhubarbbank_experiments import path_main
+from rhubarbbank_experiments import platform_added
 from rhubarbbank_experiments import replay_log
 from rhubarbbank_experiments import slopes_main
 
@@ -56,6 +57,19 @@
         """
         path_main.run(settings=settings, report=report)
 
+    def added(
+        self,
+        report: str = platform_added.REPORT,
+        pairs: int = platform_added.PAIRS,
+    ) -> str:
+        """Measures what an entry on the platform adds to a first event.
+
+        Args:
+            report: Where the report goes.
+            pairs: Pairs of chats, one of them straight to the runner.
+        """
+        return platform_added.run(report=report, pairs=pairs)
+
     def replay(self, *logs: str) -> list[str]:
         """Replays the events that processes have recorded in their logs.
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
@@ -9,6 +9,7 @@
 from rhubarbbank_core import errors
 from rhubarbbank_core import program_effects as fx
 from rhubarbbank_router import attempt_evidence
+from rhubarbbank_router import attempt_log
 from rhubarbbank_router import attempt_states
 from rhubarbbank_router import defaults
 from rhubarbbank_router import dispatch
@@ -75,12 +76,11 @@
         state.view.note_misdirected(attempt.upstream)
     elif head.status == http.HTTPStatus.SERVICE_UNAVAILABLE:
         state.view.note_full(attempt.upstream, now=now)
-    log = fx.LogDecision(
+    log = attempt_log.log_attempt(
+        opened,
+        attempt,
         decision="refused_by_upstream",
-        request_id=opened.request.attempt_id,
-        upstream=attempt.upstream,
         reason="misdirected" if head.misdirected else "not run",
-        attempt=attempt.number,
         inputs=(("status", head.status),),
     )
     count = fx.Count("upstream_refusals")
@@ -245,12 +245,11 @@
     attempt.state = attempt_states.AttemptState.NOT_SENT
     opened.excluded.add(attempt.upstream)
     out: list[effects.Effect] = [
-        fx.LogDecision(
+        attempt_log.log_attempt(
+            opened,
+            attempt,
             decision="unreached",
-            request_id=opened.request.attempt_id,
-            upstream=attempt.upstream,
             reason=ended.detail,
-            attempt=attempt.number,
             inputs=(("waited_s", round(now - attempt.sent_at, 3)),),
         )
     ]
@@ -344,12 +343,11 @@
     attempt_evidence.finish_attempt(
         state, opened, attempt, now=now, failed=True
     )
-    log = fx.LogDecision(
+    log = attempt_log.log_attempt(
+        opened,
+        attempt,
         decision="failed_attempt",
-        request_id=opened.request.attempt_id,
-        upstream=attempt.upstream,
         reason="failure of the upstream",
-        attempt=attempt.number,
         inputs=(("status", attempt.status),),
     )
     again = dispatch.send(state, opened, now=now, cause="failure")
@@ -371,12 +369,11 @@
     opened.excluded.add(attempt.upstream)
     crashes = state.suspects.note(opened.fingerprint, now=now)
     out: list[effects.Effect] = [
-        fx.LogDecision(
+        attempt_log.log_attempt(
+            opened,
+            attempt,
             decision="failed_attempt",
-            request_id=opened.request.attempt_id,
-            upstream=attempt.upstream,
             reason=detail,
-            attempt=attempt.number,
             inputs=(
                 ("age_s", round(now - attempt.sent_at, 3)),
                 ("crashes", crashes),
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/trial_judge.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/trial_judge.py
@@ -15,11 +15,15 @@
 from rhubarbbank_router import version_trial
 
 # The incumbent's rate is taken as if it had shown this many answers more, of
-# which one was bad.
+# which one was bad: about what it has shown when the first of the target come
+# in (a tenth of the traffic, three answers).
 PRIOR_ANSWERS = 30.0
+# Where half of all answers are bad, a rise tells nothing of the version.
 MOST_BASE_RATE = 0.5
-# Rates above the tolerated one that count as worse.
+# Rates above the tolerated one that count as worse: operators call a version
+# bad from a rise of some tenths on.
 RISES = (0.1, 0.2, 0.4)
+# Keeps the logarithms finite.
 MOST_RATE = 0.95
 # Failures, slow answers, dragging streams.
 COMPARISONS = 3
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/watch.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/watch.py
@@ -4,6 +4,7 @@
 from rhubarbbank_core import program_effects as fx
 from rhubarbbank_router import answers
 from rhubarbbank_router import attempt_evidence
+from rhubarbbank_router import attempt_log
 from rhubarbbank_router import attempt_states
 from rhubarbbank_router import defaults
 from rhubarbbank_router import dispatch
@@ -66,12 +67,11 @@
     attempt_evidence.finish_attempt(
         state, opened, attempt, now=now, failed=True, silent=first
     )
-    log = fx.LogDecision(
+    log = attempt_log.log_attempt(
+        opened,
+        attempt,
         decision="silent_attempt",
-        request_id=opened.request.attempt_id,
-        upstream=attempt.upstream,
         reason="no bytes for too long",
-        attempt=attempt.number,
         inputs=(
             ("silent_s", round(silent_s, 3)),
             ("patience_s", round(patience_s, 3)),
