Count plain answers past their objective as slow

Waits under 0.25 s never counted as slow, while the service's usual answer takes 0.045 s and its objective is 0.15 s: eight times slower is hardly ever over 0.25 s.

Ruled out: pace (plain answers have none); doubt when the target gets everything (the shares grew before that, on 24 to 35 answers of which 4 to 5 were slow).

Change: the floor is the objective where that is shorter.

Before and after: the new scenario (half of the target's bookings take 0.24 s) is red before, held after, and 0.06 s is let pass.

Tried and reverted: at least 8, 20 and 30 answers before the larger shares and 45 before the record says completed.

--- a/features/router_rollouts.feature
+++ b/features/router_rollouts.feature
@@ -63,6 +63,17 @@
     When the target answers 8 times slower than the old version for 10 s
     Then no request of 50 goes to version "v2"
 
+  Scenario Outline: A plain target that is slow within a fraction of a second
+    Given a router with a roll-out to version "v2" over 20 s
+    When <share> of 10 of the target's bookings take <slow> s and all others 0.03 s for 14 s
+    Then version "v2" <outcome>
+
+    Examples:
+      | share | slow | outcome      |
+      | 5     | 0.24 | is held      |
+      | 5     | 0.06 | isn't held   |
+      | 0     | 0.24 | isn't held   |
+
   Scenario: A second order in the record of the first is tried anew
     Given a router with a roll-out to version "v2" over 20 s
     When the roll-out to "v2" is completed
--- a/features/steps/router_rollout_steps.py
+++ b/features/steps/router_rollout_steps.py
@@ -475,6 +475,33 @@
         world.run(0.05)
 
 
+@when(
+    "{share:d} of 10 of the target's bookings take {slow:g} s and all others"
+    " {usual:g} s for {duration:g} s"
+)
+def book_slowly(context, share, slow, usual, duration):
+    world = context.world
+    rng = random.Random(7)
+    waiting = []
+    for number in range(round(duration * 20)):
+        world.configure(world.state.in_force)
+        request = world.ask("book", attempt_id=f"slow-{number}")
+        is_slow = is_new(world.sent(request)[0]) and rng.random() < share / 10
+        waiting.append((world.now + (slow if is_slow else usual), request))
+        ends_at = world.now + 0.05
+        while world.now < ends_at:
+            world.now += 0.01
+            world.apply(core_events.Ticked())
+            for each in [x for x in waiting if x[0] <= world.now]:
+                waiting.remove(each)
+                world.answer_whole(each[1])
+
+
+@then('version "{version}" is held')
+def check_is_held(context, version):
+    assert context.world.state.trials[SERVICE].held
+
+
 @then('the usual times are those of version "{version}"')
 def check_usual(context, version):
     times = context.world.state.view.read_times(SERVICE)
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_evidence.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_evidence.py
@@ -109,7 +109,9 @@
     if opened.is_stream:
         work_s = attempt.backlog_s + attempt.work_s
         expected_s = max(times.first_event_s, work_s)
-    limit_s = max(defaults.SLOW_TIMES * expected_s, defaults.SLOW_FLOOR_S)
+    # Whoever waits past the objective finds it slow, however short it is.
+    floor_s = min(defaults.SLOW_FLOOR_S, opened.route.objective_s)
+    limit_s = max(defaults.SLOW_TIMES * expected_s, floor_s)
     if waited_s > limit_s:
         return True
     pace_s = measure_pace_s(attempt, now=now)
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -120,7 +120,8 @@
 TRIAL_FALSE_ALARM = 0.01
 # An answer is slow if its first event took this many times the usual wait.
 SLOW_TIMES = 3.0
-# Shorter waits are never slow, however short the usual one is.
+# Shorter waits are never slow, however short the usual one is, unless they
+# are past the route's objective.
 SLOW_FLOOR_S = 0.25
 # A stream is slow if its events come this many times slower than usual.
 SLOW_PACE_TIMES = 2.5
