Share what the pace and the judge's scenarios wrote twice

Read as a newcomer: the comparison of a stream's pace with the usual one stood in is_slow and is_dragging, and the loop over generated roll-outs in two steps. A trial's end is asked of the trial. Units and errors are said of three public items.

--- a/experiments/src/rhubarbbank_experiments/platform_added.py
+++ b/experiments/src/rhubarbbank_experiments/platform_added.py
@@ -42,7 +42,11 @@
 
 
 def time_first_event(port: int, headers: dict[str, str]) -> float:
-    """Returns how long a chat's first event takes, in milliseconds."""
+    """Returns how long a chat's first event takes, in milliseconds.
+
+    Raises:
+        RuntimeError: The chat isn't answered with a stream.
+    """
     began = time.perf_counter()
     connection = http.client.HTTPConnection(platform_fleet.LOCAL, port)
     with contextlib.closing(connection):
--- a/features/steps/router_rollout_steps.py
+++ b/features/steps/router_rollout_steps.py
@@ -314,6 +314,21 @@
     "failures, {bound} {percent:d} % are held within {answers:d} answers"
 )
 def check_judge(context, count, base, target, bound, percent, answers):  # noqa: PLR0917
+    share = find_held_share(
+        count,
+        answers,
+        add_old=lambda old, rng: old.add(failed=rng.random() < base),
+        add_new=lambda new, rng: new.add(failed=rng.random() < target),
+        idle_routes=("plan", "tag"),
+    )
+    check_share_held(share, bound, percent)
+
+
+def find_held_share(count, answers, *, add_old, add_new, idle_routes=()):
+    """Returns how many of 100 generated roll-outs the judge holds.
+
+    Nine answers of the incumbent come with each of the target's.
+    """
     judge = trial_judge.LikelihoodJudge()
     held = 0
     for seed in range(count):
@@ -322,21 +337,18 @@
         new = version_trial.AnswerCounts()
         for _ in range(answers):
             for _ in range(9):
-                old = old.add(failed=rng.random() < base, slow=False)
-            new = new.add(failed=rng.random() < target, slow=False)
-            evidence = version_trial.TrialEvidence(
-                {
-                    "chat": version_trial.Comparison(target=new, incumbent=old),
-                    "plan": version_trial.NOTHING,
-                    "tag": version_trial.NOTHING,
-                }
-            )
+                old = add_old(old, rng)
+            new = add_new(new, rng)
+            found = version_trial.Comparison(target=new, incumbent=old)
+            routes = dict.fromkeys(idle_routes, version_trial.NOTHING)
+            evidence = version_trial.TrialEvidence({"chat": found} | routes)
             if judge.is_worse(evidence):
                 held += 1
                 break
-    check_share_held(100.0 * held / count, bound, percent)
+    return 100.0 * held / count
 
 
+# Of the streams on the bench, those with events enough to tell their pace.
 PACED_SHARE = 0.55
 
 
@@ -356,22 +368,13 @@
 def check_speeds(  # noqa: PLR0917
     context, count, slow, drag, new_slow, new_drag, bound, percent, answers
 ):
-    judge = trial_judge.LikelihoodJudge()
-    held = 0
-    for seed in range(count):
-        rng = random.Random(seed)
-        old = version_trial.AnswerCounts()
-        new = version_trial.AnswerCounts()
-        for _ in range(answers):
-            for _ in range(9):
-                old = add_timed(old, rng, slow, drag)
-            new = add_timed(new, rng, new_slow, new_drag)
-            found = version_trial.Comparison(target=new, incumbent=old)
-            evidence = version_trial.TrialEvidence({"chat": found})
-            if judge.is_worse(evidence):
-                held += 1
-                break
-    check_share_held(100.0 * held / count, bound, percent)
+    share = find_held_share(
+        count,
+        answers,
+        add_old=lambda old, rng: add_timed(old, rng, slow, drag),
+        add_new=lambda new, rng: add_timed(new, rng, new_slow, new_drag),
+    )
+    check_share_held(share, bound, percent)
 
 
 def check_share_held(share, bound, percent):
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_evidence.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_evidence.py
@@ -65,7 +65,7 @@
     trial = state.trials.get(attempt.service)
     if trial is None or trial.order.target != attempt.version:
         return False
-    return trial.order.state not in version_trial.FINAL_STATES
+    return not trial.is_over
 
 
 def judge_attempt(
@@ -114,23 +114,41 @@
     limit_s = max(defaults.SLOW_TIMES * expected_s, floor_s)
     if waited_s > limit_s:
         return True
-    pace_s = measure_pace_s(attempt, now=now)
-    usual_s = times.pace_s.get(attempt.model)
-    if pace_s is None or usual_s is None:
-        return False
-    return pace_s > defaults.SLOW_PACE_TIMES * usual_s
+    limit = defaults.SLOW_PACE_TIMES
+    return bool(is_pace_over(limit, attempt, times, now=now))
 
 
 def is_dragging(
     state: states.RouterState, attempt: attempt_states.Attempt, *, now: float
 ) -> bool | None:
-    """Returns whether a stream's pace is slow; None if that can't be told."""
-    pace_s = measure_pace_s(attempt, now=now)
+    """Returns whether a stream drags; None if that can't be told."""
     times = state.view.read_times(attempt.service)
+    return is_pace_over(defaults.DRAG_PACE_TIMES, attempt, times, now=now)
+
+
+def is_pace_over(
+    limit: float,
+    attempt: attempt_states.Attempt,
+    times: upstreams.ServiceTimes,
+    *,
+    now: float,
+) -> bool | None:
+    """Returns whether events come so many times slower than usual.
+
+    Args:
+        limit: As a multiple of the model's usual time between events.
+        attempt: The attempt.
+        times: Of its service.
+        now: In seconds.
+
+    Returns:
+        None for a stream too short to tell, or before any pace is usual.
+    """
+    pace_s = measure_pace_s(attempt, now=now)
     usual_s = times.pace_s.get(attempt.model)
     if pace_s is None or usual_s is None:
         return None
-    return pace_s > defaults.DRAG_PACE_TIMES * usual_s
+    return pace_s > limit * usual_s
 
 
 def measure_pace_s(
--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/caller_connection.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/caller_connection.py
@@ -19,7 +19,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class WaitBounds:
-    """How long a caller may take.
+    """How long a caller may take, in seconds.
 
     Attributes:
         head_s: From a head's first byte to its last.
