Say what a booking got that no service comes to run

The step waited 20 s for a service to run the booking and didn't look at the booking's own answer, so that nothing tells why it wasn't run.

The step now fails as soon as the booking is over without a run, with its answer.

--- a/features/steps/once_failure_steps.py
+++ b/features/steps/once_failure_steps.py
@@ -78,7 +78,7 @@
     context.booking = caller_threads.book(
         harm.find_entry(context.fleet, 0), key
     )
-    context.runner = harm.find_runner(context.fleet, key)
+    context.runner = harm.find_runner(context.fleet, key, context.booking)
 
 
 def repeat(context, number, **headers):
--- a/features/support/harm.py
+++ b/features/support/harm.py
@@ -221,8 +221,10 @@
         assert not runs, caller.describe()
 
 
-def find_runner(running: fleet.Fleet, key: str) -> str:
-    """Returns the service that runs a key, once one does."""
+def find_runner(
+    running: fleet.Fleet, key: str, caller: caller_threads.Caller
+) -> str:
+    """Returns the service that runs a caller's key, once one does."""
 
     def find() -> list[str]:
         return [
@@ -233,8 +235,12 @@
             ].get(key)
         ]
 
-    fleets.wait_until(find, f"a service runs {key}")
-    return find()[0]
+    fleets.wait_until(
+        lambda: find() or caller.is_over(), f"a service runs {key}"
+    )
+    found = find()
+    assert found, f"{key} doesn't run: {caller.describe()}"
+    return found[0]
 
 
 def find_healthy(running: fleet.Fleet) -> fleet.Place:
