Keep the budget for additional sends when entries come and go

Cause, found by a model: entries that end take their counts along. Five entries that spend their share, end and come back sent 63 additional requests where 56 are allowed; when half of ten is away for a while and the others take over its share, 59. Both within one window.

The number that shares the extra now falls only after a whole window, and a process takes half a share in its first one. A bucket that lies across the window's beginning counts. With that the shares of all and of their successors are 0.99 of the extra, so RETRY_EXTRA_SHARE is 0.66 in place of 0.7. Ruled out: telling peers of counts (a message more, late after a loss of power).

--- a/features/steps/router_load_steps.py
+++ b/features/steps/router_load_steps.py
@@ -187,7 +187,7 @@
     )
     budgets = [window_budget.WindowBudget(limits=limits) for _ in range(count)]
     for budget in budgets:
-        budget.entries = count
+        budget.note_entries(count, now=0.0)
     requests, repeats = [], []
     now = 0.0
     while now < 60.0:
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -75,10 +75,12 @@
 # Time left below which the smaller model's answer is kept.
 STEP_UP_LEAST_S = 1.0
 
-# Shares of the allowed ratio and extra that this entry spends: what is left
-# covers windows that don't line up between entries and the observer.
+# Share of the allowed ratio that this entry spends: what is left covers
+# windows that don't line up between entries and the observer.
 RETRY_RATIO_SHARE = 0.85
-RETRY_EXTRA_SHARE = 0.7
+# Share of the extra that the entries spend: with the half shares of their
+# successors, one replacement of all in a window makes it 0.99 (bound).
+RETRY_EXTRA_SHARE = 0.66
 # Share of the retry budget that steps to a larger model may use.
 STEP_UP_BUDGET_SHARE = 0.8
 # Entries assumed while none has been heard of.
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
@@ -344,9 +344,9 @@
             out.append(fx.LogDecision(decision="entry_silent", reason=name))
             out.append(effects.UnlistEntry(name))
         live = state.entries.list_live(now=now)
-        if live:
-            known = max(len(live), len(state.entries.registered))
-            state.budget.entries = known + 1
+        known = max(len(live), len(state.entries.registered))
+        if known:
+            state.budget.note_entries(known + 1, now=now)
         news = messages.EntryNews(
             name=state.settings.name,
             incarnation=state.incarnation,
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/window_budget.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/window_budget.py
@@ -3,6 +3,11 @@
 Each entry counts its own requests and its own additional sends over a sliding
 window. While each entry stays below the ratio of its own requests plus its
 share of the extra, all of them together stay below the whole.
+
+Entries come and go within a window, and one that ends takes its counts along.
+So the number of entries that share the extra falls only after a whole window,
+and a process in its first window takes half a share, since its predecessor
+may have used the other. That holds if no entry is replaced twice in a window.
 """
 
 import collections
@@ -23,6 +28,9 @@
     def take(self, service: str, *, now: float, share: float = 1.0) -> bool:
         """Returns whether one more may be sent, and counts it if so."""
 
+    def note_entries(self, count: int, *, now: float) -> None:
+        """Learns how many entries there are, this one included."""
+
 
 @dataclasses.dataclass(slots=True)
 class Bucket:
@@ -53,14 +61,44 @@
 
     Attributes:
         limits: What all entries together may do.
-        entries: How many entries share the extra.
+        born_at: Of the first event, in seconds.
+        heard: Times and numbers of entries heard of within the window; a
+            number goes when a later one is as high.
+        buckets: The counts by service.
     """
 
     def __init__(self, *, limits: BudgetLimits) -> None:
         self.limits = limits
-        self.entries = defaults.ASSUMED_ENTRIES
+        self.born_at: float | None = None
+        self.heard: collections.deque[tuple[float, int]] = collections.deque()
         self.buckets: dict[str, collections.deque[Bucket]] = {}
 
+    def note_entries(self, count: int, *, now: float) -> None:
+        """Learns how many entries there are, this one included."""
+        self.note_birth(now=now)
+        while self.heard and self.heard[-1][1] <= count:
+            self.heard.pop()
+        self.heard.append((now, count))
+
+    def count_sharers(self, *, now: float) -> int:
+        """Returns among how many processes the extra is shared."""
+        born_at = self.note_birth(now=now)
+        # The newest number stands for as long as nothing newer is heard.
+        while len(self.heard) > 1 and self.is_past(self.heard[0][0], now):
+            self.heard.popleft()
+        count = self.heard[0][1] if self.heard else defaults.ASSUMED_ENTRIES
+        return count if self.is_past(born_at, now) else 2 * count
+
+    def note_birth(self, *, now: float) -> float:
+        """Returns when this process counted first, which may be now."""
+        if self.born_at is None:
+            self.born_at = now
+        return self.born_at
+
+    def is_past(self, at: float, now: float) -> bool:
+        """Returns whether a time is more than a window ago."""
+        return now - at > self.limits.window_s
+
     def count_request(self, service: str, *, now: float) -> None:
         """Notes a caller's request for the service."""
         self.current(service, now).requests += 1
@@ -75,12 +113,16 @@
         """
         bucket = self.current(service, now)
         ring = self.buckets[service]
-        requests = sum(each.requests for each in ring)
-        repeats = sum(each.repeats for each in ring)
+        # The oldest bucket lies across the window's beginning.
+        oldest = bucket.number - BUCKETS
+        requests = sum(x.requests for x in ring if x.number > oldest)
+        repeats = sum(x.repeats for x in ring)
         limits = self.limits
         allowed = (
             limits.ratio * defaults.RETRY_RATIO_SHARE * requests
-            + limits.extra * defaults.RETRY_EXTRA_SHARE / self.entries
+            + limits.extra
+            * defaults.RETRY_EXTRA_SHARE
+            / self.count_sharers(now=now)
         )
         if repeats + 1 > allowed * share:
             return False
@@ -92,7 +134,7 @@
         width = self.limits.window_s / BUCKETS
         number = int(now / width)
         ring = self.buckets.setdefault(service, collections.deque())
-        while ring and ring[0].number <= number - BUCKETS:
+        while ring and ring[0].number < number - BUCKETS:
             ring.popleft()
         if not ring or ring[-1].number != number:
             ring.append(Bucket(number))
@@ -109,3 +151,6 @@
         """Returns True at any time."""
         del service, now, share
         return True
+
+    def note_entries(self, count: int, *, now: float) -> None:
+        """Does nothing."""
