Play the users' mixes in simulated time, each decision beside baselines

The entries are the product's reducers; engines (batching, prefill in chunks, prefix cache, confidence), services, network and callers are simulated, so that arms get the same requests and a run repeats exactly. Seven arms, each one decision away from the product. A page, a report and a plot.

--- a/experiments/src/rhubarbbank_experiments/__main__.py
+++ b/experiments/src/rhubarbbank_experiments/__main__.py
@@ -6,6 +6,7 @@
 
 from rhubarbbank_experiments import demo
 from rhubarbbank_experiments import load_main
+from rhubarbbank_experiments import mix_main
 from rhubarbbank_experiments import path_main
 from rhubarbbank_experiments import platform_added
 from rhubarbbank_experiments import replay_log
@@ -57,6 +58,28 @@
         """
         path_main.run(settings=settings, report=report)
 
+    def mix(
+        self,
+        settings: str = mix_main.SETTINGS,
+        report: str = mix_main.REPORT,
+        mixes: str | Sequence[str] = (),
+        arms: str | Sequence[str] = (),
+    ) -> None:
+        """Plays the users' mixes in simulated time, each arm beside the rest.
+
+        Args:
+            settings: The JSON file that says what to play.
+            report: Where the report goes; a plot and a page stand beside it.
+            mixes: Sites, with commas between; the settings' if left out.
+            arms: Those beside the product; all if left out.
+        """
+        mix_main.run(
+            settings=settings,
+            report=report,
+            mixes=list_names(mixes),
+            arms=list_names(arms),
+        )
+
     def added(
         self,
         report: str = platform_added.REPORT,
--- /dev/null
+++ b/experiments/src/rhubarbbank_experiments/mix_arms.py
@@ -0,0 +1,116 @@
+"""The arms of the mix experiment: the product's decisions, and baselines.
+
+An arm says how routers are built. The first one is the product as it stands;
+each other differs by one decision.
+"""
+
+import collections.abc
+import dataclasses
+import random
+
+from rhubarbbank_core import placement
+from rhubarbbank_core import placement_baselines
+from rhubarbbank_router import options
+from rhubarbbank_router import router
+from rhubarbbank_router import size_plan
+from rhubarbbank_router import work_placement
+
+PlacementMaker = collections.abc.Callable[[random.Random], placement.Placement]
+
+
+def place_by_work(rng: random.Random) -> placement.Placement:
+    """Returns the product's placement."""
+    return work_placement.WorkPlacement(rng=rng)
+
+
+def place_without_home(rng: random.Random) -> placement.Placement:
+    """Returns the product's placement without a preferred upstream."""
+    return work_placement.WorkPlacement(rng=rng, home_credit_s=0.0)
+
+
+def place_in_turn(rng: random.Random) -> placement.Placement:
+    """Returns round robin, begun anywhere."""
+    placer = placement_baselines.RoundRobinPlacement()
+    placer.turn = rng.randrange(1000)
+    return placer
+
+
+def place_by_count(rng: random.Random) -> placement.Placement:
+    """Returns placement by the entry's own open requests."""
+    return placement_baselines.LeastOwnInFlightPlacement(rng=rng)
+
+
+def place_by_report(rng: random.Random) -> placement.Placement:
+    """Returns placement by the upstreams' last reports alone."""
+    return placement_baselines.LeastReportedLoadPlacement(rng=rng)
+
+
+class SmallestOnly:
+    """Asks the smallest model and keeps its answer, however unsure."""
+
+    def choose_first(self, question: size_plan.SizeQuestion) -> str:
+        """Returns the smallest model."""
+        return question.sizes[0]
+
+    def step_up(
+        self, question: size_plan.SizeQuestion, *, model: str, confidence: int
+    ) -> str | None:
+        """Returns None: the answer is kept."""
+        del question, model, confidence
+        return None
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Arm:
+    """How the routers of one arm decide.
+
+    Attributes:
+        name: The arm.
+        sizes: The plan of sizes.
+        place: Makes an entry's placement.
+    """
+
+    name: str
+    sizes: size_plan.SizePlan = dataclasses.field(
+        default_factory=size_plan.SmallestThenLargest
+    )
+    place: PlacementMaker = place_by_work
+
+    def build(
+        self, *, settings: options.RouterSettings, number: int, seed: int
+    ) -> router.Router:
+        """Returns the router of one entry."""
+        rng = random.Random(f"{seed}/{number}")
+        return router.Router(
+            settings=settings,
+            incarnation=number + 1,
+            rng=rng,
+            sizes=self.sizes,
+            placed=self.place(rng),
+        )
+
+
+PRODUCT = Arm(name="product")
+ARMS = (
+    PRODUCT,
+    Arm(name="largest_only", sizes=size_plan.LargestOnly()),
+    Arm(name="smallest_only", sizes=SmallestOnly()),
+    Arm(name="in_turn", place=place_in_turn),
+    Arm(name="by_count", place=place_by_count),
+    Arm(name="by_report", place=place_by_report),
+    Arm(name="no_home", place=place_without_home),
+)
+
+
+def find_arm(name: str) -> Arm:
+    """Returns an arm by its name.
+
+    Raises:
+        ValueError: There is none; the message names those that there are.
+    """
+    for arm in ARMS:
+        if arm.name == name:
+            return arm
+    known = ", ".join(each.name for each in ARMS)
+    message = f"there is no arm {name}; take one of {known}"
+    raise ValueError(message)
