--- a/experiments/src/rhubarbbank_experiments/mix_arms.py
+++ b/experiments/src/rhubarbbank_experiments/mix_arms.py
@@ -45,6 +45,28 @@
     return placement_baselines.LeastReportedLoadPlacement(rng=rng)
 
 
+class AnywherePlacement:
+    """The product's placement, to which all data centres are alike."""
+
+    def __init__(self, *, rng: random.Random) -> None:
+        self.placer = work_placement.WorkPlacement(rng=rng)
+
+    def choose(
+        self,
+        *,
+        candidates: collections.abc.Sequence[placement.Candidate],
+        request: placement.PlacementRequest,
+    ) -> placement.PlacementDecision | None:
+        """Returns the choice, or None when no candidate may be used."""
+        alike = [dataclasses.replace(x, latency_ms=0.0) for x in candidates]
+        return self.placer.choose(candidates=alike, request=request)
+
+
+def place_anywhere(rng: random.Random) -> placement.Placement:
+    """Returns the product's placement, with all data centres alike."""
+    return AnywherePlacement(rng=rng)
+
+
 class SmallestOnly:
     """Asks the smallest model and keeps its answer, however unsure."""
 
@@ -99,6 +121,7 @@
     Arm(name="by_count", place=place_by_count),
     Arm(name="by_report", place=place_by_report),
     Arm(name="no_home", place=place_without_home),
+    Arm(name="anywhere", place=place_anywhere),
 )
 
 
