--- a/experiments/src/rhubarbbank_experiments/mix_figures.py
+++ b/experiments/src/rhubarbbank_experiments/mix_figures.py
@@ -91,7 +91,9 @@
         build_class(world.mix, wanted, callers) for wanted in world.mix.classes
     )
     cost = sum_cost(world)
-    engines = [x.engine for x in world.hosts.values() if x.engine is not None]
+    engines = [
+        x.engine for x in world.upstreams.hosts.values() if x.engine is not None
+    ]
     read = sum(sum(x.read.values()) for x in engines)
     return MixFigures(
         mix=world.mix.name,
@@ -103,8 +105,8 @@
         worst_class=min(x.credit for x in classes if x.asked),
         model_cost=cost / owed,
         worth=(earned - cost) / owed,
-        again=world.sends / max(1, len(callers)) - 1.0,
-        far=world.far_tokens / max(1, read),
+        again=world.upstreams.sends / max(1, len(callers)) - 1.0,
+        far=world.upstreams.far_tokens / max(1, read),
         kept=sum(x.found for x in engines) / max(1, read),
         classes=classes,
     )
@@ -141,7 +143,7 @@
         model.cost
         * (engine.generated[model.name] + READ_SHARE * engine.read[model.name])
         / TOKENS_PER_PRICE
-        for engine in (x.engine for x in world.hosts.values())
+        for engine in (x.engine for x in world.upstreams.hosts.values())
         if engine is not None
         for model in world.mix.models
     )
--- a/experiments/src/rhubarbbank_experiments/mix_main.py
+++ b/experiments/src/rhubarbbank_experiments/mix_main.py
@@ -16,6 +16,7 @@
 from rhubarbbank_experiments import mix_figures
 from rhubarbbank_experiments import mix_plot
 from rhubarbbank_experiments import mix_settings
+from rhubarbbank_experiments import mix_upstreams
 from rhubarbbank_experiments import mix_world
 from rhubarbbank_experiments import report_files
 
@@ -56,14 +57,14 @@
     begins: float = 0.3
     ends: float = 0.6
 
-    def build(self, duration_s: float) -> mix_world.Trouble:
+    def build(self, duration_s: float) -> mix_upstreams.Trouble:
         """Returns it for a run of some length."""
-        begins_s = self.begins * duration_s
-        return mix_world.Trouble(
+        begins_s = mix_world.START_S + self.begins * duration_s
+        return mix_upstreams.Trouble(
             slowness=self.slowness,
             crash_at=begins_s if self.crashes else None,
             begins_s=begins_s,
-            ends_s=self.ends * duration_s,
+            ends_s=mix_world.START_S + self.ends * duration_s,
         )
 
 
