Place without the work that stale reports show of other entries

The product added 0.3 of a mean reading time for each request of another entry that an upstream's last report showed. Reports come with answers, so all entries see the same upstream as full at the same time, shun it together and meet at another.

--- a/packages/rhubarbbank-core/src/rhubarbbank_core/placement.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/placement.py
@@ -56,7 +56,6 @@
         service_s: Mean time that a request runs there.
         leaving: Whether it takes no new work.
         backlog_s: Work of this entry's own attempts there, still to be done.
-        other_work_s: Work of one attempt of another entry there.
     """
 
     name: str
@@ -71,7 +70,6 @@
     service_s: float = 1.0
     leaving: bool = False
     backlog_s: float = 0.0
-    other_work_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -66,9 +66,6 @@
 OTHER_DATA_CENTRE_MS = 300.0
 # How much longer the upstream that all entries prefer for a prompt may take.
 HOME_CREDIT_S = 0.1
-# Share of its work that another entry's attempt is taken to have before it.
-OTHER_WORK_SHARE = 0.3
-FIRST_WORK_S = 0.2
 
 # A smaller model's answer below this confidence (0 to 100) is asked again.
 STEP_UP_CONFIDENCE = 50
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
@@ -108,8 +108,6 @@
         work_s=unread / speed,
         backlog_s=sum_backlog_s(belief, now=now),
     )
-    times = state.view.read_times(opened.service)
-    times.work_s = upstreams.smooth(times.work_s, attempt.work_s)
     opened.attempts.append(attempt)
     state.view.start(opened.request.request_id, attempt)
     if facts is not None:
@@ -220,7 +218,6 @@
         cached_blocks=kept_tokens // defaults.TOKENS_PER_BLOCK,
         service_s=times.whole_s,
         backlog_s=sum_backlog_s(belief, now=now),
-        other_work_s=times.work_s * defaults.OTHER_WORK_SHARE,
     )
 
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
@@ -98,14 +98,12 @@
     Attributes:
         whole_s: From sending to the end of a plain answer.
         first_event_s: From sending to a stream's first event.
-        work_s: How long an attempt holds others up.
         pace_s: Between two events of a stream, by model.
         plain_s: From sending to the end of a plain answer, by route.
     """
 
     whole_s: float = defaults.FIRST_SERVICE_S
     first_event_s: float = defaults.FIRST_EVENT_WAIT_S
-    work_s: float = defaults.FIRST_WORK_S
     pace_s: dict[str, float] = dataclasses.field(default_factory=dict)
     plain_s: dict[str, float] = dataclasses.field(default_factory=dict)
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/work_placement.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/work_placement.py
@@ -5,10 +5,13 @@
 tokens of all others. Counting requests, as `ExpectedWaitPlacement` does,
 takes a plan of 12,000 tokens for a chat of 800.
 
-The estimate adds the work queued at the upstream (own attempts exactly, those
-of others by the last report), the time to read what the upstream doesn't keep
-of the prompt, and the way there. The upstream that all entries prefer for the
-same prompt gets a small credit, so that they meet where its parts are kept.
+The estimate adds the work of this entry's own attempts at the upstream, which
+is known exactly, the time to read what the upstream doesn't keep of the
+prompt, and the way there. What others have there counts only where a report
+shows that requests wait for a slot: entries that all shun the upstream whose
+last report was the fullest meet at another one. The upstream that all entries
+prefer for the same prompt gets a small credit, so that they meet where its
+parts are kept.
 """
 
 import collections.abc
@@ -94,7 +97,6 @@
     unread = max(0, request.prompt_blocks - candidate.cached_blocks)
     return (
         candidate.backlog_s
-        + others * candidate.other_work_s
         + queued * candidate.service_s
         + unread * request.prefill_s_per_block
         + candidate.latency_ms / MS_PER_S
