--- a/experiments/src/rhubarbbank_experiments/mix_arms.py
+++ b/experiments/src/rhubarbbank_experiments/mix_arms.py
@@ -15,6 +15,10 @@
 from rhubarbbank_router import size_plan
 from rhubarbbank_router import work_placement
 
+# Work that a reported request of another entry is taken to have: a third of
+# the usual time to read a prompt.
+OTHER_WORK_S = 0.06
+
 PlacementMaker = collections.abc.Callable[[random.Random], placement.Placement]
 
 
@@ -62,6 +66,35 @@
         return self.placer.choose(candidates=alike, request=request)
 
 
+class ReportedPlacement:
+    """The product's placement, and the work that reports show of others."""
+
+    def __init__(self, *, rng: random.Random) -> None:
+        self.placer = work_placement.WorkPlacement(rng=rng)
+
+    def choose(
+        self,
+        *,
+        candidates: collections.abc.Sequence[placement.Candidate],
+        request: placement.PlacementRequest,
+    ) -> placement.PlacementDecision | None:
+        """Returns the choice, or None when no candidate may be used."""
+        loaded = [
+            dataclasses.replace(
+                each,
+                backlog_s=each.backlog_s
+                + placement.count_others(each) * OTHER_WORK_S,
+            )
+            for each in candidates
+        ]
+        return self.placer.choose(candidates=loaded, request=request)
+
+
+def place_with_reports(rng: random.Random) -> placement.Placement:
+    """Returns the product's placement that believes in others' work."""
+    return ReportedPlacement(rng=rng)
+
+
 def place_anywhere(rng: random.Random) -> placement.Placement:
     """Returns the product's placement, with all data centres alike."""
     return AnywherePlacement(rng=rng)
@@ -122,6 +155,7 @@
     Arm(name="by_report", place=place_by_report),
     Arm(name="no_home", place=place_without_home),
     Arm(name="anywhere", place=place_anywhere),
+    Arm(name="with_reports", place=place_with_reports),
 )
 
 
--- a/features/mix_tool.feature
+++ b/features/mix_tool.feature
@@ -35,6 +35,11 @@
     When "platzwart" is played at load 2 with 2 seeds
     Then the product is worth more than "by_report" with each seed
 
+  Scenario: Entries that believe in stale reports of others' work do worse
+    When "platzwart" is played at load 3 with 2 seeds
+    Then the product is worth more than "with_reports" with each seed
+    And the product is worth more than "by_count" with each seed
+
   Scenario: An engine that crashes costs hardly an answer
     When "platzwart" is played while an engine crashes
     Then at least 98 % of the product's streams are whole
