--- a/experiments/src/rhubarbbank_experiments/mix_arms.py
+++ b/experiments/src/rhubarbbank_experiments/mix_arms.py
@@ -6,6 +6,7 @@
 
 import collections.abc
 import dataclasses
+import math
 import random
 
 from rhubarbbank_core import placement
@@ -18,6 +19,7 @@
 # Work that a reported request of another entry is taken to have: a third of
 # the usual time to read a prompt.
 OTHER_WORK_S = 0.06
+REPORT_DECAY_S = 1.0
 
 PlacementMaker = collections.abc.Callable[[random.Random], placement.Placement]
 
@@ -67,7 +69,11 @@
 
 
 class ReportedPlacement:
-    """The product's placement, and the work that reports show of others."""
+    """The product's placement, and the work that reports show of others.
+
+    Reports count for less with their age, so that an upstream which hasn't
+    answered lately looks empty.
+    """
 
     def __init__(self, *, rng: random.Random) -> None:
         self.placer = work_placement.WorkPlacement(rng=rng)
@@ -83,7 +89,9 @@
             dataclasses.replace(
                 each,
                 backlog_s=each.backlog_s
-                + placement.count_others(each) * OTHER_WORK_S,
+                + placement.count_others(each)
+                * OTHER_WORK_S
+                * math.exp(-each.report_age_s / REPORT_DECAY_S),
             )
             for each in candidates
         ]
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/work_placement.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/work_placement.py
@@ -8,10 +8,10 @@
 The estimate adds the work of this entry's own attempts at the upstream, which
 is known exactly, the time to read what the upstream doesn't keep of the
 prompt, and the way there. What others have there counts only where a report
-shows that requests wait for a slot: entries that all shun the upstream whose
-last report was the fullest meet at another one. The upstream that all entries
-prefer for the same prompt gets a small credit, so that they meet where its
-parts are kept.
+shows that requests wait for a slot: as reports count for less with their age,
+the upstream that hasn't answered lately would look empty to all entries, which
+would meet there. The upstream that all entries prefer for the same prompt gets
+a small credit, so that they meet where its parts are kept.
 """
 
 import collections.abc
