Keep a roll-out's plan once its first half is over

Cause, found by reading: the plan was chosen anew at each tick. A configuration that drops a service's models while everything goes to the target made the third step an index out of range in the reducer (test: red with IndexError before). The plan is chosen in the first half only, where it can't be known before the first configuration.

--- a/features/router_rollouts.feature
+++ b/features/router_rollouts.feature
@@ -22,6 +22,13 @@
     Then every request of 50 goes to version "v2"
     And the roll-out is recorded as "completed"
 
+  Scenario: A configuration without the service's models changes no plan midway
+    Given a router with a roll-out to version "v2" over 20 s
+    When requests are answered well for 18 s
+    And the service answers without models
+    And requests are answered well for 1 s
+    Then every request of 50 goes to version "v2"
+
   Scenario: Completion waits for requests on the old version
     Given a router with a roll-out to version "v2" over 20 s
     When requests are answered well for 9 s
--- a/features/steps/router_rollout_steps.py
+++ b/features/steps/router_rollout_steps.py
@@ -53,11 +53,13 @@
 
 
 @given("the service answers without models")
+@when("the service answers without models")
 def use_plain_service(context):
     services = {
         SERVICE: configuration.Service(name=SERVICE, max_connections=100)
     }
-    found = router_world.build_configuration()
+    revision = context.world.state.in_force.revision + 1
+    found = router_world.build_configuration(revision=revision)
     context.world.configure(dataclasses.replace(found, services=services))
 
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/rollouts.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/rollouts.py
@@ -204,8 +204,10 @@
     out: list[effects.Effect] = []
     for service, trial in state.trials.items():
         adopt_age(state, trial, now=now)
-        # The order may be known before the configuration is.
-        trial.plan = choose_plan(state, service)
+        # The order may be known before the configuration is; later on, steps
+        # of another plan would mean other shares.
+        if not trial.moves_sessions:
+            trial.plan = choose_plan(state, service)
         evidence = trial.own.plus(
             state.entries.sum_evidence(service, trial.order.key)
         )
