--- a/experiments/src/rhubarbbank_experiments/mix_arms.py
+++ b/experiments/src/rhubarbbank_experiments/mix_arms.py
@@ -11,6 +11,7 @@
 
 from rhubarbbank_core import placement
 from rhubarbbank_core import placement_baselines
+from rhubarbbank_router import defaults
 from rhubarbbank_router import options
 from rhubarbbank_router import router
 from rhubarbbank_router import size_plan
@@ -19,7 +20,6 @@
 # Work that a reported request of another entry is taken to have: a third of
 # the usual time to read a prompt.
 OTHER_WORK_S = 0.06
-REPORT_DECAY_S = 1.0
 
 PlacementMaker = collections.abc.Callable[[random.Random], placement.Placement]
 
@@ -51,11 +51,24 @@
     return placement_baselines.LeastReportedLoadPlacement(rng=rng)
 
 
-class AnywherePlacement:
-    """The product's placement, to which all data centres are alike."""
+class AdjustedPlacement:
+    """The product's placement, with other beliefs of each upstream.
 
-    def __init__(self, *, rng: random.Random) -> None:
+    Attributes:
+        placer: The product's.
+        adjust: Returns what to believe in place of what the entry does.
+    """
+
+    def __init__(
+        self,
+        *,
+        rng: random.Random,
+        adjust: collections.abc.Callable[
+            [placement.Candidate], placement.Candidate
+        ],
+    ) -> None:
         self.placer = work_placement.WorkPlacement(rng=rng)
+        self.adjust = adjust
 
     def choose(
         self,
@@ -64,48 +77,39 @@
         request: placement.PlacementRequest,
     ) -> placement.PlacementDecision | None:
         """Returns the choice, or None when no candidate may be used."""
-        alike = [dataclasses.replace(x, latency_ms=0.0) for x in candidates]
-        return self.placer.choose(candidates=alike, request=request)
+        return self.placer.choose(
+            candidates=[self.adjust(each) for each in candidates],
+            request=request,
+        )
+
+
+def forget_distance(candidate: placement.Candidate) -> placement.Candidate:
+    """Returns an upstream as if it stood in the entry's data centre."""
+    return dataclasses.replace(candidate, latency_ms=0.0)
 
 
-class ReportedPlacement:
-    """The product's placement, and the work that reports show of others.
+def add_reported_work(candidate: placement.Candidate) -> placement.Candidate:
+    """Returns an upstream with the work that its report shows of others.
 
     Reports count for less with their age, so that an upstream which hasn't
     answered lately looks empty.
     """
-
-    def __init__(self, *, rng: random.Random) -> None:
-        self.placer = work_placement.WorkPlacement(rng=rng)
-
-    def choose(
-        self,
-        *,
-        candidates: collections.abc.Sequence[placement.Candidate],
-        request: placement.PlacementRequest,
-    ) -> placement.PlacementDecision | None:
-        """Returns the choice, or None when no candidate may be used."""
-        loaded = [
-            dataclasses.replace(
-                each,
-                backlog_s=each.backlog_s
-                + placement.count_others(each)
-                * OTHER_WORK_S
-                * math.exp(-each.report_age_s / REPORT_DECAY_S),
-            )
-            for each in candidates
-        ]
-        return self.placer.choose(candidates=loaded, request=request)
+    weight = math.exp(-candidate.report_age_s / defaults.REPORT_DECAY_S)
+    others = placement.count_others(candidate)
+    return dataclasses.replace(
+        candidate,
+        backlog_s=candidate.backlog_s + others * OTHER_WORK_S * weight,
+    )
 
 
 def place_with_reports(rng: random.Random) -> placement.Placement:
     """Returns the product's placement that believes in others' work."""
-    return ReportedPlacement(rng=rng)
+    return AdjustedPlacement(rng=rng, adjust=add_reported_work)
 
 
 def place_anywhere(rng: random.Random) -> placement.Placement:
     """Returns the product's placement, with all data centres alike."""
-    return AnywherePlacement(rng=rng)
+    return AdjustedPlacement(rng=rng, adjust=forget_distance)
 
 
 class SmallestOnly:
--- a/experiments/src/rhubarbbank_experiments/mix_settings.py
+++ b/experiments/src/rhubarbbank_experiments/mix_settings.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from rhubarbbank_router import configuration
+from rhubarbbank_router import window_budget
 
 FOLDER = pathlib.Path("experiments/mixes")
 
@@ -151,20 +152,6 @@
     connect_ms: float
 
 
-class RetrySettings(msgspec.Struct, frozen=True, kw_only=True):
-    """The budget that all entries share.
-
-    Attributes:
-        ratio: Additional sends for each request.
-        extra: Additional sends besides, in each window.
-        window_s: The window's length.
-    """
-
-    ratio: float
-    extra: float
-    window_s: float
-
-
 class Mix(
     msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
 ):
@@ -187,7 +174,7 @@
     data_centres: tuple[str, ...]
     entries: int
     requests_per_s: float
-    retry: RetrySettings
+    retry: window_budget.BudgetLimits
     network: NetworkSettings
     models: tuple[MixModel, ...]
     engines: EngineSettings
--- a/experiments/src/rhubarbbank_experiments/mix_upstreams.py
+++ b/experiments/src/rhubarbbank_experiments/mix_upstreams.py
@@ -8,6 +8,7 @@
 from collections.abc import Sequence
 import dataclasses
 import functools
+import http
 
 from rhubarbbank_experiments import mix_arrivals
 from rhubarbbank_experiments import mix_clock
@@ -20,9 +21,9 @@
 from rhubarbbank_router import upstreams
 
 MS_PER_S = 1000.0
-FAILED = 500
-FULL = 503
-OK = 200
+FAILED = http.HTTPStatus.INTERNAL_SERVER_ERROR
+FULL = http.HTTPStatus.SERVICE_UNAVAILABLE
+OK = http.HTTPStatus.OK
 # What an event tells: the model that made it.
 DATA = "data: "
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -119,6 +119,7 @@
 TRIAL_ERROR_TOLERANCE = 0.03
 TRIAL_SLOW_TOLERANCE = 0.05
 TRIAL_DRAG_TOLERANCE = 0.1
+# Whole plain answers of good versions hardly drag (measured).
 PLAIN_TRIAL_DRAG_TOLERANCE = 0.03
 # Likelihood ratio from which a target gets no larger share: with the smallest
 # shares little is at stake, and plain services tell little in all.
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/trial_judge.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/trial_judge.py
@@ -20,6 +20,7 @@
 PRIOR_ANSWERS = 30.0
 # Where half of all answers are bad, a rise tells nothing of the version.
 MOST_BASE_RATE = 0.5
+# Log likelihood ratio that speaks for neither.
 NO_EVIDENCE = 0.0
 # Rates above the tolerated one that count as worse: operators call a version
 # bad from a rise of some tenths on.
@@ -50,10 +51,10 @@
         plan: version_trial.TrialPlan,
         share: float,
     ) -> bool:
-        """Returns whether "worse" is likelier than "no worse", by how much.
+        """Returns whether "worse" is likelier than "no worse".
 
-        For a small share it has to be likelier by far: little is at stake,
-        and more answers are what tells.
+        The plan says by which factor; for a small share it has to be larger:
+        little is at stake, and more answers are what tells.
         """
         ratio = plan.doubt
         if share <= defaults.TRIAL_SMALL_SHARE:
