Keep sessions on their version at whichever entry their requests come

One that ran on the old version at one entry before the order, and whose key is drawn for the target, was sent to the target by the next entry in the first half, and back by the first. Ruled out: entries that disagree on the draw (each session has one affinity key), or on steps (14 to 20 ms apart).

Change: sessions that are drawn but alive on the old version when an order is first seen, or placed there since, stay there for the first half; entries tell each other their marks in heartbeats, a new one within 50 ms. For two seconds after the order no session goes to the target, until all have told. Steps are taken over from peers. Pins know when a session's requests end, not only when they begin, and are forgotten (they were kept for ever).

Test: router_sessions.feature, 2 to 27 routers in memory.

--- a/features/steps/router_rollout_steps.py
+++ b/features/steps/router_rollout_steps.py
@@ -130,9 +130,10 @@
             # Before the order it would have run on the old version.
             context.key = key
             break
-    world.state.sessions["s"] = type(
-        "Pin", (), {"version": version, "seen_at": world.now}
-    )()
+    world.state.sessions.begin(
+        "s", version=version, affinity_key=context.key, now=world.now
+    )
+    world.state.sessions.end("s", now=world.now)
 
 
 @then('its next request within {wait:g} s runs on version "{version}"')
--- a/features/support/router_world.py
+++ b/features/support/router_world.py
@@ -36,7 +36,7 @@
         caller_address="127.0.0.1:1",
         ready_address="127.0.0.1:2",
         metrics_address="127.0.0.1:3",
-        peer_address=f"127.0.0.1:{10 + int(name[-1])}",
+        peer_address=f"127.0.0.1:{10 + int(name.rpartition('-')[2])}",
         store_address="127.0.0.1:5",
         bounds=options.RouterBounds(
             **{"retry_ratio": 0.9, "retry_extra": 56.0} | bounds
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
@@ -50,7 +50,7 @@
     if head.refused or head.misdirected:
         return [*out, *take_refusal(state, opened, attempt, head, now=now)]
     if not head.genuine:
-        out += close_attempt(state, opened, attempt)
+        out += close_attempt(state, opened, attempt, now=now)
         out += fail(state, opened, attempt, "no genuine answer", now=now)
         return out
     attempt.status = head.status
@@ -107,7 +107,7 @@
 ) -> list[effects.Effect]:
     """Takes that an upstream did not run the request."""
     attempt.state = attempt_states.AttemptState.REFUSED
-    cancel = close_attempt(state, opened, attempt)
+    cancel = close_attempt(state, opened, attempt, now=now)
     opened.excluded.add(attempt.upstream)
     if head.misdirected:
         state.view.note_misdirected(attempt.upstream)
@@ -163,7 +163,7 @@
     attempt_evidence.finish_attempt(
         state, opened, attempt, now=now, failed=False
     )
-    cancel = close_attempt(state, opened, attempt)
+    cancel = close_attempt(state, opened, attempt, now=now)
     log = fx.LogDecision(
         decision="stepped_up",
         request_id=opened.request.attempt_id,
@@ -260,7 +260,7 @@
     if found is None:
         return []
     opened, attempt = found
-    drop_attempt(state, opened, attempt)
+    drop_attempt(state, opened, attempt, now=now)
     match ended.end:
         case events.AttemptEnd.UNREACHED:
             return take_unreached(state, opened, attempt, ended, now=now)
@@ -450,9 +450,11 @@
     state: states.RouterState,
     opened: states.OpenRequest,
     attempt: attempt_states.Attempt,
+    *,
+    now: float,
 ) -> list[effects.Effect]:
     """Breaks an attempt off."""
-    drop_attempt(state, opened, attempt)
+    drop_attempt(state, opened, attempt, now=now)
     return [effects.CancelAttempt(opened.request.request_id, attempt.number)]
 
 
@@ -460,10 +462,13 @@
     state: states.RouterState,
     opened: states.OpenRequest,
     attempt: attempt_states.Attempt,
+    *,
+    now: float,
 ) -> None:
     """Notes that nothing more comes of an attempt."""
     if attempt.open:
         attempt.open = False
+        state.sessions.end(opened.request.session, now=now)
         state.view.finish(opened.request.request_id, attempt.upstream)
 
 
@@ -485,5 +490,5 @@
     out: list[effects.Effect] = [log, fx.Count("callers_left")]
     attempt = opened.current
     if attempt is not None:
-        out += close_attempt(state, opened, attempt)
+        out += close_attempt(state, opened, attempt, now=now)
     return out
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -96,6 +96,9 @@
 
 # Heartbeats between entries.
 NEWS_PERIOD_S = 0.5
+# A heartbeat that can't wait is sent this long after its cause, with what
+# else there is by then.
+PRESSING_NEWS_S = 0.05
 PEER_SILENCE_S = 3.0
 PEER_FORGET_S = 30.0
 
@@ -113,6 +116,12 @@
 PLAIN_TRIAL_STEP_SHARE = 0.24
 # The first half of a roll-out keeps sessions on their version (bound).
 TRIAL_HALF = 0.5
+# After this time from the order each entry has told the sessions that it saw
+# on the version before: the watch's delay, a heartbeat, and a lost one.
+SESSIONS_TOLD_S = 2.0
+# A session may live this much longer by another entry's count: the time of a
+# stream's last events on their way.
+SESSION_MARGIN_S = 1.0
 # Answers of the new version that must have been seen before it gets more.
 TRIAL_LEAST_ANSWERS = 8
 # A target that is still doubtful after this share of its time, or after this
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
@@ -117,7 +117,7 @@
             prompt=facts.prompt,
             now=now,
         )
-    rollouts.pin_session(state, opened, attempt.version, now=now)
+    rollouts.note_placed(state, opened, attempt.version, now=now)
     return attempt
 
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/messages.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/messages.py
@@ -49,6 +49,8 @@
         whole: Whether all new work goes to the target here.
         old_in_flight: Open attempts here on other versions.
         routes: Answers by route.
+        step: How many times the target's share has grown, less one.
+        kept_sessions: Marks of sessions that stay on their version.
     """
 
     service: str
@@ -58,6 +60,8 @@
     whole: bool
     old_in_flight: int
     routes: tuple[RouteNews, ...]
+    step: int = -1
+    kept_sessions: tuple[int, ...] = ()
 
 
 class SuspectNews(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/rollouts.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/rollouts.py
@@ -9,8 +9,10 @@
 import dataclasses
 
 from rhubarbbank_core import program_effects as fx
+from rhubarbbank_router import defaults
 from rhubarbbank_router import effects
 from rhubarbbank_router import messages
+from rhubarbbank_router import session_pins
 from rhubarbbank_router import state as states
 from rhubarbbank_router import upstreams
 from rhubarbbank_router import version_trial
@@ -37,6 +39,7 @@
             now=now,
         )
         state.trials[order.service] = trial
+        keep_live_sessions(state, trial, now=now)
     trial.order = order
     if order.state is version_trial.OrderState.ROLLED_BACK:
         trial.held = True
@@ -159,13 +162,9 @@
     if trial.is_whole:
         done = trial.order.state is version_trial.OrderState.COMPLETED
         return on_target or ([] if done else others)
-    pinned = find_pin(state, opened, now=now)
-    wants = trial.wants_target(opened.request.affinity_key)
-    if pinned == target:
-        wants = True
-    elif pinned and not trial.moves_sessions:
-        wants = False
-    return (on_target or others) if wants else (others or on_target)
+    if wants_target(state, trial, opened, now=now):
+        return on_target or others
+    return others or on_target
 
 
 def select(
@@ -178,32 +177,135 @@
 def find_pin(
     state: states.RouterState, opened: states.OpenRequest, *, now: float
 ) -> str:
-    """Returns the version of the request's session, or empty."""
+    """Returns the version that the request's session runs on, or empty."""
+    return state.sessions.find(
+        opened.request.session,
+        now=now,
+        alive_s=state.settings.bounds.session_s,
+    )
+
+
+def wants_target(
+    state: states.RouterState,
+    trial: version_trial.VersionTrial,
+    opened: states.OpenRequest,
+    *,
+    now: float,
+) -> bool:
+    """Returns whether a request should run on the roll-out's target.
+
+    In the first half, sessions that were alive before stay where they are.
+    Other entries may have seen them, so that no session goes to the target
+    before their first heartbeats since the order.
+    """
     session = opened.request.session
-    pin = state.sessions.get(session) if session else None
-    if pin is None or now - pin.seen_at > state.settings.bounds.session_s:
-        return ""
-    return pin.version
+    drawn = trial.wants_target(opened.request.affinity_key)
+    if not session:
+        return drawn
+    pinned = find_pin(state, opened, now=now)
+    if pinned == trial.order.target:
+        return True
+    if trial.moves_sessions:
+        return drawn
+    age_s = now - trial.started_at
+    if pinned or age_s < defaults.SESSIONS_TOLD_S:
+        return False
+    return drawn and session_pins.mark(session) not in trial.kept_sessions
 
 
-def pin_session(
+def keep_live_sessions(
+    state: states.RouterState,
+    trial: version_trial.VersionTrial,
+    *,
+    now: float,
+) -> None:
+    """Notes the sessions that are alive when an order is first seen.
+
+    One that is over by this entry's count may have been seen a little later
+    by another.
+    """
+    alive_s = state.settings.bounds.session_s + defaults.SESSION_MARGIN_S
+    for session, pin in state.sessions.list_alive(now=now, alive_s=alive_s):
+        keep_session(
+            state,
+            trial,
+            session,
+            version=pin.version,
+            affinity_key=pin.affinity_key,
+            now=now,
+        )
+
+
+def keep_session(
+    state: states.RouterState,
+    trial: version_trial.VersionTrial,
+    session: str,
+    *,
+    version: str,
+    affinity_key: str,
+    now: float,
+) -> None:
+    """Notes that a session stays, if it would be drawn for the target."""
+    if trial.moves_sessions or trial.is_over or version == trial.order.target:
+        return
+    marked = session_pins.mark(session)
+    if marked in trial.kept_sessions or not trial.wants_target(affinity_key):
+        return
+    trial.kept_sessions.add(marked)
+    # Its next request may come to another entry very soon.
+    state.news_at = min(state.news_at, now + defaults.PRESSING_NEWS_S)
+
+
+def note_placed(
     state: states.RouterState,
     opened: states.OpenRequest,
     version: str,
     *,
     now: float,
 ) -> None:
-    """Notes the version that a session's request runs on."""
-    session = opened.request.session
-    if session:
-        state.sessions[session] = states.SessionPin(version, now)
+    """Notes the version that a request of a session begins on."""
+    request = opened.request
+    if not request.session:
+        return
+    state.sessions.begin(
+        request.session,
+        version=version,
+        affinity_key=request.affinity_key,
+        now=now,
+    )
+    trial = state.trials.get(opened.service)
+    if trial is not None:
+        keep_session(
+            state,
+            trial,
+            request.session,
+            version=version,
+            affinity_key=request.affinity_key,
+            now=now,
+        )
+
+
+def take_news(
+    state: states.RouterState, news: messages.EntryNews, *, now: float
+) -> None:
+    """Takes over from a peer when an order began, and how far it is.
+
+    A session that one entry moves must find the same share at the others.
+    """
+    for told in news.trials:
+        trial = state.trials.get(told.service)
+        if trial is None or told.key != trial.order.key:
+            continue
+        trial.started_at = min(trial.started_at, now - told.age_s)
+        trial.held = trial.held or told.held
+        trial.follow_step(told.step, now=now)
+        trial.kept_sessions.update(told.kept_sessions)
 
 
 def tick(state: states.RouterState, *, now: float) -> list[effects.Effect]:
     """Moves all roll-outs on, and records what they came to."""
     out: list[effects.Effect] = []
     for service, trial in state.trials.items():
-        adopt_age(state, trial, now=now)
         # The order may be known before the configuration is; later on, steps
         # of another plan would mean other shares.
         if not trial.moves_sessions:
@@ -217,20 +319,6 @@
     return out
 
 
-def adopt_age(
-    state: states.RouterState,
-    trial: version_trial.VersionTrial,
-    *,
-    now: float,
-) -> None:
-    """Takes over from peers when the order began, and that it is held."""
-    for news in state.entries.list_live(now=now):
-        for told in news.trials:
-            if told.key == trial.order.key:
-                trial.started_at = min(trial.started_at, now - told.age_s)
-                trial.held = trial.held or told.held
-
-
 def log_step(
     service: str,
     trial: version_trial.VersionTrial,
@@ -336,12 +424,23 @@
             held=trial.held,
             whole=trial.is_whole,
             old_in_flight=count_on_others(state, trial),
+            step=trial.step,
+            kept_sessions=list_kept(trial),
             routes=() if trial.is_over else list_counts(trial),
         )
         for service, trial in state.trials.items()
     )
 
 
+def list_kept(
+    trial: version_trial.VersionTrial,
+) -> tuple[session_pins.SessionMark, ...]:
+    """Returns the sessions that stay, while they have to."""
+    if trial.moves_sessions or trial.is_over:
+        return ()
+    return tuple(sorted(trial.kept_sessions))
+
+
 def list_counts(
     trial: version_trial.VersionTrial,
 ) -> tuple[messages.RouteNews, ...]:
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
@@ -303,6 +303,7 @@
         state = self.state
         is_new = state.entries.take(message, now=now)
         state.suspects.take(message.name, message.suspects)
+        rollouts.take_news(state, message, now=now)
         for upstream_id, started_ms in message.leaving:
             state.view.notices.note_leaving(upstream_id, started_ms)
         if not is_new:
@@ -342,6 +343,10 @@
         """Sends this entry's heartbeat, and counts the others."""
         state = self.state
         out: list[effects.Effect] = []
+        bounds = state.settings.bounds
+        state.sessions.forget(
+            now=now, alive_s=bounds.session_s + defaults.SESSION_MARGIN_S
+        )
         for name in state.entries.forget_silent(now=now):
             out.append(fx.LogDecision(decision="entry_silent", reason=name))
             out.append(effects.UnlistEntry(name))
--- /dev/null
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/session_pins.py
@@ -0,0 +1,106 @@
+"""Remembers which version each session runs on, at this entry.
+
+A session is alive while one of its requests runs and for a time after the
+last one ended. Roll-outs ask which sessions are alive on the version that is
+being replaced.
+"""
+
+import collections
+import collections.abc
+import dataclasses
+
+import xxhash
+
+SessionMark = int
+
+
+def mark(session: str) -> SessionMark:
+    """Returns a short mark of a session, as entries tell it to each other."""
+    return xxhash.xxh32_intdigest(session.encode())
+
+
+@dataclasses.dataclass(slots=True)
+class SessionPin:
+    """The version of a session's last request.
+
+    Attributes:
+        version: That it ran on.
+        affinity_key: Of its prompts.
+        seen_at: When it began, or ended if it has.
+        open: How many of the session's requests run.
+    """
+
+    version: str
+    affinity_key: str
+    seen_at: float
+    open: int = 0
+
+
+class SessionPins:
+    """The sessions seen here, the least recently seen first."""
+
+    def __init__(self) -> None:
+        self.pins: collections.OrderedDict[str, SessionPin] = (
+            collections.OrderedDict()
+        )
+
+    def begin(
+        self, session: str, *, version: str, affinity_key: str, now: float
+    ) -> None:
+        """Notes that a request of the session begins on a version."""
+        if not session:
+            return
+        pin = self.pins.get(session)
+        if pin is None:
+            pin = SessionPin(version, affinity_key, now)
+            self.pins[session] = pin
+        pin.version = version
+        pin.affinity_key = affinity_key
+        pin.open += 1
+        self.touch(session, pin, now=now)
+
+    def end(self, session: str, *, now: float) -> None:
+        """Notes that a request of the session has ended."""
+        pin = self.pins.get(session)
+        if pin is not None:
+            pin.open = max(0, pin.open - 1)
+            self.touch(session, pin, now=now)
+
+    def touch(self, session: str, pin: SessionPin, *, now: float) -> None:
+        """Notes that a session was seen just now."""
+        pin.seen_at = now
+        self.pins.move_to_end(session)
+
+    def find(self, session: str, *, now: float, alive_s: float) -> str:
+        """Returns the version that a live session runs on, or empty.
+
+        Args:
+            session: The session; may be empty.
+            now: In seconds.
+            alive_s: How long a session lives after its last request.
+        """
+        pin = self.pins.get(session)
+        if pin is None or not is_alive(pin, now=now, alive_s=alive_s):
+            return ""
+        return pin.version
+
+    def forget(self, *, now: float, alive_s: float) -> None:
+        """Forgets sessions that are over."""
+        for session, pin in list(self.pins.items()):
+            if not pin.open and is_alive(pin, now=now, alive_s=alive_s):
+                return
+            if not pin.open:
+                del self.pins[session]
+
+    def list_alive(
+        self, *, now: float, alive_s: float
+    ) -> collections.abc.Iterator[tuple[str, SessionPin]]:
+        """Yields all sessions that are alive."""
+        for session, pin in self.pins.items():
+            if is_alive(pin, now=now, alive_s=alive_s):
+                yield session, pin
+
+
+def is_alive(pin: SessionPin, *, now: float, alive_s: float) -> bool:
+    """Returns whether a session may go on."""
+    return pin.open > 0 or now - pin.seen_at <= alive_s
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
@@ -23,6 +23,7 @@
 from rhubarbbank_router import peers
 from rhubarbbank_router import prefix_memory
 from rhubarbbank_router import route_match
+from rhubarbbank_router import session_pins
 from rhubarbbank_router import size_plan
 from rhubarbbank_router import upstreams
 from rhubarbbank_router import version_trial
@@ -106,14 +107,6 @@
     arrived_at: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SessionPin:
-    """The version that a session's last request ran on."""
-
-    version: str
-    seen_at: float
-
-
 @dataclasses.dataclass(slots=True, kw_only=True)
 class StoreContact:
     """When the store was last heard of, for one subject.
@@ -203,7 +196,9 @@
         default_factory=engine_work.ReadingSpeeds
     )
     open: dict[str, OpenRequest] = dataclasses.field(default_factory=dict)
-    sessions: dict[str, SessionPin] = dataclasses.field(default_factory=dict)
+    sessions: session_pins.SessionPins = dataclasses.field(
+        default_factory=session_pins.SessionPins
+    )
     trials: dict[str, version_trial.VersionTrial] = dataclasses.field(
         default_factory=dict
     )
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/version_trial.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/version_trial.py
@@ -14,6 +14,7 @@
 
 from rhubarbbank_core import rendezvous
 from rhubarbbank_router import defaults
+from rhubarbbank_router import session_pins
 
 HASH_RANGE = 2.0**64
 
@@ -232,6 +233,8 @@
         held: Whether the target gets no new work, for good.
         step: Index into the growing shares; -1 during the first part.
         stepped_at: When the share last grew.
+        kept_sessions: Marks of sessions that stay on the version before the
+            target in the first half, though they would be drawn.
     """
 
     def __init__(
@@ -250,6 +253,7 @@
         self.held = order.state is OrderState.ROLLED_BACK
         self.step = -1
         self.stepped_at = now
+        self.kept_sessions: set[session_pins.SessionMark] = set()
 
     def note(self, *, route: str, version: str, counts: AnswerCounts) -> None:
         """Takes an attempt on one of the service's versions."""
@@ -314,6 +318,13 @@
         self.stepped_at = now
         return True
 
+    def follow_step(self, step: int, *, now: float) -> None:
+        """Takes over a step that another entry has reached."""
+        step = min(step, len(self.plan.steps) - 1)
+        if step > self.step and not self.held and not self.is_over:
+            self.step = step
+            self.stepped_at = now
+
     def is_overdue(self, evidence: TrialEvidence, *, now: float) -> bool:
         """Returns whether a doubtful target has had its time or its chances.
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/watch.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/watch.py
@@ -36,7 +36,7 @@
     out: list[effects.Effect] = []
     attempt = opened.current
     if attempt is not None:
-        out += answers.close_attempt(state, opened, attempt)
+        out += answers.close_attempt(state, opened, attempt, now=now)
         if attempt.status == 0:
             attempt_evidence.finish_attempt(
                 state, opened, attempt, now=now, failed=True
@@ -60,7 +60,7 @@
         opened.excluded.discard(attempt.upstream)
         # Asked again at the next beat; by then there may be room.
         return []
-    cancel = answers.close_attempt(state, opened, attempt)
+    cancel = answers.close_attempt(state, opened, attempt, now=now)
     # A host that falls silent silences many requests, which together say
     # no more of its version than one.
     first = state.view.note_silence(attempt.upstream, now=now)
