Tell peers what each entry has at each upstream, and place by the sum

Change: heartbeats carry what the entry has at each upstream (mark, work in ms, attempts, when last heard from); peer_work sums them, and engine_load is the one place that placement and the learning of speeds ask.

--- a/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
@@ -44,6 +44,7 @@
         return []
     opened, attempt = found
     attempt.heard_at = now
+    state.view.note_heard(attempt.upstream, now=now)
     if head.load is not None:
         state.view.note_load(attempt.upstream, head.load, now=now)
     out = take_notices(state, attempt, head, now=now)
@@ -186,6 +187,7 @@
         return []
     opened, attempt = found
     attempt.heard_at = now
+    state.view.note_heard(attempt.upstream, now=now)
     if not opened.is_stream or attempt.status != http.HTTPStatus.OK:
         attempt.body += data.data
         return []
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -100,6 +100,8 @@
 # else there is by then.
 PRESSING_NEWS_S = 0.05
 PEER_SILENCE_S = 3.0
+# What an entry told of its work counts until three heartbeats are missing.
+PEER_WORK_S = 1.6
 PEER_FORGET_S = 30.0
 
 # Share of sessions that try a new version before half of its time is over.
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
@@ -15,6 +15,7 @@
 from rhubarbbank_router import configuration
 from rhubarbbank_router import defaults
 from rhubarbbank_router import effects
+from rhubarbbank_router import engine_load
 from rhubarbbank_router import engine_work
 from rhubarbbank_router import rollouts
 from rhubarbbank_router import size_plan
@@ -106,7 +107,7 @@
         heard_at=now,
         unread_tokens=unread,
         work_s=unread / speed,
-        backlog_s=sum_backlog_s(belief, now=now),
+        backlog_s=engine_load.sum_backlog_s(belief, state.others, now=now),
     )
     opened.attempts.append(attempt)
     state.view.start(opened.request.request_id, attempt)
@@ -127,14 +128,6 @@
     return opened.model or (facts.model if facts else "")
 
 
-def sum_backlog_s(belief: upstreams.Belief, *, now: float) -> float:
-    """Returns the work of this entry's attempts at an upstream."""
-    return sum(
-        engine_work.estimate_rest_s(each, now=now)
-        for each in belief.attempts.values()
-    )
-
-
 def count_kept(
     state: states.RouterState,
     opened: states.OpenRequest,
@@ -209,6 +202,7 @@
     return placement.Candidate(
         name=listed.upstream_id,
         own_in_flight=belief.in_flight,
+        told_in_flight=state.others.find(listed.upstream_id).in_flight,
         own_at_report=belief.own_at_report,
         running=load.running if load else 0,
         waiting=load.waiting if load else 0,
@@ -217,7 +211,7 @@
         latency_ms=defaults.OTHER_DATA_CENTRE_MS if away else 0.0,
         cached_blocks=kept_tokens // defaults.TOKENS_PER_BLOCK,
         service_s=times.whole_s,
-        backlog_s=sum_backlog_s(belief, now=now),
+        backlog_s=engine_load.sum_backlog_s(belief, state.others, now=now),
     )
 
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/messages.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/messages.py
@@ -76,6 +76,22 @@
     crashes: int
 
 
+class LoadNews(msgspec.Struct, frozen=True, array_like=True):
+    """What an entry has under way at one upstream.
+
+    Attributes:
+        upstream: The upstream's mark.
+        work_ms: How long it is expected to hold others up.
+        in_flight: Attempts.
+        heard_ms: How long ago the entry last heard from it.
+    """
+
+    upstream: int
+    work_ms: int
+    in_flight: int
+    heard_ms: int
+
+
 class EntryNews(effects.Message, frozen=True, tag="news"):
     """An entry's heartbeat.
 
@@ -87,6 +103,7 @@
         trials: Its roll-outs.
         suspects: Requests that it suspects.
         leaving: Id and start of upstreams that said they shut down.
+        loads: What it has under way, by upstream.
     """
 
     name: str
@@ -96,6 +113,7 @@
     trials: tuple[TrialNews, ...] = ()
     suspects: tuple[SuspectNews, ...] = ()
     leaving: tuple[tuple[str, int], ...] = ()
+    loads: tuple[LoadNews, ...] = ()
 
 
 DECODER = msgspec.msgpack.Decoder(list[EntryNews])
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/rollouts.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/rollouts.py
@@ -11,8 +11,8 @@
 from rhubarbbank_core import program_effects as fx
 from rhubarbbank_router import defaults
 from rhubarbbank_router import effects
+from rhubarbbank_router import marks
 from rhubarbbank_router import messages
-from rhubarbbank_router import session_pins
 from rhubarbbank_router import state as states
 from rhubarbbank_router import upstreams
 from rhubarbbank_router import version_trial
@@ -210,7 +210,7 @@
     age_s = now - trial.started_at
     if pinned or age_s < defaults.SESSIONS_TOLD_S:
         return False
-    return drawn and session_pins.mark(session) not in trial.kept_sessions
+    return drawn and marks.mark(session) not in trial.kept_sessions
 
 
 def keep_live_sessions(
@@ -248,7 +248,7 @@
     """Notes that a session stays, if it would be drawn for the target."""
     if trial.moves_sessions or trial.is_over or version == trial.order.target:
         return
-    marked = session_pins.mark(session)
+    marked = marks.mark(session)
     if marked in trial.kept_sessions or not trial.wants_target(affinity_key):
         return
     trial.kept_sessions.add(marked)
@@ -434,7 +434,7 @@
 
 def list_kept(
     trial: version_trial.VersionTrial,
-) -> tuple[session_pins.SessionMark, ...]:
+) -> tuple[marks.Mark, ...]:
     """Returns the sessions that stay, while they have to."""
     if trial.moves_sessions or trial.is_over:
         return ()
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
@@ -16,6 +16,7 @@
 from rhubarbbank_router import crash_suspects
 from rhubarbbank_router import defaults
 from rhubarbbank_router import effects
+from rhubarbbank_router import engine_load
 from rhubarbbank_router import events
 from rhubarbbank_router import freshness_proof
 from rhubarbbank_router import intake
@@ -303,6 +304,7 @@
         state = self.state
         is_new = state.entries.take(message, now=now)
         state.suspects.take(message.name, message.suspects)
+        state.others.take(message.name, message.loads, now=now)
         rollouts.take_news(state, message, now=now)
         for upstream_id, started_ms in message.leaving:
             state.view.notices.note_leaving(upstream_id, started_ms)
@@ -347,6 +349,7 @@
         state.sessions.forget(
             now=now, alive_s=bounds.session_s + defaults.SESSION_MARGIN_S
         )
+        state.others.drop_silent(now=now)
         for name in state.entries.forget_silent(now=now):
             out.append(fx.LogDecision(decision="entry_silent", reason=name))
             out.append(effects.UnlistEntry(name))
@@ -362,6 +365,7 @@
             trials=rollouts.build_news(state, now=now),
             suspects=state.suspects.list_own(now=now),
             leaving=state.view.notices.list_leaving(),
+            loads=engine_load.list_loads(state.view, now=now),
         )
         out += [
             core_effects.Send(address, news)
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/session_pins.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/session_pins.py
@@ -9,15 +9,6 @@
 import collections.abc
 import dataclasses
 
-import xxhash
-
-SessionMark = int
-
-
-def mark(session: str) -> SessionMark:
-    """Returns a short mark of a session, as entries tell it to each other."""
-    return xxhash.xxh32_intdigest(session.encode())
-
 
 @dataclasses.dataclass(slots=True)
 class SessionPin:
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
@@ -20,6 +20,7 @@
 from rhubarbbank_router import events
 from rhubarbbank_router import freshness_proof
 from rhubarbbank_router import options
+from rhubarbbank_router import peer_work
 from rhubarbbank_router import peers
 from rhubarbbank_router import prefix_memory
 from rhubarbbank_router import route_match
@@ -162,6 +163,7 @@
         recording: Services whose roll-out is being recorded, with the time.
         entries: The other entries.
         suspects: Requests that may crash upstreams.
+        others: What the other entries have at upstreams.
         contacts: When the store was last heard of, by subject.
         started_at: When the first event came; None before.
         held: Requests that came while the entry knew too little, with the
@@ -186,6 +188,9 @@
     routes: route_match.RouteIndex = dataclasses.field(
         default_factory=lambda: route_match.RouteIndex(routes=())
     )
+    others: peer_work.PeerWork = dataclasses.field(
+        default_factory=peer_work.PeerWork
+    )
     view: upstreams.UpstreamView = dataclasses.field(
         default_factory=upstreams.UpstreamView
     )
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
@@ -62,6 +62,7 @@
         load: The last report; None before the first.
         load_at: When it came.
         own_at_report: This entry's open attempts when it came.
+        heard_at: When bytes of any of its answers came last.
         failures: Attempts that failed since the last good one.
         set_aside_until: No new work before then, if others will do.
         set_aside_s: How long it was set aside the last time.
@@ -78,6 +79,7 @@
     load: LoadReport | None = None
     load_at: float = 0.0
     own_at_report: int = 0
+    heard_at: float = 0.0
     failures: int = 0
     set_aside_until: float = 0.0
     set_aside_s: float = 0.0
@@ -265,6 +267,12 @@
             belief.load_at = now
             belief.own_at_report = belief.in_flight
 
+    def note_heard(self, upstream_id: str, *, now: float) -> None:
+        """Notes that bytes of an answer came."""
+        belief = self.beliefs.get(upstream_id)
+        if belief is not None:
+            belief.heard_at = now
+
     def note_good(self, upstream_id: str) -> None:
         """Notes that an upstream answered well."""
         belief = self.beliefs.get(upstream_id)
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/version_trial.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/version_trial.py
@@ -14,7 +14,7 @@
 
 from rhubarbbank_core import rendezvous
 from rhubarbbank_router import defaults
-from rhubarbbank_router import session_pins
+from rhubarbbank_router import marks
 
 HASH_RANGE = 2.0**64
 
@@ -253,7 +253,7 @@
         self.held = order.state is OrderState.ROLLED_BACK
         self.step = -1
         self.stepped_at = now
-        self.kept_sessions: set[session_pins.SessionMark] = set()
+        self.kept_sessions: set[marks.Mark] = set()
 
     def note(self, *, route: str, version: str, counts: AnswerCounts) -> None:
         """Takes an attempt on one of the service's versions."""
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/work_placement.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/work_placement.py
@@ -5,12 +5,12 @@
 tokens of all others. Counting requests, as `ExpectedWaitPlacement` does,
 takes a plan of 12,000 tokens for a chat of 800.
 
-The estimate adds the work of this entry's own attempts at the upstream, which
-is known exactly, the time to read what the upstream doesn't keep of the
-prompt, and the way there. What others have there counts only where a report
-shows that requests wait for a slot: as reports count for less with their age,
-the upstream that hasn't answered lately would look empty to all entries, which
-would meet there. The upstream that all entries prefer for the same prompt gets
+The estimate adds the work at the upstream, this entry's own and what the
+others tell of theirs, the time to read what the upstream doesn't keep of the
+prompt, and the way there. Reports in answers count only where they show that
+requests wait for a slot: as they count for less with their age, the upstream
+that hasn't answered lately would look empty to all entries, which would meet
+there. The upstream that all entries prefer for the same prompt gets
 a small credit, so that they meet where its parts are kept.
 """
 
@@ -91,7 +91,8 @@
 ) -> float:
     """Returns the expected time to the first event, in seconds."""
     weight = math.exp(-candidate.report_age_s / defaults.REPORT_DECAY_S)
-    others = weight * placement.count_others(candidate)
+    reported = weight * placement.count_others(candidate)
+    others = max(reported, candidate.told_in_flight)
     full = candidate.own_in_flight + others + 1.0 - candidate.max_batch
     queued = max(0.0, full) / candidate.max_batch
     unread = max(0, request.prompt_blocks - candidate.cached_blocks)
