Let one entry of a data centre read the store, and tell the others

Change: where the bounds on configuration and leaving upstreams leave 1.7 s besides a read of one's own, the first live entry of a data centre reads, and the others ask it every 0.4 s. An answer repeats the asker's own time stamp, and the reader's proof counts from there, so that a frozen host or a slow way only makes a proof look older. The list goes as changes after a revision of the store; changes are told at once. Whoever knows too little reads for itself, and stops once a reader whose name comes first has kept it informed for a second. On the small sites (2 s) each entry reads as before.

Ruled out: watches that relay (an idle watch proves nothing), leases for the role (losing it needs no agreement), the reader's clock.

--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -103,6 +103,21 @@
 # The freshness proof is used up to the bound on revocation less this.
 PROOF_MARGIN_S = 0.4
 
+# One entry of a data centre reads the store for the others, where the bounds on
+# configuration and leaving upstreams leave this much time at least.
+RELAY_LEAST_S = 1.7
+# Before each bound, for an own read and the request's way.
+CONFIGURATION_MARGIN_S = 1.0
+UPSTREAMS_MARGIN_S = 1.2
+# How often readers are asked, and for how long one tells who asked.
+ASK_PERIOD_S = 0.4
+ASKER_MEMORY_S = 1.2
+# A reader must have kept an entry informed for this long before that entry
+# stops reading.
+RELAY_PROVEN_S = 1.0
+# Changes of the list of upstreams that a reader can tell one by one.
+MAX_LOGGED_CHANGES = 200
+
 # Refused callers come back spread over this range.
 RETRY_AFTER_LOW_S = 0.2
 RETRY_AFTER_HIGH_S = 0.8
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/events.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/events.py
@@ -144,9 +144,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class UpstreamsListed:
-    """The whole list of upstreams was read."""
+    """The whole list of upstreams was read.
+
+    Attributes:
+        listed: All of them.
+        position: The store's revision at that time.
+        at: When the read was sent.
+    """
 
     listed: tuple[upstreams.Upstream, ...]
+    position: int = 0
+    at: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -163,6 +171,19 @@
     upstream_id: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamsConfirmed:
+    """All changes of the list of upstreams so far have been told.
+
+    Attributes:
+        position: The store's revision up to which that is so.
+        at: A time at which it was so.
+    """
+
+    position: int
+    at: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RolloutsListed:
     """All roll-out orders were read."""
@@ -230,6 +251,7 @@
     | UpstreamsListed
     | UpstreamChanged
     | UpstreamUnlisted
+    | UpstreamsConfirmed
     | RolloutsListed
     | RolloutChanged
     | RolloutRemoved
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/messages.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/messages.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from rhubarbbank_core import effects
+from rhubarbbank_router import upstreams
 
 
 class CountNews(msgspec.Struct, frozen=True, array_like=True):
@@ -117,6 +118,7 @@
         leaving: Id and start of upstreams that said they shut down.
         loads: What it has under way, by upstream.
         data_centre: Where it stands.
+        reads: Whether it reads the store itself.
     """
 
     name: str
@@ -128,9 +130,56 @@
     leaving: tuple[tuple[str, int], ...] = ()
     loads: tuple[LoadNews, ...] = ()
     data_centre: str = ""
+    reads: bool = True
 
 
-AnyNews = EntryNews | EntryLoads
+class StoreAsk(effects.Message, frozen=True, tag="ask"):
+    """Asks a reader of the store for what has changed.
+
+    Attributes:
+        name: Who asks.
+        address: Where to answer, "ip:port".
+        asked_at: When, by the asker's clock, which the answer repeats.
+        position: The store's revision up to which the asker knows all
+            changes of the list of upstreams.
+    """
+
+    name: str
+    address: str
+    asked_at: float
+    position: int
+
+
+class StoreTold(effects.Message, frozen=True, tag="told"):
+    """What a reader of the store knows.
+
+    Attributes:
+        name: The reader.
+        asked_at: When it was asked, by the asker's clock.
+        revision: Of the configuration that the store has confirmed.
+        proof_age_s: How long ago the read was sent that confirmed it.
+        position: The store's revision up to which the list is complete.
+        list_age_s: How long ago it was so for certain.
+        regained_age_s: How long ago the store came back; None if it wasn't
+            away lately.
+        changed: Upstreams that are new or changed since the asker's position.
+        gone: Ids of those that left the list since.
+        whole: All upstreams, where the changes aren't known; else None.
+    """
+
+    name: str
+    asked_at: float
+    revision: int
+    proof_age_s: float
+    position: int
+    list_age_s: float
+    regained_age_s: float | None = None
+    changed: tuple[upstreams.Upstream, ...] = ()
+    gone: tuple[str, ...] = ()
+    whole: tuple[upstreams.Upstream, ...] | None = None
+
+
+AnyNews = EntryNews | EntryLoads | StoreAsk | StoreTold
 DECODER = msgspec.msgpack.Decoder(list[AnyNews])
 
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/options.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/options.py
@@ -14,6 +14,9 @@
         retry_ratio: Additional sends to a service for each request.
         retry_extra: Additional sends besides, in each window.
         retry_window_s: The window's length.
+        config_apply_ms: After this a change of the configuration is in force
+            everywhere.
+        drain_ms: After this an upstream that leaves gets nothing new.
         session_s: Requests of a session follow each other within this.
     """
 
@@ -22,6 +25,8 @@
     retry_ratio: float = 0.5
     retry_extra: float = 10.0
     retry_window_s: float = 10.0
+    config_apply_ms: float = 2_000.0
+    drain_ms: float = 2_000.0
     session_s: float = 5.0
 
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/peers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/peers.py
@@ -111,6 +111,19 @@
             if now - known.heard_at <= defaults.PEER_SILENCE_S
         ]
 
+    def list_live_near(
+        self, data_centre: str, *, now: float
+    ) -> list[messages.EntryNews]:
+        """Returns the last heartbeats of a data centre's live entries.
+
+        Those that are about to stop are left out.
+        """
+        return [
+            news
+            for news in self.list_live(now=now)
+            if news.data_centre == data_centre and not news.stopping
+        ]
+
     def list_near(self, data_centre: str) -> list[str]:
         """Returns where to reach the entries in a data centre.
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
@@ -27,6 +27,8 @@
 from rhubarbbank_router import route_match
 from rhubarbbank_router import size_plan
 from rhubarbbank_router import state as states
+from rhubarbbank_router import store_reading
+from rhubarbbank_router import store_relay
 from rhubarbbank_router import trial_judge
 from rhubarbbank_router import version_trial
 from rhubarbbank_router import watch
@@ -75,6 +77,9 @@
                 )
             ),
             entries=peers.PeerTable(name=settings.name),
+            relay=store_relay.StoreRelay(
+                limits=store_reading.find_limits(bounds)
+            ),
             suspects=crash_suspects.CrashSuspects(),
         )
 
@@ -114,11 +119,26 @@
             and state.proof.holds(now=now)
         )
 
+    def reads(self, subject: events.Subject) -> bool:
+        """Returns whether a subject should be read in the store now."""
+        return store_reading.reads(self.state, subject)
+
+    @property
+    def for_others(self) -> bool:
+        """Whether entries here read the store for one another."""
+        return self.state.relay.limits.allow_relays
+
+    @property
+    def list_position(self) -> int:
+        """The store's revision up to which the list of upstreams is known."""
+        return self.state.relay.log.position
+
     def use_settings(self, settings: options.RouterSettings) -> None:
         """Takes new bounds; names and addresses need a new start."""
         state = self.state
         state.settings = settings
         bounds = settings.bounds
+        state.relay.limits = store_reading.find_limits(bounds)
         state.proof.limit_s = max(
             0.0, bounds.revoke_ms / MS_PER_S - defaults.PROOF_MARGIN_S
         )
@@ -171,8 +191,9 @@
         contact = state.contact(events.Subject.UPSTREAMS)
         doubtful = contact.was_regained_within(defaults.LAPSE_REPORT_S, now=now)
         match event:
-            case events.UpstreamsListed(listed):
+            case events.UpstreamsListed(listed, position=position, at=at):
                 state.listed.add(events.Subject.UPSTREAMS)
+                state.relay.note_list(position, at=at)
                 gone = state.view.replace_list(listed, doubtful=doubtful)
                 rollouts.settle_all(state)
                 return [
@@ -188,6 +209,7 @@
                 ]
             case events.UpstreamChanged(listed):
                 state.view.put(listed)
+                state.relay.note_change(listed)
                 rollouts.settle_all(state)
                 return [
                     fx.LogDecision(
@@ -199,6 +221,7 @@
                     )
                 ]
             case events.UpstreamUnlisted(upstream_id):
+                state.relay.note_change(upstream_id)
                 known = upstream_id in state.view.beliefs
                 state.view.remove(upstream_id, doubtful=doubtful)
                 if not known:
@@ -210,6 +233,10 @@
                         reason="in doubt" if doubtful else "gone",
                     )
                 ]
+            case events.UpstreamsConfirmed(position=position, at=at):
+                if state.relay.note_watched(position, at=at):
+                    return store_reading.tell_all(state, now=now)
+                return []
             case _:
                 return []
 
@@ -233,6 +260,7 @@
         state.in_force = found
         state.routes = route_match.RouteIndex(routes=found.routes)
         return [
+            *store_reading.tell_all(state, now=now),
             fx.LogDecision(
                 decision="configuration_adopted",
                 reason=f"version {found.version}",
@@ -298,13 +326,41 @@
     def take_news(
         self, now: float, message: core_effects.Message
     ) -> list[effects.Effect]:
-        """Takes a heartbeat of another entry."""
+        """Takes a message of another entry."""
+        state = self.state
+        match message:
+            case messages.EntryNews():
+                return self.take_heartbeat(now, message)
+            case messages.EntryLoads(name=name, loads=loads):
+                state.others.take(name, loads, now=now)
+                return []
+            case messages.StoreAsk():
+                return store_reading.take_ask(state, message, now=now)
+            case messages.StoreTold():
+                return self.take_told(now, message)
+            case _:
+                return []
+
+    def take_told(
+        self, now: float, told: messages.StoreTold
+    ) -> list[effects.Effect]:
+        """Takes what a reader of the store tells."""
+        state = self.state
+        if not state.relay.reading:
+            store_reading.note_contact(state, told, now=now)
+        is_current = store_reading.take_proof(state, told)
+        out: list[effects.Effect] = []
+        for event in store_reading.list_changes(state, told):
+            out += self.learn_upstreams(now, event)
+        if is_current:
+            store_reading.note_informed(state, told, now=now)
+        return out
+
+    def take_heartbeat(
+        self, now: float, message: messages.EntryNews
+    ) -> list[effects.Effect]:
+        """Takes what another entry tells of itself."""
         state = self.state
-        if isinstance(message, messages.EntryLoads):
-            state.others.take(message.name, message.loads, now=now)
-            return []
-        if not isinstance(message, messages.EntryNews):
-            return []
         is_new = state.entries.take(message, now=now)
         state.suspects.take(message.name, message.suspects)
         state.others.take(message.name, message.loads, now=now)
@@ -327,6 +383,7 @@
         out = watch.watch_requests(state, now=now)
         out += intake.release_held(state, now=now)
         out += rollouts.tick(state, now=now)
+        out += store_reading.tick(state, now=now)
         contact = state.contact(events.Subject.UPSTREAMS)
         keep = contact.was_regained_within(defaults.LAPSE_GRACE_S, now=now)
         for upstream_id in state.view.drop_lapsed(keep=keep):
@@ -366,6 +423,7 @@
             leaving=state.view.notices.list_leaving(),
             loads=engine_load.list_loads(state.view, now=now),
             data_centre=settings.data_centre,
+            reads=state.relay.reading,
         )
         addresses = state.entries.list_near(settings.data_centre)
         if now >= state.far_news_at:
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
@@ -26,6 +26,7 @@
 from rhubarbbank_router import route_match
 from rhubarbbank_router import session_pins
 from rhubarbbank_router import size_plan
+from rhubarbbank_router import store_relay
 from rhubarbbank_router import upstreams
 from rhubarbbank_router import version_trial
 from rhubarbbank_router import window_budget
@@ -163,6 +164,7 @@
         recording: Services whose roll-out is being recorded, with the time.
         entries: The other entries.
         suspects: Requests that may crash upstreams.
+        relay: This entry's part in reading the store.
         others: What the other entries have at upstreams.
         contacts: When the store was last heard of, by subject.
         started_at: When the first event came; None before.
@@ -186,6 +188,7 @@
     budget: window_budget.WindowBudget
     proof: freshness_proof.FreshnessProof
     entries: peers.PeerTable
+    relay: store_relay.StoreRelay
     suspects: crash_suspects.CrashSuspects
     in_force: configuration.Configuration | None = None
     routes: route_match.RouteIndex = dataclasses.field(
