--- a/experiments/src/rhubarbbank_experiments/mix_arms.py
+++ b/experiments/src/rhubarbbank_experiments/mix_arms.py
@@ -6,6 +6,7 @@
 
 import collections.abc
 import dataclasses
+import enum
 import math
 import random
 
@@ -127,6 +128,18 @@
         return None
 
 
+class Telling(enum.StrEnum):
+    """What entries tell one another of their work.
+
+    NOTHING. HEARTBEATS: with each heartbeat. AT_ONCE: long work besides, as
+    soon as it is placed.
+    """
+
+    NOTHING = "nothing"
+    HEARTBEATS = "heartbeats"
+    AT_ONCE = "at_once"
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Arm:
     """How the routers of one arm decide.
@@ -135,6 +148,7 @@
         name: The arm.
         sizes: The plan of sizes.
         place: Makes an entry's placement.
+        telling: What the entries hear of one another's work.
     """
 
     name: str
@@ -142,6 +156,7 @@
         default_factory=size_plan.SmallestThenLargest
     )
     place: PlacementMaker = place_by_work
+    telling: Telling = Telling.AT_ONCE
 
     def build(
         self, *, settings: options.RouterSettings, number: int, seed: int
@@ -167,7 +182,13 @@
     Arm(name="by_report", place=place_by_report),
     Arm(name="no_home", place=place_without_home),
     Arm(name="anywhere", place=place_anywhere),
-    Arm(name="with_reports", place=place_with_reports),
+    Arm(
+        name="with_reports",
+        place=place_with_reports,
+        telling=Telling.NOTHING,
+    ),
+    Arm(name="untold", telling=Telling.NOTHING),
+    Arm(name="heartbeats", telling=Telling.HEARTBEATS),
 )
 
 
--- a/experiments/src/rhubarbbank_experiments/mix_main.py
+++ b/experiments/src/rhubarbbank_experiments/mix_main.py
@@ -78,6 +78,8 @@
         loads: Times each site's usual requests.
         seeds: Each draws other requests.
         duration_s: How long requests come.
+        entries: Numbers of entries before the same upstreams; none for the
+            mix's own.
         troubles: What goes wrong; each is a run of its own.
     """
 
@@ -86,6 +88,7 @@
     seeds: tuple[int, ...]
     duration_s: float
     troubles: tuple[TroubleSettings, ...]
+    entries: tuple[int, ...] = ()
 
 
 def play(
@@ -113,12 +116,26 @@
     )
 
 
+def list_mixes(settings: MixRunSettings) -> list[mix_settings.Mix]:
+    """Returns the sites, each with every number of entries that is wanted."""
+    found: list[mix_settings.Mix] = []
+    for name in settings.mixes:
+        mix = mix_settings.read_mix(name)
+        if not settings.entries:
+            found.append(mix)
+        for entries in settings.entries:
+            named = f"{name}, {entries} entries"
+            found.append(
+                msgspec.structs.replace(mix, name=named, entries=entries)
+            )
+    return found
+
+
 def play_all(
     settings: MixRunSettings, arms: Sequence[mix_arms.Arm]
 ) -> Iterable[mix_figures.MixFigures]:
     """Plays every arm in every case."""
-    for name in settings.mixes:
-        mix = mix_settings.read_mix(name)
+    for mix in list_mixes(settings):
         for trouble in settings.troubles:
             for load in settings.loads:
                 for seed in settings.seeds:
--- a/experiments/src/rhubarbbank_experiments/mix_world.py
+++ b/experiments/src/rhubarbbank_experiments/mix_world.py
@@ -10,6 +10,8 @@
 from typing import Any
 from typing import cast
 
+import msgspec
+
 from rhubarbbank_core import effects as core_effects
 from rhubarbbank_core import events as core_events
 from rhubarbbank_experiments import mix_arms
@@ -23,6 +25,7 @@
 from rhubarbbank_router import defaults
 from rhubarbbank_router import effects
 from rhubarbbank_router import events
+from rhubarbbank_router import messages
 from rhubarbbank_router import router
 
 MS_PER_S = 1000.0
@@ -41,6 +44,7 @@
 
     Attributes:
         mix: The site.
+        telling: What the entries hear of one another's work.
         clock: Simulated time.
         routers: The entries.
         upstreams: What answers them.
@@ -57,6 +61,7 @@
         trouble: mix_upstreams.Trouble = mix_upstreams.NO_TROUBLE,
     ) -> None:
         self.mix = mix
+        self.telling = arm.telling
         self.clock = mix_clock.Clock()
         self.routers: list[router.Router] = [
             arm.build(
@@ -143,16 +148,27 @@
             ):
                 self.refuse(request_id, retry_after_s)
             case core_effects.Send(address, news):
-                peer = mix_site.find_entry(address)
-                # The event's type names the core's messages only.
-                heard = core_events.MessageReceived(cast("Any", news))
-                self.clock.after(
-                    self.mix.network.far_ms / MS_PER_S,
-                    lambda: self.step(peer, heard),
-                )
+                self.send_news(address, news)
             case _:
                 pass
 
+    def send_news(self, address: str, news: core_effects.Message) -> None:
+        """Carries a message to another entry, as far as the arm tells it."""
+        match self.telling, news:
+            case mix_arms.Telling.AT_ONCE, _:
+                pass
+            case _, messages.EntryLoads():
+                return
+            case mix_arms.Telling.NOTHING, messages.EntryNews():
+                news = msgspec.structs.replace(news, loads=())
+        peer = mix_site.find_entry(address)
+        # The event's type names the core's messages only.
+        heard = core_events.MessageReceived(cast("Any", news))
+        self.clock.after(
+            self.mix.network.far_ms / MS_PER_S,
+            lambda: self.step(peer, heard),
+        )
+
     # Callers.
 
     def ask(self, caller: mix_callers.Caller) -> None:
--- a/features/mix_tool.feature
+++ b/features/mix_tool.feature
@@ -40,6 +40,12 @@
     Then the product is worth more than "with_reports" with each seed
     And the product is worth more than "by_count" with each seed
 
+  Scenario: Many entries that tell of their work serve better
+    When "fleet" is played at load 1 with 2 seeds
+    Then the product's streams begin sooner than with "untold" with each seed
+    And the product's streams begin sooner than with "heartbeats" with each seed
+    And all entries together serve within 0.03 of what one entry would
+
   Scenario: An engine that crashes costs hardly an answer
     When "platzwart" is played while an engine crashes
     Then at least 98 % of the product's streams are whole
--- /dev/null
+++ b/features/router_engine_load.feature
@@ -0,0 +1,45 @@
+@quick
+Feature: An entry knows what all entries have at an engine
+
+  Background:
+    Given a router that knows its configuration and 2 upstreams
+    And a peer nearby and a peer in another data centre
+
+  Scenario: What a peer has there counts like the entry's own work
+    When the peer nearby tells of 5 s of work at "up-0"
+    Then the next 3 chats go to "up-1"
+    When the peer nearby tells of 0 s of work at "up-0"
+    And the peer far away tells of 5 s of work at "up-1"
+    Then the next 3 chats go to "up-0"
+
+  Scenario: What a peer told is forgotten once it is silent
+    When the peer nearby tells of 5 s of work at "up-0"
+    And 4 s pass
+    Then nothing is known of others' work
+
+  Scenario: Long prompts are told nearby at once, short ones with the heartbeat
+    When 0.6 s pass
+    And a caller asks "chat" with a prompt of 12000 tokens
+    And 0.06 s pass
+    Then the peer nearby has been told of work there, the peer far away not
+    When 0.6 s pass
+    And a caller asks "chat" with a prompt of 200 tokens
+    And 0.06 s pass
+    Then no peer has been told of it yet
+
+  Scenario Outline: A place in a queue that moves is kept
+    When a caller asks "chat" with a prompt of 6000 tokens
+    And <heard> from its upstream while it is silent for <silent> s
+    Then its attempts are <attempts>
+
+    Examples: The objective is 2 s
+      | heard                     | silent | attempts |
+      | nobody hears              | 1.0    | 1        |
+      | nobody hears              | 1.6    | 2        |
+      | the peer nearby hears     | 1.6    | 1        |
+      | the peer nearby hears     | 4.5    | 2        |
+      | another request hears     | 1.6    | 1        |
+
+  Scenario: Speeds come near those of an idle engine though most prompts wait
+    Then after 60 prompts that are read at 21 tokens/ms behind 0 to 2 s of others, the speed is 14 to 24 tokens/ms
+
--- /dev/null
+++ b/features/steps/engine_load_steps.py
@@ -0,0 +1,158 @@
+"""Steps for what entries tell one another of their work at engines."""
+
+import random
+
+from behave import given
+from behave import then
+from behave import when
+from support import router_world
+
+from rhubarbbank_core import events as core_events
+from rhubarbbank_router import attempt_states
+from rhubarbbank_router import defaults
+from rhubarbbank_router import engine_work
+from rhubarbbank_router import marks
+from rhubarbbank_router import messages
+
+NEAR = "entry-7"
+FAR = "entry-8"
+PLACES = {NEAR: "west-a", FAR: "west-b"}
+ADDRESSES = {NEAR: "127.0.0.1:17", FAR: "127.0.0.1:18"}
+PEERS = {"nearby": NEAR, "far away": FAR}
+
+
+def hear(world, name, loads=()):
+    """A peer's heartbeat comes."""
+    news = messages.EntryNews(
+        name=name,
+        incarnation=1,
+        address=ADDRESSES[name],
+        stopping=False,
+        loads=tuple(loads),
+        data_centre=PLACES[name],
+    )
+    world.apply(core_events.MessageReceived(news))
+
+
+def build_load(upstream, work_s=0.0, heard_s=0.0):
+    return messages.LoadNews(
+        upstream=marks.mark(upstream),
+        work_ms=round(work_s * 1000),
+        in_flight=1,
+        heard_ms=round(heard_s * 1000),
+    )
+
+
+@given("a peer nearby and a peer in another data centre")
+def add_peers(context):
+    for name in PLACES:
+        hear(context.world, name)
+
+
+@when('the peer {where} tells of {work:g} s of work at "{upstream}"')
+def tell_work(context, where, work, upstream):
+    hear(context.world, PEERS[where], [build_load(upstream, work)])
+
+
+@then('the next {count:d} chats go to "{upstream}"')
+def check_chats(context, count, upstream):
+    world = context.world
+    for number in range(count):
+        request = world.ask(
+            "chat", generation=router_world.build_generation(f"n{number}", 300)
+        )
+        sending = world.sent(request)[-1]
+        assert sending.upstream_id == upstream, sending
+        world.head(request, confidence=90)
+        world.stream(request, 1, 2)
+        world.end(request)
+
+
+@then("nothing is known of others' work")
+def check_forgotten(context):
+    assert not context.world.state.others.loads
+
+
+@when('a caller asks "chat" with a prompt of {tokens:d} tokens')
+def ask_long(context, tokens):
+    world = context.world
+    world.done = [x for x in world.done if x not in world.messages()]
+    context.request = world.ask(
+        "chat", generation=router_world.build_generation("long", tokens)
+    )
+
+
+def list_told(world, name):
+    """Addresses that were told of work there."""
+    upstream = marks.mark(world.sent(world_request(world))[-1].upstream_id)
+    return [
+        x
+        for x in world.messages()
+        if x.address == ADDRESSES[name]
+        and any(y.upstream == upstream for y in x.message.loads)
+    ]
+
+
+def world_request(world):
+    return f"r{world.asked}"
+
+
+@then("the peer nearby has been told of work there, the peer far away not")
+def check_told(context):
+    assert list_told(context.world, NEAR)
+    assert not list_told(context.world, FAR)
+
+
+@then("no peer has been told of it yet")
+def check_untold(context):
+    found = [
+        x
+        for x in context.world.messages()
+        if isinstance(x.message, messages.EntryLoads)
+    ]
+    assert not found, found
+
+
+@when("{who} from its upstream while it is silent for {silent:g} s")
+def stay_silent(context, who, silent):
+    world = context.world
+    upstream = world.sent(context.request)[0].upstream_id
+    for _ in range(round(silent / 0.1)):
+        if who == "the peer nearby hears":
+            hear(world, NEAR, [build_load(upstream)])
+        if who == "another request hears":
+            world.state.view.note_heard(upstream, now=world.now)
+        world.configure(world.state.in_force)
+        world.run(0.1)
+
+
+@then("its attempts are {count:d}")
+def check_attempts(context, count):
+    found = context.world.sent(context.request)
+    assert len(found) == count, found
+
+
+@then(
+    "after {count:d} prompts that are read at {speed:g} tokens/ms behind 0 to "
+    "2 s of others, the speed is {least:g} to {most:g} tokens/ms"
+)
+def check_speed(context, count, speed, least, most):
+    rng = random.Random(3)
+    speeds = engine_work.ReadingSpeeds()
+    for _ in range(count):
+        tokens = rng.randrange(500, 20_000)
+        # Half of the prompts find the engine idle.
+        waited_s = rng.uniform(0.0, 2.0) * (rng.random() < 0.5)
+        attempt = attempt_states.Attempt(
+            number=1,
+            upstream="up-0",
+            service="pool",
+            version="v1",
+            model="large",
+            sent_at=0.0,
+            unread_tokens=tokens,
+        )
+        read_s = tokens / speed / 1000 + defaults.ENGINE_LATENCY_S
+        speeds.learn(attempt, waited_s=waited_s + read_s)
+    found = speeds.find("pool", "large") / 1000
+    assert least <= found <= most, found
--- a/features/steps/mix_tool_steps.py
+++ b/features/steps/mix_tool_steps.py
@@ -8,6 +8,7 @@
 from behave import given
 from behave import then
 from behave import when
+import msgspec
 
 from rhubarbbank_experiments import mix_arms
 from rhubarbbank_experiments import mix_arrivals
@@ -18,6 +19,7 @@
 
 DURATION_S = 5.0
 CRASH = mix_main.TroubleSettings(name="crash", crashes=True)
+PLAIN_CLASSES = ("book", "look")
 CALM = mix_main.TroubleSettings(name="calm")
 SMALL_CASE = {
     "mixes": ["platzwart"],
@@ -34,9 +36,12 @@
     )
 
 
-def play(mix, arm, seed, load=1.0, trouble=CALM):
+def play(mix, arm, seed, *, load=1.0, trouble=CALM, entries=None):
+    found = mix_settings.read_mix(mix)
+    if entries is not None:
+        found = msgspec.structs.replace(found, entries=entries)
     return mix_main.play(
-        mix_settings.read_mix(mix),
+        found,
         mix_arms.find_arm(arm),
         load=load,
         seed=seed,
@@ -222,6 +227,29 @@
         assert ours.worth > other.worth, (ours, other)
 
 
+def sum_late_starts(figures):
+    """The 95th percentile of the time to the first event, over classes."""
+    return sum(
+        x.first_p95_ms for x in figures.classes if x.name not in PLAIN_CLASSES
+    )
+
+
+@then('the product\'s streams begin sooner than with "{arm}" with each seed')
+def check_sooner(context, arm):
+    others = [
+        play(arm=arm, seed=seed, **context.case) for seed in context.seeds
+    ]
+    for ours, other in zip(context.product, others, strict=True):
+        assert sum_late_starts(ours) < sum_late_starts(other), (ours, other)
+
+
+@then("all entries together serve within {most:g} of what one entry would")
+def check_one_entry(context, most):
+    for seed, ours in zip(context.seeds, context.product, strict=True):
+        alone = play(arm="product", seed=seed, entries=1, **context.case)
+        assert ours.worth >= alone.worth - most, (ours, alone)
+
+
 @when('"{mix}" is played while an engine crashes')
 def play_crash(context, mix):
     context.found = play(mix, "product", 1, trouble=CRASH)
--- a/features/support/router_world.py
+++ b/features/support/router_world.py
@@ -29,10 +29,10 @@
 )
 
 
-def build_settings(name="entry-0", **bounds):
+def build_settings(name="entry-0", data_centre="west-a", **bounds):
     return options.RouterSettings(
         name=name,
-        data_centre="west-a",
+        data_centre=data_centre,
         caller_address="127.0.0.1:1",
         ready_address="127.0.0.1:2",
         metrics_address="127.0.0.1:3",
@@ -98,9 +98,17 @@
 class World:
     """One router and what it did."""
 
-    def __init__(self, *, seed=1, name="entry-0", sizes=None, **bounds):
+    def __init__(
+        self,
+        *,
+        seed=1,
+        name="entry-0",
+        data_centre="west-a",
+        sizes=None,
+        **bounds,
+    ):
         self.router = router.Router(
-            settings=build_settings(name, **bounds),
+            settings=build_settings(name, data_centre, **bounds),
             incarnation=seed,
             rng=random.Random(seed),
             sizes=sizes,
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -80,9 +80,6 @@
 # Share of the time that reading the shared parts would take: they may have
 # been read there, or will be asked for again.
 HOME_SAVED_SHARE = 0.7
-# Shared parts from this length on are kept at one upstream over all data
-# centres.
-FAR_HOME_TOKENS = 2_000
 
 # A smaller model's answer below this confidence (0 to 100) is asked again.
 STEP_UP_CONFIDENCE = 50
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
@@ -229,21 +229,16 @@
     opened: states.OpenRequest,
     usable: list[upstreams.Belief],
 ) -> str:
-    """Returns the upstream that all entries prefer for the same prompt.
-
-    What long prompts share is worth the way to another data centre.
-    """
-    facts = opened.request.generation
-    if facts is None:
+    """Returns the upstream that all entries prefer for the same prompt."""
+    if opened.request.generation is None:
         return ""
     near = [
         each.listed.upstream_id
         for each in usable
         if each.listed.data_centre == state.settings.data_centre
     ]
-    if not near or facts.shared_tokens >= defaults.FAR_HOME_TOKENS:
-        near = [each.listed.upstream_id for each in usable]
-    return rendezvous.prefer(opened.request.affinity_key, near) or ""
+    names = near or [each.listed.upstream_id for each in usable]
+    return rendezvous.prefer(opened.request.affinity_key, names) or ""
 
 
 def find_home_credit_s(
@@ -253,7 +248,8 @@
     facts = opened.request.generation
     shared = facts.shared_tokens if facts else 0
     saved_s = shared / state.speeds.find(opened.service, find_model(opened))
-    return max(defaults.HOME_CREDIT_S, defaults.HOME_SAVED_SHARE * saved_s)
+    credit_s = defaults.HOME_SAVED_SHARE * saved_s
+    return max(defaults.HOME_CREDIT_S, credit_s)
 
 
 def ask_size(
