Take whole events for a stream's progress, and don't cut slow but sound ones

Two failures that befell similar systems can happen here. A stream that sends a byte now and then, and never a whole event, was taken to be alive until the route's time-out, since any bytes counted. And one with an event each 1.3 s, within its route's bound of 1.5 s, was moved after 1.2 s and read anew elsewhere, up to three times.

Change: of a stream only whole events are a sign of life; a pause is a stall from 1.1 times the route's bound on, and not before three of the stream's own usual pauses.

Tests, red before: three scenarios in router_streams.feature.

--- a/features/router_streams.feature
+++ b/features/router_streams.feature
@@ -73,3 +73,21 @@
 
   Scenario: Any cut of the bytes gives the same events
     Then cutting a stream anywhere gives the same events
+
+  Scenario: A slow but sound stream stays where it is
+    When a caller asks "chat"
+    And the upstream is confident and sends events 1 to 3
+    And it sends an event each 1.3 s until it has sent 9
+    Then the request has been sent 1 times
+    And the caller has events 1 to 9, and the stream is open
+
+  Scenario Outline: A stream that sends a byte now and then, but no event, is moved
+    When a caller asks "chat"
+    And the upstream is confident and sends events 1 to <events>
+    And it sends a byte each 0.3 s for <time> s
+    Then the request has been sent 2 times
+
+    Examples:
+      | events | time |
+      | 0      | 2.0  |
+      | 3      | 2.0  |
--- a/features/steps/router_steps.py
+++ b/features/steps/router_steps.py
@@ -437,3 +437,24 @@
     for state in attempt_states.AttemptState:
         proof = state in attempt_states.PROOFS_OF_NOT_RUN
         assert proof == (state.value in {"not_sent", "refused"})
+
+
+@when("it sends an event each {pause:g} s until it has sent {last:d}")
+def send_slowly(context, pause, last):
+    world = context.world
+    for number in range(world.written(context.request)[-1] + 1, last + 1):
+        for _ in range(round(pause / 0.1)):
+            world.configure(world.state.in_force)
+            world.run(0.1)
+        if len(world.sent(context.request)) == 1:
+            world.stream(context.request, number, number)
+
+
+@when("it sends a byte each {pause:g} s for {duration:g} s")
+def send_bytes(context, pause, duration):
+    world = context.world
+    for _ in range(round(duration / pause)):
+        if len(world.sent(context.request)) == 1:
+            world.data(context.request, b"x")
+        world.configure(world.state.in_force)
+        world.run(pause)
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
@@ -43,8 +43,7 @@
     if found is None:
         return []
     opened, attempt = found
-    attempt.heard_at = now
-    state.view.note_heard(attempt.upstream, now=now)
+    note_heard(state, attempt, now=now)
     if head.load is not None:
         state.view.note_load(attempt.upstream, head.load, now=now)
     out = take_notices(state, attempt, head, now=now)
@@ -181,22 +180,34 @@
 def take_data(
     state: states.RouterState, data: events.UpstreamData, *, now: float
 ) -> list[effects.Effect]:
-    """Takes bytes of an upstream's answer."""
+    """Takes bytes of an upstream's answer.
+
+    Of a stream only whole events are a sign of life: one that sends a byte
+    now and then has stalled.
+    """
     found = find_open(state, data.request_id, data.attempt)
     if found is None:
         return []
     opened, attempt = found
-    attempt.heard_at = now
-    state.view.note_heard(attempt.upstream, now=now)
     if not opened.is_stream or attempt.status != http.HTTPStatus.OK:
+        note_heard(state, attempt, now=now)
         attempt.body += data.data
         return []
     out: list[effects.Effect] = []
     for event in attempt.cutter.feed(data.data):
+        note_heard(state, attempt, now=now)
         out += pass_on(state, opened, attempt, event, now=now)
     return out
 
 
+def note_heard(
+    state: states.RouterState, attempt: attempt_states.Attempt, *, now: float
+) -> None:
+    """Notes that an attempt makes progress."""
+    attempt.heard_at = now
+    state.view.note_heard(attempt.upstream, now=now)
+
+
 def pass_on(
     state: states.RouterState,
     opened: states.OpenRequest,
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_states.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_states.py
@@ -47,7 +47,8 @@
         headers: To pass on to the caller.
         body: Collected so far, where the answer is not passed on by event.
         cutter: Cuts a stream's bytes into events.
-        heard_at: When bytes came last; `sent_at` before the first.
+        heard_at: When it last made progress: a head, an event of a stream, or
+            bytes of another answer; `sent_at` before.
         first_event_at: When a stream's first event came; None before.
         events: Events that came.
         judged: Whether it has been taken as evidence on its version.
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -20,8 +20,11 @@
 # objective, or this many times the usual wait if that is longer.
 FIRST_EVENT_PATIENCE_SHARE = 0.6
 FIRST_EVENT_PATIENCE_MEANS = 4.0
-# A stream that is silent for this share of its longest pause is moved.
-STALL_PATIENCE_SHARE = 0.8
+# A stream that is silent for this share of its longest pause is moved: a pause
+# within the route's bound is sound.
+STALL_PATIENCE_SHARE = 1.1
+# A slow but steady stream hasn't stalled before so many of its own pauses.
+STALL_PACES = 3.0
 # An upstream that any entry heard from within this time is at work; an attempt
 # there may be silent so many times longer.
 ALIVE_S = 1.0
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/watch.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/watch.py
@@ -95,7 +95,10 @@
     if not opened.is_stream:
         usual_s = defaults.PLAIN_PATIENCE_MEANS * times.whole_s
         return max(defaults.PLAIN_PATIENCE_FLOOR_S, usual_s)
-    patience_s = defaults.STALL_PATIENCE_SHARE * route.pause_s
+    patience_s = max(
+        defaults.STALL_PATIENCE_SHARE * route.pause_s,
+        defaults.STALL_PACES * find_pace_s(attempt),
+    )
     if attempt.first_event_at is None:
         patience_s = max(
             defaults.FIRST_EVENT_PATIENCE_SHARE * route.objective_s,
@@ -109,3 +112,10 @@
         # elsewhere it would begin anew.
         patience_s *= defaults.ALIVE_PATIENCE_TIMES
     return patience_s
+
+
+def find_pace_s(attempt: attempt_states.Attempt) -> float:
+    """Returns the mean time between a stream's events so far, in seconds."""
+    if attempt.first_event_at is None or attempt.events <= 1:
+        return 0.0
+    return (attempt.heard_at - attempt.first_event_at) / (attempt.events - 1)
