Send fewer and shorter heartbeats to other data centres

Change: every 1.5 s in place of 1 s unless a roll-out is open, and of the work under way only what takes 200 ms or more at an upstream.

Test: router_engine_load.feature.

--- a/features/steps/engine_load_steps.py
+++ b/features/steps/engine_load_steps.py
@@ -11,8 +11,10 @@
 from rhubarbbank_router import attempt_states
 from rhubarbbank_router import defaults
 from rhubarbbank_router import engine_work
+from rhubarbbank_router import events
 from rhubarbbank_router import marks
 from rhubarbbank_router import messages
+from rhubarbbank_router import version_trial
 
 NEAR = "entry-7"
 FAR = "entry-8"
@@ -73,15 +75,62 @@
     assert not context.world.state.others.loads
 
 
-@when('a caller asks "chat" with a prompt of {tokens:d} tokens')
-def ask_long(context, tokens):
+@when('a caller asks "{route}" with a prompt of {tokens:d} tokens')
+def ask_long(context, route, tokens):
     world = context.world
     world.done = [x for x in world.done if x not in world.messages()]
     context.request = world.ask(
-        "chat", generation=router_world.build_generation("long", tokens)
+        route, generation=router_world.build_generation(route, tokens)
     )
 
 
+def list_heartbeats(world, name):
+    return [
+        x.message
+        for x in world.messages()
+        if x.address == ADDRESSES[name]
+        and isinstance(x.message, messages.EntryNews)
+    ]
+
+
+@then(
+    "the peer nearby has had at least {least:d} heartbeats, the peer far away "
+    "at most {most:d}"
+)
+def check_heartbeats(context, least, most):
+    world = context.world
+    assert len(list_heartbeats(world, NEAR)) >= least
+    assert 1 <= len(list_heartbeats(world, FAR)) <= most
+
+
+@then("only the peer nearby was told of the short prompt")
+def check_short(context):
+    world = context.world
+    near = [len(x.loads) for x in list_heartbeats(world, NEAR)]
+    far = [len(x.loads) for x in list_heartbeats(world, FAR)]
+    assert max(near) > max(far), (near, far)
+
+
+@then("in a roll-out the peer far away has at least {least:d} in {wait:g} s")
+def check_trial_heartbeats(context, least, wait):
+    world = context.world
+    order = version_trial.RolloutOrder(
+        service="pool",
+        target="v2",
+        duration_s=60.0,
+        state=version_trial.OrderState.RUNNING,
+        revision=9,
+        created_revision=9,
+    )
+    world.apply(events.RolloutChanged(order))
+    world.run(2.0)
+    for name in PLACES:
+        hear(world, name)
+    before = len(list_heartbeats(world, FAR))
+    world.run(wait)
+    assert len(list_heartbeats(world, FAR)) - before >= least
+
+
 def list_told(world, name):
     """Addresses that were told of work there."""
     upstream = marks.mark(world.sent(world_request(world))[-1].upstream_id)
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -127,8 +127,12 @@
 
 # Heartbeats between entries.
 NEWS_PERIOD_S = 0.5
-# To other data centres, whose bytes cost.
-FAR_NEWS_PERIOD_S = 1.0
+# To other data centres, whose bytes cost: usually, and while a roll-out needs
+# the evidence of all entries.
+FAR_NEWS_PERIOD_S = 1.5
+FAR_TRIAL_NEWS_PERIOD_S = 1.0
+# Less work at an upstream isn't told to other data centres.
+FAR_TELLING_WORK_MS = 200
 # Work from which on entries nearby are told of an attempt at once, and how
 # long news of more of it is gathered.
 TELLING_WORK_S = 0.08
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
@@ -6,6 +6,8 @@
 
 import random
 
+import msgspec
+
 from rhubarbbank_core import effects as core_effects
 from rhubarbbank_core import errors
 from rhubarbbank_core import events as core_events
@@ -425,15 +427,38 @@
             data_centre=settings.data_centre,
             reads=state.relay.reading,
         )
-        addresses = state.entries.list_near(settings.data_centre)
+        near = state.entries.list_near(settings.data_centre)
+        out += [core_effects.Send(address, news) for address in near]
         if now >= state.far_news_at:
-            state.far_news_at = now + defaults.FAR_NEWS_PERIOD_S
-            addresses = state.entries.list_addresses()
-        out += [core_effects.Send(address, news) for address in addresses]
+            out += self.send_far_news(now, news, near=frozenset(near))
         out.append(fx.Gauge("open_requests", len(state.open)))
         out.append(fx.Gauge("upstreams", len(state.view.beliefs)))
         return out
 
+    def send_far_news(
+        self,
+        now: float,
+        news: messages.EntryNews,
+        *,
+        near: frozenset[str],
+    ) -> list[effects.Effect]:
+        """Sends the heartbeat to other data centres, without small work."""
+        state = self.state
+        trying = any(not each.is_over for each in state.trials.values())
+        state.far_news_at = now + (
+            defaults.FAR_TRIAL_NEWS_PERIOD_S
+            if trying
+            else defaults.FAR_NEWS_PERIOD_S
+        )
+        least_ms = defaults.FAR_TELLING_WORK_MS
+        loads = tuple(each for each in news.loads if each.work_ms >= least_ms)
+        shorter = msgspec.structs.replace(news, loads=loads)
+        return [
+            core_effects.Send(address, shorter)
+            for address in state.entries.list_addresses()
+            if address not in near
+        ]
+
     def send_pressing_news(self, now: float) -> list[effects.Effect]:
         """Sends a heartbeat to all entries at once."""
         self.state.far_news_at = now
