Part heartbeats and the list of upstreams from the router's reducer

Now heartbeats sends and takes all messages between entries, and upstream_list takes the list's events, from the store's watch and from a reader alike. Moved as it was; no behaviour changes.

--- a/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
@@ -6,9 +6,6 @@
 
 import random
 
-import msgspec
-
-from rhubarbbank_core import effects as core_effects
 from rhubarbbank_core import errors
 from rhubarbbank_core import events as core_events
 from rhubarbbank_core import placement
@@ -18,11 +15,10 @@
 from rhubarbbank_router import crash_suspects
 from rhubarbbank_router import defaults
 from rhubarbbank_router import effects
-from rhubarbbank_router import engine_load
 from rhubarbbank_router import events
 from rhubarbbank_router import freshness_proof
+from rhubarbbank_router import heartbeats
 from rhubarbbank_router import intake
-from rhubarbbank_router import messages
 from rhubarbbank_router import options
 from rhubarbbank_router import peers
 from rhubarbbank_router import rollouts
@@ -32,6 +28,7 @@
 from rhubarbbank_router import store_reading
 from rhubarbbank_router import store_relay
 from rhubarbbank_router import trial_judge
+from rhubarbbank_router import upstream_list
 from rhubarbbank_router import version_trial
 from rhubarbbank_router import watch
 from rhubarbbank_router import window_budget
@@ -106,7 +103,7 @@
             case core_events.Ticked():
                 return self.tick(now)
             case core_events.MessageReceived(message):
-                return self.take_news(now, message)
+                return heartbeats.take_news(state, message, now=now)
             case core_events.StopRequested():
                 return self.stop(now)
             case _:
@@ -172,7 +169,7 @@
                 return self.take_recorded(service, done)
             case _:
                 self.learn_entries(event)
-                return self.learn_upstreams(now, event)
+                return upstream_list.take_event(self.state, event, now=now)
 
     def learn_entries(self, event: events.AnyEvent) -> None:
         """Takes what the platform's store says of other entries."""
@@ -185,63 +182,6 @@
             case events.EntryUnlisted(name):
                 entries.remove_registered(name)
 
-    def learn_upstreams(
-        self, now: float, event: events.AnyEvent
-    ) -> list[effects.Effect]:
-        """Takes what the platform's store says of upstreams."""
-        state = self.state
-        contact = state.contact(events.Subject.UPSTREAMS)
-        doubtful = contact.was_regained_within(defaults.LAPSE_REPORT_S, now=now)
-        match event:
-            case events.UpstreamsListed(listed, position=position, at=at):
-                state.listed.add(events.Subject.UPSTREAMS)
-                state.relay.note_list(position, at=at)
-                gone = state.view.replace_list(listed, doubtful=doubtful)
-                rollouts.settle_all(state)
-                return [
-                    fx.LogDecision(
-                        decision="upstreams_listed",
-                        reason="whole list",
-                        inputs=(
-                            ("listed", len(listed)),
-                            ("gone", ",".join(gone)),
-                            ("doubtful", doubtful),
-                        ),
-                    )
-                ]
-            case events.UpstreamChanged(listed):
-                state.view.put(listed)
-                state.relay.note_change(listed)
-                rollouts.settle_all(state)
-                return [
-                    fx.LogDecision(
-                        decision="upstream_listed",
-                        upstream=listed.upstream_id,
-                        version=listed.version,
-                        reason="leaving" if listed.leaving else "ready",
-                        inputs=(("service", listed.service),),
-                    )
-                ]
-            case events.UpstreamUnlisted(upstream_id):
-                state.relay.note_change(upstream_id)
-                known = upstream_id in state.view.beliefs
-                state.view.remove(upstream_id, doubtful=doubtful)
-                if not known:
-                    return []
-                return [
-                    fx.LogDecision(
-                        decision="upstream_unlisted",
-                        upstream=upstream_id,
-                        reason="in doubt" if doubtful else "gone",
-                    )
-                ]
-            case events.UpstreamsConfirmed(position=position, at=at):
-                if state.relay.note_watched(position, at=at):
-                    return store_reading.tell_all(state, now=now)
-                return []
-            case _:
-                return []
-
     def take_configuration(
         self,
         now: float,
@@ -325,60 +265,6 @@
             )
         ]
 
-    def take_news(
-        self, now: float, message: core_effects.Message
-    ) -> list[effects.Effect]:
-        """Takes a message of another entry."""
-        state = self.state
-        match message:
-            case messages.EntryNews():
-                return self.take_heartbeat(now, message)
-            case messages.EntryLoads(name=name, loads=loads):
-                state.others.take(name, loads, now=now)
-                return []
-            case messages.StoreAsk():
-                return store_reading.take_ask(state, message, now=now)
-            case messages.StoreTold():
-                return self.take_told(now, message)
-            case _:
-                return []
-
-    def take_told(
-        self, now: float, told: messages.StoreTold
-    ) -> list[effects.Effect]:
-        """Takes what a reader of the store tells."""
-        state = self.state
-        if not state.relay.reading:
-            store_reading.note_contact(state, told, now=now)
-        is_current = store_reading.take_proof(state, told)
-        out: list[effects.Effect] = []
-        for event in store_reading.list_changes(state, told):
-            out += self.learn_upstreams(now, event)
-        if is_current:
-            store_reading.note_informed(state, told, now=now)
-        return out
-
-    def take_heartbeat(
-        self, now: float, message: messages.EntryNews
-    ) -> list[effects.Effect]:
-        """Takes what another entry tells of itself."""
-        state = self.state
-        is_new = state.entries.take(message, now=now)
-        state.suspects.take(message.name, message.suspects)
-        state.others.take(message.name, message.loads, now=now)
-        rollouts.take_news(state, message, now=now)
-        for upstream_id, started_ms in message.leaving:
-            state.view.notices.note_leaving(upstream_id, started_ms)
-        if not is_new:
-            return []
-        return [
-            fx.LogDecision(
-                decision="entry_heard",
-                reason=message.name,
-                inputs=(("incarnation", message.incarnation),),
-            )
-        ]
-
     def tick(self, now: float) -> list[effects.Effect]:
         """Does what is due at this time."""
         state = self.state
@@ -397,96 +283,13 @@
                 )
             )
         if now >= state.news_at:
-            out += self.send_news(now)
+            out += heartbeats.send_news(state, now=now)
         elif state.loads_at is not None and now >= state.loads_at:
-            out += self.send_loads(now)
+            out += heartbeats.send_loads(state, now=now)
         if state.stopping:
             out += self.exit_if_idle(now)
         return out
 
-    def send_news(self, now: float) -> list[effects.Effect]:
-        """Sends this entry's heartbeat, and counts the others."""
-        state = self.state
-        state.news_at = now + defaults.NEWS_PERIOD_S
-        state.loads_at = None
-        out = self.forget(now)
-        live = state.entries.list_live(now=now)
-        known = max(len(live), len(state.entries.registered))
-        if known:
-            state.budget.note_entries(known + 1, now=now)
-        settings = state.settings
-        news = messages.EntryNews(
-            name=settings.name,
-            incarnation=state.incarnation,
-            address=settings.peer_address,
-            stopping=state.stopping,
-            trials=rollouts.build_news(state, now=now),
-            suspects=state.suspects.list_own(now=now),
-            leaving=state.view.notices.list_leaving(),
-            loads=engine_load.list_loads(state.view, now=now),
-            data_centre=settings.data_centre,
-            reads=state.relay.reading,
-        )
-        near = state.entries.list_near(settings.data_centre)
-        out += [core_effects.Send(address, news) for address in near]
-        if now >= state.far_news_at:
-            out += self.send_far_news(now, news, near=frozenset(near))
-        out.append(fx.Gauge("open_requests", len(state.open)))
-        out.append(fx.Gauge("upstreams", len(state.view.beliefs)))
-        return out
-
-    def send_far_news(
-        self,
-        now: float,
-        news: messages.EntryNews,
-        *,
-        near: frozenset[str],
-    ) -> list[effects.Effect]:
-        """Sends the heartbeat to other data centres, without small work."""
-        state = self.state
-        trying = any(not each.is_over for each in state.trials.values())
-        state.far_news_at = now + (
-            defaults.FAR_TRIAL_NEWS_PERIOD_S
-            if trying
-            else defaults.FAR_NEWS_PERIOD_S
-        )
-        least_ms = defaults.FAR_TELLING_WORK_MS
-        loads = tuple(each for each in news.loads if each.work_ms >= least_ms)
-        shorter = msgspec.structs.replace(news, loads=loads)
-        return [
-            core_effects.Send(address, shorter)
-            for address in state.entries.list_addresses()
-            if address not in near
-        ]
-
-    def send_pressing_news(self, now: float) -> list[effects.Effect]:
-        """Sends a heartbeat to all entries at once."""
-        self.state.far_news_at = now
-        return self.send_news(now)
-
-    def forget(self, now: float) -> list[effects.Effect]:
-        """Forgets what is over: sessions, and entries that are silent."""
-        state = self.state
-        alive_s = state.settings.bounds.session_s + defaults.SESSION_MARGIN_S
-        state.sessions.forget(now=now, alive_s=alive_s)
-        state.others.drop_silent(now=now)
-        out: list[effects.Effect] = []
-        for name in state.entries.forget_silent(now=now):
-            out.append(fx.LogDecision(decision="entry_silent", reason=name))
-            out.append(effects.UnlistEntry(name))
-        return out
-
-    def send_loads(self, now: float) -> list[effects.Effect]:
-        """Tells the entries nearby of new work, before the next heartbeat."""
-        state = self.state
-        state.loads_at = None
-        loads = messages.EntryLoads(
-            name=state.settings.name,
-            loads=engine_load.list_loads(state.view, now=now),
-        )
-        near = state.entries.list_near(state.settings.data_centre)
-        return [core_effects.Send(address, loads) for address in near]
-
     def stop(self, now: float) -> list[effects.Effect]:
         """Begins a graceful stop."""
         state = self.state
@@ -500,7 +303,7 @@
                 inputs=(("open", len(state.open)),),
             ),
             effects.PauseIntake(),
-            *self.send_pressing_news(now),
+            *heartbeats.send_pressing_news(state, now=now),
         ]
 
     def exit_if_idle(self, now: float) -> list[effects.Effect]:
--- /dev/null
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/upstream_list.py
@@ -0,0 +1,71 @@
+"""Takes what the platform's list of upstreams says, from store or reader.
+
+The store's watch and another entry that reads it yield the same events, so
+that both ways end here: the view changes, and what was told goes to the
+entries that ask this one.
+"""
+
+from rhubarbbank_core import program_effects as fx
+from rhubarbbank_router import defaults
+from rhubarbbank_router import effects
+from rhubarbbank_router import events
+from rhubarbbank_router import rollouts
+from rhubarbbank_router import state as states
+from rhubarbbank_router import store_reading
+
+
+def take_event(
+    state: states.RouterState, event: events.AnyEvent, *, now: float
+) -> list[effects.Effect]:
+    """Takes what the platform's store says of upstreams."""
+    contact = state.contact(events.Subject.UPSTREAMS)
+    doubtful = contact.was_regained_within(defaults.LAPSE_REPORT_S, now=now)
+    match event:
+        case events.UpstreamsListed(listed, position=position, at=at):
+            state.listed.add(events.Subject.UPSTREAMS)
+            state.relay.note_list(position, at=at)
+            gone = state.view.replace_list(listed, doubtful=doubtful)
+            rollouts.settle_all(state)
+            return [
+                fx.LogDecision(
+                    decision="upstreams_listed",
+                    reason="whole list",
+                    inputs=(
+                        ("listed", len(listed)),
+                        ("gone", ",".join(gone)),
+                        ("doubtful", doubtful),
+                    ),
+                )
+            ]
+        case events.UpstreamChanged(listed):
+            state.view.put(listed)
+            state.relay.note_change(listed)
+            rollouts.settle_all(state)
+            return [
+                fx.LogDecision(
+                    decision="upstream_listed",
+                    upstream=listed.upstream_id,
+                    version=listed.version,
+                    reason="leaving" if listed.leaving else "ready",
+                    inputs=(("service", listed.service),),
+                )
+            ]
+        case events.UpstreamUnlisted(upstream_id):
+            state.relay.note_change(upstream_id)
+            known = upstream_id in state.view.beliefs
+            state.view.remove(upstream_id, doubtful=doubtful)
+            if not known:
+                return []
+            return [
+                fx.LogDecision(
+                    decision="upstream_unlisted",
+                    upstream=upstream_id,
+                    reason="in doubt" if doubtful else "gone",
+                )
+            ]
+        case events.UpstreamsConfirmed(position=position, at=at):
+            if state.relay.note_watched(position, at=at):
+                return store_reading.tell_all(state, now=now)
+            return []
+        case _:
+            return []
