Bound what heartbeats say of leaving upstreams; let one failing message cost no other

Now those that are still listed are named, and each has its line with the peer's name.

Tests, red before: two scenarios in router_notices.feature, one in platform_failures.feature.

--- a/features/platform_failures.feature
+++ b/features/platform_failures.feature
@@ -29,3 +29,7 @@
   Scenario: The object API answers with a status that nobody foresaw
     Given a store that answers every call with status 599
     Then a read of an object ends with "unavailable"
+
+  Scenario: A message of another process that a part fails on
+    When three messages come in one frame and the first fails
+    Then the other two are taken, and the failure is in the log
--- a/features/router_notices.feature
+++ b/features/router_notices.feature
@@ -58,3 +58,20 @@
     When upstream "up-0" refuses a request and wants nothing for 5 s
     And a request's other upstream breaks off
     Then its caller has its answer at once
+
+  Scenario: Heartbeats name an upstream only while it is listed
+    Given a peer of the router
+    When upstream "up-0" answers 200 and says that it shuts down
+    And 1 s pass
+    Then the heartbeat to the peer names "up-0" as shutting down
+    When "up-0" leaves the list
+    And 1 s pass
+    Then the heartbeat to the peer names "" as shutting down
+    When "up-0" is listed again as it was
+    Then none of 20 new requests goes to "up-0"
+
+  Scenario: What a peer says of an upstream has its line
+    Given a peer of the router
+    When the peer names "up-1" as shutting down
+    And the peer names "up-1" as shutting down
+    Then 1 line says that "up-1" is leaving, by the peer's word
--- a/features/steps/platform_failure_steps.py
+++ b/features/steps/platform_failure_steps.py
@@ -16,6 +16,7 @@
 from rhubarbbank_platform import runners
 from rhubarbbank_platform import store_api
 from rhubarbbank_router import events
+from rhubarbbank_runtime import peer_link
 from rhubarbbank_runtime import shell
 from rhubarbbank_runtime import store_http
 
@@ -156,3 +157,31 @@
 def check_object(context, outcome):
     found = uvloop.run(ask_odd_server(context.status, read_object))
     assert found == outcome, found
+
+
+@when("three messages come in one frame and the first fails")
+def fail_message(context):
+    context.taken = []
+
+    def deliver(message):
+        if message == 1:
+            raise KeyError(message)
+        context.taken.append(message)
+
+    loop = asyncio.new_event_loop()
+    link = peer_link.PeerLink(
+        address="127.0.0.1:1",
+        loop=loop,
+        deliver=deliver,
+        decode=list,
+    )
+    with remember_log(peer_link.LOG.name) as context.logged:
+        link.take_frame(bytes((1, 2, 3)))
+    link.stack.close()
+    loop.close()
+
+
+@then("the other two are taken, and the failure is in the log")
+def check_taken(context):
+    assert context.taken == [2, 3], context.taken
+    assert len(context.logged) == 1, context.logged
--- a/features/steps/router_notice_steps.py
+++ b/features/steps/router_notice_steps.py
@@ -7,6 +7,7 @@
 from behave import when
 
 from rhubarbbank_core import events as core_events
+from rhubarbbank_core import program_effects as fx
 from rhubarbbank_router import effects
 from rhubarbbank_router import events
 from rhubarbbank_router import messages
@@ -118,7 +119,35 @@
 def check_heartbeat(context, upstream):
     sent = context.world.messages()[-1]
     names = [name for name, _ in sent.message.leaving]
-    assert names == [upstream], sent
+    assert names == ([upstream] if upstream else []), sent
+
+
+@then('the heartbeat to the peer names "" as shutting down')
+def check_heartbeat_empty(context):
+    check_heartbeat(context, "")
+
+
+@when('"{upstream}" leaves the list')
+def leave_list(context, upstream):
+    context.listed = context.world.state.view.beliefs[upstream].listed
+    context.world.apply(events.UpstreamUnlisted(upstream))
+
+
+@when('"{upstream}" is listed again as it was')
+def list_as_before(context, upstream):
+    assert context.listed.upstream_id == upstream
+    context.world.apply(events.UpstreamChanged(context.listed))
+
+
+@then('1 line says that "{upstream}" is leaving, by the peer\'s word')
+def check_line(context, upstream):
+    (line,) = [
+        x
+        for x in context.world.done
+        if isinstance(x, fx.LogDecision) and x.decision == "upstream_leaving"
+    ]
+    assert line.upstream == upstream, line
+    assert line.reason == PEER.name, line
 
 
 @when('the peer names "{upstream}" as shutting down')
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
@@ -60,16 +60,32 @@
     state.suspects.take(message.name, message.suspects)
     state.others.take(message.name, message.loads, now=now)
     rollouts.take_news(state, message, now=now)
-    for upstream_id, started_ms in message.leaving:
-        state.view.notices.note_leaving(upstream_id, started_ms)
+    out = take_leaving(state, message)
     if not is_new:
-        return []
+        return out
     return [
+        *out,
         fx.LogDecision(
             decision="entry_heard",
             reason=message.name,
             inputs=(("incarnation", message.incarnation),),
+        ),
+    ]
+
+
+def take_leaving(
+    state: states.RouterState, message: messages.EntryNews
+) -> list[effects.Effect]:
+    """Takes which upstreams have told another entry that they shut down."""
+    return [
+        fx.LogDecision(
+            decision="upstream_leaving",
+            upstream=upstream_id,
+            reason=message.name,
+            inputs=(("started_ms", started_ms),),
         )
+        for upstream_id, started_ms in message.leaving
+        if state.view.notices.note_leaving(upstream_id, started_ms)
     ]
 
 
@@ -90,7 +106,7 @@
         stopping=state.stopping,
         trials=rollouts.build_news(state, now=now),
         suspects=state.suspects.list_own(now=now),
-        leaving=state.view.notices.list_leaving(),
+        leaving=state.view.list_told_leaving(),
         loads=engine_load.list_loads(state.view, now=now),
         data_centre=settings.data_centre,
         reads=state.relay.reading,
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
@@ -341,6 +341,14 @@
             return False
         return self.notices.note_leaving(upstream_id, belief.listed.started_ms)
 
+    def list_told_leaving(self) -> tuple[tuple[str, int], ...]:
+        """Returns id and start of listed upstreams that said they shut down."""
+        return tuple(
+            (upstream_id, started_ms)
+            for upstream_id, started_ms in self.notices.list_leaving()
+            if upstream_id in self.beliefs
+        )
+
     def note_misdirected(self, upstream_id: str) -> None:
         """Notes that another process answered at an upstream's address."""
         belief = self.beliefs.get(upstream_id)
--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/peer_link.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/peer_link.py
@@ -134,4 +134,8 @@
             LOG.warning("foreign frame dropped: %s", error)
             return
         for message in messages:
-            self.deliver(message)
+            try:
+                self.deliver(message)
+            except Exception:
+                # One message must not cost the others their turn.
+                LOG.exception("message failed: %r", message)
