Let an entry that begins to read go on until a reader has proved itself anew

Reads begun in between may never be sent, so that knowledge could have grown older than the bounds allow; and each turn costs a call or a heartbeat.

Change: beginning to read starts the reader's proving time anew.

Test, red before: router_store_relay.feature counts turns of the role in its histories.

--- a/features/support/relay_fleet.py
+++ b/features/support/relay_fleet.py
@@ -22,6 +22,8 @@
 REVOKE_S = 5.0
 # A machine is in touch if it has had nothing to suffer for so long.
 STABLE_S = 5.0
+# Changes of the role in any second.
+MOST_TURNS = 2
 BOUNDS = {
     "config_apply_ms": APPLY_S * 1000,
     "drain_ms": DRAIN_S * 1000,
@@ -42,6 +44,7 @@
         watch_at: When it asked for changes; None while it doesn't.
         position: The revision that it watches from.
         leaving: Upstreams that it has known as leaving.
+        turns: When it began or ended to read.
     """
 
     world: router_world.World
@@ -52,6 +55,7 @@
     watch_at: float | None = None
     position: int = 0
     leaving: set[str] = dataclasses.field(default_factory=set)
+    turns: list[float] = dataclasses.field(default_factory=list)
 
 
 class RelayFleet:
@@ -216,10 +220,21 @@
                 self.read(node)
             if router.reads(events.Subject.UPSTREAMS):
                 self.watch(node)
-        begun = len(world.done)
         world.apply(core_events.Ticked())
+        self.note_turns(node)
         self.send(world)
-        del begun
+
+    def note_turns(self, node):
+        """Notes changes of the role; one that flutters is a fault."""
+        for effect in node.world.done:
+            name = getattr(effect, "decision", "")
+            if name.startswith("store_reading"):
+                node.turns.append(self.now)
+        if len(node.turns) > MOST_TURNS:
+            first, last = node.turns[-1 - MOST_TURNS], node.turns[-1]
+            if last - first < 1.0:
+                name = node.world.state.settings.name
+                self.fault(name, f"turned {MOST_TURNS + 1} times in a second")
 
     def send(self, world):
         for effect in world.done:
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/store_reading.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/store_reading.py
@@ -83,6 +83,9 @@
     if wanted == relay.reading:
         return []
     relay.reading = wanted
+    if wanted:
+        # The reader has to prove itself anew before this entry stops again.
+        relay.told_since = None
     # The others learn it soon.
     state.news_at = min(state.news_at, now + defaults.PRESSING_NEWS_S)
     proof_age_s = state.proof.age(now=now)
