Tell few entries in other data centres of all work, each second

Change: with 8 or fewer entries in other data centres (8 frames of 300 bytes a second, half of a node's control of 5 KB/s) heartbeats go each second, with all work. The scenario of shorter heartbeats now has 13 entries far away in place of one, with the same bounds; a new one has few.

Sites with 9 or more entries elsewhere are as before.

--- a/features/router_engine_load.feature
+++ b/features/router_engine_load.feature
@@ -27,7 +27,8 @@
     And 0.06 s pass
     Then no peer has been told of it yet
 
-  Scenario: Other data centres hear less often, and of much work alone
+  Scenario: Many entries in other data centres hear less often, and of much work alone
+    Given 12 more peers in the other data centre
     When a caller asks "chat" with a prompt of 12000 tokens
     And a caller asks "note" with a prompt of 300 tokens
     And 6 s pass
@@ -35,6 +36,12 @@
     And only the peer nearby was told of the short prompt
     But in a roll-out the peer far away has at least 5 in 6 s
 
+  Scenario: Few entries in other data centres hear each second, and of all work
+    When a caller asks "note" with a prompt of 300 tokens
+    And 6 s pass
+    Then the peer nearby has had at least 10 heartbeats, the peer far away at most 7
+    And the peer far away has had at least 5 heartbeats, and was told of the short prompt
+
   Scenario Outline: A place in a queue that moves is kept
     When a caller asks "chat" with a prompt of 6000 tokens
     And <heard> from its upstream while it is silent for <silent> s
--- a/features/steps/engine_load_steps.py
+++ b/features/steps/engine_load_steps.py
@@ -51,6 +51,19 @@
         hear(context.world, name)
 
 
+@given("{count:d} more peers in the other data centre")
+def add_far_peers(context, count):
+    for number in range(count):
+        news = messages.EntryNews(
+            name=f"entry-far-{number}",
+            incarnation=1,
+            address=f"127.0.0.1:{30 + number}",
+            stopping=False,
+            data_centre=PLACES[FAR],
+        )
+        context.world.apply(core_events.MessageReceived(news))
+
+
 @when('the peer {where} tells of {work:g} s of work at "{upstream}"')
 def tell_work(context, where, work, upstream):
     hear(context.world, PEERS[where], [build_load(upstream, work)])
@@ -111,6 +124,16 @@
     assert max(near) > max(far), (near, far)
 
 
+@then(
+    "the peer far away has had at least {least:d} heartbeats, and was told of "
+    "the short prompt"
+)
+def check_far(context, least):
+    heartbeats = list_heartbeats(context.world, FAR)
+    assert len(heartbeats) >= least, len(heartbeats)
+    assert any(x.loads for x in heartbeats), heartbeats
+
+
 @then("in a roll-out the peer far away has at least {least:d} in {wait:g} s")
 def check_trial_heartbeats(context, least, wait):
     world = context.world
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -127,11 +127,13 @@
 
 # Heartbeats between entries.
 NEWS_PERIOD_S = 0.5
-# To other data centres, whose bytes cost: usually, and while a roll-out needs
-# the evidence of all entries.
-FAR_NEWS_PERIOD_S = 1.5
-FAR_TRIAL_NEWS_PERIOD_S = 1.0
-# Less work at an upstream isn't told to other data centres.
+# To other data centres, whose bytes cost: to few entries or while a roll-out
+# needs the evidence of all, and else.
+FAR_NEWS_PERIOD_S = 1.0
+MANY_FAR_NEWS_PERIOD_S = 1.5
+# Frames of 300 bytes to so many a second are half of a node's control.
+FEW_FAR_ENTRIES = 8
+# Where there are more, less work at an upstream isn't told them.
 FAR_TELLING_WORK_MS = 200
 # Work from which on entries nearby are told of an attempt at once, and how
 # long news of more of it is gathered.
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
@@ -1,7 +1,8 @@
 """Sends this entry's heartbeats, and takes what other entries send.
 
 Within a data centre heartbeats go twice a second, and long work is told in
-between; other data centres hear less often. All that entries learn from one
+between; other data centres hear less often, the more so the more entries
+there are. All that entries learn from one
 another comes in here and is handed to the part that it concerns.
 """
 
@@ -127,21 +128,22 @@
     now: float,
     near: frozenset[str],
 ) -> list[effects.Effect]:
-    """Sends the heartbeat to other data centres, without small work."""
+    """Sends the heartbeat to other data centres.
+
+    To many entries it goes less often, and without small work.
+    """
+    addresses = [x for x in state.entries.list_addresses() if x not in near]
     trying = any(not each.is_over for each in state.trials.values())
+    few = len(addresses) <= defaults.FEW_FAR_ENTRIES
     state.far_news_at = now + (
-        defaults.FAR_TRIAL_NEWS_PERIOD_S
-        if trying
-        else defaults.FAR_NEWS_PERIOD_S
+        defaults.FAR_NEWS_PERIOD_S
+        if few or trying
+        else defaults.MANY_FAR_NEWS_PERIOD_S
     )
-    least_ms = defaults.FAR_TELLING_WORK_MS
+    least_ms = 0 if few else defaults.FAR_TELLING_WORK_MS
     loads = tuple(each for each in news.loads if each.work_ms >= least_ms)
     shorter = msgspec.structs.replace(news, loads=loads)
-    return [
-        core_effects.Send(address, shorter)
-        for address in state.entries.list_addresses()
-        if address not in near
-    ]
+    return [core_effects.Send(address, shorter) for address in addresses]
 
 
 def send_pressing_news(
