--- a/features/router_store_relay.feature
+++ b/features/router_store_relay.feature
@@ -20,3 +20,13 @@
     And a peer that reads the store and keeps it informed
     When 5 s pass
     Then it still reads the store itself
+
+  Scenario Outline: Upstreams that register one after the other are told together
+    When an entry <allows> follows the store while 60 upstreams register in 1.5 s
+    Then it knows all of them within 0.5 s of the last
+    And its watches were at least <least> and at most <most>
+
+    Examples:
+      | allows                          | least | most |
+      | whose bounds allow for readers  | 2     | 8    |
+      | whose bounds leave no time      | 20    | 61   |
--- a/features/steps/store_relay_steps.py
+++ b/features/steps/store_relay_steps.py
@@ -1,10 +1,12 @@
 """Steps for entries that read the store for one another."""
 
+import asyncio
 import random
 
 from behave import given
 from behave import then
 from behave import when
+from support import growing_store
 from support import relay_fleet
 
 from rhubarbbank_core import events as core_events
@@ -12,6 +14,7 @@
 
 LOSS = 0.03
 HISTORY_S = 40.0
+KNOWN_WITHIN_S = 0.5
 
 
 @when("{entries:d} entries follow the store for {duration:g} s")
@@ -80,3 +83,27 @@
         if isinstance(x.message, messages.StoreAsk)
     ]
     assert not asks
+
+
+@when(
+    "an entry whose bounds {allow} follows the store while {count:d} upstreams "
+    "register in {period:g} s"
+)
+def register_upstreams(context, allow, count, period):
+    store = growing_store.GrowingStore(
+        count=count, period_s=period, for_others=allow == "allow for readers"
+    )
+    asyncio.run(store.follow(KNOWN_WITHIN_S))
+    context.store = store
+
+
+@then("it knows all of them within {wait:g} s of the last")
+def check_known(context, wait):
+    assert wait == KNOWN_WITHIN_S
+    store = context.store
+    assert len(store.known) == store.count, len(store.known)
+
+
+@then("its watches were at least {least:d} and at most {most:d}")
+def check_watches(context, least, most):
+    assert least <= context.store.watches <= most, context.store.watches
--- /dev/null
+++ b/features/support/growing_store.py
@@ -0,0 +1,93 @@
+"""A store in memory to which upstreams register one after the other."""
+
+import asyncio
+
+import msgspec
+
+from rhubarbbank_platform import store_api
+from rhubarbbank_platform import store_follower
+from rhubarbbank_router import events
+
+
+class GrowingStore:
+    """The store's calls, and what an entry that follows it gets to know.
+
+    Attributes:
+        count: Upstreams that register.
+        period_s: In which they do.
+        for_others: Whether the bounds let entries read for one another.
+        registered: How many have registered.
+        watches: Answers to watches.
+        known: Ids of which the entry has been told.
+    """
+
+    list_position = 0
+
+    def __init__(self, *, count, period_s, for_others):
+        self.count = count
+        self.period_s = period_s
+        self.for_others = for_others
+        self.registered = 0
+        self.watches = 0
+        self.known = set()
+
+    def reads(self, subject):
+        return True
+
+    async def follow(self, longer_s):
+        """Follows while they register, and a little longer."""
+        follower = store_follower.StoreFollower(
+            api=self, apply=self.apply, clock=self.clock, reading=self
+        )
+        kind = store_follower.FOLLOWED_KINDS[0]
+        following = asyncio.ensure_future(follower.follow(kind))
+        for _ in range(self.count):
+            self.registered += 1
+            await asyncio.sleep(self.period_s / self.count)
+        await asyncio.sleep(longer_s)
+        following.cancel()
+
+    def clock(self):
+        return asyncio.get_running_loop().time()
+
+    def apply(self, event):
+        if isinstance(event, events.UpstreamsListed):
+            self.known.update(x.upstream_id for x in event.listed)
+        if isinstance(event, events.UpstreamChanged):
+            self.known.add(event.listed.upstream_id)
+
+    # The calls of `store_api.StoreApi` that the follower makes.
+
+    async def list_page(self, kind, *, after):
+        items = [build_object(x) for x in range(1, self.registered + 1)]
+        body = {"items": items, "store_revision": self.registered}
+        return answer(body)
+
+    async def watch(self, kind, *, revision, wait_s, may_be_old=False):
+        until = self.clock() + wait_s
+        while self.registered <= revision and self.clock() < until:
+            await asyncio.sleep(0.005)
+        self.watches += 1
+        told = [
+            {"object": build_object(x)}
+            for x in range(revision + 1, self.registered + 1)
+        ]
+        return answer({"events": told, "store_revision": self.registered})
+
+
+def answer(body):
+    return store_api.CallResult(
+        outcome=store_api.CallOutcome.OK, body=msgspec.json.encode(body)
+    )
+
+
+def build_object(revision):
+    name = f"up-{revision}"
+    return {
+        "metadata": {"name": name, "revision": revision},
+        "spec": {
+            "service": "pool",
+            "addr": f"127.0.0.1:{9000 + revision}",
+            "state": "ready",
+        },
+    }
