Carry heartbeats between data centres in bundles, not between all entries

Ruled out as the larger part: streams served elsewhere (placement asks 300 ms for that), and the way to readers of the store, who are nearby.

Change: with more than 8 entries elsewhere, the two entries of a data centre whose names come first bundle what their neighbours told last, every 1.5 s, every 0.5 s in a roll-out; the first sends to the first one there, the second to the second; who gets a bundle hands it on nearby. Each heartbeat keeps its age. What can't wait (a stop, sessions of a roll-out) goes to all directly as before, and so does a heartbeat to who hasn't been heard of for 3 s. Small fleets are as they were. No agreement is needed: a lost carrier is replaced by the next name once it is silent, and the other goes on meanwhile.

Found by the tests: a carrier that was suspended handed on what had waited for it as new, so that a lost entry lived on everywhere; it pauses now (with the guard taken out, the scenario is red).

Tests: router_carriers.feature, through the product's reducers: 5 data centres of 14 entries, 30 frames and 19.5 KB a second between them all (2,500 frames before), every entry known by news of 2.0 s at most; lost carriers, one and two, a data centre cut off, lost frames, new entries, restarts. router_sessions.feature over 3 data centres too.

--- /dev/null
+++ b/features/steps/carrier_steps.py
@@ -0,0 +1,177 @@
+"""Steps for heartbeats that go between data centres through carriers."""
+
+import random
+
+from behave import given
+from behave import then
+from behave import when
+import msgspec
+from support import news_fleet
+
+from rhubarbbank_core import events as core_events
+from rhubarbbank_router import messages
+
+FAR = "west-1"
+ELSEWHERE = "west-2"
+LOSS = 0.05
+
+
+@given("{places:d} data centres with {entries:d} entries each")
+def build_fleet(context, places, entries):
+    context.news = news_fleet.NewsFleet(
+        rng=random.Random(places), places=places, entries=entries
+    )
+
+
+@given(
+    "{places:d} data centres with {entries:d} entries each, and every "
+    "twentieth frame lost"
+)
+def build_lossy_fleet(context, places, entries):
+    build_fleet(context, places, entries)
+    context.news.loss = LOSS
+
+
+@when("the entries are watched for {wait:g} s after the first {start:g}")
+def run_and_look(context, wait, start):
+    fleet = context.news
+    if start:
+        fleet.run(start)
+    fleet.far_frames = fleet.far_bytes = 0
+    fleet.run(wait, look=True)
+    context.looked_s = wait
+
+
+@when("the entries go on for {wait:g} s")
+def run(context, wait):
+    context.news.run(wait)
+
+
+@when("a roll-out is ordered")
+def order(context):
+    context.news.order()
+
+
+@then("every entry has known each other one by at most {age:g} s old news")
+def check_ages(context, age):
+    assert 0.0 < context.news.oldest_s <= age, context.news.oldest_s
+
+
+@then(
+    "at most {frames:d} frames and {size:d} KB a second went between data "
+    "centres"
+)
+def check_far(context, frames, size):
+    fleet = context.news
+    told = fleet.far_frames / context.looked_s, fleet.far_bytes
+    assert 0 < fleet.far_frames <= frames * context.looked_s, told
+    assert fleet.far_bytes <= size * 1000 * context.looked_s, told
+
+
+@when("the first carrier of one data centre falls asleep")
+def lose_carrier(context):
+    fleet = context.news
+    context.lost = fleet.list_carriers(FAR)[:1]
+    fleet.asleep.update(context.lost)
+    # What others know of it ages from now on.
+    fleet.oldest_s = 0.0
+
+
+@when("both carriers of one data centre fall asleep")
+def lose_carriers(context):
+    fleet = context.news
+    context.lost = fleet.list_carriers(FAR)[:2]
+    fleet.asleep.update(context.lost)
+
+
+@when("an entry elsewhere is lost {wait:g} s later")
+def lose_entry(context, wait):
+    fleet = context.news
+    fleet.run(wait)
+    context.carrier = context.lost[0]
+    context.lost = fleet.list_carriers(ELSEWHERE)[-1:]
+    fleet.asleep.update(context.lost)
+
+
+@when("the carrier wakes up after {wait:g} s")
+def wake_carrier(context, wait):
+    context.news.run(wait)
+    context.news.wake(context.carrier)
+
+
+def list_live(world, now):
+    return {x.name for x in world.state.entries.list_live(now=now)}
+
+
+@then("the carrier counts as silent everywhere")
+def check_silent(context):
+    check_silent_with(context, context.news.list_awake())
+
+
+@then("the lost entry counts as silent with all that stayed awake")
+def check_silent_elsewhere(context):
+    fleet = context.news
+    woken = fleet.worlds[context.carrier]
+    check_silent_with(context, [x for x in fleet.list_awake() if x != woken])
+
+
+def check_silent_with(context, worlds):
+    fleet = context.news
+    for world in worlds:
+        live = list_live(world, fleet.now)
+        assert not live & set(context.lost), world.state.settings.name
+
+
+@then("the entries that are awake know one another as live")
+def check_live(context):
+    fleet = context.news
+    awake = len(fleet.list_awake())
+    assert fleet.count_live() == (awake - 1, awake - 1), fleet.count_live()
+
+
+@when("one data centre is cut off for {wait:g} s")
+def cut_place(context, wait):
+    fleet = context.news
+    fleet.cut.add(FAR)
+    fleet.run(wait)
+    context.seen = {
+        name: list_live(x, fleet.now) for name, x in fleet.worlds.items()
+    }
+    fleet.cut.clear()
+
+
+@then("nothing is taken to live there")
+def check_cut(context):
+    there = set(context.news.list_carriers(FAR))
+    for name, live in context.seen.items():
+        if name not in there:
+            assert not live & there, name
+
+
+@when("an entry is added")
+def add_entry(context):
+    fleet = context.news
+    fleet.build(len(fleet.worlds), FAR)
+    fleet.register()
+
+
+@when("a carrier passes on what an entry told before its restart")
+def pass_on_old(context):
+    fleet = context.news
+    context.world = fleet.worlds[fleet.list_carriers(FAR)[0]]
+    known = context.world.state.entries.heard[fleet.list_carriers(ELSEWHERE)[0]]
+    context.newest = known.news
+    old = msgspec.structs.replace(
+        known.news, incarnation=known.news.incarnation - 1, stopping=True
+    )
+    bundle = messages.NewsBundle(
+        told=(messages.AgedNews(age_ms=0, news=old),), onward=False
+    )
+    context.world.now = fleet.now + 1.0
+    context.world.apply(core_events.MessageReceived(bundle))
+
+
+@then("the entry's newest incarnation is known")
+def check_newest(context):
+    known = context.world.state.entries.heard[context.newest.name]
+    assert known.news == context.newest, known
--- a/features/steps/router_session_steps.py
+++ b/features/steps/router_session_steps.py
@@ -11,13 +11,14 @@
 
 
 @when(
-    "{sessions:d} sessions move between {entries:d} entries, with {lost:d} "
-    "of 100 heartbeats lost, through a roll-out"
+    "{sessions:d} sessions move between {entries:d} entries in {places:d} "
+    "data centres, with {lost:d} of 100 heartbeats lost, through a roll-out"
 )
-def run_fleet(context, sessions, entries, lost):
+def run_fleet(context, sessions, entries, places, lost):
     context.fleet = session_fleet.SessionFleet(
         rng=random.Random(SEED),
         entries=entries,
+        places=places,
         sessions=sessions,
         loss=lost / 100,
     )
--- a/features/support/session_fleet.py
+++ b/features/support/session_fleet.py
@@ -55,9 +55,10 @@
         on_target: Requests that ran on the target in the first half.
     """
 
-    def __init__(self, *, rng, entries, sessions, loss=0.0):
+    def __init__(self, *, rng, entries, sessions, places=1, loss=0.0):
         self.rng = rng
         self.loss = loss
+        self.places = places
         self.now = 0.0
         self.numbers = itertools.count()
         self.due = []
@@ -74,7 +75,10 @@
 
     def build_world(self, number):
         world = router_world.World(
-            seed=number + 1, name=f"entry-{number}", session_s=SESSION_S
+            seed=number + 1,
+            name=f"entry-{number}",
+            data_centre=f"west-{number % self.places}",
+            session_s=SESSION_S,
         )
         world.now = self.now
         world.start(0)
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -127,13 +127,18 @@
 
 # Heartbeats between entries.
 NEWS_PERIOD_S = 0.5
-# To other data centres, whose bytes cost: to few entries or while a roll-out
-# needs the evidence of all, and else.
+# To other data centres, whose bytes cost, as long as they have few entries:
+# frames of 300 bytes to so many a second are half of a node's control.
 FAR_NEWS_PERIOD_S = 1.0
-MANY_FAR_NEWS_PERIOD_S = 1.5
-# Frames of 300 bytes to so many a second are half of a node's control.
 FEW_FAR_ENTRIES = 8
-# Where there are more, less work at an upstream isn't told them.
+# Entries of a data centre that carry heartbeats to others, and how often, also
+# while a roll-out needs the evidence of all entries.
+CARRIERS = 2
+BUNDLE_PERIOD_S = 1.5
+TRIAL_BUNDLE_PERIOD_S = 0.5
+# An entry whose heartbeat is overdue by more was suspended.
+SUSPENDED_S = 0.7
+# Less work at an upstream isn't told there.
 FAR_TELLING_WORK_MS = 200
 # Work from which on entries nearby are told of an attempt at once, and how
 # long news of more of it is gathered.
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
@@ -1,15 +1,14 @@
 """Sends this entry's heartbeats, and takes what other entries send.
 
 Within a data centre heartbeats go twice a second, and long work is told in
-between; other data centres hear less often, the more so the more entries
-there are. All that entries learn from one
+between; other data centres hear less often, and through `carriers` where
+there are many entries. All that entries learn from one
 another comes in here and is handed to the part that it concerns.
 """
 
-import msgspec
-
 from rhubarbbank_core import effects as core_effects
 from rhubarbbank_core import program_effects as fx
+from rhubarbbank_router import carriers
 from rhubarbbank_router import defaults
 from rhubarbbank_router import effects
 from rhubarbbank_router import engine_load
@@ -19,6 +18,8 @@
 from rhubarbbank_router import store_reading
 from rhubarbbank_router import upstream_list
 
+MS_PER_S = 1000.0
+
 
 def take_news(
     state: states.RouterState, message: core_effects.Message, *, now: float
@@ -30,6 +31,8 @@
         case messages.EntryLoads(name=name, loads=loads):
             state.others.take(name, loads, now=now)
             return []
+        case messages.NewsBundle():
+            return take_bundle(state, message, now=now)
         case messages.StoreAsk():
             return store_reading.take_ask(state, message, now=now)
         case messages.StoreTold():
@@ -53,10 +56,29 @@
     return out
 
 
+def take_bundle(
+    state: states.RouterState, bundle: messages.NewsBundle, *, now: float
+) -> list[effects.Effect]:
+    """Takes heartbeats that were passed on, as of when they were heard."""
+    out = carriers.hand_on(state, bundle, now=now)
+    for each in bundle.told:
+        heard_at = now - each.age_ms / MS_PER_S
+        if state.entries.is_overtaken(each.news, heard_at=heard_at):
+            continue
+        out += take_heartbeat(state, each.news, now=heard_at)
+    return out
+
+
 def take_heartbeat(
     state: states.RouterState, message: messages.EntryNews, *, now: float
 ) -> list[effects.Effect]:
-    """Takes what another entry tells of itself."""
+    """Takes what another entry tells of itself.
+
+    Args:
+        state: The router's state.
+        message: The heartbeat.
+        now: When it was heard, in seconds.
+    """
     is_new = state.entries.take(message, now=now)
     state.suspects.take(message.name, message.suspects)
     state.others.take(message.name, message.loads, now=now)
@@ -92,6 +114,7 @@
 
 def send_news(state: states.RouterState, *, now: float) -> list[effects.Effect]:
     """Sends this entry's heartbeat, and counts the others."""
+    carriers.note_beat(state, now=now)
     state.news_at = now + defaults.NEWS_PERIOD_S
     state.loads_at = None
     out = forget(state, now=now)
@@ -114,8 +137,7 @@
     )
     near = state.entries.list_near(settings.data_centre)
     out += [core_effects.Send(address, news) for address in near]
-    if now >= state.far_news_at:
-        out += send_far_news(state, news, now=now, near=frozenset(near))
+    out += send_far_news(state, news, now=now, near=frozenset(near))
     out.append(fx.Gauge("open_requests", len(state.open)))
     out.append(fx.Gauge("upstreams", len(state.view.beliefs)))
     return out
@@ -130,27 +152,44 @@
 ) -> list[effects.Effect]:
     """Sends the heartbeat to other data centres.
 
-    To many entries it goes less often, and without small work.
+    Few entries there are told directly. Among many, carriers pass heartbeats
+    on, and only those that can't wait go to all directly.
     """
+    pressing, state.is_news_pressing = state.is_news_pressing, False
+    due = now >= state.far_news_at
+    if not due and not pressing:
+        return []
     addresses = [x for x in state.entries.list_addresses() if x not in near]
-    trying = any(not each.is_over for each in state.trials.values())
-    few = len(addresses) <= defaults.FEW_FAR_ENTRIES
-    state.far_news_at = now + (
-        defaults.FAR_NEWS_PERIOD_S
-        if few or trying
-        else defaults.MANY_FAR_NEWS_PERIOD_S
-    )
-    least_ms = 0 if few else defaults.FAR_TELLING_WORK_MS
-    loads = tuple(each for each in news.loads if each.work_ms >= least_ms)
-    shorter = msgspec.structs.replace(news, loads=loads)
-    return [core_effects.Send(address, shorter) for address in addresses]
+    if len(addresses) <= defaults.FEW_FAR_ENTRIES:
+        state.far_news_at = now + defaults.FAR_NEWS_PERIOD_S
+        return send_each(addresses, news)
+    if not pressing:
+        addresses = carriers.list_unheard(state, addresses, now=now)
+    out = send_each(addresses, carriers.shorten(news))
+    if due:
+        state.far_news_at = now + carriers.find_period_s(state)
+        out += carriers.send_bundles(state, news, now=now)
+    return out
+
+
+def send_each(
+    addresses: list[str], news: messages.EntryNews
+) -> list[effects.Effect]:
+    """Sends a heartbeat to each address."""
+    return [core_effects.Send(address, news) for address in addresses]
+
+
+def press(state: states.RouterState, *, now: float) -> None:
+    """Has all entries told very soon, also in other data centres."""
+    state.news_at = min(state.news_at, now + defaults.PRESSING_NEWS_S)
+    state.is_news_pressing = True
 
 
 def send_pressing_news(
     state: states.RouterState, *, now: float
 ) -> list[effects.Effect]:
     """Sends a heartbeat to all entries at once."""
-    state.far_news_at = now
+    state.is_news_pressing = True
     return send_news(state, now=now)
 
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/messages.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/messages.py
@@ -133,6 +133,30 @@
     reads: bool = True
 
 
+class AgedNews(msgspec.Struct, frozen=True, array_like=True):
+    """A heartbeat that somebody else passes on.
+
+    Attributes:
+        age_ms: How long ago it was heard.
+        news: The heartbeat.
+    """
+
+    age_ms: int
+    news: EntryNews
+
+
+class NewsBundle(effects.Message, frozen=True, tag="bundle"):
+    """What the entries of a data centre told last.
+
+    Attributes:
+        told: Their heartbeats.
+        onward: Whether the receiver hands it on to the entries nearby.
+    """
+
+    told: tuple[AgedNews, ...]
+    onward: bool
+
+
 class StoreAsk(effects.Message, frozen=True, tag="ask"):
     """Asks a reader of the store for what has changed.
 
@@ -179,7 +203,7 @@
     whole: tuple[upstreams.Upstream, ...] | None = None
 
 
-AnyNews = EntryNews | EntryLoads | StoreAsk | StoreTold
+AnyNews = EntryNews | EntryLoads | NewsBundle | StoreAsk | StoreTold
 DECODER = msgspec.msgpack.Decoder(list[AnyNews])
 
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/peers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/peers.py
@@ -84,6 +84,22 @@
         self.heard[news.name] = KnownPeer(news, now)
         return is_new
 
+    def is_overtaken(
+        self, news: messages.EntryNews, *, heard_at: float
+    ) -> bool:
+        """Returns whether a heartbeat that was passed on tells nothing new.
+
+        Args:
+            news: The heartbeat.
+            heard_at: When it was heard by who passed it on, in seconds.
+        """
+        known = self.heard.get(news.name)
+        if known is None:
+            return False
+        if news.incarnation != known.news.incarnation:
+            return news.incarnation < known.news.incarnation
+        return heard_at <= known.heard_at
+
     def retire(self, news: messages.EntryNews) -> None:
         """Keeps the evidence of an incarnation that has ended."""
         for trial in news.trials:
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/rollouts.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/rollouts.py
@@ -254,7 +254,7 @@
     trial.kept_sessions.add(marked)
     # Its next request may come to another entry very soon.
     state.news_at = min(state.news_at, now + defaults.PRESSING_NEWS_S)
-    state.far_news_at = min(state.far_news_at, state.news_at)
+    state.is_news_pressing = True
 
 
 def note_placed(
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
@@ -175,6 +175,8 @@
         exiting: Whether the process has been told that it may end.
         news_at: When the next heartbeat is due.
         far_news_at: When the next one to other data centres is.
+        carries_from: Until when it doesn't carry heartbeats for others.
+        is_news_pressing: Whether the next one goes to all entries directly.
         loads_at: When peers nearby are told of new work; None while they
             know of all that matters.
     """
@@ -223,6 +225,8 @@
     exiting: bool = False
     news_at: float = 0.0
     far_news_at: float = 0.0
+    carries_from: float = 0.0
+    is_news_pressing: bool = False
     loads_at: float | None = None
 
     @property
