--- a/features/router_carriers.feature
+++ b/features/router_carriers.feature
@@ -23,6 +23,7 @@
     And the entries are watched for 12 s after the first 0
     Then every entry has known each other one by at most 2.9 s old news
     And the carrier counts as silent everywhere
+    And the log tells who carries in its place, and why
 
   Scenario: Both carriers are lost at once
     Given 4 data centres with 6 entries each
--- a/features/steps/carrier_steps.py
+++ b/features/steps/carrier_steps.py
@@ -108,6 +108,19 @@
     check_silent_with(context, context.news.list_awake())
 
 
+@then("the log tells who carries in its place, and why")
+def check_lines(context):
+    fleet = context.news
+    _, second, third = fleet.list_carriers(FAR)[:3]
+    told = [
+        (name, line.reason)
+        for name, line in fleet.lines
+        if line.decision == "carrying_begun"
+    ]
+    assert (second, "place 1 by name") in told, told
+    assert (third, "place 2 by name") in told, told
+
+
 @then("the lost entry counts as silent with all that stayed awake")
 def check_silent_elsewhere(context):
     fleet = context.news
--- a/features/support/news_fleet.py
+++ b/features/support/news_fleet.py
@@ -11,6 +11,7 @@
 
 from rhubarbbank_core import effects as core_effects
 from rhubarbbank_core import events as core_events
+from rhubarbbank_core import program_effects as fx
 from rhubarbbank_router import events
 from rhubarbbank_router import peers
 from rhubarbbank_router import version_trial
@@ -36,6 +37,7 @@
         asleep: Entries that do nothing; what they are sent waits.
         far_frames: Messages between data centres.
         far_bytes: Their encoded size.
+        lines: Who logged a decision, and the decision.
         oldest_s: The greatest age, while it was looked at, of what an entry
             knew of another.
     """
@@ -53,6 +55,7 @@
         self.far_bytes = 0
         self.oldest_s = 0.0
         self.worlds = {}
+        self.lines = []
         for number in range(places * entries):
             self.build(number, f"west-{number % places}")
         self.register()
@@ -115,6 +118,8 @@
     def send(self, world):
         place = world.state.settings.data_centre
         for effect in world.done:
+            if isinstance(effect, fx.LogDecision):
+                self.lines.append((world.state.settings.name, effect))
             if not isinstance(effect, core_effects.Send):
                 continue
             peer = self.by_address.get(effect.address)
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/carriers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/carriers.py
@@ -23,6 +23,7 @@
 import msgspec
 
 from rhubarbbank_core import effects as core_effects
+from rhubarbbank_core import program_effects as fx
 from rhubarbbank_router import defaults
 from rhubarbbank_router import effects
 from rhubarbbank_router import messages
@@ -72,6 +73,37 @@
     return rank if rank < defaults.CARRIERS else None
 
 
+def update_rank(
+    state: states.RouterState, *, now: float
+) -> list[effects.Effect]:
+    """Takes up or gives up carrying; returns the line if that changes."""
+    rank = find_rank(state, now=now)
+    if rank == state.carrier_rank:
+        return []
+    state.carrier_rank = rank
+    near = state.entries.list_live_near(state.settings.data_centre, now=now)
+    return [
+        fx.LogDecision(
+            decision="carrying_ended" if rank is None else "carrying_begun",
+            reason=explain_rank(state, rank, now=now),
+            inputs=(("live_nearby", len(near)),),
+        )
+    ]
+
+
+def explain_rank(
+    state: states.RouterState, rank: int | None, *, now: float
+) -> str:
+    """Returns why an entry carries or doesn't, for the log."""
+    if rank is not None:
+        return f"place {rank + 1} by name"
+    if state.stopping:
+        return "stopping"
+    if not may_carry(state, now=now):
+        return "was suspended"
+    return "others come first by name"
+
+
 def list_receivers(
     state: states.RouterState, rank: int, *, now: float
 ) -> list[str]:
@@ -102,9 +134,10 @@
     state: states.RouterState, own: messages.EntryNews, *, now: float
 ) -> list[effects.Effect]:
     """Sends what the entries nearby told last, if this one carries it."""
-    rank = find_rank(state, now=now)
+    out = update_rank(state, now=now)
+    rank = state.carrier_rank
     if rank is None:
-        return []
+        return out
     told = (
         messages.AgedNews(age_ms=0, news=shorten(own)),
         *(
@@ -115,10 +148,8 @@
         ),
     )
     bundle = messages.NewsBundle(told=told, onward=True)
-    return [
-        core_effects.Send(address, bundle)
-        for address in list_receivers(state, rank, now=now)
-    ]
+    receivers = list_receivers(state, rank, now=now)
+    return [*out, *(core_effects.Send(each, bundle) for each in receivers)]
 
 
 def list_known_near(
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
@@ -176,6 +176,8 @@
         news_at: When the next heartbeat is due.
         far_news_at: When the next one to other data centres is.
         carries_from: Until when it doesn't carry heartbeats for others.
+        carrier_rank: Its place among its data centre's carriers, from 0; None
+            while it is none.
         is_news_pressing: Whether the next one goes to all entries directly.
         loads_at: When peers nearby are told of new work; None while they
             know of all that matters.
@@ -226,6 +228,7 @@
     news_at: float = 0.0
     far_news_at: float = 0.0
     carries_from: float = 0.0
+    carrier_rank: int | None = None
     is_news_pressing: bool = False
     loads_at: float | None = None
 
