--- /dev/null
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/answer_heads.py
@@ -0,0 +1,163 @@
+"""Takes the head of an upstream's answer, which decides what becomes of it.
+
+The upstream may refuse, say something of itself, or answer with a smaller
+model that is unsure; else the answer follows (`answers`).
+"""
+
+import http
+
+from rhubarbbank_core import errors
+from rhubarbbank_core import program_effects as fx
+from rhubarbbank_router import attempt_ends
+from rhubarbbank_router import attempt_evidence
+from rhubarbbank_router import attempt_log
+from rhubarbbank_router import attempt_states
+from rhubarbbank_router import defaults
+from rhubarbbank_router import dispatch
+from rhubarbbank_router import effects
+from rhubarbbank_router import events
+from rhubarbbank_router import state as states
+
+
+def take_head(
+    state: states.RouterState, head: events.UpstreamHead, *, now: float
+) -> list[effects.Effect]:
+    """Takes the head of an upstream's answer."""
+    found = state.find_open(head.request_id, head.attempt)
+    if found is None:
+        return []
+    opened, attempt = found
+    attempt_evidence.note_heard(state, attempt, now=now)
+    if head.load is not None:
+        state.view.note_load(attempt.upstream, head.load, now=now)
+    out = take_notices(state, attempt, head, now=now)
+    if head.refused or head.misdirected:
+        return [*out, *take_refusal(state, opened, attempt, head, now=now)]
+    if not head.genuine:
+        out += attempt_ends.close_attempt(state, opened, attempt, now=now)
+        out += attempt_ends.fail(
+            state, opened, attempt, "no genuine answer", now=now
+        )
+        return out
+    attempt.status = head.status
+    attempt.headers = head.headers
+    attempt.state = attempt_states.AttemptState.ANSWERED
+    return [*out, *step_up(state, opened, attempt, head, now=now)]
+
+
+def take_notices(
+    state: states.RouterState,
+    attempt: attempt_states.Attempt,
+    head: events.UpstreamHead,
+    *,
+    now: float,
+) -> list[effects.Effect]:
+    """Takes what an upstream says of itself, before anything is sent on.
+
+    A misdirected answer speaks of another upstream.
+    """
+    if head.misdirected:
+        return []
+    out: list[effects.Effect] = []
+    if head.leaving and state.view.note_leaving(attempt.upstream):
+        out.append(
+            fx.LogDecision(
+                decision="upstream_leaving",
+                upstream=attempt.upstream,
+                version=attempt.version,
+                reason="it said so",
+                inputs=(("status", head.status),),
+            )
+        )
+    unavailable = head.status == http.HTTPStatus.SERVICE_UNAVAILABLE
+    if unavailable and head.closed_s is not None:
+        state.view.note_closed(attempt.upstream, head.closed_s, now=now)
+        out.append(
+            fx.LogDecision(
+                decision="upstream_closed",
+                upstream=attempt.upstream,
+                reason="it asked for nothing more",
+                inputs=(("for_s", head.closed_s),),
+            )
+        )
+    return out
+
+
+def take_refusal(
+    state: states.RouterState,
+    opened: states.OpenRequest,
+    attempt: attempt_states.Attempt,
+    head: events.UpstreamHead,
+    *,
+    now: float,
+) -> list[effects.Effect]:
+    """Takes that an upstream did not run the request."""
+    attempt.state = attempt_states.AttemptState.REFUSED
+    cancel = attempt_ends.close_attempt(state, opened, attempt, now=now)
+    opened.excluded.add(attempt.upstream)
+    if head.misdirected:
+        state.view.note_misdirected(attempt.upstream)
+    elif head.status == http.HTTPStatus.SERVICE_UNAVAILABLE:
+        state.view.note_full(attempt.upstream, now=now)
+    log = attempt_log.log_attempt(
+        opened,
+        attempt,
+        decision="refused_by_upstream",
+        reason="misdirected" if head.misdirected else "not run",
+        inputs=(("status", head.status),),
+    )
+    count = fx.Count("upstream_refusals")
+    if dispatch.may_try_again(state, opened, now=now):
+        again = dispatch.send(state, opened, now=now, cause="refused")
+        return [log, count, *cancel, *again]
+    code = errors.ErrorCode.OVERLOADED
+    return [
+        log,
+        count,
+        *cancel,
+        *dispatch.give_up(state, opened, code, now=now),
+    ]
+
+
+def step_up(
+    state: states.RouterState,
+    opened: states.OpenRequest,
+    attempt: attempt_states.Attempt,
+    head: events.UpstreamHead,
+    *,
+    now: float,
+) -> list[effects.Effect]:
+    """Asks a larger model instead, if this one is unsure of its answer."""
+    untouched = not opened.begun and head.status == http.HTTPStatus.OK
+    if not opened.model or head.confidence is None or not untouched:
+        return []
+    if not opened.route.repeatable:
+        return []
+    larger = state.sizes.step_up(
+        dispatch.ask_size(opened, now=now),
+        model=opened.model,
+        confidence=head.confidence,
+    )
+    if larger is None:
+        return []
+    runs = attempt_states.count_runs(opened.attempts)
+    if runs >= opened.route.max_attempts:
+        return []
+    share = defaults.STEP_UP_BUDGET_SHARE
+    if not state.budget.take(opened.service, now=now, share=share):
+        return []
+    attempt_evidence.finish_attempt(
+        state, opened, attempt, now=now, failed=False
+    )
+    cancel = attempt_ends.close_attempt(state, opened, attempt, now=now)
+    log = fx.LogDecision(
+        decision="stepped_up",
+        request_id=opened.request.attempt_id,
+        model=larger,
+        reason=f"confidence of {opened.model}",
+        attempt=attempt.number,
+        inputs=(("confidence", head.confidence),),
+    )
+    opened.model = larger
+    again = dispatch.send(state, opened, now=now, cause="step up")
+    return [log, fx.Count("step_ups"), *cancel, *again]
--- /dev/null
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_ends.py
@@ -0,0 +1,124 @@
+"""Ends attempts, and goes on after those that failed.
+
+Each failure counts against its upstream; another attempt follows where the
+route, the budget and the time left allow it.
+"""
+
+import http
+
+from rhubarbbank_core import errors
+from rhubarbbank_core import program_effects as fx
+from rhubarbbank_router import attempt_evidence
+from rhubarbbank_router import attempt_log
+from rhubarbbank_router import attempt_states
+from rhubarbbank_router import dispatch
+from rhubarbbank_router import effects
+from rhubarbbank_router import state as states
+
+
+def retry_failure(
+    state: states.RouterState,
+    opened: states.OpenRequest,
+    attempt: attempt_states.Attempt,
+    *,
+    now: float,
+) -> list[effects.Effect] | None:
+    """Tries again after an upstream's own failure; None if that can't be."""
+    if attempt.status == http.HTTPStatus.GATEWAY_TIMEOUT:
+        return None
+    opened.excluded.add(attempt.upstream)
+    if not dispatch.may_try_again(state, opened, now=now):
+        return None
+    attempt_evidence.finish_attempt(
+        state, opened, attempt, now=now, failed=True
+    )
+    log = attempt_log.log_attempt(
+        opened,
+        attempt,
+        decision="failed_attempt",
+        reason="failure of the upstream",
+        inputs=(("status", attempt.status),),
+    )
+    again = dispatch.send(state, opened, now=now, cause="failure")
+    return [log, fx.Count("failed_attempts"), *again]
+
+
+def fail(
+    state: states.RouterState,
+    opened: states.OpenRequest,
+    attempt: attempt_states.Attempt,
+    detail: str,
+    *,
+    now: float,
+) -> list[effects.Effect]:
+    """Goes on after an attempt that broke off once it had been sent."""
+    attempt_evidence.finish_attempt(
+        state, opened, attempt, now=now, failed=True
+    )
+    opened.excluded.add(attempt.upstream)
+    crashes = state.suspects.note(opened.fingerprint, now=now)
+    out: list[effects.Effect] = [
+        attempt_log.log_attempt(
+            opened,
+            attempt,
+            decision="failed_attempt",
+            reason=detail,
+            inputs=(
+                ("age_s", round(now - attempt.sent_at, 3)),
+                ("crashes", crashes),
+            ),
+        ),
+        fx.Count("failed_attempts"),
+    ]
+    if dispatch.may_try_again(state, opened, now=now):
+        again = dispatch.send(state, opened, now=now, cause="broken off")
+        return [*out, *again]
+    code = errors.ErrorCode.UPSTREAM_LOST
+    return [*out, *dispatch.give_up(state, opened, code, now=now)]
+
+
+def set_aside(
+    state: states.RouterState, upstream: str, *, now: float, weight: int
+) -> list[effects.Effect]:
+    """Notes a failure; logs if the upstream is set aside for it."""
+    if not state.view.note_failure(upstream, now=now, weight=weight):
+        return []
+    belief = state.view.beliefs[upstream]
+    return [
+        fx.LogDecision(
+            decision="upstream_set_aside",
+            upstream=upstream,
+            reason="failures in a row",
+            inputs=(
+                ("failures", belief.failures),
+                ("for_s", belief.set_aside_s),
+            ),
+        ),
+        fx.Count("upstreams_set_aside"),
+    ]
+
+
+def close_attempt(
+    state: states.RouterState,
+    opened: states.OpenRequest,
+    attempt: attempt_states.Attempt,
+    *,
+    now: float,
+) -> list[effects.Effect]:
+    """Breaks an attempt off."""
+    drop_attempt(state, opened, attempt, now=now)
+    return [effects.CancelAttempt(opened.request.request_id, attempt.number)]
+
+
+def drop_attempt(
+    state: states.RouterState,
+    opened: states.OpenRequest,
+    attempt: attempt_states.Attempt,
+    *,
+    now: float,
+) -> None:
+    """Notes that nothing more comes of an attempt."""
+    if attempt.open:
+        attempt.open = False
+        state.sessions.end(opened.request.session, now=now)
+        state.view.finish(opened.request.request_id, attempt.upstream)
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_evidence.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_evidence.py
@@ -193,3 +193,11 @@
     # One stream that hangs says little of the usual pace.
     pace_s = min(pace_s, defaults.SLOW_PACE_TIMES * usual_s)
     times.pace_s[attempt.model] = upstreams.smooth(usual_s, pace_s)
+
+
+def note_heard(
+    state: states.RouterState, attempt: attempt_states.Attempt, *, now: float
+) -> None:
+    """Notes that an attempt makes progress."""
+    attempt.heard_at = now
+    state.view.note_heard(attempt.upstream, now=now)
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
@@ -10,6 +10,7 @@
 from rhubarbbank_core import events as core_events
 from rhubarbbank_core import placement
 from rhubarbbank_core import program_effects as fx
+from rhubarbbank_router import answer_heads
 from rhubarbbank_router import answers
 from rhubarbbank_router import configuration
 from rhubarbbank_router import crash_suspects
@@ -93,7 +94,7 @@
             case events.UpstreamData():
                 return answers.take_data(state, event, now=now)
             case events.UpstreamHead():
-                return answers.take_head(state, event, now=now)
+                return answer_heads.take_head(state, event, now=now)
             case events.UpstreamEnded():
                 return answers.take_end(state, event, now=now)
             case events.RequestArrived(request):
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
@@ -4,7 +4,7 @@
                   ^             |
                   +--- watch ---+
 
-`intake` checks a request, `dispatch` sends it to an upstream, `answers` takes
+`intake` checks a request, `dispatch` sends it to an upstream, `answer_heads` and `answers` take
 what comes back, and `watch` ends what takes too long.
 """
 
@@ -245,3 +245,15 @@
     def stopping(self) -> bool:
         """Whether the process was asked to stop."""
         return self.stop_at is not None
+
+    def find_open(
+        self, request_id: str, number: int
+    ) -> tuple[OpenRequest, attempt_states.Attempt] | None:
+        """Returns the request and its attempt if that one is under way."""
+        opened = self.open.get(request_id)
+        if opened is None:
+            return None
+        attempt = opened.current
+        if attempt is None or attempt.number != number:
+            return None
+        return opened, attempt
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/watch.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/watch.py
@@ -2,7 +2,7 @@
 
 from rhubarbbank_core import errors
 from rhubarbbank_core import program_effects as fx
-from rhubarbbank_router import answers
+from rhubarbbank_router import attempt_ends
 from rhubarbbank_router import attempt_evidence
 from rhubarbbank_router import attempt_log
 from rhubarbbank_router import attempt_states
@@ -37,7 +37,7 @@
     out: list[effects.Effect] = []
     attempt = opened.current
     if attempt is not None:
-        out += answers.close_attempt(state, opened, attempt, now=now)
+        out += attempt_ends.close_attempt(state, opened, attempt, now=now)
         if attempt.status == 0:
             attempt_evidence.finish_attempt(
                 state, opened, attempt, now=now, failed=True
@@ -61,7 +61,7 @@
         opened.excluded.discard(attempt.upstream)
         # Asked again at the next beat; by then there may be room.
         return []
-    cancel = answers.close_attempt(state, opened, attempt, now=now)
+    cancel = attempt_ends.close_attempt(state, opened, attempt, now=now)
     # A host that falls silent silences many requests, which together say
     # no more of its version than one.
     first = state.view.note_silence(attempt.upstream, now=now)
