--- a/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
@@ -4,8 +4,8 @@
                   ^             |
                   +--- watch ---+
 
-`intake` checks a request, `dispatch` sends it to an upstream, `answer_heads` and `answers` take
-what comes back, and `watch` ends what takes too long.
+`intake` checks a request, `dispatch` sends it to an upstream, `answer_heads`
+and `answers` take what comes back, and `watch` ends what takes too long.
 """
 
 import dataclasses
