--- a/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
@@ -179,12 +179,6 @@
     return [core_effects.Send(address, news) for address in addresses]
 
 
-def press(state: states.RouterState, *, now: float) -> None:
-    """Has all entries told very soon, also in other data centres."""
-    state.news_at = min(state.news_at, now + defaults.PRESSING_NEWS_S)
-    state.is_news_pressing = True
-
-
 def send_pressing_news(
     state: states.RouterState, *, now: float
 ) -> list[effects.Effect]:
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/rollouts.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/rollouts.py
@@ -253,8 +253,7 @@
         return
     trial.kept_sessions.add(marked)
     # Its next request may come to another entry very soon.
-    state.news_at = min(state.news_at, now + defaults.PRESSING_NEWS_S)
-    state.is_news_pressing = True
+    state.press_news(now=now)
 
 
 def note_placed(
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
@@ -16,6 +16,7 @@
 from rhubarbbank_router import callers
 from rhubarbbank_router import configuration
 from rhubarbbank_router import crash_suspects
+from rhubarbbank_router import defaults
 from rhubarbbank_router import engine_work
 from rhubarbbank_router import events
 from rhubarbbank_router import freshness_proof
@@ -246,6 +247,11 @@
         """Whether the process was asked to stop."""
         return self.stop_at is not None
 
+    def press_news(self, *, now: float) -> None:
+        """Has all entries told very soon, also in other data centres."""
+        self.news_at = min(self.news_at, now + defaults.PRESSING_NEWS_S)
+        self.is_news_pressing = True
+
     def find_open(
         self, request_id: str, number: int
     ) -> tuple[OpenRequest, attempt_states.Attempt] | None:
