Keep the log of an entry that doesn't stop in time; reflow two comments

The scenario said only that the process hadn't ended, so that what it did couldn't be traced; it shows the entry's last lines now. Same bound, same check.

--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -419,7 +419,14 @@
 def check_ended(context, bound):
     assert not context.ready_after
     left_s = bound - (time.monotonic() - context.stopped_at)
-    assert context.platform.entries[0].process.wait(left_s) == 0
+    entry = context.platform.entries[0]
+    try:
+        code = entry.process.wait(left_s)
+    except subprocess.TimeoutExpired:
+        raise AssertionError(
+            ("it still runs", entry.read_log()[-12:])
+        ) from None
+    assert code == 0, (code, entry.read_log()[-12:])
 
 
 @then("its registration is gone")
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
@@ -1,9 +1,9 @@
 """Sends this entry's heartbeats, and takes what other entries send.
 
 Within a data centre heartbeats go twice a second, and long work is told in
-between; other data centres hear less often, and through `carriers` where
-there are many entries. All that entries learn from one
-another comes in here and is handed to the part that it concerns.
+between; other data centres hear less often, and through `carriers` where they
+have many entries. All that entries learn from one another comes in here and
+is handed to the part that it concerns.
 """
 
 from rhubarbbank_core import effects as core_effects
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
@@ -176,7 +176,7 @@
         exiting: Whether the process has been told that it may end.
         news_at: When the next heartbeat is due.
         far_news_at: When the next one to other data centres is.
-        carries_from: Until when it doesn't carry heartbeats for others.
+        carries_from: From when on it may carry heartbeats for others.
         carrier_rank: Its place among its data centre's carriers, from 0; None
             while it is none.
         is_news_pressing: Whether the next one goes to all entries directly.
