--- a/features/steps/engine_load_steps.py
+++ b/features/steps/engine_load_steps.py
@@ -14,7 +14,6 @@
 from rhubarbbank_router import events
 from rhubarbbank_router import marks
 from rhubarbbank_router import messages
-from rhubarbbank_router import version_trial
 
 NEAR = "entry-7"
 FAR = "entry-8"
@@ -137,15 +136,7 @@
 @then("in a roll-out the peer far away has at least {least:d} in {wait:g} s")
 def check_trial_heartbeats(context, least, wait):
     world = context.world
-    order = version_trial.RolloutOrder(
-        service="pool",
-        target="v2",
-        duration_s=60.0,
-        state=version_trial.OrderState.RUNNING,
-        revision=9,
-        created_revision=9,
-    )
-    world.apply(events.RolloutChanged(order))
+    world.apply(events.RolloutChanged(router_world.build_order()))
     world.run(2.0)
     for name in PLACES:
         hear(world, name)
--- a/features/support/news_fleet.py
+++ b/features/support/news_fleet.py
@@ -14,18 +14,10 @@
 from rhubarbbank_core import program_effects as fx
 from rhubarbbank_router import events
 from rhubarbbank_router import peers
-from rhubarbbank_router import version_trial
 from support import router_world
 
 STEP_S = 0.025
-ORDER = version_trial.RolloutOrder(
-    service="pool",
-    target="v2",
-    duration_s=60.0,
-    state=version_trial.OrderState.RUNNING,
-    revision=9,
-    created_revision=9,
-)
+ORDER = router_world.build_order()
 
 
 class NewsFleet:
--- a/features/support/router_world.py
+++ b/features/support/router_world.py
@@ -13,6 +13,7 @@
 from rhubarbbank_router import options
 from rhubarbbank_router import router
 from rhubarbbank_router import upstreams
+from rhubarbbank_router import version_trial
 
 HOST = "api.example"
 KEY = "key-innsbruck"
@@ -95,6 +96,19 @@
     return upstreams.Upstream(**given | changes)
 
 
+def build_order(**changes):
+    """A roll-out of the pool to the next version."""
+    given = {
+        "service": "pool",
+        "target": "v2",
+        "duration_s": 60.0,
+        "state": version_trial.OrderState.RUNNING,
+        "revision": 9,
+        "created_revision": 9,
+    }
+    return version_trial.RolloutOrder(**given | changes)
+
+
 class World:
     """One router and what it did."""
 
