Log what is known of requests that break off their upstreams

Now failed_attempt and the refusal name fingerprint, count and own share; suspect_told, suspect_cleared and suspects_forgotten say when a count changes and why. No decision changes.

router_load's step on a peer that has heard of a suspect now goes through a heartbeat in place of the part's internals: the same check, over the way that entries use.

--- a/features/steps/router_load_steps.py
+++ b/features/steps/router_load_steps.py
@@ -9,8 +9,10 @@
 from behave import when
 from support import router_world
 
+from rhubarbbank_core import events as core_events
 from rhubarbbank_core import placement
 from rhubarbbank_router import events
+from rhubarbbank_router import peers
 from rhubarbbank_router import window_budget
 from rhubarbbank_router import work_placement
 
@@ -287,9 +289,14 @@
     world = context.world
     other = router_world.World(name="entry-1")
     other.start(9)
-    suspects = world.state.suspects.list_own(now=world.now)
-    assert suspects
-    other.state.suspects.take("entry-0", suspects)
+    address = other.state.settings.peer_address
+    peer = peers.PeerAddress(name="entry-1", address=address)
+    world.apply(events.EntryListed(peer))
+    world.run(1.0)
+    told = [x.message for x in world.messages() if x.address == address]
+    assert told
+    for message in told:
+        other.apply(core_events.MessageReceived(message))
     check_suspect(other)
 
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
@@ -177,7 +177,7 @@
         return dispatch.give_up(state, opened, code, now=now)
     request_id = opened.request.request_id
     del state.open[request_id]
-    state.suspects.clear(opened.fingerprint)
+    cleared = clear_suspect(state, opened, attempt)
     log = fx.LogDecision(
         decision="answered",
         request_id=opened.request.attempt_id,
@@ -195,8 +195,9 @@
     )
     took = fx.Timing("answer", (now - opened.arrived_at) * MS_PER_S)
     if opened.begun:
-        return [log, took, effects.FinishAnswer(request_id)]
+        return [*cleared, log, took, effects.FinishAnswer(request_id)]
     return [
+        *cleared,
         log,
         took,
         effects.RelayAnswer(
@@ -208,6 +209,30 @@
     ]
 
 
+def clear_suspect(
+    state: states.RouterState,
+    opened: states.OpenRequest,
+    attempt: attempt_states.Attempt,
+) -> list[effects.Effect]:
+    """Clears an answered request of crashing its upstreams."""
+    known = state.suspects.describe(opened.fingerprint)
+    if not state.suspects.clear(opened.fingerprint):
+        return []
+    return [
+        fx.LogDecision(
+            decision="suspect_cleared",
+            upstream=attempt.upstream,
+            reason="whole answer",
+            inputs=(
+                ("status", attempt.status),
+                ("answered", opened.request.attempt_id),
+                *known,
+            ),
+        ),
+        fx.Count("suspects_cleared"),
+    ]
+
+
 def describe_events(opened: states.OpenRequest) -> tuple[fx.LogInput, ...]:
     """Returns when a stream's events were passed on, for the log."""
     if opened.first_event_at is None:
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_ends.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_ends.py
@@ -15,6 +15,9 @@
 from rhubarbbank_router import effects
 from rhubarbbank_router import state as states
 
+# Fingerprints that one line names.
+MOST_LOGGED = 8
+
 
 def retry_failure(
     state: states.RouterState,
@@ -56,7 +59,7 @@
         state, opened, attempt, now=now, failed=True
     )
     opened.excluded.add(attempt.upstream)
-    crashes = state.suspects.note(opened.fingerprint, now=now)
+    forgotten = state.suspects.note(opened.fingerprint, now=now)
     out: list[effects.Effect] = [
         attempt_log.log_attempt(
             opened,
@@ -65,10 +68,11 @@
             reason=detail,
             inputs=(
                 ("age_s", round(now - attempt.sent_at, 3)),
-                ("crashes", crashes),
+                *state.suspects.describe(opened.fingerprint),
             ),
         ),
         fx.Count("failed_attempts"),
+        *log_forgotten(forgotten, reason="want of room"),
     ]
     if dispatch.may_try_again(state, opened, now=now):
         again = dispatch.send(state, opened, now=now, cause="broken off")
@@ -77,6 +81,23 @@
     return [*out, *dispatch.give_up(state, opened, code, now=now)]
 
 
+def log_forgotten(marks: list[str], *, reason: str) -> list[effects.Effect]:
+    """Returns the line on crash suspects that are forgotten, if any are."""
+    if not marks:
+        return []
+    return [
+        fx.LogDecision(
+            decision="suspects_forgotten",
+            reason=reason,
+            inputs=(
+                ("count", len(marks)),
+                ("fingerprints", ",".join(marks[:MOST_LOGGED])),
+            ),
+        ),
+        fx.Count("suspects_forgotten", len(marks)),
+    ]
+
+
 def set_aside(
     state: states.RouterState, upstream: str, *, now: float, weight: int
 ) -> list[effects.Effect]:
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
@@ -8,6 +8,7 @@
 
 from rhubarbbank_core import effects as core_effects
 from rhubarbbank_core import program_effects as fx
+from rhubarbbank_router import attempt_ends
 from rhubarbbank_router import carriers
 from rhubarbbank_router import defaults
 from rhubarbbank_router import effects
@@ -80,10 +81,11 @@
         now: When it was heard, in seconds.
     """
     is_new = state.entries.take(message, now=now)
-    state.suspects.take(message.name, message.suspects)
+    told = state.suspects.take(message.name, message.suspects)
     state.others.take(message.name, message.loads, now=now)
     rollouts.take_news(state, message, now=now)
-    out = take_leaving(state, message)
+    out = [log_told_suspect(state, message.name, mark) for mark in told]
+    out += take_leaving(state, message)
     if not is_new:
         return out
     return [
@@ -96,6 +98,17 @@
     ]
 
 
+def log_told_suspect(
+    state: states.RouterState, peer: str, mark: str
+) -> effects.Effect:
+    """Returns the line on a crash suspect of which a peer told anew."""
+    return fx.LogDecision(
+        decision="suspect_told",
+        reason=peer,
+        inputs=state.suspects.describe(mark),
+    )
+
+
 def take_leaving(
     state: states.RouterState, message: messages.EntryNews
 ) -> list[effects.Effect]:
@@ -129,7 +142,7 @@
         address=settings.peer_address,
         stopping=state.stopping,
         trials=rollouts.build_news(state, now=now),
-        suspects=state.suspects.list_own(now=now),
+        suspects=state.suspects.list_own(),
         leaving=state.view.list_told_leaving(),
         loads=engine_load.list_loads(state.view, now=now),
         data_centre=settings.data_centre,
@@ -192,7 +205,8 @@
     alive_s = state.settings.bounds.session_s + defaults.SESSION_MARGIN_S
     state.sessions.forget(now=now, alive_s=alive_s)
     state.others.drop_silent(now=now)
-    out: list[effects.Effect] = []
+    old = state.suspects.forget_old(now=now)
+    out = attempt_ends.log_forgotten(old, reason="old")
     for name in state.entries.forget_silent(now=now):
         out.append(fx.LogDecision(decision="entry_silent", reason=name))
         out.append(effects.UnlistEntry(name))
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/intake.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/intake.py
@@ -161,7 +161,8 @@
     """Opens a request that may be served, and sends it."""
     mark = crash_suspects.fingerprint(request)
     if state.suspects.is_suspect(mark):
-        return refuse(state, request, CRASH_SUSPECT, now=now)
+        known = state.suspects.describe(mark)
+        return refuse(state, request, CRASH_SUSPECT, now=now, inputs=known)
     wait_s = route.timeout_s
     if request.wait_s is not None:
         wait_s = min(wait_s, request.wait_s)
@@ -222,8 +223,17 @@
     hindrance: Hindrance,
     *,
     now: float,
+    inputs: tuple[fx.LogInput, ...] = (),
 ) -> list[effects.Effect]:
-    """Refuses a request that has not been sent anywhere."""
+    """Refuses a request that has not been sent anywhere.
+
+    Args:
+        state: The router's state.
+        request: The request.
+        hindrance: Why it is refused.
+        now: In seconds.
+        inputs: What else decided it, for the log.
+    """
     retry_after_s = hindrance.retry_after_s
     if (
         hindrance.status == http.HTTPStatus.SERVICE_UNAVAILABLE
@@ -245,6 +255,7 @@
                     "none" if proof_age_s is None else round(proof_age_s, 3),
                 ),
                 ("open", len(state.open)),
+                *inputs,
             ),
         ),
         fx.Count(f"refused.{hindrance.code.value}"),
