--- a/features/router_crashes.feature
+++ b/features/router_crashes.feature
@@ -1,9 +1,59 @@
 @quick
 Feature: A request that ends its upstreams reaches few of them
 
+  Three upstreams may end before the request is known for what it is. The users
+  let it reach three more later than 3 s after that.
+
   Scenario: What is believed of a request that ends upstreams has its lines
-    Given 3 entries before 8 upstreams, and a request that ends them
-    When its caller sends it 12 times
+    Given 3 entries in 1 data centre, and a "note" request that ends upstreams
+    When its caller sends it 12 times, each 1 s
     Then each line on a failed attempt names the request and its break-offs
     And lines say what peers told of it
     And the line on its refusal names what was known
+
+  Scenario Outline: A request that comes to each entry in turn ends few upstreams
+    Given <entries> entries in <places> data centres, and a "<route>" request that ends upstreams
+    When its caller sends it <times> times, each <pause> s
+    Then at most 3 sendings reach upstreams later than 3 s after the third end
+    And some of its sendings are refused as a crash suspect
+
+    Examples:
+      | entries | places | route | times | pause |
+      | 1       | 1      | note  | 10    | 4     |
+      | 5       | 1      | note  | 20    | 4     |
+      | 5       | 3      | look  | 20    | 4     |
+      | 9       | 3      | note  | 20    | 1     |
+      | 27      | 3      | note  | 40    | 1     |
+      | 27      | 3      | chat  | 40    | 1     |
+
+  Scenario Outline: A request that ends upstreams is remembered though each entry that sent it is replaced
+    Given 5 entries in 1 data centre, and a "<route>" request that ends upstreams
+    When its caller sends it 20 times, each 3 s, and each entry that took it is replaced
+    Then at most 3 sendings reach upstreams later than 3 s after the third end
+
+    Examples:
+      | route |
+      | note  |
+      | chat  |
+
+  Scenario: An upstream's failure doesn't clear a request that ends upstreams
+    Given 1 entry in 1 data centre, and a "note" request that ends upstreams
+    And every third of its attempts is answered with 500 in place of an end
+    When its caller sends it 30 times, each 1 s
+    Then at most 3 sendings reach upstreams later than 3 s after the third end
+
+  Scenario: Others that break off don't make a request that ends upstreams forgotten
+    Given 1 entry in 1 data centre, and a "note" request that ends upstreams
+    When its caller sends it 12 times, each 1 s, and 1100 other requests break off each time
+    Then at most 3 sendings reach upstreams later than 3 s after the third end
+
+  Scenario: A caller's new key doesn't make another request of one that ends upstreams
+    Given 3 entries in 1 data centre, and a "note" request that ends upstreams
+    When its caller sends it 12 times, each 1 s, with a new key each time
+    Then at most 3 sendings reach upstreams later than 3 s after the third end
+
+  Scenario: An upstream that ends silently counts as ended
+    Given 1 entry in 1 data centre, and a "look" request that ends upstreams
+    And upstreams that end do so silently
+    When its caller sends it 12 times, each 3 s
+    Then at most 3 sendings reach upstreams later than 3 s after the third end
--- a/features/steps/router_crash_steps.py
+++ b/features/steps/router_crash_steps.py
@@ -13,22 +13,92 @@
 
 
 @given(
-    "{entries:d} entries before {upstreams:d} upstreams, and a request that "
-    "ends them"
+    '{entries:d} entry in {places:d} data centre, and a "{route}" request '
+    "that ends upstreams"
 )
-def build_fleet(context, entries, upstreams):
+@given(
+    '{entries:d} entries in {places:d} data centre, and a "{route}" request '
+    "that ends upstreams"
+)
+@given(
+    '{entries:d} entries in {places:d} data centres, and a "{route}" request '
+    "that ends upstreams"
+)
+def build_fleet(context, entries, places, route):
     context.crashes = crash_fleet.CrashFleet(
         rng=random.Random(entries),
-        places=1,
-        entries=entries,
-        upstreams=upstreams,
+        places=places,
+        entries=entries // places,
+        route=route,
     )
     context.crashes.run(SETTLE_S)
 
 
-@when("its caller sends it {times:d} times")
-def ask_often(context, times):
-    context.crashes.ask_often(times)
+@given("every third of its attempts is answered with 500 in place of an end")
+def fail_some(context):
+    context.crashes.fail_each = 3
+
+
+@given("upstreams that end do so silently")
+def end_silently(context):
+    context.crashes.silent = True
+
+
+@when("its caller sends it {times:d} times, each {pause:g} s")
+def ask_often(context, times, pause):
+    for _ in range(times):
+        context.crashes.ask_next()
+        context.crashes.run(pause)
+
+
+@when(
+    "its caller sends it {times:d} times, each {pause:g} s, and each entry "
+    "that took it is replaced"
+)
+def ask_and_replace(context, times, pause):
+    fleet = context.crashes
+    for _ in range(times):
+        name = fleet.ask_next()
+        fleet.run(pause / 2)
+        fleet.replace(name)
+        fleet.run(pause / 2)
+
+
+@when(
+    "its caller sends it {times:d} times, each {pause:g} s, and {count:d} "
+    "other requests break off each time"
+)
+def ask_beside_others(context, times, pause, count):
+    for _ in range(times):
+        context.crashes.ask_next()
+        context.crashes.break_others(count)
+        context.crashes.run(pause)
+
+
+@when(
+    "its caller sends it {times:d} times, each {pause:g} s, with a new key "
+    "each time"
+)
+def ask_with_new_keys(context, times, pause):
+    for _ in range(times):
+        context.crashes.change_key()
+        context.crashes.ask_next()
+        context.crashes.run(pause)
+
+
+@then(
+    "at most {most:d} sendings reach upstreams later than {after:g} s after "
+    "the third end"
+)
+def check_late(context, most, after):
+    fleet = context.crashes
+    assert len(fleet.sendings) >= crash_fleet.KNOWN_AFTER, fleet.sendings
+    assert fleet.count_late(after) <= most, fleet.sendings
+
+
+@then("some of its sendings are refused as a crash suspect")
+def check_refused(context):
+    assert "crash_suspect" in context.crashes.refusals
 
 
 @then("each line on a failed attempt names the request and its break-offs")
--- a/features/support/crash_fleet.py
+++ b/features/support/crash_fleet.py
@@ -7,24 +7,26 @@
 import dataclasses
 import itertools
 
-from rhubarbbank_core import program_effects as fx
 from rhubarbbank_router import effects
 from rhubarbbank_router import events
 from support import news_fleet
 from support import router_world
 
 BODY = b"ends whatever runs it"
+RUNS_S = 0.02
 BACK_S = 2.5
+# Upstreams that may end before the request is known for what it is.
+KNOWN_AFTER = 3
 
 
-@dataclasses.dataclass
+@dataclasses.dataclass(frozen=True)
 class Sending:
-    """One time that the request reached an upstream.
+    """One time that the request reached an upstream, which ended.
 
     Attributes:
-        at: When.
+        at: When it was sent.
         entry: Who sent it.
-        upstream: The upstream, which ended.
+        upstream: The upstream.
     """
 
     at: float
@@ -32,16 +34,38 @@
     upstream: str
 
 
+@dataclasses.dataclass(frozen=True)
+class Running:
+    """An attempt of the request that an upstream runs.
+
+    Attributes:
+        until: When the upstream ends, or fails the attempt.
+        world: The entry.
+        effect: What it sent.
+    """
+
+    until: float
+    world: router_world.World
+    effect: effects.SendAttempt
+
+
 class CrashFleet(news_fleet.NewsFleet):
     """Entries, their upstreams, and the caller of the request.
 
     Attributes:
         listed: Upstreams by id, as they are listed when they run.
         absent: Those that have ended and aren't back, with the time.
+        running: Attempts of the request.
         route: The request's route.
         key: The key of its caller.
-        sendings: Each time that it reached an upstream.
-        refusals: The codes with which it was refused unsent.
+        configuration: In force at all entries.
+        fail_each: Every so manieth attempt is answered with 500 and ends
+            nothing; 0 for none.
+        reached: Attempts of the request so far.
+        silent: Whether upstreams end without a reset.
+        sendings: Each time that it ended an upstream.
+        asked: How often the caller sent it.
+        refusals: The codes with which it was refused.
     """
 
     def __init__(self, *, route="note", upstreams=8, **given):
@@ -50,16 +74,25 @@
             for n in range(upstreams)
         }
         self.absent = {}
+        self.running = []
         self.route = route
         self.key = router_world.KEY
+        self.configuration = router_world.build_configuration()
+        self.fail_each = 0
+        self.reached = 0
+        self.silent = False
         self.sendings = []
+        self.asked = 0
         self.refusals = []
         super().__init__(**given)
         self.names = itertools.cycle(sorted(self.worlds))
 
+    # Entries.
+
     def build(self, number, place):
         super().build(number, place)
         world = self.worlds[f"entry-{number}"]
+        world.configure(self.configuration)
         world.list_upstreams(
             *(x for n, x in self.listed.items() if n not in self.absent)
         )
@@ -68,20 +101,90 @@
         """An entry's process is killed, and another one starts."""
         settings = self.worlds[name].state.settings
         self.build(int(name.rpartition("-")[2]), settings.data_centre)
-        world = self.worlds[name]
-        world.state.incarnation = int(self.now * 1000)
+        self.worlds[name].state.incarnation = int(self.now * 1000)
         self.register()
 
+    def change_key(self):
+        """The caller's organisation gets another key, its only one."""
+        self.key = f"key-{self.asked}"
+        self.configuration = router_world.build_configuration(
+            revision=self.configuration.revision + 1, keys=(self.key,)
+        )
+        self.configure()
+
+    def configure(self):
+        """All entries read the configuration."""
+        for world in self.worlds.values():
+            world.now = self.now
+            world.configure(self.configuration)
+
+    # Time.
+
     def run(self, duration_s, *, look=False):
         end = self.now + duration_s
         while self.now < end:
+            self.configure()
             for upstream_id, at in list(self.absent.items()):
                 if self.now >= at + BACK_S:
                     self.start_upstream(upstream_id)
-            for world in self.worlds.values():
-                world.now = self.now
-                world.configure()
-            super().run(min(0.5, end - self.now), look=look)
+            for each in [x for x in self.running if x.until <= self.now]:
+                self.running.remove(each)
+                self.end_attempt(each)
+            super().run(news_fleet.STEP_S, look=look)
+
+    def send(self, world):
+        for effect in world.done:
+            if isinstance(effect, effects.RefuseRequest):
+                self.refusals.append(effect.code)
+            ours = isinstance(effect, effects.SendAttempt)
+            if ours and effect.body == BODY:
+                each = Running(self.now + RUNS_S, world, effect)
+                self.running.append(each)
+        super().send(world)
+
+    # Upstreams.
+
+    def end_attempt(self, each):
+        """The upstream ends that runs an attempt, or it fails the attempt."""
+        self.reached += 1
+        effect = each.effect
+        if self.fail_each and self.reached % self.fail_each == 0:
+            each.world.now = self.now
+            each.world.apply(
+                events.UpstreamHead(
+                    request_id=effect.request_id,
+                    attempt=effect.attempt,
+                    status=500,
+                )
+            )
+            self.end_exchange(each, events.AttemptEnd.COMPLETE)
+            return
+        name = each.world.state.settings.name
+        sent_at = each.until - RUNS_S
+        self.sendings.append(Sending(sent_at, name, effect.upstream_id))
+        if not self.silent:
+            self.end_exchange(each, events.AttemptEnd.BROKEN)
+        self.end_upstream(effect.upstream_id)
+
+    def end_exchange(self, each, end):
+        """An exchange with an upstream ends."""
+        each.world.now = self.now
+        each.world.apply(
+            events.UpstreamEnded(
+                request_id=each.effect.request_id,
+                attempt=each.effect.attempt,
+                end=end,
+                detail="Connection reset by peer",
+            )
+        )
+        self.send(each.world)
+
+    def end_upstream(self, upstream_id):
+        """The list drops an upstream that has ended."""
+        self.absent[upstream_id] = self.now
+        for world in self.worlds.values():
+            world.now = self.now
+            world.apply(events.UpstreamUnlisted(upstream_id))
 
     def start_upstream(self, upstream_id):
         """An upstream that has ended is back, under its id."""
@@ -94,60 +197,34 @@
             world.now = self.now
             world.apply(events.UpstreamChanged(self.listed[upstream_id]))
 
-    def end_upstream(self, upstream_id):
-        """An upstream ends, and with it all that it has open."""
-        self.absent[upstream_id] = self.now
-        for world in self.worlds.values():
-            world.now = self.now
-            for opened in list(world.state.open.values()):
-                attempt = opened.current
-                if attempt is not None and attempt.upstream == upstream_id:
-                    self.break_off(world, opened.request.request_id, attempt)
-        for world in self.worlds.values():
-            world.apply(events.UpstreamUnlisted(upstream_id))
+    # Callers.
 
-    def break_off(self, world, request_id, attempt):
-        world.apply(
-            events.UpstreamEnded(
-                request_id=request_id,
-                attempt=attempt.number,
-                end=events.AttemptEnd.BROKEN,
-                detail="Connection reset by peer",
-            )
-        )
-
-    def ask(self, name=None):
-        """The caller sends the request to an entry, the next one by name."""
-        name = name or next(self.names)
+    def ask_next(self):
+        """The caller sends the request to the next entry by name."""
+        name = next(self.names)
         world = self.worlds[name]
         world.now = self.now
-        request_id = world.ask(self.route, key=self.key, body=BODY)
-        while request_id in world.state.open:
-            attempt = world.state.open[request_id].current
-            self.sendings.append(Sending(self.now, name, attempt.upstream))
-            self.end_upstream(attempt.upstream)
-        self.refusals += [
-            each.code
-            for each in world.answers(request_id)
-            if isinstance(each, effects.RefuseRequest)
-        ]
+        self.asked += 1
+        world.ask(self.route, key=self.key, body=BODY)
         self.send(world)
+        return name
+
+    def break_others(self, count):
+        """As many other requests break off at each entry."""
+        for world in self.worlds.values():
+            world.now = self.now
+            for _ in range(count):
+                world.end(world.ask("note", key=self.key), "broken")
+            self.send(world)
 
-    def ask_often(self, times, *, every_s=1.0):
-        for _ in range(times):
-            self.ask()
-            self.run(every_s)
+    # What must hold.
 
     def count_late(self, after_s):
         """How often it was sent later than this after the third end."""
-        if len(self.sendings) < 3:
+        if len(self.sendings) < KNOWN_AFTER:
             return 0
-        third_at = self.sendings[2].at
-        return sum(x.at > third_at + after_s for x in self.sendings)
+        known_at = self.sendings[KNOWN_AFTER - 1].at + RUNS_S
+        return sum(x.at > known_at + after_s for x in self.sendings)
 
     def list_lines(self, decision):
-        return [
-            line
-            for _, line in self.lines
-            if isinstance(line, fx.LogDecision) and line.decision == decision
-        ]
+        return [line for _, line in self.lines if line.decision == decision]
