Know a crashing request by the upstreams that ended, over all entries

What callers saw: one request, sent again and again, took down a server each time; everything else that ran there broke off with it.

Cause: the bound on a whole fleet was kept by what each entry knew alone. An entry told peers only from its own second break-off on, so that a request that came to each entry once was known to nobody (entries + 2 upstreams ended); and a peer's counts were replaced by its next heartbeat, so that a replaced entry took its break-offs along (every sending ended an upstream).

Now the evidence belongs to the request: the set of upstream incarnations that ended under it. Entries tell an end with their heartbeats from the first on, and all who know of a request with two or more repeat that, so that entries that start or were cut off learn it from any other. Sets join in any order. A request that comes again is remembered for longer. An upstream that ends twice before its restart is listed counts twice, as before.

router_load's step counted break-offs, two of them on one upstream that never ended; it now counts upstreams, as its text says.

--- a/features/router_crashes.feature
+++ b/features/router_crashes.feature
@@ -26,6 +26,12 @@
       | 27      | 3      | note  | 40    | 1     |
       | 27      | 3      | chat  | 40    | 1     |
 
+  Scenario: An upstream that is back unlisted and ends again counts twice
+    Given 1 entry in 1 data centre, and a "note" request that ends upstreams
+    And the list tells of no restart
+    When its caller sends it 12 times, each 4 s
+    Then at most 3 sendings reach upstreams later than 3 s after the third end
+
   Scenario Outline: A request that ends upstreams is remembered though each entry that sent it is replaced
     Given 5 entries in 1 data centre, and a "<route>" request that ends upstreams
     When its caller sends it 20 times, each 3 s, and each entry that took it is replaced
--- a/features/steps/router_crash_steps.py
+++ b/features/steps/router_crash_steps.py
@@ -44,6 +44,11 @@
     context.crashes.silent = True
 
 
+@given("the list tells of no restart")
+def hide_restarts(context):
+    context.crashes.tells_ends = False
+
+
 @when("its caller sends it {times:d} times, each {pause:g} s")
 def ask_often(context, times, pause):
     for _ in range(times):
--- a/features/steps/router_load_steps.py
+++ b/features/steps/router_load_steps.py
@@ -263,13 +263,12 @@
 @when("the same request breaks off {count:d} upstreams")
 def crash_upstreams(context, count):
     world = context.world
-    crashes = 0
-    while crashes < count:
+    ended = set()
+    while len(ended) < count:
         request = world.ask("look", body=b"poison", target="/look/p")
-        while not world.answers(request) and crashes < count:
+        while not world.answers(request) and len(ended) < count:
+            ended.add(world.sent(request)[-1].upstream_id)
             world.end(request, "broken")
-            crashes += 1
-    context.crashes = crashes
 
 
 def check_suspect(world):
--- a/features/support/crash_fleet.py
+++ b/features/support/crash_fleet.py
@@ -63,6 +63,7 @@
             nothing; 0 for none.
         reached: Attempts of the request so far.
         silent: Whether upstreams end without a reset.
+        tells_ends: Whether the list tells of ends and starts of upstreams.
         sendings: Each time that it ended an upstream.
         asked: How often the caller sent it.
         refusals: The codes with which it was refused.
@@ -81,6 +82,7 @@
         self.fail_each = 0
         self.reached = 0
         self.silent = False
+        self.tells_ends = True
         self.sendings = []
         self.asked = 0
         self.refusals = []
@@ -181,6 +183,8 @@
 
     def end_upstream(self, upstream_id):
         """The list drops an upstream that has ended."""
+        if not self.tells_ends:
+            return
         self.absent[upstream_id] = self.now
         for world in self.worlds.values():
             world.now = self.now
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_ends.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_ends.py
@@ -11,6 +11,8 @@
 from rhubarbbank_router import attempt_evidence
 from rhubarbbank_router import attempt_log
 from rhubarbbank_router import attempt_states
+from rhubarbbank_router import crash_suspects
+from rhubarbbank_router import defaults
 from rhubarbbank_router import dispatch
 from rhubarbbank_router import effects
 from rhubarbbank_router import state as states
@@ -59,7 +61,7 @@
         state, opened, attempt, now=now, failed=True
     )
     opened.excluded.add(attempt.upstream)
-    forgotten = state.suspects.note(opened.fingerprint, now=now)
+    forgotten = note_end(state, opened, attempt, now=now)
     out: list[effects.Effect] = [
         attempt_log.log_attempt(
             opened,
@@ -81,6 +83,26 @@
     return [*out, *dispatch.give_up(state, opened, code, now=now)]
 
 
+def note_end(
+    state: states.RouterState,
+    opened: states.OpenRequest,
+    attempt: attempt_states.Attempt,
+    *,
+    now: float,
+) -> list[str]:
+    """Notes that an upstream ended under a request.
+
+    Returns:
+        The requests that are forgotten to make room.
+    """
+    mark = opened.fingerprint
+    end = crash_suspects.mark_end(attempt.upstream, attempt.upstream_started_ms)
+    forgotten = state.suspects.note_end(mark, end, now=now)
+    if state.suspects.count(mark) >= defaults.ENDS_TO_REPEAT:
+        state.press_news(now=now)
+    return forgotten
+
+
 def log_forgotten(marks: list[str], *, reason: str) -> list[effects.Effect]:
     """Returns the line on crash suspects that are forgotten, if any are."""
     if not marks:
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_states.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_states.py
@@ -37,6 +37,7 @@
     Attributes:
         number: From 1 within the request.
         upstream: Id of the upstream.
+        upstream_started_ms: Unix time of the upstream's start; 0 if unknown.
         service: The upstream's service.
         version: The upstream's software version.
         model: The model asked for; empty where the request names it.
@@ -71,6 +72,7 @@
     cutter: event_stream.EventCutter = dataclasses.field(
         default_factory=event_stream.EventCutter
     )
+    upstream_started_ms: int = 0
     heard_at: float = 0.0
     first_event_at: float | None = None
     events: int = 0
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/crash_suspects.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/crash_suspects.py
@@ -1,19 +1,30 @@
 """Notices requests that crash the upstreams that run them.
 
-A request that breaks off several upstreams, without an answer in between, is
-refused before it reaches another one. Entries tell each other of their
-counts, so that a caller that comes again elsewhere doesn't start anew.
+A request that ends several upstreams, without an answer in between, is
+refused before it reaches another one. No entry needs to see that alone: what
+is known of a request is the set of upstreams that have ended under it, and
+each entry tells what it knows with its heartbeats. Sets only grow together,
+so that the order of messages, lost ones and repeated ones don't matter, and
+what an entry has told outlives its process.
+
+    caller --> entry 1 --> upstream a ends    {a}
+           --> entry 2 --> upstream b ends    {a, b}
+           --> entry 3 --> upstream c ends    {a, b, c}, refused everywhere
 """
 
 import collections
+import dataclasses
 
 import xxhash
 
 from rhubarbbank_core import program_effects as fx
 from rhubarbbank_router import callers
 from rhubarbbank_router import defaults
+from rhubarbbank_router import marks
 from rhubarbbank_router import messages
 
+MS_PER_S = 1000.0
+
 
 def fingerprint(request: callers.IncomingRequest) -> str:
     """Returns what all sendings of one request have in common."""
@@ -25,94 +36,197 @@
     return digest.hexdigest()
 
 
+def mark_end(upstream_id: str, started_ms: int) -> marks.Mark:
+    """Returns what stands for the end of one incarnation of an upstream."""
+    return marks.mark(f"{upstream_id}/{started_ms}")
+
+
+@dataclasses.dataclass(slots=True)
+class Suspect:
+    """What is known of one request.
+
+    Attributes:
+        seen_at: When it last ended an upstream or was refused, in seconds.
+        ends: The upstreams that ended under it, with the time.
+        seen_here: Those of them whose end was seen here.
+    """
+
+    seen_at: float
+    ends: dict[marks.Mark, float] = dataclasses.field(default_factory=dict)
+    seen_here: set[marks.Mark] = dataclasses.field(default_factory=set)
+
+    def note(self, end: marks.Mark, *, at: float) -> None:
+        """Notes the end of an upstream, once."""
+        self.ends[end] = min(at, self.ends.get(end, at))
+        self.seen_at = max(self.seen_at, at)
+
+
 class CrashSuspects:
-    """Counts break-offs by fingerprint.
+    """What all entries together know of requests that end upstreams.
 
     Attributes:
-        own: Break-offs seen here, with the time of the last one.
-        told: Break-offs that peers have seen, by fingerprint and peer.
+        suspects: By fingerprint, the most recently changed last.
     """
 
     def __init__(self) -> None:
-        self.own: collections.OrderedDict[str, tuple[int, float]] = (
+        self.suspects: collections.OrderedDict[str, Suspect] = (
             collections.OrderedDict()
         )
-        self.told: dict[str, dict[str, int]] = {}
 
-    def note(self, mark: str, *, now: float) -> list[str]:
-        """Notes a break-off; returns the requests forgotten to make room."""
-        count, _ = self.own.get(mark, (0, now))
-        self.own[mark] = (count + 1, now)
-        self.own.move_to_end(mark)
+    def note_end(self, mark: str, end: marks.Mark, *, now: float) -> list[str]:
+        """Notes an end that was seen here.
+
+        Args:
+            mark: The fingerprint of the request.
+            end: Of the upstream that ran it.
+            now: In seconds.
+
+        Returns:
+            The requests that are forgotten to make room.
+        """
+        suspect = self.find(mark, now=now)
+        seen = end in suspect.seen_here
+        if seen and now - suspect.ends[end] > defaults.RESTART_LEAST_S:
+            # It has been back, and its new start wasn't listed yet.
+            end = marks.mark(f"{end}/{len(suspect.seen_here)}")
+        suspect.note(end, at=now)
+        suspect.seen_here.add(end)
+        return self.make_room()
+
+    def note_refused(self, mark: str, *, now: float) -> None:
+        """Notes that a suspect has come again, so that it is remembered."""
+        self.find(mark, now=now).seen_at = now
+
+    def find(self, mark: str, *, now: float) -> Suspect:
+        """Returns what is known of a request that is of interest now."""
+        suspect = self.suspects.setdefault(mark, Suspect(seen_at=now))
+        self.suspects.move_to_end(mark)
+        return suspect
+
+    def make_room(self) -> list[str]:
+        """Forgets what is too much; returns the fingerprints."""
         forgotten: list[str] = []
-        while len(self.own) > defaults.MAX_SUSPECTS:
-            oldest, _ = self.own.popitem(last=False)
-            forgotten.append(oldest)
+        while len(self.suspects) > defaults.MAX_SUSPECTS:
+            mark, _ = self.suspects.popitem(last=False)
+            forgotten.append(mark)
         return forgotten
 
     def clear(self, mark: str) -> bool:
-        """Notes that the request was answered: it crashes nothing.
+        """Notes that the request was answered: it ends nothing.
 
         Returns:
-            Whether break-offs of it had been seen here.
+            Whether ends of upstreams under it were known.
         """
-        return self.own.pop(mark, None) is not None
+        return self.suspects.pop(mark, None) is not None
 
     def take(
-        self, peer: str, told: tuple[messages.SuspectNews, ...]
+        self, told: tuple[messages.SuspectNews, ...], *, now: float
     ) -> list[str]:
-        """Takes a peer's counts, which replace its earlier ones.
+        """Takes what a peer knows.
+
+        Args:
+            told: By the peer.
+            now: When it was told, in seconds.
 
         Returns:
-            The requests of which the peer tells another count than before.
+            The requests of which more is known than before.
         """
-        before: dict[str, int] = {}
-        for mark, counts in self.told.items():
-            if peer in counts:
-                before[mark] = counts.pop(peer)
-        after = {each.fingerprint: each.crashes for each in told}
-        for mark, crashes in after.items():
-            self.told.setdefault(mark, {})[peer] = crashes
-        self.told = {mark: found for mark, found in self.told.items() if found}
-        return sorted(
-            mark
-            for mark in before.keys() | after.keys()
-            if before.get(mark) != after.get(mark)
-        )
+        learnt: list[str] = []
+        for each in told:
+            if self.take_suspect(each, now=now):
+                learnt.append(each.fingerprint)
+        self.make_room()
+        return learnt
+
+    def take_suspect(self, told: messages.SuspectNews, *, now: float) -> bool:
+        """Takes what a peer knows of one request; returns whether it is news.
+
+        Entries of earlier releases name no ends.
+        """
+        if not told.ends:
+            return False
+        suspect = self.find(told.fingerprint, now=now - read_s(told.age_ms))
+        known = len(suspect.ends)
+        for each in told.ends:
+            suspect.note(each.upstream, at=now - read_s(each.age_ms))
+        suspect.seen_at = max(suspect.seen_at, now - read_s(told.age_ms))
+        return len(suspect.ends) > known
 
     def count(self, mark: str) -> int:
-        """Returns how many break-offs are known of."""
-        own, _ = self.own.get(mark, (0, 0.0))
-        return own + sum(self.told.get(mark, {}).values())
+        """Returns how many upstreams are known to have ended under it."""
+        suspect = self.suspects.get(mark)
+        return len(suspect.ends) if suspect else 0
+
+    def is_suspect(self, mark: str) -> bool:
+        """Returns whether the request must not reach another upstream."""
+        return self.count(mark) >= defaults.ENDS_TO_SUSPECT
 
     def describe(self, mark: str) -> tuple[fx.LogInput, ...]:
         """Returns what is known of a request, for the log."""
-        own, _ = self.own.get(mark, (0, 0.0))
+        suspect = self.suspects.get(mark)
         return (
             ("fingerprint", mark),
             ("crashes", self.count(mark)),
-            ("seen_here", own),
+            ("seen_here", len(suspect.seen_here) if suspect else 0),
         )
 
-    def is_suspect(self, mark: str) -> bool:
-        """Returns whether the request must not reach another upstream."""
-        return self.count(mark) > defaults.CRASHES_TO_SUSPECT
-
     def forget_old(self, *, now: float) -> list[str]:
-        """Forgets requests whose last break-off is long ago; returns them."""
+        """Forgets requests not seen for long; returns their fingerprints."""
         old = [
             mark
-            for mark, (_, seen_at) in self.own.items()
-            if now - seen_at > defaults.SUSPECT_MEMORY_S
+            for mark, suspect in self.suspects.items()
+            if now - suspect.seen_at > defaults.SUSPECT_MEMORY_S
         ]
         for mark in old:
-            del self.own[mark]
+            del self.suspects[mark]
         return old
 
-    def list_own(self) -> tuple[messages.SuspectNews, ...]:
-        """Returns this entry's suspects, for peers."""
+    def list_news(self, *, now: float) -> tuple[messages.SuspectNews, ...]:
+        """Returns what peers are told, the most telling first.
+
+        Ends seen here are told until all peers have heard of them. Requests
+        with several are told by everyone who knows of them, for as long as
+        they are remembered, so that entries that have been away learn of them.
+        """
+        telling = [
+            (mark, suspect)
+            for mark, suspect in self.suspects.items()
+            if len(suspect.ends) >= defaults.ENDS_TO_REPEAT
+            or is_fresh(suspect, now=now)
+        ]
+        telling.sort(key=lambda each: (-len(each[1].ends), -each[1].seen_at))
         return tuple(
-            messages.SuspectNews(mark, count)
-            for mark, (count, _) in self.own.items()
-            if count > 1
+            pack(mark, suspect, now=now)
+            for mark, suspect in telling[: defaults.MAX_TOLD_SUSPECTS]
         )
+
+
+def is_fresh(suspect: Suspect, *, now: float) -> bool:
+    """Returns whether peers may not know yet of an end that was seen here."""
+    return any(
+        now - suspect.ends[end] <= defaults.SUSPECT_TELL_S
+        for end in suspect.seen_here
+    )
+
+
+def pack(mark: str, suspect: Suspect, *, now: float) -> messages.SuspectNews:
+    """Returns what is known of a request as a heartbeat carries it."""
+    return messages.SuspectNews(
+        fingerprint=mark,
+        crashes=len(suspect.seen_here),
+        age_ms=measure_ms(suspect.seen_at, now=now),
+        ends=tuple(
+            messages.EndNews(end, measure_ms(at, now=now))
+            for end, at in suspect.ends.items()
+        ),
+    )
+
+
+def measure_ms(at: float, *, now: float) -> int:
+    """Returns how long ago a time was, in milliseconds."""
+    return int((now - at) * MS_PER_S)
+
+
+def read_s(age_ms: int) -> float:
+    """Returns an age in seconds."""
+    return age_ms / MS_PER_S
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -210,11 +210,19 @@
 # Streams with fewer events tell little of their pace.
 LEAST_EVENTS_FOR_PACE = 5
 
-# Attempts that end by a break-off, after which a request is suspected to
-# crash its upstreams.
-CRASHES_TO_SUSPECT = 2
+# Upstreams that end under a request before it is refused (bound).
+ENDS_TO_SUSPECT = 3
+# Ends from which on each entry repeats what it knows of a request.
+ENDS_TO_REPEAT = 2
+# Time that an upstream needs at least to end, be back and end again.
+RESTART_LEAST_S = 1.0
+# A request is forgotten when it hasn't come for this long.
 SUSPECT_MEMORY_S = 60.0
 MAX_SUSPECTS = 1_000
+# An end is told for as long as a live entry may not have been heard, and a
+# heartbeat names at most so many requests.
+SUSPECT_TELL_S = PEER_SILENCE_S
+MAX_TOLD_SUSPECTS = 128
 
 # The graceful stop: open connections are served this long, and the process
 # ends this much before it would be killed.
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
@@ -126,6 +126,7 @@
     attempt = attempt_states.Attempt(
         number=len(opened.attempts) + 1,
         upstream=upstream.upstream_id,
+        upstream_started_ms=upstream.started_ms,
         service=opened.service,
         version=upstream.version,
         model=opened.model,
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
@@ -81,10 +81,14 @@
         now: When it was heard, in seconds.
     """
     is_new = state.entries.take(message, now=now)
-    told = state.suspects.take(message.name, message.suspects)
+    learnt = state.suspects.take(message.suspects, now=now)
     state.others.take(message.name, message.loads, now=now)
     rollouts.take_news(state, message, now=now)
-    out = [log_told_suspect(state, message.name, mark) for mark in told]
+    out = [
+        log_told_suspect(state, message.name, mark)
+        for mark in learnt
+        if state.suspects.count(mark) >= defaults.ENDS_TO_REPEAT
+    ]
     out += take_leaving(state, message)
     if not is_new:
         return out
@@ -142,7 +146,7 @@
         address=settings.peer_address,
         stopping=state.stopping,
         trials=rollouts.build_news(state, now=now),
-        suspects=state.suspects.list_own(),
+        suspects=state.suspects.list_news(now=now),
         leaving=state.view.list_told_leaving(),
         loads=engine_load.list_loads(state.view, now=now),
         data_centre=settings.data_centre,
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/intake.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/intake.py
@@ -161,6 +161,7 @@
     """Opens a request that may be served, and sends it."""
     mark = crash_suspects.fingerprint(request)
     if state.suspects.is_suspect(mark):
+        state.suspects.note_refused(mark, now=now)
         known = state.suspects.describe(mark)
         return refuse(state, request, CRASH_SUSPECT, now=now, inputs=known)
     wait_s = route.timeout_s
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/messages.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/messages.py
@@ -65,16 +65,32 @@
     kept_sessions: tuple[int, ...] = ()
 
 
+class EndNews(msgspec.Struct, frozen=True, array_like=True):
+    """The end of an upstream that ran a request.
+
+    Attributes:
+        upstream: The mark of the upstream's incarnation.
+        age_ms: How long ago it ended.
+    """
+
+    upstream: int
+    age_ms: int
+
+
 class SuspectNews(msgspec.Struct, frozen=True, array_like=True):
-    """A request that broke off its upstreams.
+    """What an entry knows of a request that ended its upstreams.
 
     Attributes:
         fingerprint: Of the request.
-        crashes: Attempts that broke off, here.
+        crashes: How many of the ends the entry has seen itself.
+        age_ms: How long ago the request was last seen anywhere.
+        ends: The upstreams that ended under it, as far as anyone has seen.
     """
 
     fingerprint: str
     crashes: int
+    age_ms: int = 0
+    ends: tuple[EndNews, ...] = ()
 
 
 class LoadNews(msgspec.Struct, frozen=True, array_like=True):
