Clear a crashing request only by a good answer, and at all entries

What callers saw: a request that ends upstreams was sent anew after any failure in between. Any whole answer cleared it, also an upstream's own 500, which says nothing of what the request does when it runs to its end. Where a good answer did clear it, only the entry that had it knew.

Now an answer below 500 clears it of all ends before, and heartbeats carry that for as long as ends are told; an entry that meets older ends at a peer tells again.

--- a/features/router_crashes.feature
+++ b/features/router_crashes.feature
@@ -48,6 +48,22 @@
     When its caller sends it 30 times, each 1 s
     Then at most 3 sendings reach upstreams later than 3 s after the third end
 
+  Scenario: A good answer at one entry clears a request at all entries
+    Given 6 entries in 2 data centres, and a "note" request that ends upstreams
+    When it is sent once to an upstream that bears it
+    And its caller sends it 4 times, each 2 s
+    And that sending has a good answer
+    And the fleet goes on for 4 s
+    Then every entry sends it to an upstream again
+
+  Scenario: An entry that was away when a request was cleared learns of it
+    Given 6 entries in 2 data centres, and a "note" request that ends upstreams
+    When it is sent once to an upstream that bears it
+    And its caller sends it 4 times, each 2 s
+    And "west-1" is cut off for 6 s in which it has a good answer
+    And the fleet goes on for 4 s
+    Then every entry sends it to an upstream again
+
   Scenario: Others that break off don't make a request that ends upstreams forgotten
     Given 1 entry in 1 data centre, and a "note" request that ends upstreams
     When its caller sends it 12 times, each 1 s, and 1100 other requests break off each time
--- a/features/steps/router_crash_steps.py
+++ b/features/steps/router_crash_steps.py
@@ -91,6 +91,42 @@
         context.crashes.run(pause)
 
 
+@when("it is sent once to an upstream that bears it")
+def begin_spared(context):
+    fleet = context.crashes
+    fleet.spares = True
+    fleet.ask_next()
+    fleet.spares = False
+
+
+@when("that sending has a good answer")
+def answer_spared(context):
+    context.crashes.answer_spared()
+
+
+@when('"{place}" is cut off for {wait:g} s in which it has a good answer')
+def answer_beside_cut(context, place, wait):
+    fleet = context.crashes
+    fleet.cut.add(place)
+    fleet.answer_spared()
+    fleet.run(wait)
+    fleet.cut.discard(place)
+
+
+@when("the fleet goes on for {wait:g} s")
+def go_on(context, wait):
+    context.crashes.run(wait)
+
+
+@then("every entry sends it to an upstream again")
+def check_sent(context):
+    fleet = context.crashes
+    for name, world in fleet.worlds.items():
+        world.now = fleet.now
+        request_id = world.ask("note", key=fleet.key, body=crash_fleet.BODY)
+        assert world.sent(request_id), name
+
+
 @then(
     "at most {most:d} sendings reach upstreams later than {after:g} s after "
     "the third end"
--- a/features/support/crash_fleet.py
+++ b/features/support/crash_fleet.py
@@ -63,6 +63,8 @@
             nothing; 0 for none.
         reached: Attempts of the request so far.
         silent: Whether upstreams end without a reset.
+        spares: Whether upstreams bear the request.
+        spared: The last attempt that an upstream bore; it has no answer yet.
         tells_ends: Whether the list tells of ends and starts of upstreams.
         sendings: Each time that it ended an upstream.
         asked: How often the caller sent it.
@@ -82,6 +84,8 @@
         self.fail_each = 0
         self.reached = 0
         self.silent = False
+        self.spares = False
+        self.spared = None
         self.tells_ends = True
         self.sendings = []
         self.asked = 0
@@ -139,8 +143,12 @@
             if isinstance(effect, effects.RefuseRequest):
                 self.refusals.append(effect.code)
             ours = isinstance(effect, effects.SendAttempt)
-            if ours and effect.body == BODY:
-                each = Running(self.now + RUNS_S, world, effect)
+            if not ours or effect.body != BODY:
+                continue
+            each = Running(self.now + RUNS_S, world, effect)
+            if self.spares:
+                self.spared = each
+            else:
                 self.running.append(each)
         super().send(world)
 
@@ -168,6 +176,20 @@
             self.end_exchange(each, events.AttemptEnd.BROKEN)
         self.end_upstream(effect.upstream_id)
 
+    def answer_spared(self):
+        """The attempt that an upstream bore has a good answer."""
+        each = self.spared
+        each.world.now = self.now
+        request_id, number = each.effect.request_id, each.effect.attempt
+        each.world.apply(
+            events.UpstreamHead(
+                request_id=request_id, attempt=number, status=200
+            )
+        )
+        event = router_world.build_event(1)
+        each.world.apply(events.UpstreamData(request_id, number, event))
+        self.end_exchange(each, events.AttemptEnd.COMPLETE)
+
     def end_exchange(self, each, end):
         """An exchange with an upstream ends."""
         each.world.now = self.now
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
@@ -177,7 +177,7 @@
         return dispatch.give_up(state, opened, code, now=now)
     request_id = opened.request.request_id
     del state.open[request_id]
-    cleared = clear_suspect(state, opened, attempt)
+    cleared = clear_suspect(state, opened, attempt, now=now)
     log = fx.LogDecision(
         decision="answered",
         request_id=opened.request.attempt_id,
@@ -213,16 +213,23 @@
     state: states.RouterState,
     opened: states.OpenRequest,
     attempt: attempt_states.Attempt,
+    *,
+    now: float,
 ) -> list[effects.Effect]:
-    """Clears an answered request of crashing its upstreams."""
+    """Clears a request with a good answer of crashing its upstreams.
+
+    A failure may come from an upstream that didn't run it to its end.
+    """
+    if attempt.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR:
+        return []
     known = state.suspects.describe(opened.fingerprint)
-    if not state.suspects.clear(opened.fingerprint):
+    if not state.suspects.clear(opened.fingerprint, now=now):
         return []
     return [
         fx.LogDecision(
             decision="suspect_cleared",
             upstream=attempt.upstream,
-            reason="whole answer",
+            reason="good answer",
             inputs=(
                 ("status", attempt.status),
                 ("answered", opened.request.attempt_id),
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/crash_suspects.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/crash_suspects.py
@@ -5,7 +5,8 @@
 is known of a request is the set of upstreams that have ended under it, and
 each entry tells what it knows with its heartbeats. Sets only grow together,
 so that the order of messages, lost ones and repeated ones don't matter, and
-what an entry has told outlives its process.
+what an entry has told outlives its process. A good answer clears the request
+of all that happened before.
 
     caller --> entry 1 --> upstream a ends    {a}
            --> entry 2 --> upstream b ends    {a, b}
@@ -49,17 +50,33 @@
         seen_at: When it last ended an upstream or was refused, in seconds.
         ends: The upstreams that ended under it, with the time.
         seen_here: Those of them whose end was seen here.
+        cleared_at: When it last had a good answer; None if it had none.
+        tell_until: It is told until then, with all that is known.
     """
 
     seen_at: float
+    cleared_at: float | None = None
+    tell_until: float = 0.0
     ends: dict[marks.Mark, float] = dataclasses.field(default_factory=dict)
     seen_here: set[marks.Mark] = dataclasses.field(default_factory=set)
 
     def note(self, end: marks.Mark, *, at: float) -> None:
-        """Notes the end of an upstream, once."""
+        """Notes the end of an upstream, once, unless it is cleared of it."""
+        if self.cleared_at is not None and at <= self.cleared_at:
+            return
         self.ends[end] = min(at, self.ends.get(end, at))
         self.seen_at = max(self.seen_at, at)
 
+    def clear(self, *, at: float) -> None:
+        """Clears the request of what happened before a time."""
+        self.cleared_at = max(at, self.cleared_at or at)
+        self.ends = {
+            end: ended_at
+            for end, ended_at in self.ends.items()
+            if ended_at > self.cleared_at
+        }
+        self.seen_here &= self.ends.keys()
+
 
 class CrashSuspects:
     """What all entries together know of requests that end upstreams.
@@ -91,6 +108,7 @@
             end = marks.mark(f"{end}/{len(suspect.seen_here)}")
         suspect.note(end, at=now)
         suspect.seen_here.add(end)
+        suspect.tell_until = now + defaults.SUSPECT_TELL_S
         return self.make_room()
 
     def note_refused(self, mark: str, *, now: float) -> None:
@@ -111,13 +129,18 @@
             forgotten.append(mark)
         return forgotten
 
-    def clear(self, mark: str) -> bool:
-        """Notes that the request was answered: it ends nothing.
+    def clear(self, mark: str, *, now: float) -> bool:
+        """Notes that the request had a good answer: it ends nothing.
 
         Returns:
             Whether ends of upstreams under it were known.
         """
-        return self.suspects.pop(mark, None) is not None
+        if not self.count(mark):
+            return False
+        suspect = self.find(mark, now=now)
+        suspect.clear(at=now)
+        suspect.tell_until = now + defaults.SUSPECT_TELL_S
+        return True
 
     def take(
         self, told: tuple[messages.SuspectNews, ...], *, now: float
@@ -129,7 +152,7 @@
             now: When it was told, in seconds.
 
         Returns:
-            The requests of which more is known than before.
+            The requests of which something else is known than before.
         """
         learnt: list[str] = []
         for each in told:
@@ -143,14 +166,20 @@
 
         Entries of earlier releases name no ends.
         """
-        if not told.ends:
+        if not told.ends and told.cleared_ms is None:
             return False
-        suspect = self.find(told.fingerprint, now=now - read_s(told.age_ms))
-        known = len(suspect.ends)
+        seen_at = now - read_s(told.age_ms)
+        suspect = self.find(told.fingerprint, now=seen_at)
+        before = set(suspect.ends)
+        if told.cleared_ms is not None:
+            suspect.clear(at=now - read_s(told.cleared_ms))
         for each in told.ends:
             suspect.note(each.upstream, at=now - read_s(each.age_ms))
-        suspect.seen_at = max(suspect.seen_at, now - read_s(told.age_ms))
-        return len(suspect.ends) > known
+        if told.cleared_ms is None and suspect.cleared_at is not None:
+            # The peer has missed the answer.
+            suspect.tell_until = now + defaults.SUSPECT_TELL_S
+        suspect.seen_at = max(suspect.seen_at, seen_at)
+        return before != suspect.ends.keys()
 
     def count(self, mark: str) -> int:
         """Returns how many upstreams are known to have ended under it."""
@@ -192,7 +221,7 @@
             (mark, suspect)
             for mark, suspect in self.suspects.items()
             if len(suspect.ends) >= defaults.ENDS_TO_REPEAT
-            or is_fresh(suspect, now=now)
+            or now < suspect.tell_until
         ]
         telling.sort(key=lambda each: (-len(each[1].ends), -each[1].seen_at))
         return tuple(
@@ -201,16 +230,11 @@
         )
 
 
-def is_fresh(suspect: Suspect, *, now: float) -> bool:
-    """Returns whether peers may not know yet of an end that was seen here."""
-    return any(
-        now - suspect.ends[end] <= defaults.SUSPECT_TELL_S
-        for end in suspect.seen_here
-    )
-
-
 def pack(mark: str, suspect: Suspect, *, now: float) -> messages.SuspectNews:
     """Returns what is known of a request as a heartbeat carries it."""
+    cleared_ms = None
+    if suspect.cleared_at is not None:
+        cleared_ms = measure_ms(suspect.cleared_at, now=now)
     return messages.SuspectNews(
         fingerprint=mark,
         crashes=len(suspect.seen_here),
@@ -219,6 +243,7 @@
             messages.EndNews(end, measure_ms(at, now=now))
             for end, at in suspect.ends.items()
         ),
+        cleared_ms=cleared_ms,
     )
 
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
@@ -87,7 +87,7 @@
     out = [
         log_told_suspect(state, message.name, mark)
         for mark in learnt
-        if state.suspects.count(mark) >= defaults.ENDS_TO_REPEAT
+        if state.suspects.count(mark) != 1
     ]
     out += take_leaving(state, message)
     if not is_new:
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/messages.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/messages.py
@@ -85,12 +85,15 @@
         crashes: How many of the ends the entry has seen itself.
         age_ms: How long ago the request was last seen anywhere.
         ends: The upstreams that ended under it, as far as anyone has seen.
+        cleared_ms: How long ago it last had a good answer, which clears it of
+            all ends before; None if it had none.
     """
 
     fingerprint: str
     crashes: int
     age_ms: int = 0
     ends: tuple[EndNews, ...] = ()
+    cleared_ms: int | None = None
 
 
 class LoadNews(msgspec.Struct, frozen=True, array_like=True):
