Keep the requests with the most ends when crash suspects are too many

What callers saw: beside many broken connections a request that ends upstreams was forgotten and sent on. The memory for 1,000 requests dropped the oldest first, and each end of an upstream adds all that ran there, with one end each.

--- a/packages/rhubarbbank-router/src/rhubarbbank_router/crash_suspects.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/crash_suspects.py
@@ -122,11 +122,24 @@
         return suspect
 
     def make_room(self) -> list[str]:
-        """Forgets what is too much; returns the fingerprints."""
-        forgotten: list[str] = []
-        while len(self.suspects) > defaults.MAX_SUSPECTS:
-            mark, _ = self.suspects.popitem(last=False)
-            forgotten.append(mark)
+        """Forgets what tells least if there is too much; returns what.
+
+        An upstream that ends breaks off all that it ran, so that most
+        requests here have one end. What was seen here is kept first: each end
+        is remembered by whoever saw it, and told when a second one is heard.
+        """
+        if len(self.suspects) <= defaults.MAX_SUSPECTS:
+            return []
+        by_evidence = sorted(
+            self.suspects,
+            key=lambda mark: (
+                len(self.suspects[mark].ends),
+                len(self.suspects[mark].seen_here),
+            ),
+        )
+        forgotten = by_evidence[: -defaults.SUSPECTS_KEPT]
+        for mark in forgotten:
+            del self.suspects[mark]
         return forgotten
 
     def clear(self, mark: str, *, now: float) -> bool:
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -218,7 +218,10 @@
 RESTART_LEAST_S = 1.0
 # A request is forgotten when it hasn't come for this long.
 SUSPECT_MEMORY_S = 60.0
-MAX_SUSPECTS = 1_000
+# As many as an entry may have open. Among more, so many with the most ends
+# are kept.
+MAX_SUSPECTS = 4_096
+SUSPECTS_KEPT = 3_600
 # An end is told for as long as a live entry may not have been heard, and a
 # heartbeat names at most so many requests.
 SUSPECT_TELL_S = PEER_SILENCE_S
