Know a crashing request by its organisation in place of its key

What callers saw: with each new key of the same customer the same request ended three upstreams more. The fingerprint held the key. It now holds the organisation that the configuration gives the key to.

--- a/packages/rhubarbbank-router/src/rhubarbbank_router/crash_suspects.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/crash_suspects.py
@@ -27,10 +27,15 @@
 MS_PER_S = 1000.0
 
 
-def fingerprint(request: callers.IncomingRequest) -> str:
-    """Returns what all sendings of one request have in common."""
+def fingerprint(request: callers.IncomingRequest, *, organisation: str) -> str:
+    """Returns what all sendings of one request have in common.
+
+    Args:
+        request: The request.
+        organisation: Whose it is, under whatever key.
+    """
     digest = xxhash.xxh64()
-    for part in (request.key, request.method, request.target):
+    for part in (organisation, request.method, request.target):
         digest.update(part.encode())
         digest.update(b"\x00")
     digest.update(request.body)
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/intake.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/intake.py
@@ -159,7 +159,7 @@
     now: float,
 ) -> list[effects.Effect]:
     """Opens a request that may be served, and sends it."""
-    mark = crash_suspects.fingerprint(request)
+    mark = crash_suspects.fingerprint(request, organisation=organisation.name)
     if state.suspects.is_suspect(mark):
         state.suspects.note_refused(mark, now=now)
         known = state.suspects.describe(mark)
