Count upstreams that end in silence against what they ran

What callers saw: on an upstream that died without a reset, a request was left as silent, or waited for its deadline; either way nothing was noted against it, and it ended one upstream after the other.

An attempt that is given up without an answer is now kept for a while, and counts once the list shows that this incarnation has ended, unless it said that it shuts down. A slow upstream that goes on counts as nothing. Left: an upstream whose line lapses while the store is away.

--- a/features/router_crashes.feature
+++ b/features/router_crashes.feature
@@ -74,8 +74,19 @@
     When its caller sends it 12 times, each 1 s, with a new key each time
     Then at most 3 sendings reach upstreams later than 3 s after the third end
 
-  Scenario: An upstream that ends silently counts as ended
-    Given 1 entry in 1 data centre, and a "look" request that ends upstreams
+  Scenario Outline: An upstream that ends silently counts as ended
+    Given 3 entries in 1 data centre, and a "<route>" request that ends upstreams
     And upstreams that end do so silently
-    When its caller sends it 12 times, each 3 s
+    When its caller sends it 12 times, each 4 s
     Then at most 3 sendings reach upstreams later than 3 s after the third end
+
+    Examples:
+      | route |
+      | look  |
+      | book  |
+      | chat  |
+
+  Scenario: A slow upstream that goes on counts as nothing
+    Given 1 entry in 1 data centre, and a "look" request that ends upstreams
+    When it is sent 6 times to upstreams that are silent and live, each 4 s
+    Then every entry sends it to an upstream again
--- a/features/steps/router_crash_steps.py
+++ b/features/steps/router_crash_steps.py
@@ -99,6 +99,16 @@
     fleet.spares = False
 
 
+@when(
+    "it is sent {times:d} times to upstreams that are silent and live, each "
+    "{pause:g} s"
+)
+def ask_silent(context, times, pause):
+    fleet = context.crashes
+    fleet.spares = True
+    ask_often(context, times, pause)
+
+
 @when("that sending has a good answer")
 def answer_spared(context):
     context.crashes.answer_spared()
--- a/features/support/crash_fleet.py
+++ b/features/support/crash_fleet.py
@@ -208,6 +208,9 @@
         if not self.tells_ends:
             return
         self.absent[upstream_id] = self.now
+        if self.silent:
+            # It is back before its line lapses.
+            return
         for world in self.worlds.values():
             world.now = self.now
             world.apply(events.UpstreamUnlisted(upstream_id))
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
@@ -270,4 +270,5 @@
     attempt = opened.current
     if attempt is not None:
         out += attempt_ends.close_attempt(state, opened, attempt, now=now)
+        attempt_ends.note_silence(state, opened, attempt, now=now)
     return out
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_ends.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_ends.py
@@ -103,6 +103,28 @@
     return forgotten
 
 
+def note_silence(
+    state: states.RouterState,
+    opened: states.OpenRequest,
+    attempt: attempt_states.Attempt,
+    *,
+    now: float,
+) -> None:
+    """Notes that an attempt was given up without an answer.
+
+    Whether its upstream ended, or only was slow, the list will tell.
+    """
+    if attempt.status:
+        return
+    belief = state.view.beliefs.get(attempt.upstream)
+    started_ms = attempt.upstream_started_ms
+    if belief is None or belief.listed.started_ms != started_ms:
+        note_end(state, opened, attempt, now=now)
+        return
+    end = crash_suspects.mark_end(attempt.upstream, started_ms)
+    state.suspects.note_silent(opened.fingerprint, end, now=now)
+
+
 def log_forgotten(marks: list[str], *, reason: str) -> list[effects.Effect]:
     """Returns the line on crash suspects that are forgotten, if any are."""
     if not marks:
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/crash_suspects.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/crash_suspects.py
@@ -47,6 +47,19 @@
     return marks.mark(f"{upstream_id}/{started_ms}")
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SilentAttempt:
+    """An attempt that was given up while its upstream was silent.
+
+    Attributes:
+        mark: The fingerprint of the request.
+        given_up_at: When, in seconds.
+    """
+
+    mark: str
+    given_up_at: float
+
+
 @dataclasses.dataclass(slots=True)
 class Suspect:
     """What is known of one request.
@@ -88,12 +101,34 @@
 
     Attributes:
         suspects: By fingerprint, the most recently changed last.
+        silent: Silent attempts, by the end that they would be explained by.
     """
 
     def __init__(self) -> None:
         self.suspects: collections.OrderedDict[str, Suspect] = (
             collections.OrderedDict()
         )
+        self.silent: dict[marks.Mark, list[SilentAttempt]] = {}
+
+    def note_silent(self, mark: str, end: marks.Mark, *, now: float) -> None:
+        """Notes an attempt without an answer, whose upstream may have ended."""
+        attempts = self.silent.setdefault(end, [])
+        attempts.append(SilentAttempt(mark, now))
+
+    def confirm_end(self, end: marks.Mark, *, now: float) -> list[str]:
+        """Takes that an upstream has ended, as the list tells.
+
+        Returns:
+            The requests that were given up there shortly before.
+        """
+        found = [
+            each.mark
+            for each in self.silent.pop(end, [])
+            if now - each.given_up_at <= defaults.SILENT_END_S
+        ]
+        for mark in found:
+            self.note_end(mark, end, now=now)
+        return found
 
     def note_end(self, mark: str, end: marks.Mark, *, now: float) -> list[str]:
         """Notes an end that was seen here.
@@ -226,6 +261,11 @@
         ]
         for mark in old:
             del self.suspects[mark]
+        self.silent = {
+            end: attempts
+            for end, attempts in self.silent.items()
+            if now - attempts[-1].given_up_at <= defaults.SILENT_END_S
+        }
         return old
 
     def list_news(self, *, now: float) -> tuple[messages.SuspectNews, ...]:
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -214,6 +214,9 @@
 ENDS_TO_SUSPECT = 3
 # Ends from which on each entry repeats what it knows of a request.
 ENDS_TO_REPEAT = 2
+# The list drops an upstream after three missed heartbeats of 1.2 s, and tells
+# that about a second later.
+SILENT_END_S = 6.0
 # Time that an upstream needs at least to end, be back and end again.
 RESTART_LEAST_S = 1.0
 # A request is forgotten when it hasn't come for this long.
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/upstream_list.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/upstream_list.py
@@ -6,18 +6,79 @@
 """
 
 from rhubarbbank_core import program_effects as fx
+from rhubarbbank_router import crash_suspects
 from rhubarbbank_router import defaults
 from rhubarbbank_router import effects
 from rhubarbbank_router import events
 from rhubarbbank_router import rollouts
 from rhubarbbank_router import state as states
 from rhubarbbank_router import store_reading
+from rhubarbbank_router import upstreams
 
 
 def take_event(
     state: states.RouterState, event: events.AnyEvent, *, now: float
 ) -> list[effects.Effect]:
     """Takes what the platform's store says of upstreams."""
+    before = list_running(state, event)
+    out = apply_event(state, event, now=now)
+    return [*out, *confirm_ends(state, before, now=now)]
+
+
+def list_running(
+    state: states.RouterState, event: events.AnyEvent
+) -> list[upstreams.Upstream]:
+    """Returns the upstreams that an event may tell the end of.
+
+    Those that shut down end as planned.
+    """
+    view = state.view
+    match event:
+        case events.UpstreamsListed():
+            concerned = list(view.beliefs.values())
+        case events.UpstreamChanged(listed):
+            concerned = view.list_known(listed.upstream_id)
+        case events.UpstreamUnlisted(upstream_id):
+            concerned = view.list_known(upstream_id)
+        case _:
+            return []
+    return [
+        each.listed for each in concerned if not view.is_leaving(each.listed)
+    ]
+
+
+def confirm_ends(
+    state: states.RouterState,
+    before: list[upstreams.Upstream],
+    *,
+    now: float,
+) -> list[effects.Effect]:
+    """Charges the requests that were given up where an upstream ended."""
+    out: list[effects.Effect] = []
+    for listed in before:
+        belief = state.view.beliefs.get(listed.upstream_id)
+        if belief and belief.listed.started_ms == listed.started_ms:
+            continue
+        end = crash_suspects.mark_end(listed.upstream_id, listed.started_ms)
+        found = state.suspects.confirm_end(end, now=now)
+        if found:
+            state.press_news(now=now)
+        out += [
+            fx.LogDecision(
+                decision="silence_explained",
+                upstream=listed.upstream_id,
+                reason="the upstream has ended",
+                inputs=state.suspects.describe(mark),
+            )
+            for mark in found
+        ]
+    return out
+
+
+def apply_event(
+    state: states.RouterState, event: events.AnyEvent, *, now: float
+) -> list[effects.Effect]:
+    """Applies an event to what is believed of upstreams."""
     contact = state.contact(events.Subject.UPSTREAMS)
     doubtful = contact.was_regained_within(defaults.LAPSE_REPORT_S, now=now)
     match event:
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
@@ -195,6 +195,16 @@
             del self.beliefs[upstream_id]
         return dropped
 
+    def list_known(self, upstream_id: str) -> list[Belief]:
+        """Returns what is believed of an upstream, if it is known."""
+        belief = self.beliefs.get(upstream_id)
+        return [] if belief is None else [belief]
+
+    def is_leaving(self, listed: Upstream) -> bool:
+        """Returns whether an upstream shuts down, by the list or its word."""
+        notice = self.notices.find(listed.upstream_id, listed.started_ms)
+        return listed.leaving or (notice is not None and notice.leaving)
+
     def list_service(self, service: str, *, now: float) -> list[Belief]:
         """Returns the service's upstreams that take new work."""
         return [
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/watch.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/watch.py
@@ -38,6 +38,7 @@
     attempt = opened.current
     if attempt is not None:
         out += attempt_ends.close_attempt(state, opened, attempt, now=now)
+        attempt_ends.note_silence(state, opened, attempt, now=now)
         if attempt.status == 0:
             attempt_evidence.finish_attempt(
                 state, opened, attempt, now=now, failed=True
@@ -68,6 +69,7 @@
     attempt_evidence.finish_attempt(
         state, opened, attempt, now=now, failed=True, silent=first
     )
+    attempt_ends.note_silence(state, opened, attempt, now=now)
     log = attempt_log.log_attempt(
         opened,
         attempt,
