Play random histories against requests that end upstreams

Entries are killed, suspended and cut off with their data centre, and frames are lost, while the caller comes to entries at random: 90 histories of 3 to 12 entries. Entries in touch let the request reach at most three upstreams later than 4 s after the third end, as the users' rule has it.

--- a/features/router_crashes.feature
+++ b/features/router_crashes.feature
@@ -90,3 +90,12 @@
     Given 1 entry in 1 data centre, and a "look" request that ends upstreams
     When it is sent 6 times to upstreams that are silent and live, each 4 s
     Then every entry sends it to an upstream again
+
+  Scenario Outline: Histories of entries that are killed, suspended and cut off
+    Then in 30 generated histories of <entries> entries in <places> data centres few upstreams end
+
+    Examples:
+      | entries | places |
+      | 3       | 1      |
+      | 6       | 2      |
+      | 12      | 3      |
--- a/features/steps/router_crash_steps.py
+++ b/features/steps/router_crash_steps.py
@@ -6,9 +6,13 @@
 from behave import then
 from behave import when
 from support import crash_fleet
+from support import crash_history
 
 # All entries have heard of one another by then.
 SETTLE_S = 3.0
+# Sendings that the users allow after the third end, of entries in touch.
+MOST_LATE = 3
+HISTORY_S = 40.0
 KNOWN = {"fingerprint", "crashes", "seen_here"}
 
 
@@ -180,3 +184,28 @@
     ]
     assert lines
     assert all(dict(x.inputs).keys() >= KNOWN for x in lines)
+
+
+@then(
+    "in {count:d} generated histories of {entries:d} entries in {places:d} "
+    "data centre few upstreams end"
+)
+@then(
+    "in {count:d} generated histories of {entries:d} entries in {places:d} "
+    "data centres few upstreams end"
+)
+def check_histories(context, count, entries, places):
+    ended = []
+    for seed in range(count):
+        fleet = crash_history.CrashHistory(
+            rng=random.Random(seed),
+            places=places,
+            entries=entries // places,
+            route=("note", "look", "chat")[seed % 3],
+        )
+        fleet.run(SETTLE_S)
+        fleet.play(HISTORY_S)
+        ended.append(len(fleet.sendings))
+        assert fleet.count_late_calm() <= MOST_LATE, (seed, fleet.sendings)
+    print("upstreams ended:", ended)
+    assert sum(ended) >= crash_fleet.KNOWN_AFTER * count, ended
--- a/features/support/crash_fleet.py
+++ b/features/support/crash_fleet.py
@@ -170,8 +170,9 @@
             self.end_exchange(each, events.AttemptEnd.COMPLETE)
             return
         name = each.world.state.settings.name
-        sent_at = each.until - RUNS_S
-        self.sendings.append(Sending(sent_at, name, effect.upstream_id))
+        sending = Sending(each.until - RUNS_S, name, effect.upstream_id)
+        self.sendings.append(sending)
+        self.note_sending(sending)
         if not self.silent:
             self.end_exchange(each, events.AttemptEnd.BROKEN)
         self.end_upstream(effect.upstream_id)
@@ -190,6 +191,9 @@
         each.world.apply(events.UpstreamData(request_id, number, event))
         self.end_exchange(each, events.AttemptEnd.COMPLETE)
 
+    def note_sending(self, sending):
+        """Takes what is known of the sender now."""
+
     def end_exchange(self, each, end):
         """An exchange with an upstream ends."""
         each.world.now = self.now
@@ -231,12 +235,16 @@
     def ask_next(self):
         """The caller sends the request to the next entry by name."""
         name = next(self.names)
+        self.ask(name)
+        return name
+
+    def ask(self, name):
+        """The caller sends the request to an entry."""
         world = self.worlds[name]
         world.now = self.now
         self.asked += 1
         world.ask(self.route, key=self.key, body=BODY)
         self.send(world)
-        return name
 
     def break_others(self, count):
         """As many other requests break off at each entry."""
