Compare the pace of streams at the same load of their upstreams

Cause: a burst made the incumbents slow while the target, with a tenth of the traffic, was at rest. At equal load the target's events came 3 to 4.5 times slower (0.092 s against 0.027 s at rest), but each was compared with one usual pace over all loads: 88 of 112 incumbents dragged by that, and a rate above one half counts as telling nothing. So the steps went on with 3 timed answers.

The usual pace is now kept by model and by the load that the upstream reports with its answer, in levels that double; where a level hasn't been seen, that of a higher one stands in. Ruled out: following the incumbents' pace faster, since the target at rest was faster than they were.

Two rows of 'A target at rest beside incumbents that a burst keeps busy' failed before; two good targets aren't held.

--- a/features/router_rollouts.feature
+++ b/features/router_rollouts.feature
@@ -158,6 +158,19 @@
       | 60   | 19   | held     |
       | 30   | 50   | held     |
 
+  Scenario Outline: A target at rest beside incumbents that a burst keeps busy
+    Given a router whose streams have come each 0.03 s from engines at rest
+    When a roll-out to version "v2" over 15 s is ordered
+    And for 14 s the target's come each <target> s from engines at rest, and all others each <others> s from busy ones
+    Then version "v2" <outcome>
+
+    Examples:
+      | target | others | outcome    |
+      | 0.1    | 0.1    | is held    |
+      | 0.1    | 0.3    | is held    |
+      | 0.03   | 0.1    | isn't held |
+      | 0.03   | 0.03   | isn't held |
+
   Scenario: What is usual isn't learnt from the version on trial
     Given a router with a roll-out to version "v2" over 20 s
     When the target answers 8 times slower than the old version for 3 s
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/answer_heads.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/answer_heads.py
@@ -29,6 +29,7 @@
     opened, attempt = found
     attempt_evidence.note_heard(state, attempt, now=now)
     if head.load is not None:
+        attempt.load_level = head.load.level
         state.view.note_load(attempt.upstream, head.load, now=now)
     out = take_notices(state, attempt, head, now=now)
     if head.refused or head.misdirected:
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_evidence.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_evidence.py
@@ -153,7 +153,8 @@
     """Returns whether events come so many times slower than usual.
 
     Args:
-        limit: As a multiple of the model's usual time between events.
+        limit: As a multiple of the model's usual time between events, at
+            the load that the upstream had.
         attempt: The attempt.
         times: Of its service.
         now: In seconds.
@@ -162,7 +163,7 @@
         None for a stream too short to tell, or before any pace is usual.
     """
     pace_s = measure_pace_s(attempt, now=now)
-    usual_s = times.pace_s.get(attempt.model)
+    usual_s = times.find_pace_s(attempt.model, attempt.load_level)
     if pace_s is None or usual_s is None:
         return None
     return pace_s > limit * usual_s
@@ -185,14 +186,10 @@
     *,
     now: float,
 ) -> None:
-    """Learns how fast a model's events come."""
+    """Learns how fast a model's events come at the load of the upstream."""
     pace_s = measure_pace_s(attempt, now=now)
-    if pace_s is None:
-        return
-    usual_s = times.pace_s.get(attempt.model, pace_s)
-    # One stream that hangs says little of the usual pace.
-    pace_s = min(pace_s, defaults.SLOW_PACE_TIMES * usual_s)
-    times.pace_s[attempt.model] = upstreams.smooth(usual_s, pace_s)
+    if pace_s is not None:
+        times.learn_pace(attempt.model, attempt.load_level, pace_s)
 
 
 def note_heard(
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_states.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_states.py
@@ -52,6 +52,7 @@
             bytes of another answer; `sent_at` before.
         first_event_at: When a stream's first event came; None before.
         events: Events that came.
+        load_level: How loaded the upstream was when it began to answer.
         judged: Whether it has been taken as evidence on its version.
         unread_tokens: Tokens of the prompt that the upstream had to read.
         work_s: How long it was expected to hold others up.
@@ -76,6 +77,7 @@
     heard_at: float = 0.0
     first_event_at: float | None = None
     events: int = 0
+    load_level: int = 0
     judged: bool = False
     unread_tokens: int = 0
     work_s: float = 0.0
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -199,6 +199,9 @@
 SLOW_FLOOR_S = 0.25
 # A stream is slow if its events come this many times slower than usual.
 SLOW_PACE_TIMES = 2.5
+# Engines slow down with each request that they run: paces are compared at the
+# same load, in levels that begin at this many requests and double.
+LOAD_LEVEL_REQUESTS = 4
 # A stream drags if its events come this many times slower than usual; of the
 # streams of good versions a sixth does, of slow ones most (measured).
 DRAG_PACE_TIMES = 1.5
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
@@ -51,6 +51,12 @@
     waiting: int
     slots: int
 
+    @property
+    def level(self) -> int:
+        """How loaded it is, in steps that double: 0 for up to 3 requests."""
+        requests = self.running + self.waiting
+        return (requests // defaults.LOAD_LEVEL_REQUESTS).bit_length()
+
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Belief:
@@ -101,15 +107,35 @@
     Attributes:
         whole_s: From sending to the end of a plain answer.
         first_event_s: From sending to a stream's first event.
-        pace_s: Between two events of a stream, by model.
+        pace_s: Between two events of a stream, by model and load level.
         plain_s: From sending to the end of a plain answer, by route.
     """
 
     whole_s: float = defaults.FIRST_SERVICE_S
     first_event_s: float = defaults.FIRST_EVENT_WAIT_S
-    pace_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    pace_s: dict[str, dict[int, float]] = dataclasses.field(
+        default_factory=dict
+    )
     plain_s: dict[str, float] = dataclasses.field(default_factory=dict)
 
+    def find_pace_s(self, model: str, level: int) -> float | None:
+        """Returns the usual time between events at a load level.
+
+        Where none has been seen at that level, one of a higher level will do:
+        with less load a stream isn't slower. None if neither is known.
+        """
+        paces = self.pace_s.get(model, {})
+        known = min((x for x in paces if x >= level), default=None)
+        return None if known is None else paces[known]
+
+    def learn_pace(self, model: str, level: int, pace_s: float) -> None:
+        """Learns from the time between a stream's events."""
+        paces = self.pace_s.setdefault(model, {})
+        usual_s = paces.get(level, pace_s)
+        # One stream that hangs says little of the usual pace.
+        pace_s = min(pace_s, defaults.SLOW_PACE_TIMES * usual_s)
+        paces[level] = smooth(usual_s, pace_s)
+
 
 def smooth(mean: float, value: float) -> float:
     """Returns the smoothed mean after one more value."""
