Give a target a larger share only after new answers at the one before

What a version answered with a tenth of the traffic says little of all of it, and one that answers no more was given everything.

Each step now needs two answers since the one before. Ruled out: four, with which a good version on 10 requests a second misses its time ('Completion waits for requests on the old version'). Evidence: 'A target that answers no more gets no larger share' ended at share 1.0 before.

--- a/features/router_rollouts.feature
+++ b/features/router_rollouts.feature
@@ -171,6 +171,13 @@
       | 0.03   | 0.1    | isn't held |
       | 0.03   | 0.03   | isn't held |
 
+  Scenario: A target that answers no more gets no larger share
+    Given a router whose streams have come each 0.03 s from engines at rest
+    When a roll-out to version "v2" over 15 s is ordered
+    And for 8 s the target's come each 0.03 s from engines at rest, and all others each 0.03 s from busy ones
+    And for 4 s the target's come each 9 s from engines at rest, and all others each 0.03 s from busy ones
+    Then version "v2" has less than all requests
+
   Scenario: What is usual isn't learnt from the version on trial
     Given a router with a roll-out to version "v2" over 20 s
     When the target answers 8 times slower than the old version for 3 s
--- a/features/steps/loaded_rollout_steps.py
+++ b/features/steps/loaded_rollout_steps.py
@@ -4,6 +4,7 @@
 import itertools
 
 from behave import given
+from behave import then
 from behave import when
 from support import router_world
 
@@ -105,3 +106,10 @@
     context.play.run(
         duration, target=(AT_REST, target), incumbent=(BUSY, incumbent)
     )
+
+
+@then('version "{target}" has less than all requests')
+def check_share(context, target):
+    trial = context.world.state.trials["pool"]
+    assert trial.order.target == target
+    assert trial.share < 1.0, trial.share
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -174,6 +174,8 @@
 SESSION_MARGIN_S = 1.0
 # Answers of the new version that must have been seen before it gets more.
 TRIAL_LEAST_ANSWERS = 8
+# Answers that it must have given since its share last grew.
+TRIAL_STEP_ANSWERS = 2
 # A target that is still doubtful after this share of its time, or after this
 # many bad answers, is given up.
 TRIAL_DOUBT_SHARE = 0.75
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/version_trial.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/version_trial.py
@@ -233,6 +233,8 @@
         held: Whether the target gets no new work, for good.
         step: Index into the growing shares; -1 during the first part.
         stepped_at: When the share last grew.
+        seen_answers: The target's answers that had been seen at the last look.
+        answers_at_step: How many there were when the share last grew.
         kept_sessions: Marks of sessions that stay on the version before the
             target in the first half, though they would be drawn.
     """
@@ -253,6 +255,8 @@
         self.held = order.state is OrderState.ROLLED_BACK
         self.step = -1
         self.stepped_at = now
+        self.seen_answers = 0
+        self.answers_at_step = 0
         self.kept_sessions: set[marks.Mark] = set()
 
     def note(self, *, route: str, version: str, counts: AnswerCounts) -> None:
@@ -301,29 +305,46 @@
         if worse or self.is_overdue(evidence, now=now):
             self.held = True
             return True
+        self.seen_answers = evidence.pooled.target.answers
         if self.step + 1 >= len(self.plan.steps):
             return False
-        if self.step < 0:
-            half_s = defaults.TRIAL_HALF * self.order.duration_s
-            due = now - self.started_at >= half_s
-        else:
-            step_s = self.order.duration_s * self.plan.step_share
-            due = now - self.stepped_at >= step_s
-        seen = evidence.pooled.target.answers >= defaults.TRIAL_LEAST_ANSWERS
-        if not (due and seen):
+        if not (self.is_step_due(now=now) and self.has_told_enough):
             return False
         if self.is_doubtful(evidence, share=self.share):
             return False
-        self.step += 1
-        self.stepped_at = now
+        self.take_step(self.step + 1, now=now)
         return True
 
+    def is_step_due(self, *, now: float) -> bool:
+        """Returns whether the target's share may grow by the order's time."""
+        if self.step < 0:
+            half_s = defaults.TRIAL_HALF * self.order.duration_s
+            return now - self.started_at >= half_s
+        step_s = self.order.duration_s * self.plan.step_share
+        return now - self.stepped_at >= step_s
+
+    @property
+    def has_told_enough(self) -> bool:
+        """Whether the target has answered at the share that it has.
+
+        What it answered with a smaller one says little of a larger load.
+        """
+        least = defaults.TRIAL_STEP_ANSWERS
+        if self.step < 0:
+            least = defaults.TRIAL_LEAST_ANSWERS
+        return self.seen_answers - self.answers_at_step >= least
+
+    def take_step(self, step: int, *, now: float) -> None:
+        """Lets the target's share grow."""
+        self.step = step
+        self.stepped_at = now
+        self.answers_at_step = self.seen_answers
+
     def follow_step(self, step: int, *, now: float) -> None:
         """Takes over a step that another entry has reached."""
         step = min(step, len(self.plan.steps) - 1)
         if step > self.step and not self.held and not self.is_over:
-            self.step = step
-            self.stepped_at = now
+            self.take_step(step, now=now)
 
     def is_overdue(self, evidence: TrialEvidence, *, now: float) -> bool:
         """Returns whether a doubtful target has had its time or its chances.
