Break off answers without end, and streams whose bytes bring nothing

What callers could see: an upstream that sends bytes without end, in the body of an answer, was collected until the process had no memory left; of a stream, a blank line was looked for from the beginning with each piece. Comments or a repeated last event kept a stalled stream alive, and a comment wiped the id from which it would go on elsewhere.

An answer over 4 MiB, or 256 KiB of a stream without an event that goes on, is now broken off like a broken connection. Evidence: six rows of 'Bytes without end that are no answer are broken off' (64 MB were taken before) and 'Comments between events ...' failed before; an answer of 3 MB still passes.

--- a/features/router_streams.feature
+++ b/features/router_streams.feature
@@ -91,3 +91,29 @@
       | events | time |
       | 0      | 2.0  |
       | 3      | 2.0  |
+
+  Scenario Outline: Bytes without end that are no answer are broken off
+    When a caller asks "<route>"
+    And its upstream begins to answer and sends <bytes> without end
+    Then it is broken off before 5 MB have come
+    And <outcome>
+
+    Examples:
+      | route | bytes          | outcome                              |
+      | look  | a body         | the request has been sent 2 times    |
+      | book  | a body         | the caller has a 502 without Retry-After |
+      | chat  | a long event   | the request has been sent 2 times    |
+      | chat  | comments       | the request has been sent 2 times    |
+      | chat  | its last event | the request has been sent 2 times    |
+      | note  | a long event   | the caller's stream is cut off in the end |
+
+  Scenario: Comments between events neither keep a stream alive nor move it
+    When a caller asks "chat"
+    And the upstream is confident and sends events 1 to 3
+    And it sends a comment each 0.2 s for 2 s
+    Then the request is sent to another upstream from event 3 on
+
+  Scenario: A long answer is passed on
+    When a caller asks "look"
+    And its upstream answers with a body of 3 MB
+    Then the caller has all of it
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
@@ -28,8 +28,9 @@
 ) -> list[effects.Effect]:
     """Takes bytes of an upstream's answer.
 
-    Of a stream only whole events are a sign of life: one that sends a byte
-    now and then has stalled.
+    Of a stream only events that go on are a sign of life: one that sends a
+    byte, a comment or its last event now and then has stalled. Bytes without
+    end that are no answer are broken off, whatever they are.
     """
     found = state.find_open(data.request_id, data.attempt)
     if found is None:
@@ -38,14 +39,52 @@
     if not opened.is_stream or attempt.status != http.HTTPStatus.OK:
         attempt_evidence.note_heard(state, attempt, now=now)
         attempt.body += data.data
+        if len(attempt.body) > defaults.MAX_ANSWER_BYTES:
+            return break_endless(state, opened, attempt, now=now)
         return []
+    attempt.idle_bytes += len(data.data)
     out: list[effects.Effect] = []
     for event in attempt.cutter.feed(data.data):
-        attempt_evidence.note_heard(state, attempt, now=now)
+        if goes_on(opened, attempt, event):
+            attempt_evidence.note_heard(state, attempt, now=now)
+            attempt.last_event_id = event.event_id
+            attempt.idle_bytes = len(attempt.cutter.rest)
         out += pass_on(state, opened, attempt, event, now=now)
+    if attempt.idle_bytes > defaults.MAX_IDLE_BYTES:
+        out += break_endless(state, opened, attempt, now=now)
     return out
 
 
+def goes_on(
+    opened: states.OpenRequest,
+    attempt: attempt_states.Attempt,
+    event: event_stream.StreamEvent,
+) -> bool:
+    """Returns whether an event brings a stream further.
+
+    Where a resumed stream repeats what the caller has, it does.
+    """
+    if not event.event_id:
+        return False
+    return event_stream.follows(event.event_id, attempt.last_event_id)
+
+
+def break_endless(
+    state: states.RouterState,
+    opened: states.OpenRequest,
+    attempt: attempt_states.Attempt,
+    *,
+    now: float,
+) -> list[effects.Effect]:
+    """Breaks off an attempt whose bytes have no end and are no answer."""
+    cancel = attempt_ends.close_attempt(state, opened, attempt, now=now)
+    detail = "more bytes than an answer has"
+    return [
+        *cancel,
+        *attempt_ends.fail(state, opened, attempt, detail, now=now),
+    ]
+
+
 def pass_on(
     state: states.RouterState,
     opened: states.OpenRequest,
@@ -78,8 +117,9 @@
                 opened.request.request_id, attempt.status, attempt.headers
             )
         )
-    opened.last_event_id = event.event_id
-    opened.note_event(now=now)
+    if event.event_id:
+        opened.last_event_id = event.event_id
+        opened.note_event(now=now)
     out.append(effects.WriteAnswer(opened.request.request_id, event.raw))
     return out
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_states.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_states.py
@@ -52,6 +52,8 @@
             bytes of another answer; `sent_at` before.
         first_event_at: When a stream's first event came; None before.
         events: Events that came.
+        last_event_id: Id of the last one that brought the stream further.
+        idle_bytes: Bytes since that one.
         load_level: How loaded the upstream was when it began to answer.
         judged: Whether it has been taken as evidence on its version.
         unread_tokens: Tokens of the prompt that the upstream had to read.
@@ -77,6 +79,8 @@
     heard_at: float = 0.0
     first_event_at: float | None = None
     events: int = 0
+    last_event_id: str = ""
+    idle_bytes: int = 0
     load_level: int = 0
     judged: bool = False
     unread_tokens: int = 0
