Keep no end as seen that a good answer at the same moment has cleared

Found while the diff was read: an end at the very time of a good answer was cleared, yet noted as seen here, and the next end of the same upstream raised KeyError in the reducer. The new scenario failed with that before.

Fingerprints are named so throughout; what changes a suspect's place is 'touch', as with notices.

--- a/features/router_crashes.feature
+++ b/features/router_crashes.feature
@@ -99,3 +99,9 @@
       | 3       | 1      |
       | 6       | 2      |
       | 12      | 3      |
+
+  Scenario: An end at the moment of a good answer, and another one later
+    Given 1 entry in 1 data centre, and a "note" request that ends upstreams
+    When it is sent twice to one upstream, and one sending is answered as the other breaks off
+    And its caller sends it 6 times, each 4 s
+    Then at most 3 sendings reach upstreams later than 3 s after the third end
--- a/features/steps/router_crash_steps.py
+++ b/features/steps/router_crash_steps.py
@@ -8,6 +8,8 @@
 from support import crash_fleet
 from support import crash_history
 
+from rhubarbbank_router import events
+
 # All entries have heard of one another by then.
 SETTLE_S = 3.0
 # Sendings that the users allow after the third end, of entries in touch.
@@ -209,3 +211,23 @@
         assert fleet.count_late_calm() <= MOST_LATE, (seed, fleet.sendings)
     print("upstreams ended:", ended)
     assert sum(ended) >= crash_fleet.KNOWN_AFTER * count, ended
+
+
+@when(
+    "it is sent twice to one upstream, and one sending is answered as the "
+    "other breaks off"
+)
+def answer_and_break_off(context):
+    fleet = context.crashes
+    world = fleet.worlds["entry-0"]
+    world.list_upstreams(fleet.listed["up-0"])
+    fleet.spares = True
+    begun = []
+    for _ in range(3):
+        fleet.ask_next()
+        begun.append(fleet.spared)
+    fleet.spares = False
+    fleet.end_exchange(begun[0], events.AttemptEnd.BROKEN)
+    fleet.answer_spared()
+    fleet.end_exchange(begun[1], events.AttemptEnd.BROKEN)
+    fleet.tells_ends = False
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_ends.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_ends.py
@@ -95,10 +95,10 @@
     Returns:
         The requests that are forgotten to make room.
     """
-    mark = opened.fingerprint
+    fingerprint = opened.fingerprint
     end = crash_suspects.mark_end(attempt.upstream, attempt.upstream_started_ms)
-    forgotten = state.suspects.note_end(mark, end, now=now)
-    if state.suspects.count(mark) >= defaults.ENDS_TO_REPEAT:
+    forgotten = state.suspects.note_end(fingerprint, end, now=now)
+    if state.suspects.count(fingerprint) >= defaults.ENDS_TO_REPEAT:
         state.press_news(now=now)
     return forgotten
 
@@ -125,20 +125,22 @@
     state.suspects.note_silent(opened.fingerprint, end, now=now)
 
 
-def log_forgotten(marks: list[str], *, reason: str) -> list[effects.Effect]:
+def log_forgotten(
+    fingerprints: list[str], *, reason: str
+) -> list[effects.Effect]:
     """Returns the line on crash suspects that are forgotten, if any are."""
-    if not marks:
+    if not fingerprints:
         return []
     return [
         fx.LogDecision(
             decision="suspects_forgotten",
             reason=reason,
             inputs=(
-                ("count", len(marks)),
-                ("fingerprints", ",".join(marks[:MOST_LOGGED])),
+                ("count", len(fingerprints)),
+                ("fingerprints", ",".join(fingerprints[:MOST_LOGGED])),
             ),
         ),
-        fx.Count("suspects_forgotten", len(marks)),
+        fx.Count("suspects_forgotten", len(fingerprints)),
     ]
 
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/crash_suspects.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/crash_suspects.py
@@ -27,7 +27,9 @@
 MS_PER_S = 1000.0
 
 
-def fingerprint(request: callers.IncomingRequest, *, organisation: str) -> str:
+def compute_fingerprint(
+    request: callers.IncomingRequest, *, organisation: str
+) -> str:
     """Returns what all sendings of one request have in common.
 
     Args:
@@ -52,11 +54,11 @@
     """An attempt that was given up while its upstream was silent.
 
     Attributes:
-        mark: The fingerprint of the request.
+        fingerprint: The fingerprint of the request.
         given_up_at: When, in seconds.
     """
 
-    mark: str
+    fingerprint: str
     given_up_at: float
 
 
@@ -110,10 +112,12 @@
         )
         self.silent: dict[marks.Mark, list[SilentAttempt]] = {}
 
-    def note_silent(self, mark: str, end: marks.Mark, *, now: float) -> None:
+    def note_silent(
+        self, fingerprint: str, end: marks.Mark, *, now: float
+    ) -> None:
         """Notes an attempt without an answer, whose upstream may have ended."""
         attempts = self.silent.setdefault(end, [])
-        attempts.append(SilentAttempt(mark, now))
+        attempts.append(SilentAttempt(fingerprint, now))
 
     def confirm_end(self, end: marks.Mark, *, now: float) -> list[str]:
         """Takes that an upstream has ended, as the list tells.
@@ -122,43 +126,45 @@
             The requests that were given up there shortly before.
         """
         found = [
-            each.mark
+            each.fingerprint
             for each in self.silent.pop(end, [])
             if now - each.given_up_at <= defaults.SILENT_END_S
         ]
-        for mark in found:
-            self.note_end(mark, end, now=now)
+        for fingerprint in found:
+            self.note_end(fingerprint, end, now=now)
         return found
 
-    def note_end(self, mark: str, end: marks.Mark, *, now: float) -> list[str]:
+    def note_end(
+        self, fingerprint: str, end: marks.Mark, *, now: float
+    ) -> list[str]:
         """Notes an end that was seen here.
 
         Args:
-            mark: The fingerprint of the request.
+            fingerprint: The fingerprint of the request.
             end: Of the upstream that ran it.
             now: In seconds.
 
         Returns:
             The requests that are forgotten to make room.
         """
-        suspect = self.find(mark, now=now)
+        suspect = self.touch(fingerprint, now=now)
         seen = end in suspect.seen_here
         if seen and now - suspect.ends[end] > defaults.RESTART_LEAST_S:
             # It has been back, and its new start wasn't listed yet.
             end = marks.mark(f"{end}/{len(suspect.seen_here)}")
         suspect.note(end, at=now)
-        suspect.seen_here.add(end)
+        suspect.seen_here = {*suspect.seen_here, end} & suspect.ends.keys()
         suspect.tell_until = now + defaults.SUSPECT_TELL_S
         return self.make_room()
 
-    def note_refused(self, mark: str, *, now: float) -> None:
+    def note_refused(self, fingerprint: str, *, now: float) -> None:
         """Notes that a suspect has come again, so that it is remembered."""
-        self.find(mark, now=now).seen_at = now
+        self.touch(fingerprint, now=now).seen_at = now
 
-    def find(self, mark: str, *, now: float) -> Suspect:
+    def touch(self, fingerprint: str, *, now: float) -> Suspect:
         """Returns what is known of a request that is of interest now."""
-        suspect = self.suspects.setdefault(mark, Suspect(seen_at=now))
-        self.suspects.move_to_end(mark)
+        suspect = self.suspects.setdefault(fingerprint, Suspect(seen_at=now))
+        self.suspects.move_to_end(fingerprint)
         return suspect
 
     def make_room(self) -> list[str]:
@@ -172,25 +178,25 @@
             return []
         by_evidence = sorted(
             self.suspects,
-            key=lambda mark: (
-                len(self.suspects[mark].ends),
-                len(self.suspects[mark].seen_here),
+            key=lambda fingerprint: (
+                len(self.suspects[fingerprint].ends),
+                len(self.suspects[fingerprint].seen_here),
             ),
         )
         forgotten = by_evidence[: -defaults.SUSPECTS_KEPT]
-        for mark in forgotten:
-            del self.suspects[mark]
+        for fingerprint in forgotten:
+            del self.suspects[fingerprint]
         return forgotten
 
-    def clear(self, mark: str, *, now: float) -> bool:
+    def clear(self, fingerprint: str, *, now: float) -> bool:
         """Notes that the request had a good answer: it ends nothing.
 
         Returns:
             Whether ends of upstreams under it were known.
         """
-        if not self.count(mark):
+        if not self.count(fingerprint):
             return False
-        suspect = self.find(mark, now=now)
+        suspect = self.touch(fingerprint, now=now)
         suspect.clear(at=now)
         suspect.tell_until = now + defaults.SUSPECT_TELL_S
         return True
@@ -222,7 +228,7 @@
         if not told.ends and told.cleared_ms is None:
             return False
         seen_at = now - read_s(told.age_ms)
-        suspect = self.find(told.fingerprint, now=seen_at)
+        suspect = self.touch(told.fingerprint, now=seen_at)
         before = set(suspect.ends)
         if told.cleared_ms is not None:
             suspect.clear(at=now - read_s(told.cleared_ms))
@@ -234,33 +240,33 @@
         suspect.seen_at = max(suspect.seen_at, seen_at)
         return before != suspect.ends.keys()
 
-    def count(self, mark: str) -> int:
+    def count(self, fingerprint: str) -> int:
         """Returns how many upstreams are known to have ended under it."""
-        suspect = self.suspects.get(mark)
+        suspect = self.suspects.get(fingerprint)
         return len(suspect.ends) if suspect else 0
 
-    def is_suspect(self, mark: str) -> bool:
+    def is_suspect(self, fingerprint: str) -> bool:
         """Returns whether the request must not reach another upstream."""
-        return self.count(mark) >= defaults.ENDS_TO_SUSPECT
+        return self.count(fingerprint) >= defaults.ENDS_TO_SUSPECT
 
-    def describe(self, mark: str) -> tuple[fx.LogInput, ...]:
+    def describe(self, fingerprint: str) -> tuple[fx.LogInput, ...]:
         """Returns what is known of a request, for the log."""
-        suspect = self.suspects.get(mark)
+        suspect = self.suspects.get(fingerprint)
         return (
-            ("fingerprint", mark),
-            ("crashes", self.count(mark)),
+            ("fingerprint", fingerprint),
+            ("crashes", self.count(fingerprint)),
             ("seen_here", len(suspect.seen_here) if suspect else 0),
         )
 
     def forget_old(self, *, now: float) -> list[str]:
         """Forgets requests not seen for long; returns their fingerprints."""
         old = [
-            mark
-            for mark, suspect in self.suspects.items()
+            fingerprint
+            for fingerprint, suspect in self.suspects.items()
             if now - suspect.seen_at > defaults.SUSPECT_MEMORY_S
         ]
-        for mark in old:
-            del self.suspects[mark]
+        for fingerprint in old:
+            del self.suspects[fingerprint]
         self.silent = {
             end: attempts
             for end, attempts in self.silent.items()
@@ -276,25 +282,27 @@
         they are remembered, so that entries that have been away learn of them.
         """
         telling = [
-            (mark, suspect)
-            for mark, suspect in self.suspects.items()
+            (fingerprint, suspect)
+            for fingerprint, suspect in self.suspects.items()
             if len(suspect.ends) >= defaults.ENDS_TO_REPEAT
             or now < suspect.tell_until
         ]
         telling.sort(key=lambda each: (-len(each[1].ends), -each[1].seen_at))
         return tuple(
-            pack(mark, suspect, now=now)
-            for mark, suspect in telling[: defaults.MAX_TOLD_SUSPECTS]
+            pack(fingerprint, suspect, now=now)
+            for fingerprint, suspect in telling[: defaults.MAX_TOLD_SUSPECTS]
         )
 
 
-def pack(mark: str, suspect: Suspect, *, now: float) -> messages.SuspectNews:
+def pack(
+    fingerprint: str, suspect: Suspect, *, now: float
+) -> messages.SuspectNews:
     """Returns what is known of a request as a heartbeat carries it."""
     cleared_ms = None
     if suspect.cleared_at is not None:
         cleared_ms = measure_ms(suspect.cleared_at, now=now)
     return messages.SuspectNews(
-        fingerprint=mark,
+        fingerprint=fingerprint,
         crashes=len(suspect.seen_here),
         age_ms=measure_ms(suspect.seen_at, now=now),
         ends=tuple(
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
@@ -85,9 +85,9 @@
     state.others.take(message.name, message.loads, now=now)
     rollouts.take_news(state, message, now=now)
     out = [
-        log_told_suspect(state, message.name, mark)
-        for mark in learnt
-        if state.suspects.count(mark) != 1
+        log_told_suspect(state, message.name, fingerprint)
+        for fingerprint in learnt
+        if state.suspects.count(fingerprint) != 1
     ]
     out += take_leaving(state, message)
     if not is_new:
@@ -103,13 +103,13 @@
 
 
 def log_told_suspect(
-    state: states.RouterState, peer: str, mark: str
+    state: states.RouterState, peer: str, fingerprint: str
 ) -> effects.Effect:
     """Returns the line on a crash suspect of which a peer told anew."""
     return fx.LogDecision(
         decision="suspect_told",
         reason=peer,
-        inputs=state.suspects.describe(mark),
+        inputs=state.suspects.describe(fingerprint),
     )
 
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/intake.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/intake.py
@@ -159,10 +159,12 @@
     now: float,
 ) -> list[effects.Effect]:
     """Opens a request that may be served, and sends it."""
-    mark = crash_suspects.fingerprint(request, organisation=organisation.name)
-    if state.suspects.is_suspect(mark):
-        state.suspects.note_refused(mark, now=now)
-        known = state.suspects.describe(mark)
+    fingerprint = crash_suspects.compute_fingerprint(
+        request, organisation=organisation.name
+    )
+    if state.suspects.is_suspect(fingerprint):
+        state.suspects.note_refused(fingerprint, now=now)
+        known = state.suspects.describe(fingerprint)
         return refuse(state, request, CRASH_SUSPECT, now=now, inputs=known)
     wait_s = route.timeout_s
     if request.wait_s is not None:
@@ -176,7 +178,7 @@
         service=choose_service(route, request, state),
         organisation=organisation.name,
         priority=priority,
-        fingerprint=mark,
+        fingerprint=fingerprint,
         arrived_at=arrived_at,
         ends_at=arrived_at + wait_s,
     )
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/upstream_list.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/upstream_list.py
@@ -68,9 +68,9 @@
                 decision="silence_explained",
                 upstream=listed.upstream_id,
                 reason="the upstream has ended",
-                inputs=state.suspects.describe(mark),
+                inputs=state.suspects.describe(fingerprint),
             )
-            for mark in found
+            for fingerprint in found
         ]
     return out
 
