--- a/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
@@ -45,7 +45,7 @@
     attempt.idle_bytes += len(data.data)
     out: list[effects.Effect] = []
     for event in attempt.cutter.feed(data.data):
-        if goes_on(opened, attempt, event):
+        if goes_on(attempt, event):
             attempt_evidence.note_heard(state, attempt, now=now)
             attempt.last_event_id = event.event_id
             attempt.idle_bytes = len(attempt.cutter.rest)
@@ -56,13 +56,11 @@
 
 
 def goes_on(
-    opened: states.OpenRequest,
-    attempt: attempt_states.Attempt,
-    event: event_stream.StreamEvent,
+    attempt: attempt_states.Attempt, event: event_stream.StreamEvent
 ) -> bool:
-    """Returns whether an event brings a stream further.
+    """Returns whether an event brings an attempt's stream further.
 
-    Where a resumed stream repeats what the caller has, it does.
+    The caller may have it from an attempt before.
     """
     if not event.event_id:
         return False
