--- a/features/support/crash_fleet.py
+++ b/features/support/crash_fleet.py
@@ -59,7 +59,7 @@
         route: The request's route.
         key: The key of its caller.
         configuration: In force at all entries.
-        fail_each: Every so manieth attempt is answered with 500 and ends
+        fail_each: Of so many attempts, the last is answered with 500 and ends
             nothing; 0 for none.
         reached: Attempts of the request so far.
         silent: Whether upstreams end without a reset.
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/crash_suspects.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/crash_suspects.py
@@ -54,7 +54,7 @@
     """An attempt that was given up while its upstream was silent.
 
     Attributes:
-        fingerprint: The fingerprint of the request.
+        fingerprint: Of the request.
         given_up_at: When, in seconds.
     """
 
@@ -140,7 +140,7 @@
         """Notes an end that was seen here.
 
         Args:
-            fingerprint: The fingerprint of the request.
+            fingerprint: Of the request.
             end: Of the upstream that ran it.
             now: In seconds.
 
