Log each crash suspect that is forgotten for want of room

Suspects that peers told of, and those confirmed by the list, were forgotten without a line: only an own break-off handed on what made_room returned. An entry that had lost a suspect in this way looked like one that was never told.

Each heartbeat now makes room, and logs, where it forgets what is old.

Ruled out: room is needed between heartbeats. A peer's heartbeat names at most 128 requests and an entry opens at most 4,096.

--- a/features/router_crashes.feature
+++ b/features/router_crashes.feature
@@ -69,6 +69,12 @@
     When its caller sends it 12 times, each 1 s, and 1100 other requests break off each time
     Then at most 3 sendings reach upstreams later than 3 s after the third end
 
+  Scenario: What is forgotten for want of room has its line, whoever told of it
+    Given 2 entries in 1 data centre, and a "note" request that ends upstreams
+    When peers tell "entry-0" of 6000 other requests that ended upstreams
+    And the fleet goes on for 2 s
+    Then "entry-0" has a line on each of the 6000 that it forgot, and forgot some
+
   Scenario: A caller's new key doesn't make another request of one that ends upstreams
     Given 3 entries in 1 data centre, and a "note" request that ends upstreams
     When its caller sends it 12 times, each 1 s, with a new key each time
--- a/features/steps/router_crash_steps.py
+++ b/features/steps/router_crash_steps.py
@@ -9,6 +9,7 @@
 from support import crash_history
 
 from rhubarbbank_router import events
+from rhubarbbank_router import messages
 
 # All entries have heard of one another by then.
 SETTLE_S = 3.0
@@ -97,6 +98,28 @@
         context.crashes.run(pause)
 
 
+@when('peers tell "{entry}" of {count:d} other requests that ended upstreams')
+def tell_of_others(context, entry, count):
+    fleet = context.crashes
+    told = tuple(
+        messages.SuspectNews(
+            fingerprint=f"{number:016x}",
+            crashes=1,
+            ends=(messages.EndNews(upstream=number, age_ms=0),),
+        )
+        for number in range(count)
+    )
+    news = messages.EntryNews(
+        name="entry-1",
+        incarnation=0,
+        address="none",
+        stopping=False,
+        trials=(),
+        suspects=told,
+    )
+    fleet.deliver(fleet.worlds[entry], news)
+
+
 @when("it is sent once to an upstream that bears it")
 def begin_spared(context):
     fleet = context.crashes
@@ -158,6 +181,22 @@
     assert "crash_suspect" in context.crashes.refusals
 
 
+@then(
+    '"{entry}" has a line on each of the {count:d} that it forgot, and forgot '
+    "some"
+)
+def check_forgotten_lines(context, entry, count):
+    fleet = context.crashes
+    kept = len(fleet.worlds[entry].state.suspects.suspects)
+    assert kept < count, kept
+    logged = [
+        dict(line.inputs)["count"]
+        for name, line in fleet.lines
+        if (name, line.decision) == (entry, "suspects_forgotten")
+    ]
+    assert sum(logged) == count - kept, (logged, kept)
+
+
 @then("each line on a failed attempt names the request and its break-offs")
 def check_failed_lines(context):
     fleet = context.crashes
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_ends.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_ends.py
@@ -17,9 +17,6 @@
 from rhubarbbank_router import effects
 from rhubarbbank_router import state as states
 
-# Fingerprints that one line names.
-MOST_LOGGED = 8
-
 
 def retry_failure(
     state: states.RouterState,
@@ -61,7 +58,7 @@
         state, opened, attempt, now=now, failed=True
     )
     opened.excluded.add(attempt.upstream)
-    forgotten = note_end(state, opened, attempt, now=now)
+    note_end(state, opened, attempt, now=now)
     out: list[effects.Effect] = [
         attempt_log.log_attempt(
             opened,
@@ -74,7 +71,6 @@
             ),
         ),
         fx.Count("failed_attempts"),
-        *log_forgotten(forgotten, reason="want of room"),
     ]
     if dispatch.may_try_again(state, opened, now=now):
         again = dispatch.send(state, opened, now=now, cause="broken off")
@@ -89,18 +85,13 @@
     attempt: attempt_states.Attempt,
     *,
     now: float,
-) -> list[str]:
-    """Notes that an upstream ended under a request.
-
-    Returns:
-        The requests that are forgotten to make room.
-    """
+) -> None:
+    """Notes that an upstream ended under a request."""
     fingerprint = opened.fingerprint
     end = crash_suspects.mark_end(attempt.upstream, attempt.upstream_started_ms)
-    forgotten = state.suspects.note_end(fingerprint, end, now=now)
+    state.suspects.note_end(fingerprint, end, now=now)
     if state.suspects.count(fingerprint) >= defaults.ENDS_TO_REPEAT:
         state.press_news(now=now)
-    return forgotten
 
 
 def note_silence(
@@ -125,25 +116,6 @@
     state.suspects.note_silent(opened.fingerprint, end, now=now)
 
 
-def log_forgotten(
-    fingerprints: list[str], *, reason: str
-) -> list[effects.Effect]:
-    """Returns the line on crash suspects that are forgotten, if any are."""
-    if not fingerprints:
-        return []
-    return [
-        fx.LogDecision(
-            decision="suspects_forgotten",
-            reason=reason,
-            inputs=(
-                ("count", len(fingerprints)),
-                ("fingerprints", ",".join(fingerprints[:MOST_LOGGED])),
-            ),
-        ),
-        fx.Count("suspects_forgotten", len(fingerprints)),
-    ]
-
-
 def set_aside(
     state: states.RouterState, upstream: str, *, now: float, weight: int
 ) -> list[effects.Effect]:
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/crash_suspects.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/crash_suspects.py
@@ -136,16 +136,13 @@
 
     def note_end(
         self, fingerprint: str, end: marks.Mark, *, now: float
-    ) -> list[str]:
+    ) -> None:
         """Notes an end that was seen here.
 
         Args:
             fingerprint: Of the request.
             end: Of the upstream that ran it.
             now: In seconds.
-
-        Returns:
-            The requests that are forgotten to make room.
         """
         suspect = self.touch(fingerprint, now=now)
         seen = end in suspect.seen_here
@@ -155,7 +152,6 @@
         suspect.note(end, at=now)
         suspect.seen_here = {*suspect.seen_here, end} & suspect.ends.keys()
         suspect.tell_until = now + defaults.SUSPECT_TELL_S
-        return self.make_room()
 
     def note_refused(self, fingerprint: str, *, now: float) -> None:
         """Notes that a suspect has come again, so that it is remembered."""
@@ -170,6 +166,8 @@
     def make_room(self) -> list[str]:
         """Forgets what tells least if there is too much; returns what.
 
+        Called with each heartbeat, between which little comes.
+
         An upstream that ends breaks off all that it ran, so that most
         requests here have one end. What was seen here is kept first: each end
         is remembered by whoever saw it, and told when a second one is heard.
@@ -217,7 +215,6 @@
         for each in told:
             if self.take_suspect(each, now=now):
                 learnt.append(each.fingerprint)
-        self.make_room()
         return learnt
 
     def take_suspect(self, told: messages.SuspectNews, *, now: float) -> bool:
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -174,7 +174,8 @@
 SESSION_MARGIN_S = 1.0
 # Answers of the new version that must have been seen before it gets more.
 TRIAL_LEAST_ANSWERS = 8
-# Answers that it must have given since its share last grew.
+# Answers that it must have given since its share last grew; a single one may
+# be luck.
 TRIAL_STEP_ANSWERS = 2
 # A target that is still doubtful after this share of its time, or after this
 # many bad answers, is given up.
@@ -222,12 +223,13 @@
 # The list drops an upstream after three missed heartbeats of 1.2 s, and tells
 # that about a second later.
 SILENT_END_S = 6.0
-# Time that an upstream needs at least to end, be back and end again.
+# Time that an upstream needs at least to end, be back and end again; the
+# break-offs of one end come within milliseconds.
 RESTART_LEAST_S = 1.0
 # A request is forgotten when it hasn't come for this long.
 SUSPECT_MEMORY_S = 60.0
-# As many as an entry may have open. Among more, so many with the most ends
-# are kept.
+# As many as an entry may have open. Among more, those with the most ends are
+# kept, an eighth fewer, so that the sorting is rare.
 MAX_SUSPECTS = 4_096
 SUSPECTS_KEPT = 3_600
 # An end is told for as long as a live entry may not have been heard, and a
@@ -250,7 +252,8 @@
 # Longer answers are taken to have no end. A process has 128 MB for all that
 # it collects.
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
-# The same for bytes of a stream between two events that go on.
+# The same for bytes of a stream between two events that go on; events take
+# some hundred bytes.
 MAX_IDLE_BYTES = 256 * 1024
 
 # Requests that come while an entry starts wait this long for the first
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
@@ -8,7 +8,6 @@
 
 from rhubarbbank_core import effects as core_effects
 from rhubarbbank_core import program_effects as fx
-from rhubarbbank_router import attempt_ends
 from rhubarbbank_router import carriers
 from rhubarbbank_router import defaults
 from rhubarbbank_router import effects
@@ -20,6 +19,8 @@
 from rhubarbbank_router import upstream_list
 
 MS_PER_S = 1000.0
+# Fingerprints that one line names.
+MOST_LOGGED = 8
 
 
 def take_news(
@@ -209,14 +210,35 @@
     alive_s = state.settings.bounds.session_s + defaults.SESSION_MARGIN_S
     state.sessions.forget(now=now, alive_s=alive_s)
     state.others.drop_silent(now=now)
-    old = state.suspects.forget_old(now=now)
-    out = attempt_ends.log_forgotten(old, reason="old")
+    out = [
+        *log_forgotten(state.suspects.forget_old(now=now), reason="old"),
+        *log_forgotten(state.suspects.make_room(), reason="want of room"),
+    ]
     for name in state.entries.forget_silent(now=now):
         out.append(fx.LogDecision(decision="entry_silent", reason=name))
         out.append(effects.UnlistEntry(name))
     return out
 
 
+def log_forgotten(
+    fingerprints: list[str], *, reason: str
+) -> list[effects.Effect]:
+    """Returns the line on crash suspects that are forgotten, if any are."""
+    if not fingerprints:
+        return []
+    return [
+        fx.LogDecision(
+            decision="suspects_forgotten",
+            reason=reason,
+            inputs=(
+                ("count", len(fingerprints)),
+                ("fingerprints", ",".join(fingerprints[:MOST_LOGGED])),
+            ),
+        ),
+        fx.Count("suspects_forgotten", len(fingerprints)),
+    ]
+
+
 def send_loads(
     state: states.RouterState, *, now: float
 ) -> list[effects.Effect]:
