Read a process's descriptors while it closes some of them

Cause: the step listed the descriptors and then read each one; the bundle closed one in between. The same race stood in the step of the whole path (is_symlink, then readlink).

As strict as before: a descriptor that is held is always read, and the list must not be empty.

--- a/features/steps/path_steps.py
+++ b/features/steps/path_steps.py
@@ -2,11 +2,11 @@
 
 import http.client
 import json
-import pathlib
 
 from behave import then
 from behave import when
 import openai
+from support import descriptors
 from support import fleets
 
 LONG_TEXT = "Tell me all about clay. " * 8
@@ -196,9 +196,6 @@
 def check_descriptors(context):
     for place in context.fleet.places.values():
         pid = context.fleet.members[place.name].pid
-        folder = pathlib.Path(f"/proc/{pid}/fd")
-        targets = [
-            str(x.readlink()) for x in folder.iterdir() if x.is_symlink()
-        ]
+        targets = descriptors.list_targets(pid)
         assert targets
         assert not any("io_uring" in x for x in targets), (place.name, targets)
--- a/features/steps/standins_steps.py
+++ b/features/steps/standins_steps.py
@@ -20,6 +20,7 @@
 from behave import runner
 from behave import then
 from behave import when
+from support import descriptors
 
 from rhubarbbank_standins import engine_batch
 from rhubarbbank_standins import engine_text
@@ -940,8 +941,9 @@
 
 @then("the bundle holds no io_uring and ends cleanly on SIGTERM")
 def step_clean_end(context):
-    links = pathlib.Path(f"/proc/{context.process.pid}/fd").iterdir()
-    assert not any("io_uring" in os.readlink(link) for link in links)
+    targets = descriptors.list_targets(context.process.pid)
+    assert targets
+    assert not any("io_uring" in x for x in targets), targets
     context.process.send_signal(signal.SIGTERM)
     assert context.process.wait(WAIT_LIMIT_S) == 0
 
