Bound what a sidecar takes of an answer without end

An upstream that sent bytes without end filled its sidecar: interim answers, blank lines, the framing of chunks and a body were read until the deadline of up to 600 s, a load report for 2 s; an event without an end was copied whole with each read.

Cause: the bounds stood in the platform's client of upstreams and in the router's reducer; the sidecar has its own client, parser and session.

Ruled out: the client's own limits.

Left: the bodies of the store's answers.

--- a/features/steps/platform_cancel_steps.py
+++ b/features/steps/platform_cancel_steps.py
@@ -11,7 +11,7 @@
 from rhubarbbank_core import store
 from rhubarbbank_platform import runners
 from rhubarbbank_platform import store_api
-from rhubarbbank_runtime import shell
+from rhubarbbank_runtime import http_session
 from rhubarbbank_runtime import store_http
 from rhubarbbank_runtime import watched_socket
 
@@ -101,5 +101,5 @@
 
 @then("breaking off an object call while it connects closes no other socket")
 def check_object_calls(context):
-    found = break_off(call_object_api, middlewares=shell.MIDDLEWARES)
+    found = break_off(call_object_api, middlewares=http_session.MIDDLEWARES)
     assert uvloop.run(found) == 0
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
@@ -6,6 +6,7 @@
 
 import http
 
+from rhubarbbank_core import answer_bounds
 from rhubarbbank_core import errors
 from rhubarbbank_core import program_effects as fx
 from rhubarbbank_router import attempt_ends
@@ -39,7 +40,7 @@
     if not opened.is_stream or attempt.status != http.HTTPStatus.OK:
         attempt_evidence.note_heard(state, attempt, now=now)
         attempt.body += data.data
-        if len(attempt.body) > defaults.MAX_ANSWER_BYTES:
+        if len(attempt.body) > answer_bounds.MAX_ANSWER_BYTES:
             return break_endless(state, opened, attempt, now=now)
         return []
     attempt.idle_bytes += len(data.data)
@@ -50,7 +51,7 @@
             attempt.last_event_id = event.event_id
             attempt.idle_bytes = len(attempt.cutter.rest)
         out += pass_on(state, opened, attempt, event, now=now)
-    if attempt.idle_bytes > defaults.MAX_IDLE_BYTES:
+    if attempt.idle_bytes > answer_bounds.MAX_IDLE_BYTES:
         out += break_endless(state, opened, attempt, now=now)
     return out
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -249,13 +249,6 @@
 # Other entries have room now.
 STOP_RETRY_AFTER_S = 0.05
 
-# Longer answers are taken to have no end. A process has 128 MB for all that
-# it collects.
-MAX_ANSWER_BYTES = 4 * 1024 * 1024
-# The same for bytes of a stream between two events that go on; events take
-# some hundred bytes.
-MAX_IDLE_BYTES = 256 * 1024
-
 # Requests that come while an entry starts wait this long for the first
 # configuration and list of upstreams, which take milliseconds to read.
 START_WAIT_S = 0.8
--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/bounded_answer.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/bounded_answer.py
@@ -10,6 +10,9 @@
 from collections.abc import Callable
 from typing import Protocol
 
+import aiohttp
+from aiohttp import connector
+
 # More than one read of the event loop, in which head and body come together.
 MAX_BARREN_BYTES = 512 * 1024
 
@@ -100,3 +103,26 @@
     def resume_writing(self) -> None:
         """Hands on that the connection takes more."""
         self.inner.resume_writing()
+
+
+class BoundedResponse(aiohttp.ClientResponse):
+    """An answer whose connection ends if its bytes lead nowhere."""
+
+    async def start(
+        self, connection: connector.Connection
+    ) -> aiohttp.ClientResponse:
+        """Waits for the head."""
+        protocol, transport = connection.protocol, connection.transport
+        if protocol is not None and transport is not None:
+            transport.set_protocol(
+                BoundedAnswer(
+                    inner=protocol,
+                    transport=transport,
+                    count_body=self.count_body,
+                )
+            )
+        return await super().start(connection)
+
+    def count_body(self) -> int | None:
+        """Returns how many bytes of the body have come; None before it."""
+        return self.content.total_bytes if self.content else None
--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/shell.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/shell.py
@@ -16,20 +16,16 @@
 from typing import Any
 from typing import Protocol
 
-import aiohttp
-
 from rhubarbbank_core import defaults
 from rhubarbbank_core import effects
 from rhubarbbank_core import events
 from rhubarbbank_core import program_effects as fx
-from rhubarbbank_runtime import http_once
+from rhubarbbank_runtime import http_session
 from rhubarbbank_runtime import logs
 from rhubarbbank_runtime import peer_link
 from rhubarbbank_runtime import timers
-from rhubarbbank_runtime import watched_socket
 
 LOG = logging.getLogger(__name__)
-MIDDLEWARES = (http_once.send_once, watched_socket.own_descriptor)
 # Long enough that work which fails at once doesn't fill the log, short
 # against the seconds for which what it keeps up to date stays usable.
 RESTART_PAUSE_S = 0.2
@@ -130,14 +126,7 @@
         self.reducer = reducer
         self.loop = asyncio.get_running_loop()
         self.stack = contextlib.AsyncExitStack()
-        self.session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
-                limit=0,
-                limit_per_host=0,
-                socket_factory=watched_socket.open_socket,
-            ),
-            middlewares=MIDDLEWARES,
-        )
+        self.session = http_session.open_session()
         self.clock = parts.clock or self.loop.time
         self.metrics = parts.metrics
         self.timers = timers.TimerService(loop=self.loop)
--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/upstream_http.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/upstream_http.py
@@ -3,15 +3,18 @@
 import asyncio
 from collections.abc import Callable
 import contextlib
+import logging
 
 import aiohttp
 import msgspec
 
+from rhubarbbank_core import answer_bounds
 from rhubarbbank_core import defaults
 from rhubarbbank_core import events
 from rhubarbbank_core import path_messages
 from rhubarbbank_core import program_effects as fx
 
+LOG = logging.getLogger(__name__)
 EVENT_END = b"\n\n"
 DATA_PREFIX = b"data: "
 DONE_MARK = b"[DONE]"
@@ -53,25 +56,67 @@
     fence: int
 
 
+class EndlessAnswerError(aiohttp.ClientError):
+    """An answer went on past what is taken of one."""
+
+    def __init__(self, most: int, unit: str) -> None:
+        super().__init__(
+            f"an answer went on past {most} {unit}; look at the upstream"
+        )
+
+
 class EventParser:
     """Cuts a byte stream into server-sent events.
 
     Attributes:
         rest: Bytes of an event that isn't whole yet.
+        idle_bytes: Bytes since the last event with a payload.
+        count: Such events so far.
     """
 
     def __init__(self) -> None:
         self.rest = b""
+        self.idle_bytes = 0
+        self.count = 0
 
     def feed(self, data: bytes) -> list[bytes]:
-        """Returns the payloads of the events that are now whole."""
+        """Returns the payloads of the events that are now whole.
+
+        Raises:
+            EndlessAnswerError: The stream is taken to have no end.
+        """
         pieces = (self.rest + data).split(EVENT_END)
         self.rest = pieces.pop()
-        return [
+        found = [
             piece.removeprefix(DATA_PREFIX)
             for piece in pieces
             if piece.startswith(DATA_PREFIX)
         ]
+        self.idle_bytes += len(data)
+        if found:
+            self.idle_bytes = len(self.rest)
+            self.count += len(found)
+        if self.idle_bytes > answer_bounds.MAX_IDLE_BYTES:
+            raise EndlessAnswerError(
+                answer_bounds.MAX_IDLE_BYTES, "bytes without an event"
+            )
+        if self.count > answer_bounds.MAX_ANSWER_EVENTS:
+            raise EndlessAnswerError(answer_bounds.MAX_ANSWER_EVENTS, "events")
+        return found
+
+
+async def read_body(response: aiohttp.ClientResponse) -> bytes:
+    """Returns an answer's body.
+
+    Raises:
+        EndlessAnswerError: The body is taken to have no end.
+    """
+    body = bytearray()
+    async for data in response.content.iter_any():
+        body += data
+        if len(body) > answer_bounds.MAX_ANSWER_BYTES:
+            raise EndlessAnswerError(answer_bounds.MAX_ANSWER_BYTES, "bytes")
+    return bytes(body)
 
 
 class UpstreamHttp:
@@ -116,10 +161,11 @@
                 ended = await self.send(call)
         except aiohttp.ClientConnectorError:
             ended = end_call(call, events.UpstreamEnd.UNREACHED)
-        except aiohttp.ClientError:
-            ended = end_call(call, events.UpstreamEnd.BROKEN)
         except TimeoutError:
             ended = end_call(call, events.UpstreamEnd.TIMED_OUT)
+        except (aiohttp.ClientError, OSError) as error:
+            LOG.info("call %s broke off: %s", call.request_id, error)
+            ended = end_call(call, events.UpstreamEnd.BROKEN)
         self.apply(ended)
 
     async def send(self, call: fx.CallUpstream) -> events.UpstreamEnded:
@@ -146,7 +192,7 @@
         self, call: fx.CallUpstream, response: aiohttp.ClientResponse
     ) -> events.UpstreamEnded:
         """Takes in a plain service's answer."""
-        body = await response.read()
+        body = await read_body(response)
         self.apply(events.UpstreamData(call.request_id, call.attempt, [body]))
         return end_call(
             call,
@@ -186,7 +232,7 @@
                 held = msgspec.json.decode(
                     await self.get("/versions"), type=VersionList
                 )
-        except (aiohttp.ClientError, TimeoutError, msgspec.MsgspecError):
+        except (aiohttp.ClientError, OSError, msgspec.MsgspecError):
             return events.UpstreamObserved(False, path_messages.Load(), [])
         return events.UpstreamObserved(
             True,
@@ -204,13 +250,13 @@
             f"{self.url}{path}", timeout=OBSERVE_TIMEOUT
         ) as response:
             response.raise_for_status()
-            return await response.read()
+            return await read_body(response)
 
     async def order(self, order: fx.OrderUpstream) -> None:
         """Gives the engine an order and reports its answer."""
         body = OrderBody(order.order, order.model, order.version, order.fence)
         status = UNREACHED_STATUS
-        with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+        with contextlib.suppress(aiohttp.ClientError, OSError):
             async with self.session.post(
                 f"{self.url}/orders",
                 data=msgspec.json.encode(body),
