End a stop though work loses its cancellation

A process could wait for ever in its graceful stop: work whose cancellation is lost, because a clean-up fails in place of it, goes on, and what is kept running is begun anew after that failure.

Cause: the stop cancelled each task once, and waited without a limit.

Ruled out: libraries that lose a cancellation on this path were looked for by reading (the HTTP client's timers and writers, the event loop's timeouts); none was found. The stop names such a task now.

--- a/features/platform_failures.feature
+++ b/features/platform_failures.feature
@@ -7,6 +7,16 @@
     Then it has been begun 3 times
     And each failure is in the log
 
+  Scenario Outline: A stop doesn't wait for ever for work that loses a cancellation
+    Given work that answers its first cancellation with <what>
+    When a shell that keeps it running breaks it off
+    Then it has ended within 2 s, and the log names it
+
+    Examples:
+      | what               |
+      | nothing            |
+      | an unforeseen error |
+
   Scenario Outline: An exchange fails with an error that nobody foresaw
     When the HTTP client fails an attempt with <error>
     Then the router hears that the attempt broke off, and why
--- a/features/steps/platform_failure_steps.py
+++ b/features/steps/platform_failure_steps.py
@@ -4,6 +4,7 @@
 import builtins
 import contextlib
 import logging
+import time
 
 import aiohttp
 from behave import given
@@ -20,6 +21,8 @@
 from rhubarbbank_runtime import shell
 from rhubarbbank_runtime import store_http
 
+MOST_S = 5.0
+
 
 class FailingWork:
     """Work that fails a number of times, then returns."""
@@ -34,6 +37,30 @@
             raise RuntimeError("unforeseen")
 
 
+class StubbornWork:
+    """Work without an end that loses its first cancellation.
+
+    Attributes:
+        error: What it raises in place of it; None if it goes on.
+        cancelled: How often it was cancelled.
+    """
+
+    def __init__(self, error):
+        self.error = error
+        self.cancelled = 0
+
+    async def run(self):
+        while True:
+            try:
+                await asyncio.sleep(MOST_S)
+            except asyncio.CancelledError:
+                self.cancelled += 1
+                if self.cancelled > 1:
+                    raise
+                if self.error is not None:
+                    raise self.error from None
+
+
 class FailingSession:
     """An HTTP client whose every request fails."""
 
@@ -74,6 +101,34 @@
     context.work = FailingWork(failures)
 
 
+@given("work that answers its first cancellation with {what}")
+def make_stubborn_work(context, what):
+    error = None if what == "nothing" else RuntimeError(what)
+    context.work = StubbornWork(error)
+
+
+@when("a shell that keeps it running breaks it off")
+def break_off(context):
+    async def stop():
+        task = asyncio.create_task(shell.restart_failed(context.work.run))
+        await asyncio.sleep(0)
+        begun_at = time.monotonic()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(MOST_S):
+                await shell.cancel_all([task])
+        context.took_s = time.monotonic() - begun_at
+
+    with remember_log(shell.LOG.name) as context.records:
+        uvloop.run(stop())
+
+
+@then("it has ended within {most:g} s, and the log names it")
+def check_ended(context, most):
+    assert context.took_s < most, context.took_s
+    lines = [record.getMessage() for record in context.records]
+    assert any("restart_failed" in x for x in lines), lines
+
+
 @when("a shell keeps it running")
 def keep_running(context):
     with remember_log(shell.LOG.name) as context.records:
--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/shell.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/shell.py
@@ -29,6 +29,8 @@
 # Long enough that work which fails at once doesn't fill the log, short
 # against the seconds for which what it keeps up to date stays usable.
 RESTART_PAUSE_S = 0.2
+# Longer than cancelled work takes to clean up.
+CANCEL_AGAIN_S = 0.5
 
 
 class Reducer(Protocol):
@@ -225,10 +227,22 @@
 
     async def cancel_tasks(self) -> None:
         """Breaks off all work under way."""
-        tasks = list(self.tasks)
-        for task in tasks:
+        await cancel_all(list(self.tasks))
+
+
+async def cancel_all(tasks: list["asyncio.Task[None]"]) -> None:
+    """Cancels tasks, and returns once they have ended.
+
+    A cancellation is lost where a clean-up fails, so that work may go on, or
+    be begun anew, after the first.
+    """
+    pending = set(tasks)
+    while pending:
+        for task in pending:
             task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        _, pending = await asyncio.wait(pending, timeout=CANCEL_AGAIN_S)
+        for task in pending:
+            LOG.warning("still running, cancelled again: %r", task)
 
 
 async def restart_failed(
