Break off a stream whose events have no end

An upstream that sent events with ever new ids kept its request until the caller's deadline, and the caller was sent all of them.

Cause: of a stream only the bytes between two events that go on were bounded, as if events of their own could not be endless.

Ruled out: the bound on what a slow reader has unread; a quick reader takes all.

--- a/features/router_streams.feature
+++ b/features/router_streams.feature
@@ -105,6 +105,7 @@
       | chat  | a long event   | the request has been sent 2 times    |
       | chat  | comments       | the request has been sent 2 times    |
       | chat  | its last event | the request has been sent 2 times    |
+      | chat  | new events     | the request has been sent 2 times    |
       | note  | a long event   | the caller's stream is cut off in the end |
 
   Scenario: Comments between events neither keep a stream alive nor move it
--- a/features/steps/endless_steps.py
+++ b/features/steps/endless_steps.py
@@ -1,5 +1,7 @@
 """Steps for upstreams whose bytes have no end."""
 
+import itertools
+
 from behave import then
 from behave import when
 from support import router_world
@@ -21,11 +23,21 @@
     if what != "a body":
         world.stream(request, 1, 1)
     context.sent_bytes = 0
+    numbers = itertools.count(2)
     for _ in range(MOST_PIECES):
         if 1 in world.cancelled(request):
             return
-        world.data(request, FRAMES[what])
-        context.sent_bytes += PIECE_BYTES
+        frame = FRAMES.get(what) or build_new_events(numbers)
+        world.data(request, frame)
+        context.sent_bytes += len(frame)
+
+
+def build_new_events(numbers):
+    """Returns events with the next numbers, about as long as a piece."""
+    return b"".join(
+        router_world.build_event(number)
+        for number in itertools.islice(numbers, PIECE_BYTES // 24)
+    )
 
 
 @then("it is broken off before {most:g} MB have come")
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
@@ -44,6 +44,7 @@
             return break_endless(state, opened, attempt, now=now)
         return []
     attempt.idle_bytes += len(data.data)
+    attempt.stream_bytes += len(data.data)
     out: list[effects.Effect] = []
     for event in attempt.cutter.feed(data.data):
         if goes_on(attempt, event):
@@ -51,11 +52,19 @@
             attempt.last_event_id = event.event_id
             attempt.idle_bytes = len(attempt.cutter.rest)
         out += pass_on(state, opened, attempt, event, now=now)
-    if attempt.idle_bytes > answer_bounds.MAX_IDLE_BYTES:
+    if is_endless(attempt):
         out += break_endless(state, opened, attempt, now=now)
     return out
 
 
+def is_endless(attempt: attempt_states.Attempt) -> bool:
+    """Returns whether an attempt's stream is taken to have no end."""
+    return (
+        attempt.idle_bytes > answer_bounds.MAX_IDLE_BYTES
+        or attempt.stream_bytes > answer_bounds.MAX_ANSWER_BYTES
+    )
+
+
 def goes_on(
     attempt: attempt_states.Attempt, event: event_stream.StreamEvent
 ) -> bool:
@@ -75,7 +84,7 @@
     *,
     now: float,
 ) -> list[effects.Effect]:
-    """Breaks off an attempt whose bytes have no end and are no answer."""
+    """Breaks off an attempt whose bytes have no end."""
     cancel = attempt_ends.close_attempt(state, opened, attempt, now=now)
     detail = "more bytes than an answer has"
     return [
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_states.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_states.py
@@ -54,6 +54,7 @@
         events: Events that came.
         last_event_id: Id of the last one that brought the stream further.
         idle_bytes: Bytes since that one.
+        stream_bytes: Bytes of the stream so far.
         load_level: How loaded the upstream was when it began to answer.
         judged: Whether it has been taken as evidence on its version.
         unread_tokens: Tokens of the prompt that the upstream had to read.
@@ -81,6 +82,7 @@
     events: int = 0
     last_event_id: str = ""
     idle_bytes: int = 0
+    stream_bytes: int = 0
     load_level: int = 0
     judged: bool = False
     unread_tokens: int = 0
