--- a/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
@@ -31,7 +31,7 @@
 
     Of a stream only events that go on are a sign of life: one that sends a
     byte, a comment or its last event now and then has stalled. Bytes without
-    end that are no answer are broken off, whatever they are.
+    end are broken off, whatever they are.
     """
     found = state.find_open(data.request_id, data.attempt)
     if found is None:
