Close callers' connections that rest as soon as a stop is over

A caller's request was read after an entry had ended its graceful stop, and its connection closed without an answer (LOST).

Cause: between 'stopped' and the server's end lie 0.2 s, for the last answers to leave. Connections that rested were served on meanwhile; the HTTP server then drops whatever bytes of a body come, and waits another 0.2 s for a handler that can't go on.

Ruled out: the reducer. It refuses in that time, at once (a shorter request at 18.017 s was answered with 503); the lost one never came to it.

Change: what ends the intake closes the connections on which no request is under way; one whose body is on its way has the 0.2 s for itself.

--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/caller_connection.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/caller_connection.py
@@ -72,6 +72,11 @@
             self.start_timer(self.bounds().head_s)
         super().data_received(data)
 
+    @property
+    def resting(self) -> bool:
+        """Whether no request of it is served or has begun to come."""
+        return not self.serving and not self.head_begun
+
     def begin(self) -> None:
         """Notes that a request is served from now on."""
         self.serving = True
@@ -123,6 +128,13 @@
             **self.options,
         )
 
+    def close_resting(self) -> None:
+        """Closes the connections on which no request is under way."""
+        for connection in self.connections:
+            assert isinstance(connection, BoundedConnection)
+            if connection.resting:
+                connection.force_close()
+
 
 @contextlib.contextmanager
 def serve(request: web.BaseRequest) -> Iterator[None]:
