--- a/features/steps/platform_stop_steps.py
+++ b/features/steps/platform_stop_steps.py
@@ -100,7 +100,7 @@
 
 
 @when("the entry takes no more requests and ends {end:g} s later")
-def note_end(context, end):
+def set_end(context, end):
     context.end_s = end
 
 
@@ -108,7 +108,7 @@
     "each caller sends a request's head after {head:g} s, and its body after "
     "{body:g} s more"
 )
-def stop(context, head, body):
+def play_stop(context, head, body):
     async def play():
         server = caller_connection.BoundedServer(answer, bounds=lambda: BOUNDS)
         runner = web.ServerRunner(server, shutdown_timeout=context.end_s)
--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/http_session.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/http_session.py
@@ -13,6 +13,7 @@
     """Returns a session without a limit of connections; the caller closes it.
 
     Each request is sent once, and answers that lead nowhere are broken off.
+    A loop must be running.
     """
     return aiohttp.ClientSession(
         connector=aiohttp.TCPConnector(
--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/upstream_http.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/upstream_http.py
@@ -57,7 +57,12 @@
 
 
 class EndlessAnswerError(aiohttp.ClientError):
-    """An answer went on past what is taken of one."""
+    """An answer went on past what is taken of one.
+
+    Args:
+        most: How much is taken.
+        unit: What that counts, in the plural.
+    """
 
     def __init__(self, most: int, unit: str) -> None:
         super().__init__(
@@ -109,7 +114,8 @@
     """Returns an answer's body.
 
     Raises:
-        EndlessAnswerError: The body is taken to have no end.
+        EndlessAnswerError: It is longer than `MAX_ANSWER_BYTES`.
+        aiohttp.ClientError: The connection broke off.
     """
     body = bytearray()
     async for data in response.content.iter_any():
