--- a/features/steps/router_history_steps.py
+++ b/features/steps/router_history_steps.py
@@ -141,7 +141,7 @@
         open_attempts = sum(
             opened.current is not None for opened in world.state.open.values()
         )
-        in_flight = sum(x.in_flight for x in world.state.view.beliefs.values())
+        in_flight = sum(x.in_flight for x in world.state.view.tracked.values())
         assert in_flight <= open_attempts, (in_flight, open_attempts)
 
     def check_request(self, request, route):
--- a/features/steps/router_notice_steps.py
+++ b/features/steps/router_notice_steps.py
@@ -39,8 +39,8 @@
 
 
 def relist(world, upstream, **changes):
-    belief = world.state.view.beliefs[upstream]
-    listed = dataclasses.replace(belief.listed, **changes)
+    tracked = world.state.view.tracked[upstream]
+    listed = dataclasses.replace(tracked.listed, **changes)
     world.apply(events.UpstreamChanged(listed))
 
 
@@ -88,7 +88,7 @@
 
 @when('"{upstream}" lapses from the list and is back')
 def lapse(context, upstream):
-    listed = context.world.state.view.beliefs[upstream].listed
+    listed = context.world.state.view.tracked[upstream].listed
     context.world.apply(events.UpstreamUnlisted(upstream))
     context.world.apply(events.UpstreamChanged(listed))
 
@@ -107,7 +107,7 @@
 @then('some of {count:d} new requests go to "{upstream}"')
 def check_some(context, count, upstream):
     found = count_sent(context.world, upstream, count)
-    assert found > 0, context.world.state.view.beliefs[upstream]
+    assert found > 0, context.world.state.view.tracked[upstream]
 
 
 @given("a peer of the router")
@@ -129,7 +129,7 @@
 
 @when('"{upstream}" leaves the list')
 def leave_list(context, upstream):
-    context.listed = context.world.state.view.beliefs[upstream].listed
+    context.listed = context.world.state.view.tracked[upstream].listed
     context.world.apply(events.UpstreamUnlisted(upstream))
 
 
--- a/features/steps/router_steps.py
+++ b/features/steps/router_steps.py
@@ -138,7 +138,7 @@
 def check_nothing_open(context):
     world = context.world
     assert not world.state.open
-    assert not any(x.in_flight for x in world.state.view.beliefs.values())
+    assert not any(x.in_flight for x in world.state.view.tracked.values())
 
 
 @when("{duration:g} s pass")
--- a/features/support/relay_fleet.py
+++ b/features/support/relay_fleet.py
@@ -274,8 +274,8 @@
             proved = self.find_revision(state.proof.asked_at)
             if known < proved:
                 self.fault(name, f"proof of {proved} with {known} in force")
-        for upstream, belief in state.view.beliefs.items():
-            if belief.listed.leaving:
+        for upstream, tracked in state.view.tracked.items():
+            if tracked.listed.leaving:
                 node.leaving.add(upstream)
             elif upstream in node.leaving:
                 self.fault(name, f"{upstream} is taken to be back")
@@ -284,8 +284,8 @@
         if known < self.find_revision(self.now - APPLY_S):
             self.fault(name, "an old configuration is in force")
         for upstream, at in self.left_at.items():
-            belief = state.view.beliefs.get(upstream)
-            usable = belief is not None and not belief.listed.leaving
+            tracked = state.view.tracked.get(upstream)
+            usable = tracked is not None and not tracked.listed.leaving
             if usable and self.now - at > DRAIN_S:
                 self.fault(name, f"{upstream} left {self.now - at:.2f} s ago")
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_ends.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_ends.py
@@ -107,9 +107,9 @@
     """
     if attempt.status:
         return
-    belief = state.view.beliefs.get(attempt.upstream)
+    tracked = state.view.tracked.get(attempt.upstream)
     started_ms = attempt.upstream_started_ms
-    if belief is None or belief.listed.started_ms != started_ms:
+    if tracked is None or tracked.listed.started_ms != started_ms:
         note_end(state, opened, attempt, now=now)
         return
     end = crash_suspects.mark_end(attempt.upstream, started_ms)
@@ -122,15 +122,15 @@
     """Notes a failure; logs if the upstream is set aside for it."""
     if not state.view.note_failure(upstream, now=now, weight=weight):
         return []
-    belief = state.view.beliefs[upstream]
+    tracked = state.view.tracked[upstream]
     return [
         fx.LogDecision(
             decision="upstream_set_aside",
             upstream=upstream,
             reason="failures in a row",
             inputs=(
-                ("failures", belief.failures),
-                ("for_s", belief.set_aside_s),
+                ("failures", tracked.failures),
+                ("for_s", tracked.set_aside_s),
             ),
         ),
         fx.Count("upstreams_set_aside"),
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
@@ -40,7 +40,7 @@
     if not usable:
         return give_up(state, opened, errors.ErrorCode.NO_UPSTREAM, now=now)
     candidates = [
-        build_candidate(state, opened, belief, now=now) for belief in usable
+        build_candidate(state, opened, tracked, now=now) for tracked in usable
     ]
     decision = state.placer.choose(
         candidates=candidates,
@@ -57,8 +57,8 @@
     if excess_s > 0.0:
         code = errors.ErrorCode.OVERLOADED
         return give_up(state, opened, code, now=now, room_in_s=excess_s)
-    belief = state.view.beliefs[decision.upstream]
-    attempt = begin_attempt(state, opened, belief, now=now)
+    tracked = state.view.tracked[decision.upstream]
+    attempt = begin_attempt(state, opened, tracked, now=now)
     return [
         fx.LogDecision(
             decision="placed",
@@ -72,12 +72,12 @@
             inputs=(
                 ("candidates", len(usable)),
                 ("wait_s", round(decision.expected_wait_s, 3)),
-                ("in_flight", belief.in_flight),
-                ("load_age_s", describe_load_age(belief, now=now)),
+                ("in_flight", tracked.in_flight),
+                ("load_age_s", describe_load_age(tracked, now=now)),
                 ("left_s", round(opened.ends_at - now, 3)),
             ),
         ),
-        build_sending(opened, belief.listed, attempt, now=now),
+        build_sending(opened, tracked.listed, attempt, now=now),
     ]
 
 
@@ -102,22 +102,24 @@
     return least_s - (opened.ends_at - now)
 
 
-def describe_load_age(belief: upstreams.Belief, *, now: float) -> float | str:
+def describe_load_age(
+    tracked: upstreams.TrackedUpstream, *, now: float
+) -> float | str:
     """Returns the age of an upstream's load report, for the log."""
-    if belief.load is None:
+    if tracked.load is None:
         return "no report"
-    return round(now - belief.load_at, 3)
+    return round(now - tracked.load_at, 3)
 
 
 def begin_attempt(
     state: states.RouterState,
     opened: states.OpenRequest,
-    belief: upstreams.Belief,
+    tracked: upstreams.TrackedUpstream,
     *,
     now: float,
 ) -> attempt_states.Attempt:
     """Adds an attempt on an upstream to the request."""
-    upstream = belief.listed
+    upstream = tracked.listed
     facts = opened.request.generation
     unread = engine_work.count_unread(
         facts, count_kept(state, opened, upstream, now=now)
@@ -134,7 +136,7 @@
         heard_at=now,
         unread_tokens=unread,
         work_s=unread / speed,
-        backlog_s=engine_load.sum_backlog_s(belief, state.others, now=now),
+        backlog_s=engine_load.sum_backlog_s(tracked, state.others, now=now),
     )
     opened.attempts.append(attempt)
     state.view.start(opened.request.request_id, attempt)
@@ -218,29 +220,29 @@
 def build_candidate(
     state: states.RouterState,
     opened: states.OpenRequest,
-    belief: upstreams.Belief,
+    tracked: upstreams.TrackedUpstream,
     *,
     now: float,
 ) -> placement.Candidate:
     """Returns what placement needs to know of an upstream."""
-    listed = belief.listed
+    listed = tracked.listed
     times = state.view.read_times(opened.service)
     away = listed.data_centre != state.settings.data_centre
     kept_tokens = count_kept(state, opened, listed, now=now)
-    load = belief.load
+    load = tracked.load
     return placement.Candidate(
         name=listed.upstream_id,
-        own_in_flight=belief.in_flight,
+        own_in_flight=tracked.in_flight,
         told_in_flight=state.others.find(listed.upstream_id).in_flight,
-        own_at_report=belief.own_at_report,
+        own_at_report=tracked.own_at_report,
         running=load.running if load else 0,
         waiting=load.waiting if load else 0,
         max_batch=max(1, load.slots if load else listed.slots),
-        report_age_s=now - belief.load_at if load else math.inf,
+        report_age_s=now - tracked.load_at if load else math.inf,
         latency_ms=defaults.OTHER_DATA_CENTRE_MS if away else 0.0,
         cached_blocks=kept_tokens // defaults.TOKENS_PER_BLOCK,
         service_s=times.whole_s,
-        backlog_s=engine_load.sum_backlog_s(belief, state.others, now=now),
+        backlog_s=engine_load.sum_backlog_s(tracked, state.others, now=now),
     )
 
 
@@ -253,7 +255,7 @@
 def find_home(
     state: states.RouterState,
     opened: states.OpenRequest,
-    usable: list[upstreams.Belief],
+    usable: list[upstreams.TrackedUpstream],
 ) -> str:
     """Returns the upstream that all entries prefer for the same prompt."""
     if opened.request.generation is None:
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/engine_load.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/engine_load.py
@@ -13,20 +13,23 @@
 MS_PER_S = 1000.0
 
 
-def sum_own_s(belief: upstreams.Belief, *, now: float) -> float:
+def sum_own_s(tracked: upstreams.TrackedUpstream, *, now: float) -> float:
     """Returns the work of this entry's attempts at an upstream, in seconds."""
     return sum(
         engine_work.estimate_rest_s(each, now=now)
-        for each in belief.attempts.values()
+        for each in tracked.attempts.values()
     )
 
 
 def sum_backlog_s(
-    belief: upstreams.Belief, others: peer_work.PeerWork, *, now: float
+    tracked: upstreams.TrackedUpstream,
+    others: peer_work.PeerWork,
+    *,
+    now: float,
 ) -> float:
     """Returns all work that is known at an upstream, in seconds."""
-    told = others.find(belief.listed.upstream_id)
-    return sum_own_s(belief, now=now) + told.work_s
+    told = others.find(tracked.listed.upstream_id)
+    return sum_own_s(tracked, now=now) + told.work_s
 
 
 def list_loads(
@@ -35,23 +38,23 @@
     """Returns what this entry has under way, as a heartbeat tells it."""
     return tuple(
         messages.LoadNews(
-            upstream=marks.mark(belief.listed.upstream_id),
-            work_ms=round(sum_own_s(belief, now=now) * MS_PER_S),
-            in_flight=belief.in_flight,
-            heard_ms=round((now - belief.heard_at) * MS_PER_S),
+            upstream=marks.mark(tracked.listed.upstream_id),
+            work_ms=round(sum_own_s(tracked, now=now) * MS_PER_S),
+            in_flight=tracked.in_flight,
+            heard_ms=round((now - tracked.heard_at) * MS_PER_S),
         )
-        for belief in view.beliefs.values()
-        if belief.attempts
+        for tracked in view.tracked.values()
+        if tracked.attempts
     )
 
 
 def was_heard_within(
-    belief: upstreams.Belief,
+    tracked: upstreams.TrackedUpstream,
     others: peer_work.PeerWork,
     period_s: float,
     *,
     now: float,
 ) -> bool:
     """Returns whether any entry has heard from an upstream lately."""
-    told = others.find(belief.listed.upstream_id)
-    return now - max(belief.heard_at, told.heard_at) <= period_s
+    told = others.find(tracked.listed.upstream_id)
+    return now - max(tracked.heard_at, told.heard_at) <= period_s
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
@@ -157,7 +157,7 @@
     out += [core_effects.Send(address, news) for address in near]
     out += send_far_news(state, news, now=now, near=frozenset(near))
     out.append(fx.Gauge("open_requests", len(state.open)))
-    out.append(fx.Gauge("upstreams", len(state.view.beliefs)))
+    out.append(fx.Gauge("upstreams", len(state.view.tracked)))
     return out
 
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/rollouts.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/rollouts.py
@@ -125,16 +125,17 @@
     trial = state.trials.get(service)
     target = trial.order.target if trial else None
     settled.update(
-        belief.listed.version
-        for belief in state.view.beliefs.values()
-        if belief.listed.service == service and belief.listed.version != target
+        tracked.listed.version
+        for tracked in state.view.tracked.values()
+        if tracked.listed.service == service
+        and tracked.listed.version != target
     )
 
 
 def settle_all(state: states.RouterState) -> None:
     """Settles the versions of services that are new here."""
     for service in {
-        belief.listed.service for belief in state.view.beliefs.values()
+        tracked.listed.service for tracked in state.view.tracked.values()
     }:
         settle(state, service)
 
@@ -142,10 +143,10 @@
 def keep_version(
     state: states.RouterState,
     opened: states.OpenRequest,
-    usable: list[upstreams.Belief],
+    usable: list[upstreams.TrackedUpstream],
     *,
     now: float,
-) -> list[upstreams.Belief]:
+) -> list[upstreams.TrackedUpstream]:
     """Returns the upstreams whose version the request may run on."""
     if opened.begun:
         return select(usable, {opened.version})
@@ -168,8 +169,8 @@
 
 
 def select(
-    usable: list[upstreams.Belief], versions: set[str]
-) -> list[upstreams.Belief]:
+    usable: list[upstreams.TrackedUpstream], versions: set[str]
+) -> list[upstreams.TrackedUpstream]:
     """Returns the upstreams that run one of the versions."""
     return [each for each in usable if each.listed.version in versions]
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/store_reading.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/store_reading.py
@@ -171,9 +171,9 @@
         proof_age_s=state.proof.age(now=now),
         regained_age_s=regained_age_s,
         listed=tuple(
-            belief.listed
-            for belief in state.view.beliefs.values()
-            if not belief.lapsed
+            tracked.listed
+            for tracked in state.view.tracked.values()
+            if not tracked.lapsed
         ),
     )
     told = state.relay.build_told(ask, facts, now=now)
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/upstream_list.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/upstream_list.py
@@ -35,7 +35,7 @@
     view = state.view
     match event:
         case events.UpstreamsListed():
-            concerned = list(view.beliefs.values())
+            concerned = list(view.tracked.values())
         case events.UpstreamChanged(listed):
             concerned = view.list_known(listed.upstream_id)
         case events.UpstreamUnlisted(upstream_id):
@@ -56,8 +56,8 @@
     """Charges the requests that were given up where an upstream ended."""
     out: list[effects.Effect] = []
     for listed in before:
-        belief = state.view.beliefs.get(listed.upstream_id)
-        if belief and belief.listed.started_ms == listed.started_ms:
+        tracked = state.view.tracked.get(listed.upstream_id)
+        if tracked and tracked.listed.started_ms == listed.started_ms:
             continue
         end = crash_suspects.mark_end(listed.upstream_id, listed.started_ms)
         found = state.suspects.confirm_end(end, now=now)
@@ -113,7 +113,7 @@
             ]
         case events.UpstreamUnlisted(upstream_id):
             state.relay.note_change(upstream_id)
-            known = upstream_id in state.view.beliefs
+            known = upstream_id in state.view.tracked
             state.view.remove(upstream_id, doubtful=doubtful)
             if not known:
                 return []
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
@@ -59,7 +59,7 @@
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
-class Belief:
+class TrackedUpstream:
     """What this entry believes of one upstream.
 
     Attributes:
@@ -146,14 +146,14 @@
     """All upstreams that this entry knows.
 
     Attributes:
-        beliefs: By upstream id.
+        tracked: By upstream id.
         times: By service.
         notices: What upstreams said of themselves.
     """
 
     def __init__(self) -> None:
         self.notices = upstream_notices.UpstreamNotices()
-        self.beliefs: dict[str, Belief] = {}
+        self.tracked: dict[str, TrackedUpstream] = {}
         self.times: dict[str, ServiceTimes] = {}
 
     def replace_list(
@@ -168,7 +168,7 @@
             self.put(each)
         gone = [
             upstream_id
-            for upstream_id in self.beliefs
+            for upstream_id in self.tracked
             if upstream_id not in found
         ]
         for upstream_id in gone:
@@ -177,15 +177,15 @@
 
     def put(self, listed: Upstream) -> None:
         """Takes one line of the list."""
-        belief = self.beliefs.get(listed.upstream_id)
-        if belief is None or belief.listed.started_ms != listed.started_ms:
-            attempts = belief.attempts if belief else {}
-            belief = Belief(listed=listed, attempts=attempts)
-            self.beliefs[listed.upstream_id] = belief
-        if belief.listed.address != listed.address:
-            belief.misdirected = False
-        belief.listed = listed
-        belief.lapsed = False
+        tracked = self.tracked.get(listed.upstream_id)
+        if tracked is None or tracked.listed.started_ms != listed.started_ms:
+            attempts = tracked.attempts if tracked else {}
+            tracked = TrackedUpstream(listed=listed, attempts=attempts)
+            self.tracked[listed.upstream_id] = tracked
+        if tracked.listed.address != listed.address:
+            tracked.misdirected = False
+        tracked.listed = listed
+        tracked.lapsed = False
 
     def remove(self, upstream_id: str, *, doubtful: bool) -> None:
         """Takes that the list dropped an upstream.
@@ -195,13 +195,13 @@
             doubtful: The store was in trouble lately: its entry may have
                 lapsed though it lives, so that it stays for a grace time.
         """
-        belief = self.beliefs.get(upstream_id)
-        if belief is None:
+        tracked = self.tracked.get(upstream_id)
+        if tracked is None:
             return
         if doubtful:
-            belief.lapsed = True
+            tracked.lapsed = True
             return
-        del self.beliefs[upstream_id]
+        del self.tracked[upstream_id]
 
     def drop_lapsed(self, *, keep: bool) -> list[str]:
         """Drops upstreams that lapsed; returns their ids.
@@ -214,33 +214,35 @@
             return []
         dropped = [
             upstream_id
-            for upstream_id, belief in self.beliefs.items()
-            if belief.lapsed
+            for upstream_id, tracked in self.tracked.items()
+            if tracked.lapsed
         ]
         for upstream_id in dropped:
-            del self.beliefs[upstream_id]
+            del self.tracked[upstream_id]
         return dropped
 
-    def list_known(self, upstream_id: str) -> list[Belief]:
+    def list_known(self, upstream_id: str) -> list[TrackedUpstream]:
         """Returns what is believed of an upstream, if it is known."""
-        belief = self.beliefs.get(upstream_id)
-        return [] if belief is None else [belief]
+        tracked = self.tracked.get(upstream_id)
+        return [] if tracked is None else [tracked]
 
     def is_leaving(self, listed: Upstream) -> bool:
         """Returns whether an upstream shuts down, by the list or its word."""
         notice = self.notices.find(listed.upstream_id, listed.started_ms)
         return listed.leaving or (notice is not None and notice.leaving)
 
-    def list_service(self, service: str, *, now: float) -> list[Belief]:
+    def list_service(
+        self, service: str, *, now: float
+    ) -> list[TrackedUpstream]:
         """Returns the service's upstreams that take new work."""
         return [
-            belief
-            for belief in self.beliefs.values()
-            if belief.listed.service == service
-            and not belief.listed.leaving
-            and not belief.misdirected
+            tracked
+            for tracked in self.tracked.values()
+            if tracked.listed.service == service
+            and not tracked.listed.leaving
+            and not tracked.misdirected
             and not self.notices.is_closed(
-                belief.listed.upstream_id, belief.listed.started_ms, now=now
+                tracked.listed.upstream_id, tracked.listed.started_ms, now=now
             )
         ]
 
@@ -252,8 +254,8 @@
             said that it wants nothing for a time.
         """
         times: list[float] = []
-        for belief in self.beliefs.values():
-            listed = belief.listed
+        for tracked in self.tracked.values():
+            listed = tracked.listed
             notice = self.notices.find(listed.upstream_id, listed.started_ms)
             if listed.service != service or listed.leaving or notice is None:
                 continue
@@ -267,15 +269,15 @@
         *,
         now: float,
         excluded: collections.abc.Set[str],
-    ) -> list[Belief]:
+    ) -> list[TrackedUpstream]:
         """Returns upstreams for a new attempt, without those in trouble.
 
         Upstreams in trouble are returned when there are no others.
         """
         fitting = [
-            belief
-            for belief in self.list_service(service, now=now)
-            if belief.listed.upstream_id not in excluded
+            tracked
+            for tracked in self.list_service(service, now=now)
+            if tracked.listed.upstream_id not in excluded
         ]
         sound = [each for each in fitting if each.set_aside_until <= now]
         roomy = [each for each in sound if each.full_until <= now]
@@ -283,38 +285,38 @@
 
     def start(self, request_id: str, attempt: attempt_states.Attempt) -> None:
         """Notes that an attempt begins."""
-        belief = self.beliefs.get(attempt.upstream)
-        if belief is not None:
-            belief.attempts[request_id] = attempt
+        tracked = self.tracked.get(attempt.upstream)
+        if tracked is not None:
+            tracked.attempts[request_id] = attempt
 
     def finish(self, request_id: str, upstream_id: str) -> None:
         """Notes that an attempt ended, however it did."""
-        belief = self.beliefs.get(upstream_id)
-        if belief is not None:
-            belief.attempts.pop(request_id, None)
+        tracked = self.tracked.get(upstream_id)
+        if tracked is not None:
+            tracked.attempts.pop(request_id, None)
 
     def note_load(
         self, upstream_id: str, load: LoadReport, *, now: float
     ) -> None:
         """Takes the load that came with an answer."""
-        belief = self.beliefs.get(upstream_id)
-        if belief is not None:
-            belief.load = load
-            belief.load_at = now
-            belief.own_at_report = belief.in_flight
+        tracked = self.tracked.get(upstream_id)
+        if tracked is not None:
+            tracked.load = load
+            tracked.load_at = now
+            tracked.own_at_report = tracked.in_flight
 
     def note_heard(self, upstream_id: str, *, now: float) -> None:
         """Notes that bytes of an answer came."""
-        belief = self.beliefs.get(upstream_id)
-        if belief is not None:
-            belief.heard_at = now
+        tracked = self.tracked.get(upstream_id)
+        if tracked is not None:
+            tracked.heard_at = now
 
     def note_good(self, upstream_id: str) -> None:
         """Notes that an upstream answered well."""
-        belief = self.beliefs.get(upstream_id)
-        if belief is not None:
-            belief.failures = 0
-            belief.set_aside_s = 0.0
+        tracked = self.tracked.get(upstream_id)
+        if tracked is not None:
+            tracked.failures = 0
+            tracked.set_aside_s = 0.0
 
     def note_failure(
         self, upstream_id: str, *, now: float, weight: int = 1
@@ -326,19 +328,19 @@
             now: In seconds.
             weight: How much the failure says, in plain failures.
         """
-        belief = self.beliefs.get(upstream_id)
-        if belief is None:
+        tracked = self.tracked.get(upstream_id)
+        if tracked is None:
             return False
-        belief.failures += weight
-        if belief.failures < defaults.FAILURES_TO_SET_ASIDE:
+        tracked.failures += weight
+        if tracked.failures < defaults.FAILURES_TO_SET_ASIDE:
             return False
-        if belief.set_aside_until > now:
+        if tracked.set_aside_until > now:
             return False
-        belief.set_aside_s = min(
+        tracked.set_aside_s = min(
             defaults.MAX_SET_ASIDE_S,
-            max(defaults.SET_ASIDE_S, 2.0 * belief.set_aside_s),
+            max(defaults.SET_ASIDE_S, 2.0 * tracked.set_aside_s),
         )
-        belief.set_aside_until = now + belief.set_aside_s
+        tracked.set_aside_until = now + tracked.set_aside_s
         return True
 
     def note_silence(self, upstream_id: str, *, now: float) -> bool:
@@ -347,49 +349,49 @@
         Returns:
             Whether this is the first time within the episode.
         """
-        belief = self.beliefs.get(upstream_id)
-        if belief is None:
+        tracked = self.tracked.get(upstream_id)
+        if tracked is None:
             return False
-        last, belief.silent_at = belief.silent_at, now
+        last, tracked.silent_at = tracked.silent_at, now
         return last is None or now - last > defaults.SILENCE_EPISODE_S
 
     def note_full(self, upstream_id: str, *, now: float) -> None:
         """Notes that an upstream refused for want of room."""
-        belief = self.beliefs.get(upstream_id)
-        if belief is not None:
-            belief.full_until = now + defaults.FULL_S
+        tracked = self.tracked.get(upstream_id)
+        if tracked is not None:
+            tracked.full_until = now + defaults.FULL_S
 
     def note_closed(
         self, upstream_id: str, closed_s: float, *, now: float
     ) -> None:
         """Notes for how long an upstream wants nothing, in seconds."""
-        belief = self.beliefs.get(upstream_id)
-        if belief is not None:
+        tracked = self.tracked.get(upstream_id)
+        if tracked is not None:
             until = now + min(closed_s, defaults.MAX_CLOSED_S)
             self.notices.note_closed(
-                upstream_id, belief.listed.started_ms, until=until
+                upstream_id, tracked.listed.started_ms, until=until
             )
 
     def note_leaving(self, upstream_id: str) -> bool:
         """Notes that an upstream shuts down; returns whether that is news."""
-        belief = self.beliefs.get(upstream_id)
-        if belief is None:
+        tracked = self.tracked.get(upstream_id)
+        if tracked is None:
             return False
-        return self.notices.note_leaving(upstream_id, belief.listed.started_ms)
+        return self.notices.note_leaving(upstream_id, tracked.listed.started_ms)
 
     def list_told_leaving(self) -> tuple[tuple[str, int], ...]:
         """Returns id and start of listed upstreams that said they shut down."""
         return tuple(
             (upstream_id, started_ms)
             for upstream_id, started_ms in self.notices.list_leaving()
-            if upstream_id in self.beliefs
+            if upstream_id in self.tracked
         )
 
     def note_misdirected(self, upstream_id: str) -> None:
         """Notes that another process answered at an upstream's address."""
-        belief = self.beliefs.get(upstream_id)
-        if belief is not None:
-            belief.misdirected = True
+        tracked = self.tracked.get(upstream_id)
+        if tracked is not None:
+            tracked.misdirected = True
 
     def read_times(self, service: str) -> ServiceTimes:
         """Returns the service's smoothed times."""
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/watch.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/watch.py
@@ -106,9 +106,9 @@
             defaults.FIRST_EVENT_PATIENCE_SHARE * route.objective_s,
             defaults.FIRST_EVENT_PATIENCE_MEANS * times.first_event_s,
         )
-    belief = state.view.beliefs.get(attempt.upstream)
-    if belief is not None and engine_load.was_heard_within(
-        belief, state.others, defaults.ALIVE_S, now=now
+    tracked = state.view.tracked.get(attempt.upstream)
+    if tracked is not None and engine_load.was_heard_within(
+        tracked, state.others, defaults.ALIVE_S, now=now
     ):
         # It works on others' requests: this one waits for its turn, and
         # elsewhere it would begin anew.
