--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -11,7 +11,7 @@
 # for ever.
 CONNECT_TIMEOUT_S = 0.4
 # Least time worth starting another attempt for.
-LEAST_ATTEMPT_S = 0.05
+MIN_ATTEMPT_S = 0.05
 # A request that isn't a stream is given up at an upstream after this many
 # mean service times, but never before PLAIN_PATIENCE_FLOOR_S.
 PLAIN_PATIENCE_MEANS = 3.0
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
@@ -316,7 +316,7 @@
         return False
     if attempt_states.count_runs(opened.attempts) >= opened.route.max_attempts:
         return False
-    if opened.ends_at - now < defaults.LEAST_ATTEMPT_S:
+    if opened.ends_at - now < defaults.MIN_ATTEMPT_S:
         return False
     if state.suspects.is_suspect(opened.fingerprint):
         return False
