--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -24,7 +24,7 @@
 # within the route's bound is sound.
 STALL_PATIENCE_SHARE = 1.1
 # A slow but steady stream hasn't stalled before so many of its own pauses.
-STALL_PACES = 3.0
+STALL_EVENT_INTERVALS = 3.0
 # An upstream that any entry heard from within this time is at work; an attempt
 # there may be silent so many times longer.
 ALIVE_S = 1.0
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/watch.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/watch.py
@@ -99,7 +99,7 @@
         return max(defaults.PLAIN_PATIENCE_FLOOR_S, usual_s)
     patience_s = max(
         defaults.STALL_PATIENCE_SHARE * route.pause_s,
-        defaults.STALL_PACES * find_pace_s(attempt),
+        defaults.STALL_EVENT_INTERVALS * find_pace_s(attempt),
     )
     if attempt.first_event_at is None:
         patience_s = max(
