--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -27,7 +27,7 @@
 STALL_EVENT_INTERVALS = 3.0
 # An upstream that any entry heard from within this time is at work; an attempt
 # there may be silent so many times longer.
-ALIVE_S = 1.0
+UPSTREAM_ALIVE_S = 1.0
 ALIVE_PATIENCE_TIMES = 3.0
 # For routes without an objective or pause of their own.
 DEFAULT_OBJECTIVE_S = 2.0
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/watch.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/watch.py
@@ -108,7 +108,7 @@
         )
     tracked = state.view.tracked.get(attempt.upstream)
     if tracked is not None and engine_load.was_heard_within(
-        tracked, state.others, defaults.ALIVE_S, now=now
+        tracked, state.others, defaults.UPSTREAM_ALIVE_S, now=now
     ):
         # It works on others' requests: this one waits for its turn, and
         # elsewhere it would begin anew.
