--- a/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
@@ -111,7 +111,7 @@
         plain_s: From sending to the end of a plain answer, by route.
     """
 
-    whole_s: float = defaults.FIRST_SERVICE_S
+    whole_s: float = defaults.INITIAL_ANSWER_S
     first_event_s: float = defaults.FIRST_EVENT_WAIT_S
     pace_s: dict[str, dict[int, float]] = dataclasses.field(
         default_factory=dict
