--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -37,7 +37,7 @@
 # Smoothing of service times: the weight of the newest one.
 SERVICE_SMOOTHING = 0.1
 INITIAL_ANSWER_S = 0.2
-FIRST_EVENT_WAIT_S = 0.3
+INITIAL_FIRST_EVENT_S = 0.3
 
 # An upstream is set aside after this many failures in a row.
 FAILURES_TO_SET_ASIDE = 3
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
@@ -112,7 +112,7 @@
     """
 
     whole_s: float = defaults.INITIAL_ANSWER_S
-    first_event_s: float = defaults.FIRST_EVENT_WAIT_S
+    first_event_s: float = defaults.INITIAL_FIRST_EVENT_S
     pace_s: dict[str, dict[int, float]] = dataclasses.field(
         default_factory=dict
     )
