--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -44,7 +44,7 @@
 SET_ASIDE_S = 1.0
 MAX_SET_ASIDE_S = 4.0
 # How long an upstream that refused for want of room isn't preferred.
-FULL_S = 0.3
+FULL_BACKOFF_S = 0.3
 # Longest time for which an upstream's word that it wants nothing is believed.
 MAX_CLOSED_S = 60.0
 # What upstreams said of themselves is kept for this many of them.
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
@@ -359,7 +359,7 @@
         """Notes that an upstream refused for want of room."""
         tracked = self.tracked.get(upstream_id)
         if tracked is not None:
-            tracked.full_until = now + defaults.FULL_S
+            tracked.full_until = now + defaults.FULL_BACKOFF_S
 
     def note_closed(
         self, upstream_id: str, closed_s: float, *, now: float
