--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -57,7 +57,7 @@
 
 # Age up to which a prompt part counts as kept by an upstream; the operators
 # price parts that are read again within about ten seconds.
-PREFIX_MEMORY_S = 10.0
+PREFIX_CACHE_AGE_S = 10.0
 MAX_PREFIX_PARTS = 20_000
 TOKENS_PER_BLOCK = 64
 # Speed at which a model is taken to read prompts before any was seen.
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/prefix_memory.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/prefix_memory.py
@@ -48,7 +48,7 @@
         tokens = 0
         for part in prompt:
             used_at = self.used_at.get((upstream, model, part.part_id))
-            if used_at is None or now - used_at > defaults.PREFIX_MEMORY_S:
+            if used_at is None or now - used_at > defaults.PREFIX_CACHE_AGE_S:
                 break
             tokens += part.tokens
         return tokens
