--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -61,7 +61,7 @@
 MAX_PREFIX_PARTS = 20_000
 TOKENS_PER_BLOCK = 64
 # Speed at which a model is taken to read prompts before any was seen.
-FIRST_READING_TOKENS_PER_S = 20_000.0
+INITIAL_PREFILL_TOKENS_PER_S = 20_000.0
 # Shorter prompts tell little of the speed.
 LEAST_TOKENS_TO_LEARN = 500
 # The speed is this quantile of those seen, followed in steps of its logarithm.
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/engine_work.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/engine_work.py
@@ -32,7 +32,7 @@
         """Returns a model's speed."""
         known = self.speeds.get((service, model))
         if known is None:
-            return defaults.FIRST_READING_TOKENS_PER_S
+            return defaults.INITIAL_PREFILL_TOKENS_PER_S
         return math.exp(known)
 
     def learn(
