--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -63,7 +63,7 @@
 # Speed at which a model is taken to read prompts before any was seen.
 INITIAL_PREFILL_TOKENS_PER_S = 20_000.0
 # Shorter prompts tell little of the speed.
-LEAST_TOKENS_TO_LEARN = 500
+MIN_TOKENS_TO_LEARN = 500
 # The speed is this quantile of those seen, followed in steps of its logarithm.
 READING_SPEED_QUANTILE = 0.8
 READING_SPEED_STEP = 0.2
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/engine_work.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/engine_work.py
@@ -44,7 +44,7 @@
             attempt: The attempt.
             waited_s: From sending to the first event.
         """
-        if attempt.unread_tokens < defaults.LEAST_TOKENS_TO_LEARN:
+        if attempt.unread_tokens < defaults.MIN_TOKENS_TO_LEARN:
             return
         reading_s = max(waited_s - defaults.ENGINE_LATENCY_S, waited_s / 4.0)
         sample = math.log(attempt.unread_tokens / max(reading_s, 0.001))
