--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -65,7 +65,7 @@
 # Shorter prompts tell little of the speed.
 MIN_TOKENS_TO_LEARN = 500
 # The speed is this quantile of those seen, followed in steps of its logarithm.
-READING_SPEED_QUANTILE = 0.8
+PREFILL_SPEED_QUANTILE = 0.8
 READING_SPEED_STEP = 0.2
 # From sending to the first event, beside queue and reading.
 ENGINE_LATENCY_S = 0.02
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/engine_work.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/engine_work.py
@@ -53,7 +53,7 @@
         if known is None:
             self.speeds[key] = sample
             return
-        quantile = defaults.READING_SPEED_QUANTILE
+        quantile = defaults.PREFILL_SPEED_QUANTILE
         step = quantile if sample > known else quantile - 1.0
         self.speeds[key] = known + defaults.READING_SPEED_STEP * step
 
