--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -66,7 +66,7 @@
 MIN_TOKENS_TO_LEARN = 500
 # The speed is this quantile of those seen, followed in steps of its logarithm.
 PREFILL_SPEED_QUANTILE = 0.8
-READING_SPEED_STEP = 0.2
+PREFILL_SPEED_LOG_STEP = 0.2
 # From sending to the first event, beside queue and reading.
 ENGINE_LATENCY_S = 0.02
 # Share of its reading work that an attempt holds others up while generating.
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/engine_work.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/engine_work.py
@@ -55,7 +55,7 @@
             return
         quantile = defaults.PREFILL_SPEED_QUANTILE
         step = quantile if sample > known else quantile - 1.0
-        self.speeds[key] = known + defaults.READING_SPEED_STEP * step
+        self.speeds[key] = known + defaults.PREFILL_SPEED_LOG_STEP * step
 
 
 def count_unread(
