--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -70,7 +70,7 @@
 # From sending to the first event, beside queue and reading.
 ENGINE_LATENCY_S = 0.02
 # Share of its reading work that an attempt holds others up while generating.
-GENERATING_WORK_SHARE = 0.15
+DECODE_WORK_SHARE = 0.15
 # Age at which a load report has lost most of its weight.
 REPORT_DECAY_S = 1.0
 # Upstreams that placement compares at most.
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/engine_work.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/engine_work.py
@@ -70,7 +70,7 @@
 def estimate_rest_s(attempt: attempt_states.Attempt, *, now: float) -> float:
     """Returns how long an attempt still holds up others, in seconds."""
     if attempt.first_event_at is not None:
-        return attempt.work_s * defaults.GENERATING_WORK_SHARE
+        return attempt.work_s * defaults.DECODE_WORK_SHARE
     # While it waits behind others it loses nothing; the estimate never ends
     # before the first event does.
     begun_s = max(0.0, now - attempt.sent_at - attempt.backlog_s)
