--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -77,7 +77,7 @@
 PLACEMENT_CHOICES = 8
 # What an upstream in another data centre must save: bytes between data
 # centres cost, and requests carry their prompt.
-OTHER_DATA_CENTRE_MS = 300.0
+OTHER_DATA_CENTRE_PENALTY_MS = 300.0
 # How much longer the upstream that all entries prefer for a prompt may take.
 HOME_CREDIT_S = 0.1
 # Share of the time that reading the shared parts would take: they may have
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
@@ -239,7 +239,7 @@
         waiting=load.waiting if load else 0,
         max_batch=max(1, load.slots if load else listed.slots),
         report_age_s=now - tracked.load_at if load else math.inf,
-        latency_ms=defaults.OTHER_DATA_CENTRE_MS if away else 0.0,
+        latency_ms=defaults.OTHER_DATA_CENTRE_PENALTY_MS if away else 0.0,
         cached_blocks=kept_tokens // defaults.TOKENS_PER_BLOCK,
         service_s=times.whole_s,
         backlog_s=engine_load.sum_backlog_s(tracked, state.others, now=now),
