--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -79,7 +79,7 @@
 # centres cost, and requests carry their prompt.
 OTHER_DATA_CENTRE_PENALTY_MS = 300.0
 # How much longer the upstream that all entries prefer for a prompt may take.
-HOME_CREDIT_S = 0.1
+AFFINITY_CREDIT_S = 0.1
 # Share of the time that reading the shared parts would take: they may have
 # been read there, or will be asked for again.
 HOME_SAVED_SHARE = 0.7
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/work_placement.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/work_placement.py
@@ -38,7 +38,7 @@
         *,
         rng: random.Random,
         choices: int = defaults.PLACEMENT_CHOICES,
-        home_credit_s: float = defaults.HOME_CREDIT_S,
+        home_credit_s: float = defaults.AFFINITY_CREDIT_S,
     ) -> None:
         self.rng = rng
         self.choices = choices
