--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -82,7 +82,7 @@
 AFFINITY_CREDIT_S = 0.1
 # Share of the time that reading the shared parts would take: they may have
 # been read there, or will be asked for again.
-HOME_SAVED_SHARE = 0.7
+AFFINITY_PREFILL_SHARE = 0.7
 
 # Share of the expected wait that passes for certain.
 SURE_WAIT_SHARE = 0.5
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
@@ -276,7 +276,7 @@
     facts = opened.request.generation
     shared = facts.shared_tokens if facts else 0
     saved_s = shared / state.speeds.find(opened.service, find_model(opened))
-    credit_s = defaults.HOME_SAVED_SHARE * saved_s
+    credit_s = defaults.AFFINITY_PREFILL_SHARE * saved_s
     return max(defaults.AFFINITY_CREDIT_S, credit_s)
 
 
