--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -85,7 +85,7 @@
 AFFINITY_PREFILL_SHARE = 0.7
 
 # Share of the expected wait that passes for certain.
-SURE_WAIT_SHARE = 0.5
+MIN_WAIT_SHARE = 0.5
 
 # A smaller model's answer below this confidence (0 to 100) is asked again.
 STEP_UP_CONFIDENCE = 50
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
@@ -98,7 +98,7 @@
         return 0.0
     # The estimate takes all prompts to be read one after the other, while
     # engines find parts of them kept.
-    least_s = defaults.SURE_WAIT_SHARE * decision.expected_wait_s
+    least_s = defaults.MIN_WAIT_SHARE * decision.expected_wait_s
     return least_s - (opened.ends_at - now)
 
 
