--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -90,7 +90,7 @@
 # A smaller model's answer below this confidence (0 to 100) is asked again.
 STEP_UP_CONFIDENCE = 50
 # Time left below which the smaller model's answer is kept.
-STEP_UP_LEAST_S = 1.0
+STEP_UP_MIN_S = 1.0
 
 # Share of the allowed ratio that this entry spends: what is left covers
 # windows that don't line up between entries and the observer.
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/size_plan.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/size_plan.py
@@ -56,7 +56,7 @@
         largest = question.sizes[-1]
         if model == largest or confidence >= defaults.STEP_UP_CONFIDENCE:
             return None
-        if question.left_s < defaults.STEP_UP_LEAST_S:
+        if question.left_s < defaults.STEP_UP_MIN_S:
             return None
         return largest
 
