--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -108,7 +108,7 @@
 
 # One entry of a data centre reads the store for the others, where the bounds on
 # configuration and leaving upstreams leave this much time at least.
-RELAY_LEAST_S = 1.7
+RELAY_MIN_MARGIN_S = 1.7
 # Before each bound, for an own read and the request's way.
 CONFIGURATION_MARGIN_S = 1.0
 UPSTREAMS_MARGIN_S = 1.2
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/store_relay.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/store_relay.py
@@ -45,7 +45,7 @@
     def allow_relays(self) -> bool:
         """Whether the bounds leave time for the way over a reader."""
         least_s = min(self.configuration_s, self.upstreams_s)
-        return least_s >= defaults.RELAY_LEAST_S
+        return least_s >= defaults.RELAY_MIN_MARGIN_S
 
 
 def find_id(change: Change) -> str:
