--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -114,7 +114,7 @@
 UPSTREAMS_MARGIN_S = 1.2
 # How often readers are asked, and for how long one tells who asked.
 ASK_PERIOD_S = 0.4
-ASKER_MEMORY_S = 1.2
+ASKER_EXPIRY_S = 1.2
 # A reader must have kept an entry informed for this long before that entry
 # stops reading.
 RELAY_PROVEN_S = 1.0
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/store_relay.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/store_relay.py
@@ -176,7 +176,7 @@
         self.askers = {
             address: (ask, at)
             for address, (ask, at) in self.askers.items()
-            if now - at <= defaults.ASKER_MEMORY_S
+            if now - at <= defaults.ASKER_EXPIRY_S
         }
         return [ask for ask, _ in self.askers.values()]
 
@@ -229,7 +229,7 @@
         """Returns whether a reader has informed this entry for a while."""
         if self.told_at is None or self.told_since is None:
             return False
-        if now - self.told_at > defaults.ASKER_MEMORY_S:
+        if now - self.told_at > defaults.ASKER_EXPIRY_S:
             self.told_since = None
             return False
         return now - self.told_since >= defaults.RELAY_PROVEN_S
