--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -130,7 +130,7 @@
 # To other data centres, whose bytes cost, as long as they have few entries:
 # frames of 300 bytes to so many a second are half of a node's control.
 FAR_NEWS_PERIOD_S = 1.0
-FEW_FAR_ENTRIES = 8
+MAX_FAR_ENTRIES_FULL_NEWS = 8
 # Entries of a data centre that carry heartbeats to others, and how often, also
 # while a roll-out needs the evidence of all entries.
 CARRIERS = 2
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
@@ -178,7 +178,7 @@
     if not due and not pressing:
         return []
     addresses = [x for x in state.entries.list_addresses() if x not in near]
-    if len(addresses) <= defaults.FEW_FAR_ENTRIES:
+    if len(addresses) <= defaults.MAX_FAR_ENTRIES_FULL_NEWS:
         state.far_news_at = now + defaults.FAR_NEWS_PERIOD_S
         return send_each(addresses, news)
     if not pressing:
