--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -139,7 +139,7 @@
 # An entry whose heartbeat is overdue by more was suspended.
 SUSPENDED_S = 0.7
 # Less work at an upstream isn't told there.
-FAR_TELLING_WORK_MS = 200
+FAR_MIN_REPORTED_WORK_MS = 200
 # Work from which on entries nearby are told of an attempt at once, and how
 # long news of more of it is gathered.
 TELLING_WORK_S = 0.08
