--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -142,7 +142,7 @@
 FAR_MIN_REPORTED_WORK_MS = 200
 # Work from which on entries nearby are told of an attempt at once, and how
 # long news of more of it is gathered.
-TELLING_WORK_S = 0.08
+IMMEDIATE_REPORT_WORK_S = 0.08
 LOADS_GATHER_S = 0.03
 # A heartbeat that can't wait is sent this long after its cause, with what
 # else there is by then.
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
@@ -147,7 +147,10 @@
             prompt=facts.prompt,
             now=now,
         )
-    if attempt.work_s >= defaults.TELLING_WORK_S and state.loads_at is None:
+    if (
+        attempt.work_s >= defaults.IMMEDIATE_REPORT_WORK_S
+        and state.loads_at is None
+    ):
         state.loads_at = now + defaults.LOADS_GATHER_S
     rollouts.note_placed(state, opened, attempt.version, now=now)
     return attempt
