--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -143,7 +143,7 @@
 # Work from which on entries nearby are told of an attempt at once, and how
 # long news of more of it is gathered.
 IMMEDIATE_REPORT_WORK_S = 0.08
-LOADS_GATHER_S = 0.03
+LOAD_BATCH_S = 0.03
 # A heartbeat that can't wait is sent this long after its cause, with what
 # else there is by then.
 PRESSING_NEWS_S = 0.05
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
@@ -151,7 +151,7 @@
         attempt.work_s >= defaults.IMMEDIATE_REPORT_WORK_S
         and state.loads_at is None
     ):
-        state.loads_at = now + defaults.LOADS_GATHER_S
+        state.loads_at = now + defaults.LOAD_BATCH_S
     rollouts.note_placed(state, opened, attempt.version, now=now)
     return attempt
 
