--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -146,7 +146,7 @@
 LOAD_BATCH_S = 0.03
 # A heartbeat that can't wait is sent this long after its cause, with what
 # else there is by then.
-PRESSING_NEWS_S = 0.05
+URGENT_NEWS_DELAY_S = 0.05
 PEER_SILENCE_S = 3.0
 # What an entry told of its work counts for two heartbeats between data centres.
 PEER_WORK_S = 3.1
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
@@ -249,7 +249,7 @@
 
     def press_news(self, *, now: float) -> None:
         """Has all entries told very soon, also in other data centres."""
-        self.news_at = min(self.news_at, now + defaults.PRESSING_NEWS_S)
+        self.news_at = min(self.news_at, now + defaults.URGENT_NEWS_DELAY_S)
         self.is_news_pressing = True
 
     def find_open(
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/store_reading.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/store_reading.py
@@ -87,7 +87,7 @@
         # The reader has to prove itself anew before this entry stops again.
         relay.told_since = None
     # The others learn it soon.
-    state.news_at = min(state.news_at, now + defaults.PRESSING_NEWS_S)
+    state.news_at = min(state.news_at, now + defaults.URGENT_NEWS_DELAY_S)
     proof_age_s = state.proof.age(now=now)
     list_age_s = relay.list_age(now=now)
     return [
