--- a/packages/rhubarbbank-router/src/rhubarbbank_router/carriers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/carriers.py
@@ -61,7 +61,7 @@
 def note_beat(state: states.RouterState, *, now: float) -> None:
     """Notes that a heartbeat is sent, and whether the beat was missed."""
     if is_overdue(state, now=now):
-        state.carries_from = now + defaults.PEER_SILENCE_S
+        state.carries_from = now + defaults.PEER_TIMEOUT_S
 
 
 def is_overdue(state: states.RouterState, *, now: float) -> bool:
@@ -172,7 +172,7 @@
         known
         for known in state.entries.heard.values()
         if known.news.data_centre == state.settings.data_centre
-        and now - known.heard_at <= defaults.PEER_SILENCE_S
+        and now - known.heard_at <= defaults.PEER_TIMEOUT_S
     ]
 
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -147,7 +147,7 @@
 # A heartbeat that can't wait is sent this long after its cause, with what
 # else there is by then.
 URGENT_NEWS_DELAY_S = 0.05
-PEER_SILENCE_S = 3.0
+PEER_TIMEOUT_S = 3.0
 # What an entry told of its work counts for two heartbeats between data centres.
 PEER_WORK_S = 3.1
 PEER_FORGET_S = 30.0
@@ -234,7 +234,7 @@
 SUSPECTS_KEPT = 3_600
 # An end is told for as long as a live entry may not have been heard, and a
 # heartbeat names at most so many requests.
-SUSPECT_TELL_S = PEER_SILENCE_S
+SUSPECT_TELL_S = PEER_TIMEOUT_S
 MAX_TOLD_SUSPECTS = 128
 
 # The graceful stop: open connections are served this long, and the process
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/peers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/peers.py
@@ -124,7 +124,7 @@
         return [
             known.news
             for known in self.heard.values()
-            if now - known.heard_at <= defaults.PEER_SILENCE_S
+            if now - known.heard_at <= defaults.PEER_TIMEOUT_S
         ]
 
     def list_live_near(
