--- a/packages/rhubarbbank-router/src/rhubarbbank_router/peer_work.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/peer_work.py
@@ -90,7 +90,7 @@
         silent = [
             name
             for name, told in self.told.items()
-            if now - told.at > defaults.PEER_WORK_S
+            if now - told.at > defaults.PEER_WORK_EXPIRY_S
         ]
         for name in silent:
             self.drop(name)
