--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -150,7 +150,7 @@
 PEER_TIMEOUT_S = 3.0
 # What an entry told of its work counts for two heartbeats between data centres.
 PEER_WORK_EXPIRY_S = 3.1
-PEER_FORGET_S = 30.0
+PEER_EXPIRY_S = 30.0
 
 # Share of sessions that try a new version before half of its time is over.
 TRIAL_SHARE = 0.1
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/peers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/peers.py
@@ -112,7 +112,7 @@
         silent = [
             name
             for name, known in self.heard.items()
-            if now - known.heard_at > defaults.PEER_FORGET_S
+            if now - known.heard_at > defaults.PEER_EXPIRY_S
         ]
         for name in silent:
             self.retire(self.heard.pop(name).news)
