--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -168,7 +168,7 @@
 TRIAL_HALF = 0.5
 # After this time from the order each entry has told the sessions that it saw
 # on the version before: the watch's delay, a heartbeat, and a lost one.
-SESSIONS_TOLD_S = 2.0
+SESSIONS_REPORTED_S = 2.0
 # A session may live this much longer by another entry's count: the time of a
 # stream's last events on their way.
 SESSION_MARGIN_S = 1.0
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/rollouts.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/rollouts.py
@@ -209,7 +209,7 @@
     if trial.moves_sessions:
         return drawn
     age_s = now - trial.started_at
-    if pinned or age_s < defaults.SESSIONS_TOLD_S:
+    if pinned or age_s < defaults.SESSIONS_REPORTED_S:
         return False
     return drawn and marks.mark(session) not in trial.kept_sessions
 
