--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -173,7 +173,7 @@
 # stream's last events on their way.
 SESSION_MARGIN_S = 1.0
 # Answers of the new version that must have been seen before it gets more.
-TRIAL_LEAST_ANSWERS = 8
+TRIAL_MIN_ANSWERS = 8
 # Answers that it must have given since its share last grew; a single one may
 # be luck.
 TRIAL_STEP_ANSWERS = 2
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/version_trial.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/version_trial.py
@@ -331,7 +331,7 @@
         """
         least = defaults.TRIAL_STEP_ANSWERS
         if self.step < 0:
-            least = defaults.TRIAL_LEAST_ANSWERS
+            least = defaults.TRIAL_MIN_ANSWERS
         return self.seen_answers - self.answers_at_step >= least
 
     def take_step(self, step: int, *, now: float) -> None:
