--- a/packages/rhubarbbank-router/src/rhubarbbank_router/version_trial.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/version_trial.py
@@ -356,7 +356,7 @@
         if self.is_whole:
             return False
         target = evidence.pooled.target
-        due_s = defaults.TRIAL_DOUBT_SHARE * self.order.duration_s
+        due_s = defaults.TRIAL_GIVE_UP_SHARE * self.order.duration_s
         late = now - self.started_at >= due_s
         many = target.failures + target.slow >= defaults.TRIAL_MOST_BAD
         if not (late or many):
