--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -180,7 +180,7 @@
 # A target that is still doubtful after this share of its time, or after this
 # many bad answers, is given up.
 TRIAL_GIVE_UP_SHARE = 0.75
-TRIAL_MOST_BAD = 20
+TRIAL_MAX_BAD_ANSWERS = 20
 # Rise of the failure rate and of the share of slow answers that is let pass.
 TRIAL_ERROR_TOLERANCE = 0.03
 TRIAL_SLOW_TOLERANCE = 0.05
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/version_trial.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/version_trial.py
@@ -358,7 +358,7 @@
         target = evidence.pooled.target
         due_s = defaults.TRIAL_GIVE_UP_SHARE * self.order.duration_s
         late = now - self.started_at >= due_s
-        many = target.failures + target.slow >= defaults.TRIAL_MOST_BAD
+        many = target.failures + target.slow >= defaults.TRIAL_MAX_BAD_ANSWERS
         if not (late or many):
             return False
         return self.is_doubtful(evidence, share=1.0)
