--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -190,7 +190,7 @@
 # Likelihood ratio from which a target gets no larger share: with the smallest
 # shares little is at stake, and plain services tell little in all.
 TRIAL_SMALL_SHARE = 0.15
-TRIAL_SMALL_DOUBT = 2.0
+TRIAL_SMALL_SHARE_HOLD_RATIO = 2.0
 TRIAL_DOUBT = 1.0
 PLAIN_TRIAL_DOUBT = 2.0
 # Chance of a false alarm in a whole roll-out.
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/trial_judge.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/trial_judge.py
@@ -58,7 +58,7 @@
         """
         ratio = plan.doubt
         if share <= defaults.TRIAL_SMALL_SHARE:
-            ratio = defaults.TRIAL_SMALL_DOUBT
+            ratio = defaults.TRIAL_SMALL_SHARE_HOLD_RATIO
         return self.weigh(evidence, plan) > math.log(ratio)
 
     def weigh(
