--- a/packages/rhubarbbank-router/src/rhubarbbank_router/version_trial.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/version_trial.py
@@ -200,7 +200,7 @@
     steps=defaults.PLAIN_TRIAL_STEPS,
     step_share=defaults.PLAIN_TRIAL_STEP_SHARE,
     drag_tolerance=defaults.PLAIN_TRIAL_DRAG_TOLERANCE,
-    doubt=defaults.PLAIN_TRIAL_DOUBT,
+    doubt=defaults.PLAIN_TRIAL_HOLD_RATIO,
 )
 
 
