--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -191,7 +191,7 @@
 # shares little is at stake, and plain services tell little in all.
 TRIAL_SMALL_SHARE = 0.15
 TRIAL_SMALL_SHARE_HOLD_RATIO = 2.0
-TRIAL_DOUBT = 1.0
+TRIAL_HOLD_RATIO = 1.0
 PLAIN_TRIAL_HOLD_RATIO = 2.0
 # Chance of a false alarm in a whole roll-out.
 TRIAL_FALSE_ALARM = 0.01
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/version_trial.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/version_trial.py
@@ -193,7 +193,7 @@
     steps=defaults.TRIAL_STEPS,
     step_share=defaults.TRIAL_STEP_SHARE,
     drag_tolerance=defaults.TRIAL_DRAG_TOLERANCE,
-    doubt=defaults.TRIAL_DOUBT,
+    doubt=defaults.TRIAL_HOLD_RATIO,
 )
 PLAIN_PLAN = TrialPlan(
     first_share=defaults.PLAIN_TRIAL_SHARE,
