--- a/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
@@ -107,7 +107,7 @@
     if attempt.first_event_at is None:
         attempt.first_event_at = now
         out += note_first_event(state, opened, attempt, now=now)
-    elif attempt.events == defaults.LEAST_EVENTS_FOR_PACE:
+    elif attempt.events == defaults.MIN_EVENTS_FOR_PACE:
         # A slow stream would tell too late at its end.
         times = state.view.read_times(attempt.service)
         if attempt_evidence.is_slow(opened, attempt, times, now=now):
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_evidence.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_evidence.py
@@ -87,7 +87,7 @@
         return
     attempt.judged = True
     timed = not opened.is_stream
-    timed = timed or attempt.events >= defaults.LEAST_EVENTS_FOR_PACE
+    timed = timed or attempt.events >= defaults.MIN_EVENTS_FOR_PACE
     trial.note(
         route=opened.route.name,
         version=attempt.version,
@@ -175,7 +175,7 @@
     """Returns the mean time between a stream's events, or None."""
     if attempt.first_event_at is None:
         return None
-    if attempt.events < defaults.LEAST_EVENTS_FOR_PACE:
+    if attempt.events < defaults.MIN_EVENTS_FOR_PACE:
         return None
     return (now - attempt.first_event_at) / (attempt.events - 1)
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -214,7 +214,7 @@
 # Silences of one upstream that follow each other within this are one.
 SILENCE_EPISODE_S = 2.0
 # Streams with fewer events tell little of their pace.
-LEAST_EVENTS_FOR_PACE = 5
+MIN_EVENTS_FOR_PACE = 5
 
 # Upstreams that end under a request before it is refused (bound).
 ENDS_TO_SUSPECT = 3
