--- a/packages/rhubarbbank-router/src/rhubarbbank_router/crash_suspects.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/crash_suspects.py
@@ -146,7 +146,7 @@
         """
         suspect = self.touch(fingerprint, now=now)
         seen = end in suspect.seen_here
-        if seen and now - suspect.ends[end] > defaults.RESTART_LEAST_S:
+        if seen and now - suspect.ends[end] > defaults.MIN_RESTART_S:
             # It has been back, and its new start wasn't listed yet.
             end = marks.mark(f"{end}/{len(suspect.seen_here)}")
         suspect.note(end, at=now)
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -225,7 +225,7 @@
 SILENT_END_S = 6.0
 # Time that an upstream needs at least to end, be back and end again; the
 # break-offs of one end come within milliseconds.
-RESTART_LEAST_S = 1.0
+MIN_RESTART_S = 1.0
 # A request is forgotten when it hasn't come for this long.
 SUSPECT_MEMORY_S = 60.0
 # As many as an entry may have open. Among more, those with the most ends are
