--- a/packages/rhubarbbank-router/src/rhubarbbank_router/crash_suspects.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/crash_suspects.py
@@ -260,7 +260,7 @@
         old = [
             fingerprint
             for fingerprint, suspect in self.suspects.items()
-            if now - suspect.seen_at > defaults.SUSPECT_MEMORY_S
+            if now - suspect.seen_at > defaults.SUSPECT_EXPIRY_S
         ]
         for fingerprint in old:
             del self.suspects[fingerprint]
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -227,7 +227,7 @@
 # break-offs of one end come within milliseconds.
 MIN_RESTART_S = 1.0
 # A request is forgotten when it hasn't come for this long.
-SUSPECT_MEMORY_S = 60.0
+SUSPECT_EXPIRY_S = 60.0
 # As many as an entry may have open. Among more, those with the most ends are
 # kept, an eighth fewer, so that the sorting is rare.
 MAX_SUSPECTS = 4_096
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/intake.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/intake.py
@@ -49,7 +49,7 @@
 CRASH_SUSPECT = Hindrance(
     status=http.HTTPStatus.SERVICE_UNAVAILABLE,
     code=errors.ErrorCode.CRASH_SUSPECT,
-    retry_after_s=defaults.SUSPECT_MEMORY_S,
+    retry_after_s=defaults.SUSPECT_EXPIRY_S,
 )
 NO_ROUTE = Hindrance(
     status=http.HTTPStatus.NOT_FOUND, code=errors.ErrorCode.NOT_FOUND
