--- a/packages/rhubarbbank-router/src/rhubarbbank_router/crash_suspects.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/crash_suspects.py
@@ -151,7 +151,7 @@
             end = marks.mark(f"{end}/{len(suspect.seen_here)}")
         suspect.note(end, at=now)
         suspect.seen_here = {*suspect.seen_here, end} & suspect.ends.keys()
-        suspect.tell_until = now + defaults.SUSPECT_TELL_S
+        suspect.tell_until = now + defaults.SUSPECT_REPORT_S
 
     def note_refused(self, fingerprint: str, *, now: float) -> None:
         """Notes that a suspect has come again, so that it is remembered."""
@@ -196,7 +196,7 @@
             return False
         suspect = self.touch(fingerprint, now=now)
         suspect.clear(at=now)
-        suspect.tell_until = now + defaults.SUSPECT_TELL_S
+        suspect.tell_until = now + defaults.SUSPECT_REPORT_S
         return True
 
     def take(
@@ -233,7 +233,7 @@
             suspect.note(each.upstream, at=now - read_s(each.age_ms))
         if told.cleared_ms is None and suspect.cleared_at is not None:
             # The peer has missed the answer.
-            suspect.tell_until = now + defaults.SUSPECT_TELL_S
+            suspect.tell_until = now + defaults.SUSPECT_REPORT_S
         suspect.seen_at = max(suspect.seen_at, seen_at)
         return before != suspect.ends.keys()
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -234,7 +234,7 @@
 SUSPECTS_KEPT = 3_600
 # An end is told for as long as a live entry may not have been heard, and a
 # heartbeat names at most so many requests.
-SUSPECT_TELL_S = PEER_TIMEOUT_S
+SUSPECT_REPORT_S = PEER_TIMEOUT_S
 MAX_TOLD_SUSPECTS = 128
 
 # The graceful stop: open connections are served this long, and the process
