--- a/packages/rhubarbbank-router/src/rhubarbbank_router/crash_suspects.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/crash_suspects.py
@@ -287,7 +287,9 @@
         telling.sort(key=lambda each: (-len(each[1].ends), -each[1].seen_at))
         return tuple(
             pack(fingerprint, suspect, now=now)
-            for fingerprint, suspect in telling[: defaults.MAX_TOLD_SUSPECTS]
+            for fingerprint, suspect in telling[
+                : defaults.MAX_REPORTED_SUSPECTS
+            ]
         )
 
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -235,7 +235,7 @@
 # An end is told for as long as a live entry may not have been heard, and a
 # heartbeat names at most so many requests.
 SUSPECT_REPORT_S = PEER_TIMEOUT_S
-MAX_TOLD_SUSPECTS = 128
+MAX_REPORTED_SUSPECTS = 128
 
 # The graceful stop: open connections are served this long, and the process
 # ends this much before it would be killed.
