--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -239,7 +239,7 @@
 
 # The graceful stop: open connections are served this long, and the process
 # ends this much before it would be killed.
-STOP_LEAST_S = 2.5
+STOP_MIN_S = 2.5
 STOP_MARGIN_S = 1.2
 # The balancer sends new connections for about two seconds; streams that come
 # later might outlast the grace time, so that they are sent elsewhere.
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
@@ -314,7 +314,7 @@
             return []
         stopping_s = now - state.stop_at
         last_s = state.settings.bounds.grace_s - defaults.STOP_MARGIN_S
-        idle = not state.open and stopping_s >= defaults.STOP_LEAST_S
+        idle = not state.open and stopping_s >= defaults.STOP_MIN_S
         if not idle and stopping_s < last_s:
             return []
         state.exiting = True
