--- a/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
@@ -400,7 +400,7 @@
 ) -> float:
     """Returns when coming back helps, spread over callers, in seconds."""
     drawn_s = draw_retry_after(state)
-    if state.view.list_service(service, now=now):
+    if state.view.list_accepting(service, now=now):
         return drawn_s
     reopening = state.view.find_reopening(service, now=now)
     if reopening is None:
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
@@ -231,7 +231,7 @@
         notice = self.notices.find(listed.upstream_id, listed.started_ms)
         return listed.leaving or (notice is not None and notice.leaving)
 
-    def list_service(
+    def list_accepting(
         self, service: str, *, now: float
     ) -> list[TrackedUpstream]:
         """Returns the service's upstreams that take new work."""
@@ -276,7 +276,7 @@
         """
         fitting = [
             tracked
-            for tracked in self.list_service(service, now=now)
+            for tracked in self.list_accepting(service, now=now)
             if tracked.listed.upstream_id not in excluded
         ]
         sound = [each for each in fitting if each.set_aside_until <= now]
