--- a/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
@@ -148,7 +148,7 @@
         stopping=state.stopping,
         trials=rollouts.build_news(state, now=now),
         suspects=state.suspects.list_news(now=now),
-        leaving=state.view.list_told_leaving(),
+        leaving=state.view.list_announced_leaving(),
         loads=engine_load.list_loads(state.view, now=now),
         data_centre=settings.data_centre,
         reads=state.relay.reading,
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
@@ -379,7 +379,7 @@
             return False
         return self.notices.note_leaving(upstream_id, tracked.listed.started_ms)
 
-    def list_told_leaving(self) -> tuple[tuple[str, int], ...]:
+    def list_announced_leaving(self) -> tuple[tuple[str, int], ...]:
         """Returns id and start of listed upstreams that said they shut down."""
         return tuple(
             (upstream_id, started_ms)
