--- a/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
@@ -109,7 +109,7 @@
         out += note_first_event(state, opened, attempt, now=now)
     elif attempt.events == defaults.MIN_EVENTS_FOR_PACE:
         # A slow stream would tell too late at its end.
-        times = state.view.read_times(attempt.service)
+        times = state.view.get_service_times(attempt.service)
         if attempt_evidence.is_slow(opened, attempt, times, now=now):
             attempt_evidence.judge_attempt(
                 state, opened, attempt, failed=False, slow=True, now=now
@@ -140,7 +140,7 @@
     now: float,
 ) -> list[effects.Effect]:
     """Learns from the time to an attempt's first event."""
-    times = state.view.read_times(attempt.service)
+    times = state.view.get_service_times(attempt.service)
     waited_s = now - attempt.sent_at
     if not attempt_evidence.is_on_trial(state, attempt):
         times.first_event_s = upstreams.smooth(times.first_event_s, waited_s)
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_evidence.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_evidence.py
@@ -37,7 +37,7 @@
         failed: Whether it failed.
         silent: Whether it was given up since nothing came.
     """
-    times = state.view.read_times(attempt.service)
+    times = state.view.get_service_times(attempt.service)
     if attempt.status or silent or not failed:
         own = attempt.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR
         slow = silent or is_slow(opened, attempt, times, now=now)
@@ -134,7 +134,7 @@
     A plain one drags if it takes clearly longer than its route's usual one.
     Silence doesn't count: it comes from hosts and connections as well.
     """
-    times = state.view.read_times(attempt.service)
+    times = state.view.get_service_times(attempt.service)
     if not opened.is_stream:
         usual_s = times.plain_s.get(opened.route.name)
         if usual_s is None or attempt.status != http.HTTPStatus.OK:
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
@@ -229,7 +229,7 @@
 ) -> placement.Candidate:
     """Returns what placement needs to know of an upstream."""
     listed = tracked.listed
-    times = state.view.read_times(opened.service)
+    times = state.view.get_service_times(opened.service)
     away = listed.data_centre != state.settings.data_centre
     kept_tokens = count_kept(state, opened, listed, now=now)
     load = tracked.load
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
@@ -393,6 +393,6 @@
         if tracked is not None:
             tracked.misdirected = True
 
-    def read_times(self, service: str) -> ServiceTimes:
+    def get_service_times(self, service: str) -> ServiceTimes:
         """Returns the service's smoothed times."""
         return self.times.setdefault(service, ServiceTimes())
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/watch.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/watch.py
@@ -92,7 +92,7 @@
     now: float,
 ) -> float:
     """Returns how long an attempt may be silent, in seconds."""
-    times = state.view.read_times(opened.service)
+    times = state.view.get_service_times(opened.service)
     route = opened.route
     if not opened.is_stream:
         usual_s = defaults.PLAIN_PATIENCE_MEANS * times.whole_s
