--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_evidence.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_evidence.py
@@ -48,7 +48,7 @@
     if failed:
         state.view.note_failure(attempt.upstream, now=now)
         return
-    state.view.note_good(attempt.upstream)
+    state.view.note_success(attempt.upstream)
     if attempt.status == http.HTTPStatus.OK and usual:
         took_s = now - attempt.sent_at
         times.whole_s = upstreams.smooth(times.whole_s, took_s)
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
@@ -311,7 +311,7 @@
         if tracked is not None:
             tracked.heard_at = now
 
-    def note_good(self, upstream_id: str) -> None:
+    def note_success(self, upstream_id: str) -> None:
         """Notes that an upstream answered well."""
         tracked = self.tracked.get(upstream_id)
         if tracked is not None:
