--- a/features/steps/engine_load_steps.py
+++ b/features/steps/engine_load_steps.py
@@ -184,7 +184,7 @@
         if who == "the peer nearby hears":
             hear(world, NEAR, [build_load(upstream)])
         if who == "another request hears":
-            world.state.view.note_heard(upstream, now=world.now)
+            world.state.view.note_bytes_received(upstream, now=world.now)
         world.configure(world.state.in_force)
         world.run(0.1)
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/answer_heads.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/answer_heads.py
@@ -27,7 +27,7 @@
     if found is None:
         return []
     opened, attempt = found
-    attempt_evidence.note_heard(state, attempt, now=now)
+    attempt_evidence.note_bytes_received(state, attempt, now=now)
     if head.load is not None:
         attempt.load_level = head.load.level
         state.view.note_load(attempt.upstream, head.load, now=now)
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
@@ -38,7 +38,7 @@
         return []
     opened, attempt = found
     if not opened.is_stream or attempt.status != http.HTTPStatus.OK:
-        attempt_evidence.note_heard(state, attempt, now=now)
+        attempt_evidence.note_bytes_received(state, attempt, now=now)
         attempt.body += data.data
         if len(attempt.body) > answer_bounds.MAX_ANSWER_BYTES:
             return break_endless(state, opened, attempt, now=now)
@@ -48,7 +48,7 @@
     out: list[effects.Effect] = []
     for event in attempt.cutter.feed(data.data):
         if goes_on(attempt, event):
-            attempt_evidence.note_heard(state, attempt, now=now)
+            attempt_evidence.note_bytes_received(state, attempt, now=now)
             attempt.last_event_id = event.event_id
             attempt.idle_bytes = len(attempt.cutter.rest)
         out += pass_on(state, opened, attempt, event, now=now)
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_evidence.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_evidence.py
@@ -192,9 +192,9 @@
         times.learn_pace(attempt.model, attempt.load_level, pace_s)
 
 
-def note_heard(
+def note_bytes_received(
     state: states.RouterState, attempt: attempt_states.Attempt, *, now: float
 ) -> None:
     """Notes that an attempt makes progress."""
     attempt.heard_at = now
-    state.view.note_heard(attempt.upstream, now=now)
+    state.view.note_bytes_received(attempt.upstream, now=now)
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
@@ -305,7 +305,7 @@
             tracked.load_at = now
             tracked.own_at_report = tracked.in_flight
 
-    def note_heard(self, upstream_id: str, *, now: float) -> None:
+    def note_bytes_received(self, upstream_id: str, *, now: float) -> None:
         """Notes that bytes of an answer came."""
         tracked = self.tracked.get(upstream_id)
         if tracked is not None:
