--- a/features/steps/router_rollout_steps.py
+++ b/features/steps/router_rollout_steps.py
@@ -401,7 +401,7 @@
 def check_usual(context, version):
     times = context.world.state.view.get_service_times(SERVICE)
     # The old version takes 0.1 s, and is looked at each 0.05 s.
-    assert times.whole_s <= 0.16, times
+    assert times.answer_s <= 0.16, times
     assert times.first_event_s <= 0.16, times
 
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_evidence.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_evidence.py
@@ -51,7 +51,7 @@
     state.view.note_success(attempt.upstream)
     if attempt.status == http.HTTPStatus.OK and usual:
         took_s = now - attempt.sent_at
-        times.whole_s = upstreams.smooth(times.whole_s, took_s)
+        times.answer_s = upstreams.smooth(times.answer_s, took_s)
         if not opened.is_stream:
             route = opened.route.name
             usual_s = times.plain_s.get(route, took_s)
@@ -109,7 +109,7 @@
 ) -> bool:
     """Returns whether an attempt took several times what was expected."""
     waited_s = (attempt.first_event_at or now) - attempt.sent_at
-    expected_s = times.whole_s
+    expected_s = times.answer_s
     if opened.is_stream:
         work_s = attempt.backlog_s + attempt.work_s
         expected_s = max(times.first_event_s, work_s)
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
@@ -244,7 +244,7 @@
         report_age_s=now - tracked.load_at if load else math.inf,
         latency_ms=defaults.OTHER_DATA_CENTRE_PENALTY_MS if away else 0.0,
         cached_blocks=kept_tokens // defaults.TOKENS_PER_BLOCK,
-        service_s=times.whole_s,
+        service_s=times.answer_s,
         backlog_s=engine_load.sum_backlog_s(tracked, state.others, now=now),
     )
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
@@ -105,13 +105,13 @@
     """Smoothed times of a service's answers, in seconds.
 
     Attributes:
-        whole_s: From sending to the end of a plain answer.
+        answer_s: From sending to the end of a plain answer.
         first_event_s: From sending to a stream's first event.
         pace_s: Between two events of a stream, by model and load level.
         plain_s: From sending to the end of a plain answer, by route.
     """
 
-    whole_s: float = defaults.INITIAL_ANSWER_S
+    answer_s: float = defaults.INITIAL_ANSWER_S
     first_event_s: float = defaults.INITIAL_FIRST_EVENT_S
     pace_s: dict[str, dict[int, float]] = dataclasses.field(
         default_factory=dict
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/watch.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/watch.py
@@ -95,7 +95,7 @@
     times = state.view.get_service_times(opened.service)
     route = opened.route
     if not opened.is_stream:
-        usual_s = defaults.PLAIN_PATIENCE_MEANS * times.whole_s
+        usual_s = defaults.PLAIN_PATIENCE_MEANS * times.answer_s
         return max(defaults.PLAIN_PATIENCE_FLOOR_S, usual_s)
     patience_s = max(
         defaults.STALL_PATIENCE_SHARE * route.pause_s,
