--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_evidence.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_evidence.py
@@ -54,8 +54,8 @@
         times.answer_s = upstreams.smooth(times.answer_s, took_s)
         if not opened.is_stream:
             route = opened.route.name
-            usual_s = times.plain_s.get(route, took_s)
-            times.plain_s[route] = upstreams.smooth(usual_s, took_s)
+            usual_s = times.answer_s_by_route.get(route, took_s)
+            times.answer_s_by_route[route] = upstreams.smooth(usual_s, took_s)
 
 
 def is_on_trial(
@@ -136,7 +136,7 @@
     """
     times = state.view.get_service_times(attempt.service)
     if not opened.is_stream:
-        usual_s = times.plain_s.get(opened.route.name)
+        usual_s = times.answer_s_by_route.get(opened.route.name)
         if usual_s is None or attempt.status != http.HTTPStatus.OK:
             return None
         return now - attempt.sent_at > defaults.DRAG_PLAIN_TIMES * usual_s
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
@@ -108,7 +108,7 @@
         answer_s: From sending to the end of a plain answer.
         first_event_s: From sending to a stream's first event.
         pace_s: Between two events of a stream, by model and load level.
-        plain_s: From sending to the end of a plain answer, by route.
+        answer_s_by_route: From sending to the end of a plain answer, by route.
     """
 
     answer_s: float = defaults.INITIAL_ANSWER_S
@@ -116,7 +116,9 @@
     pace_s: dict[str, dict[int, float]] = dataclasses.field(
         default_factory=dict
     )
-    plain_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    answer_s_by_route: dict[str, float] = dataclasses.field(
+        default_factory=dict
+    )
 
     def find_pace_s(self, model: str, level: int) -> float | None:
         """Returns the usual time between events at a load level.
