--- a/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
@@ -162,7 +162,7 @@
         self,
         listed: collections.abc.Iterable[Upstream],
         *,
-        doubtful: bool,
+        store_unstable: bool,
     ) -> list[str]:
         """Takes a whole list; returns the ids that are no longer on it."""
         found = {each.upstream_id: each for each in listed}
@@ -174,7 +174,7 @@
             if upstream_id not in found
         ]
         for upstream_id in gone:
-            self.remove(upstream_id, doubtful=doubtful)
+            self.remove(upstream_id, store_unstable=store_unstable)
         return gone
 
     def put(self, listed: Upstream) -> None:
@@ -189,18 +189,18 @@
         tracked.listed = listed
         tracked.lapsed = False
 
-    def remove(self, upstream_id: str, *, doubtful: bool) -> None:
+    def remove(self, upstream_id: str, *, store_unstable: bool) -> None:
         """Takes that the list dropped an upstream.
 
         Args:
             upstream_id: The upstream.
-            doubtful: The store was in trouble lately: its entry may have
+            store_unstable: The store was in trouble lately: its entry may have
                 lapsed though it lives, so that it stays for a grace time.
         """
         tracked = self.tracked.get(upstream_id)
         if tracked is None:
             return
-        if doubtful:
+        if store_unstable:
             tracked.lapsed = True
             return
         del self.tracked[upstream_id]
