--- a/packages/rhubarbbank-router/src/rhubarbbank_router/upstream_list.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/upstream_list.py
@@ -20,12 +20,12 @@
     state: states.RouterState, event: events.AnyEvent, *, now: float
 ) -> list[effects.Effect]:
     """Takes what the platform's store says of upstreams."""
-    before = list_running(state, event)
+    before = list_running_upstreams(state, event)
     out = apply_event(state, event, now=now)
     return [*out, *confirm_ends(state, before, now=now)]
 
 
-def list_running(
+def list_running_upstreams(
     state: states.RouterState, event: events.AnyEvent
 ) -> list[upstreams.Upstream]:
     """Returns the upstreams that an event may tell the end of.
