--- a/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
@@ -402,7 +402,7 @@
     drawn_s = draw_retry_after(state)
     if state.view.list_accepting(service, now=now):
         return drawn_s
-    reopening = state.view.find_reopening(service, now=now)
+    reopening = state.view.find_reopening_time(service, now=now)
     if reopening is None:
         return drawn_s
     return reopening - now + drawn_s
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
@@ -248,7 +248,7 @@
             )
         ]
 
-    def find_reopening(self, service: str, *, now: float) -> float | None:
+    def find_reopening_time(self, service: str, *, now: float) -> float | None:
         """Returns when the first closed upstream takes work again.
 
         Returns:
