--- a/experiments/src/rhubarbbank_experiments/mix_arms.py
+++ b/experiments/src/rhubarbbank_experiments/mix_arms.py
@@ -32,7 +32,7 @@
 
 def place_without_home(rng: random.Random) -> placement.Placement:
     """Returns the product's placement without a preferred upstream."""
-    return work_placement.WorkPlacement(rng=rng, home_credit_s=0.0)
+    return work_placement.WorkPlacement(rng=rng, affinity_credit_s=0.0)
 
 
 def place_in_turn(rng: random.Random) -> placement.Placement:
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/work_placement.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/work_placement.py
@@ -30,7 +30,7 @@
     Attributes:
         rng: Draws the candidates to compare where there are many.
         choices: How many are compared at most.
-        home_credit_s: How much longer the preferred upstream may take.
+        affinity_credit_s: How much longer the preferred upstream may take.
     """
 
     def __init__(
@@ -38,11 +38,11 @@
         *,
         rng: random.Random,
         choices: int = defaults.PLACEMENT_CHOICES,
-        home_credit_s: float = defaults.AFFINITY_CREDIT_S,
+        affinity_credit_s: float = defaults.AFFINITY_CREDIT_S,
     ) -> None:
         self.rng = rng
         self.choices = choices
-        self.home_credit_s = home_credit_s
+        self.affinity_credit_s = affinity_credit_s
 
     def choose(
         self,
@@ -72,7 +72,7 @@
         if candidate.name == request.session_upstream:
             credit_s = request.session_credit_s
             if credit_s is None:
-                credit_s = self.home_credit_s
+                credit_s = self.affinity_credit_s
             expected_s -= credit_s
         return expected_s
 
