--- a/packages/rhubarbbank-router/src/rhubarbbank_router/engine_load.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/engine_load.py
@@ -13,7 +13,7 @@
 MS_PER_S = 1000.0
 
 
-def sum_own_s(tracked: upstreams.TrackedUpstream, *, now: float) -> float:
+def sum_own_work_s(tracked: upstreams.TrackedUpstream, *, now: float) -> float:
     """Returns the work of this entry's attempts at an upstream, in seconds."""
     return sum(
         engine_work.estimate_rest_s(each, now=now)
@@ -29,7 +29,7 @@
 ) -> float:
     """Returns all work that is known at an upstream, in seconds."""
     told = others.find(tracked.listed.upstream_id)
-    return sum_own_s(tracked, now=now) + told.work_s
+    return sum_own_work_s(tracked, now=now) + told.work_s
 
 
 def list_loads(
@@ -39,7 +39,7 @@
     return tuple(
         messages.LoadNews(
             upstream=marks.mark(tracked.listed.upstream_id),
-            work_ms=round(sum_own_s(tracked, now=now) * MS_PER_S),
+            work_ms=round(sum_own_work_s(tracked, now=now) * MS_PER_S),
             in_flight=tracked.in_flight,
             heard_ms=round((now - tracked.heard_at) * MS_PER_S),
         )
