--- a/packages/rhubarbbank-router/src/rhubarbbank_router/engine_load.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/engine_load.py
@@ -16,7 +16,7 @@
 def sum_own_work_s(tracked: upstreams.TrackedUpstream, *, now: float) -> float:
     """Returns the work of this entry's attempts at an upstream, in seconds."""
     return sum(
-        engine_work.estimate_rest_s(each, now=now)
+        engine_work.estimate_remaining_s(each, now=now)
         for each in tracked.attempts.values()
     )
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/engine_work.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/engine_work.py
@@ -67,7 +67,9 @@
     return max(0, facts.prompt_tokens - kept_tokens)
 
 
-def estimate_rest_s(attempt: attempt_states.Attempt, *, now: float) -> float:
+def estimate_remaining_s(
+    attempt: attempt_states.Attempt, *, now: float
+) -> float:
     """Returns how long an attempt still holds up others, in seconds."""
     if attempt.first_event_at is not None:
         return attempt.work_s * defaults.DECODE_WORK_SHARE
