--- a/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
@@ -121,7 +121,7 @@
     """Adds an attempt on an upstream to the request."""
     upstream = tracked.listed
     facts = opened.request.generation
-    unread = engine_work.count_unread(
+    unread = engine_work.count_uncached_tokens(
         facts, count_kept(state, opened, upstream, now=now)
     )
     speed = state.speeds.find(opened.service, find_model(opened))
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/engine_work.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/engine_work.py
@@ -58,7 +58,7 @@
         self.speeds[key] = known + defaults.PREFILL_SPEED_LOG_STEP * step
 
 
-def count_unread(
+def count_uncached_tokens(
     facts: callers.GenerationFacts | None, kept_tokens: int
 ) -> int:
     """Returns how many tokens of a prompt an engine must still read."""
