--- a/features/steps/engine_load_steps.py
+++ b/features/steps/engine_load_steps.py
@@ -201,7 +201,7 @@
 )
 def check_speed(context, count, speed, least, most):
     rng = random.Random(3)
-    speeds = engine_work.ReadingSpeeds()
+    speeds = engine_work.PrefillSpeeds()
     for _ in range(count):
         tokens = rng.randrange(500, 20_000)
         # Half of the prompts find the engine idle.
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/engine_work.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/engine_work.py
@@ -15,7 +15,7 @@
 ModelKey = tuple[str, str]
 
 
-class ReadingSpeeds:
+class PrefillSpeeds:
     """Reading speeds by service and model, in tokens per second.
 
     Waiting behind others only ever makes a prompt look slow to read, so that
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
@@ -208,8 +208,8 @@
     prefixes: prefix_memory.PrefixMemory = dataclasses.field(
         default_factory=prefix_memory.PrefixMemory
     )
-    speeds: engine_work.ReadingSpeeds = dataclasses.field(
-        default_factory=engine_work.ReadingSpeeds
+    speeds: engine_work.PrefillSpeeds = dataclasses.field(
+        default_factory=engine_work.PrefillSpeeds
     )
     open: dict[str, OpenRequest] = dataclasses.field(default_factory=dict)
     sessions: session_pins.SessionPins = dataclasses.field(
