--- a/packages/rhubarbbank-router/src/rhubarbbank_router/peer_work.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/peer_work.py
@@ -31,7 +31,7 @@
     heard_at: float = 0.0
 
 
-NOTHING = PeerLoad()
+NO_LOAD = PeerLoad()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -58,7 +58,7 @@
 
     def find(self, upstream_id: str) -> PeerLoad:
         """Returns what others have at an upstream."""
-        return self.loads.get(marks.mark(upstream_id), NOTHING)
+        return self.loads.get(marks.mark(upstream_id), NO_LOAD)
 
     def take(
         self, name: str, loads: tuple[messages.LoadNews, ...], *, now: float
