--- a/packages/rhubarbbank-router/src/rhubarbbank_router/peer_work.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/peer_work.py
@@ -35,7 +35,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Told:
+class ReportedLoads:
     """What one entry told last, and when."""
 
     loads: tuple[messages.LoadNews, ...]
@@ -51,7 +51,7 @@
     """
 
     def __init__(self) -> None:
-        self.told: dict[str, Told] = {}
+        self.told: dict[str, ReportedLoads] = {}
         self.loads: dict[marks.Mark, PeerLoad] = collections.defaultdict(
             PeerLoad
         )
@@ -65,7 +65,7 @@
     ) -> None:
         """Takes what an entry tells, in place of what it told before."""
         self.drop(name)
-        self.told[name] = Told(loads, now)
+        self.told[name] = ReportedLoads(loads, now)
         for each in loads:
             load = self.loads[each.upstream]
             load.work_s += each.work_ms / MS_PER_S
