--- a/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
@@ -209,7 +209,7 @@
     """Forgets what is over: sessions, and entries that are silent."""
     alive_s = state.settings.bounds.session_s + defaults.SESSION_MARGIN_S
     state.sessions.forget(now=now, alive_s=alive_s)
-    state.others.drop_silent(now=now)
+    state.others.drop_expired(now=now)
     out = [
         *log_forgotten(state.suspects.forget_old(now=now), reason="old"),
         *log_forgotten(state.suspects.make_room(), reason="want of room"),
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/peer_work.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/peer_work.py
@@ -85,7 +85,7 @@
             if not load.in_flight:
                 del self.loads[each.upstream]
 
-    def drop_silent(self, *, now: float) -> None:
+    def drop_expired(self, *, now: float) -> None:
         """Forgets what entries told that have been silent since."""
         silent = [
             name
