--- a/packages/rhubarbbank-router/src/rhubarbbank_router/window_budget.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/window_budget.py
@@ -19,7 +19,7 @@
 BUCKETS = 20
 
 
-class SendBudget(Protocol):
+class RetryBudget(Protocol):
     """Decides whether a service may get one more additional send."""
 
     def count_request(self, service: str, *, now: float) -> None:
