--- a/packages/rhubarbbank-router/src/rhubarbbank_router/window_budget.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/window_budget.py
@@ -141,7 +141,7 @@
         return ring[-1]
 
 
-class UnlimitedSends:
+class UnlimitedRetries:
     """The naive baseline: every send is allowed."""
 
     def count_request(self, service: str, *, now: float) -> None:
