--- a/packages/rhubarbbank-router/src/rhubarbbank_router/window_budget.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/window_budget.py
@@ -75,21 +75,21 @@
 
     def note_entries(self, count: int, *, now: float) -> None:
         """Learns how many entries there are, this one included."""
-        self.note_birth(now=now)
+        self.ensure_started(now=now)
         while self.heard and self.heard[-1][1] <= count:
             self.heard.pop()
         self.heard.append((now, count))
 
     def count_sharers(self, *, now: float) -> int:
         """Returns among how many processes the extra is shared."""
-        born_at = self.note_birth(now=now)
+        born_at = self.ensure_started(now=now)
         # The newest number stands for as long as nothing newer is heard.
         while len(self.heard) > 1 and self.is_past(self.heard[0][0], now):
             self.heard.popleft()
         count = self.heard[0][1] if self.heard else defaults.ASSUMED_ENTRIES
         return count if self.is_past(born_at, now) else 2 * count
 
-    def note_birth(self, *, now: float) -> float:
+    def ensure_started(self, *, now: float) -> float:
         """Returns when this process counted first, which may be now."""
         if self.born_at is None:
             self.born_at = now
