--- a/packages/rhubarbbank-router/src/rhubarbbank_router/window_budget.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/window_budget.py
@@ -84,10 +84,12 @@
         """Returns among how many processes the extra is shared."""
         born_at = self.ensure_started(now=now)
         # The newest number stands for as long as nothing newer is heard.
-        while len(self.heard) > 1 and self.is_past(self.heard[0][0], now):
+        while len(self.heard) > 1 and self.is_outside_window(
+            self.heard[0][0], now
+        ):
             self.heard.popleft()
         count = self.heard[0][1] if self.heard else defaults.ASSUMED_ENTRIES
-        return count if self.is_past(born_at, now) else 2 * count
+        return count if self.is_outside_window(born_at, now) else 2 * count
 
     def ensure_started(self, *, now: float) -> float:
         """Returns when this process counted first, which may be now."""
@@ -95,7 +97,7 @@
             self.born_at = now
         return self.born_at
 
-    def is_past(self, at: float, now: float) -> bool:
+    def is_outside_window(self, at: float, now: float) -> bool:
         """Returns whether a time is more than a window ago."""
         return now - at > self.limits.window_s
 
