--- a/packages/rhubarbbank-router/src/rhubarbbank_router/upstream_list.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/upstream_list.py
@@ -80,12 +80,16 @@
 ) -> list[effects.Effect]:
     """Applies an event to what is believed of upstreams."""
     contact = state.contact(events.Subject.UPSTREAMS)
-    doubtful = contact.was_regained_within(defaults.LAPSE_REPORT_S, now=now)
+    store_unstable = contact.was_regained_within(
+        defaults.LAPSE_REPORT_S, now=now
+    )
     match event:
         case events.UpstreamsListed(listed, position=position, at=at):
             state.listed.add(events.Subject.UPSTREAMS)
             state.relay.note_list(position, at=at)
-            gone = state.view.replace_list(listed, doubtful=doubtful)
+            gone = state.view.replace_list(
+                listed, store_unstable=store_unstable
+            )
             rollouts.settle_all(state)
             return [
                 fx.LogDecision(
@@ -94,7 +98,7 @@
                     inputs=(
                         ("listed", len(listed)),
                         ("gone", ",".join(gone)),
-                        ("doubtful", doubtful),
+                        ("doubtful", store_unstable),
                     ),
                 )
             ]
@@ -114,14 +118,14 @@
         case events.UpstreamUnlisted(upstream_id):
             state.relay.note_change(upstream_id)
             known = upstream_id in state.view.tracked
-            state.view.remove(upstream_id, doubtful=doubtful)
+            state.view.remove(upstream_id, store_unstable=store_unstable)
             if not known:
                 return []
             return [
                 fx.LogDecision(
                     decision="upstream_unlisted",
                     upstream=upstream_id,
-                    reason="in doubt" if doubtful else "gone",
+                    reason="in doubt" if store_unstable else "gone",
                 )
             ]
         case events.UpstreamsConfirmed(position=position, at=at):
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/window_budget.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/window_budget.py
@@ -38,7 +38,7 @@
 
     number: int
     requests: int = 0
-    repeats: int = 0
+    retries: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -118,7 +118,7 @@
         # The oldest bucket lies across the window's beginning.
         oldest = bucket.number - BUCKETS
         requests = sum(x.requests for x in ring if x.number > oldest)
-        repeats = sum(x.repeats for x in ring)
+        retries = sum(x.retries for x in ring)
         limits = self.limits
         allowed = (
             limits.ratio * defaults.RETRY_RATIO_SHARE * requests
@@ -126,9 +126,9 @@
             * defaults.RETRY_EXTRA_SHARE
             / self.count_sharers(now=now)
         )
-        if repeats + 1 > allowed * share:
+        if retries + 1 > allowed * share:
             return False
-        bucket.repeats += 1
+        bucket.retries += 1
         return True
 
     def current(self, service: str, now: float) -> Bucket:
