--- a/features/steps/router_budget_steps.py
+++ b/features/steps/router_budget_steps.py
@@ -43,11 +43,11 @@
 
     Attributes:
         budget: What it counts.
-        born_at: In seconds.
+        started_at: In seconds.
     """
 
     budget: window_budget.WindowBudget
-    born_at: float
+    started_at: float
 
 
 class Fleet:
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/window_budget.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/window_budget.py
@@ -61,41 +61,47 @@
 
     Attributes:
         limits: What all entries together may do.
-        born_at: Of the first event, in seconds.
-        heard: Times and numbers of entries heard of within the window; a
+        started_at: Of the first event, in seconds.
+        entry_counts: Times and numbers of entries heard of within the window; a
             number goes when a later one is as high.
         buckets: The counts by service.
     """
 
     def __init__(self, *, limits: BudgetLimits) -> None:
         self.limits = limits
-        self.born_at: float | None = None
-        self.heard: collections.deque[tuple[float, int]] = collections.deque()
+        self.started_at: float | None = None
+        self.entry_counts: collections.deque[tuple[float, int]] = (
+            collections.deque()
+        )
         self.buckets: dict[str, collections.deque[Bucket]] = {}
 
     def note_entries(self, count: int, *, now: float) -> None:
         """Learns how many entries there are, this one included."""
         self.ensure_started(now=now)
-        while self.heard and self.heard[-1][1] <= count:
-            self.heard.pop()
-        self.heard.append((now, count))
+        while self.entry_counts and self.entry_counts[-1][1] <= count:
+            self.entry_counts.pop()
+        self.entry_counts.append((now, count))
 
     def count_sharers(self, *, now: float) -> int:
         """Returns among how many processes the extra is shared."""
-        born_at = self.ensure_started(now=now)
+        started_at = self.ensure_started(now=now)
         # The newest number stands for as long as nothing newer is heard.
-        while len(self.heard) > 1 and self.is_outside_window(
-            self.heard[0][0], now
+        while len(self.entry_counts) > 1 and self.is_outside_window(
+            self.entry_counts[0][0], now
         ):
-            self.heard.popleft()
-        count = self.heard[0][1] if self.heard else defaults.ASSUMED_ENTRIES
-        return count if self.is_outside_window(born_at, now) else 2 * count
+            self.entry_counts.popleft()
+        count = (
+            self.entry_counts[0][1]
+            if self.entry_counts
+            else defaults.ASSUMED_ENTRIES
+        )
+        return count if self.is_outside_window(started_at, now) else 2 * count
 
     def ensure_started(self, *, now: float) -> float:
         """Returns when this process counted first, which may be now."""
-        if self.born_at is None:
-            self.born_at = now
-        return self.born_at
+        if self.started_at is None:
+            self.started_at = now
+        return self.started_at
 
     def is_outside_window(self, at: float, now: float) -> bool:
         """Returns whether a time is more than a window ago."""
@@ -103,7 +109,7 @@
 
     def count_request(self, service: str, *, now: float) -> None:
         """Notes a caller's request for the service."""
-        self.current(service, now).requests += 1
+        self.find_bucket(service, now).requests += 1
 
     def take(self, service: str, *, now: float, share: float = 1.0) -> bool:
         """Returns whether one more may be sent, and counts it if so.
@@ -113,7 +119,7 @@
             now: In seconds.
             share: Part of the budget that this use may fill, up to 1.
         """
-        bucket = self.current(service, now)
+        bucket = self.find_bucket(service, now)
         ring = self.buckets[service]
         # The oldest bucket lies across the window's beginning.
         oldest = bucket.number - BUCKETS
@@ -131,7 +137,7 @@
         bucket.retries += 1
         return True
 
-    def current(self, service: str, now: float) -> Bucket:
+    def find_bucket(self, service: str, now: float) -> Bucket:
         """Returns the bucket of `now`, without those out of the window."""
         width = self.limits.window_s / BUCKETS
         number = int(now / width)
