--- a/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
@@ -141,7 +141,7 @@
     opened.attempts.append(attempt)
     state.view.start(opened.request.request_id, attempt)
     if facts is not None:
-        state.prefixes.note(
+        state.prefixes.record(
             upstream=upstream.upstream_id,
             model=find_model(opened),
             prompt=facts.prompt,
@@ -173,7 +173,7 @@
     facts = opened.request.generation
     if facts is None:
         return 0
-    return state.prefixes.count_kept(
+    return state.prefixes.count_cached_tokens(
         upstream=upstream.upstream_id,
         model=find_model(opened),
         prompt=facts.prompt,
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/prefix_memory.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/prefix_memory.py
@@ -20,7 +20,7 @@
             collections.OrderedDict()
         )
 
-    def note(
+    def record(
         self,
         *,
         upstream: str,
@@ -36,7 +36,7 @@
         while len(self.used_at) > defaults.MAX_PREFIX_PARTS:
             self.used_at.popitem(last=False)
 
-    def count_kept(
+    def count_cached_tokens(
         self,
         *,
         upstream: str,
