--- a/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
@@ -31,7 +31,7 @@
         case messages.EntryNews():
             return take_heartbeat(state, message, now=now)
         case messages.EntryLoads(name=name, loads=loads):
-            state.others.take(name, loads, now=now)
+            state.others.update(name, loads, now=now)
             return []
         case messages.NewsBundle():
             return take_bundle(state, message, now=now)
@@ -83,7 +83,7 @@
     """
     is_new = state.entries.take(message, now=now)
     learnt = state.suspects.take(message.suspects, now=now)
-    state.others.take(message.name, message.loads, now=now)
+    state.others.update(message.name, message.loads, now=now)
     rollouts.take_news(state, message, now=now)
     out = [
         log_told_suspect(state, message.name, fingerprint)
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/peer_work.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/peer_work.py
@@ -46,12 +46,12 @@
     """The sums by upstream, kept up with each heartbeat.
 
     Attributes:
-        told: By entry.
+        reports: By entry.
         loads: By the upstream's mark.
     """
 
     def __init__(self) -> None:
-        self.told: dict[str, ReportedLoads] = {}
+        self.reports: dict[str, ReportedLoads] = {}
         self.loads: dict[marks.Mark, PeerLoad] = collections.defaultdict(
             PeerLoad
         )
@@ -60,12 +60,12 @@
         """Returns what others have at an upstream."""
         return self.loads.get(marks.mark(upstream_id), NO_LOAD)
 
-    def take(
+    def update(
         self, name: str, loads: tuple[messages.LoadNews, ...], *, now: float
     ) -> None:
         """Takes what an entry tells, in place of what it told before."""
         self.drop(name)
-        self.told[name] = ReportedLoads(loads, now)
+        self.reports[name] = ReportedLoads(loads, now)
         for each in loads:
             load = self.loads[each.upstream]
             load.work_s += each.work_ms / MS_PER_S
@@ -75,7 +75,7 @@
 
     def drop(self, name: str) -> None:
         """Forgets what an entry told."""
-        told = self.told.pop(name, None)
+        told = self.reports.pop(name, None)
         if told is None:
             return
         for each in told.loads:
@@ -89,7 +89,7 @@
         """Forgets what entries told that have been silent since."""
         silent = [
             name
-            for name, told in self.told.items()
+            for name, told in self.reports.items()
             if now - told.at > defaults.PEER_WORK_EXPIRY_S
         ]
         for name in silent:
