--- a/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
@@ -52,7 +52,7 @@
     is_current = store_reading.take_proof(state, told)
     out: list[effects.Effect] = []
     for event in store_reading.list_changes(state, told):
-        out += upstream_list.take_event(state, event, now=now)
+        out += upstream_list.handle_event(state, event, now=now)
     if is_current:
         store_reading.note_informed(state, told, now=now)
     return out
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
@@ -170,7 +170,7 @@
                 return self.take_recorded(service, done)
             case _:
                 self.learn_entries(event)
-                return upstream_list.take_event(self.state, event, now=now)
+                return upstream_list.handle_event(self.state, event, now=now)
 
     def learn_entries(self, event: events.AnyEvent) -> None:
         """Takes what the platform's store says of other entries."""
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/upstream_list.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/upstream_list.py
@@ -16,13 +16,13 @@
 from rhubarbbank_router import upstreams
 
 
-def take_event(
+def handle_event(
     state: states.RouterState, event: events.AnyEvent, *, now: float
 ) -> list[effects.Effect]:
     """Takes what the platform's store says of upstreams."""
-    before = list_running_upstreams(state, event)
+    previous = list_running_upstreams(state, event)
     out = apply_event(state, event, now=now)
-    return [*out, *confirm_ends(state, before, now=now)]
+    return [*out, *confirm_ends(state, previous, now=now)]
 
 
 def list_running_upstreams(
@@ -49,13 +49,13 @@
 
 def confirm_ends(
     state: states.RouterState,
-    before: list[upstreams.Upstream],
+    previous: list[upstreams.Upstream],
     *,
     now: float,
 ) -> list[effects.Effect]:
     """Charges the requests that were given up where an upstream ended."""
     out: list[effects.Effect] = []
-    for listed in before:
+    for listed in previous:
         tracked = state.view.tracked.get(listed.upstream_id)
         if tracked and tracked.listed.started_ms == listed.started_ms:
             continue
