--- a/packages/rhubarbbank-router/src/rhubarbbank_router/upstream_notices.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/upstream_notices.py
@@ -53,7 +53,7 @@
 
     def note_leaving(self, upstream_id: str, started_ms: int) -> bool:
         """Notes that an upstream shuts down; returns whether that is news."""
-        notice = self.touch(upstream_id, started_ms)
+        notice = self.find_or_create(upstream_id, started_ms)
         is_news = not notice.leaving
         notice.leaving = True
         return is_news
@@ -62,10 +62,10 @@
         self, upstream_id: str, started_ms: int, *, until: float
     ) -> None:
         """Notes until when an upstream wants nothing, in seconds."""
-        notice = self.touch(upstream_id, started_ms)
+        notice = self.find_or_create(upstream_id, started_ms)
         notice.closed_until = max(notice.closed_until, until)
 
-    def touch(self, upstream_id: str, started_ms: int) -> Notice:
+    def find_or_create(self, upstream_id: str, started_ms: int) -> Notice:
         """Returns the incarnation's notice; makes one if need be."""
         notice = self.find(upstream_id, started_ms)
         if notice is None:
