--- a/packages/rhubarbbank-router/src/rhubarbbank_router/work_placement.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/work_placement.py
@@ -55,14 +55,14 @@
         if not usable:
             return None
         sample = self.draw_sample(usable, request.session_upstream)
-        best = min(sample, key=lambda each: self.rate(each, request))
+        best = min(sample, key=lambda each: self.score(each, request))
         return placement.PlacementDecision(
             upstream=best.name,
             reason=find_reason(best, request, len(usable)),
             expected_wait_s=estimate_s(best, request),
         )
 
-    def rate(
+    def score(
         self,
         candidate: placement.Candidate,
         request: placement.PlacementRequest,
@@ -77,14 +77,15 @@
         return expected_s
 
     def draw_sample(
-        self, usable: list[placement.Candidate], home: str
+        self, usable: list[placement.Candidate], preferred: str
     ) -> list[placement.Candidate]:
         """Returns the candidates to compare, in random order."""
         sample = self.rng.sample(usable, min(self.choices, len(usable)))
         kept = [
             each
             for each in usable
-            if (each.cached_blocks or each.name == home) and each not in sample
+            if (each.cached_blocks or each.name == preferred)
+            and each not in sample
         ]
         return sample + kept
 
@@ -98,11 +99,11 @@
     others = max(reported, candidate.told_in_flight)
     full = candidate.own_in_flight + others + 1.0 - candidate.max_batch
     queued = max(0.0, full) / candidate.max_batch
-    unread = max(0, request.prompt_blocks - candidate.cached_blocks)
+    uncached = max(0, request.prompt_blocks - candidate.cached_blocks)
     return (
         candidate.backlog_s
         + queued * candidate.service_s
-        + unread * request.prefill_s_per_block
+        + uncached * request.prefill_s_per_block
         + candidate.latency_ms / MS_PER_S
     )
 
