--- a/features/steps/engine_load_steps.py
+++ b/features/steps/engine_load_steps.py
@@ -12,8 +12,8 @@
 from rhubarbbank_router import defaults
 from rhubarbbank_router import engine_work
 from rhubarbbank_router import events
-from rhubarbbank_router import marks
 from rhubarbbank_router import messages
+from rhubarbbank_router import name_hashes
 
 NEAR = "entry-7"
 FAR = "entry-8"
@@ -37,7 +37,7 @@
 
 def build_load(upstream, work_s=0.0, heard_s=0.0):
     return messages.LoadNews(
-        upstream=marks.mark(upstream),
+        upstream=name_hashes.hash_name(upstream),
         work_ms=round(work_s * 1000),
         in_flight=1,
         heard_ms=round(heard_s * 1000),
@@ -147,7 +147,9 @@
 
 def list_told(world, name):
     """Addresses that were told of work there."""
-    upstream = marks.mark(world.sent(world_request(world))[-1].upstream_id)
+    upstream = name_hashes.hash_name(
+        world.sent(world_request(world))[-1].upstream_id
+    )
     return [
         x
         for x in world.messages()
--- a/features/steps/router_steps.py
+++ b/features/steps/router_steps.py
@@ -295,19 +295,19 @@
 @then("cutting a stream anywhere gives the same events")
 def check_cutting(context):
     whole = b"".join(router_world.build_event(n) for n in range(1, 6))
-    expected = event_stream.EventCutter().feed(whole)
+    expected = event_stream.EventSplitter().feed(whole)
     assert [each.event_id for each in expected] == ["1", "2", "3", "4", "5"]
 
     @trial_settings(max_examples=200, deadline=None, derandomize=True)
     @examples(strategies.lists(strategies.integers(0, len(whole))))
     def check(places):
         cuts = [0, *sorted(places), len(whole)]
-        cutter = event_stream.EventCutter()
+        splitter = event_stream.EventSplitter()
         found = []
         for start_at, end_at in itertools.pairwise(cuts):
-            found += cutter.feed(whole[start_at:end_at])
+            found += splitter.feed(whole[start_at:end_at])
         assert found == expected
-        assert not cutter.rest
+        assert not splitter.partial
 
     check()
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/answer_heads.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/answer_heads.py
@@ -19,7 +19,7 @@
 from rhubarbbank_router import state as states
 
 
-def take_head(
+def handle_head(
     state: states.RouterState, head: events.UpstreamHead, *, now: float
 ) -> list[effects.Effect]:
     """Takes the head of an upstream's answer."""
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
@@ -24,7 +24,7 @@
 MS_PER_S = 1000.0
 
 
-def take_data(
+def handle_data(
     state: states.RouterState, data: events.UpstreamData, *, now: float
 ) -> list[effects.Effect]:
     """Takes bytes of an upstream's answer.
@@ -50,7 +50,7 @@
         if goes_on(attempt, event):
             attempt_evidence.note_bytes_received(state, attempt, now=now)
             attempt.last_event_id = event.event_id
-            attempt.idle_bytes = len(attempt.cutter.rest)
+            attempt.idle_bytes = len(attempt.cutter.partial)
         out += pass_on(state, opened, attempt, event, now=now)
     if is_endless(attempt):
         out += break_endless(state, opened, attempt, now=now)
@@ -151,7 +151,7 @@
     return [fx.Timing("first_event", total_s * MS_PER_S)]
 
 
-def take_end(
+def handle_end(
     state: states.RouterState, ended: events.UpstreamEnded, *, now: float
 ) -> list[effects.Effect]:
     """Takes the end of an exchange with an upstream."""
@@ -207,7 +207,7 @@
     now: float,
 ) -> list[effects.Effect]:
     """Takes a whole answer."""
-    if attempt.cutter.rest:
+    if attempt.cutter.partial:
         return attempt_ends.fail(
             state, opened, attempt, "ended inside an event", now=now
         )
@@ -270,7 +270,7 @@
     """
     if attempt.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR:
         return []
-    known = state.suspects.describe(opened.fingerprint)
+    known = state.suspects.build_log_inputs(opened.fingerprint)
     if not state.suspects.clear(opened.fingerprint, now=now):
         return []
     return [
@@ -299,7 +299,7 @@
     )
 
 
-def drop_caller(
+def handle_caller_left(
     state: states.RouterState, request_id: str, *, now: float
 ) -> list[effects.Effect]:
     """Ends a request whose caller has left."""
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_ends.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_ends.py
@@ -67,7 +67,7 @@
             reason=detail,
             inputs=(
                 ("age_s", round(now - attempt.sent_at, 3)),
-                *state.suspects.describe(opened.fingerprint),
+                *state.suspects.build_log_inputs(opened.fingerprint),
             ),
         ),
         fx.Count("failed_attempts"),
@@ -88,9 +88,11 @@
 ) -> None:
     """Notes that an upstream ended under a request."""
     fingerprint = opened.fingerprint
-    end = crash_suspects.mark_end(attempt.upstream, attempt.upstream_started_ms)
-    state.suspects.note_end(fingerprint, end, now=now)
-    if state.suspects.count(fingerprint) >= defaults.ENDS_TO_REPEAT:
+    end = crash_suspects.hash_incarnation(
+        attempt.upstream, attempt.upstream_started_ms
+    )
+    state.suspects.record_crash(fingerprint, end, now=now)
+    if state.suspects.count_crashes(fingerprint) >= defaults.ENDS_TO_REPEAT:
         state.press_news(now=now)
 
 
@@ -112,8 +114,8 @@
     if tracked is None or tracked.listed.started_ms != started_ms:
         note_end(state, opened, attempt, now=now)
         return
-    end = crash_suspects.mark_end(attempt.upstream, started_ms)
-    state.suspects.note_silent(opened.fingerprint, end, now=now)
+    end = crash_suspects.hash_incarnation(attempt.upstream, started_ms)
+    state.suspects.record_no_answer(opened.fingerprint, end, now=now)
 
 
 def set_aside(
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_states.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_states.py
@@ -73,8 +73,8 @@
     status: int = 0
     headers: tuple[tuple[str, str], ...] = ()
     body: bytearray = dataclasses.field(default_factory=bytearray)
-    cutter: event_stream.EventCutter = dataclasses.field(
-        default_factory=event_stream.EventCutter
+    cutter: event_stream.EventSplitter = dataclasses.field(
+        default_factory=event_stream.EventSplitter
     )
     upstream_started_ms: int = 0
     heard_at: float = 0.0
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/crash_suspects.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/crash_suspects.py
@@ -21,8 +21,8 @@
 from rhubarbbank_core import program_effects as fx
 from rhubarbbank_router import callers
 from rhubarbbank_router import defaults
-from rhubarbbank_router import marks
 from rhubarbbank_router import messages
+from rhubarbbank_router import name_hashes
 
 MS_PER_S = 1000.0
 
@@ -44,9 +44,9 @@
     return digest.hexdigest()
 
 
-def mark_end(upstream_id: str, started_ms: int) -> marks.Mark:
+def hash_incarnation(upstream_id: str, started_ms: int) -> name_hashes.NameHash:
     """Returns what stands for the end of one incarnation of an upstream."""
-    return marks.mark(f"{upstream_id}/{started_ms}")
+    return name_hashes.hash_name(f"{upstream_id}/{started_ms}")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -77,10 +77,14 @@
     seen_at: float
     cleared_at: float | None = None
     tell_until: float = 0.0
-    ends: dict[marks.Mark, float] = dataclasses.field(default_factory=dict)
-    seen_here: set[marks.Mark] = dataclasses.field(default_factory=set)
+    ends: dict[name_hashes.NameHash, float] = dataclasses.field(
+        default_factory=dict
+    )
+    seen_here: set[name_hashes.NameHash] = dataclasses.field(
+        default_factory=set
+    )
 
-    def note(self, end: marks.Mark, *, at: float) -> None:
+    def note(self, end: name_hashes.NameHash, *, at: float) -> None:
         """Notes the end of an upstream, once, unless it is cleared of it."""
         if self.cleared_at is not None and at <= self.cleared_at:
             return
@@ -110,16 +114,18 @@
         self.suspects: collections.OrderedDict[str, Suspect] = (
             collections.OrderedDict()
         )
-        self.silent: dict[marks.Mark, list[SilentAttempt]] = {}
+        self.silent: dict[name_hashes.NameHash, list[SilentAttempt]] = {}
 
-    def note_silent(
-        self, fingerprint: str, end: marks.Mark, *, now: float
+    def record_no_answer(
+        self, fingerprint: str, end: name_hashes.NameHash, *, now: float
     ) -> None:
         """Notes an attempt without an answer, whose upstream may have ended."""
         attempts = self.silent.setdefault(end, [])
         attempts.append(SilentAttempt(fingerprint, now))
 
-    def confirm_end(self, end: marks.Mark, *, now: float) -> list[str]:
+    def confirm_crash(
+        self, end: name_hashes.NameHash, *, now: float
+    ) -> list[str]:
         """Takes that an upstream has ended, as the list tells.
 
         Returns:
@@ -131,11 +137,11 @@
             if now - each.given_up_at <= defaults.SILENT_END_S
         ]
         for fingerprint in found:
-            self.note_end(fingerprint, end, now=now)
+            self.record_crash(fingerprint, end, now=now)
         return found
 
-    def note_end(
-        self, fingerprint: str, end: marks.Mark, *, now: float
+    def record_crash(
+        self, fingerprint: str, end: name_hashes.NameHash, *, now: float
     ) -> None:
         """Notes an end that was seen here.
 
@@ -148,12 +154,12 @@
         seen = end in suspect.seen_here
         if seen and now - suspect.ends[end] > defaults.MIN_RESTART_S:
             # It has been back, and its new start wasn't listed yet.
-            end = marks.mark(f"{end}/{len(suspect.seen_here)}")
+            end = name_hashes.hash_name(f"{end}/{len(suspect.seen_here)}")
         suspect.note(end, at=now)
         suspect.seen_here = {*suspect.seen_here, end} & suspect.ends.keys()
         suspect.tell_until = now + defaults.SUSPECT_REPORT_S
 
-    def note_refused(self, fingerprint: str, *, now: float) -> None:
+    def record_refusal(self, fingerprint: str, *, now: float) -> None:
         """Notes that a suspect has come again, so that it is remembered."""
         self.touch(fingerprint, now=now).seen_at = now
 
@@ -163,7 +169,7 @@
         self.suspects.move_to_end(fingerprint)
         return suspect
 
-    def make_room(self) -> list[str]:
+    def evict_excess(self) -> list[str]:
         """Forgets what tells least if there is too much; returns what.
 
         Called with each heartbeat, between which little comes.
@@ -192,14 +198,14 @@
         Returns:
             Whether ends of upstreams under it were known.
         """
-        if not self.count(fingerprint):
+        if not self.count_crashes(fingerprint):
             return False
         suspect = self.touch(fingerprint, now=now)
         suspect.clear(at=now)
         suspect.tell_until = now + defaults.SUSPECT_REPORT_S
         return True
 
-    def take(
+    def merge(
         self, told: tuple[messages.SuspectNews, ...], *, now: float
     ) -> list[str]:
         """Takes what a peer knows.
@@ -213,11 +219,11 @@
         """
         learnt: list[str] = []
         for each in told:
-            if self.take_suspect(each, now=now):
+            if self.merge_suspect(each, now=now):
                 learnt.append(each.fingerprint)
         return learnt
 
-    def take_suspect(self, told: messages.SuspectNews, *, now: float) -> bool:
+    def merge_suspect(self, told: messages.SuspectNews, *, now: float) -> bool:
         """Takes what a peer knows of one request; returns whether it is news.
 
         Entries of earlier releases name no ends.
@@ -237,25 +243,25 @@
         suspect.seen_at = max(suspect.seen_at, seen_at)
         return before != suspect.ends.keys()
 
-    def count(self, fingerprint: str) -> int:
+    def count_crashes(self, fingerprint: str) -> int:
         """Returns how many upstreams are known to have ended under it."""
         suspect = self.suspects.get(fingerprint)
         return len(suspect.ends) if suspect else 0
 
     def is_suspect(self, fingerprint: str) -> bool:
         """Returns whether the request must not reach another upstream."""
-        return self.count(fingerprint) >= defaults.ENDS_TO_SUSPECT
+        return self.count_crashes(fingerprint) >= defaults.ENDS_TO_SUSPECT
 
-    def describe(self, fingerprint: str) -> tuple[fx.LogInput, ...]:
+    def build_log_inputs(self, fingerprint: str) -> tuple[fx.LogInput, ...]:
         """Returns what is known of a request, for the log."""
         suspect = self.suspects.get(fingerprint)
         return (
             ("fingerprint", fingerprint),
-            ("crashes", self.count(fingerprint)),
+            ("crashes", self.count_crashes(fingerprint)),
             ("seen_here", len(suspect.seen_here) if suspect else 0),
         )
 
-    def forget_old(self, *, now: float) -> list[str]:
+    def remove_expired(self, *, now: float) -> list[str]:
         """Forgets requests not seen for long; returns their fingerprints."""
         old = [
             fingerprint
@@ -271,7 +277,7 @@
         }
         return old
 
-    def list_news(self, *, now: float) -> tuple[messages.SuspectNews, ...]:
+    def build_news(self, *, now: float) -> tuple[messages.SuspectNews, ...]:
         """Returns what peers are told, the most telling first.
 
         Ends seen here are told until all peers have heard of them. Requests
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/engine_load.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/engine_load.py
@@ -5,8 +5,8 @@
 """
 
 from rhubarbbank_router import engine_work
-from rhubarbbank_router import marks
 from rhubarbbank_router import messages
+from rhubarbbank_router import name_hashes
 from rhubarbbank_router import peer_work
 from rhubarbbank_router import upstreams
 
@@ -38,7 +38,7 @@
     """Returns what this entry has under way, as a heartbeat tells it."""
     return tuple(
         messages.LoadNews(
-            upstream=marks.mark(tracked.listed.upstream_id),
+            upstream=name_hashes.hash_name(tracked.listed.upstream_id),
             work_ms=round(sum_own_work_s(tracked, now=now) * MS_PER_S),
             in_flight=tracked.in_flight,
             heard_ms=round((now - tracked.heard_at) * MS_PER_S),
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/event_stream.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/event_stream.py
@@ -23,25 +23,25 @@
     raw: bytes
 
 
-class EventCutter:
+class EventSplitter:
     """Collects bytes until an event is whole.
 
     Attributes:
-        rest: Bytes of an event that isn't whole yet.
+        partial: Bytes of an event that isn't whole yet.
     """
 
     def __init__(self) -> None:
-        self.rest = b""
+        self.partial = b""
 
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Returns the events that are whole now."""
-        self.rest += data
+        self.partial += data
         found: list[StreamEvent] = []
         while True:
-            end = find_end(self.rest)
+            end = find_end(self.partial)
             if end < 0:
                 return found
-            raw, self.rest = self.rest[:end], self.rest[end:]
+            raw, self.partial = self.partial[:end], self.partial[end:]
             found.append(StreamEvent(read_id(raw), raw))
 
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
@@ -82,13 +82,13 @@
         now: When it was heard, in seconds.
     """
     is_new = state.entries.take(message, now=now)
-    learnt = state.suspects.take(message.suspects, now=now)
+    learnt = state.suspects.merge(message.suspects, now=now)
     state.others.update(message.name, message.loads, now=now)
     rollouts.take_news(state, message, now=now)
     out = [
         log_told_suspect(state, message.name, fingerprint)
         for fingerprint in learnt
-        if state.suspects.count(fingerprint) != 1
+        if state.suspects.count_crashes(fingerprint) != 1
     ]
     out += take_leaving(state, message)
     if not is_new:
@@ -110,7 +110,7 @@
     return fx.LogDecision(
         decision="suspect_told",
         reason=peer,
-        inputs=state.suspects.describe(fingerprint),
+        inputs=state.suspects.build_log_inputs(fingerprint),
     )
 
 
@@ -147,7 +147,7 @@
         address=settings.peer_address,
         stopping=state.stopping,
         trials=rollouts.build_news(state, now=now),
-        suspects=state.suspects.list_news(now=now),
+        suspects=state.suspects.build_news(now=now),
         leaving=state.view.list_announced_leaving(),
         loads=engine_load.list_loads(state.view, now=now),
         data_centre=settings.data_centre,
@@ -211,8 +211,8 @@
     state.sessions.forget(now=now, alive_s=alive_s)
     state.others.drop_expired(now=now)
     out = [
-        *log_forgotten(state.suspects.forget_old(now=now), reason="old"),
-        *log_forgotten(state.suspects.make_room(), reason="want of room"),
+        *log_forgotten(state.suspects.remove_expired(now=now), reason="old"),
+        *log_forgotten(state.suspects.evict_excess(), reason="want of room"),
     ]
     for name in state.entries.forget_silent(now=now):
         out.append(fx.LogDecision(decision="entry_silent", reason=name))
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/intake.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/intake.py
@@ -163,8 +163,8 @@
         request, organisation=organisation.name
     )
     if state.suspects.is_suspect(fingerprint):
-        state.suspects.note_refused(fingerprint, now=now)
-        known = state.suspects.describe(fingerprint)
+        state.suspects.record_refusal(fingerprint, now=now)
+        known = state.suspects.build_log_inputs(fingerprint)
         return refuse(state, request, CRASH_SUSPECT, now=now, inputs=known)
     wait_s = route.timeout_s
     if request.wait_s is not None:
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/marks.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/name_hashes.py
@@ -2,9 +2,9 @@
 
 import xxhash
 
-Mark = int
+NameHash = int
 
 
-def mark(name: str) -> Mark:
+def hash_name(name: str) -> NameHash:
     """Returns a mark of 32 bits, the same at every entry."""
     return xxhash.xxh32_intdigest(name.encode())
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/peer_work.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/peer_work.py
@@ -10,8 +10,8 @@
 import dataclasses
 
 from rhubarbbank_router import defaults
-from rhubarbbank_router import marks
 from rhubarbbank_router import messages
+from rhubarbbank_router import name_hashes
 
 MS_PER_S = 1000.0
 
@@ -52,13 +52,13 @@
 
     def __init__(self) -> None:
         self.reports: dict[str, ReportedLoads] = {}
-        self.loads: dict[marks.Mark, PeerLoad] = collections.defaultdict(
-            PeerLoad
+        self.loads: dict[name_hashes.NameHash, PeerLoad] = (
+            collections.defaultdict(PeerLoad)
         )
 
     def find(self, upstream_id: str) -> PeerLoad:
         """Returns what others have at an upstream."""
-        return self.loads.get(marks.mark(upstream_id), NO_LOAD)
+        return self.loads.get(name_hashes.hash_name(upstream_id), NO_LOAD)
 
     def update(
         self, name: str, loads: tuple[messages.LoadNews, ...], *, now: float
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/rollouts.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/rollouts.py
@@ -11,8 +11,8 @@
 from rhubarbbank_core import program_effects as fx
 from rhubarbbank_router import defaults
 from rhubarbbank_router import effects
-from rhubarbbank_router import marks
 from rhubarbbank_router import messages
+from rhubarbbank_router import name_hashes
 from rhubarbbank_router import state as states
 from rhubarbbank_router import upstreams
 from rhubarbbank_router import version_trial
@@ -211,7 +211,7 @@
     age_s = now - trial.started_at
     if pinned or age_s < defaults.SESSIONS_REPORTED_S:
         return False
-    return drawn and marks.mark(session) not in trial.kept_sessions
+    return drawn and name_hashes.hash_name(session) not in trial.kept_sessions
 
 
 def keep_live_sessions(
@@ -249,7 +249,7 @@
     """Notes that a session stays, if it would be drawn for the target."""
     if trial.moves_sessions or trial.is_over or version == trial.order.target:
         return
-    marked = marks.mark(session)
+    marked = name_hashes.hash_name(session)
     if marked in trial.kept_sessions or not trial.wants_target(affinity_key):
         return
     trial.kept_sessions.add(marked)
@@ -435,7 +435,7 @@
 
 def list_kept(
     trial: version_trial.VersionTrial,
-) -> tuple[marks.Mark, ...]:
+) -> tuple[name_hashes.NameHash, ...]:
     """Returns the sessions that stay, while they have to."""
     if trial.moves_sessions or trial.is_over:
         return ()
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
@@ -92,15 +92,15 @@
             state.started_at = now
         match event:
             case events.UpstreamData():
-                return answers.take_data(state, event, now=now)
+                return answers.handle_data(state, event, now=now)
             case events.UpstreamHead():
-                return answer_heads.take_head(state, event, now=now)
+                return answer_heads.handle_head(state, event, now=now)
             case events.UpstreamEnded():
-                return answers.take_end(state, event, now=now)
+                return answers.handle_end(state, event, now=now)
             case events.RequestArrived(request):
                 return intake.take_request(state, request, now=now)
             case events.CallerLeft(request_id):
-                return answers.drop_caller(state, request_id, now=now)
+                return answers.handle_caller_left(state, request_id, now=now)
             case core_events.Ticked():
                 return self.tick(now)
             case core_events.MessageReceived(message):
@@ -269,7 +269,7 @@
     def tick(self, now: float) -> list[effects.Effect]:
         """Does what is due at this time."""
         state = self.state
-        out = watch.watch_requests(state, now=now)
+        out = watch.check_timeouts(state, now=now)
         out += intake.release_held(state, now=now)
         out += rollouts.tick(state, now=now)
         out += store_reading.tick(state, now=now)
@@ -321,7 +321,7 @@
         out: list[effects.Effect] = []
         for opened in list(state.open.values()):
             code = errors.ErrorCode.SHUTTING_DOWN
-            out += watch.end_request(state, opened, now=now, code=code)
+            out += watch.abort_request(state, opened, now=now, code=code)
         return [
             *out,
             fx.LogDecision(
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/upstream_list.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/upstream_list.py
@@ -59,8 +59,10 @@
         tracked = state.view.tracked.get(listed.upstream_id)
         if tracked and tracked.listed.started_ms == listed.started_ms:
             continue
-        end = crash_suspects.mark_end(listed.upstream_id, listed.started_ms)
-        found = state.suspects.confirm_end(end, now=now)
+        end = crash_suspects.hash_incarnation(
+            listed.upstream_id, listed.started_ms
+        )
+        found = state.suspects.confirm_crash(end, now=now)
         if found:
             state.press_news(now=now)
         out += [
@@ -68,7 +70,7 @@
                 decision="silence_explained",
                 upstream=listed.upstream_id,
                 reason="the upstream has ended",
-                inputs=state.suspects.describe(fingerprint),
+                inputs=state.suspects.build_log_inputs(fingerprint),
             )
             for fingerprint in found
         ]
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/version_trial.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/version_trial.py
@@ -14,7 +14,7 @@
 
 from rhubarbbank_core import rendezvous
 from rhubarbbank_router import defaults
-from rhubarbbank_router import marks
+from rhubarbbank_router import name_hashes
 
 HASH_RANGE = 2.0**64
 
@@ -257,7 +257,7 @@
         self.stepped_at = now
         self.seen_answers = 0
         self.answers_at_step = 0
-        self.kept_sessions: set[marks.Mark] = set()
+        self.kept_sessions: set[name_hashes.NameHash] = set()
 
     def note(self, *, route: str, version: str, counts: AnswerCounts) -> None:
         """Takes an attempt on one of the service's versions."""
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/watch.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/watch.py
@@ -13,20 +13,20 @@
 from rhubarbbank_router import state as states
 
 
-def watch_requests(
+def check_timeouts(
     state: states.RouterState, *, now: float
 ) -> list[effects.Effect]:
     """Does what is due for all open requests."""
     out: list[effects.Effect] = []
     for opened in list(state.open.values()):
         if now >= opened.ends_at:
-            out += end_request(state, opened, now=now)
+            out += abort_request(state, opened, now=now)
         else:
             out += watch_attempt(state, opened, now=now)
     return out
 
 
-def end_request(
+def abort_request(
     state: states.RouterState,
     opened: states.OpenRequest,
     *,
