--- a/packages/rhubarbbank-router/src/rhubarbbank_router/intake.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/intake.py
@@ -1,6 +1,8 @@
-"""Checks a caller's request and finds its route, customer and time.
+"""Admits or refuses caller requests.
 
-What can't be served is refused here at once, before anything is sent.
+A request is matched with its route and organisation and gets its deadline. A
+request that can't be served is refused here, before anything is sent to an
+upstream.
 """
 
 import dataclasses
@@ -19,13 +21,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Hindrance:
-    """Why a request isn't served.
+    """Why a request is refused, and the response that says so.
 
     Attributes:
-        status: HTTP status of the answer.
-        code: What hinders it.
-        retry_after_s: When coming back helps; None to draw a time for a 503,
-            and for none otherwise.
+        status: HTTP status of the response.
+        code: Error code of the response.
+        retry_after_s: Value of Retry-After, in seconds. If it is None, a 503
+            gets a random value and other responses have no Retry-After.
     """
 
     status: http.HTTPStatus
@@ -63,7 +65,7 @@
 def take_request(
     state: states.RouterState, request: callers.IncomingRequest, *, now: float
 ) -> list[effects.Effect]:
-    """Takes a request in: refuses it, or sends it on its way."""
+    """Admits a new request, or holds it while the entry is starting."""
     if not state.is_informed and is_starting(state, now=now):
         state.held[request.request_id] = states.HeldRequest(request, now)
         return [
@@ -78,7 +80,7 @@
 
 
 def is_starting(state: states.RouterState, *, now: float) -> bool:
-    """Returns whether the first reads of the store may be on their way."""
+    """Returns whether the first reads of the store may still be pending."""
     started_at = now if state.started_at is None else state.started_at
     return now - started_at < defaults.START_WAIT_S
 
@@ -86,7 +88,7 @@
 def release_held(
     state: states.RouterState, *, now: float
 ) -> list[effects.Effect]:
-    """Goes on with the requests that waited for the entry to start."""
+    """Admits the requests that were held while the entry was starting."""
     if not state.held:
         return []
     if not state.is_informed and is_starting(state, now=now):
@@ -106,7 +108,7 @@
     arrived_at: float,
     now: float,
 ) -> list[effects.Effect]:
-    """Refuses a request, or sends it on its way."""
+    """Refuses a request, or opens it and sends its first attempt."""
     current = state.in_force
     route = state.routes.find(host=request.host, path=request.path)
     hindrance = find_hindrance(state, request, route, now=now)
@@ -127,10 +129,11 @@
     *,
     now: float,
 ) -> Hindrance | None:
-    """Returns what hinders a request from being served, or None.
+    """Returns why a request can't be served, or None if it can.
 
-    While the proof of freshness doesn't hold, nothing is denied for good: the
-    route or the key may be newer than what is known.
+    While the configuration isn't proven fresh, a request that needs a key
+    gets a retryable 503 rather than a 401 or 404: its route or key may be
+    newer than the configuration in force.
     """
     current = state.in_force
     if current is None:
@@ -158,7 +161,10 @@
     arrived_at: float,
     now: float,
 ) -> list[effects.Effect]:
-    """Opens a request that may be served, and sends it."""
+    """Opens an admitted request, and sends its first attempt.
+
+    A request whose fingerprint is suspected of crashing upstreams is refused.
+    """
     fingerprint = crash_suspects.compute_fingerprint(
         request, organisation=organisation.name
     )
@@ -196,7 +202,7 @@
 def is_too_late(
     state: states.RouterState, route: configuration.Route, *, now: float
 ) -> bool:
-    """Returns whether a request might outlast this entry's stop."""
+    """Returns whether a request might still be running when the entry exits."""
     if state.stop_at is None:
         return False
     stopping_s = now - state.stop_at
@@ -211,7 +217,7 @@
     request: callers.IncomingRequest,
     state: states.RouterState,
 ) -> str:
-    """Returns the route's service for a request, by weight."""
+    """Returns one of the route's services, drawn at random by weight."""
     if len(route.services) == 1:
         return route.services[0].service
     weights = [each.weight for each in route.services]
@@ -228,14 +234,14 @@
     now: float,
     inputs: tuple[fx.LogInput, ...] = (),
 ) -> list[effects.Effect]:
-    """Refuses a request that has not been sent anywhere.
+    """Refuses a request that hasn't been sent to any upstream.
 
     Args:
         state: The router's state.
         request: The request.
         hindrance: Why it is refused.
-        now: In seconds.
-        inputs: What else decided it, for the log.
+        now: Current time, in seconds.
+        inputs: Further inputs of the decision, for the log.
     """
     retry_after_s = hindrance.retry_after_s
     if (
