--- a/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
@@ -1,7 +1,7 @@
-"""Chooses model, version and upstream of a request, and sends it.
+"""Places requests: chooses model, version and upstream of each attempt.
 
-Also decides what follows a failed attempt: another one, or the answer that
-says what is known of the request.
+Also decides whether a failed attempt is retried, and builds the error
+response of a request that isn't.
 """
 
 import http
@@ -32,7 +32,14 @@
     now: float,
     cause: str,
 ) -> list[effects.Effect]:
-    """Sends the request to the best upstream, or gives up at once."""
+    """Sends the request to the best upstream, or gives up if there is none.
+
+    Args:
+        state: The router's state.
+        opened: The request.
+        now: Current time, in seconds.
+        cause: Why an attempt is made, for the log.
+    """
     usable = state.view.list_usable(
         opened.service, now=now, excluded=opened.excluded
     )
@@ -87,17 +94,18 @@
     *,
     now: float,
 ) -> float:
-    """Returns by how much even the best upstream begins too late, in seconds.
+    """Returns how far the expected wait exceeds the time left, in seconds.
 
-    The load that this answers: engines with more prompts queued than they can
-    read before callers leave. A request that joins them is read in vain, and
-    makes the next ones late as well. Only generations that have not been sent
-    anywhere are refused; plain answers wait for milliseconds.
+    Guards against engines that have more prompts queued than they can process
+    before callers time out: one more prompt would be processed in vain, and
+    delay those behind it. Only generations that haven't been sent anywhere
+    are refused; other requests wait for milliseconds only.
     """
     if opened.request.generation is None or opened.attempts:
         return 0.0
-    # The estimate takes all prompts to be read one after the other, while
-    # engines find parts of them kept.
+    # The expected wait is an upper estimate: it assumes that prompts are
+    # processed one after the other, and in full, while engines have parts of
+    # them in their prefix caches.
     least_s = defaults.MIN_WAIT_SHARE * decision.expected_wait_s
     return least_s - (opened.ends_at - now)
 
@@ -118,7 +126,7 @@
     *,
     now: float,
 ) -> attempt_states.Attempt:
-    """Adds an attempt on an upstream to the request."""
+    """Adds an attempt on an upstream to the request, and accounts for it."""
     upstream = tracked.listed
     facts = opened.request.generation
     unread = engine_work.count_uncached_tokens(
@@ -157,7 +165,7 @@
 
 
 def find_model(opened: states.OpenRequest) -> str:
-    """Returns the model that the request's next attempt runs on."""
+    """Returns the model that the request's next attempt runs on, or ""."""
     facts = opened.request.generation
     return opened.model or (facts.model if facts else "")
 
@@ -169,7 +177,7 @@
     *,
     now: float,
 ) -> int:
-    """Returns how many tokens of the prompt an upstream probably keeps."""
+    """Returns how many prompt tokens an upstream has probably cached."""
     facts = opened.request.generation
     if facts is None:
         return 0
@@ -184,7 +192,7 @@
 def find_block_s(
     state: states.RouterState, opened: states.OpenRequest
 ) -> float:
-    """Returns how long a block of the prompt takes to read, in seconds."""
+    """Returns the estimated prefill time of a prompt block, in seconds."""
     speed = state.speeds.find(opened.service, find_model(opened))
     return defaults.TOKENS_PER_BLOCK / speed
 
@@ -227,7 +235,7 @@
     *,
     now: float,
 ) -> placement.Candidate:
-    """Returns what placement needs to know of an upstream."""
+    """Returns an upstream's state and load in the form placement takes."""
     listed = tracked.listed
     times = state.view.get_service_times(opened.service)
     away = listed.data_centre != state.settings.data_centre
@@ -260,7 +268,11 @@
     opened: states.OpenRequest,
     usable: list[upstreams.TrackedUpstream],
 ) -> str:
-    """Returns the upstream that all entries prefer for the same prompt."""
+    """Returns the upstream preferred for the request's prompt, or "".
+
+    Rendezvous hashing of the affinity key gives the same upstream on every
+    entry of the data centre, so that its prefix cache is used again.
+    """
     if opened.request.generation is None:
         return ""
     near = [
@@ -275,7 +287,11 @@
 def find_home_credit_s(
     state: states.RouterState, opened: states.OpenRequest
 ) -> float:
-    """Returns how much longer the preferred upstream may take, in seconds."""
+    """Returns how much longer the preferred upstream may take, in seconds.
+
+    This is a share of the prefill time that a cached prefix would save, with
+    a fixed minimum.
+    """
     facts = opened.request.generation
     shared = facts.shared_tokens if facts else 0
     saved_s = shared / state.speeds.find(opened.service, find_model(opened))
@@ -286,7 +302,7 @@
 def ask_size(
     opened: states.OpenRequest, *, now: float
 ) -> size_plan.SizeQuestion:
-    """Returns what the plan of sizes needs to know."""
+    """Returns the facts from which a model size is chosen."""
     facts = opened.request.generation
     objective_s = opened.route.objective_s
     return size_plan.SizeQuestion(
@@ -305,14 +321,14 @@
     now: float,
     counted: bool = True,
 ) -> bool:
-    """Returns whether another attempt is allowed, and takes its budget.
+    """Returns whether another attempt may be made, and charges its budget.
 
     Args:
         state: The router's state.
         opened: The request.
-        now: In seconds.
-        counted: Whether the attempt before reached its upstream, so that
-            the next one is an additional send.
+        now: Current time, in seconds.
+        counted: Whether the attempt counts against the retry budget, because
+            the one before it reached its upstream.
     """
     not_run = attempt_states.has_not_run(opened.attempts)
     if not (not_run or opened.route.repeatable):
@@ -339,14 +355,18 @@
     now: float,
     room_in_s: float = 0.0,
 ) -> list[effects.Effect]:
-    """Ends a request without an upstream's answer, and says what is known.
+    """Ends a request that no upstream has answered in full.
+
+    The status tells the caller whether the request may have run: 503 only if
+    it provably hasn't, 504 after its deadline, and 502 otherwise. If the
+    answer has begun, it is cut off instead.
 
     Args:
         state: The router's state.
         opened: The request.
         code: Why it ends.
-        now: In seconds.
-        room_in_s: How long it takes at least until coming back helps.
+        now: Current time, in seconds.
+        room_in_s: Lower bound of Retry-After, in seconds.
     """
     request = opened.request
     del state.open[request.request_id]
@@ -398,7 +418,11 @@
 def find_retry_after(
     state: states.RouterState, service: str, *, now: float
 ) -> float:
-    """Returns when coming back helps, spread over callers, in seconds."""
+    """Returns the Retry-After of a service's request, in seconds.
+
+    If no upstream of the service is usable, it runs from the time when the
+    next one becomes usable again.
+    """
     drawn_s = draw_retry_after(state)
     if state.view.list_accepting(service, now=now):
         return drawn_s
@@ -409,7 +433,7 @@
 
 
 def draw_retry_after(state: states.RouterState) -> float:
-    """Returns a time to come back, spread over callers."""
+    """Returns a random Retry-After, in seconds, so that retries spread out."""
     return round(
         state.rng.uniform(
             defaults.RETRY_AFTER_LOW_S, defaults.RETRY_AFTER_HIGH_S
@@ -419,5 +443,5 @@
 
 
 def is_plain(route: configuration.Route) -> bool:
-    """Returns whether answers come as a whole."""
+    """Returns whether the route's answers are sent whole, not streamed."""
     return route.kind is not configuration.RouteKind.STREAM
