--- a/packages/rhubarbbank-router/src/rhubarbbank_router/callers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/callers.py
@@ -1,15 +1,15 @@
-"""A caller's request, as the ingress hands it to the router."""
+"""Caller requests, as the ingress parses them for the router."""
 
 import dataclasses
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class PromptPart:
-    """One part of a prompt, which other requests may share.
+    """A part of a prompt that several requests may have in common.
 
     Attributes:
-        part_id: The same wherever the part is the same.
-        tokens: Its length.
+        part_id: Identifies the content: equal parts have equal ids.
+        tokens: Length in tokens.
     """
 
     part_id: str
@@ -18,14 +18,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class GenerationFacts:
-    """What a request says of the generation that it asks for.
+    """Parameters of a request for text generation.
 
     Attributes:
-        model: The model's name; empty where any will do.
-        prompt: Parts of the prompt, in order; the last is its own.
-        prompt_tokens: Length of the prompt.
-        max_output_tokens: Most tokens to generate.
-        expected_output_tokens: The caller's estimate; 0 for none.
+        model: Name of the model; empty if the caller accepts any.
+        prompt: Parts of the prompt, in order. The last is unique to the
+            request.
+        prompt_tokens: Length of the prompt, in tokens.
+        max_output_tokens: Maximum number of tokens to generate.
+        expected_output_tokens: The caller's estimate of the output length; 0
+            if it gave none.
     """
 
     model: str = ""
@@ -36,28 +38,31 @@
 
     @property
     def shared_tokens(self) -> int:
-        """Length of the parts that other requests may share."""
+        """Length in tokens of the parts that other requests may share."""
         return sum(part.tokens for part in self.prompt[:-1])
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class IncomingRequest:
-    """One attempt of a caller.
+    """An HTTP request of a caller.
+
+    A caller that retries sends a new request with an attempt id of its own.
 
     Attributes:
         request_id: Unique among this entry's open requests.
-        attempt_id: The caller's id of the attempt, passed on as it came.
+        attempt_id: The caller's id of this attempt, forwarded unchanged.
         method: HTTP method.
-        target: Path and query, byte for byte.
-        path: The path alone.
-        host: The Host header.
-        headers: Headers to pass on, without those that the router sets.
-        body: The whole body.
-        key: The caller's key, or empty.
-        wait_s: How long the caller waits; None if it didn't say.
-        session: Requests with the same one belong together; may be empty.
-        resume_after: Id of the last event that the caller has; may be empty.
-        generation: For requests to a model.
+        target: Request target (path and query), exactly as received.
+        path: Path of the target, without the query.
+        host: Value of the Host header.
+        headers: Headers to forward, without those that the router sets.
+        body: The complete body.
+        key: The caller's API key; empty if it sent none.
+        wait_s: The caller's timeout, in seconds; None if it gave none.
+        session: Groups the requests of a session; empty for none.
+        resume_after: Id of the last stream event that the caller received;
+            empty to start at the beginning.
+        generation: Generation parameters; None for other requests.
     """
 
     request_id: str
@@ -76,7 +81,7 @@
 
     @property
     def affinity_key(self) -> str:
-        """What requests with a common cached prompt have in common."""
+        """Equal for requests that can use each other's prefix cache."""
         if self.generation and len(self.generation.prompt) > 1:
             return self.generation.prompt[-2].part_id
         return self.session or self.attempt_id
