--- a/packages/rhubarbbank-router/src/rhubarbbank_router/route_match.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/route_match.py
@@ -1,14 +1,15 @@
-"""Finds the route of a request by host and longest path prefix.
+"""Matches requests with routes by host and longest path prefix.
 
-Prefixes end with a slash, so that a lookup walks the path's own slashes from
-the last to the first: its cost grows with the path, not with the routes.
+Prefixes end with a slash, so a lookup tries the path cut after each of its
+slashes, longest first. Its cost depends on the path, not on the number of
+routes.
 """
 
 from rhubarbbank_router import configuration
 
 
 class RouteIndex:
-    """The routes of one configuration, by host and prefix."""
+    """An index of a configuration's routes by host and path prefix."""
 
     def __init__(self, *, routes: tuple[configuration.Route, ...]) -> None:
         self.by_prefix = {
@@ -19,8 +20,8 @@
         """Returns the route with the longest prefix, or None.
 
         Args:
-            host: The Host header; a port is ignored.
-            path: The path without its query.
+            host: Value of the Host header; a port is ignored.
+            path: Path of the request, without the query.
         """
         name = host.partition(":")[0].lower()
         end = path.rfind("/")
@@ -35,7 +36,10 @@
 def find_by_scan(
     routes: tuple[configuration.Route, ...], *, host: str, path: str
 ) -> configuration.Route | None:
-    """Returns the same as `RouteIndex.find`, naively: the test's reference."""
+    """Returns the same as `RouteIndex.find`, by a linear scan.
+
+    Tests compare the index with it.
+    """
     name = host.partition(":")[0].lower()
     fitting = [
         route
