--- a/packages/rhubarbbank-router/src/rhubarbbank_router/size_plan.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/size_plan.py
@@ -1,8 +1,8 @@
-"""Chooses which size of model answers, on routes that allow several.
+"""Chooses the model size of requests to routes that allow several.
 
-The router asks `choose_first` before the first attempt and `step_up` when an
-answer's head tells the model's confidence in it, before the caller has
-received any of it.
+The router calls `choose_first` before the first attempt, and `step_up` when
+the head of an answer reports the model's confidence, before any of the answer
+is sent to the caller.
 """
 
 import dataclasses
@@ -13,14 +13,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class SizeQuestion:
-    """What a plan knows of a request.
+    """The facts of a request from which its model size is chosen.
 
     Attributes:
-        sizes: Models that may answer, smallest first.
-        left_s: Time left until the request's end.
-        objective_left_s: Time left within its objective; may be negative.
-        prompt_tokens: Length of the prompt.
-        expected_output_tokens: Estimate of the answer's length.
+        sizes: Names of the models that may answer, smallest first.
+        left_s: Time left until the request's deadline, in seconds.
+        objective_left_s: Time left within the route's latency objective, in
+            seconds; negative once the objective is missed.
+        prompt_tokens: Length of the prompt, in tokens.
+        expected_output_tokens: Expected length of the answer, in tokens; 0 if
+            unknown.
     """
 
     sizes: tuple[str, ...]
@@ -31,19 +33,19 @@
 
 
 class SizePlan(Protocol):
-    """Chooses sizes."""
+    """A policy that chooses model sizes."""
 
     def choose_first(self, question: SizeQuestion) -> str:
-        """Returns the model to ask first."""
+        """Returns the model of the first attempt."""
 
     def step_up(
         self, question: SizeQuestion, *, model: str, confidence: int
     ) -> str | None:
-        """Returns the model to ask instead, or None to keep the answer."""
+        """Returns the model to retry with, or None to keep the answer."""
 
 
 class SmallestThenLargest:
-    """Asks the smallest model, and the largest where that one is unsure."""
+    """Uses the smallest model, and the largest if its confidence is low."""
 
     def choose_first(self, question: SizeQuestion) -> str:
         """Returns the smallest model."""
@@ -52,7 +54,7 @@
     def step_up(
         self, question: SizeQuestion, *, model: str, confidence: int
     ) -> str | None:
-        """Returns the largest model if the answer seems poor."""
+        """Returns the largest model if confidence is low and time is left."""
         largest = question.sizes[-1]
         if model == largest or confidence >= defaults.STEP_UP_CONFIDENCE:
             return None
@@ -62,7 +64,7 @@
 
 
 class LargestOnly:
-    """The naive baseline: always the largest model."""
+    """Always uses the largest model: the baseline of comparisons."""
 
     def choose_first(self, question: SizeQuestion) -> str:
         """Returns the largest model."""
@@ -71,6 +73,6 @@
     def step_up(
         self, question: SizeQuestion, *, model: str, confidence: int
     ) -> str | None:
-        """Returns None: the answer is kept."""
+        """Returns None, as there is no larger model."""
         del question, model, confidence
         return None
