--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_states.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_states.py
@@ -1,11 +1,11 @@
-"""One sending of a request to one upstream, and what it proves.
+"""Attempts of a request, and whether each may have run.
 
     not sent --> sent, unknown --> answered
                     |
-                    +--> refused (the upstream says that it hasn't run)
+                    +--> refused (the upstream states that it didn't run)
 
-A request may be refused to its caller as not run only while every attempt is
-in a state that proves so.
+The caller may be told that its request didn't run only if the state of every
+attempt proves it.
 """
 
 import dataclasses
@@ -15,10 +15,13 @@
 
 
 class AttemptState(enum.StrEnum):
-    """What is known of an attempt.
+    """Whether an attempt may have run on its upstream.
 
-    NOT_SENT: no byte left this host. SENT: it may run, now or later.
-    REFUSED: the upstream said that it did not run. ANSWERED: it ran.
+    Attributes:
+        NOT_SENT: No byte has left this host.
+        SENT: It may have run, or may run later.
+        REFUSED: The upstream stated that it didn't run.
+        ANSWERED: It ran.
     """
 
     NOT_SENT = "not_sent"
@@ -32,34 +35,38 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Attempt:
-    """One attempt.
+    """One attempt to run a request on one upstream.
 
     Attributes:
-        number: From 1 within the request.
+        number: Number within the request, from 1.
         upstream: Id of the upstream.
         upstream_started_ms: Unix time of the upstream's start; 0 if unknown.
         service: The upstream's service.
         version: The upstream's software version.
-        model: The model asked for; empty where the request names it.
-        sent_at: When it was handed over, in seconds.
-        state: What is known of it.
-        open: Whether more may come from the upstream.
-        status: HTTP status; 0 before the head.
-        headers: To pass on to the caller.
-        body: Collected so far, where the answer is not passed on by event.
-        cutter: Cuts a stream's bytes into events.
-        heard_at: When it last made progress: a head, an event of a stream, or
-            bytes of another answer; `sent_at` before.
-        first_event_at: When a stream's first event came; None before.
-        events: Events that came.
-        last_event_id: Id of the last one that brought the stream further.
-        idle_bytes: Bytes since that one.
-        stream_bytes: Bytes of the stream so far.
-        load_level: How loaded the upstream was when it began to answer.
-        judged: Whether it has been taken as evidence on its version.
-        unread_tokens: Tokens of the prompt that the upstream had to read.
-        work_s: How long it was expected to hold others up.
-        backlog_s: Work that this entry had there before it.
+        model: The model that the router chose; empty if the request names
+            its own.
+        sent_at: When it was sent, in seconds.
+        state: Whether it may have run.
+        open: Whether more of the answer may arrive.
+        status: HTTP status of the answer; 0 before its head arrives.
+        headers: Headers of the answer to forward to the caller.
+        body: Body received so far, unless it is forwarded event by event.
+        cutter: Splits the bytes of a stream into events.
+        heard_at: When it last made progress, in seconds: a head, an event of
+            a stream, or bytes of another answer. Starts as `sent_at`.
+        first_event_at: When the first event of a stream arrived; None before.
+        events: Number of events received.
+        last_event_id: Id of the last event that advanced the stream.
+        idle_bytes: Bytes received after that event.
+        stream_bytes: Bytes of the stream received so far.
+        load_level: Load level of the upstream when it began to answer.
+        judged: Whether it has been counted as evidence for its version.
+        unread_tokens: Prompt tokens that the upstream wasn't expected to have
+            cached.
+        work_s: Expected time for which it delays other requests to the same
+            upstream, which is the prefill time of those tokens, in seconds.
+        backlog_s: Expected work queued at the upstream before it, as far as
+            this entry knows, in seconds.
     """
 
     number: int
@@ -91,10 +98,10 @@
 
 
 def has_not_run(attempts: list[Attempt]) -> bool:
-    """Returns whether it is proved that no attempt has run or will run."""
+    """Returns whether provably no attempt has run or will run."""
     return all(each.state in PROOFS_OF_NOT_RUN for each in attempts)
 
 
 def count_runs(attempts: list[Attempt]) -> int:
-    """Returns on how many attempts the request may have run."""
+    """Returns the number of attempts that may have run."""
     return sum(each.state not in PROOFS_OF_NOT_RUN for each in attempts)
