--- a/packages/rhubarbbank-router/src/rhubarbbank_router/events.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/events.py
@@ -1,7 +1,8 @@
-"""Events that drive the router, besides those that all programs share.
+"""Events that the router handles.
 
-`Ticked`, `MessageReceived` and `StopRequested` come from
-`rhubarbbank_core.events`. Times are of a clock that counts suspension.
+Those shared by all programs, `Ticked`, `MessageReceived` and `StopRequested`,
+are defined in `rhubarbbank_core.events`. Times are in seconds, of a clock that
+goes on while the machine is suspended.
 """
 
 import dataclasses
@@ -17,7 +18,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RequestArrived:
-    """A caller's request has been read as a whole."""
+    """A caller's request was received, including its body."""
 
     request: callers.IncomingRequest
 
@@ -31,22 +32,24 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class UpstreamHead:
-    """The head of an upstream's answer came.
+    """The head of an upstream's answer arrived.
 
     Attributes:
-        request_id: The request.
-        attempt: The attempt's number.
+        request_id: Id of the request.
+        attempt: Number of the attempt.
         status: HTTP status.
-        headers: To pass on to the caller.
-        refused: The upstream states that the request did not run.
-        misdirected: Another process than the one addressed answered.
-        genuine: The head carries the upstream's signature, and the id of
+        headers: Headers to forward to the caller.
+        refused: Whether the upstream states that the request didn't run.
+        misdirected: Whether a process other than the addressed upstream
+            answered (status 421).
+        genuine: Whether the head has the upstream's signature and the id of
             this attempt.
-        confidence: The model's opinion of its answer, 0 to 100, or None.
-        load: The upstream's load, or None if it didn't tell.
-        leaving: The upstream says that it shuts down.
-        closed_s: How long the upstream wants no more requests from this
-            entry, in seconds; None if it didn't say.
+        confidence: The model's confidence in its answer, 0 to 100; None if
+            not reported.
+        load: Load report of the upstream; None if the head has none.
+        leaving: Whether the upstream announces its shutdown.
+        closed_s: For how long the upstream accepts no more requests from this
+            entry, in seconds; None if not stated.
     """
 
     request_id: str
@@ -64,7 +67,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class UpstreamData:
-    """Bytes of an upstream's answer came."""
+    """A part of the body of an upstream's answer arrived."""
 
     request_id: str
     attempt: int
@@ -74,8 +77,10 @@
 class AttemptEnd(enum.StrEnum):
     """How the exchange with an upstream ended.
 
-    COMPLETE: the answer is whole. UNREACHED: no byte was sent. BROKEN: the
-    connection broke off, or what came is no answer.
+    Attributes:
+        COMPLETE: The answer was received in full.
+        UNREACHED: No byte of the request was sent.
+        BROKEN: The connection was lost, or the answer was invalid.
     """
 
     COMPLETE = "complete"
@@ -88,10 +93,10 @@
     """The exchange with an upstream ended.
 
     Attributes:
-        request_id: The request.
-        attempt: The attempt's number.
-        end: How.
-        detail: Particulars for the log.
+        request_id: Id of the request.
+        attempt: Number of the attempt.
+        end: How it ended.
+        detail: Details for the log.
     """
 
     request_id: str
@@ -102,11 +107,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ConfigurationRead:
-    """A linearizable read of the configuration was answered.
+    """A linearizable read of the configuration succeeded.
 
     Attributes:
-        asked_at: When it was sent.
-        found: What it found; None where there is no configuration.
+        asked_at: When the read was sent.
+        found: The configuration; None if the store has none.
     """
 
     asked_at: float
@@ -114,7 +119,7 @@
 
 
 class Subject(enum.StrEnum):
-    """What the router follows in the store."""
+    """What the router reads and watches in the store."""
 
     CONFIGURATION = "configuration"
     UPSTREAMS = "upstreams"
@@ -127,8 +132,8 @@
     """A store call failed.
 
     Attributes:
-        subject: What it was about.
-        detail: Particulars for the log.
+        subject: What it was to read.
+        detail: Details for the log.
     """
 
     subject: Subject
@@ -137,18 +142,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoreAnswered:
-    """A store call about this subject was answered."""
+    """The store answered a call about a subject."""
 
     subject: Subject
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class UpstreamsListed:
-    """The whole list of upstreams was read.
+    """The complete list of upstreams was read.
 
     Attributes:
-        listed: All of them.
-        position: The store's revision at that time.
+        listed: The upstreams.
+        position: Revision of the store at which the list was read.
         at: When the read was sent.
     """
 
@@ -159,25 +164,25 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class UpstreamChanged:
-    """One line of the list of upstreams is new or changed."""
+    """An upstream was added to the list, or its record changed."""
 
     listed: upstreams.Upstream
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class UpstreamUnlisted:
-    """An upstream left the list, or its line can't be read."""
+    """An upstream was removed from the list, or its record is invalid."""
 
     upstream_id: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class UpstreamsConfirmed:
-    """All changes of the list of upstreams so far have been told.
+    """All changes to the list of upstreams up to a revision were delivered.
 
     Attributes:
-        position: The store's revision up to which that is so.
-        at: A time at which it was so.
+        position: That revision of the store.
+        at: A time at which the delivered list was current.
     """
 
     position: int
@@ -186,32 +191,32 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RolloutsListed:
-    """All roll-out orders were read."""
+    """The complete list of roll-out orders was read."""
 
     orders: tuple[version_trial.RolloutOrder, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RolloutChanged:
-    """One roll-out order is new or changed."""
+    """A roll-out order was added or changed."""
 
     order: version_trial.RolloutOrder
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RolloutRemoved:
-    """A roll-out order was taken back."""
+    """The roll-out order of a service was deleted."""
 
     service: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RolloutRecorded:
-    """A call to record a roll-out's state ended.
+    """A write of a roll-out's state to the store ended.
 
     Attributes:
-        service: The service.
-        done: Whether the store accepted it.
+        service: The service that is rolled out.
+        done: Whether the store accepted the write.
     """
 
     service: str
@@ -220,21 +225,21 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EntriesListed:
-    """All registered entries were read."""
+    """The complete list of registered entries was read."""
 
     listed: tuple[peers.PeerAddress, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EntryListed:
-    """One entry registered itself."""
+    """An entry was registered."""
 
     peer: peers.PeerAddress
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EntryUnlisted:
-    """One entry's registration is gone."""
+    """The registration of an entry was removed."""
 
     name: str
 
