--- a/packages/rhubarbbank-router/src/rhubarbbank_router/effects.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/effects.py
@@ -1,7 +1,7 @@
-"""Effects of the router, besides those that all programs share.
+"""Effects that the router returns, to be carried out by its caller.
 
-`Send`, `LogDecision`, `Count`, `Gauge`, `Timing` and `Exit` come from
-`rhubarbbank_core`.
+Those shared by all programs, `Send`, `LogDecision`, `Count`, `Gauge`, `Timing`
+and `Exit`, are defined in `rhubarbbank_core`.
 """
 
 import dataclasses
@@ -13,28 +13,29 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class SendAttempt:
-    """Sends a request to an upstream. After this it may have run.
+    """Sends a request to an upstream, after which it may have run.
 
     Attributes:
-        request_id: The request.
-        attempt: The attempt's number.
-        attempt_id: The caller's id of its attempt.
-        upstream_id: Whom the upstream must be to run it.
-        address: "ip:port".
+        request_id: Id of the request.
+        attempt: Number of the attempt.
+        attempt_id: The caller's id of its own attempt.
+        upstream_id: Id of the addressed upstream; a process with another id
+            must not run the request.
+        address: Address of the upstream, as "ip:port".
         method: HTTP method.
-        target: Path and query, byte for byte.
-        host: The Host header.
-        headers: To pass on.
-        body: The whole body.
-        time_left_s: When the upstream should give up.
-        organisation: The customer; empty on a public route.
-        model: The model that the router chose; empty where the request
-            names its own.
+        target: Request target (path and query), exactly as received.
+        host: Value of the Host header.
+        headers: Headers to forward.
+        body: The complete body.
+        time_left_s: Time left until the request's deadline, in seconds.
+        organisation: Name of the organisation; empty on a public route.
+        model: The model that the router chose; empty if the request names
+            its own.
         priority: 0 is served first, 9 last.
-        resume_after: Id of the last event that was passed on; empty if the
-            stream begins.
+        resume_after: Id of the last event that the caller received; empty to
+            start the stream at the beginning.
         streamed: Whether the answer is a stream.
-        connect_timeout_s: When to give up connecting.
+        connect_timeout_s: Connect timeout, in seconds.
     """
 
     request_id: str
@@ -58,7 +59,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CancelAttempt:
-    """Closes the connection to the upstream, which stops the work there."""
+    """Closes the connection of an attempt; the upstream then stops its work."""
 
     request_id: str
     attempt: int
@@ -66,7 +67,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class BeginAnswer:
-    """Sends the head of an answer whose body follows in pieces."""
+    """Sends the head of a streamed answer to the caller."""
 
     request_id: str
     status: int
@@ -75,7 +76,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WriteAnswer:
-    """Sends a piece of the body."""
+    """Sends a part of a streamed answer's body to the caller."""
 
     request_id: str
     data: bytes
@@ -83,21 +84,21 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FinishAnswer:
-    """Ends the body as complete."""
+    """Ends a streamed answer as complete."""
 
     request_id: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class BreakAnswer:
-    """Closes the caller's connection, so that the answer looks cut off."""
+    """Aborts the caller's connection, so that the answer is seen as cut off."""
 
     request_id: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class RelayAnswer:
-    """Sends an upstream's whole answer."""
+    """Sends an upstream's complete answer to the caller."""
 
     request_id: str
     status: int
@@ -107,13 +108,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class RefuseRequest:
-    """Sends an answer of the router's own.
+    """Sends an error response of the router to the caller.
 
     Attributes:
-        request_id: The request.
+        request_id: Id of the request.
         status: HTTP status.
-        code: What hinders the request, for people and logs.
-        retry_after_s: When coming back helps, or None.
+        code: Error code of the response.
+        retry_after_s: Value of Retry-After, in seconds; None for none.
     """
 
     request_id: str
@@ -124,7 +125,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RecordRollout:
-    """Writes a roll-out's state, if its record is still as last read."""
+    """Writes a roll-out's state if its record is unchanged since last read."""
 
     order: version_trial.RolloutOrder
     state: version_trial.OrderState
@@ -139,12 +140,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PauseIntake:
-    """Tells the ingress to close each connection after its next answer."""
+    """Makes the ingress close each connection after its next answer."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CloseIntake:
-    """Tells the ingress to take no more connections and close idle ones."""
+    """Makes the ingress accept no more connections and close idle ones."""
 
 
 Effect = (
