--- a/packages/rhubarbbank-router/src/rhubarbbank_router/__init__.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/__init__.py
@@ -1,1 +1,1 @@
-"""Routing by route, session, size of model and load, without I/O."""
+"""Routes requests by path, session, model size and load, without I/O."""
