--- a/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
@@ -357,9 +357,9 @@
 ) -> list[effects.Effect]:
     """Ends a request that no upstream has answered in full.
 
-    The status tells the caller whether the request may have run: 503 only if
-    it provably hasn't, 504 after its deadline, and 502 otherwise. If the
-    answer has begun, it is cut off instead.
+    The status is 504 after the deadline; before it, 503 if the request
+    provably hasn't run and 502 if it may have. An answer that has already
+    begun is cut off instead.
 
     Args:
         state: The router's state.
