--- a/features/steps/endless_steps.py
+++ b/features/steps/endless_steps.py
@@ -53,7 +53,7 @@
         if len(world.sent(request)) == 1:
             world.data(request, b": still here\n\n")
         world.run(pause)
-        world.configure(world.state.in_force)
+        world.configure(world.state.active_configuration)
 
 
 @when("its upstream answers with a body of {size:g} MB")
--- a/features/steps/engine_load_steps.py
+++ b/features/steps/engine_load_steps.py
@@ -84,7 +84,7 @@
 
 @then("nothing is known of others' work")
 def check_forgotten(context):
-    assert not context.world.state.others.loads
+    assert not context.world.state.remote_work.loads
 
 
 @when('a caller asks "{route}" with a prompt of {tokens:d} tokens')
@@ -187,7 +187,7 @@
             hear(world, NEAR, [build_load(upstream)])
         if who == "another request hears":
             world.state.view.note_bytes_received(upstream, now=world.now)
-        world.configure(world.state.in_force)
+        world.configure(world.state.active_configuration)
         world.run(0.1)
 
 
--- a/features/steps/loaded_rollout_steps.py
+++ b/features/steps/loaded_rollout_steps.py
@@ -48,7 +48,7 @@
                 world.head(request, confidence=90, load=load)
                 self.schedule(request, 1, pace_s)
             world.run(PERIOD_S)
-            world.configure(world.state.in_force)
+            world.configure(world.state.active_configuration)
             self.deliver()
 
     def is_new(self, sending):
--- a/features/steps/platform_configuration_steps.py
+++ b/features/steps/platform_configuration_steps.py
@@ -109,7 +109,7 @@
     context.routes = [build_route(n) for n in range(count)]
     context.objects.put(context.routes)
     read(context)
-    context.before = context.world.state.in_force
+    context.before = context.world.state.active_configuration
     assert len(context.before.routes) == count
 
 
@@ -125,7 +125,7 @@
     "a core"
 )
 def check_longest(context, most):
-    assert len(context.world.state.in_force.routes) == context.count
+    assert len(context.world.state.active_configuration.routes) == context.count
     assert 0.0 < context.longest_s * MS_PER_S <= most, context.longest_s
 
 
@@ -143,13 +143,13 @@
 @then("{count:d} of its routes are those of the configuration before")
 def check_taken_over(context, count):
     before = {id(x) for x in context.before.routes}
-    routes = context.world.state.in_force.routes
+    routes = context.world.state.active_configuration.routes
     assert sum(id(x) in before for x in routes) == count
 
 
 @then("its routes stand in the operators' order")
 def check_order(context):
-    names = [x.name for x in context.world.state.in_force.routes]
+    names = [x.name for x in context.world.state.active_configuration.routes]
     assert names == context.wanted
 
 
@@ -162,4 +162,4 @@
 
 @then("the configuration before stays in force")
 def check_stays(context):
-    assert context.world.state.in_force is context.before
+    assert context.world.state.active_configuration is context.before
--- a/features/steps/router_history_steps.py
+++ b/features/steps/router_history_steps.py
@@ -76,7 +76,7 @@
             route = ("look", "book", "chat", "note", "chat", "look")[choice]
             self.routes[world.ask(route)] = route
         elif step == "time":
-            world.configure(world.state.in_force)
+            world.configure(world.state.active_configuration)
             world.run(0.05 * (1 + choice * choice))
         elif step == "unlist":
             world.apply(events.UpstreamUnlisted(f"up-{choice % 3}"))
--- a/features/steps/router_load_steps.py
+++ b/features/steps/router_load_steps.py
@@ -165,7 +165,7 @@
         while not world.answers(request):
             world.end(request, "broken")
         world.run(0.025)
-        world.configure(world.state.in_force)
+        world.configure(world.state.active_configuration)
     context.count = count
 
 
@@ -257,7 +257,7 @@
     world = context.world
     world.apply(events.StoreAnswered(events.Subject.UPSTREAMS))
     world.run(duration)
-    world.configure(world.state.in_force)
+    world.configure(world.state.active_configuration)
 
 
 @when("the same request breaks off {count:d} upstreams")
@@ -307,7 +307,7 @@
         world.end(request, "broken")
         world.answer_whole(request)
         world.run(0.5)
-        world.configure(world.state.in_force)
+        world.configure(world.state.active_configuration)
 
 
 @then("its next sending is sent to an upstream")
--- a/features/steps/router_rollout_steps.py
+++ b/features/steps/router_rollout_steps.py
@@ -58,7 +58,7 @@
     services = {
         SERVICE: configuration.Service(name=SERVICE, max_connections=100)
     }
-    revision = context.world.state.in_force.revision + 1
+    revision = context.world.state.active_configuration.revision + 1
     found = router_world.build_configuration(revision=revision)
     context.world.configure(dataclasses.replace(found, services=services))
 
@@ -140,7 +140,7 @@
 def check_pinned(context, wait, version):
     world = context.world
     world.now += wait - 0.5
-    world.configure(world.state.in_force)
+    world.configure(world.state.active_configuration)
     request = world.ask(
         "chat",
         session="s",
@@ -204,7 +204,7 @@
     world = context.world
     for number in range(round(duration * 10)):
         tell_peers(context)
-        world.configure(world.state.in_force)
+        world.configure(world.state.active_configuration)
         request, _ = ask_one(world, f"w{number}-{world.asked}")
         answer_well(world, request)
         if context.held_stream:
@@ -236,7 +236,7 @@
     world = context.world
     rng = random.Random(3)
     for number in range(round(duration * 20)):
-        world.configure(world.state.in_force)
+        world.configure(world.state.active_configuration)
         request, sending = ask_one(world, f"x{number}")
         while is_new(sending) and rng.random() < 0.33:
             world.head(request, 500)
@@ -309,7 +309,7 @@
             broken += 1
             world.end(request, "broken")
             world.run(0.2)
-            world.configure(world.state.in_force)
+            world.configure(world.state.active_configuration)
         if not world.answers(request):
             answer_well(world, request)
     assert broken == count
@@ -359,7 +359,7 @@
     world = context.world
     waiting = []
     for number in range(round(duration * 20)):
-        world.configure(world.state.in_force)
+        world.configure(world.state.active_configuration)
         request, sending = ask_one(world, f"slow{number}")
         wait_s = 0.1 * (times if is_new(sending) else 1)
         waiting.append((world.now + wait_s, request))
@@ -379,7 +379,7 @@
     rng = random.Random(7)
     waiting = []
     for number in range(round(duration * 20)):
-        world.configure(world.state.in_force)
+        world.configure(world.state.active_configuration)
         request = world.ask("book", attempt_id=f"slow-{number}")
         is_slow = is_new(world.sent(request)[0]) and rng.random() < share / 10
         waiting.append((world.now + (slow if is_slow else usual), request))
@@ -412,7 +412,7 @@
     world = context.world
     rng = random.Random(5)
     for number in range(round(duration * 20)):
-        world.configure(world.state.in_force)
+        world.configure(world.state.active_configuration)
         request, sending = ask_one(world, f"o{number}")
         answer_well(world, request)
         if number % 4 == 0:
--- a/features/steps/router_steps.py
+++ b/features/steps/router_steps.py
@@ -147,7 +147,9 @@
     world = context.world
     steps = max(1, round(duration / 0.5))
     for _ in range(steps):
-        world.configure(world.state.in_force) if world.state.in_force else None
+        world.configure(
+            world.state.active_configuration
+        ) if world.state.active_configuration else None
         world.run(duration / steps)
 
 
@@ -158,7 +160,7 @@
     for _ in range(max(1, round(duration / 0.1))):
         number += 1
         world.stream(context.request, number, number)
-        world.configure(world.state.in_force)
+        world.configure(world.state.active_configuration)
         world.run(0.1)
 
 
@@ -321,7 +323,7 @@
     world.now += age
     world.apply(
         events.ConfigurationRead(
-            asked_at=world.now - age, found=world.state.in_force
+            asked_at=world.now - age, found=world.state.active_configuration
         )
     )
 
@@ -444,7 +446,7 @@
     world = context.world
     for number in range(world.written(context.request)[-1] + 1, last + 1):
         for _ in range(round(pause / 0.1)):
-            world.configure(world.state.in_force)
+            world.configure(world.state.active_configuration)
             world.run(0.1)
         if len(world.sent(context.request)) == 1:
             world.stream(context.request, number, number)
@@ -456,5 +458,5 @@
     for _ in range(round(duration / pause)):
         if len(world.sent(context.request)) == 1:
             world.data(context.request, b"x")
-        world.configure(world.state.in_force)
+        world.configure(world.state.active_configuration)
         world.run(pause)
--- a/features/support/relay_fleet.py
+++ b/features/support/relay_fleet.py
@@ -269,7 +269,7 @@
     def check(self, node):
         state = node.world.state
         name = state.settings.name
-        known = state.in_force.revision
+        known = state.active_configuration.revision
         if state.proof.holds(now=self.now):
             proved = self.find_revision(state.proof.asked_at)
             if known < proved:
--- a/features/support/rollout_fleet.py
+++ b/features/support/rollout_fleet.py
@@ -97,7 +97,7 @@
 
     def step(self, world):
         world.now = self.now
-        world.configure(world.state.in_force)
+        world.configure(world.state.active_configuration)
         begun = len(world.done)
         world.apply(core_events.Ticked())
         for _ in range(3):
--- a/features/support/router_world.py
+++ b/features/support/router_world.py
@@ -56,16 +56,16 @@
         ),
         "max_attempts": 3,
         "timeout_s": 10.0,
-        "objective_s": 2.0,
-        "pause_s": 1.5,
+        "target_latency_s": 2.0,
+        "target_gap_s": 1.5,
         "priority": 1,
     }
     return configuration.Route(**given | changes)
 
 
 ROUTES = (
-    build_route("look", "idempotent", max_attempts=2, objective_s=0.2),
-    build_route("book", "non_idempotent", max_attempts=1, objective_s=0.2),
+    build_route("look", "idempotent", max_attempts=2, target_latency_s=0.2),
+    build_route("book", "non_idempotent", max_attempts=1, target_latency_s=0.2),
     build_route("chat", "stream", resumable=True, sizes=SIZES),
     build_route("note", "stream"),
     build_route("open", "idempotent", public=True),
--- a/features/support/session_fleet.py
+++ b/features/support/session_fleet.py
@@ -124,7 +124,7 @@
 
     def step(self, world):
         world.now = self.now
-        world.configure(world.state.in_force)
+        world.configure(world.state.active_configuration)
         begun = len(world.done)
         world.apply(core_events.Ticked())
         self.send(world, begun)
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/answer_heads.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/answer_heads.py
@@ -129,7 +129,7 @@
     now: float,
 ) -> list[effects.Effect]:
     """Asks a larger model instead, if this one is unsure of its answer."""
-    untouched = not opened.begun and head.status == http.HTTPStatus.OK
+    untouched = not opened.answer_started and head.status == http.HTTPStatus.OK
     if not opened.model or head.confidence is None or not untouched:
         return []
     if not opened.route.repeatable:
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
@@ -117,8 +117,8 @@
     last = opened.last_event_id
     if last and not event_stream.follows(event.event_id, last):
         return out
-    if not opened.begun:
-        opened.begun = True
+    if not opened.answer_started:
+        opened.answer_started = True
         opened.version = attempt.version
         out.append(
             effects.BeginAnswer(
@@ -144,8 +144,8 @@
     waited_s = now - attempt.sent_at
     if not attempt_evidence.is_on_trial(state, attempt):
         times.first_event_s = upstreams.smooth(times.first_event_s, waited_s)
-    state.speeds.learn(attempt, waited_s=waited_s)
-    if opened.begun:
+    state.prefill_speeds.learn(attempt, waited_s=waited_s)
+    if opened.answer_started:
         return []
     total_s = now - opened.arrived_at
     return [fx.Timing("first_event", total_s * MS_PER_S)]
@@ -219,7 +219,7 @@
     attempt_evidence.finish_attempt(
         state, opened, attempt, now=now, failed=failed
     )
-    if opened.begun and attempt.status != http.HTTPStatus.OK:
+    if opened.answer_started and attempt.status != http.HTTPStatus.OK:
         # The rest of the stream is missing.
         code = errors.ErrorCode.UPSTREAM_FAILED
         return dispatch.give_up(state, opened, code, now=now)
@@ -242,7 +242,7 @@
         ),
     )
     took = fx.Timing("answer", (now - opened.arrived_at) * MS_PER_S)
-    if opened.begun:
+    if opened.answer_started:
         return [*cleared, log, took, effects.FinishAnswer(request_id)]
     return [
         *cleared,
@@ -303,7 +303,7 @@
     state: states.RouterState, request_id: str, *, now: float
 ) -> list[effects.Effect]:
     """Ends a request whose caller has left."""
-    state.held.pop(request_id, None)
+    state.held_requests.pop(request_id, None)
     opened = state.open.pop(request_id, None)
     if opened is None:
         return []
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_ends.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_ends.py
@@ -93,7 +93,7 @@
     )
     state.suspects.record_crash(fingerprint, end, now=now)
     if state.suspects.count_crashes(fingerprint) >= defaults.ENDS_TO_REPEAT:
-        state.press_news(now=now)
+        state.expedite_heartbeat(now=now)
 
 
 def note_silence(
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_evidence.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_evidence.py
@@ -114,7 +114,7 @@
         work_s = attempt.backlog_s + attempt.work_s
         expected_s = max(times.first_event_s, work_s)
     # Whoever waits past the objective finds it slow, however short it is.
-    floor_s = min(defaults.SLOW_FLOOR_S, opened.route.objective_s)
+    floor_s = min(defaults.SLOW_FLOOR_S, opened.route.target_latency_s)
     limit_s = max(defaults.SLOW_TIMES * expected_s, floor_s)
     if waited_s > limit_s:
         return True
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/carriers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/carriers.py
@@ -61,17 +61,17 @@
 def note_beat(state: states.RouterState, *, now: float) -> None:
     """Notes that a heartbeat is sent, and whether the beat was missed."""
     if is_overdue(state, now=now):
-        state.carries_from = now + defaults.PEER_TIMEOUT_S
+        state.may_carry_from = now + defaults.PEER_TIMEOUT_S
 
 
 def is_overdue(state: states.RouterState, *, now: float) -> bool:
     """Returns whether this entry has been suspended just before."""
-    return 0.0 < state.news_at < now - defaults.SUSPENDED_S
+    return 0.0 < state.next_heartbeat_at < now - defaults.SUSPENDED_S
 
 
 def may_carry(state: states.RouterState, *, now: float) -> bool:
     """Returns whether the ages of what was heard here are right."""
-    return now >= state.carries_from and not is_overdue(state, now=now)
+    return now >= state.may_carry_from and not is_overdue(state, now=now)
 
 
 def find_rank(state: states.RouterState, *, now: float) -> int | None:
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/configuration.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/configuration.py
@@ -1,7 +1,7 @@
-"""The operators' configuration as the router uses it: typed and frozen.
+"""The operators' configuration as immutable, typed objects.
 
-The adapter of a platform builds these from what its store holds; intake and
-dispatch read them. A configuration is replaced as a whole.
+The platform adapter builds these objects from the contents of its store;
+`intake` and `dispatch` read them. A configuration is only replaced as a whole.
 """
 
 import dataclasses
@@ -9,10 +9,11 @@
 
 
 class RouteKind(enum.StrEnum):
-    """What may be repeated on a route.
+    """Whether a route's requests may be retried.
 
-    IDEMPOTENT: any request may run more than once. NON_IDEMPOTENT: at most
-    once. STREAM: a stream of events, at most once unless it may be resumed.
+    IDEMPOTENT: a request may run more than once. NON_IDEMPOTENT: a request
+    runs at most once. STREAM: the response is an event stream; the request
+    runs at most once unless the route is resumable.
     """
 
     IDEMPOTENT = "idempotent"
@@ -22,11 +23,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class WeightedService:
-    """A service that gets a share of a route's requests.
+    """A service that receives a share of a route's requests.
 
     Attributes:
         service: The service's name.
-        weight: Its share relative to the others'; at least 0.
+        weight: Its relative share; at least 0.
     """
 
     service: str
@@ -35,24 +36,26 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Route:
-    """One route.
+    """Matches requests by host and path, and says how to serve them.
 
     Attributes:
-        name: Unique in the configuration.
-        host: The Host header that it serves, without a port.
-        prefix: The path's beginning, with a slash at both ends.
-        kind: What may be repeated.
-        services: Where its requests go, by weight.
-        max_attempts: Most upstreams that one request may run on.
-        timeout_s: Longest time until the final answer.
-        objective_s: Time to the answer, or to a stream's first event, within
-            which it earns its full worth.
-        pause_s: Longest pause between a stream's events that is on time.
-        priority: 0 is the most urgent.
-        sizes: Models that may answer, smallest first; empty where the
+        name: The route's name, unique in the configuration.
+        host: The Host header that the route matches, without a port.
+        prefix: The path prefix that the route matches, with a leading and a
+            trailing slash.
+        kind: Whether requests may be retried.
+        services: The services that requests are distributed to, by weight.
+        max_attempts: The maximum number of upstreams that may run a request.
+        timeout_s: The maximum time until the response is complete.
+        target_latency_s: Time within which the response, or the first event
+            of a stream, has its full value.
+        target_gap_s: The longest gap between two events of a stream that
+            still counts as on time.
+        priority: The default priority; 0 is the most urgent.
+        sizes: The models that may answer, smallest first; empty if the
             request names its model.
-        public: Whether requests need no key.
-        resumable: Whether a stream may go on at another upstream.
+        public: Whether requests are accepted without an API key.
+        resumable: Whether a stream may be continued by another upstream.
     """
 
     name: str
@@ -62,8 +65,8 @@
     services: tuple[WeightedService, ...]
     max_attempts: int
     timeout_s: float
-    objective_s: float
-    pause_s: float
+    target_latency_s: float
+    target_gap_s: float
     priority: int
     sizes: tuple[str, ...] = ()
     public: bool = False
@@ -71,7 +74,7 @@
 
     @property
     def repeatable(self) -> bool:
-        """Whether a request may run more than once."""
+        """Whether a request may be run more than once."""
         if self.kind is RouteKind.STREAM:
             return self.resumable
         return self.kind is RouteKind.IDEMPOTENT
@@ -79,11 +82,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ModelPrice:
-    """A model of a service.
+    """A model of a service and its price.
 
     Attributes:
-        name: The model.
-        cost: Per 1,000 tokens generated; tokens read count as a quarter.
+        name: The model's name.
+        cost: The cost of 1,000 generated tokens; a prompt token costs a
+            quarter of a generated one.
     """
 
     name: str
@@ -92,12 +96,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Service:
-    """A service, run by upstreams.
+    """A service that one or more upstreams provide.
 
     Attributes:
-        name: The service.
-        max_connections: What one upstream takes from all callers together.
-        models: Its models; empty for a plain service.
+        name: The service's name.
+        max_connections: The number of connections that one upstream accepts
+            from all callers together.
+        models: The service's models; empty if it isn't an engine.
     """
 
     name: str
@@ -107,11 +112,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Organisation:
-    """A customer.
+    """The tenant that an API key belongs to.
 
     Attributes:
-        name: As upstreams know it.
-        priority: Goes before the route's; None where it has none.
+        name: The name that is sent to upstreams.
+        priority: Overrides the route's priority; None to keep it.
     """
 
     name: str
@@ -120,13 +125,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class CallerLimits:
-    """Bounds on what a caller may send.
+    """Limits on the requests and connections of a caller.
 
     Attributes:
-        max_header_bytes: Of a request's head.
-        max_body_bytes: Of a request's body.
-        header_timeout_s: From a head's first byte to its last.
-        idle_timeout_s: Between two requests of a connection.
+        max_header_bytes: Maximum size of a request's head.
+        max_body_bytes: Maximum size of a request's body.
+        header_timeout_s: Maximum time from the first byte of a head to its
+            last byte.
+        idle_timeout_s: Maximum time between two requests on a connection.
     """
 
     max_header_bytes: int = 16_384
@@ -140,12 +146,14 @@
     """One version of the configuration.
 
     Attributes:
-        version: As the operators count it.
-        revision: Of the store, which grows with each change.
+        version: The version number that the operators assigned.
+        revision: The store's revision of this version; it grows with every
+            change in the store.
         routes: All routes.
         services: All services by name.
-        keys: The organisation of each key; None where no keys are used.
-        limits: Bounds on callers.
+        keys: The organisation of each API key; None if the deployment uses
+            no keys.
+        limits: Limits that apply to all callers.
     """
 
     version: int
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
@@ -81,7 +81,7 @@
                 ("wait_s", round(decision.expected_wait_s, 3)),
                 ("in_flight", tracked.in_flight),
                 ("load_age_s", describe_load_age(tracked, now=now)),
-                ("left_s", round(opened.ends_at - now, 3)),
+                ("left_s", round(opened.deadline - now, 3)),
             ),
         ),
         build_sending(opened, tracked.listed, attempt, now=now),
@@ -107,7 +107,7 @@
     # processed one after the other, and in full, while engines have parts of
     # them in their prefix caches.
     least_s = defaults.MIN_WAIT_SHARE * decision.expected_wait_s
-    return least_s - (opened.ends_at - now)
+    return least_s - (opened.deadline - now)
 
 
 def describe_load_age(
@@ -132,7 +132,7 @@
     unread = engine_work.count_uncached_tokens(
         facts, count_kept(state, opened, upstream, now=now)
     )
-    speed = state.speeds.find(opened.service, find_model(opened))
+    speed = state.prefill_speeds.find(opened.service, find_model(opened))
     attempt = attempt_states.Attempt(
         number=len(opened.attempts) + 1,
         upstream=upstream.upstream_id,
@@ -144,7 +144,9 @@
         heard_at=now,
         unread_tokens=unread,
         work_s=unread / speed,
-        backlog_s=engine_load.sum_backlog_s(tracked, state.others, now=now),
+        backlog_s=engine_load.sum_backlog_s(
+            tracked, state.remote_work, now=now
+        ),
     )
     opened.attempts.append(attempt)
     state.view.start(opened.request.request_id, attempt)
@@ -157,9 +159,9 @@
         )
     if (
         attempt.work_s >= defaults.IMMEDIATE_REPORT_WORK_S
-        and state.loads_at is None
+        and state.next_load_update_at is None
     ):
-        state.loads_at = now + defaults.LOAD_BATCH_S
+        state.next_load_update_at = now + defaults.LOAD_BATCH_S
     rollouts.note_placed(state, opened, attempt.version, now=now)
     return attempt
 
@@ -193,7 +195,7 @@
     state: states.RouterState, opened: states.OpenRequest
 ) -> float:
     """Returns the estimated prefill time of a prompt block, in seconds."""
-    speed = state.speeds.find(opened.service, find_model(opened))
+    speed = state.prefill_speeds.find(opened.service, find_model(opened))
     return defaults.TOKENS_PER_BLOCK / speed
 
 
@@ -206,7 +208,7 @@
 ) -> effects.SendAttempt:
     """Returns the effect that sends an attempt."""
     request = opened.request
-    left_s = max(opened.ends_at - now, 0.0)
+    left_s = max(opened.deadline - now, 0.0)
     return effects.SendAttempt(
         request_id=request.request_id,
         attempt=attempt.number,
@@ -244,7 +246,7 @@
     return placement.Candidate(
         name=listed.upstream_id,
         own_in_flight=tracked.in_flight,
-        told_in_flight=state.others.find(listed.upstream_id).in_flight,
+        told_in_flight=state.remote_work.find(listed.upstream_id).in_flight,
         own_at_report=tracked.own_at_report,
         running=load.running if load else 0,
         waiting=load.waiting if load else 0,
@@ -253,7 +255,9 @@
         latency_ms=defaults.OTHER_DATA_CENTRE_PENALTY_MS if away else 0.0,
         cached_blocks=kept_tokens // defaults.TOKENS_PER_BLOCK,
         service_s=times.answer_s,
-        backlog_s=engine_load.sum_backlog_s(tracked, state.others, now=now),
+        backlog_s=engine_load.sum_backlog_s(
+            tracked, state.remote_work, now=now
+        ),
     )
 
 
@@ -294,7 +298,9 @@
     """
     facts = opened.request.generation
     shared = facts.shared_tokens if facts else 0
-    saved_s = shared / state.speeds.find(opened.service, find_model(opened))
+    saved_s = shared / state.prefill_speeds.find(
+        opened.service, find_model(opened)
+    )
     credit_s = defaults.AFFINITY_PREFILL_SHARE * saved_s
     return max(defaults.AFFINITY_CREDIT_S, credit_s)
 
@@ -304,11 +310,11 @@
 ) -> size_plan.SizeQuestion:
     """Returns the facts from which a model size is chosen."""
     facts = opened.request.generation
-    objective_s = opened.route.objective_s
+    target_latency_s = opened.route.target_latency_s
     return size_plan.SizeQuestion(
         sizes=opened.route.sizes,
-        left_s=opened.ends_at - now,
-        objective_left_s=opened.arrived_at + objective_s - now,
+        left_s=opened.deadline - now,
+        objective_left_s=opened.arrived_at + target_latency_s - now,
         prompt_tokens=facts.prompt_tokens if facts else 0,
         expected_output_tokens=facts.expected_output_tokens if facts else 0,
     )
@@ -335,7 +341,7 @@
         return False
     if attempt_states.count_runs(opened.attempts) >= opened.route.max_attempts:
         return False
-    if opened.ends_at - now < defaults.MIN_ATTEMPT_S:
+    if opened.deadline - now < defaults.MIN_ATTEMPT_S:
         return False
     if state.suspects.is_suspect(opened.fingerprint):
         return False
@@ -371,7 +377,7 @@
     request = opened.request
     del state.open[request.request_id]
     not_run = attempt_states.has_not_run(opened.attempts)
-    late = now >= opened.ends_at
+    late = now >= opened.deadline
     status = http.HTTPStatus.BAD_GATEWAY
     if late:
         status = http.HTTPStatus.GATEWAY_TIMEOUT
@@ -384,7 +390,7 @@
         )
         retry_after_s = round(retry_after_s, 2)
     log = fx.LogDecision(
-        decision="broken_off" if opened.begun else "given_up",
+        decision="broken_off" if opened.answer_started else "given_up",
         request_id=request.attempt_id,
         organisation=opened.organisation,
         model=opened.model,
@@ -392,12 +398,12 @@
         reason=code.value,
         attempt=len(opened.attempts),
         inputs=(
-            ("status", 0 if opened.begun else int(status)),
+            ("status", 0 if opened.answer_started else int(status)),
             ("age_s", round(now - opened.arrived_at, 3)),
             ("states", ",".join(x.state.value for x in opened.attempts)),
         ),
     )
-    if opened.begun:
+    if opened.answer_started:
         return [
             log,
             fx.Count("broken_off"),
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
@@ -31,7 +31,7 @@
         case messages.EntryNews():
             return take_heartbeat(state, message, now=now)
         case messages.EntryLoads(name=name, loads=loads):
-            state.others.update(name, loads, now=now)
+            state.remote_work.update(name, loads, now=now)
             return []
         case messages.NewsBundle():
             return take_bundle(state, message, now=now)
@@ -83,7 +83,7 @@
     """
     is_new = state.entries.take(message, now=now)
     learnt = state.suspects.merge(message.suspects, now=now)
-    state.others.update(message.name, message.loads, now=now)
+    state.remote_work.update(message.name, message.loads, now=now)
     rollouts.take_news(state, message, now=now)
     out = [
         log_told_suspect(state, message.name, fingerprint)
@@ -133,8 +133,8 @@
 def send_news(state: states.RouterState, *, now: float) -> list[effects.Effect]:
     """Sends this entry's heartbeat, and counts the others."""
     carriers.note_beat(state, now=now)
-    state.news_at = now + defaults.NEWS_PERIOD_S
-    state.loads_at = None
+    state.next_heartbeat_at = now + defaults.NEWS_PERIOD_S
+    state.next_load_update_at = None
     out = forget(state, now=now)
     live = state.entries.list_live(now=now)
     known = max(len(live), len(state.entries.registered))
@@ -173,19 +173,19 @@
     Few entries there are told directly. Among many, carriers pass heartbeats
     on, and only those that can't wait go to all directly.
     """
-    pressing, state.is_news_pressing = state.is_news_pressing, False
-    due = now >= state.far_news_at
+    pressing, state.is_heartbeat_urgent = state.is_heartbeat_urgent, False
+    due = now >= state.next_remote_heartbeat_at
     if not due and not pressing:
         return []
     addresses = [x for x in state.entries.list_addresses() if x not in near]
     if len(addresses) <= defaults.MAX_FAR_ENTRIES_FULL_NEWS:
-        state.far_news_at = now + defaults.FAR_NEWS_PERIOD_S
+        state.next_remote_heartbeat_at = now + defaults.FAR_NEWS_PERIOD_S
         return send_each(addresses, news)
     if not pressing:
         addresses = carriers.list_unheard(state, addresses, now=now)
     out = send_each(addresses, carriers.shorten(news))
     if due:
-        state.far_news_at = now + carriers.find_period_s(state)
+        state.next_remote_heartbeat_at = now + carriers.find_period_s(state)
         out += carriers.send_bundles(state, news, now=now)
     return out
 
@@ -201,7 +201,7 @@
     state: states.RouterState, *, now: float
 ) -> list[effects.Effect]:
     """Sends a heartbeat to all entries at once."""
-    state.is_news_pressing = True
+    state.is_heartbeat_urgent = True
     return send_news(state, now=now)
 
 
@@ -209,7 +209,7 @@
     """Forgets what is over: sessions, and entries that are silent."""
     alive_s = state.settings.bounds.session_s + defaults.SESSION_MARGIN_S
     state.sessions.forget(now=now, alive_s=alive_s)
-    state.others.drop_expired(now=now)
+    state.remote_work.drop_expired(now=now)
     out = [
         *log_forgotten(state.suspects.remove_expired(now=now), reason="old"),
         *log_forgotten(state.suspects.evict_excess(), reason="want of room"),
@@ -243,7 +243,7 @@
     state: states.RouterState, *, now: float
 ) -> list[effects.Effect]:
     """Tells the entries nearby of new work, before the next heartbeat."""
-    state.loads_at = None
+    state.next_load_update_at = None
     loads = messages.EntryLoads(
         name=state.settings.name,
         loads=engine_load.list_loads(state.view, now=now),
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/intake.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/intake.py
@@ -66,14 +66,16 @@
     state: states.RouterState, request: callers.IncomingRequest, *, now: float
 ) -> list[effects.Effect]:
     """Admits a new request, or holds it while the entry is starting."""
-    if not state.is_informed and is_starting(state, now=now):
-        state.held[request.request_id] = states.HeldRequest(request, now)
+    if not state.is_initialised and is_starting(state, now=now):
+        state.held_requests[request.request_id] = states.HeldRequest(
+            request, now
+        )
         return [
             fx.LogDecision(
                 decision="held",
                 request_id=request.attempt_id,
                 reason="the entry is starting",
-                inputs=(("listed", ",".join(sorted(state.listed))),),
+                inputs=(("listed", ",".join(sorted(state.listed_subjects))),),
             )
         ]
     return admit(state, request, arrived_at=now, now=now)
@@ -89,12 +91,12 @@
     state: states.RouterState, *, now: float
 ) -> list[effects.Effect]:
     """Admits the requests that were held while the entry was starting."""
-    if not state.held:
+    if not state.held_requests:
         return []
-    if not state.is_informed and is_starting(state, now=now):
+    if not state.is_initialised and is_starting(state, now=now):
         return []
-    held = list(state.held.values())
-    state.held.clear()
+    held = list(state.held_requests.values())
+    state.held_requests.clear()
     out: list[effects.Effect] = []
     for each in held:
         out += admit(state, each.request, arrived_at=each.arrived_at, now=now)
@@ -109,7 +111,7 @@
     now: float,
 ) -> list[effects.Effect]:
     """Refuses a request, or opens it and sends its first attempt."""
-    current = state.in_force
+    current = state.active_configuration
     route = state.routes.find(host=request.host, path=request.path)
     hindrance = find_hindrance(state, request, route, now=now)
     if current is None or route is None or hindrance is not None:
@@ -135,7 +137,7 @@
     gets a retryable 503 rather than a 401 or 404: its route or key may be
     newer than the configuration in force.
     """
-    current = state.in_force
+    current = state.active_configuration
     if current is None:
         return NO_CONFIGURATION
     if len(state.open) >= defaults.MAX_OPEN_REQUESTS:
@@ -186,7 +188,7 @@
         priority=priority,
         fingerprint=fingerprint,
         arrived_at=arrived_at,
-        ends_at=arrived_at + wait_s,
+        deadline=arrived_at + wait_s,
     )
     state.open[request.request_id] = opened
     state.budget.count_request(opened.service, now=now)
@@ -249,7 +251,7 @@
         and retry_after_s is None
     ):
         retry_after_s = dispatch.draw_retry_after(state)
-    current = state.in_force
+    current = state.active_configuration
     proof_age_s = state.proof.age(now=now)
     return [
         fx.LogDecision(
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/rollouts.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/rollouts.py
@@ -43,7 +43,7 @@
     trial.order = order
     if order.state is version_trial.OrderState.ROLLED_BACK:
         trial.held = True
-    settled = state.settled.setdefault(order.service, set())
+    settled = state.settled_versions.setdefault(order.service, set())
     if order.state is version_trial.OrderState.COMPLETED:
         settled.clear()
         settled.add(order.target)
@@ -85,7 +85,7 @@
     Plain services see fewer requests, and keep no sessions that a larger
     share would move.
     """
-    current = state.in_force
+    current = state.active_configuration
     found = current.services.get(service) if current else None
     if found is not None and not found.models:
         return version_trial.PLAIN_PLAN
@@ -119,7 +119,7 @@
 
 def settle(state: states.RouterState, service: str) -> None:
     """Settles the versions that a service has, if none are settled yet."""
-    settled = state.settled.setdefault(service, set())
+    settled = state.settled_versions.setdefault(service, set())
     if settled:
         return
     trial = state.trials.get(service)
@@ -148,9 +148,9 @@
     now: float,
 ) -> list[upstreams.TrackedUpstream]:
     """Returns the upstreams whose version the request may run on."""
-    if opened.begun:
+    if opened.answer_started:
         return select(usable, {opened.version})
-    settled = state.settled.get(opened.service) or set()
+    settled = state.settled_versions.get(opened.service) or set()
     trial = state.trials.get(opened.service)
     if trial is None:
         return select(usable, settled) or usable
@@ -254,7 +254,7 @@
         return
     trial.kept_sessions.add(marked)
     # Its next request may come to another entry very soon.
-    state.press_news(now=now)
+    state.expedite_heartbeat(now=now)
 
 
 def note_placed(
@@ -367,11 +367,11 @@
     wanted = find_outcome(state, trial, now=now)
     if order.state in version_trial.FINAL_STATES or wanted is order.state:
         return []
-    if now - state.recording.get(service, 0.0) < RECORD_PERIOD_S:
+    if now - state.rollout_recorded_at.get(service, 0.0) < RECORD_PERIOD_S:
         return []
     if state.stopping or not state.entries.is_first(now=now):
         return []
-    state.recording[service] = now
+    state.rollout_recorded_at[service] = now
     return [
         fx.LogDecision(
             decision="rollout_recorded",
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
@@ -115,7 +115,7 @@
         state = self.state
         return (
             not state.stopping
-            and state.is_informed
+            and state.is_initialised
             and state.proof.holds(now=now)
         )
 
@@ -159,7 +159,7 @@
             case events.StoreFailed(subject, detail):
                 return self.note_failure(now, subject, detail)
             case events.RolloutsListed(orders):
-                state.listed.add(events.Subject.ROLLOUTS)
+                state.listed_subjects.add(events.Subject.ROLLOUTS)
                 return rollouts.take_orders(state, orders, now=now)
             case events.RolloutChanged(order):
                 return rollouts.take_order(state, order, now=now)
@@ -193,14 +193,14 @@
         state = self.state
         if found is None:
             return []
-        current = state.in_force
+        current = state.active_configuration
         if current is not None and found.revision < current.revision:
             # An answer that was overtaken proves nothing of today.
             return []
         state.proof.confirm(asked_at=asked_at)
         if current is not None and found.revision == current.revision:
             return []
-        state.in_force = found
+        state.active_configuration = found
         state.routes = route_match.RouteIndex(routes=found.routes)
         return [
             *store_reading.tell_all(state, now=now),
@@ -222,11 +222,11 @@
     ) -> list[effects.Effect]:
         """Notes that the store answers."""
         contact = self.state.contact(subject)
-        was_away = contact.is_away
+        was_unavailable = contact.is_unavailable
         contact.answered_at = now
-        if not was_away:
+        if not was_unavailable:
             return []
-        contact.regained_at = now
+        contact.recovered_at = now
         return [
             fx.LogDecision(
                 decision="store_regained",
@@ -242,10 +242,10 @@
     ) -> list[effects.Effect]:
         """Notes that a store call failed."""
         contact = self.state.contact(subject)
-        was_away = contact.is_away
+        was_unavailable = contact.is_unavailable
         contact.failed_at = now
         count = fx.Count("store_failures")
-        if was_away:
+        if was_unavailable:
             return [count]
         return [
             count,
@@ -274,7 +274,7 @@
         out += rollouts.tick(state, now=now)
         out += store_reading.tick(state, now=now)
         contact = state.contact(events.Subject.UPSTREAMS)
-        keep = contact.was_regained_within(defaults.LAPSE_GRACE_S, now=now)
+        keep = contact.was_recently_unavailable(defaults.LAPSE_GRACE_S, now=now)
         for upstream_id in state.view.drop_lapsed(keep=keep):
             out.append(
                 fx.LogDecision(
@@ -283,9 +283,12 @@
                     reason="still missing after the store's return",
                 )
             )
-        if now >= state.news_at:
+        if now >= state.next_heartbeat_at:
             out += heartbeats.send_news(state, now=now)
-        elif state.loads_at is not None and now >= state.loads_at:
+        elif (
+            state.next_load_update_at is not None
+            and now >= state.next_load_update_at
+        ):
             out += heartbeats.send_loads(state, now=now)
         if state.stopping:
             out += self.exit_if_idle(now)
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
@@ -1,11 +1,11 @@
-"""What the router's passes over a request share.
+"""State that the stages of request processing share.
 
     intake --> dispatch <--> answers
                   ^             |
                   +--- watch ---+
 
-`intake` checks a request, `dispatch` sends it to an upstream, `answer_heads`
-and `answers` take what comes back, and `watch` ends what takes too long.
+`intake` validates a request, `dispatch` sends it to an upstream, `answer_heads`
+and `answers` process the response, and `watch` enforces the timeouts.
 """
 
 import dataclasses
@@ -32,32 +32,34 @@
 from rhubarbbank_router import version_trial
 from rhubarbbank_router import window_budget
 
-LISTS_NEEDED = frozenset((events.Subject.UPSTREAMS, events.Subject.ROLLOUTS))
+REQUIRED_LISTS = frozenset((events.Subject.UPSTREAMS, events.Subject.ROLLOUTS))
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class OpenRequest:
-    """A request that has no final answer yet.
+    """A request whose response isn't complete yet.
+
+    All times are in seconds on the clock of the events.
 
     Attributes:
-        request: As it came.
-        route: Its route when it came.
-        service: The route's service that it was given to.
-        organisation: The customer; empty on a public route.
+        request: The request as received.
+        route: The route that it matched on arrival.
+        service: The service of the route that was selected for it.
+        organisation: The tenant that sent it; empty on a public route.
         priority: 0 is the most urgent.
-        fingerprint: The same for each sending of the same request.
-        arrived_at: When it came, in seconds.
-        ends_at: When it must have its final answer.
-        attempts: All sendings, oldest first.
-        model: The model that the router chose; empty where the request
-            names its own.
-        begun: Whether the caller has received a part of the answer.
-        version: Version of the upstream whose answer has begun.
-        last_event_id: Id of the last event passed on.
-        first_event_at: When the caller's first event was passed on.
-        last_event_at: When the last one was.
-        longest_pause_s: Longest time between two of them.
-        excluded: Upstreams that an attempt failed on.
+        fingerprint: Hash that is equal for all attempts at the request.
+        arrived_at: When the request was received.
+        deadline: When the response must be complete.
+        attempts: All attempts, oldest first.
+        model: The model that the router chose; empty if the request names
+            its model.
+        answer_started: Whether a part of the response was sent to the caller.
+        version: Version of the upstream that started the response.
+        last_event_id: Id of the last event sent to the caller.
+        first_event_at: When the first event was sent to the caller.
+        last_event_at: When the last event was sent to the caller.
+        longest_pause_s: The longest gap between two of these events.
+        excluded: Upstreams on which an attempt failed.
     """
 
     request: callers.IncomingRequest
@@ -67,12 +69,12 @@
     priority: int
     fingerprint: str
     arrived_at: float
-    ends_at: float
+    deadline: float
     attempts: list[attempt_states.Attempt] = dataclasses.field(
         default_factory=list
     )
     model: str = ""
-    begun: bool = False
+    answer_started: bool = False
     version: str = ""
     last_event_id: str = ""
     first_event_at: float | None = None
@@ -82,13 +84,13 @@
 
     @property
     def current(self) -> attempt_states.Attempt | None:
-        """The attempt that is under way, or None."""
+        """The attempt in progress, or None."""
         if self.attempts and self.attempts[-1].open:
             return self.attempts[-1]
         return None
 
     def note_event(self, *, now: float) -> None:
-        """Notes that an event is passed on."""
+        """Records that an event is sent to the caller."""
         if self.first_event_at is None:
             self.first_event_at = now
         else:
@@ -98,13 +100,13 @@
 
     @property
     def is_stream(self) -> bool:
-        """Whether its answer is a stream of events."""
+        """Whether the response is a stream of events."""
         return self.route.kind is configuration.RouteKind.STREAM
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HeldRequest:
-    """A request that waits until the entry knows enough to serve it."""
+    """A request that waits until the entry has read its initial data."""
 
     request: callers.IncomingRequest
     arrived_at: float
@@ -112,76 +114,83 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class StoreContact:
-    """When the store was last heard of, for one subject.
+    """Availability of the store for calls about one subject.
 
     Attributes:
-        answered_at: When it last answered.
+        answered_at: When a call last succeeded.
         failed_at: When a call last failed.
-        regained_at: When it last answered after a failure.
+        recovered_at: When a call last succeeded after a failed one.
     """
 
     answered_at: float | None = None
     failed_at: float | None = None
-    regained_at: float | None = None
+    recovered_at: float | None = None
 
     @property
-    def is_away(self) -> bool:
+    def is_unavailable(self) -> bool:
         """Whether the last call failed."""
         if self.failed_at is None:
             return False
         return self.answered_at is None or self.answered_at < self.failed_at
 
-    def was_regained_within(self, period_s: float, *, now: float) -> bool:
-        """Returns whether it is away, or was so until lately."""
-        if self.is_away:
+    def was_recently_unavailable(self, period_s: float, *, now: float) -> bool:
+        """Returns whether it is unavailable or recovered within `period_s`."""
+        if self.is_unavailable:
             return True
         return (
-            self.regained_at is not None and now - self.regained_at < period_s
+            self.recovered_at is not None and now - self.recovered_at < period_s
         )
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class RouterState:
-    """Everything that the router knows.
+    """The complete state of the router.
+
+    All times are in seconds on the clock of the events.
 
     Attributes:
-        settings: Of this entry.
-        incarnation: Unix time of the start, in nanoseconds.
-        rng: Its randomness.
-        placer: Chooses among upstreams.
-        sizes: Chooses among models.
-        judge: Judges new versions.
-        budget: For sending requests more than once.
-        proof: Proves how old the configuration can be.
-        in_force: The configuration; None before the first.
-        routes: Its routes, for look-up.
-        view: What is believed of upstreams.
-        prefixes: Which upstream keeps which part of a prompt.
-        speeds: How fast models read prompts.
+        settings: Settings of this entry.
+        incarnation: Unix time of the process's start, in nanoseconds.
+        rng: Source of randomness.
+        placer: Selects an upstream for an attempt.
+        sizes: Selects the models for a request.
+        judge: Evaluates new versions during a roll-out.
+        budget: Limits how many requests are sent more than once.
+        proof: Bounds the age of the active configuration.
+        active_configuration: The configuration that is applied to requests;
+            None until one has been read.
+        routes: Index over its routes.
+        view: What is known about the upstreams.
+        prefixes: Which upstream caches which prompt prefix.
+        prefill_speeds: Estimates of how fast models process prompts.
         open: Open requests by id.
-        sessions: The version of each session's last request.
+        sessions: The version that served each session's last request.
         trials: Roll-outs by service.
-        settled: Versions of each service that need no trial.
-        recording: Services whose roll-out is being recorded, with the time.
+        settled_versions: Versions of each service that need no trial.
+        rollout_recorded_at: When a call to record a service's roll-out was
+            last begun, by service.
         entries: The other entries.
-        suspects: Requests that may crash upstreams.
-        relay: This entry's part in reading the store.
-        others: What the other entries have at upstreams.
-        contacts: When the store was last heard of, by subject.
-        started_at: When the first event came; None before.
-        held: Requests that came while the entry knew too little, with the
-            time at which they came.
-        listed: Subjects of which a whole list has been read.
-        stop_at: When the process was asked to stop; None while it isn't.
-        exiting: Whether the process has been told that it may end.
-        news_at: When the next heartbeat is due.
-        far_news_at: When the next one to other data centres is.
-        carries_from: From when on it may carry heartbeats for others.
-        carrier_rank: Its place among its data centre's carriers, from 0; None
-            while it is none.
-        is_news_pressing: Whether the next one goes to all entries directly.
-        loads_at: When peers nearby are told of new work; None while they
-            know of all that matters.
+        suspects: Requests that may have crashed upstreams.
+        relay: Shares reads of the store within the data centre.
+        remote_work: Work that the other entries have sent to upstreams.
+        contacts: Availability of the store, by subject.
+        started_at: When the first event was processed; None before.
+        held_requests: Requests received before the initial data was read, by
+            id.
+        listed_subjects: Subjects whose complete list has been read.
+        stop_at: When the process was asked to stop; None if it wasn't.
+        exiting: Whether the effect that ends the process has been returned.
+        next_heartbeat_at: When the next heartbeat is due.
+        next_remote_heartbeat_at: When the next heartbeat to other data
+            centres is due.
+        may_carry_from: When this entry may again forward heartbeats of other
+            entries.
+        carrier_rank: Rank among the data centre's carriers, from 0; None if
+            this entry isn't a carrier.
+        is_heartbeat_urgent: Whether the next heartbeat is sent directly to
+            all entries.
+        next_load_update_at: When the entries of the data centre are told of
+            new work; None if no update is due.
     """
 
     settings: options.RouterSettings
@@ -195,11 +204,11 @@
     entries: peers.PeerTable
     relay: store_relay.StoreRelay
     suspects: crash_suspects.CrashSuspects
-    in_force: configuration.Configuration | None = None
+    active_configuration: configuration.Configuration | None = None
     routes: route_match.RouteIndex = dataclasses.field(
         default_factory=lambda: route_match.RouteIndex(routes=())
     )
-    others: peer_work.PeerWork = dataclasses.field(
+    remote_work: peer_work.PeerWork = dataclasses.field(
         default_factory=peer_work.PeerWork
     )
     view: upstreams.UpstreamView = dataclasses.field(
@@ -208,7 +217,7 @@
     prefixes: prefix_memory.PrefixMemory = dataclasses.field(
         default_factory=prefix_memory.PrefixMemory
     )
-    speeds: engine_work.PrefillSpeeds = dataclasses.field(
+    prefill_speeds: engine_work.PrefillSpeeds = dataclasses.field(
         default_factory=engine_work.PrefillSpeeds
     )
     open: dict[str, OpenRequest] = dataclasses.field(default_factory=dict)
@@ -218,44 +227,55 @@
     trials: dict[str, version_trial.VersionTrial] = dataclasses.field(
         default_factory=dict
     )
-    settled: dict[str, set[str]] = dataclasses.field(default_factory=dict)
-    recording: dict[str, float] = dataclasses.field(default_factory=dict)
+    settled_versions: dict[str, set[str]] = dataclasses.field(
+        default_factory=dict
+    )
+    rollout_recorded_at: dict[str, float] = dataclasses.field(
+        default_factory=dict
+    )
     contacts: dict[str, StoreContact] = dataclasses.field(default_factory=dict)
     started_at: float | None = None
-    held: dict[str, HeldRequest] = dataclasses.field(default_factory=dict)
-    listed: set[str] = dataclasses.field(default_factory=set)
+    held_requests: dict[str, HeldRequest] = dataclasses.field(
+        default_factory=dict
+    )
+    listed_subjects: set[str] = dataclasses.field(default_factory=set)
     stop_at: float | None = None
     exiting: bool = False
-    news_at: float = 0.0
-    far_news_at: float = 0.0
-    carries_from: float = 0.0
+    next_heartbeat_at: float = 0.0
+    next_remote_heartbeat_at: float = 0.0
+    may_carry_from: float = 0.0
     carrier_rank: int | None = None
-    is_news_pressing: bool = False
-    loads_at: float | None = None
+    is_heartbeat_urgent: bool = False
+    next_load_update_at: float | None = None
 
     @property
-    def is_informed(self) -> bool:
-        """Whether enough has been read to serve requests."""
-        return self.in_force is not None and self.listed >= LISTS_NEEDED
+    def is_initialised(self) -> bool:
+        """Whether the data required to serve requests has been read."""
+        return (
+            self.active_configuration is not None
+            and self.listed_subjects >= REQUIRED_LISTS
+        )
 
     def contact(self, subject: str) -> StoreContact:
-        """Returns when the store was last heard of for a subject."""
+        """Returns the store's availability for a subject."""
         return self.contacts.setdefault(subject, StoreContact())
 
     @property
     def stopping(self) -> bool:
-        """Whether the process was asked to stop."""
+        """Whether a graceful stop is in progress."""
         return self.stop_at is not None
 
-    def press_news(self, *, now: float) -> None:
-        """Has all entries told very soon, also in other data centres."""
-        self.news_at = min(self.news_at, now + defaults.URGENT_NEWS_DELAY_S)
-        self.is_news_pressing = True
+    def expedite_heartbeat(self, *, now: float) -> None:
+        """Brings the next heartbeat forward and sends it to all entries."""
+        self.next_heartbeat_at = min(
+            self.next_heartbeat_at, now + defaults.URGENT_NEWS_DELAY_S
+        )
+        self.is_heartbeat_urgent = True
 
     def find_open(
         self, request_id: str, number: int
     ) -> tuple[OpenRequest, attempt_states.Attempt] | None:
-        """Returns the request and its attempt if that one is under way."""
+        """Returns a request and its attempt if that attempt is in progress."""
         opened = self.open.get(request_id)
         if opened is None:
             return None
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/store_reading.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/store_reading.py
@@ -32,7 +32,11 @@
     if relay.reading:
         return True
     if subject is events.Subject.CONFIGURATION:
-        known = state.in_force.revision if state.in_force else 0
+        known = (
+            state.active_configuration.revision
+            if state.active_configuration
+            else 0
+        )
         return relay.newest > known
     return subject is not events.Subject.UPSTREAMS
 
@@ -87,7 +91,9 @@
         # The reader has to prove itself anew before this entry stops again.
         relay.told_since = None
     # The others learn it soon.
-    state.news_at = min(state.news_at, now + defaults.URGENT_NEWS_DELAY_S)
+    state.next_heartbeat_at = min(
+        state.next_heartbeat_at, now + defaults.URGENT_NEWS_DELAY_S
+    )
     proof_age_s = state.proof.age(now=now)
     list_age_s = relay.list_age(now=now)
     return [
@@ -163,11 +169,13 @@
     """Tells one entry what it asked for."""
     contact = state.contact(events.Subject.UPSTREAMS)
     regained_age_s = None
-    if contact.regained_at is not None:
-        regained_age_s = now - contact.regained_at
+    if contact.recovered_at is not None:
+        regained_age_s = now - contact.recovered_at
     facts = store_relay.ReaderFacts(
         name=state.settings.name,
-        revision=state.in_force.revision if state.in_force else 0,
+        revision=state.active_configuration.revision
+        if state.active_configuration
+        else 0,
         proof_age_s=state.proof.age(now=now),
         regained_age_s=regained_age_s,
         listed=tuple(
@@ -187,7 +195,7 @@
         Whether the revision in force here is the one that it confirms.
     """
     state.relay.newest = max(state.relay.newest, told.revision)
-    current = state.in_force
+    current = state.active_configuration
     if current is None or current.revision != told.revision:
         return False
     state.proof.confirm(asked_at=told.asked_at - told.proof_age_s)
@@ -202,10 +210,10 @@
     What lapsed while the store was away is in doubt here as it is there.
     """
     contact = state.contact(events.Subject.UPSTREAMS)
-    if contact.is_away:
-        contact.regained_at = now
+    if contact.is_unavailable:
+        contact.recovered_at = now
     elif told.regained_age_s is not None:
-        contact.regained_at = now - told.regained_age_s
+        contact.recovered_at = now - told.regained_age_s
     contact.answered_at = now
 
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/upstream_list.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/upstream_list.py
@@ -64,7 +64,7 @@
         )
         found = state.suspects.confirm_crash(end, now=now)
         if found:
-            state.press_news(now=now)
+            state.expedite_heartbeat(now=now)
         out += [
             fx.LogDecision(
                 decision="silence_explained",
@@ -82,12 +82,12 @@
 ) -> list[effects.Effect]:
     """Applies an event to what is believed of upstreams."""
     contact = state.contact(events.Subject.UPSTREAMS)
-    store_unstable = contact.was_regained_within(
+    store_unstable = contact.was_recently_unavailable(
         defaults.LAPSE_REPORT_S, now=now
     )
     match event:
         case events.UpstreamsListed(listed, position=position, at=at):
-            state.listed.add(events.Subject.UPSTREAMS)
+            state.listed_subjects.add(events.Subject.UPSTREAMS)
             state.relay.note_list(position, at=at)
             gone = state.view.replace_list(
                 listed, store_unstable=store_unstable
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/watch.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/watch.py
@@ -19,7 +19,7 @@
     """Does what is due for all open requests."""
     out: list[effects.Effect] = []
     for opened in list(state.open.values()):
-        if now >= opened.ends_at:
+        if now >= opened.deadline:
             out += abort_request(state, opened, now=now)
         else:
             out += watch_attempt(state, opened, now=now)
@@ -98,17 +98,17 @@
         usual_s = defaults.PLAIN_PATIENCE_MEANS * times.answer_s
         return max(defaults.PLAIN_PATIENCE_FLOOR_S, usual_s)
     patience_s = max(
-        defaults.STALL_PATIENCE_SHARE * route.pause_s,
+        defaults.STALL_PATIENCE_SHARE * route.target_gap_s,
         defaults.STALL_EVENT_INTERVALS * find_pace_s(attempt),
     )
     if attempt.first_event_at is None:
         patience_s = max(
-            defaults.FIRST_EVENT_PATIENCE_SHARE * route.objective_s,
+            defaults.FIRST_EVENT_PATIENCE_SHARE * route.target_latency_s,
             defaults.FIRST_EVENT_PATIENCE_MEANS * times.first_event_s,
         )
     tracked = state.view.tracked.get(attempt.upstream)
     if tracked is not None and engine_load.was_heard_within(
-        tracked, state.others, defaults.UPSTREAM_ALIVE_S, now=now
+        tracked, state.remote_work, defaults.UPSTREAM_ALIVE_S, now=now
     ):
         # It works on others' requests: this one waits for its turn, and
         # elsewhere it would begin anew.
