--- a/packages/rhubarbbank-router/src/rhubarbbank_router/intake.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/intake.py
@@ -20,7 +20,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Hindrance:
+class Refusal:
     """Why a request is refused, and the response that says so.
 
     Attributes:
@@ -35,28 +35,28 @@
     retry_after_s: float | None = None
 
 
-NO_CONFIGURATION = Hindrance(
+NO_CONFIGURATION = Refusal(
     status=http.HTTPStatus.SERVICE_UNAVAILABLE,
     code=errors.ErrorCode.TABLE_NOT_CONFIRMED,
 )
-OVERLOADED = Hindrance(
+OVERLOADED = Refusal(
     status=http.HTTPStatus.SERVICE_UNAVAILABLE,
     code=errors.ErrorCode.OVERLOADED,
 )
-STOPPING = Hindrance(
+STOPPING = Refusal(
     status=http.HTTPStatus.SERVICE_UNAVAILABLE,
     code=errors.ErrorCode.SHUTTING_DOWN,
     retry_after_s=defaults.STOP_RETRY_AFTER_S,
 )
-CRASH_SUSPECT = Hindrance(
+CRASH_SUSPECT = Refusal(
     status=http.HTTPStatus.SERVICE_UNAVAILABLE,
     code=errors.ErrorCode.CRASH_SUSPECT,
     retry_after_s=defaults.SUSPECT_EXPIRY_S,
 )
-NO_ROUTE = Hindrance(
+NO_ROUTE = Refusal(
     status=http.HTTPStatus.NOT_FOUND, code=errors.ErrorCode.NOT_FOUND
 )
-UNKNOWN_KEY = Hindrance(
+UNKNOWN_KEY = Refusal(
     status=http.HTTPStatus.UNAUTHORIZED,
     code=errors.ErrorCode.UNKNOWN_ORGANISATION,
 )
@@ -113,9 +113,9 @@
     """Refuses a request, or opens it and sends its first attempt."""
     current = state.active_configuration
     route = state.routes.find(host=request.host, path=request.path)
-    hindrance = find_hindrance(state, request, route, now=now)
-    if current is None or route is None or hindrance is not None:
-        return refuse(state, request, hindrance or NO_CONFIGURATION, now=now)
+    refusal = find_refusal(state, request, route, now=now)
+    if current is None or route is None or refusal is not None:
+        return refuse(state, request, refusal or NO_CONFIGURATION, now=now)
     organisation = configuration.Organisation(name="")
     if current.keys is not None and not route.public:
         organisation = current.keys[request.key]
@@ -124,13 +124,13 @@
     )
 
 
-def find_hindrance(
+def find_refusal(
     state: states.RouterState,
     request: callers.IncomingRequest,
     route: configuration.Route | None,
     *,
     now: float,
-) -> Hindrance | None:
+) -> Refusal | None:
     """Returns why a request can't be served, or None if it can.
 
     While the configuration isn't proven fresh, a request that needs a key
@@ -231,7 +231,7 @@
 def refuse(
     state: states.RouterState,
     request: callers.IncomingRequest,
-    hindrance: Hindrance,
+    refusal: Refusal,
     *,
     now: float,
     inputs: tuple[fx.LogInput, ...] = (),
@@ -241,13 +241,13 @@
     Args:
         state: The router's state.
         request: The request.
-        hindrance: Why it is refused.
+        refusal: Why it is refused.
         now: Current time, in seconds.
         inputs: Further inputs of the decision, for the log.
     """
-    retry_after_s = hindrance.retry_after_s
+    retry_after_s = refusal.retry_after_s
     if (
-        hindrance.status == http.HTTPStatus.SERVICE_UNAVAILABLE
+        refusal.status == http.HTTPStatus.SERVICE_UNAVAILABLE
         and retry_after_s is None
     ):
         retry_after_s = dispatch.draw_retry_after(state)
@@ -257,9 +257,9 @@
         fx.LogDecision(
             decision="refused",
             request_id=request.attempt_id,
-            reason=hindrance.code.value,
+            reason=refusal.code.value,
             inputs=(
-                ("status", int(hindrance.status)),
+                ("status", int(refusal.status)),
                 ("configuration", current.version if current else "none"),
                 (
                     "proof_age_s",
@@ -269,11 +269,11 @@
                 *inputs,
             ),
         ),
-        fx.Count(f"refused.{hindrance.code.value}"),
+        fx.Count(f"refused.{refusal.code.value}"),
         effects.RefuseRequest(
             request_id=request.request_id,
-            status=int(hindrance.status),
-            code=hindrance.code.value,
+            status=int(refusal.status),
+            code=refusal.code.value,
             retry_after_s=retry_after_s,
         ),
     ]
