--- a/packages/rhubarbbank-router/src/rhubarbbank_router/intake.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/intake.py
@@ -62,7 +62,7 @@
 )
 
 
-def take_request(
+def handle_request(
     state: states.RouterState, request: callers.IncomingRequest, *, now: float
 ) -> list[effects.Effect]:
     """Admits a new request, or holds it while the entry is starting."""
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
@@ -98,7 +98,7 @@
             case events.UpstreamEnded():
                 return answers.handle_end(state, event, now=now)
             case events.RequestArrived(request):
-                return intake.take_request(state, request, now=now)
+                return intake.handle_request(state, request, now=now)
             case events.CallerLeft(request_id):
                 return answers.handle_caller_left(state, request_id, now=now)
             case core_events.Ticked():
