--- a/packages/rhubarbbank-router/src/rhubarbbank_router/intake.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/intake.py
@@ -87,7 +87,7 @@
     return now - started_at < defaults.START_WAIT_S
 
 
-def release_held(
+def admit_held(
     state: states.RouterState, *, now: float
 ) -> list[effects.Effect]:
     """Admits the requests that were held while the entry was starting."""
@@ -147,7 +147,7 @@
         return NO_CONFIGURATION
     if route is None:
         return NO_ROUTE
-    if is_too_late(state, route, now=now):
+    if may_outlast_stop(state, route, now=now):
         return STOPPING
     if needs_key and request.key not in (current.keys or {}):
         return UNKNOWN_KEY
@@ -201,7 +201,7 @@
     ]
 
 
-def is_too_late(
+def may_outlast_stop(
     state: states.RouterState, route: configuration.Route, *, now: float
 ) -> bool:
     """Returns whether a request might still be running when the entry exits."""
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
@@ -270,7 +270,7 @@
         """Does what is due at this time."""
         state = self.state
         out = watch.check_timeouts(state, now=now)
-        out += intake.release_held(state, now=now)
+        out += intake.admit_held(state, now=now)
         out += rollouts.tick(state, now=now)
         out += store_reading.tick(state, now=now)
         contact = state.contact(events.Subject.UPSTREAMS)
