--- a/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
@@ -22,7 +22,7 @@
 from rhubarbbank_router import state as states
 from rhubarbbank_router import upstreams
 
-MOST_PRIORITY = 9
+MAX_PRIORITY = 9
 
 
 def send(
@@ -52,18 +52,18 @@
     decision = state.placer.choose(
         candidates=candidates,
         request=placement.PlacementRequest(
-            session_upstream=find_home(state, opened, usable),
-            session_credit_s=find_home_credit_s(state, opened),
-            prompt_blocks=count_blocks(opened),
-            prefill_s_per_block=find_block_s(state, opened),
+            session_upstream=find_affinity_upstream(state, opened, usable),
+            session_credit_s=compute_affinity_credit_s(state, opened),
+            prompt_blocks=count_prompt_blocks(opened),
+            prefill_s_per_block=compute_prefill_s_per_block(state, opened),
         ),
     )
     if decision is None:
         return give_up(state, opened, errors.ErrorCode.NO_UPSTREAM, now=now)
-    excess_s = find_excess_s(opened, decision, now=now)
+    excess_s = compute_excess_wait_s(opened, decision, now=now)
     if excess_s > 0.0:
         code = errors.ErrorCode.OVERLOADED
-        return give_up(state, opened, code, now=now, room_in_s=excess_s)
+        return give_up(state, opened, code, now=now, min_retry_after_s=excess_s)
     tracked = state.view.tracked[decision.upstream]
     attempt = begin_attempt(state, opened, tracked, now=now)
     return [
@@ -84,11 +84,11 @@
                 ("left_s", round(opened.deadline - now, 3)),
             ),
         ),
-        build_sending(opened, tracked.listed, attempt, now=now),
+        build_send_effect(opened, tracked.listed, attempt, now=now),
     ]
 
 
-def find_excess_s(
+def compute_excess_wait_s(
     opened: states.OpenRequest,
     decision: placement.PlacementDecision,
     *,
@@ -191,7 +191,7 @@
     )
 
 
-def find_block_s(
+def compute_prefill_s_per_block(
     state: states.RouterState, opened: states.OpenRequest
 ) -> float:
     """Returns the estimated prefill time of a prompt block, in seconds."""
@@ -199,7 +199,7 @@
     return defaults.TOKENS_PER_BLOCK / speed
 
 
-def build_sending(
+def build_send_effect(
     opened: states.OpenRequest,
     upstream: upstreams.Upstream,
     attempt: attempt_states.Attempt,
@@ -223,7 +223,7 @@
         time_left_s=left_s,
         organisation=opened.organisation,
         model=opened.model,
-        priority=min(opened.priority, MOST_PRIORITY),
+        priority=min(opened.priority, MAX_PRIORITY),
         resume_after=opened.last_event_id or request.resume_after,
         streamed=opened.is_stream,
         connect_timeout_s=min(defaults.CONNECT_TIMEOUT_S, max(left_s, 0.01)),
@@ -261,13 +261,13 @@
     )
 
 
-def count_blocks(opened: states.OpenRequest) -> int:
+def count_prompt_blocks(opened: states.OpenRequest) -> int:
     """Returns the length of the request's prompt, in cache blocks."""
     facts = opened.request.generation
     return facts.prompt_tokens // defaults.TOKENS_PER_BLOCK if facts else 0
 
 
-def find_home(
+def find_affinity_upstream(
     state: states.RouterState,
     opened: states.OpenRequest,
     usable: list[upstreams.TrackedUpstream],
@@ -288,7 +288,7 @@
     return rendezvous.prefer(opened.request.affinity_key, names) or ""
 
 
-def find_home_credit_s(
+def compute_affinity_credit_s(
     state: states.RouterState, opened: states.OpenRequest
 ) -> float:
     """Returns how much longer the preferred upstream may take, in seconds.
@@ -359,7 +359,7 @@
     code: errors.ErrorCode,
     *,
     now: float,
-    room_in_s: float = 0.0,
+    min_retry_after_s: float = 0.0,
 ) -> list[effects.Effect]:
     """Ends a request that no upstream has answered in full.
 
@@ -372,7 +372,7 @@
         opened: The request.
         code: Why it ends.
         now: Current time, in seconds.
-        room_in_s: Lower bound of Retry-After, in seconds.
+        min_retry_after_s: Lower bound of Retry-After, in seconds.
     """
     request = opened.request
     del state.open[request.request_id]
@@ -385,7 +385,7 @@
         status = http.HTTPStatus.SERVICE_UNAVAILABLE
     retry_after_s = None
     if status == http.HTTPStatus.SERVICE_UNAVAILABLE:
-        retry_after_s = room_in_s + find_retry_after(
+        retry_after_s = min_retry_after_s + compute_retry_after_s(
             state, opened.service, now=now
         )
         retry_after_s = round(retry_after_s, 2)
@@ -421,7 +421,7 @@
     ]
 
 
-def find_retry_after(
+def compute_retry_after_s(
     state: states.RouterState, service: str, *, now: float
 ) -> float:
     """Returns the Retry-After of a service's request, in seconds.
