--- a/packages/rhubarbbank-router/src/rhubarbbank_router/answer_heads.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/answer_heads.py
@@ -135,7 +135,7 @@
     if not opened.route.repeatable:
         return []
     larger = state.sizes.step_up(
-        dispatch.ask_size(opened, now=now),
+        dispatch.build_size_context(opened, now=now),
         model=opened.model,
         confidence=head.confidence,
     )
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
@@ -305,7 +305,7 @@
     return max(defaults.AFFINITY_CREDIT_S, credit_s)
 
 
-def ask_size(
+def build_size_context(
     opened: states.OpenRequest, *, now: float
 ) -> size_plan.SizeQuestion:
     """Returns the facts from which a model size is chosen."""
@@ -429,7 +429,7 @@
     If no upstream of the service is usable, it runs from the time when the
     next one becomes usable again.
     """
-    drawn_s = draw_retry_after(state)
+    drawn_s = draw_retry_after_s(state)
     if state.view.list_accepting(service, now=now):
         return drawn_s
     reopening = state.view.find_reopening_time(service, now=now)
@@ -438,7 +438,7 @@
     return reopening - now + drawn_s
 
 
-def draw_retry_after(state: states.RouterState) -> float:
+def draw_retry_after_s(state: states.RouterState) -> float:
     """Returns a random Retry-After, in seconds, so that retries spread out."""
     return round(
         state.rng.uniform(
@@ -448,6 +448,6 @@
     )
 
 
-def is_plain(route: configuration.Route) -> bool:
+def is_buffered(route: configuration.Route) -> bool:
     """Returns whether the route's answers are sent whole, not streamed."""
     return route.kind is not configuration.RouteKind.STREAM
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/intake.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/intake.py
@@ -193,7 +193,7 @@
     state.open[request.request_id] = opened
     state.budget.count_request(opened.service, now=now)
     if route.sizes and not (request.generation and request.generation.model):
-        question = dispatch.ask_size(opened, now=now)
+        question = dispatch.build_size_context(opened, now=now)
         opened.model = state.sizes.choose_first(question)
     return [
         fx.Count("requests"),
@@ -208,7 +208,7 @@
     if state.stop_at is None:
         return False
     stopping_s = now - state.stop_at
-    if not dispatch.is_plain(route):
+    if not dispatch.is_buffered(route):
         return stopping_s > defaults.STOP_STREAMS_S
     grace_s = state.settings.bounds.grace_s
     return stopping_s > grace_s - defaults.STOP_PLAIN_MARGIN_S
@@ -250,7 +250,7 @@
         refusal.status == http.HTTPStatus.SERVICE_UNAVAILABLE
         and retry_after_s is None
     ):
-        retry_after_s = dispatch.draw_retry_after(state)
+        retry_after_s = dispatch.draw_retry_after_s(state)
     current = state.active_configuration
     proof_age_s = state.proof.age(now=now)
     return [
