--- a/experiments/src/rhubarbbank_experiments/mix_arms.py
+++ b/experiments/src/rhubarbbank_experiments/mix_arms.py
@@ -15,7 +15,7 @@
 from rhubarbbank_router import defaults
 from rhubarbbank_router import options
 from rhubarbbank_router import router
-from rhubarbbank_router import size_plan
+from rhubarbbank_router import size_policy
 from rhubarbbank_router import work_placement
 
 # Work that a reported request of another entry is taken to have: a third of
@@ -116,12 +116,12 @@
 class SmallestOnly:
     """Asks the smallest model and keeps its answer, however unsure."""
 
-    def choose_first(self, question: size_plan.SizeQuestion) -> str:
+    def choose_first(self, question: size_policy.SizeContext) -> str:
         """Returns the smallest model."""
         return question.sizes[0]
 
     def step_up(
-        self, question: size_plan.SizeQuestion, *, model: str, confidence: int
+        self, question: size_policy.SizeContext, *, model: str, confidence: int
     ) -> str | None:
         """Returns None: the answer is kept."""
         del question, model, confidence
@@ -152,8 +152,8 @@
     """
 
     name: str
-    sizes: size_plan.SizePlan = dataclasses.field(
-        default_factory=size_plan.SmallestThenLargest
+    sizes: size_policy.SizePolicy = dataclasses.field(
+        default_factory=size_policy.SmallestThenLargest
     )
     place: PlacementMaker = place_by_work
     telling: Telling = Telling.AT_ONCE
@@ -175,7 +175,7 @@
 PRODUCT = Arm(name="product")
 ARMS = (
     PRODUCT,
-    Arm(name="largest_only", sizes=size_plan.LargestOnly()),
+    Arm(name="largest_only", sizes=size_policy.LargestOnly()),
     Arm(name="smallest_only", sizes=SmallestOnly()),
     Arm(name="in_turn", place=place_in_turn),
     Arm(name="by_count", place=place_by_count),
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
@@ -18,7 +18,7 @@
 from rhubarbbank_router import engine_load
 from rhubarbbank_router import engine_work
 from rhubarbbank_router import rollouts
-from rhubarbbank_router import size_plan
+from rhubarbbank_router import size_policy
 from rhubarbbank_router import state as states
 from rhubarbbank_router import upstreams
 
@@ -307,11 +307,11 @@
 
 def build_size_context(
     opened: states.OpenRequest, *, now: float
-) -> size_plan.SizeQuestion:
+) -> size_policy.SizeContext:
     """Returns the facts from which a model size is chosen."""
     facts = opened.request.generation
     target_latency_s = opened.route.target_latency_s
-    return size_plan.SizeQuestion(
+    return size_policy.SizeContext(
         sizes=opened.route.sizes,
         left_s=opened.deadline - now,
         objective_left_s=opened.arrived_at + target_latency_s - now,
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
@@ -24,7 +24,7 @@
 from rhubarbbank_router import peers
 from rhubarbbank_router import rollouts
 from rhubarbbank_router import route_match
-from rhubarbbank_router import size_plan
+from rhubarbbank_router import size_policy
 from rhubarbbank_router import state as states
 from rhubarbbank_router import store_reading
 from rhubarbbank_router import store_relay
@@ -51,7 +51,7 @@
         settings: options.RouterSettings,
         incarnation: int,
         rng: random.Random,
-        sizes: size_plan.SizePlan | None = None,
+        sizes: size_policy.SizePolicy | None = None,
         judge: version_trial.TrialJudge | None = None,
         placed: placement.Placement | None = None,
     ) -> None:
@@ -61,7 +61,7 @@
             incarnation=incarnation,
             rng=rng,
             placer=placed or work_placement.WorkPlacement(rng=rng),
-            sizes=sizes or size_plan.SmallestThenLargest(),
+            sizes=sizes or size_policy.SmallestThenLargest(),
             judge=judge or trial_judge.LikelihoodJudge(),
             budget=window_budget.WindowBudget(
                 limits=window_budget.BudgetLimits(
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/size_plan.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/size_policy.py
@@ -12,7 +12,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class SizeQuestion:
+class SizeContext:
     """The facts of a request from which its model size is chosen.
 
     Attributes:
@@ -32,14 +32,14 @@
     expected_output_tokens: int
 
 
-class SizePlan(Protocol):
+class SizePolicy(Protocol):
     """A policy that chooses model sizes."""
 
-    def choose_first(self, question: SizeQuestion) -> str:
+    def choose_first(self, question: SizeContext) -> str:
         """Returns the model of the first attempt."""
 
     def step_up(
-        self, question: SizeQuestion, *, model: str, confidence: int
+        self, question: SizeContext, *, model: str, confidence: int
     ) -> str | None:
         """Returns the model to retry with, or None to keep the answer."""
 
@@ -47,12 +47,12 @@
 class SmallestThenLargest:
     """Uses the smallest model, and the largest if its confidence is low."""
 
-    def choose_first(self, question: SizeQuestion) -> str:
+    def choose_first(self, question: SizeContext) -> str:
         """Returns the smallest model."""
         return question.sizes[0]
 
     def step_up(
-        self, question: SizeQuestion, *, model: str, confidence: int
+        self, question: SizeContext, *, model: str, confidence: int
     ) -> str | None:
         """Returns the largest model if confidence is low and time is left."""
         largest = question.sizes[-1]
@@ -66,12 +66,12 @@
 class LargestOnly:
     """Always uses the largest model: the baseline of comparisons."""
 
-    def choose_first(self, question: SizeQuestion) -> str:
+    def choose_first(self, question: SizeContext) -> str:
         """Returns the largest model."""
         return question.sizes[-1]
 
     def step_up(
-        self, question: SizeQuestion, *, model: str, confidence: int
+        self, question: SizeContext, *, model: str, confidence: int
     ) -> str | None:
         """Returns None, as there is no larger model."""
         del question, model, confidence
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
@@ -26,7 +26,7 @@
 from rhubarbbank_router import prefix_memory
 from rhubarbbank_router import route_match
 from rhubarbbank_router import session_pins
-from rhubarbbank_router import size_plan
+from rhubarbbank_router import size_policy
 from rhubarbbank_router import store_relay
 from rhubarbbank_router import upstreams
 from rhubarbbank_router import version_trial
@@ -197,7 +197,7 @@
     incarnation: int
     rng: random.Random
     placer: placement.Placement
-    sizes: size_plan.SizePlan
+    sizes: size_policy.SizePolicy
     judge: version_trial.TrialJudge
     budget: window_budget.WindowBudget
     proof: freshness_proof.FreshnessProof
