--- a/experiments/src/rhubarbbank_experiments/mix_arms.py
+++ b/experiments/src/rhubarbbank_experiments/mix_arms.py
@@ -116,15 +116,15 @@
 class SmallestOnly:
     """Asks the smallest model and keeps its answer, however unsure."""
 
-    def choose_first(self, question: size_policy.SizeContext) -> str:
+    def choose_first(self, context: size_policy.SizeContext) -> str:
         """Returns the smallest model."""
-        return question.sizes[0]
+        return context.sizes[0]
 
     def step_up(
-        self, question: size_policy.SizeContext, *, model: str, confidence: int
+        self, context: size_policy.SizeContext, *, model: str, confidence: int
     ) -> str | None:
         """Returns None: the answer is kept."""
-        del question, model, confidence
+        del context, model, confidence
         return None
 
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/intake.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/intake.py
@@ -193,8 +193,8 @@
     state.open[request.request_id] = opened
     state.budget.count_request(opened.service, now=now)
     if route.sizes and not (request.generation and request.generation.model):
-        question = dispatch.build_size_context(opened, now=now)
-        opened.model = state.sizes.choose_first(question)
+        context = dispatch.build_size_context(opened, now=now)
+        opened.model = state.sizes.choose_first(context)
     return [
         fx.Count("requests"),
         *dispatch.send(state, opened, now=now, cause="first"),
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/size_policy.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/size_policy.py
@@ -35,11 +35,11 @@
 class SizePolicy(Protocol):
     """A policy that chooses model sizes."""
 
-    def choose_first(self, question: SizeContext) -> str:
+    def choose_first(self, context: SizeContext) -> str:
         """Returns the model of the first attempt."""
 
     def step_up(
-        self, question: SizeContext, *, model: str, confidence: int
+        self, context: SizeContext, *, model: str, confidence: int
     ) -> str | None:
         """Returns the model to retry with, or None to keep the answer."""
 
@@ -47,18 +47,18 @@
 class SmallestThenLargest:
     """Uses the smallest model, and the largest if its confidence is low."""
 
-    def choose_first(self, question: SizeContext) -> str:
+    def choose_first(self, context: SizeContext) -> str:
         """Returns the smallest model."""
-        return question.sizes[0]
+        return context.sizes[0]
 
     def step_up(
-        self, question: SizeContext, *, model: str, confidence: int
+        self, context: SizeContext, *, model: str, confidence: int
     ) -> str | None:
         """Returns the largest model if confidence is low and time is left."""
-        largest = question.sizes[-1]
+        largest = context.sizes[-1]
         if model == largest or confidence >= defaults.STEP_UP_CONFIDENCE:
             return None
-        if question.left_s < defaults.STEP_UP_MIN_S:
+        if context.left_s < defaults.STEP_UP_MIN_S:
             return None
         return largest
 
@@ -66,13 +66,13 @@
 class LargestOnly:
     """Always uses the largest model: the baseline of comparisons."""
 
-    def choose_first(self, question: SizeContext) -> str:
+    def choose_first(self, context: SizeContext) -> str:
         """Returns the largest model."""
-        return question.sizes[-1]
+        return context.sizes[-1]
 
     def step_up(
-        self, question: SizeContext, *, model: str, confidence: int
+        self, context: SizeContext, *, model: str, confidence: int
     ) -> str | None:
         """Returns None, as there is no larger model."""
-        del question, model, confidence
+        del context, model, confidence
         return None
