--- a/packages/rhubarbbank-router/src/rhubarbbank_router/answer_heads.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/answer_heads.py
@@ -108,7 +108,7 @@
         inputs=(("status", head.status),),
     )
     count = fx.Count("upstream_refusals")
-    if dispatch.may_try_again(state, opened, now=now):
+    if dispatch.acquire_retry(state, opened, now=now):
         again = dispatch.send(state, opened, now=now, cause="refused")
         return [log, count, *cancel, *again]
     code = errors.ErrorCode.OVERLOADED
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_ends.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_ends.py
@@ -29,7 +29,7 @@
     if attempt.status == http.HTTPStatus.GATEWAY_TIMEOUT:
         return None
     opened.excluded.add(attempt.upstream)
-    if not dispatch.may_try_again(state, opened, now=now):
+    if not dispatch.acquire_retry(state, opened, now=now):
         return None
     attempt_evidence.finish_attempt(
         state, opened, attempt, now=now, failed=True
@@ -72,7 +72,7 @@
         ),
         fx.Count("failed_attempts"),
     ]
-    if dispatch.may_try_again(state, opened, now=now):
+    if dispatch.acquire_retry(state, opened, now=now):
         again = dispatch.send(state, opened, now=now, cause="broken off")
         return [*out, *again]
     code = errors.ErrorCode.UPSTREAM_LOST
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
@@ -320,7 +320,7 @@
     )
 
 
-def may_try_again(
+def acquire_retry(
     state: states.RouterState,
     opened: states.OpenRequest,
     *,
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/watch.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/watch.py
@@ -58,7 +58,7 @@
     if silent_s < patience_s:
         return []
     opened.excluded.add(attempt.upstream)
-    if not dispatch.may_try_again(state, opened, now=now):
+    if not dispatch.acquire_retry(state, opened, now=now):
         opened.excluded.discard(attempt.upstream)
         # Asked again at the next beat; by then there may be room.
         return []
