--- a/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
@@ -192,7 +192,7 @@
         )
     ]
     out += attempt_ends.set_aside(state, attempt.upstream, now=now, weight=3)
-    if dispatch.acquire_retry(state, opened, now=now, counted=False):
+    if dispatch.acquire_retry(state, opened, now=now, uses_budget=False):
         again = dispatch.send(state, opened, now=now, cause="unreached")
         return [*out, *again]
     code = errors.ErrorCode.NO_UPSTREAM
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
@@ -325,7 +325,7 @@
     opened: states.OpenRequest,
     *,
     now: float,
-    counted: bool = True,
+    uses_budget: bool = True,
 ) -> bool:
     """Returns whether another attempt may be made, and charges its budget.
 
@@ -333,8 +333,8 @@
         state: The router's state.
         opened: The request.
         now: Current time, in seconds.
-        counted: Whether the attempt counts against the retry budget, because
-            the one before it reached its upstream.
+        uses_budget: Whether the attempt counts against the retry budget,
+            because the one before it reached its upstream.
     """
     not_run = attempt_states.has_not_run(opened.attempts)
     if not (not_run or opened.route.repeatable):
@@ -350,7 +350,7 @@
     )
     if not rollouts.keep_version(state, opened, remaining, now=now):
         return False
-    return not counted or state.budget.take(opened.service, now=now)
+    return not uses_budget or state.budget.take(opened.service, now=now)
 
 
 def give_up(
