--- a/features/steps/router_rollout_steps.py
+++ b/features/steps/router_rollout_steps.py
@@ -126,7 +126,7 @@
     for number in range(400):
         key = f"session-{number}"
         trial = world.state.trials[SERVICE]
-        if trial.wants_target(key):
+        if trial.routes_to_target(key):
             # Before the order it would have run on the old version.
             context.key = key
             break
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
@@ -43,7 +43,7 @@
     usable = state.view.list_usable(
         opened.service, now=now, excluded=opened.excluded
     )
-    usable = rollouts.keep_version(state, opened, usable, now=now)
+    usable = rollouts.filter_by_version(state, opened, usable, now=now)
     if not usable:
         return give_up(state, opened, errors.ErrorCode.NO_UPSTREAM, now=now)
     candidates = [
@@ -162,7 +162,7 @@
         and state.next_load_update_at is None
     ):
         state.next_load_update_at = now + defaults.LOAD_BATCH_S
-    rollouts.note_placed(state, opened, attempt.version, now=now)
+    rollouts.record_placement(state, opened, attempt.version, now=now)
     return attempt
 
 
@@ -348,7 +348,7 @@
     remaining = state.view.list_usable(
         opened.service, now=now, excluded=opened.excluded
     )
-    if not rollouts.keep_version(state, opened, remaining, now=now):
+    if not rollouts.filter_by_version(state, opened, remaining, now=now):
         return False
     return not uses_budget or state.budget.take(opened.service, now=now)
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
@@ -84,7 +84,7 @@
     is_new = state.entries.take(message, now=now)
     learnt = state.suspects.merge(message.suspects, now=now)
     state.remote_work.update(message.name, message.loads, now=now)
-    rollouts.take_news(state, message, now=now)
+    rollouts.merge_news(state, message, now=now)
     out = [
         log_told_suspect(state, message.name, fingerprint)
         for fingerprint in learnt
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/rollouts.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/rollouts.py
@@ -17,10 +17,10 @@
 from rhubarbbank_router import upstreams
 from rhubarbbank_router import version_trial
 
-RECORD_PERIOD_S = 0.5
+RECORD_RETRY_S = 0.5
 
 
-def take_order(
+def apply_order(
     state: states.RouterState,
     order: version_trial.RolloutOrder,
     *,
@@ -30,8 +30,8 @@
     trial = state.trials.get(order.service)
     if trial is not None and order.revision < trial.order.revision:
         return []
-    if trial is None or is_another(trial.order, order):
-        settle(state, order.service)
+    if trial is None or is_new_order(trial.order, order):
+        init_settled_versions(state, order.service)
         trial = version_trial.VersionTrial(
             order=order,
             judge=state.judge,
@@ -63,7 +63,7 @@
     ]
 
 
-def is_another(
+def is_new_order(
     known: version_trial.RolloutOrder, order: version_trial.RolloutOrder
 ) -> bool:
     """Returns whether an order isn't the one that is known.
@@ -92,7 +92,7 @@
     return version_trial.STREAM_PLAN
 
 
-def take_orders(
+def apply_orders(
     state: states.RouterState,
     orders: tuple[version_trial.RolloutOrder, ...],
     *,
@@ -105,7 +105,7 @@
         if service not in found:
             remove_order(state, service)
     for order in orders:
-        out += take_order(state, order, now=now)
+        out += apply_order(state, order, now=now)
     return out
 
 
@@ -117,7 +117,7 @@
     state.trials.pop(service, None)
 
 
-def settle(state: states.RouterState, service: str) -> None:
+def init_settled_versions(state: states.RouterState, service: str) -> None:
     """Settles the versions that a service has, if none are settled yet."""
     settled = state.settled_versions.setdefault(service, set())
     if settled:
@@ -132,15 +132,15 @@
     )
 
 
-def settle_all(state: states.RouterState) -> None:
+def init_all_settled_versions(state: states.RouterState) -> None:
     """Settles the versions of services that are new here."""
     for service in {
         tracked.listed.service for tracked in state.view.tracked.values()
     }:
-        settle(state, service)
+        init_settled_versions(state, service)
 
 
-def keep_version(
+def filter_by_version(
     state: states.RouterState,
     opened: states.OpenRequest,
     usable: list[upstreams.TrackedUpstream],
@@ -149,33 +149,33 @@
 ) -> list[upstreams.TrackedUpstream]:
     """Returns the upstreams whose version the request may run on."""
     if opened.answer_started:
-        return select(usable, {opened.version})
+        return select_versions(usable, {opened.version})
     settled = state.settled_versions.get(opened.service) or set()
     trial = state.trials.get(opened.service)
     if trial is None:
-        return select(usable, settled) or usable
+        return select_versions(usable, settled) or usable
     target = trial.order.target
-    on_target = select(usable, {target})
+    on_target = select_versions(usable, {target})
     others = [each for each in usable if each.listed.version != target]
-    others = select(others, settled) or others
+    others = select_versions(others, settled) or others
     if trial.held:
         return others
     if trial.is_whole:
         done = trial.order.state is version_trial.OrderState.COMPLETED
         return on_target or ([] if done else others)
-    if wants_target(state, trial, opened, now=now):
+    if routes_to_target(state, trial, opened, now=now):
         return on_target or others
     return others or on_target
 
 
-def select(
+def select_versions(
     usable: list[upstreams.TrackedUpstream], versions: set[str]
 ) -> list[upstreams.TrackedUpstream]:
     """Returns the upstreams that run one of the versions."""
     return [each for each in usable if each.listed.version in versions]
 
 
-def find_pin(
+def find_session_version(
     state: states.RouterState, opened: states.OpenRequest, *, now: float
 ) -> str:
     """Returns the version that the request's session runs on, or empty."""
@@ -186,7 +186,7 @@
     )
 
 
-def wants_target(
+def routes_to_target(
     state: states.RouterState,
     trial: version_trial.VersionTrial,
     opened: states.OpenRequest,
@@ -200,10 +200,10 @@
     before their first heartbeats since the order.
     """
     session = opened.request.session
-    drawn = trial.wants_target(opened.request.affinity_key)
+    drawn = trial.routes_to_target(opened.request.affinity_key)
     if not session:
         return drawn
-    pinned = find_pin(state, opened, now=now)
+    pinned = find_session_version(state, opened, now=now)
     if pinned == trial.order.target:
         return True
     if trial.moves_sessions:
@@ -250,14 +250,16 @@
     if trial.moves_sessions or trial.is_over or version == trial.order.target:
         return
     marked = name_hashes.hash_name(session)
-    if marked in trial.kept_sessions or not trial.wants_target(affinity_key):
+    if marked in trial.kept_sessions or not trial.routes_to_target(
+        affinity_key
+    ):
         return
     trial.kept_sessions.add(marked)
     # Its next request may come to another entry very soon.
     state.expedite_heartbeat(now=now)
 
 
-def note_placed(
+def record_placement(
     state: states.RouterState,
     opened: states.OpenRequest,
     version: str,
@@ -286,7 +288,7 @@
         )
 
 
-def take_news(
+def merge_news(
     state: states.RouterState, news: messages.EntryNews, *, now: float
 ) -> None:
     """Takes over from a peer when an order began, and how far it is.
@@ -315,12 +317,12 @@
             state.entries.sum_evidence(service, trial.order.key)
         )
         if trial.advance(evidence, now=now):
-            out.append(log_step(service, trial, evidence, now=now))
-        out += record(state, service, trial, now=now)
+            out.append(build_step_log(service, trial, evidence, now=now))
+        out += record_state(state, service, trial, now=now)
     return out
 
 
-def log_step(
+def build_step_log(
     service: str,
     trial: version_trial.VersionTrial,
     evidence: version_trial.TrialEvidence,
@@ -335,13 +337,13 @@
         inputs=(
             ("service", service),
             ("age_s", round(now - trial.started_at, 3)),
-            *describe("target", evidence.pooled.target),
-            *describe("incumbent", evidence.pooled.incumbent),
+            *list_log_inputs("target", evidence.pooled.target),
+            *list_log_inputs("incumbent", evidence.pooled.incumbent),
         ),
     )
 
 
-def describe(
+def list_log_inputs(
     name: str, counts: version_trial.AnswerCounts
 ) -> tuple[fx.LogInput, ...]:
     """Returns a version's counts for the log."""
@@ -355,7 +357,7 @@
     )
 
 
-def record(
+def record_state(
     state: states.RouterState,
     service: str,
     trial: version_trial.VersionTrial,
@@ -364,10 +366,10 @@
 ) -> list[effects.Effect]:
     """Records a roll-out's state, if it is this entry's turn."""
     order = trial.order
-    wanted = find_outcome(state, trial, now=now)
+    wanted = determine_state(state, trial, now=now)
     if order.state in version_trial.FINAL_STATES or wanted is order.state:
         return []
-    if now - state.rollout_recorded_at.get(service, 0.0) < RECORD_PERIOD_S:
+    if now - state.rollout_recorded_at.get(service, 0.0) < RECORD_RETRY_S:
         return []
     if state.stopping or not state.entries.is_first(now=now):
         return []
@@ -383,7 +385,7 @@
     ]
 
 
-def find_outcome(
+def determine_state(
     state: states.RouterState,
     trial: version_trial.VersionTrial,
     *,
@@ -392,7 +394,7 @@
     """Returns what the roll-out has come to, over all live entries."""
     if trial.held:
         return version_trial.OrderState.ROLLED_BACK
-    if not trial.is_whole or count_on_others(state, trial):
+    if not trial.is_whole or count_other_attempts(state, trial):
         return version_trial.OrderState.RUNNING
     for news in state.entries.list_live(now=now):
         told = [each for each in news.trials if each.key == trial.order.key]
@@ -401,7 +403,7 @@
     return version_trial.OrderState.COMPLETED
 
 
-def count_on_others(
+def count_other_attempts(
     state: states.RouterState, trial: version_trial.VersionTrial
 ) -> int:
     """Returns this entry's open attempts on other versions."""
@@ -424,16 +426,16 @@
             age_s=now - trial.started_at,
             held=trial.held,
             whole=trial.is_whole,
-            old_in_flight=count_on_others(state, trial),
+            old_in_flight=count_other_attempts(state, trial),
             step=trial.step,
-            kept_sessions=list_kept(trial),
-            routes=() if trial.is_over else list_counts(trial),
+            kept_sessions=list_kept_sessions(trial),
+            routes=() if trial.is_over else list_route_counts(trial),
         )
         for service, trial in state.trials.items()
     )
 
 
-def list_kept(
+def list_kept_sessions(
     trial: version_trial.VersionTrial,
 ) -> tuple[name_hashes.NameHash, ...]:
     """Returns the sessions that stay, while they have to."""
@@ -442,16 +444,18 @@
     return tuple(sorted(trial.kept_sessions))
 
 
-def list_counts(
+def list_route_counts(
     trial: version_trial.VersionTrial,
 ) -> tuple[messages.RouteNews, ...]:
     """Returns this entry's evidence as a heartbeat carries it."""
     return tuple(
-        messages.RouteNews(route, pack(found.target), pack(found.incumbent))
+        messages.RouteNews(
+            route, encode_counts(found.target), encode_counts(found.incumbent)
+        )
         for route, found in trial.own.routes.items()
     )
 
 
-def pack(counts: version_trial.AnswerCounts) -> messages.CountNews:
+def encode_counts(counts: version_trial.AnswerCounts) -> messages.CountNews:
     """Returns counts as a heartbeat carries them."""
     return messages.CountNews(**dataclasses.asdict(counts))
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
@@ -160,9 +160,9 @@
                 return self.note_failure(now, subject, detail)
             case events.RolloutsListed(orders):
                 state.listed_subjects.add(events.Subject.ROLLOUTS)
-                return rollouts.take_orders(state, orders, now=now)
+                return rollouts.apply_orders(state, orders, now=now)
             case events.RolloutChanged(order):
-                return rollouts.take_order(state, order, now=now)
+                return rollouts.apply_order(state, order, now=now)
             case events.RolloutRemoved(service):
                 rollouts.remove_order(state, service)
                 return []
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/upstream_list.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/upstream_list.py
@@ -92,7 +92,7 @@
             gone = state.view.replace_list(
                 listed, store_unstable=store_unstable
             )
-            rollouts.settle_all(state)
+            rollouts.init_all_settled_versions(state)
             return [
                 fx.LogDecision(
                     decision="upstreams_listed",
@@ -107,7 +107,7 @@
         case events.UpstreamChanged(listed):
             state.view.put(listed)
             state.relay.note_change(listed)
-            rollouts.settle_all(state)
+            rollouts.init_all_settled_versions(state)
             return [
                 fx.LogDecision(
                     decision="upstream_listed",
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/version_trial.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/version_trial.py
@@ -367,6 +367,6 @@
         """Returns whether the target should get no more than a share."""
         return self.judge.is_doubtful(evidence, plan=self.plan, share=share)
 
-    def wants_target(self, affinity_key: str) -> bool:
+    def routes_to_target(self, affinity_key: str) -> bool:
         """Returns whether new work with this key goes to the target."""
         return draw(affinity_key, self.order.target) < self.share
