--- a/features/steps/plain_rollout_steps.py
+++ b/features/steps/plain_rollout_steps.py
@@ -90,10 +90,10 @@
             waiting.append((now + HEARD_AFTER_S, version, counts))
         while waiting and waiting[0][0] <= now:
             _, version, counts = waiting.pop(0)
-            trial.note(route="look", version=version, counts=counts)
+            trial.add_counts(route="look", version=version, counts=counts)
         if tick % ADVANCE_EVERY == 0:
-            trial.advance(trial.own, now=now)
-        if trial.is_whole and found.whole_at is None:
+            trial.advance(trial.own_evidence, now=now)
+        if trial.has_all_traffic and found.whole_at is None:
             found.whole_at = now
     found.held = trial.held
     return found
--- a/features/steps/trial_judge_steps.py
+++ b/features/steps/trial_judge_steps.py
@@ -54,7 +54,7 @@
                 old = add_old(old, rng)
             new = add_new(new, rng)
             found = version_trial.Comparison(target=new, incumbent=old)
-            routes = dict.fromkeys(idle_routes, version_trial.NOTHING)
+            routes = dict.fromkeys(idle_routes, version_trial.NO_COUNTS)
             evidence = version_trial.TrialEvidence({"chat": found} | routes)
             if judge.is_worse(evidence, plan=version_trial.STREAM_PLAN):
                 held += 1
@@ -111,7 +111,7 @@
     )
     context.trial.step = len(context.trial.plan.steps) - 1
     context.trial.stepped_at = since
-    assert context.trial.is_whole
+    assert context.trial.has_all_traffic
 
 
 @when(
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_evidence.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_evidence.py
@@ -69,7 +69,7 @@
     trial = state.trials.get(attempt.service)
     if trial is None or trial.order.target != attempt.version:
         return False
-    return not trial.is_over
+    return not trial.is_finished
 
 
 def judge_attempt(
@@ -88,7 +88,7 @@
     attempt.judged = True
     timed = not opened.is_stream
     timed = timed or attempt.events >= defaults.MIN_EVENTS_FOR_PACE
-    trial.note(
+    trial.add_counts(
         route=opened.route.name,
         version=attempt.version,
         counts=version_trial.AnswerCounts().add(
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/carriers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/carriers.py
@@ -53,7 +53,7 @@
 
 def find_period_s(state: states.RouterState) -> float:
     """Returns how long a carrier waits between two bundles, in seconds."""
-    if any(not each.is_over for each in state.trials.values()):
+    if any(not each.is_finished for each in state.trials.values()):
         return defaults.TRIAL_BUNDLE_PERIOD_S
     return defaults.BUNDLE_PERIOD_S
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/rollouts.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/rollouts.py
@@ -160,7 +160,7 @@
     others = select_versions(others, settled) or others
     if trial.held:
         return others
-    if trial.is_whole:
+    if trial.has_all_traffic:
         done = trial.order.state is version_trial.OrderState.COMPLETED
         return on_target or ([] if done else others)
     if routes_to_target(state, trial, opened, now=now):
@@ -206,7 +206,7 @@
     pinned = find_session_version(state, opened, now=now)
     if pinned == trial.order.target:
         return True
-    if trial.moves_sessions:
+    if trial.may_move_sessions:
         return drawn
     age_s = now - trial.started_at
     if pinned or age_s < defaults.SESSIONS_REPORTED_S:
@@ -247,7 +247,11 @@
     now: float,
 ) -> None:
     """Notes that a session stays, if it would be drawn for the target."""
-    if trial.moves_sessions or trial.is_over or version == trial.order.target:
+    if (
+        trial.may_move_sessions
+        or trial.is_finished
+        or version == trial.order.target
+    ):
         return
     marked = name_hashes.hash_name(session)
     if marked in trial.kept_sessions or not trial.routes_to_target(
@@ -301,7 +305,7 @@
             continue
         trial.started_at = min(trial.started_at, now - told.age_s)
         trial.held = trial.held or told.held
-        trial.follow_step(told.step, now=now)
+        trial.adopt_step(told.step, now=now)
         trial.kept_sessions.update(told.kept_sessions)
 
 
@@ -311,9 +315,9 @@
     for service, trial in state.trials.items():
         # The order may be known before the configuration is; later on, steps
         # of another plan would mean other shares.
-        if not trial.moves_sessions:
+        if not trial.may_move_sessions:
             trial.plan = choose_plan(state, service)
-        evidence = trial.own.plus(
+        evidence = trial.own_evidence.plus(
             state.entries.sum_evidence(service, trial.order.key)
         )
         if trial.advance(evidence, now=now):
@@ -394,7 +398,7 @@
     """Returns what the roll-out has come to, over all live entries."""
     if trial.held:
         return version_trial.OrderState.ROLLED_BACK
-    if not trial.is_whole or count_other_attempts(state, trial):
+    if not trial.has_all_traffic or count_other_attempts(state, trial):
         return version_trial.OrderState.RUNNING
     for news in state.entries.list_live(now=now):
         told = [each for each in news.trials if each.key == trial.order.key]
@@ -425,11 +429,11 @@
             key=trial.order.key,
             age_s=now - trial.started_at,
             held=trial.held,
-            whole=trial.is_whole,
+            whole=trial.has_all_traffic,
             old_in_flight=count_other_attempts(state, trial),
             step=trial.step,
             kept_sessions=list_kept_sessions(trial),
-            routes=() if trial.is_over else list_route_counts(trial),
+            routes=() if trial.is_finished else list_route_counts(trial),
         )
         for service, trial in state.trials.items()
     )
@@ -439,7 +443,7 @@
     trial: version_trial.VersionTrial,
 ) -> tuple[name_hashes.NameHash, ...]:
     """Returns the sessions that stay, while they have to."""
-    if trial.moves_sessions or trial.is_over:
+    if trial.may_move_sessions or trial.is_finished:
         return ()
     return tuple(sorted(trial.kept_sessions))
 
@@ -452,7 +456,7 @@
         messages.RouteNews(
             route, encode_counts(found.target), encode_counts(found.incumbent)
         )
-        for route, found in trial.own.routes.items()
+        for route, found in trial.own_evidence.routes.items()
     )
 
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/trial_judge.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/trial_judge.py
@@ -56,7 +56,7 @@
         The plan says by which factor; for a small share it has to be larger:
         little is at stake, and more answers are what tells.
         """
-        ratio = plan.doubt
+        ratio = plan.doubt_ratio
         if share <= defaults.TRIAL_SMALL_SHARE:
             ratio = defaults.TRIAL_SMALL_SHARE_HOLD_RATIO
         return self.weigh(evidence, plan) > math.log(ratio)
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/version_trial.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/version_trial.py
@@ -152,19 +152,19 @@
         """Returns the sum of both."""
         total = dict(self.routes)
         for route, found in other.routes.items():
-            total[route] = total.get(route, NOTHING).plus(found)
+            total[route] = total.get(route, NO_COUNTS).plus(found)
         return TrialEvidence(total)
 
     @property
     def pooled(self) -> Comparison:
         """The sum over all routes."""
-        total = NOTHING
+        total = NO_COUNTS
         for found in self.routes.values():
             total = total.plus(found)
         return total
 
 
-NOTHING = Comparison()
+NO_COUNTS = Comparison()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -172,35 +172,35 @@
     """How a kind of service moves to a new version.
 
     Attributes:
-        first_share: Share of affinity keys in the first half.
+        initial_share: Share of affinity keys in the first half.
         steps: The shares after that.
-        step_share: How long a step takes, as a share of the roll-out's time.
+        step_duration_share: How long a step takes, as a share of the roll-out's time.
         drag_tolerance: Rise of the share of dragging answers that is let
             pass.
-        doubt: Likelihood ratio for "worse" from which there is doubt, unless
+        doubt_ratio: Likelihood ratio for "worse" from which there is doubt, unless
             the share is small.
     """
 
-    first_share: float
+    initial_share: float
     steps: tuple[float, ...]
-    step_share: float
+    step_duration_share: float
     drag_tolerance: float
-    doubt: float
+    doubt_ratio: float
 
 
 STREAM_PLAN = TrialPlan(
-    first_share=defaults.TRIAL_SHARE,
+    initial_share=defaults.TRIAL_SHARE,
     steps=defaults.TRIAL_STEPS,
-    step_share=defaults.TRIAL_STEP_SHARE,
+    step_duration_share=defaults.TRIAL_STEP_SHARE,
     drag_tolerance=defaults.TRIAL_DRAG_TOLERANCE,
-    doubt=defaults.TRIAL_HOLD_RATIO,
+    doubt_ratio=defaults.TRIAL_HOLD_RATIO,
 )
 PLAIN_PLAN = TrialPlan(
-    first_share=defaults.PLAIN_TRIAL_SHARE,
+    initial_share=defaults.PLAIN_TRIAL_SHARE,
     steps=defaults.PLAIN_TRIAL_STEPS,
-    step_share=defaults.PLAIN_TRIAL_STEP_SHARE,
+    step_duration_share=defaults.PLAIN_TRIAL_STEP_SHARE,
     drag_tolerance=defaults.PLAIN_TRIAL_DRAG_TOLERANCE,
-    doubt=defaults.PLAIN_TRIAL_HOLD_RATIO,
+    doubt_ratio=defaults.PLAIN_TRIAL_HOLD_RATIO,
 )
 
 
@@ -216,7 +216,7 @@
         """Returns whether the target should get no more than its share."""
 
 
-def draw(affinity_key: str, target: str) -> float:
+def hash_to_unit_interval(affinity_key: str, target: str) -> float:
     """Returns a number in [0, 1) that all entries draw alike."""
     return rendezvous.weight(affinity_key, target) / HASH_RANGE
 
@@ -229,12 +229,12 @@
         judge: Decides whether the target is worse.
         plan: How the target's share grows.
         started_at: When the order was first seen, here or by a peer.
-        own: This entry's evidence.
+        own_evidence: This entry's evidence.
         held: Whether the target gets no new work, for good.
         step: Index into the growing shares; -1 during the first part.
         stepped_at: When the share last grew.
-        seen_answers: The target's answers that had been seen at the last look.
-        answers_at_step: How many there were when the share last grew.
+        target_answers: The target's answers that had been seen at the last look.
+        target_answers_at_step: How many there were when the share last grew.
         kept_sessions: Marks of sessions that stay on the version before the
             target in the first half, though they would be drawn.
     """
@@ -251,20 +251,24 @@
         self.plan = plan
         self.judge = judge
         self.started_at = now
-        self.own = TrialEvidence()
+        self.own_evidence = TrialEvidence()
         self.held = order.state is OrderState.ROLLED_BACK
         self.step = -1
         self.stepped_at = now
-        self.seen_answers = 0
-        self.answers_at_step = 0
+        self.target_answers = 0
+        self.target_answers_at_step = 0
         self.kept_sessions: set[name_hashes.NameHash] = set()
 
-    def note(self, *, route: str, version: str, counts: AnswerCounts) -> None:
+    def add_counts(
+        self, *, route: str, version: str, counts: AnswerCounts
+    ) -> None:
         """Takes an attempt on one of the service's versions."""
         found = Comparison(incumbent=counts)
         if version == self.order.target:
             found = Comparison(target=counts)
-        self.own = self.own.plus(TrialEvidence({route: found}))
+        self.own_evidence = self.own_evidence.plus(
+            TrialEvidence({route: found})
+        )
 
     @property
     def share(self) -> float:
@@ -274,21 +278,21 @@
         if self.held:
             return 0.0
         if self.step < 0:
-            return self.plan.first_share
-        return max(self.plan.first_share, self.plan.steps[self.step])
+            return self.plan.initial_share
+        return max(self.plan.initial_share, self.plan.steps[self.step])
 
     @property
-    def moves_sessions(self) -> bool:
+    def may_move_sessions(self) -> bool:
         """Whether a session may leave its version for the target."""
         return self.step >= 0 or self.order.state is OrderState.COMPLETED
 
     @property
-    def is_over(self) -> bool:
+    def is_finished(self) -> bool:
         """Whether the store holds what the roll-out came to."""
         return self.order.state in FINAL_STATES
 
     @property
-    def is_whole(self) -> bool:
+    def has_all_traffic(self) -> bool:
         """Whether all new work goes to the target."""
         return self.share >= 1.0
 
@@ -299,20 +303,20 @@
             evidence: Summed over all entries.
             now: In seconds.
         """
-        if self.held or self.is_over:
+        if self.held or self.is_finished:
             return False
         worse = self.judge.is_worse(evidence, plan=self.plan)
-        if worse or self.is_overdue(evidence, now=now):
+        if worse or self.should_stop_in_doubt(evidence, now=now):
             self.held = True
             return True
-        self.seen_answers = evidence.pooled.target.answers
+        self.target_answers = evidence.pooled.target.answers
         if self.step + 1 >= len(self.plan.steps):
             return False
-        if not (self.is_step_due(now=now) and self.has_told_enough):
+        if not (self.is_step_due(now=now) and self.has_enough_answers):
             return False
         if self.is_doubtful(evidence, share=self.share):
             return False
-        self.take_step(self.step + 1, now=now)
+        self.set_step(self.step + 1, now=now)
         return True
 
     def is_step_due(self, *, now: float) -> bool:
@@ -320,11 +324,11 @@
         if self.step < 0:
             half_s = defaults.TRIAL_HALF * self.order.duration_s
             return now - self.started_at >= half_s
-        step_s = self.order.duration_s * self.plan.step_share
+        step_s = self.order.duration_s * self.plan.step_duration_share
         return now - self.stepped_at >= step_s
 
     @property
-    def has_told_enough(self) -> bool:
+    def has_enough_answers(self) -> bool:
         """Whether the target has answered at the share that it has.
 
         What it answered with a smaller one says little of a larger load.
@@ -332,28 +336,30 @@
         least = defaults.TRIAL_STEP_ANSWERS
         if self.step < 0:
             least = defaults.TRIAL_MIN_ANSWERS
-        return self.seen_answers - self.answers_at_step >= least
+        return self.target_answers - self.target_answers_at_step >= least
 
-    def take_step(self, step: int, *, now: float) -> None:
+    def set_step(self, step: int, *, now: float) -> None:
         """Lets the target's share grow."""
         self.step = step
         self.stepped_at = now
-        self.answers_at_step = self.seen_answers
+        self.target_answers_at_step = self.target_answers
 
-    def follow_step(self, step: int, *, now: float) -> None:
+    def adopt_step(self, step: int, *, now: float) -> None:
         """Takes over a step that another entry has reached."""
         step = min(step, len(self.plan.steps) - 1)
-        if step > self.step and not self.held and not self.is_over:
-            self.take_step(step, now=now)
+        if step > self.step and not self.held and not self.is_finished:
+            self.set_step(step, now=now)
 
-    def is_overdue(self, evidence: TrialEvidence, *, now: float) -> bool:
+    def should_stop_in_doubt(
+        self, evidence: TrialEvidence, *, now: float
+    ) -> bool:
         """Returns whether a doubtful target has had its time or its chances.
 
         One that is good would be late by then in any case. Once the target
         gets everything, the incumbent's answers are of another time, with
         another load, and doubt isn't enough any more.
         """
-        if self.is_whole:
+        if self.has_all_traffic:
             return False
         target = evidence.pooled.target
         due_s = defaults.TRIAL_GIVE_UP_SHARE * self.order.duration_s
@@ -369,4 +375,6 @@
 
     def routes_to_target(self, affinity_key: str) -> bool:
         """Returns whether new work with this key goes to the target."""
-        return draw(affinity_key, self.order.target) < self.share
+        return (
+            hash_to_unit_interval(affinity_key, self.order.target) < self.share
+        )
