--- a/features/steps/router_rollout_steps.py
+++ b/features/steps/router_rollout_steps.py
@@ -130,10 +130,10 @@
             # Before the order it would have run on the old version.
             context.key = key
             break
-    world.state.sessions.begin(
+    world.state.sessions.begin_request(
         "s", version=version, affinity_key=context.key, now=world.now
     )
-    world.state.sessions.end("s", now=world.now)
+    world.state.sessions.end_request("s", now=world.now)
 
 
 @then('its next request within {wait:g} s runs on version "{version}"')
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_ends.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_ends.py
@@ -161,5 +161,5 @@
     """Notes that nothing more comes of an attempt."""
     if attempt.open:
         attempt.open = False
-        state.sessions.end(opened.request.session, now=now)
+        state.sessions.end_request(opened.request.session, now=now)
         state.view.finish(opened.request.request_id, attempt.upstream)
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
@@ -208,7 +208,7 @@
 def forget(state: states.RouterState, *, now: float) -> list[effects.Effect]:
     """Forgets what is over: sessions, and entries that are silent."""
     alive_s = state.settings.bounds.session_s + defaults.SESSION_MARGIN_S
-    state.sessions.forget(now=now, alive_s=alive_s)
+    state.sessions.remove_expired(now=now, alive_s=alive_s)
     state.remote_work.drop_expired(now=now)
     out = [
         *log_forgotten(state.suspects.remove_expired(now=now), reason="old"),
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/rollouts.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/rollouts.py
@@ -179,7 +179,7 @@
     state: states.RouterState, opened: states.OpenRequest, *, now: float
 ) -> str:
     """Returns the version that the request's session runs on, or empty."""
-    return state.sessions.find(
+    return state.sessions.find_version(
         opened.request.session,
         now=now,
         alive_s=state.settings.bounds.session_s,
@@ -274,7 +274,7 @@
     request = opened.request
     if not request.session:
         return
-    state.sessions.begin(
+    state.sessions.begin_request(
         request.session,
         version=version,
         affinity_key=request.affinity_key,
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/session_pins.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/session_pins.py
@@ -18,13 +18,13 @@
         version: That it ran on.
         affinity_key: Of its prompts.
         seen_at: When it began, or ended if it has.
-        open: How many of the session's requests run.
+        open_requests: How many of the session's requests run.
     """
 
     version: str
     affinity_key: str
     seen_at: float
-    open: int = 0
+    open_requests: int = 0
 
 
 class SessionPins:
@@ -35,7 +35,7 @@
             collections.OrderedDict()
         )
 
-    def begin(
+    def begin_request(
         self, session: str, *, version: str, affinity_key: str, now: float
     ) -> None:
         """Notes that a request of the session begins on a version."""
@@ -47,14 +47,14 @@
             self.pins[session] = pin
         pin.version = version
         pin.affinity_key = affinity_key
-        pin.open += 1
+        pin.open_requests += 1
         self.touch(session, pin, now=now)
 
-    def end(self, session: str, *, now: float) -> None:
+    def end_request(self, session: str, *, now: float) -> None:
         """Notes that a request of the session has ended."""
         pin = self.pins.get(session)
         if pin is not None:
-            pin.open = max(0, pin.open - 1)
+            pin.open_requests = max(0, pin.open_requests - 1)
             self.touch(session, pin, now=now)
 
     def touch(self, session: str, pin: SessionPin, *, now: float) -> None:
@@ -62,7 +62,7 @@
         pin.seen_at = now
         self.pins.move_to_end(session)
 
-    def find(self, session: str, *, now: float, alive_s: float) -> str:
+    def find_version(self, session: str, *, now: float, alive_s: float) -> str:
         """Returns the version that a live session runs on, or empty.
 
         Args:
@@ -75,12 +75,14 @@
             return ""
         return pin.version
 
-    def forget(self, *, now: float, alive_s: float) -> None:
+    def remove_expired(self, *, now: float, alive_s: float) -> None:
         """Forgets sessions that are over."""
         for session, pin in list(self.pins.items()):
-            if not pin.open and is_alive(pin, now=now, alive_s=alive_s):
+            if not pin.open_requests and is_alive(
+                pin, now=now, alive_s=alive_s
+            ):
                 return
-            if not pin.open:
+            if not pin.open_requests:
                 del self.pins[session]
 
     def list_alive(
@@ -94,4 +96,4 @@
 
 def is_alive(pin: SessionPin, *, now: float, alive_s: float) -> bool:
     """Returns whether a session may go on."""
-    return pin.open > 0 or now - pin.seen_at <= alive_s
+    return pin.open_requests > 0 or now - pin.seen_at <= alive_s
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/trial_judge.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/trial_judge.py
@@ -19,16 +19,16 @@
 # in (a tenth of the traffic, three answers).
 PRIOR_ANSWERS = 30.0
 # Where half of all answers are bad, a rise tells nothing of the version.
-MOST_BASE_RATE = 0.5
+MAX_BASE_RATE = 0.5
 # Log likelihood ratio that speaks for neither.
 NO_EVIDENCE = 0.0
 # Rates above the tolerated one that count as worse: operators call a version
 # bad from a rise of some tenths on.
 RISES = (0.1, 0.2, 0.4)
 # Keeps the logarithms finite.
-MOST_RATE = 0.95
+MAX_RATE = 0.95
 # Failures, slow answers, dragging streams.
-COMPARISONS = 3
+MEASURES = 3
 
 
 class LikelihoodJudge:
@@ -41,8 +41,8 @@
         plan: version_trial.TrialPlan,
     ) -> bool:
         """Returns whether the evidence speaks against the target."""
-        limit = math.log(COMPARISONS / defaults.TRIAL_FALSE_ALARM)
-        return self.weigh(evidence, plan) >= limit
+        limit = math.log(MEASURES / defaults.TRIAL_FALSE_ALARM)
+        return self.compute_log_ratio(evidence, plan) >= limit
 
     def is_doubtful(
         self,
@@ -59,9 +59,9 @@
         ratio = plan.doubt_ratio
         if share <= defaults.TRIAL_SMALL_SHARE:
             ratio = defaults.TRIAL_SMALL_SHARE_HOLD_RATIO
-        return self.weigh(evidence, plan) > math.log(ratio)
+        return self.compute_log_ratio(evidence, plan) > math.log(ratio)
 
-    def weigh(
+    def compute_log_ratio(
         self,
         evidence: version_trial.TrialEvidence,
         plan: version_trial.TrialPlan,
@@ -71,33 +71,33 @@
         Routes that are looked at beside the whole are paid for: their
         ratios are divided by their number.
         """
-        whole = weigh_comparison(evidence.pooled, plan)
+        whole = find_max_log_ratio(evidence.pooled, plan)
         if not evidence.routes:
             return whole
         routes = max(
-            weigh_comparison(each, plan) for each in evidence.routes.values()
+            find_max_log_ratio(each, plan) for each in evidence.routes.values()
         )
         return max(whole, routes - math.log(len(evidence.routes)))
 
 
-def weigh_comparison(
+def find_max_log_ratio(
     found: version_trial.Comparison, plan: version_trial.TrialPlan
 ) -> float:
     """Returns the log likelihood ratio for the worst of the measures."""
     target, incumbent = found.target, found.incumbent
-    failures = log_ratio(
+    failures = log_likelihood_ratio(
         bad=target.failures,
         count=target.answers,
         base_rate=estimate_rate(incumbent.failures, incumbent.answers)
         + defaults.TRIAL_ERROR_TOLERANCE,
     )
-    slow = log_ratio(
+    slow = log_likelihood_ratio(
         bad=target.slow,
         count=target.timed,
         base_rate=estimate_rate(incumbent.slow, incumbent.timed)
         + defaults.TRIAL_SLOW_TOLERANCE,
     )
-    dragging = log_ratio(
+    dragging = log_likelihood_ratio(
         bad=target.dragging,
         count=target.paced,
         base_rate=estimate_rate(incumbent.dragging, incumbent.paced)
@@ -144,7 +144,7 @@
     return (bad + 1.0) / (count + PRIOR_ANSWERS)
 
 
-def log_ratio(*, bad: int, count: int, base_rate: float) -> float:
+def log_likelihood_ratio(*, bad: int, count: int, base_rate: float) -> float:
     """Returns the log likelihood ratio of "worse" against "at the rate".
 
     Args:
@@ -152,13 +152,13 @@
         count: All answers seen.
         base_rate: The highest rate that is let pass.
     """
-    if base_rate > MOST_BASE_RATE:
+    if base_rate > MAX_BASE_RATE:
         return NO_EVIDENCE
     base = base_rate
     good = count - bad
     ratios = []
     for rise in RISES:
-        rate = min(MOST_RATE, base + rise)
+        rate = min(MAX_RATE, base + rise)
         ratios.append(
             bad * math.log(rate / base)
             + good * math.log((1.0 - rate) / (1.0 - base))
