--- a/packages/rhubarbbank-router/src/rhubarbbank_router/rollouts.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/rollouts.py
@@ -1,9 +1,10 @@
-"""Carries out roll-out orders over all entries.
+"""Carries out roll-out orders jointly with the other entries.
 
-Each entry follows an order by its own clock and evidence (`version_trial`).
-The live entry whose name comes first records the outcome; since the store
-takes a record only from whoever saw its last revision, two entries that both
-believe to be first do no harm.
+Each entry runs its own trial of the order's target (`version_trial`) and
+shares its evidence with its peers. The live entry whose name sorts first
+records the outcome. The store accepts a write only for the latest revision of
+the record, so that it does no harm if two entries both consider themselves
+first.
 """
 
 import dataclasses
@@ -17,6 +18,7 @@
 from rhubarbbank_router import upstreams
 from rhubarbbank_router import version_trial
 
+# Least time between two attempts to record a state.
 RECORD_RETRY_S = 0.5
 
 
@@ -26,7 +28,7 @@
     *,
     now: float,
 ) -> list[effects.Effect]:
-    """Takes an order as the store holds it."""
+    """Applies an order as read from the store; ignores older revisions."""
     trial = state.trials.get(order.service)
     if trial is not None and order.revision < trial.order.revision:
         return []
@@ -64,30 +66,30 @@
 
 
 def is_new_order(
-    known: version_trial.RolloutOrder, order: version_trial.RolloutOrder
+    known: version_trial.RolloutOrder, read: version_trial.RolloutOrder
 ) -> bool:
-    """Returns whether an order isn't the one that is known.
+    """Returns whether an order is a new one rather than an update.
 
-    An operator may write a new order into the record of an old one, also for
-    the same target.
+    An operator may reuse an order's record for a new order, even with the same
+    target.
     """
-    if known.key != order.key:
+    if known.key != read.key:
         return True
-    begun = order.state is version_trial.OrderState.ORDERED
-    return begun and known.state in version_trial.FINAL_STATES
+    is_unstarted = read.state is version_trial.OrderState.ORDERED
+    return is_unstarted and known.state in version_trial.FINAL_STATES
 
 
 def choose_plan(
     state: states.RouterState, service: str
 ) -> version_trial.TrialPlan:
-    """Returns how a service moves to a new version.
+    """Returns the roll-out parameters for a service.
 
-    Plain services see fewer requests, and keep no sessions that a larger
-    share would move.
+    Plain services, which have no models, get fewer requests. They also have no
+    sessions that a larger share would move to another version.
     """
     current = state.active_configuration
-    found = current.services.get(service) if current else None
-    if found is not None and not found.models:
+    configured = current.services.get(service) if current else None
+    if configured is not None and not configured.models:
         return version_trial.PLAIN_PLAN
     return version_trial.STREAM_PLAN
 
@@ -98,11 +100,11 @@
     *,
     now: float,
 ) -> list[effects.Effect]:
-    """Takes all orders that the store holds."""
+    """Applies the complete list of orders that the store holds."""
     out: list[effects.Effect] = []
-    found = {order.service for order in orders}
+    ordered = {order.service for order in orders}
     for service in list(state.trials):
-        if service not in found:
+        if service not in ordered:
             remove_order(state, service)
     for order in orders:
         out += apply_order(state, order, now=now)
@@ -110,15 +112,20 @@
 
 
 def remove_order(state: states.RouterState, service: str) -> None:
-    """Takes that an order was taken back.
+    """Ends the trial of an order that was removed from the store.
 
-    What it came to stays: a held target isn't settled.
+    The settled versions stay as they are, so that a target that was held isn't
+    settled.
     """
     state.trials.pop(service, None)
 
 
 def init_settled_versions(state: states.RouterState, service: str) -> None:
-    """Settles the versions that a service has, if none are settled yet."""
+    """Marks a service's listed versions as settled, if none are yet.
+
+    Without a trial, requests run on settled versions as long as an upstream
+    has one. The target of a running trial isn't settled.
+    """
     settled = state.settled_versions.setdefault(service, set())
     if settled:
         return
@@ -133,7 +140,7 @@
 
 
 def init_all_settled_versions(state: states.RouterState) -> None:
-    """Settles the versions of services that are new here."""
+    """Calls `init_settled_versions` for every listed service."""
     for service in {
         tracked.listed.service for tracked in state.view.tracked.values()
     }:
@@ -147,7 +154,7 @@
     *,
     now: float,
 ) -> list[upstreams.TrackedUpstream]:
-    """Returns the upstreams whose version the request may run on."""
+    """Returns the usable upstreams whose version the request may run on."""
     if opened.answer_started:
         return select_versions(usable, {opened.version})
     settled = state.settled_versions.get(opened.service) or set()
@@ -161,8 +168,8 @@
     if trial.held:
         return others
     if trial.has_all_traffic:
-        done = trial.order.state is version_trial.OrderState.COMPLETED
-        return on_target or ([] if done else others)
+        completed = trial.order.state is version_trial.OrderState.COMPLETED
+        return on_target or ([] if completed else others)
     if routes_to_target(state, trial, opened, now=now):
         return on_target or others
     return others or on_target
@@ -178,7 +185,7 @@
 def find_session_version(
     state: states.RouterState, opened: states.OpenRequest, *, now: float
 ) -> str:
-    """Returns the version that the request's session runs on, or empty."""
+    """Returns the version of the request's live session, or an empty string."""
     return state.sessions.find_version(
         opened.request.session,
         now=now,
@@ -195,23 +202,26 @@
 ) -> bool:
     """Returns whether a request should run on the roll-out's target.
 
-    In the first half, sessions that were alive before stay where they are.
-    Other entries may have seen them, so that no session goes to the target
-    before their first heartbeats since the order.
+    In the first half, sessions that were alive at the time of the order keep
+    their version. Other entries may have seen such sessions, so no session
+    goes to the target until the peers' first heartbeats after the order.
     """
     session = opened.request.session
-    drawn = trial.routes_to_target(opened.request.affinity_key)
+    is_selected = trial.routes_to_target(opened.request.affinity_key)
     if not session:
-        return drawn
+        return is_selected
     pinned = find_session_version(state, opened, now=now)
     if pinned == trial.order.target:
         return True
     if trial.may_move_sessions:
-        return drawn
+        return is_selected
     age_s = now - trial.started_at
     if pinned or age_s < defaults.SESSIONS_REPORTED_S:
         return False
-    return drawn and name_hashes.hash_name(session) not in trial.kept_sessions
+    return (
+        is_selected
+        and name_hashes.hash_name(session) not in trial.kept_sessions
+    )
 
 
 def keep_live_sessions(
@@ -220,10 +230,10 @@
     *,
     now: float,
 ) -> None:
-    """Notes the sessions that are alive when an order is first seen.
+    """Records the sessions that are alive when an order is first seen.
 
-    One that is over by this entry's count may have been seen a little later
-    by another.
+    The margin covers sessions that have expired at this entry but were seen a
+    little later by another entry.
     """
     alive_s = state.settings.bounds.session_s + defaults.SESSION_MARGIN_S
     for session, pin in state.sessions.list_alive(now=now, alive_s=alive_s):
@@ -246,20 +256,20 @@
     affinity_key: str,
     now: float,
 ) -> None:
-    """Notes that a session stays, if it would be drawn for the target."""
+    """Keeps a session on its version if its key selects the target."""
     if (
         trial.may_move_sessions
         or trial.is_finished
         or version == trial.order.target
     ):
         return
-    marked = name_hashes.hash_name(session)
-    if marked in trial.kept_sessions or not trial.routes_to_target(
+    session_mark = name_hashes.hash_name(session)
+    if session_mark in trial.kept_sessions or not trial.routes_to_target(
         affinity_key
     ):
         return
-    trial.kept_sessions.add(marked)
-    # Its next request may come to another entry very soon.
+    trial.kept_sessions.add(session_mark)
+    # Tell the peers soon: the next request may come to another entry.
     state.expedite_heartbeat(now=now)
 
 
@@ -270,7 +280,7 @@
     *,
     now: float,
 ) -> None:
-    """Notes the version that a request of a session begins on."""
+    """Records the version that a request of a session begins on."""
     request = opened.request
     if not request.session:
         return
@@ -295,26 +305,28 @@
 def merge_news(
     state: states.RouterState, news: messages.EntryNews, *, now: float
 ) -> None:
-    """Takes over from a peer when an order began, and how far it is.
+    """Merges a peer's view of the roll-outs: start, step, kept sessions.
 
-    A session that one entry moves must find the same share at the others.
+    All entries must use the same share; otherwise a session that one entry
+    moves would be routed back by another.
     """
-    for told in news.trials:
-        trial = state.trials.get(told.service)
-        if trial is None or told.key != trial.order.key:
+    for theirs in news.trials:
+        trial = state.trials.get(theirs.service)
+        if trial is None or theirs.key != trial.order.key:
             continue
-        trial.started_at = min(trial.started_at, now - told.age_s)
-        trial.held = trial.held or told.held
-        trial.adopt_step(told.step, now=now)
-        trial.kept_sessions.update(told.kept_sessions)
+        trial.started_at = min(trial.started_at, now - theirs.age_s)
+        trial.held = trial.held or theirs.held
+        trial.adopt_step(theirs.step, now=now)
+        trial.kept_sessions.update(theirs.kept_sessions)
 
 
 def tick(state: states.RouterState, *, now: float) -> list[effects.Effect]:
-    """Moves all roll-outs on, and records what they came to."""
+    """Advances all roll-outs and records changes of their state."""
     out: list[effects.Effect] = []
     for service, trial in state.trials.items():
-        # The order may be known before the configuration is; later on, steps
-        # of another plan would mean other shares.
+        # An order may be read before the configuration, so the plan may still
+        # change. In the second half it may not: the step would stand for
+        # another share.
         if not trial.may_move_sessions:
             trial.plan = choose_plan(state, service)
         evidence = trial.own_evidence.plus(
@@ -333,7 +345,7 @@
     *,
     now: float,
 ) -> fx.LogDecision:
-    """Returns the line for a change of a target's share."""
+    """Returns the log line for a change of a target's share."""
     return fx.LogDecision(
         decision="rollout_held" if trial.held else "rollout_step",
         version=trial.order.target,
@@ -350,7 +362,7 @@
 def list_log_inputs(
     name: str, counts: version_trial.AnswerCounts
 ) -> tuple[fx.LogInput, ...]:
-    """Returns a version's counts for the log."""
+    """Returns a version's counts as inputs of a log line."""
     return (
         (f"{name}_answers", counts.answers),
         (f"{name}_failures", counts.failures),
@@ -368,10 +380,10 @@
     *,
     now: float,
 ) -> list[effects.Effect]:
-    """Records a roll-out's state, if it is this entry's turn."""
+    """Records a roll-out's new state, if this entry is to record it."""
     order = trial.order
-    wanted = determine_state(state, trial, now=now)
-    if order.state in version_trial.FINAL_STATES or wanted is order.state:
+    reached = determine_state(state, trial, now=now)
+    if order.state in version_trial.FINAL_STATES or reached is order.state:
         return []
     if now - state.rollout_recorded_at.get(service, 0.0) < RECORD_RETRY_S:
         return []
@@ -382,10 +394,10 @@
         fx.LogDecision(
             decision="rollout_recorded",
             version=order.target,
-            reason=wanted.value,
+            reason=reached.value,
             inputs=(("service", service), ("revision", order.revision)),
         ),
-        effects.RecordRollout(order, wanted),
+        effects.RecordRollout(order, reached),
     ]
 
 
@@ -395,14 +407,14 @@
     *,
     now: float,
 ) -> version_trial.OrderState:
-    """Returns what the roll-out has come to, over all live entries."""
+    """Returns the roll-out's state, taking all live entries into account."""
     if trial.held:
         return version_trial.OrderState.ROLLED_BACK
     if not trial.has_all_traffic or count_other_attempts(state, trial):
         return version_trial.OrderState.RUNNING
     for news in state.entries.list_live(now=now):
-        told = [each for each in news.trials if each.key == trial.order.key]
-        if not told or not told[0].whole or told[0].old_in_flight:
+        theirs = [each for each in news.trials if each.key == trial.order.key]
+        if not theirs or not theirs[0].whole or theirs[0].old_in_flight:
             return version_trial.OrderState.RUNNING
     return version_trial.OrderState.COMPLETED
 
@@ -422,7 +434,7 @@
 def build_news(
     state: states.RouterState, *, now: float
 ) -> tuple[messages.TrialNews, ...]:
-    """Returns what peers need to know of this entry's roll-outs."""
+    """Returns this entry's roll-outs as a heartbeat carries them."""
     return tuple(
         messages.TrialNews(
             service=service,
@@ -442,7 +454,7 @@
 def list_kept_sessions(
     trial: version_trial.VersionTrial,
 ) -> tuple[name_hashes.NameHash, ...]:
-    """Returns the sessions that stay, while they have to."""
+    """Returns the kept sessions, or nothing once sessions may move."""
     if trial.may_move_sessions or trial.is_finished:
         return ()
     return tuple(sorted(trial.kept_sessions))
@@ -454,9 +466,11 @@
     """Returns this entry's evidence as a heartbeat carries it."""
     return tuple(
         messages.RouteNews(
-            route, encode_counts(found.target), encode_counts(found.incumbent)
+            route,
+            encode_counts(comparison.target),
+            encode_counts(comparison.incumbent),
         )
-        for route, found in trial.own_evidence.routes.items()
+        for route, comparison in trial.own_evidence.routes.items()
     )
 
 
