--- a/packages/rhubarbbank-router/src/rhubarbbank_router/version_trial.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/version_trial.py
@@ -1,11 +1,12 @@
-"""Tries a new version of a service on a few requests, then on all.
-
-A roll-out order names the target version and how long the move may take. In
-the first half a fixed share of affinity keys goes to the target, by hash, so
-that all entries agree and sessions stay where they are. After that the share
-grows in steps while nothing speaks against the target. Evidence is the
-failures and slow answers of both versions, this entry's own and what peers
-tell; a `TrialJudge` weighs it after each answer.
+"""Gradual roll-out of a new service version (a canary release).
+
+A roll-out order names the target version and how long the roll-out may take.
+In the first half, a fixed share of affinity keys is routed to the target. Keys
+are selected by hash, so that all entries agree and sessions keep their
+version. In the second half the share grows in steps unless the evidence
+indicates that the target is worse. The evidence counts failures and slow
+answers of both versions, at this entry and at its peers; a `TrialJudge`
+evaluates it each time the trial advances.
 """
 
 import dataclasses
@@ -20,9 +21,9 @@
 
 
 class OrderState(enum.StrEnum):
-    """What the store says of a roll-out.
+    """State of a roll-out, as recorded in the store.
 
-    ORDERED: no entry has taken it up. COMPLETED and ROLLED_BACK are final.
+    ORDERED: no entry has started it yet. COMPLETED and ROLLED_BACK are final.
     """
 
     ORDERED = "ordered"
@@ -39,13 +40,13 @@
     """An operator's order to move a service to a version.
 
     Attributes:
-        service: The service.
-        target: The version.
-        duration_s: When the move should be over, after the order.
-        state: As last recorded.
-        revision: Of the record in the store, for conditional changes.
-        created_revision: Of the order's record, which a later order for the
-            same service may reuse.
+        service: The service's name.
+        target: The version to move to.
+        duration_s: Time from the order until the roll-out should be complete.
+        state: The state that was last recorded.
+        revision: Revision of the record in the store, for conditional writes.
+        created_revision: Revision at which the record was created. A later
+            order for the same service may reuse the record.
     """
 
     service: str
@@ -57,24 +58,25 @@
 
     @property
     def key(self) -> str:
-        """Tells orders for one service apart."""
+        """Identifies the order among those for the same service."""
         return f"{self.created_revision}/{self.target}"
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class AnswerCounts:
-    """Answers of one version: counts that only grow.
+    """Cumulative counts of one version's answers.
 
     Attributes:
         answers: Attempts that ended with an answer or a failure.
-        failures: How many of them failed.
-        timed: Attempts whose speed could be told; a stream that is dropped
-            after its first event tells nothing of it.
-        slow: How many of those were slow.
-        paced: Streams whose pace could be told, and whole plain answers.
-        dragging: How many of those came clearly slower than usual. Less than
-            slow, but load and silence hardly touch it, so that few of them
-            tell much.
+        failures: Failed attempts.
+        timed: Attempts whose latency is known. It is unknown for a stream
+            that is dropped after its first event.
+        slow: Timed attempts that were slow.
+        paced: Streams whose event rate is known, and complete answers of
+            plain services.
+        dragging: Paced attempts that were clearly slower than usual. The
+            threshold is lower than for `slow`, but load and pauses hardly
+            affect the measure, so that a few of them are significant.
     """
 
     answers: int = 0
@@ -95,17 +97,17 @@
         """Returns the counts with one more attempt.
 
         Args:
-            failed: Whether it failed.
+            failed: Whether the attempt failed.
             slow: Whether it was slow.
-            timed: Whether its speed could be told.
-            dragging: Whether it came clearly slower than usual; None if that
-                couldn't be told.
+            timed: Whether its latency is known.
+            dragging: Whether it was clearly slower than usual; None if that
+                is unknown.
         """
-        told = slow or (timed and not failed)
+        counts_as_timed = slow or (timed and not failed)
         return AnswerCounts(
             answers=self.answers + 1,
             failures=self.failures + failed,
-            timed=self.timed + told,
+            timed=self.timed + counts_as_timed,
             slow=self.slow + slow,
             paced=self.paced + (dragging is not None),
             dragging=self.dragging + bool(dragging),
@@ -125,7 +127,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Comparison:
-    """Counts of the target and of the version before it."""
+    """Counts of the target and of the version that it replaces."""
 
     target: AnswerCounts = AnswerCounts()
     incumbent: AnswerCounts = AnswerCounts()
@@ -140,10 +142,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TrialEvidence:
-    """Counts by route: a version may be bad on one route alone.
+    """Counts by route, since a version may be bad on a single route.
 
     Attributes:
-        routes: By the route's name.
+        routes: Counts of both versions, by the route's name.
     """
 
     routes: dict[str, Comparison] = dataclasses.field(default_factory=dict)
@@ -151,16 +153,16 @@
     def plus(self, other: "TrialEvidence") -> "TrialEvidence":
         """Returns the sum of both."""
         total = dict(self.routes)
-        for route, found in other.routes.items():
-            total[route] = total.get(route, NO_COUNTS).plus(found)
+        for route, comparison in other.routes.items():
+            total[route] = total.get(route, NO_COUNTS).plus(comparison)
         return TrialEvidence(total)
 
     @property
     def pooled(self) -> Comparison:
         """The sum over all routes."""
         total = NO_COUNTS
-        for found in self.routes.values():
-            total = total.plus(found)
+        for comparison in self.routes.values():
+            total = total.plus(comparison)
         return total
 
 
@@ -169,16 +171,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class TrialPlan:
-    """How a kind of service moves to a new version.
+    """Parameters of a roll-out, which depend on the kind of service.
 
     Attributes:
         initial_share: Share of affinity keys in the first half.
-        steps: The shares after that.
-        step_duration_share: How long a step takes, as a share of the roll-out's time.
-        drag_tolerance: Rise of the share of dragging answers that is let
-            pass.
-        doubt_ratio: Likelihood ratio for "worse" from which there is doubt, unless
-            the share is small.
+        steps: Shares in the second half, in ascending order.
+        step_duration_share: Least duration of a step, as a share of the
+            roll-out's duration.
+        drag_tolerance: Tolerated increase of the share of dragging answers.
+        doubt_ratio: Likelihood ratio for "worse" above which the target is
+            doubtful, unless its share is small.
     """
 
     initial_share: float
@@ -205,38 +207,39 @@
 
 
 class TrialJudge(Protocol):
-    """Decides whether a target is worse than the version before it."""
+    """Decides whether the target is worse than the incumbent version."""
 
     def is_worse(self, evidence: TrialEvidence, *, plan: TrialPlan) -> bool:
-        """Returns whether the evidence speaks against the target."""
+        """Returns whether the evidence shows that the target is worse."""
 
     def is_doubtful(
         self, evidence: TrialEvidence, *, plan: TrialPlan, share: float
     ) -> bool:
-        """Returns whether the target should get no more than its share."""
+        """Returns whether the target's share should not grow."""
 
 
 def hash_to_unit_interval(affinity_key: str, target: str) -> float:
-    """Returns a number in [0, 1) that all entries draw alike."""
+    """Returns a number in [0, 1), the same one at all entries."""
     return rendezvous.weight(affinity_key, target) / HASH_RANGE
 
 
 class VersionTrial:
-    """One service's roll-out as this entry sees it.
+    """State of one service's roll-out at this entry.
 
     Attributes:
-        order: The operators' order, as last read.
+        order: The operator's order, as last read from the store.
         judge: Decides whether the target is worse.
-        plan: How the target's share grows.
+        plan: Parameters of the roll-out.
         started_at: When the order was first seen, here or by a peer.
-        own_evidence: This entry's evidence.
-        held: Whether the target gets no new work, for good.
-        step: Index into the growing shares; -1 during the first part.
+        own_evidence: Counts of the attempts of this entry.
+        held: Whether the target was rejected and gets no new requests.
+        step: Index into the plan's steps; -1 during the first half.
         stepped_at: When the share last grew.
-        target_answers: The target's answers that had been seen at the last look.
-        target_answers_at_step: How many there were when the share last grew.
-        kept_sessions: Marks of sessions that stay on the version before the
-            target in the first half, though they would be drawn.
+        target_answers: Answers of the target at all entries, as of the last
+            call of `advance`.
+        target_answers_at_step: The same when the share last grew.
+        kept_sessions: Marks of sessions that stay on the incumbent in the
+            first half although the hash of their key selects the target.
     """
 
     def __init__(
@@ -262,17 +265,17 @@
     def add_counts(
         self, *, route: str, version: str, counts: AnswerCounts
     ) -> None:
-        """Takes an attempt on one of the service's versions."""
-        found = Comparison(incumbent=counts)
+        """Adds counts of attempts on one of the service's versions."""
+        comparison = Comparison(incumbent=counts)
         if version == self.order.target:
-            found = Comparison(target=counts)
+            comparison = Comparison(target=counts)
         self.own_evidence = self.own_evidence.plus(
-            TrialEvidence({route: found})
+            TrialEvidence({route: comparison})
         )
 
     @property
     def share(self) -> float:
-        """Share of affinity keys that go to the target, 0 to 1."""
+        """Share of affinity keys that are routed to the target, 0 to 1."""
         if self.order.state is OrderState.COMPLETED:
             return 1.0
         if self.held:
@@ -283,25 +286,25 @@
 
     @property
     def may_move_sessions(self) -> bool:
-        """Whether a session may leave its version for the target."""
+        """Whether a running session may be moved to the target."""
         return self.step >= 0 or self.order.state is OrderState.COMPLETED
 
     @property
     def is_finished(self) -> bool:
-        """Whether the store holds what the roll-out came to."""
+        """Whether a final state is recorded in the store."""
         return self.order.state in FINAL_STATES
 
     @property
     def has_all_traffic(self) -> bool:
-        """Whether all new work goes to the target."""
+        """Whether all new requests are routed to the target."""
         return self.share >= 1.0
 
     def advance(self, evidence: TrialEvidence, *, now: float) -> bool:
-        """Moves on by time and evidence; returns whether anything changed.
+        """Updates the target's share; returns whether it changed.
 
         Args:
-            evidence: Summed over all entries.
-            now: In seconds.
+            evidence: Counts summed over all entries.
+            now: Current time in seconds.
         """
         if self.held or self.is_finished:
             return False
@@ -320,7 +323,7 @@
         return True
 
     def is_step_due(self, *, now: float) -> bool:
-        """Returns whether the target's share may grow by the order's time."""
+        """Returns whether the schedule allows the target's share to grow."""
         if self.step < 0:
             half_s = defaults.TRIAL_HALF * self.order.duration_s
             return now - self.started_at >= half_s
@@ -329,9 +332,9 @@
 
     @property
     def has_enough_answers(self) -> bool:
-        """Whether the target has answered at the share that it has.
+        """Whether the target gave enough answers at its current share.
 
-        What it answered with a smaller one says little of a larger load.
+        Answers at a smaller share say little about a larger load.
         """
         least = defaults.TRIAL_STEP_ANSWERS
         if self.step < 0:
@@ -339,13 +342,13 @@
         return self.target_answers - self.target_answers_at_step >= least
 
     def set_step(self, step: int, *, now: float) -> None:
-        """Lets the target's share grow."""
+        """Sets the target's share to that of a step."""
         self.step = step
         self.stepped_at = now
         self.target_answers_at_step = self.target_answers
 
     def adopt_step(self, step: int, *, now: float) -> None:
-        """Takes over a step that another entry has reached."""
+        """Advances to a step that another entry has reached."""
         step = min(step, len(self.plan.steps) - 1)
         if step > self.step and not self.held and not self.is_finished:
             self.set_step(step, now=now)
@@ -353,11 +356,12 @@
     def should_stop_in_doubt(
         self, evidence: TrialEvidence, *, now: float
     ) -> bool:
-        """Returns whether a doubtful target has had its time or its chances.
+        """Returns whether to give up a target that is still doubtful.
 
-        One that is good would be late by then in any case. Once the target
-        gets everything, the incumbent's answers are of another time, with
-        another load, and doubt isn't enough any more.
+        It is given up late in the roll-out or after too many bad answers; a
+        good target couldn't complete in time from there either. Doubt no
+        longer suffices once the target gets all requests, because the
+        incumbent's answers were then given earlier, under another load.
         """
         if self.has_all_traffic:
             return False
@@ -370,11 +374,11 @@
         return self.is_doubtful(evidence, share=1.0)
 
     def is_doubtful(self, evidence: TrialEvidence, *, share: float) -> bool:
-        """Returns whether the target should get no more than a share."""
+        """Returns whether the target's share should not exceed `share`."""
         return self.judge.is_doubtful(evidence, plan=self.plan, share=share)
 
     def routes_to_target(self, affinity_key: str) -> bool:
-        """Returns whether new work with this key goes to the target."""
+        """Returns whether new requests with this key go to the target."""
         return (
             hash_to_unit_interval(affinity_key, self.order.target) < self.share
         )
