--- a/packages/rhubarbbank-router/src/rhubarbbank_router/session_pins.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/session_pins.py
@@ -1,8 +1,8 @@
-"""Remembers which version each session runs on, at this entry.
+"""Table of the versions that this entry's sessions run on.
 
-A session is alive while one of its requests runs and for a time after the
-last one ended. Roll-outs ask which sessions are alive on the version that is
-being replaced.
+A session is alive while one of its requests is open and for some time after
+the last one ended. Roll-outs use the table to find the live sessions on the
+version that is being replaced.
 """
 
 import collections
@@ -15,10 +15,10 @@
     """The version of a session's last request.
 
     Attributes:
-        version: That it ran on.
-        affinity_key: Of its prompts.
-        seen_at: When it began, or ended if it has.
-        open_requests: How many of the session's requests run.
+        version: Version that the last request ran on.
+        affinity_key: Affinity key of the last request.
+        seen_at: When a request of the session last began or ended.
+        open_requests: Number of the session's requests that are running.
     """
 
     version: str
@@ -28,7 +28,7 @@
 
 
 class SessionPins:
-    """The sessions seen here, the least recently seen first."""
+    """The sessions seen at this entry, the least recently seen first."""
 
     def __init__(self) -> None:
         self.pins: collections.OrderedDict[str, SessionPin] = (
@@ -38,7 +38,7 @@
     def begin_request(
         self, session: str, *, version: str, affinity_key: str, now: float
     ) -> None:
-        """Notes that a request of the session begins on a version."""
+        """Records that a request of the session begins on a version."""
         if not session:
             return
         pin = self.pins.get(session)
@@ -51,23 +51,23 @@
         self.touch(session, pin, now=now)
 
     def end_request(self, session: str, *, now: float) -> None:
-        """Notes that a request of the session has ended."""
+        """Records that a request of the session has ended."""
         pin = self.pins.get(session)
         if pin is not None:
             pin.open_requests = max(0, pin.open_requests - 1)
             self.touch(session, pin, now=now)
 
     def touch(self, session: str, pin: SessionPin, *, now: float) -> None:
-        """Notes that a session was seen just now."""
+        """Marks a session as the most recently seen."""
         pin.seen_at = now
         self.pins.move_to_end(session)
 
     def find_version(self, session: str, *, now: float, alive_s: float) -> str:
-        """Returns the version that a live session runs on, or empty.
+        """Returns the version of a live session, or an empty string.
 
         Args:
-            session: The session; may be empty.
-            now: In seconds.
+            session: The session's name; may be empty.
+            now: Current time in seconds.
             alive_s: How long a session lives after its last request.
         """
         pin = self.pins.get(session)
@@ -76,7 +76,7 @@
         return pin.version
 
     def remove_expired(self, *, now: float, alive_s: float) -> None:
-        """Forgets sessions that are over."""
+        """Removes sessions that are no longer alive."""
         for session, pin in list(self.pins.items()):
             if not pin.open_requests and is_alive(
                 pin, now=now, alive_s=alive_s
@@ -88,12 +88,12 @@
     def list_alive(
         self, *, now: float, alive_s: float
     ) -> collections.abc.Iterator[tuple[str, SessionPin]]:
-        """Yields all sessions that are alive."""
+        """Yields all live sessions."""
         for session, pin in self.pins.items():
             if is_alive(pin, now=now, alive_s=alive_s):
                 yield session, pin
 
 
 def is_alive(pin: SessionPin, *, now: float, alive_s: float) -> bool:
-    """Returns whether a session may go on."""
+    """Returns whether a session is alive."""
     return pin.open_requests > 0 or now - pin.seen_at <= alive_s
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/trial_judge.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/trial_judge.py
@@ -1,12 +1,12 @@
-"""Judges a new version from few answers, at any time.
-
-Wald's likelihood ratio, averaged over several ways of being worse: under a
-version that is no worse its expectation stays at most 1, so that it passes
-1/alpha with probability alpha at most, however often one looks. It needs
-about three failures in six answers where the incumbent hardly fails, far
-fewer than `sequential_test` in `rhubarbbank_core`, which takes the
-incumbent's rate as unknown and so waits for dozens of answers: more than the
-trial share of a small deployment brings in half of a roll-out.
+"""Sequential test of a new version that needs few answers.
+
+The test uses Wald's likelihood ratio, averaged over several alternative rates.
+If the target is no worse, the expected ratio is at most 1, so that the ratio
+exceeds 1/alpha with probability at most alpha, however often it is evaluated.
+If the incumbent hardly fails, about three failures in six answers suffice.
+`sequential_test` in `rhubarbbank_core` treats the incumbent's rate as unknown
+and needs dozens of answers: more than the trial share of a small deployment
+receives in half of a roll-out.
 """
 
 import math
@@ -14,25 +14,27 @@
 from rhubarbbank_router import defaults
 from rhubarbbank_router import version_trial
 
-# The incumbent's rate is taken as if it had shown this many answers more, of
-# which one was bad: about what it has shown when the first of the target come
-# in (a tenth of the traffic, three answers).
+# Pseudo-count for the incumbent's rate: this many more answers, of which one
+# was bad. The target, with a tenth of the traffic, has given about three
+# answers when the incumbent has given this many.
 PRIOR_ANSWERS = 30.0
-# Where half of all answers are bad, a rise tells nothing of the version.
+# If more than half of the incumbent's answers are bad, an increase isn't
+# attributed to the version.
 MAX_BASE_RATE = 0.5
-# Log likelihood ratio that speaks for neither.
+# Log likelihood ratio that favours neither hypothesis.
 NO_EVIDENCE = 0.0
-# Rates above the tolerated one that count as worse: operators call a version
-# bad from a rise of some tenths on.
+# Alternative hypotheses: increases over the tolerated rate. Operators consider
+# a version bad if the rate rises by some tenths.
 RISES = (0.1, 0.2, 0.4)
 # Keeps the logarithms finite.
 MAX_RATE = 0.95
-# Failures, slow answers, dragging streams.
+# Failures, slow answers and dragging answers; the significance level is
+# divided by their number (Bonferroni correction).
 MEASURES = 3
 
 
 class LikelihoodJudge:
-    """Compares failures, slow answers and the pace of streams."""
+    """Applies the sequential test to failures, latency and pace."""
 
     def is_worse(
         self,
@@ -40,7 +42,7 @@
         *,
         plan: version_trial.TrialPlan,
     ) -> bool:
-        """Returns whether the evidence speaks against the target."""
+        """Returns whether the evidence shows that the target is worse."""
         limit = math.log(MEASURES / defaults.TRIAL_FALSE_ALARM)
         return self.compute_log_ratio(evidence, plan) >= limit
 
@@ -53,8 +55,8 @@
     ) -> bool:
         """Returns whether "worse" is likelier than "no worse".
 
-        The plan says by which factor; for a small share it has to be larger:
-        little is at stake, and more answers are what tells.
+        The plan sets the required ratio. For a small share it is larger,
+        since few requests are at risk and more answers settle the question.
         """
         ratio = plan.doubt_ratio
         if share <= defaults.TRIAL_SMALL_SHARE:
@@ -68,23 +70,23 @@
     ) -> float:
         """Returns the highest log likelihood ratio of all comparisons.
 
-        Routes that are looked at beside the whole are paid for: their
-        ratios are divided by their number.
+        The ratio of each single route is divided by the number of routes, to
+        correct for multiple comparisons.
         """
-        whole = find_max_log_ratio(evidence.pooled, plan)
+        pooled = find_max_log_ratio(evidence.pooled, plan)
         if not evidence.routes:
-            return whole
+            return pooled
         routes = max(
             find_max_log_ratio(each, plan) for each in evidence.routes.values()
         )
-        return max(whole, routes - math.log(len(evidence.routes)))
+        return max(pooled, routes - math.log(len(evidence.routes)))
 
 
 def find_max_log_ratio(
-    found: version_trial.Comparison, plan: version_trial.TrialPlan
+    comparison: version_trial.Comparison, plan: version_trial.TrialPlan
 ) -> float:
-    """Returns the log likelihood ratio for the worst of the measures."""
-    target, incumbent = found.target, found.incumbent
+    """Returns the highest log likelihood ratio of the three measures."""
+    target, incumbent = comparison.target, comparison.incumbent
     failures = log_likelihood_ratio(
         bad=target.failures,
         count=target.answers,
@@ -107,10 +109,12 @@
 
 
 class FixedCountJudge:
-    """The naive baseline: a fixed number of bad answers is too many.
+    """Rejects the target after a fixed number of bad answers.
+
+    A naive baseline for comparison.
 
     Attributes:
-        bad_answers: The number.
+        bad_answers: Bad answers from which the target counts as worse.
     """
 
     def __init__(self, *, bad_answers: int = 5) -> None:
@@ -122,7 +126,7 @@
         *,
         plan: version_trial.TrialPlan,
     ) -> bool:
-        """Returns whether the evidence speaks against the target."""
+        """Returns whether the target has given too many bad answers."""
         del plan
         target = evidence.pooled.target
         return target.failures + target.slow >= self.bad_answers
@@ -134,23 +138,23 @@
         plan: version_trial.TrialPlan,
         share: float,
     ) -> bool:
-        """Returns the same: a fixed number knows no doubt."""
+        """Returns the same as `is_worse`; this judge has no doubt level."""
         del share
         return self.is_worse(evidence, plan=plan)
 
 
 def estimate_rate(bad: int, count: int) -> float:
-    """Returns the incumbent's rate, on the cautious side for few answers."""
+    """Returns the estimated rate, biased upwards if there are few answers."""
     return (bad + 1.0) / (count + PRIOR_ANSWERS)
 
 
 def log_likelihood_ratio(*, bad: int, count: int, base_rate: float) -> float:
-    """Returns the log likelihood ratio of "worse" against "at the rate".
+    """Returns the log likelihood ratio of "worse" against the base rate.
 
     Args:
-        bad: Bad answers seen.
-        count: All answers seen.
-        base_rate: The highest rate that is let pass.
+        bad: Number of bad answers.
+        count: Number of all answers.
+        base_rate: The highest tolerated rate.
     """
     if base_rate > MAX_BASE_RATE:
         return NO_EVIDENCE
