--- a/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
@@ -1,7 +1,7 @@
-"""What the router believes of the upstreams: list, load, trouble.
+"""Tracks the upstreams: the platform's list, their load and their failures.
 
-The list comes from the platform, late; the load from the answers' heads; the
-trouble from this entry's own attempts. Dispatch asks `list_usable`.
+The list comes from the platform, with a delay; the load from the headers of
+answers; failures from this entry's own attempts. Dispatch calls `list_usable`.
 """
 
 import collections.abc
@@ -14,16 +14,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Upstream:
-    """One line of the platform's list.
+    """One entry of the platform's list.
 
     Attributes:
-        upstream_id: Unique to this start of the upstream, mostly.
+        upstream_id: Usually unique to one start of the upstream.
         service: The service that it runs.
         address: "ip:port".
-        data_centre: Where it stands.
-        version: Of its software.
-        slots: Requests that it runs side by side.
-        leaving: Whether it takes no new work.
+        data_centre: The data centre of its host.
+        version: Its software version.
+        slots: Number of requests that it runs concurrently.
+        leaving: Whether it accepts no new requests.
         started_ms: Unix time of its start; 0 if unknown.
     """
 
@@ -39,12 +39,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class LoadReport:
-    """An upstream's load as one of its answers told it.
+    """An upstream's load as reported in the headers of an answer.
 
     Attributes:
-        running: Requests in its slots.
-        waiting: Requests queued.
-        slots: Requests that it runs side by side.
+        running: Number of requests in its slots.
+        waiting: Number of requests in its queue.
+        slots: Number of requests that it runs concurrently.
     """
 
     running: int
@@ -53,29 +53,30 @@
 
     @property
     def level(self) -> int:
-        """How loaded it is, in steps that double: 0 for up to 3 requests."""
+        """The load level: 0 for up to 3 requests, then doubling ranges."""
         requests = self.running + self.waiting
         return (requests // defaults.LOAD_LEVEL_REQUESTS).bit_length()
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class TrackedUpstream:
-    """What this entry believes of one upstream.
+    """State of one upstream as this entry sees it; times are in seconds.
 
     Attributes:
-        listed: The newest line of the list.
+        listed: Its newest entry in the list.
         attempts: This entry's open attempts there, by request id.
-        load: The last report; None before the first.
-        load_at: When it came.
-        own_at_report: This entry's open attempts when it came.
-        heard_at: When bytes of any of its answers came last.
-        failures: Attempts that failed since the last good one.
-        set_aside_until: No new work before then, if others will do.
-        set_aside_s: How long it was set aside the last time.
-        silent_at: When an attempt was last given up for its silence.
-        full_until: It refused for want of room; not preferred before then.
-        lapsed: Whether the list dropped it while the store was in trouble.
-        misdirected: Another process answered at its address.
+        load: The last load report; None before the first.
+        load_at: Time of the last load report.
+        own_at_report: Number of this entry's open attempts at that time.
+        heard_at: When bytes of any of its answers last came.
+        failures: Weighted number of failures since the last success.
+        set_aside_until: Until then it is used only if there is no other.
+        set_aside_s: Length of the last such period.
+        silent_at: When an attempt there last timed out.
+        full_until: It refused a request for lack of capacity; until then it
+            is used only if there is no other.
+        lapsed: Whether the list dropped it while the store was unreliable.
+        misdirected: Whether another process answered at its address.
     """
 
     listed: Upstream
@@ -96,19 +97,19 @@
 
     @property
     def in_flight(self) -> int:
-        """How many attempts of this entry are open there."""
+        """Number of this entry's open attempts there."""
         return len(self.attempts)
 
 
 @dataclasses.dataclass(slots=True)
 class ServiceTimes:
-    """Smoothed times of a service's answers, in seconds.
+    """Moving averages of the times of a service's answers, in seconds.
 
     Attributes:
-        answer_s: From sending to the end of a plain answer.
+        answer_s: From sending to the end of an answer without a stream.
         first_event_s: From sending to a stream's first event.
         pace_s: Between two events of a stream, by model and load level.
-        answer_s_by_route: From sending to the end of a plain answer, by route.
+        answer_s_by_route: Like `answer_s`, by route.
     """
 
     answer_s: float = defaults.INITIAL_ANSWER_S
@@ -123,24 +124,25 @@
     def find_pace_s(self, model: str, level: int) -> float | None:
         """Returns the usual time between events at a load level.
 
-        Where none has been seen at that level, one of a higher level will do:
-        with less load a stream isn't slower. None if neither is known.
+        If there are no samples at that level, returns the time of the next
+        higher level that has some, since less load doesn't make a stream
+        slower. Returns None if there is no such level.
         """
         paces = self.pace_s.get(model, {})
         known = min((x for x in paces if x >= level), default=None)
         return None if known is None else paces[known]
 
     def learn_pace(self, model: str, level: int, pace_s: float) -> None:
-        """Learns from the time between a stream's events."""
+        """Adds a stream's mean time between events to the average."""
         paces = self.pace_s.setdefault(model, {})
         usual_s = paces.get(level, pace_s)
-        # One stream that hangs says little of the usual pace.
+        # Limits the influence of a single stalled stream.
         pace_s = min(pace_s, defaults.SLOW_PACE_TIMES * usual_s)
         paces[level] = smooth(usual_s, pace_s)
 
 
 def smooth(mean: float, value: float) -> float:
-    """Returns the smoothed mean after one more value."""
+    """Returns an exponential moving average after one more value."""
     return mean + defaults.SERVICE_SMOOTHING * (value - mean)
 
 
@@ -148,9 +150,9 @@
     """All upstreams that this entry knows.
 
     Attributes:
-        tracked: By upstream id.
-        times: By service.
-        notices: What upstreams said of themselves.
+        tracked: State of each upstream, by its id.
+        times: Moving averages of answer times, by service.
+        notices: What upstreams announced in their answers.
     """
 
     def __init__(self) -> None:
@@ -164,21 +166,21 @@
         *,
         store_unstable: bool,
     ) -> list[str]:
-        """Takes a whole list; returns the ids that are no longer on it."""
-        found = {each.upstream_id: each for each in listed}
-        for each in found.values():
+        """Applies a complete list; returns the ids that it no longer has."""
+        by_id = {each.upstream_id: each for each in listed}
+        for each in by_id.values():
             self.put(each)
         gone = [
             upstream_id
             for upstream_id in self.tracked
-            if upstream_id not in found
+            if upstream_id not in by_id
         ]
         for upstream_id in gone:
             self.remove(upstream_id, store_unstable=store_unstable)
         return gone
 
     def put(self, listed: Upstream) -> None:
-        """Takes one line of the list."""
+        """Adds or updates one upstream of the list."""
         tracked = self.tracked.get(listed.upstream_id)
         if tracked is None or tracked.listed.started_ms != listed.started_ms:
             attempts = tracked.attempts if tracked else {}
@@ -190,12 +192,13 @@
         tracked.lapsed = False
 
     def remove(self, upstream_id: str, *, store_unstable: bool) -> None:
-        """Takes that the list dropped an upstream.
+        """Removes an upstream that the list no longer has.
 
         Args:
             upstream_id: The upstream.
-            store_unstable: The store was in trouble lately: its entry may have
-                lapsed though it lives, so that it stays for a grace time.
+            store_unstable: Whether the store was recently unreachable. The
+                upstream may then be running although its list entry expired,
+                so it is kept for a grace time.
         """
         tracked = self.tracked.get(upstream_id)
         if tracked is None:
@@ -206,11 +209,11 @@
         del self.tracked[upstream_id]
 
     def drop_lapsed(self, *, keep: bool) -> list[str]:
-        """Drops upstreams that lapsed; returns their ids.
+        """Drops upstreams whose list entry lapsed; returns their ids.
 
         Args:
-            keep: The store is away, or has returned so lately that entries
-                may still come back.
+            keep: Whether the store is unreachable, or has returned so recently
+                that entries may still be renewed; nothing is dropped then.
         """
         if keep:
             return []
@@ -224,19 +227,19 @@
         return dropped
 
     def list_known(self, upstream_id: str) -> list[TrackedUpstream]:
-        """Returns what is believed of an upstream, if it is known."""
+        """Returns the upstream as a list; empty if it isn't known."""
         tracked = self.tracked.get(upstream_id)
         return [] if tracked is None else [tracked]
 
     def is_leaving(self, listed: Upstream) -> bool:
-        """Returns whether an upstream shuts down, by the list or its word."""
+        """Returns whether the list or an answer says that it shuts down."""
         notice = self.notices.find(listed.upstream_id, listed.started_ms)
         return listed.leaving or (notice is not None and notice.leaving)
 
     def list_accepting(
         self, service: str, *, now: float
     ) -> list[TrackedUpstream]:
-        """Returns the service's upstreams that take new work."""
+        """Returns the service's upstreams that accept new requests."""
         return [
             tracked
             for tracked in self.tracked.values()
@@ -249,11 +252,11 @@
         ]
 
     def find_reopening_time(self, service: str, *, now: float) -> float | None:
-        """Returns when the first closed upstream takes work again.
+        """Returns when the first closed upstream accepts requests again.
 
         Returns:
             The time in seconds; None if none of the service's upstreams has
-            said that it wants nothing for a time.
+            asked to be sent no requests for a time.
         """
         times: list[float] = []
         for tracked in self.tracked.values():
@@ -272,27 +275,28 @@
         now: float,
         excluded: collections.abc.Set[str],
     ) -> list[TrackedUpstream]:
-        """Returns upstreams for a new attempt, without those in trouble.
+        """Returns upstreams for a new attempt.
 
-        Upstreams in trouble are returned when there are no others.
+        Those that are set aside or lack capacity are returned only if there
+        are no others.
         """
-        fitting = [
+        accepting = [
             tracked
             for tracked in self.list_accepting(service, now=now)
             if tracked.listed.upstream_id not in excluded
         ]
-        sound = [each for each in fitting if each.set_aside_until <= now]
-        roomy = [each for each in sound if each.full_until <= now]
-        return roomy or sound or fitting
+        healthy = [each for each in accepting if each.set_aside_until <= now]
+        available = [each for each in healthy if each.full_until <= now]
+        return available or healthy or accepting
 
     def start(self, request_id: str, attempt: attempt_states.Attempt) -> None:
-        """Notes that an attempt begins."""
+        """Records that an attempt begins."""
         tracked = self.tracked.get(attempt.upstream)
         if tracked is not None:
             tracked.attempts[request_id] = attempt
 
     def finish(self, request_id: str, upstream_id: str) -> None:
-        """Notes that an attempt ended, however it did."""
+        """Records that an attempt ended, whether it failed or not."""
         tracked = self.tracked.get(upstream_id)
         if tracked is not None:
             tracked.attempts.pop(request_id, None)
@@ -300,7 +304,7 @@
     def note_load(
         self, upstream_id: str, load: LoadReport, *, now: float
     ) -> None:
-        """Takes the load that came with an answer."""
+        """Records the load that an answer reports."""
         tracked = self.tracked.get(upstream_id)
         if tracked is not None:
             tracked.load = load
@@ -308,13 +312,13 @@
             tracked.own_at_report = tracked.in_flight
 
     def note_bytes_received(self, upstream_id: str, *, now: float) -> None:
-        """Notes that bytes of an answer came."""
+        """Records that bytes of an answer came."""
         tracked = self.tracked.get(upstream_id)
         if tracked is not None:
             tracked.heard_at = now
 
     def note_success(self, upstream_id: str) -> None:
-        """Notes that an upstream answered well."""
+        """Records a successful attempt."""
         tracked = self.tracked.get(upstream_id)
         if tracked is not None:
             tracked.failures = 0
@@ -323,12 +327,15 @@
     def note_failure(
         self, upstream_id: str, *, now: float, weight: int = 1
     ) -> bool:
-        """Notes a failed attempt; returns whether it is set aside now.
+        """Records a failed attempt.
 
         Args:
             upstream_id: The upstream.
             now: In seconds.
-            weight: How much the failure says, in plain failures.
+            weight: How many failures this one counts as.
+
+        Returns:
+            Whether the upstream is set aside because of it.
         """
         tracked = self.tracked.get(upstream_id)
         if tracked is None:
@@ -346,10 +353,11 @@
         return True
 
     def note_silence(self, upstream_id: str, *, now: float) -> bool:
-        """Notes that an upstream was silent too long.
+        """Records that an attempt timed out.
 
         Returns:
-            Whether this is the first time within the episode.
+            Whether it is the first of a series of time-outs, each within
+            SILENCE_EPISODE_S of the one before.
         """
         tracked = self.tracked.get(upstream_id)
         if tracked is None:
@@ -358,7 +366,7 @@
         return last is None or now - last > defaults.SILENCE_EPISODE_S
 
     def note_full(self, upstream_id: str, *, now: float) -> None:
-        """Notes that an upstream refused for want of room."""
+        """Records that an upstream refused a request for lack of capacity."""
         tracked = self.tracked.get(upstream_id)
         if tracked is not None:
             tracked.full_until = now + defaults.FULL_BACKOFF_S
@@ -366,7 +374,7 @@
     def note_closed(
         self, upstream_id: str, closed_s: float, *, now: float
     ) -> None:
-        """Notes for how long an upstream wants nothing, in seconds."""
+        """Records for how many seconds an upstream wants no requests."""
         tracked = self.tracked.get(upstream_id)
         if tracked is not None:
             until = now + min(closed_s, defaults.MAX_CLOSED_S)
@@ -375,14 +383,14 @@
             )
 
     def note_leaving(self, upstream_id: str) -> bool:
-        """Notes that an upstream shuts down; returns whether that is news."""
+        """Records that an upstream shuts down; returns whether that is new."""
         tracked = self.tracked.get(upstream_id)
         if tracked is None:
             return False
         return self.notices.note_leaving(upstream_id, tracked.listed.started_ms)
 
     def list_announced_leaving(self) -> tuple[tuple[str, int], ...]:
-        """Returns id and start of listed upstreams that said they shut down."""
+        """Returns id and start time of listed upstreams that shut down."""
         return tuple(
             (upstream_id, started_ms)
             for upstream_id, started_ms in self.notices.list_leaving()
@@ -390,11 +398,11 @@
         )
 
     def note_misdirected(self, upstream_id: str) -> None:
-        """Notes that another process answered at an upstream's address."""
+        """Records that another process answered at an upstream's address."""
         tracked = self.tracked.get(upstream_id)
         if tracked is not None:
             tracked.misdirected = True
 
     def get_service_times(self, service: str) -> ServiceTimes:
-        """Returns the service's smoothed times."""
+        """Returns the service's moving averages; creates them if need be."""
         return self.times.setdefault(service, ServiceTimes())
