--- a/packages/rhubarbbank-router/src/rhubarbbank_router/upstream_list.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/upstream_list.py
@@ -1,8 +1,8 @@
-"""Takes what the platform's list of upstreams says, from store or reader.
+"""Applies changes of the platform's list of upstreams.
 
-The store's watch and another entry that reads it yield the same events, so
-that both ways end here: the view changes, and what was told goes to the
-entries that ask this one.
+The list comes from the store's watch or from another entry that reads the
+store. Both produce the same events, which are handled here: they update the
+view and are relayed to the entries that ask this one.
 """
 
 from rhubarbbank_core import program_effects as fx
@@ -19,7 +19,7 @@
 def handle_event(
     state: states.RouterState, event: events.AnyEvent, *, now: float
 ) -> list[effects.Effect]:
-    """Takes what the platform's store says of upstreams."""
+    """Applies an event, and confirms crashes of upstreams that it removes."""
     previous = list_running_upstreams(state, event)
     out = apply_event(state, event, now=now)
     return [*out, *confirm_ends(state, previous, now=now)]
@@ -28,22 +28,22 @@
 def list_running_upstreams(
     state: states.RouterState, event: events.AnyEvent
 ) -> list[upstreams.Upstream]:
-    """Returns the upstreams that an event may tell the end of.
+    """Returns the upstreams whose end an event may report.
 
-    Those that shut down end as planned.
+    Those that are shutting down are left out: they end as planned.
     """
     view = state.view
     match event:
         case events.UpstreamsListed():
-            concerned = list(view.tracked.values())
+            affected = list(view.tracked.values())
         case events.UpstreamChanged(listed):
-            concerned = view.list_known(listed.upstream_id)
+            affected = view.list_known(listed.upstream_id)
         case events.UpstreamUnlisted(upstream_id):
-            concerned = view.list_known(upstream_id)
+            affected = view.list_known(upstream_id)
         case _:
             return []
     return [
-        each.listed for each in concerned if not view.is_leaving(each.listed)
+        each.listed for each in affected if not view.is_leaving(each.listed)
     ]
 
 
@@ -53,7 +53,13 @@
     *,
     now: float,
 ) -> list[effects.Effect]:
-    """Charges the requests that were given up where an upstream ended."""
+    """Counts a crash against requests that timed out at an ended upstream.
+
+    Args:
+        state: The router's state, after the event.
+        previous: The upstreams that ran before the event.
+        now: In seconds.
+    """
     out: list[effects.Effect] = []
     for listed in previous:
         tracked = state.view.tracked.get(listed.upstream_id)
@@ -80,7 +86,7 @@
 def apply_event(
     state: states.RouterState, event: events.AnyEvent, *, now: float
 ) -> list[effects.Effect]:
-    """Applies an event to what is believed of upstreams."""
+    """Applies an event to the view of upstreams, and logs it."""
     contact = state.contact(events.Subject.UPSTREAMS)
     store_unstable = contact.was_recently_unavailable(
         defaults.LAPSE_REPORT_S, now=now
