--- a/packages/rhubarbbank-router/src/rhubarbbank_router/upstream_notices.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/upstream_notices.py
@@ -1,8 +1,9 @@
-"""Remembers what upstreams say of themselves in their answers.
+"""Remembers what upstreams announce in the headers of their answers.
 
-An upstream that shuts down says so before the platform's list does, and one
-that is short of room says for how long it wants nothing. Both hold for one
-incarnation, whatever the list says, and outlast a lapse of its line.
+An upstream announces its shutdown before the platform's list shows it, and an
+overloaded one says for how long it wants no requests. Both apply to one
+incarnation, whatever the list says, and are kept while the upstream is
+temporarily missing from the list.
 """
 
 import collections
@@ -13,13 +14,12 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Notice:
-    """What one incarnation of an upstream has said.
+    """What one incarnation of an upstream has announced.
 
     Attributes:
         started_ms: Unix time of the incarnation's start; 0 if unknown.
-        leaving: Whether it shuts down.
-        closed_until: It wants nothing from this entry before then, in
-            seconds.
+        leaving: Whether it is shutting down.
+        closed_until: When this entry may send it requests again, in seconds.
     """
 
     started_ms: int
@@ -36,7 +36,7 @@
         )
 
     def find(self, upstream_id: str, started_ms: int) -> Notice | None:
-        """Returns what this incarnation has said, or None."""
+        """Returns the incarnation's notice, or None."""
         notice = self.notices.get(upstream_id)
         if notice is None or notice.started_ms != started_ms:
             return None
@@ -45,28 +45,28 @@
     def is_closed(
         self, upstream_id: str, started_ms: int, *, now: float
     ) -> bool:
-        """Returns whether an upstream must get no new work."""
+        """Returns whether an upstream must get no new requests."""
         notice = self.find(upstream_id, started_ms)
         if notice is None:
             return False
         return notice.leaving or now < notice.closed_until
 
     def note_leaving(self, upstream_id: str, started_ms: int) -> bool:
-        """Notes that an upstream shuts down; returns whether that is news."""
+        """Records that an upstream shuts down; returns whether that is new."""
         notice = self.find_or_create(upstream_id, started_ms)
-        is_news = not notice.leaving
+        is_new = not notice.leaving
         notice.leaving = True
-        return is_news
+        return is_new
 
     def note_closed(
         self, upstream_id: str, started_ms: int, *, until: float
     ) -> None:
-        """Notes until when an upstream wants nothing, in seconds."""
+        """Records until when an upstream wants no requests, in seconds."""
         notice = self.find_or_create(upstream_id, started_ms)
         notice.closed_until = max(notice.closed_until, until)
 
     def find_or_create(self, upstream_id: str, started_ms: int) -> Notice:
-        """Returns the incarnation's notice; makes one if need be."""
+        """Returns the incarnation's notice, a new one if there is none."""
         notice = self.find(upstream_id, started_ms)
         if notice is None:
             notice = Notice(started_ms=started_ms)
@@ -77,7 +77,7 @@
         return notice
 
     def list_leaving(self) -> tuple[tuple[str, int], ...]:
-        """Returns id and start of upstreams that said they shut down."""
+        """Returns id and start time of upstreams that announced shutdown."""
         return tuple(
             (upstream_id, notice.started_ms)
             for upstream_id, notice in self.notices.items()
