--- a/packages/rhubarbbank-router/src/rhubarbbank_router/work_placement.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/work_placement.py
@@ -1,17 +1,18 @@
 """Places requests where their first event is expected soonest.
 
-The load that this answers: prompts of very different length and models of
-very different speed on engines that batch, where a long prompt delays the
-tokens of all others. Counting requests, as `ExpectedWaitPlacement` does,
-takes a plan of 12,000 tokens for a chat of 800.
-
-The estimate adds the work at the upstream, this entry's own and what the
-others tell of theirs, the time to read what the upstream doesn't keep of the
-prompt, and the way there. Reports in answers count only where they show that
-requests wait for a slot: as they count for less with their age, the upstream
-that hasn't answered lately would look empty to all entries, which would meet
-there. The upstream that all entries prefer for the same prompt gets
-a small credit, so that they meet where its parts are kept.
+It is meant for prompts of very different lengths and models of very different
+speeds on batching engines, where a long prompt delays the tokens of all other
+requests. Counting requests, as `ExpectedWaitPlacement` does, treats a prompt
+of 12,000 tokens like one of 800.
+
+The estimate adds up the work at the upstream (this entry's own and what other
+entries report), the prefill time of the part of the prompt that the upstream
+doesn't have cached, and the network latency. Load reports in answers count
+only where they show that requests wait for a slot. Their weight falls with
+their age, so an upstream that hasn't answered recently would look empty to
+all entries, and all would send their requests there. The upstream that all
+entries prefer for the same prompt gets a small credit, so that such requests
+go where parts of the prompt are cached.
 """
 
 import collections.abc
@@ -28,9 +29,10 @@
     """Chooses the upstream with the least expected time to a first event.
 
     Attributes:
-        rng: Draws the candidates to compare where there are many.
-        choices: How many are compared at most.
-        affinity_credit_s: How much longer the preferred upstream may take.
+        rng: Draws the sample of candidates to compare.
+        choices: Size of the sample at most.
+        affinity_credit_s: How much longer the preferred upstream may take,
+            if the request says nothing else.
     """
 
     def __init__(
@@ -50,7 +52,7 @@
         candidates: collections.abc.Sequence[placement.Candidate],
         request: placement.PlacementRequest,
     ) -> placement.PlacementDecision | None:
-        """Returns the choice, or None when no candidate may be used."""
+        """Returns the choice, or None if there is no usable candidate."""
         usable = placement.list_usable(candidates, request)
         if not usable:
             return None
@@ -67,7 +69,7 @@
         candidate: placement.Candidate,
         request: placement.PlacementRequest,
     ) -> float:
-        """Returns the expected time, less the credit of the preferred one."""
+        """Returns the expected time, less the preferred upstream's credit."""
         expected_s = estimate_s(candidate, request)
         if candidate.name == request.session_upstream:
             credit_s = request.session_credit_s
@@ -79,15 +81,19 @@
     def draw_sample(
         self, usable: list[placement.Candidate], preferred: str
     ) -> list[placement.Candidate]:
-        """Returns the candidates to compare, in random order."""
+        """Returns a random sample of the candidates.
+
+        It always has the preferred one and those that have a part of the
+        prompt cached.
+        """
         sample = self.rng.sample(usable, min(self.choices, len(usable)))
-        kept = [
+        required = [
             each
             for each in usable
             if (each.cached_blocks or each.name == preferred)
             and each not in sample
         ]
-        return sample + kept
+        return sample + required
 
 
 def estimate_s(
@@ -97,8 +103,8 @@
     weight = math.exp(-candidate.report_age_s / defaults.REPORT_DECAY_S)
     reported = weight * placement.count_others(candidate)
     others = max(reported, candidate.told_in_flight)
-    full = candidate.own_in_flight + others + 1.0 - candidate.max_batch
-    queued = max(0.0, full) / candidate.max_batch
+    excess = candidate.own_in_flight + others + 1.0 - candidate.max_batch
+    queued = max(0.0, excess) / candidate.max_batch
     uncached = max(0, request.prompt_blocks - candidate.cached_blocks)
     return (
         candidate.backlog_s
@@ -113,7 +119,7 @@
     request: placement.PlacementRequest,
     count: int,
 ) -> placement.PlacementReason:
-    """Returns why an upstream was chosen, for the log."""
+    """Returns the reason for the choice, for the log."""
     if count == 1:
         return placement.PlacementReason.ONLY_CANDIDATE
     if chosen.name == request.session_upstream:
