--- a/packages/rhubarbbank-router/src/rhubarbbank_router/engine_load.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/engine_load.py
@@ -1,7 +1,6 @@
-"""The load of each engine: this entry's work there, and that of the others.
+"""Sums up the load of each engine: the work of this entry and of the others.
 
-Placement, patience and the learning of speeds all ask here, so that they go
-by the same figures.
+Placement, time-outs and heartbeats use these sums, so that they agree.
 """
 
 from rhubarbbank_router import engine_work
@@ -14,7 +13,7 @@
 
 
 def sum_own_work_s(tracked: upstreams.TrackedUpstream, *, now: float) -> float:
-    """Returns the work of this entry's attempts at an upstream, in seconds."""
+    """Returns the remaining work of this entry's attempts, in seconds."""
     return sum(
         engine_work.estimate_remaining_s(each, now=now)
         for each in tracked.attempts.values()
@@ -27,15 +26,15 @@
     *,
     now: float,
 ) -> float:
-    """Returns all work that is known at an upstream, in seconds."""
-    told = others.find(tracked.listed.upstream_id)
-    return sum_own_work_s(tracked, now=now) + told.work_s
+    """Returns the remaining work of all entries' attempts, in seconds."""
+    peer_load = others.find(tracked.listed.upstream_id)
+    return sum_own_work_s(tracked, now=now) + peer_load.work_s
 
 
 def list_loads(
     view: upstreams.UpstreamView, *, now: float
 ) -> tuple[messages.LoadNews, ...]:
-    """Returns what this entry has under way, as a heartbeat tells it."""
+    """Returns the load of this entry's open attempts, for heartbeats."""
     return tuple(
         messages.LoadNews(
             upstream=name_hashes.hash_name(tracked.listed.upstream_id),
@@ -55,6 +54,6 @@
     *,
     now: float,
 ) -> bool:
-    """Returns whether any entry has heard from an upstream lately."""
-    told = others.find(tracked.listed.upstream_id)
-    return now - max(tracked.heard_at, told.heard_at) <= period_s
+    """Returns whether any entry got bytes from an upstream in that time."""
+    peer_load = others.find(tracked.listed.upstream_id)
+    return now - max(tracked.heard_at, peer_load.heard_at) <= period_s
