--- a/packages/rhubarbbank-router/src/rhubarbbank_router/engine_work.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/engine_work.py
@@ -1,9 +1,10 @@
-"""Estimates how much work the attempts under way still are for an engine.
+"""Estimates how much work open attempts still are for an engine.
 
-Reading a prompt holds up all others on its engine, while an answer that is
-being generated costs them little. So the wait at an engine is about the time
-to read what is queued there. Each entry knows its own attempts exactly; the
-speed at which a model reads is learnt from the time to first events.
+The prefill of a prompt delays all other requests on its engine, while
+generating tokens delays them little. So the wait at an engine is about the
+prefill time of the prompts that are queued there. Each entry knows its own
+attempts exactly; it learns a model's prefill speed from the times to first
+events.
 """
 
 import math
@@ -16,10 +17,10 @@
 
 
 class PrefillSpeeds:
-    """Reading speeds by service and model, in tokens per second.
+    """Prefill speeds by service and model, in tokens per second.
 
-    Waiting behind others only ever makes a prompt look slow to read, so that
-    a high quantile of what is seen comes near the speed of an idle engine.
+    Queueing can only make prefill look slower than it is, so a high quantile
+    of the observed speeds is close to the speed of an idle engine.
 
     Attributes:
         speeds: Logarithms of the speeds, since models differ by factors.
@@ -29,7 +30,7 @@
         self.speeds: dict[ModelKey, float] = {}
 
     def find(self, service: str, model: str) -> float:
-        """Returns a model's speed."""
+        """Returns a model's estimated speed."""
         known = self.speeds.get((service, model))
         if known is None:
             return defaults.INITIAL_PREFILL_TOKENS_PER_S
@@ -38,16 +39,16 @@
     def learn(
         self, attempt: attempt_states.Attempt, *, waited_s: float
     ) -> None:
-        """Learns from the time to an attempt's first event.
+        """Updates the estimate with the time to an attempt's first event.
 
         Args:
             attempt: The attempt.
-            waited_s: From sending to the first event.
+            waited_s: Time from sending to the first event.
         """
         if attempt.unread_tokens < defaults.MIN_TOKENS_TO_LEARN:
             return
-        reading_s = max(waited_s - defaults.ENGINE_LATENCY_S, waited_s / 4.0)
-        sample = math.log(attempt.unread_tokens / max(reading_s, 0.001))
+        prefill_s = max(waited_s - defaults.ENGINE_LATENCY_S, waited_s / 4.0)
+        sample = math.log(attempt.unread_tokens / max(prefill_s, 0.001))
         key = (attempt.service, attempt.model)
         known = self.speeds.get(key)
         if known is None:
@@ -59,21 +60,21 @@
 
 
 def count_uncached_tokens(
-    facts: callers.GenerationFacts | None, kept_tokens: int
+    facts: callers.GenerationFacts | None, cached_tokens: int
 ) -> int:
-    """Returns how many tokens of a prompt an engine must still read."""
+    """Returns the number of a prompt's tokens that need prefill."""
     if facts is None:
         return 0
-    return max(0, facts.prompt_tokens - kept_tokens)
+    return max(0, facts.prompt_tokens - cached_tokens)
 
 
 def estimate_remaining_s(
     attempt: attempt_states.Attempt, *, now: float
 ) -> float:
-    """Returns how long an attempt still holds up others, in seconds."""
+    """Returns for how long an attempt still delays others, in seconds."""
     if attempt.first_event_at is not None:
         return attempt.work_s * defaults.DECODE_WORK_SHARE
-    # While it waits behind others it loses nothing; the estimate never ends
-    # before the first event does.
-    begun_s = max(0.0, now - attempt.sent_at - attempt.backlog_s)
-    return max(attempt.work_s - begun_s, attempt.work_s / 4.0)
+    # The work doesn't shrink while the attempt is queued, and isn't taken as
+    # done before the first event has come.
+    elapsed_s = max(0.0, now - attempt.sent_at - attempt.backlog_s)
+    return max(attempt.work_s - elapsed_s, attempt.work_s / 4.0)
