--- a/packages/rhubarbbank-router/src/rhubarbbank_router/peer_work.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/peer_work.py
@@ -1,9 +1,10 @@
-"""Sums what the other entries have under way at each upstream.
+"""Sums up the open work of the other entries at each upstream.
 
 With many entries, each knows only a small part of an upstream's load, and
-reports in answers come too rarely to show the rest. So heartbeats tell what
-each entry has there: as each entry knows its own work exactly, the sum is
-the whole load, as old as a heartbeat; long work is told sooner.
+load reports in answers come too rarely to show the rest. So heartbeats carry
+each entry's open work there. As each entry knows its own work exactly, the
+sum is the whole load with the age of a heartbeat; long work is reported
+sooner.
 """
 
 import collections
@@ -18,12 +19,12 @@
 
 @dataclasses.dataclass(slots=True)
 class PeerLoad:
-    """What the other entries have at one upstream.
+    """The other entries' load at one upstream.
 
     Attributes:
-        work_s: How long their work is expected to hold others up.
-        in_flight: Attempts.
-        heard_at: When one of them last heard from it, in seconds.
+        work_s: Their remaining work, in seconds.
+        in_flight: Number of their open attempts.
+        heard_at: When one of them last got bytes from it, in seconds.
     """
 
     work_s: float = 0.0
@@ -36,18 +37,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReportedLoads:
-    """What one entry told last, and when."""
+    """An entry's last report, and when it came."""
 
     loads: tuple[messages.LoadNews, ...]
     at: float
 
 
 class PeerWork:
-    """The sums by upstream, kept up with each heartbeat.
+    """The sums by upstream, updated with each heartbeat.
 
     Attributes:
-        reports: By entry.
-        loads: By the upstream's mark.
+        reports: The last report of each entry, by its name.
+        loads: The sums, by the hash of the upstream's id.
     """
 
     def __init__(self) -> None:
@@ -57,13 +58,13 @@
         )
 
     def find(self, upstream_id: str) -> PeerLoad:
-        """Returns what others have at an upstream."""
+        """Returns the other entries' load at an upstream."""
         return self.loads.get(name_hashes.hash_name(upstream_id), NO_LOAD)
 
     def update(
         self, name: str, loads: tuple[messages.LoadNews, ...], *, now: float
     ) -> None:
-        """Takes what an entry tells, in place of what it told before."""
+        """Replaces an entry's last report by a new one."""
         self.drop(name)
         self.reports[name] = ReportedLoads(loads, now)
         for each in loads:
@@ -74,11 +75,11 @@
             load.heard_at = max(load.heard_at, heard_at)
 
     def drop(self, name: str) -> None:
-        """Forgets what an entry told."""
-        told = self.reports.pop(name, None)
-        if told is None:
+        """Removes an entry's report."""
+        report = self.reports.pop(name, None)
+        if report is None:
             return
-        for each in told.loads:
+        for each in report.loads:
             load = self.loads[each.upstream]
             load.work_s = max(0.0, load.work_s - each.work_ms / MS_PER_S)
             load.in_flight -= each.in_flight
@@ -86,11 +87,11 @@
                 del self.loads[each.upstream]
 
     def drop_expired(self, *, now: float) -> None:
-        """Forgets what entries told that have been silent since."""
-        silent = [
+        """Removes the reports that have expired."""
+        expired = [
             name
-            for name, told in self.reports.items()
-            if now - told.at > defaults.PEER_WORK_EXPIRY_S
+            for name, report in self.reports.items()
+            if now - report.at > defaults.PEER_WORK_EXPIRY_S
         ]
-        for name in silent:
+        for name in expired:
             self.drop(name)
