--- a/packages/rhubarbbank-router/src/rhubarbbank_router/prefix_memory.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/prefix_memory.py
@@ -1,7 +1,8 @@
-"""Remembers which upstream has lately read which part of a prompt.
+"""Estimates which parts of prompts are in an upstream's prefix cache.
 
-Placement asks how much of a new prompt an upstream probably still keeps. A
-part counts only if all parts before it count, and only for the same model.
+Placement asks how much of a new prompt an upstream probably has cached: the
+parts that were sent there recently. A part counts only if all parts before it
+count, and only for the same model.
 """
 
 import collections
@@ -13,7 +14,7 @@
 
 
 class PrefixMemory:
-    """Times of last use by upstream, model and part, least recent first."""
+    """Times of last use by upstream, model and part, oldest first."""
 
     def __init__(self) -> None:
         self.used_at: collections.OrderedDict[PartKey, float] = (
@@ -28,7 +29,7 @@
         prompt: tuple[callers.PromptPart, ...],
         now: float,
     ) -> None:
-        """Notes that an upstream reads a prompt."""
+        """Records that a prompt is sent to an upstream."""
         for part in prompt:
             key = (upstream, model, part.part_id)
             self.used_at[key] = now
@@ -44,7 +45,7 @@
         prompt: tuple[callers.PromptPart, ...],
         now: float,
     ) -> int:
-        """Returns how many of the prompt's tokens are probably kept."""
+        """Returns how many of the prompt's tokens are probably cached."""
         tokens = 0
         for part in prompt:
             used_at = self.used_at.get((upstream, model, part.part_id))
