--- a/packages/rhubarbbank-router/src/rhubarbbank_router/window_budget.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/window_budget.py
@@ -1,13 +1,15 @@
-"""The budget for sending requests more than once, shared without messages.
-
-Each entry counts its own requests and its own additional sends over a sliding
-window. While each entry stays below the ratio of its own requests plus its
-share of the extra, all of them together stay below the whole.
-
-Entries come and go within a window, and one that ends takes its counts along.
-So the number of entries that share the extra falls only after a whole window,
-and a process in its first window takes half a share, since its predecessor
-may have used the other. That holds if no entry is replaced twice in a window.
+"""A retry budget that all entries share without exchanging their counts.
+
+Each entry counts its own requests and retries in a sliding window. While each
+entry stays below the ratio of its own requests plus its share of the extra
+retries, all of them together stay below the whole limit. Every attempt after
+a request's first one is a retry, also one on a larger model.
+
+Entries start and end within a window, and the counts of one that ends are
+lost. So the number of entries that share the extra retries falls only after a
+whole window, and a process in its first window takes half a share, since its
+predecessor may have used the other half. The limit holds if no entry is
+replaced twice in a window.
 """
 
 import collections
@@ -20,21 +22,21 @@
 
 
 class RetryBudget(Protocol):
-    """Decides whether a service may get one more additional send."""
+    """Decides whether a request for a service may be retried."""
 
     def count_request(self, service: str, *, now: float) -> None:
-        """Notes a caller's request for the service."""
+        """Counts a caller's request for the service."""
 
     def take(self, service: str, *, now: float, share: float = 1.0) -> bool:
-        """Returns whether one more may be sent, and counts it if so."""
+        """Returns whether a retry is allowed, and counts it if so."""
 
     def note_entries(self, count: int, *, now: float) -> None:
-        """Learns how many entries there are, this one included."""
+        """Records how many entries there are, including this one."""
 
 
 @dataclasses.dataclass(slots=True)
 class Bucket:
-    """Counts of one part of the window."""
+    """Counts of one interval of the window, numbered from time 0."""
 
     number: int
     requests: int = 0
@@ -43,12 +45,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class BudgetLimits:
-    """What all entries together may do.
+    """Limits on the retries of all entries together, for one service.
 
     Attributes:
-        ratio: Additional sends for each request.
-        extra: Additional sends besides, in each window.
-        window_s: The window's length.
+        ratio: Retries for each request.
+        extra: Retries in each window beyond the ratio.
+        window_s: Length of the window, in seconds.
     """
 
     ratio: float
@@ -57,14 +59,15 @@
 
 
 class WindowBudget:
-    """Counts by service in a ring of buckets.
+    """A budget that keeps its counts in a queue of buckets for each service.
 
     Attributes:
-        limits: What all entries together may do.
-        started_at: Of the first event, in seconds.
-        entry_counts: Times and numbers of entries heard of within the window; a
-            number goes when a later one is as high.
-        buckets: The counts by service.
+        limits: Limits for all entries together.
+        started_at: Time of this process's first count, in seconds.
+        entry_counts: Times at which the number of entries was recorded within
+            the window, and the numbers; one is dropped when a later one is at
+            least as high, so that the first is the highest.
+        buckets: The counts by service, oldest first.
     """
 
     def __init__(self, *, limits: BudgetLimits) -> None:
@@ -76,16 +79,16 @@
         self.buckets: dict[str, collections.deque[Bucket]] = {}
 
     def note_entries(self, count: int, *, now: float) -> None:
-        """Learns how many entries there are, this one included."""
+        """Records how many entries there are, including this one."""
         self.ensure_started(now=now)
         while self.entry_counts and self.entry_counts[-1][1] <= count:
             self.entry_counts.pop()
         self.entry_counts.append((now, count))
 
     def count_sharers(self, *, now: float) -> int:
-        """Returns among how many processes the extra is shared."""
+        """Returns how many processes share the extra retries."""
         started_at = self.ensure_started(now=now)
-        # The newest number stands for as long as nothing newer is heard.
+        # The newest number stays valid until a newer one is recorded.
         while len(self.entry_counts) > 1 and self.is_outside_window(
             self.entry_counts[0][0], now
         ):
@@ -98,7 +101,7 @@
         return count if self.is_outside_window(started_at, now) else 2 * count
 
     def ensure_started(self, *, now: float) -> float:
-        """Returns when this process counted first, which may be now."""
+        """Returns the time of the first count, which it sets if need be."""
         if self.started_at is None:
             self.started_at = now
         return self.started_at
@@ -108,20 +111,22 @@
         return now - at > self.limits.window_s
 
     def count_request(self, service: str, *, now: float) -> None:
-        """Notes a caller's request for the service."""
+        """Counts a caller's request for the service."""
         self.find_bucket(service, now).requests += 1
 
     def take(self, service: str, *, now: float, share: float = 1.0) -> bool:
-        """Returns whether one more may be sent, and counts it if so.
+        """Returns whether a retry is allowed, and counts it if so.
 
         Args:
             service: The service that would get it.
             now: In seconds.
-            share: Part of the budget that this use may fill, up to 1.
+            share: Share of the budget that may be used up after this retry,
+                at most 1.
         """
         bucket = self.find_bucket(service, now)
         ring = self.buckets[service]
-        # The oldest bucket lies across the window's beginning.
+        # The window begins within the oldest bucket: its requests aren't
+        # counted, its retries are.
         oldest = bucket.number - BUCKETS
         requests = sum(x.requests for x in ring if x.number > oldest)
         retries = sum(x.retries for x in ring)
@@ -138,7 +143,7 @@
         return True
 
     def find_bucket(self, service: str, now: float) -> Bucket:
-        """Returns the bucket of `now`, without those out of the window."""
+        """Returns the bucket of `now`; drops those outside the window."""
         width = self.limits.window_s / BUCKETS
         number = int(now / width)
         ring = self.buckets.setdefault(service, collections.deque())
@@ -150,13 +155,13 @@
 
 
 class UnlimitedRetries:
-    """The naive baseline: every send is allowed."""
+    """The naive baseline: every retry is allowed."""
 
     def count_request(self, service: str, *, now: float) -> None:
         """Does nothing."""
 
     def take(self, service: str, *, now: float, share: float = 1.0) -> bool:
-        """Returns True at any time."""
+        """Returns True."""
         del service, now, share
         return True
 
