--- a/features/steps/router_history_steps.py
+++ b/features/steps/router_history_steps.py
@@ -174,7 +174,7 @@
             self.states[request] = [x.state for x in opened.attempts]
 
     def check(self):
-        proofs = attempt_states.PROOFS_OF_NOT_RUN
+        proofs = attempt_states.NOT_RUN_STATES
         for request in self.history.routes:
             for answer in self.history.world.answers(request):
                 refused = isinstance(answer, effects.RefuseRequest)
--- a/features/steps/router_steps.py
+++ b/features/steps/router_steps.py
@@ -437,7 +437,7 @@
 @then("only a proof of not having run allows a refusal")
 def check_states(context):
     for state in attempt_states.AttemptState:
-        proof = state in attempt_states.PROOFS_OF_NOT_RUN
+        proof = state in attempt_states.NOT_RUN_STATES
         assert proof == (state.value in {"not_sent", "refused"})
 
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_states.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_states.py
@@ -30,7 +30,7 @@
     ANSWERED = "answered"
 
 
-PROOFS_OF_NOT_RUN = frozenset((AttemptState.NOT_SENT, AttemptState.REFUSED))
+NOT_RUN_STATES = frozenset((AttemptState.NOT_SENT, AttemptState.REFUSED))
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -99,9 +99,9 @@
 
 def has_not_run(attempts: list[Attempt]) -> bool:
     """Returns whether provably no attempt has run or will run."""
-    return all(each.state in PROOFS_OF_NOT_RUN for each in attempts)
+    return all(each.state in NOT_RUN_STATES for each in attempts)
 
 
 def count_runs(attempts: list[Attempt]) -> int:
     """Returns the number of attempts that may have run."""
-    return sum(each.state not in PROOFS_OF_NOT_RUN for each in attempts)
+    return sum(each.state not in NOT_RUN_STATES for each in attempts)
