Name the fields of Attempt plainly

heard_at becomes last_progress_at, work_s prefill_s, unread_tokens uncached_tokens, judged evidence_counted, cutter splitter; count_runs becomes count_possible_runs.

--- a/features/steps/engine_load_steps.py
+++ b/features/steps/engine_load_steps.py
@@ -215,7 +215,7 @@
             version="v1",
             model="large",
             sent_at=0.0,
-            unread_tokens=tokens,
+            uncached_tokens=tokens,
         )
         read_s = tokens / speed / 1000 + defaults.ENGINE_LATENCY_S
         speeds.learn(attempt, waited_s=waited_s + read_s)
--- a/features/steps/router_history_steps.py
+++ b/features/steps/router_history_steps.py
@@ -155,7 +155,7 @@
         if opened is None:
             return
         assert not final, final
-        runs = attempt_states.count_runs(opened.attempts)
+        runs = attempt_states.count_possible_runs(opened.attempts)
         if route in NOT_REPEATABLE:
             assert runs <= 1, opened.attempts
         assert runs <= opened.route.max_attempts, opened.attempts
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/answer_heads.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/answer_heads.py
@@ -141,7 +141,7 @@
     )
     if larger is None:
         return []
-    runs = attempt_states.count_runs(opened.attempts)
+    runs = attempt_states.count_possible_runs(opened.attempts)
     if runs >= opened.route.max_attempts:
         return []
     share = defaults.STEP_UP_BUDGET_SHARE
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
@@ -46,11 +46,11 @@
     attempt.idle_bytes += len(data.data)
     attempt.stream_bytes += len(data.data)
     out: list[effects.Effect] = []
-    for event in attempt.cutter.feed(data.data):
+    for event in attempt.splitter.feed(data.data):
         if goes_on(attempt, event):
             attempt_evidence.note_bytes_received(state, attempt, now=now)
             attempt.last_event_id = event.event_id
-            attempt.idle_bytes = len(attempt.cutter.partial)
+            attempt.idle_bytes = len(attempt.splitter.partial)
         out += pass_on(state, opened, attempt, event, now=now)
     if is_endless(attempt):
         out += break_endless(state, opened, attempt, now=now)
@@ -207,7 +207,7 @@
     now: float,
 ) -> list[effects.Effect]:
     """Takes a whole answer."""
-    if attempt.cutter.partial:
+    if attempt.splitter.partial:
         return attempt_ends.fail(
             state, opened, attempt, "ended inside an event", now=now
         )
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_evidence.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_evidence.py
@@ -83,9 +83,9 @@
 ) -> None:
     """Takes an attempt as evidence on its version, once."""
     trial = state.trials.get(attempt.service)
-    if trial is None or attempt.judged:
+    if trial is None or attempt.evidence_counted:
         return
-    attempt.judged = True
+    attempt.evidence_counted = True
     timed = not opened.is_stream
     timed = timed or attempt.events >= defaults.MIN_EVENTS_FOR_PACE
     trial.add_counts(
@@ -111,7 +111,7 @@
     waited_s = (attempt.first_event_at or now) - attempt.sent_at
     expected_s = times.answer_s
     if opened.is_stream:
-        work_s = attempt.backlog_s + attempt.work_s
+        work_s = attempt.backlog_s + attempt.prefill_s
         expected_s = max(times.first_event_s, work_s)
     # Whoever waits past the objective finds it slow, however short it is.
     floor_s = min(defaults.SLOW_FLOOR_S, opened.route.target_latency_s)
@@ -196,5 +196,5 @@
     state: states.RouterState, attempt: attempt_states.Attempt, *, now: float
 ) -> None:
     """Notes that an attempt makes progress."""
-    attempt.heard_at = now
+    attempt.last_progress_at = now
     state.view.note_bytes_received(attempt.upstream, now=now)
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_states.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_states.py
@@ -51,20 +51,21 @@
         status: HTTP status of the answer; 0 before its head arrives.
         headers: Headers of the answer to forward to the caller.
         body: Body received so far, unless it is forwarded event by event.
-        cutter: Splits the bytes of a stream into events.
-        heard_at: When it last made progress, in seconds: a head, an event of
-            a stream, or bytes of another answer. Starts as `sent_at`.
+        splitter: Splits the bytes of a stream into events.
+        last_progress_at: When it last made progress, in seconds: a head, an
+            event of a stream, or bytes of another answer. Starts as `sent_at`.
         first_event_at: When the first event of a stream arrived; None before.
         events: Number of events received.
         last_event_id: Id of the last event that advanced the stream.
         idle_bytes: Bytes received after that event.
         stream_bytes: Bytes of the stream received so far.
         load_level: Load level of the upstream when it began to answer.
-        judged: Whether it has been counted as evidence for its version.
-        unread_tokens: Prompt tokens that the upstream wasn't expected to have
+        evidence_counted: Whether its outcome has been counted in the trial of
+            its version.
+        uncached_tokens: Prompt tokens that the upstream wasn't expected to have
             cached.
-        work_s: Expected time for which it delays other requests to the same
-            upstream, which is the prefill time of those tokens, in seconds.
+        prefill_s: Expected prefill time of those tokens, in seconds. For that
+            time it delays the other requests of the same upstream.
         backlog_s: Expected work queued at the upstream before it, as far as
             this entry knows, in seconds.
     """
@@ -80,20 +81,20 @@
     status: int = 0
     headers: tuple[tuple[str, str], ...] = ()
     body: bytearray = dataclasses.field(default_factory=bytearray)
-    cutter: event_stream.EventSplitter = dataclasses.field(
+    splitter: event_stream.EventSplitter = dataclasses.field(
         default_factory=event_stream.EventSplitter
     )
     upstream_started_ms: int = 0
-    heard_at: float = 0.0
+    last_progress_at: float = 0.0
     first_event_at: float | None = None
     events: int = 0
     last_event_id: str = ""
     idle_bytes: int = 0
     stream_bytes: int = 0
     load_level: int = 0
-    judged: bool = False
-    unread_tokens: int = 0
-    work_s: float = 0.0
+    evidence_counted: bool = False
+    uncached_tokens: int = 0
+    prefill_s: float = 0.0
     backlog_s: float = 0.0
 
 
@@ -102,6 +103,6 @@
     return all(each.state in NOT_RUN_STATES for each in attempts)
 
 
-def count_runs(attempts: list[Attempt]) -> int:
+def count_possible_runs(attempts: list[Attempt]) -> int:
     """Returns the number of attempts that may have run."""
     return sum(each.state not in NOT_RUN_STATES for each in attempts)
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
@@ -141,9 +141,9 @@
         version=upstream.version,
         model=opened.model,
         sent_at=now,
-        heard_at=now,
-        unread_tokens=unread,
-        work_s=unread / speed,
+        last_progress_at=now,
+        uncached_tokens=unread,
+        prefill_s=unread / speed,
         backlog_s=engine_load.sum_backlog_s(
             tracked, state.remote_work, now=now
         ),
@@ -158,7 +158,7 @@
             now=now,
         )
     if (
-        attempt.work_s >= defaults.IMMEDIATE_REPORT_WORK_S
+        attempt.prefill_s >= defaults.IMMEDIATE_REPORT_WORK_S
         and state.next_load_update_at is None
     ):
         state.next_load_update_at = now + defaults.LOAD_BATCH_S
@@ -339,7 +339,8 @@
     not_run = attempt_states.has_not_run(opened.attempts)
     if not (not_run or opened.route.repeatable):
         return False
-    if attempt_states.count_runs(opened.attempts) >= opened.route.max_attempts:
+    runs = attempt_states.count_possible_runs(opened.attempts)
+    if runs >= opened.route.max_attempts:
         return False
     if opened.deadline - now < defaults.MIN_ATTEMPT_S:
         return False
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/engine_work.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/engine_work.py
@@ -45,10 +45,10 @@
             attempt: The attempt.
             waited_s: Time from sending to the first event.
         """
-        if attempt.unread_tokens < defaults.MIN_TOKENS_TO_LEARN:
+        if attempt.uncached_tokens < defaults.MIN_TOKENS_TO_LEARN:
             return
         prefill_s = max(waited_s - defaults.ENGINE_LATENCY_S, waited_s / 4.0)
-        sample = math.log(attempt.unread_tokens / max(prefill_s, 0.001))
+        sample = math.log(attempt.uncached_tokens / max(prefill_s, 0.001))
         key = (attempt.service, attempt.model)
         known = self.speeds.get(key)
         if known is None:
@@ -73,8 +73,8 @@
 ) -> float:
     """Returns for how long an attempt still delays others, in seconds."""
     if attempt.first_event_at is not None:
-        return attempt.work_s * defaults.DECODE_WORK_SHARE
+        return attempt.prefill_s * defaults.DECODE_WORK_SHARE
     # The work doesn't shrink while the attempt is queued, and isn't taken as
     # done before the first event has come.
     elapsed_s = max(0.0, now - attempt.sent_at - attempt.backlog_s)
-    return max(attempt.work_s - elapsed_s, attempt.work_s / 4.0)
+    return max(attempt.prefill_s - elapsed_s, attempt.prefill_s / 4.0)
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/watch.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/watch.py
@@ -53,7 +53,7 @@
     attempt = opened.current
     if attempt is None or not opened.route.repeatable:
         return []
-    silent_s = now - attempt.heard_at
+    silent_s = now - attempt.last_progress_at
     patience_s = find_patience(state, opened, attempt, now=now)
     if silent_s < patience_s:
         return []
@@ -120,4 +120,5 @@
     """Returns the mean time between a stream's events so far, in seconds."""
     if attempt.first_event_at is None or attempt.events <= 1:
         return 0.0
-    return (attempt.heard_at - attempt.first_event_at) / (attempt.events - 1)
+    streaming_s = attempt.last_progress_at - attempt.first_event_at
+    return streaming_s / (attempt.events - 1)
