--- a/experiments/src/rhubarbbank_experiments/mix_arrivals.py
+++ b/experiments/src/rhubarbbank_experiments/mix_arrivals.py
@@ -52,7 +52,7 @@
     at: float
     entry: int
     wanted: mix_settings.MixClass
-    generation: callers.GenerationFacts | None
+    generation: callers.GenerationParameters | None
     answer_tokens: int
     hardness: float
     noises: dict[str, float]
@@ -109,7 +109,7 @@
     if wanted.prompt is not None and wanted.answer is not None:
         answer_tokens = draw_tokens(wanted.answer, rng)
         prompt = draw_prompt(wanted, wanted.prompt, rng, number)
-        generation = callers.GenerationFacts(
+        generation = callers.GenerationParameters(
             prompt=prompt,
             prompt_tokens=sum(each.tokens for each in prompt),
             max_output_tokens=wanted.answer.most,
--- a/features/steps/mix_tool_steps.py
+++ b/features/steps/mix_tool_steps.py
@@ -72,7 +72,7 @@
         at=0.0,
         entry=0,
         wanted=mix.classes[0],
-        generation=callers.GenerationFacts(
+        generation=callers.GenerationParameters(
             prompt=prompt, prompt_tokens=sum(x.tokens for x in prompt)
         ),
         answer_tokens=answer_tokens,
--- a/features/support/router_world.py
+++ b/features/support/router_world.py
@@ -271,7 +271,7 @@
         callers.PromptPart(part_id=session, tokens=tokens // 4),
         callers.PromptPart(part_id=f"{session}-own", tokens=tokens // 2),
     )
-    return callers.GenerationFacts(
+    return callers.GenerationParameters(
         prompt=parts, prompt_tokens=tokens, max_output_tokens=100
     )
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/callers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/callers.py
@@ -17,7 +17,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class GenerationFacts:
+class GenerationParameters:
     """Parameters of a request for text generation.
 
     Attributes:
@@ -77,7 +77,7 @@
     wait_s: float | None = None
     session: str = ""
     resume_after: str = ""
-    generation: GenerationFacts | None = None
+    generation: GenerationParameters | None = None
 
     @property
     def affinity_key(self) -> str:
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/engine_work.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/engine_work.py
@@ -60,7 +60,7 @@
 
 
 def count_uncached_tokens(
-    facts: callers.GenerationFacts | None, cached_tokens: int
+    facts: callers.GenerationParameters | None, cached_tokens: int
 ) -> int:
     """Returns the number of a prompt's tokens that need prefill."""
     if facts is None:
