--- a/packages/rhubarbbank-router/src/rhubarbbank_router/window_budget.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/window_budget.py
@@ -2,8 +2,9 @@
 
 Each entry counts its own requests and retries in a sliding window. While each
 entry stays below the ratio of its own requests plus its share of the extra
-retries, all of them together stay below the whole limit. Every attempt after
-a request's first one is a retry, also one on a larger model.
+retries, all of them together stay below the whole limit. An attempt counts as
+a retry if the one before it reached its upstream; so does an escalation to a
+larger model.
 
 Entries start and end within a window, and the counts of one that ends are
 lost. So the number of entries that share the extra retries falls only after a
