--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -33,7 +33,7 @@
 ALIVE_PATIENCE_TIMES = 3.0
 # For routes that configure no objective, pause or time-out.
 DEFAULT_TARGET_LATENCY_S = 2.0
-DEFAULT_STREAM_PAUSE_S = 1.5
+DEFAULT_TARGET_GAP_S = 1.5
 DEFAULT_TIMEOUT_S = 30.0
 
 # Weight of the newest sample in the exponential moving averages of answer
