--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -17,12 +17,12 @@
 # answer times, but never before PLAIN_PATIENCE_FLOOR_S.
 PLAIN_PATIENCE_MEANS = 3.0
 PLAIN_PATIENCE_FLOOR_S = 0.12
-# The time-out for a stream's first event is this share of the route's
-# objective, or this many times the mean wait if that is longer.
+# The time-out for a stream's first event is this share of the route's target
+# latency, or this many times the mean wait if that is longer.
 FIRST_EVENT_PATIENCE_SHARE = 0.6
 FIRST_EVENT_PATIENCE_MEANS = 4.0
 # A stream is retried elsewhere after a silence of this many times the route's
-# longest pause: pauses within the route's limit are normal.
+# target gap between events: shorter silences are normal.
 STALL_PATIENCE_SHARE = 1.1
 # A slow but steady stream hasn't stalled before a silence of this many of its
 # own mean intervals between events.
@@ -31,7 +31,7 @@
 # alive; attempts there get this many times the usual time-out.
 UPSTREAM_ALIVE_S = 1.0
 ALIVE_PATIENCE_TIMES = 3.0
-# For routes that configure no objective, pause or time-out.
+# For routes that configure no target latency, target gap or time-out.
 DEFAULT_TARGET_LATENCY_S = 2.0
 DEFAULT_TARGET_GAP_S = 1.5
 DEFAULT_TIMEOUT_S = 30.0
@@ -224,7 +224,7 @@
 # An answer is slow if its first event took this many times the usual wait.
 SLOW_TIMES = 3.0
 # Shorter waits never count as slow, however short the usual one is, unless
-# they exceed the route's objective.
+# they exceed the route's target latency.
 SLOW_FLOOR_S = 0.25
 # A stream is slow if the interval between its events is this many times the
 # usual one.
