--- a/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
@@ -106,8 +106,8 @@
     # The expected wait is an upper estimate: it assumes that prompts are
     # processed one after the other, and in full, while engines have parts of
     # them in their prefix caches.
-    least_s = defaults.MIN_WAIT_SHARE * decision.expected_wait_s
-    return least_s - (opened.deadline - now)
+    min_wait_s = defaults.MIN_WAIT_SHARE * decision.expected_wait_s
+    return min_wait_s - (opened.deadline - now)
 
 
 def describe_load_age(
@@ -128,9 +128,9 @@
 ) -> attempt_states.Attempt:
     """Adds an attempt on an upstream to the request, and accounts for it."""
     upstream = tracked.listed
-    facts = opened.request.generation
-    unread = engine_work.count_uncached_tokens(
-        facts, count_kept(state, opened, upstream, now=now)
+    generation = opened.request.generation
+    uncached_tokens = engine_work.count_uncached_tokens(
+        generation, count_cached_tokens(state, opened, upstream, now=now)
     )
     speed = state.prefill_speeds.find(opened.service, find_model(opened))
     attempt = attempt_states.Attempt(
@@ -142,19 +142,19 @@
         model=opened.model,
         sent_at=now,
         last_progress_at=now,
-        uncached_tokens=unread,
-        prefill_s=unread / speed,
+        uncached_tokens=uncached_tokens,
+        prefill_s=uncached_tokens / speed,
         backlog_s=engine_load.sum_backlog_s(
             tracked, state.remote_work, now=now
         ),
     )
     opened.attempts.append(attempt)
     state.view.start(opened.request.request_id, attempt)
-    if facts is not None:
+    if generation is not None:
         state.prefixes.record(
             upstream=upstream.upstream_id,
             model=find_model(opened),
-            prompt=facts.prompt,
+            prompt=generation.prompt,
             now=now,
         )
     if (
@@ -168,11 +168,11 @@
 
 def find_model(opened: states.OpenRequest) -> str:
     """Returns the model that the request's next attempt runs on, or ""."""
-    facts = opened.request.generation
-    return opened.model or (facts.model if facts else "")
+    generation = opened.request.generation
+    return opened.model or (generation.model if generation else "")
 
 
-def count_kept(
+def count_cached_tokens(
     state: states.RouterState,
     opened: states.OpenRequest,
     upstream: upstreams.Upstream,
@@ -180,13 +180,13 @@
     now: float,
 ) -> int:
     """Returns how many prompt tokens an upstream has probably cached."""
-    facts = opened.request.generation
-    if facts is None:
+    generation = opened.request.generation
+    if generation is None:
         return 0
     return state.prefixes.count_cached_tokens(
         upstream=upstream.upstream_id,
         model=find_model(opened),
-        prompt=facts.prompt,
+        prompt=generation.prompt,
         now=now,
     )
 
@@ -240,8 +240,8 @@
     """Returns an upstream's state and load in the form placement takes."""
     listed = tracked.listed
     times = state.view.get_service_times(opened.service)
-    away = listed.data_centre != state.settings.data_centre
-    kept_tokens = count_kept(state, opened, listed, now=now)
+    is_remote = listed.data_centre != state.settings.data_centre
+    cached_tokens = count_cached_tokens(state, opened, listed, now=now)
     load = tracked.load
     return placement.Candidate(
         name=listed.upstream_id,
@@ -252,8 +252,8 @@
         waiting=load.waiting if load else 0,
         max_batch=max(1, load.slots if load else listed.slots),
         report_age_s=now - tracked.load_at if load else math.inf,
-        latency_ms=defaults.OTHER_DATA_CENTRE_PENALTY_MS if away else 0.0,
-        cached_blocks=kept_tokens // defaults.TOKENS_PER_BLOCK,
+        latency_ms=defaults.OTHER_DATA_CENTRE_PENALTY_MS if is_remote else 0.0,
+        cached_blocks=cached_tokens // defaults.TOKENS_PER_BLOCK,
         service_s=times.answer_s,
         backlog_s=engine_load.sum_backlog_s(
             tracked, state.remote_work, now=now
@@ -263,8 +263,12 @@
 
 def count_prompt_blocks(opened: states.OpenRequest) -> int:
     """Returns the length of the request's prompt, in cache blocks."""
-    facts = opened.request.generation
-    return facts.prompt_tokens // defaults.TOKENS_PER_BLOCK if facts else 0
+    generation = opened.request.generation
+    return (
+        generation.prompt_tokens // defaults.TOKENS_PER_BLOCK
+        if generation
+        else 0
+    )
 
 
 def find_affinity_upstream(
@@ -296,8 +300,8 @@
     This is a share of the prefill time that a cached prefix would save, with
     a fixed minimum.
     """
-    facts = opened.request.generation
-    shared = facts.shared_tokens if facts else 0
+    generation = opened.request.generation
+    shared = generation.shared_tokens if generation else 0
     saved_s = shared / state.prefill_speeds.find(
         opened.service, find_model(opened)
     )
@@ -309,14 +313,16 @@
     opened: states.OpenRequest, *, now: float
 ) -> size_policy.SizeContext:
     """Returns the facts from which a model size is chosen."""
-    facts = opened.request.generation
+    generation = opened.request.generation
     target_latency_s = opened.route.target_latency_s
     return size_policy.SizeContext(
         sizes=opened.route.sizes,
         left_s=opened.deadline - now,
         objective_left_s=opened.arrived_at + target_latency_s - now,
-        prompt_tokens=facts.prompt_tokens if facts else 0,
-        expected_output_tokens=facts.expected_output_tokens if facts else 0,
+        prompt_tokens=generation.prompt_tokens if generation else 0,
+        expected_output_tokens=generation.expected_output_tokens
+        if generation
+        else 0,
     )
 
 
@@ -430,13 +436,13 @@
     If no upstream of the service is usable, it runs from the time when the
     next one becomes usable again.
     """
-    drawn_s = draw_retry_after_s(state)
+    random_s = draw_retry_after_s(state)
     if state.view.list_accepting(service, now=now):
-        return drawn_s
+        return random_s
     reopening = state.view.find_reopening_time(service, now=now)
     if reopening is None:
-        return drawn_s
-    return reopening - now + drawn_s
+        return random_s
+    return reopening - now + random_s
 
 
 def draw_retry_after_s(state: states.RouterState) -> float:
