--- a/packages/rhubarbbank-router/src/rhubarbbank_router/effects.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/effects.py
@@ -139,12 +139,12 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class PauseIntake:
+class DisableKeepAlive:
     """Makes the ingress close each connection after its next answer."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class CloseIntake:
+class StopAccepting:
     """Makes the ingress accept no more connections and close idle ones."""
 
 
@@ -159,8 +159,8 @@
     | RefuseRequest
     | RecordRollout
     | UnlistEntry
-    | PauseIntake
-    | CloseIntake
+    | DisableKeepAlive
+    | StopAccepting
     | effects.Send
     | fx.LogDecision
     | fx.Count
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
@@ -306,7 +306,7 @@
                 reason="asked to stop",
                 inputs=(("open", len(state.open)),),
             ),
-            effects.PauseIntake(),
+            effects.DisableKeepAlive(),
             *heartbeats.send_pressing_news(state, now=now),
         ]
 
@@ -332,7 +332,7 @@
                 reason="all answered" if idle else "grace time is over",
                 inputs=(("after_s", round(stopping_s, 3)),),
             ),
-            effects.CloseIntake(),
+            effects.StopAccepting(),
             effects.UnlistEntry(state.settings.name),
             fx.Exit(),
         ]
