--- a/features/steps/router_history_steps.py
+++ b/features/steps/router_history_steps.py
@@ -16,7 +16,7 @@
 NOT_REPEATABLE = ("book", "note")
 FINAL_EFFECTS = (
     effects.FinishAnswer,
-    effects.BreakAnswer,
+    effects.AbortAnswer,
     effects.RelayAnswer,
     effects.RefuseRequest,
 )
--- a/features/steps/router_steps.py
+++ b/features/steps/router_steps.py
@@ -266,14 +266,14 @@
 @then("the caller's stream is cut off")
 def check_cut(context):
     found = context.world.answers(context.request)
-    assert isinstance(found[-1], effects.BreakAnswer), found
+    assert isinstance(found[-1], effects.AbortAnswer), found
     assert len(context.world.sent(context.request)) == 1
 
 
 @then("the caller's stream is cut off in the end")
 def check_cut_late(context):
     found = context.world.answers(context.request)
-    assert isinstance(found[-1], effects.BreakAnswer), found
+    assert isinstance(found[-1], effects.AbortAnswer), found
 
 
 @given('upstreams 1 and 2 have left, and one of version "{version}" is listed')
--- a/features/support/router_world.py
+++ b/features/support/router_world.py
@@ -24,7 +24,7 @@
     effects.BeginAnswer,
     effects.WriteAnswer,
     effects.FinishAnswer,
-    effects.BreakAnswer,
+    effects.AbortAnswer,
     effects.RelayAnswer,
     effects.RefuseRequest,
 )
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
@@ -414,7 +414,7 @@
         return [
             log,
             fx.Count("broken_off"),
-            effects.BreakAnswer(request.request_id),
+            effects.AbortAnswer(request.request_id),
         ]
     return [
         log,
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/effects.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/effects.py
@@ -90,7 +90,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class BreakAnswer:
+class AbortAnswer:
     """Aborts the caller's connection, so that the answer is seen as cut off."""
 
     request_id: str
@@ -154,7 +154,7 @@
     | BeginAnswer
     | WriteAnswer
     | FinishAnswer
-    | BreakAnswer
+    | AbortAnswer
     | RelayAnswer
     | RefuseRequest
     | RecordRollout
