--- a/packages/rhubarbbank-router/src/rhubarbbank_router/effects.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/effects.py
@@ -132,7 +132,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class UnlistEntry:
+class DeregisterEntry:
     """Removes an entry's registration from the store."""
 
     name: str
@@ -158,7 +158,7 @@
     | RelayAnswer
     | RefuseRequest
     | RecordRollout
-    | UnlistEntry
+    | DeregisterEntry
     | DisableKeepAlive
     | StopAccepting
     | effects.Send
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
@@ -216,7 +216,7 @@
     ]
     for name in state.entries.forget_silent(now=now):
         out.append(fx.LogDecision(decision="entry_silent", reason=name))
-        out.append(effects.UnlistEntry(name))
+        out.append(effects.DeregisterEntry(name))
     return out
 
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
@@ -333,6 +333,6 @@
                 inputs=(("after_s", round(stopping_s, 3)),),
             ),
             effects.StopAccepting(),
-            effects.UnlistEntry(state.settings.name),
+            effects.DeregisterEntry(state.settings.name),
             fx.Exit(),
         ]
