--- a/packages/rhubarbbank-router/src/rhubarbbank_router/answer_heads.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/answer_heads.py
@@ -27,26 +27,26 @@
     if found is None:
         return []
     opened, attempt = found
-    attempt_evidence.note_bytes_received(state, attempt, now=now)
+    attempt_evidence.record_progress(state, attempt, now=now)
     if head.load is not None:
         attempt.load_level = head.load.level
         state.view.note_load(attempt.upstream, head.load, now=now)
-    out = take_notices(state, attempt, head, now=now)
+    out = apply_upstream_notices(state, attempt, head, now=now)
     if head.refused or head.misdirected:
-        return [*out, *take_refusal(state, opened, attempt, head, now=now)]
+        return [*out, *handle_refusal(state, opened, attempt, head, now=now)]
     if not head.genuine:
-        out += attempt_ends.close_attempt(state, opened, attempt, now=now)
-        out += attempt_ends.fail(
+        out += attempt_ends.cancel_attempt(state, opened, attempt, now=now)
+        out += attempt_ends.handle_failure(
             state, opened, attempt, "no genuine answer", now=now
         )
         return out
     attempt.status = head.status
     attempt.headers = head.headers
     attempt.state = attempt_states.AttemptState.ANSWERED
-    return [*out, *step_up(state, opened, attempt, head, now=now)]
+    return [*out, *try_step_up(state, opened, attempt, head, now=now)]
 
 
-def take_notices(
+def apply_upstream_notices(
     state: states.RouterState,
     attempt: attempt_states.Attempt,
     head: events.UpstreamHead,
@@ -84,7 +84,7 @@
     return out
 
 
-def take_refusal(
+def handle_refusal(
     state: states.RouterState,
     opened: states.OpenRequest,
     attempt: attempt_states.Attempt,
@@ -94,7 +94,7 @@
 ) -> list[effects.Effect]:
     """Takes that an upstream did not run the request."""
     attempt.state = attempt_states.AttemptState.REFUSED
-    cancel = attempt_ends.close_attempt(state, opened, attempt, now=now)
+    cancelled = attempt_ends.cancel_attempt(state, opened, attempt, now=now)
     opened.excluded.add(attempt.upstream)
     if head.misdirected:
         state.view.note_misdirected(attempt.upstream)
@@ -109,18 +109,18 @@
     )
     count = fx.Count("upstream_refusals")
     if dispatch.acquire_retry(state, opened, now=now):
-        again = dispatch.send(state, opened, now=now, cause="refused")
-        return [log, count, *cancel, *again]
+        resent = dispatch.send(state, opened, now=now, cause="refused")
+        return [log, count, *cancelled, *resent]
     code = errors.ErrorCode.OVERLOADED
     return [
         log,
         count,
-        *cancel,
+        *cancelled,
         *dispatch.give_up(state, opened, code, now=now),
     ]
 
 
-def step_up(
+def try_step_up(
     state: states.RouterState,
     opened: states.OpenRequest,
     attempt: attempt_states.Attempt,
@@ -129,8 +129,10 @@
     now: float,
 ) -> list[effects.Effect]:
     """Asks a larger model instead, if this one is unsure of its answer."""
-    untouched = not opened.answer_started and head.status == http.HTTPStatus.OK
-    if not opened.model or head.confidence is None or not untouched:
+    is_replaceable = (
+        not opened.answer_started and head.status == http.HTTPStatus.OK
+    )
+    if not opened.model or head.confidence is None or not is_replaceable:
         return []
     if not opened.route.repeatable:
         return []
@@ -147,10 +149,10 @@
     share = defaults.STEP_UP_BUDGET_SHARE
     if not state.budget.take(opened.service, now=now, share=share):
         return []
-    attempt_evidence.finish_attempt(
+    attempt_evidence.record_outcome(
         state, opened, attempt, now=now, failed=False
     )
-    cancel = attempt_ends.close_attempt(state, opened, attempt, now=now)
+    cancelled = attempt_ends.cancel_attempt(state, opened, attempt, now=now)
     log = fx.LogDecision(
         decision="stepped_up",
         request_id=opened.request.attempt_id,
@@ -160,5 +162,5 @@
         inputs=(("confidence", head.confidence),),
     )
     opened.model = larger
-    again = dispatch.send(state, opened, now=now, cause="step up")
-    return [log, fx.Count("step_ups"), *cancel, *again]
+    resent = dispatch.send(state, opened, now=now, cause="step up")
+    return [log, fx.Count("step_ups"), *cancelled, *resent]
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
@@ -38,26 +38,26 @@
         return []
     opened, attempt = found
     if not opened.is_stream or attempt.status != http.HTTPStatus.OK:
-        attempt_evidence.note_bytes_received(state, attempt, now=now)
+        attempt_evidence.record_progress(state, attempt, now=now)
         attempt.body += data.data
         if len(attempt.body) > answer_bounds.MAX_ANSWER_BYTES:
-            return break_endless(state, opened, attempt, now=now)
+            return abort_oversized(state, opened, attempt, now=now)
         return []
     attempt.idle_bytes += len(data.data)
     attempt.stream_bytes += len(data.data)
     out: list[effects.Effect] = []
     for event in attempt.splitter.feed(data.data):
-        if goes_on(attempt, event):
-            attempt_evidence.note_bytes_received(state, attempt, now=now)
+        if advances_stream(attempt, event):
+            attempt_evidence.record_progress(state, attempt, now=now)
             attempt.last_event_id = event.event_id
             attempt.idle_bytes = len(attempt.splitter.partial)
-        out += pass_on(state, opened, attempt, event, now=now)
-    if is_endless(attempt):
-        out += break_endless(state, opened, attempt, now=now)
+        out += forward_event(state, opened, attempt, event, now=now)
+    if exceeds_size_limits(attempt):
+        out += abort_oversized(state, opened, attempt, now=now)
     return out
 
 
-def is_endless(attempt: attempt_states.Attempt) -> bool:
+def exceeds_size_limits(attempt: attempt_states.Attempt) -> bool:
     """Returns whether an attempt's stream is taken to have no end."""
     return (
         attempt.idle_bytes > answer_bounds.MAX_IDLE_BYTES
@@ -65,7 +65,7 @@
     )
 
 
-def goes_on(
+def advances_stream(
     attempt: attempt_states.Attempt, event: event_stream.StreamEvent
 ) -> bool:
     """Returns whether an event brings an attempt's stream further.
@@ -77,7 +77,7 @@
     return event_stream.follows(event.event_id, attempt.last_event_id)
 
 
-def break_endless(
+def abort_oversized(
     state: states.RouterState,
     opened: states.OpenRequest,
     attempt: attempt_states.Attempt,
@@ -85,15 +85,15 @@
     now: float,
 ) -> list[effects.Effect]:
     """Breaks off an attempt whose bytes have no end."""
-    cancel = attempt_ends.close_attempt(state, opened, attempt, now=now)
+    cancelled = attempt_ends.cancel_attempt(state, opened, attempt, now=now)
     detail = "more bytes than an answer has"
     return [
-        *cancel,
-        *attempt_ends.fail(state, opened, attempt, detail, now=now),
+        *cancelled,
+        *attempt_ends.handle_failure(state, opened, attempt, detail, now=now),
     ]
 
 
-def pass_on(
+def forward_event(
     state: states.RouterState,
     opened: states.OpenRequest,
     attempt: attempt_states.Attempt,
@@ -106,12 +106,12 @@
     attempt.events += 1
     if attempt.first_event_at is None:
         attempt.first_event_at = now
-        out += note_first_event(state, opened, attempt, now=now)
+        out += record_first_event(state, opened, attempt, now=now)
     elif attempt.events == defaults.MIN_EVENTS_FOR_PACE:
         # A slow stream would tell too late at its end.
         times = state.view.get_service_times(attempt.service)
         if attempt_evidence.is_slow(opened, attempt, times, now=now):
-            attempt_evidence.judge_attempt(
+            attempt_evidence.record_trial_evidence(
                 state, opened, attempt, failed=False, slow=True, now=now
             )
     last = opened.last_event_id
@@ -132,7 +132,7 @@
     return out
 
 
-def note_first_event(
+def record_first_event(
     state: states.RouterState,
     opened: states.OpenRequest,
     attempt: attempt_states.Attempt,
@@ -159,19 +159,19 @@
     if found is None:
         return []
     opened, attempt = found
-    attempt_ends.drop_attempt(state, opened, attempt, now=now)
+    attempt_ends.release_attempt(state, opened, attempt, now=now)
     match ended.end:
         case events.AttemptEnd.UNREACHED:
-            return take_unreached(state, opened, attempt, ended, now=now)
+            return handle_unreached(state, opened, attempt, ended, now=now)
         case events.AttemptEnd.BROKEN:
-            return attempt_ends.fail(
+            return attempt_ends.handle_failure(
                 state, opened, attempt, ended.detail, now=now
             )
         case events.AttemptEnd.COMPLETE:
-            return take_complete(state, opened, attempt, now=now)
+            return handle_complete(state, opened, attempt, now=now)
 
 
-def take_unreached(
+def handle_unreached(
     state: states.RouterState,
     opened: states.OpenRequest,
     attempt: attempt_states.Attempt,
@@ -191,15 +191,17 @@
             inputs=(("waited_s", round(now - attempt.sent_at, 3)),),
         )
     ]
-    out += attempt_ends.set_aside(state, attempt.upstream, now=now, weight=3)
+    out += attempt_ends.record_upstream_failure(
+        state, attempt.upstream, now=now, weight=3
+    )
     if dispatch.acquire_retry(state, opened, now=now, uses_budget=False):
-        again = dispatch.send(state, opened, now=now, cause="unreached")
-        return [*out, *again]
+        resent = dispatch.send(state, opened, now=now, cause="unreached")
+        return [*out, *resent]
     code = errors.ErrorCode.NO_UPSTREAM
     return [*out, *dispatch.give_up(state, opened, code, now=now)]
 
 
-def take_complete(
+def handle_complete(
     state: states.RouterState,
     opened: states.OpenRequest,
     attempt: attempt_states.Attempt,
@@ -208,15 +210,17 @@
 ) -> list[effects.Effect]:
     """Takes a whole answer."""
     if attempt.splitter.partial:
-        return attempt_ends.fail(
+        return attempt_ends.handle_failure(
             state, opened, attempt, "ended inside an event", now=now
         )
     failed = attempt.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR
     if failed:
-        retry = attempt_ends.retry_failure(state, opened, attempt, now=now)
+        retry = attempt_ends.retry_after_error_status(
+            state, opened, attempt, now=now
+        )
         if retry is not None:
             return retry
-    attempt_evidence.finish_attempt(
+    attempt_evidence.record_outcome(
         state, opened, attempt, now=now, failed=failed
     )
     if opened.answer_started and attempt.status != http.HTTPStatus.OK:
@@ -238,16 +242,16 @@
         inputs=(
             ("status", attempt.status),
             ("age_s", round(now - opened.arrived_at, 3)),
-            *describe_events(opened),
+            *build_timing_inputs(opened),
         ),
     )
-    took = fx.Timing("answer", (now - opened.arrived_at) * MS_PER_S)
+    timing = fx.Timing("answer", (now - opened.arrived_at) * MS_PER_S)
     if opened.answer_started:
-        return [*cleared, log, took, effects.FinishAnswer(request_id)]
+        return [*cleared, log, timing, effects.FinishAnswer(request_id)]
     return [
         *cleared,
         log,
-        took,
+        timing,
         effects.RelayAnswer(
             request_id=request_id,
             status=attempt.status,
@@ -270,7 +274,7 @@
     """
     if attempt.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR:
         return []
-    known = state.suspects.build_log_inputs(opened.fingerprint)
+    suspect_inputs = state.suspects.build_log_inputs(opened.fingerprint)
     if not state.suspects.clear(opened.fingerprint, now=now):
         return []
     return [
@@ -281,14 +285,14 @@
             inputs=(
                 ("status", attempt.status),
                 ("answered", opened.request.attempt_id),
-                *known,
+                *suspect_inputs,
             ),
         ),
         fx.Count("suspects_cleared"),
     ]
 
 
-def describe_events(opened: states.OpenRequest) -> tuple[fx.LogInput, ...]:
+def build_timing_inputs(opened: states.OpenRequest) -> tuple[fx.LogInput, ...]:
     """Returns when a stream's events were passed on, for the log."""
     if opened.first_event_at is None:
         return ()
@@ -317,6 +321,6 @@
     out: list[effects.Effect] = [log, fx.Count("callers_left")]
     attempt = opened.current
     if attempt is not None:
-        out += attempt_ends.close_attempt(state, opened, attempt, now=now)
-        attempt_ends.note_silence(state, opened, attempt, now=now)
+        out += attempt_ends.cancel_attempt(state, opened, attempt, now=now)
+        attempt_ends.record_unanswered(state, opened, attempt, now=now)
     return out
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_ends.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_ends.py
@@ -18,7 +18,7 @@
 from rhubarbbank_router import state as states
 
 
-def retry_failure(
+def retry_after_error_status(
     state: states.RouterState,
     opened: states.OpenRequest,
     attempt: attempt_states.Attempt,
@@ -31,7 +31,7 @@
     opened.excluded.add(attempt.upstream)
     if not dispatch.acquire_retry(state, opened, now=now):
         return None
-    attempt_evidence.finish_attempt(
+    attempt_evidence.record_outcome(
         state, opened, attempt, now=now, failed=True
     )
     log = attempt_log.log_attempt(
@@ -41,11 +41,11 @@
         reason="failure of the upstream",
         inputs=(("status", attempt.status),),
     )
-    again = dispatch.send(state, opened, now=now, cause="failure")
-    return [log, fx.Count("failed_attempts"), *again]
+    resent = dispatch.send(state, opened, now=now, cause="failure")
+    return [log, fx.Count("failed_attempts"), *resent]
 
 
-def fail(
+def handle_failure(
     state: states.RouterState,
     opened: states.OpenRequest,
     attempt: attempt_states.Attempt,
@@ -54,11 +54,11 @@
     now: float,
 ) -> list[effects.Effect]:
     """Goes on after an attempt that broke off once it had been sent."""
-    attempt_evidence.finish_attempt(
+    attempt_evidence.record_outcome(
         state, opened, attempt, now=now, failed=True
     )
     opened.excluded.add(attempt.upstream)
-    note_end(state, opened, attempt, now=now)
+    record_upstream_crash(state, opened, attempt, now=now)
     out: list[effects.Effect] = [
         attempt_log.log_attempt(
             opened,
@@ -73,13 +73,13 @@
         fx.Count("failed_attempts"),
     ]
     if dispatch.acquire_retry(state, opened, now=now):
-        again = dispatch.send(state, opened, now=now, cause="broken off")
-        return [*out, *again]
+        resent = dispatch.send(state, opened, now=now, cause="broken off")
+        return [*out, *resent]
     code = errors.ErrorCode.UPSTREAM_LOST
     return [*out, *dispatch.give_up(state, opened, code, now=now)]
 
 
-def note_end(
+def record_upstream_crash(
     state: states.RouterState,
     opened: states.OpenRequest,
     attempt: attempt_states.Attempt,
@@ -88,15 +88,15 @@
 ) -> None:
     """Notes that an upstream ended under a request."""
     fingerprint = opened.fingerprint
-    end = crash_suspects.hash_incarnation(
+    crash = crash_suspects.hash_incarnation(
         attempt.upstream, attempt.upstream_started_ms
     )
-    state.suspects.record_crash(fingerprint, end, now=now)
+    state.suspects.record_crash(fingerprint, crash, now=now)
     if state.suspects.count_crashes(fingerprint) >= defaults.ENDS_TO_REPEAT:
         state.expedite_heartbeat(now=now)
 
 
-def note_silence(
+def record_unanswered(
     state: states.RouterState,
     opened: states.OpenRequest,
     attempt: attempt_states.Attempt,
@@ -112,13 +112,13 @@
     tracked = state.view.tracked.get(attempt.upstream)
     started_ms = attempt.upstream_started_ms
     if tracked is None or tracked.listed.started_ms != started_ms:
-        note_end(state, opened, attempt, now=now)
+        record_upstream_crash(state, opened, attempt, now=now)
         return
-    end = crash_suspects.hash_incarnation(attempt.upstream, started_ms)
-    state.suspects.record_no_answer(opened.fingerprint, end, now=now)
+    crash = crash_suspects.hash_incarnation(attempt.upstream, started_ms)
+    state.suspects.record_no_answer(opened.fingerprint, crash, now=now)
 
 
-def set_aside(
+def record_upstream_failure(
     state: states.RouterState, upstream: str, *, now: float, weight: int
 ) -> list[effects.Effect]:
     """Notes a failure; logs if the upstream is set aside for it."""
@@ -139,7 +139,7 @@
     ]
 
 
-def close_attempt(
+def cancel_attempt(
     state: states.RouterState,
     opened: states.OpenRequest,
     attempt: attempt_states.Attempt,
@@ -147,11 +147,11 @@
     now: float,
 ) -> list[effects.Effect]:
     """Breaks an attempt off."""
-    drop_attempt(state, opened, attempt, now=now)
+    release_attempt(state, opened, attempt, now=now)
     return [effects.CancelAttempt(opened.request.request_id, attempt.number)]
 
 
-def drop_attempt(
+def release_attempt(
     state: states.RouterState,
     opened: states.OpenRequest,
     attempt: attempt_states.Attempt,
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_evidence.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_evidence.py
@@ -1,6 +1,6 @@
 """Learns from attempts: usual times, and evidence on versions.
 
-`answers` and `watch` hand each attempt over once it has ended. Speeds are
+`answers` and `timeouts` hand each attempt over once it has ended. Speeds are
 kept by service and model; what speaks for or against a version that is being
 rolled out goes to its trial.
 """
@@ -14,7 +14,7 @@
 from rhubarbbank_router import version_trial
 
 
-def finish_attempt(
+def record_outcome(
     state: states.RouterState,
     opened: states.OpenRequest,
     attempt: attempt_states.Attempt,
@@ -39,17 +39,21 @@
     """
     times = state.view.get_service_times(attempt.service)
     if attempt.status or silent or not failed:
-        own = attempt.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR
+        is_server_error = (
+            attempt.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR
+        )
         slow = silent or is_slow(opened, attempt, times, now=now)
-        judge_attempt(state, opened, attempt, failed=own, slow=slow, now=now)
-    usual = not is_on_trial(state, attempt)
-    if opened.is_stream and usual:
+        record_trial_evidence(
+            state, opened, attempt, failed=is_server_error, slow=slow, now=now
+        )
+    is_typical = not is_on_trial(state, attempt)
+    if opened.is_stream and is_typical:
         learn_pace(attempt, times, now=now)
     if failed:
         state.view.note_failure(attempt.upstream, now=now)
         return
     state.view.note_success(attempt.upstream)
-    if attempt.status == http.HTTPStatus.OK and usual:
+    if attempt.status == http.HTTPStatus.OK and is_typical:
         took_s = now - attempt.sent_at
         times.answer_s = upstreams.smooth(times.answer_s, took_s)
         if not opened.is_stream:
@@ -72,7 +76,7 @@
     return not trial.is_finished
 
 
-def judge_attempt(
+def record_trial_evidence(
     state: states.RouterState,
     opened: states.OpenRequest,
     attempt: attempt_states.Attempt,
@@ -118,8 +122,8 @@
     limit_s = max(defaults.SLOW_TIMES * expected_s, floor_s)
     if waited_s > limit_s:
         return True
-    limit = defaults.SLOW_PACE_TIMES
-    return bool(is_pace_over(limit, attempt, times, now=now))
+    max_ratio = defaults.SLOW_PACE_TIMES
+    return bool(exceeds_usual_pace(max_ratio, attempt, times, now=now))
 
 
 def is_dragging(
@@ -140,11 +144,11 @@
         if usual_s is None or attempt.status != http.HTTPStatus.OK:
             return None
         return now - attempt.sent_at > defaults.DRAG_PLAIN_TIMES * usual_s
-    return is_pace_over(defaults.DRAG_PACE_TIMES, attempt, times, now=now)
+    return exceeds_usual_pace(defaults.DRAG_PACE_TIMES, attempt, times, now=now)
 
 
-def is_pace_over(
-    limit: float,
+def exceeds_usual_pace(
+    max_ratio: float,
     attempt: attempt_states.Attempt,
     times: upstreams.ServiceTimes,
     *,
@@ -153,7 +157,7 @@
     """Returns whether events come so many times slower than usual.
 
     Args:
-        limit: As a multiple of the model's usual time between events, at
+        max_ratio: As a multiple of the model's usual time between events, at
             the load that the upstream had.
         attempt: The attempt.
         times: Of its service.
@@ -166,7 +170,7 @@
     usual_s = times.find_pace_s(attempt.model, attempt.load_level)
     if pace_s is None or usual_s is None:
         return None
-    return pace_s > limit * usual_s
+    return pace_s > max_ratio * usual_s
 
 
 def measure_pace_s(
@@ -192,7 +196,7 @@
         times.learn_pace(attempt.model, attempt.load_level, pace_s)
 
 
-def note_bytes_received(
+def record_progress(
     state: states.RouterState, attempt: attempt_states.Attempt, *, now: float
 ) -> None:
     """Notes that an attempt makes progress."""
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_log.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_log.py
@@ -1,6 +1,6 @@
 """The log line that says what became of one attempt.
 
-`answers` and `watch` write one wherever an attempt ends without the answer
+`answers` and `timeouts` write one wherever an attempt ends without the answer
 that the caller gets.
 """
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/crash_suspects.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/crash_suspects.py
@@ -50,7 +50,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class SilentAttempt:
+class UnansweredAttempt:
     """An attempt that was given up while its upstream was silent.
 
     Attributes:
@@ -68,38 +68,38 @@
 
     Attributes:
         seen_at: When it last ended an upstream or was refused, in seconds.
-        ends: The upstreams that ended under it, with the time.
-        seen_here: Those of them whose end was seen here.
+        crashes: The upstreams that ended under it, with the time.
+        seen_locally: Those of them whose end was seen here.
         cleared_at: When it last had a good answer; None if it had none.
-        tell_until: It is told until then, with all that is known.
+        share_until: It is told until then, with all that is known.
     """
 
     seen_at: float
     cleared_at: float | None = None
-    tell_until: float = 0.0
-    ends: dict[name_hashes.NameHash, float] = dataclasses.field(
+    share_until: float = 0.0
+    crashes: dict[name_hashes.NameHash, float] = dataclasses.field(
         default_factory=dict
     )
-    seen_here: set[name_hashes.NameHash] = dataclasses.field(
+    seen_locally: set[name_hashes.NameHash] = dataclasses.field(
         default_factory=set
     )
 
-    def note(self, end: name_hashes.NameHash, *, at: float) -> None:
+    def add_crash(self, crash: name_hashes.NameHash, *, at: float) -> None:
         """Notes the end of an upstream, once, unless it is cleared of it."""
         if self.cleared_at is not None and at <= self.cleared_at:
             return
-        self.ends[end] = min(at, self.ends.get(end, at))
+        self.crashes[crash] = min(at, self.crashes.get(crash, at))
         self.seen_at = max(self.seen_at, at)
 
     def clear(self, *, at: float) -> None:
         """Clears the request of what happened before a time."""
         self.cleared_at = max(at, self.cleared_at or at)
-        self.ends = {
-            end: ended_at
-            for end, ended_at in self.ends.items()
-            if ended_at > self.cleared_at
+        self.crashes = {
+            crash: crashed_at
+            for crash, crashed_at in self.crashes.items()
+            if crashed_at > self.cleared_at
         }
-        self.seen_here &= self.ends.keys()
+        self.seen_locally &= self.crashes.keys()
 
 
 class CrashSuspects:
@@ -107,24 +107,26 @@
 
     Attributes:
         suspects: By fingerprint, the most recently changed last.
-        silent: Silent attempts, by the end that they would be explained by.
+        unanswered: Silent attempts, by the end that they would be explained by.
     """
 
     def __init__(self) -> None:
         self.suspects: collections.OrderedDict[str, Suspect] = (
             collections.OrderedDict()
         )
-        self.silent: dict[name_hashes.NameHash, list[SilentAttempt]] = {}
+        self.unanswered: dict[
+            name_hashes.NameHash, list[UnansweredAttempt]
+        ] = {}
 
     def record_no_answer(
-        self, fingerprint: str, end: name_hashes.NameHash, *, now: float
+        self, fingerprint: str, crash: name_hashes.NameHash, *, now: float
     ) -> None:
         """Notes an attempt without an answer, whose upstream may have ended."""
-        attempts = self.silent.setdefault(end, [])
-        attempts.append(SilentAttempt(fingerprint, now))
+        attempts = self.unanswered.setdefault(crash, [])
+        attempts.append(UnansweredAttempt(fingerprint, now))
 
     def confirm_crash(
-        self, end: name_hashes.NameHash, *, now: float
+        self, crash: name_hashes.NameHash, *, now: float
     ) -> list[str]:
         """Takes that an upstream has ended, as the list tells.
 
@@ -133,37 +135,42 @@
         """
         found = [
             each.fingerprint
-            for each in self.silent.pop(end, [])
+            for each in self.unanswered.pop(crash, [])
             if now - each.given_up_at <= defaults.SILENT_END_S
         ]
         for fingerprint in found:
-            self.record_crash(fingerprint, end, now=now)
+            self.record_crash(fingerprint, crash, now=now)
         return found
 
     def record_crash(
-        self, fingerprint: str, end: name_hashes.NameHash, *, now: float
+        self, fingerprint: str, crash: name_hashes.NameHash, *, now: float
     ) -> None:
         """Notes an end that was seen here.
 
         Args:
             fingerprint: Of the request.
-            end: Of the upstream that ran it.
+            crash: Of the upstream that ran it.
             now: In seconds.
         """
-        suspect = self.touch(fingerprint, now=now)
-        seen = end in suspect.seen_here
-        if seen and now - suspect.ends[end] > defaults.MIN_RESTART_S:
+        suspect = self.find_or_create(fingerprint, now=now)
+        seen = crash in suspect.seen_locally
+        if seen and now - suspect.crashes[crash] > defaults.MIN_RESTART_S:
             # It has been back, and its new start wasn't listed yet.
-            end = name_hashes.hash_name(f"{end}/{len(suspect.seen_here)}")
-        suspect.note(end, at=now)
-        suspect.seen_here = {*suspect.seen_here, end} & suspect.ends.keys()
-        suspect.tell_until = now + defaults.SUSPECT_REPORT_S
+            crash = name_hashes.hash_name(
+                f"{crash}/{len(suspect.seen_locally)}"
+            )
+        suspect.add_crash(crash, at=now)
+        suspect.seen_locally = {
+            *suspect.seen_locally,
+            crash,
+        } & suspect.crashes.keys()
+        suspect.share_until = now + defaults.SUSPECT_REPORT_S
 
     def record_refusal(self, fingerprint: str, *, now: float) -> None:
         """Notes that a suspect has come again, so that it is remembered."""
-        self.touch(fingerprint, now=now).seen_at = now
+        self.find_or_create(fingerprint, now=now).seen_at = now
 
-    def touch(self, fingerprint: str, *, now: float) -> Suspect:
+    def find_or_create(self, fingerprint: str, *, now: float) -> Suspect:
         """Returns what is known of a request that is of interest now."""
         suspect = self.suspects.setdefault(fingerprint, Suspect(seen_at=now))
         self.suspects.move_to_end(fingerprint)
@@ -183,8 +190,8 @@
         by_evidence = sorted(
             self.suspects,
             key=lambda fingerprint: (
-                len(self.suspects[fingerprint].ends),
-                len(self.suspects[fingerprint].seen_here),
+                len(self.suspects[fingerprint].crashes),
+                len(self.suspects[fingerprint].seen_locally),
             ),
         )
         forgotten = by_evidence[: -defaults.SUSPECTS_KEPT]
@@ -200,53 +207,55 @@
         """
         if not self.count_crashes(fingerprint):
             return False
-        suspect = self.touch(fingerprint, now=now)
+        suspect = self.find_or_create(fingerprint, now=now)
         suspect.clear(at=now)
-        suspect.tell_until = now + defaults.SUSPECT_REPORT_S
+        suspect.share_until = now + defaults.SUSPECT_REPORT_S
         return True
 
     def merge(
-        self, told: tuple[messages.SuspectNews, ...], *, now: float
+        self, received: tuple[messages.SuspectNews, ...], *, now: float
     ) -> list[str]:
         """Takes what a peer knows.
 
         Args:
-            told: By the peer.
-            now: When it was told, in seconds.
+            received: By the peer.
+            now: When it was received, in seconds.
 
         Returns:
             The requests of which something else is known than before.
         """
-        learnt: list[str] = []
-        for each in told:
+        changed: list[str] = []
+        for each in received:
             if self.merge_suspect(each, now=now):
-                learnt.append(each.fingerprint)
-        return learnt
+                changed.append(each.fingerprint)
+        return changed
 
-    def merge_suspect(self, told: messages.SuspectNews, *, now: float) -> bool:
+    def merge_suspect(
+        self, received: messages.SuspectNews, *, now: float
+    ) -> bool:
         """Takes what a peer knows of one request; returns whether it is news.
 
         Entries of earlier releases name no ends.
         """
-        if not told.ends and told.cleared_ms is None:
+        if not received.ends and received.cleared_ms is None:
             return False
-        seen_at = now - read_s(told.age_ms)
-        suspect = self.touch(told.fingerprint, now=seen_at)
-        before = set(suspect.ends)
-        if told.cleared_ms is not None:
-            suspect.clear(at=now - read_s(told.cleared_ms))
-        for each in told.ends:
-            suspect.note(each.upstream, at=now - read_s(each.age_ms))
-        if told.cleared_ms is None and suspect.cleared_at is not None:
+        seen_at = now - convert_to_s(received.age_ms)
+        suspect = self.find_or_create(received.fingerprint, now=seen_at)
+        before = set(suspect.crashes)
+        if received.cleared_ms is not None:
+            suspect.clear(at=now - convert_to_s(received.cleared_ms))
+        for each in received.ends:
+            suspect.add_crash(each.upstream, at=now - convert_to_s(each.age_ms))
+        if received.cleared_ms is None and suspect.cleared_at is not None:
             # The peer has missed the answer.
-            suspect.tell_until = now + defaults.SUSPECT_REPORT_S
+            suspect.share_until = now + defaults.SUSPECT_REPORT_S
         suspect.seen_at = max(suspect.seen_at, seen_at)
-        return before != suspect.ends.keys()
+        return before != suspect.crashes.keys()
 
     def count_crashes(self, fingerprint: str) -> int:
         """Returns how many upstreams are known to have ended under it."""
         suspect = self.suspects.get(fingerprint)
-        return len(suspect.ends) if suspect else 0
+        return len(suspect.crashes) if suspect else 0
 
     def is_suspect(self, fingerprint: str) -> bool:
         """Returns whether the request must not reach another upstream."""
@@ -258,7 +267,7 @@
         return (
             ("fingerprint", fingerprint),
             ("crashes", self.count_crashes(fingerprint)),
-            ("seen_here", len(suspect.seen_here) if suspect else 0),
+            ("seen_here", len(suspect.seen_locally) if suspect else 0),
         )
 
     def remove_expired(self, *, now: float) -> list[str]:
@@ -270,59 +279,57 @@
         ]
         for fingerprint in old:
             del self.suspects[fingerprint]
-        self.silent = {
-            end: attempts
-            for end, attempts in self.silent.items()
+        self.unanswered = {
+            crash: attempts
+            for crash, attempts in self.unanswered.items()
             if now - attempts[-1].given_up_at <= defaults.SILENT_END_S
         }
         return old
 
     def build_news(self, *, now: float) -> tuple[messages.SuspectNews, ...]:
-        """Returns what peers are told, the most telling first.
+        """Returns what peers are received, the most telling first.
 
         Ends seen here are told until all peers have heard of them. Requests
         with several are told by everyone who knows of them, for as long as
         they are remembered, so that entries that have been away learn of them.
         """
-        telling = [
+        shared = [
             (fingerprint, suspect)
             for fingerprint, suspect in self.suspects.items()
-            if len(suspect.ends) >= defaults.ENDS_TO_REPEAT
-            or now < suspect.tell_until
+            if len(suspect.crashes) >= defaults.ENDS_TO_REPEAT
+            or now < suspect.share_until
         ]
-        telling.sort(key=lambda each: (-len(each[1].ends), -each[1].seen_at))
+        shared.sort(key=lambda each: (-len(each[1].crashes), -each[1].seen_at))
         return tuple(
-            pack(fingerprint, suspect, now=now)
-            for fingerprint, suspect in telling[
-                : defaults.MAX_REPORTED_SUSPECTS
-            ]
+            build_suspect_news(fingerprint, suspect, now=now)
+            for fingerprint, suspect in shared[: defaults.MAX_REPORTED_SUSPECTS]
         )
 
 
-def pack(
+def build_suspect_news(
     fingerprint: str, suspect: Suspect, *, now: float
 ) -> messages.SuspectNews:
     """Returns what is known of a request as a heartbeat carries it."""
     cleared_ms = None
     if suspect.cleared_at is not None:
-        cleared_ms = measure_ms(suspect.cleared_at, now=now)
+        cleared_ms = compute_age_ms(suspect.cleared_at, now=now)
     return messages.SuspectNews(
         fingerprint=fingerprint,
-        crashes=len(suspect.seen_here),
-        age_ms=measure_ms(suspect.seen_at, now=now),
+        crashes=len(suspect.seen_locally),
+        age_ms=compute_age_ms(suspect.seen_at, now=now),
         ends=tuple(
-            messages.EndNews(end, measure_ms(at, now=now))
-            for end, at in suspect.ends.items()
+            messages.EndNews(crash, compute_age_ms(at, now=now))
+            for crash, at in suspect.crashes.items()
         ),
         cleared_ms=cleared_ms,
     )
 
 
-def measure_ms(at: float, *, now: float) -> int:
+def compute_age_ms(at: float, *, now: float) -> int:
     """Returns how long ago a time was, in milliseconds."""
     return int((now - at) * MS_PER_S)
 
 
-def read_s(age_ms: int) -> float:
+def convert_to_s(age_ms: int) -> float:
     """Returns an age in seconds."""
     return age_ms / MS_PER_S
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/event_stream.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/event_stream.py
@@ -7,7 +7,7 @@
 import dataclasses
 
 ID_FIELD = b"id:"
-EVENT_ENDS = (b"\n\n", b"\r\n\r\n")
+EVENT_SEPARATORS = (b"\n\n", b"\r\n\r\n")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -38,24 +38,24 @@
         self.partial += data
         found: list[StreamEvent] = []
         while True:
-            end = find_end(self.partial)
+            end = find_event_end(self.partial)
             if end < 0:
                 return found
             raw, self.partial = self.partial[:end], self.partial[end:]
-            found.append(StreamEvent(read_id(raw), raw))
+            found.append(StreamEvent(parse_event_id(raw), raw))
 
 
-def find_end(data: bytes) -> int:
+def find_event_end(data: bytes) -> int:
     """Returns where the first event ends, or -1."""
     ends = [
-        place + len(mark)
-        for mark in EVENT_ENDS
-        if (place := data.find(mark)) >= 0
+        position + len(separator)
+        for separator in EVENT_SEPARATORS
+        if (position := data.find(separator)) >= 0
     ]
     return min(ends, default=-1)
 
 
-def read_id(raw: bytes) -> str:
+def parse_event_id(raw: bytes) -> str:
     """Returns the id of an event; empty if it has none."""
     for line in raw.splitlines():
         if line.startswith(ID_FIELD):
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
@@ -28,10 +28,10 @@
 from rhubarbbank_router import state as states
 from rhubarbbank_router import store_reading
 from rhubarbbank_router import store_relay
+from rhubarbbank_router import timeouts
 from rhubarbbank_router import trial_judge
 from rhubarbbank_router import upstream_list
 from rhubarbbank_router import version_trial
-from rhubarbbank_router import watch
 from rhubarbbank_router import window_budget
 from rhubarbbank_router import work_placement
 
@@ -269,7 +269,7 @@
     def tick(self, now: float) -> list[effects.Effect]:
         """Does what is due at this time."""
         state = self.state
-        out = watch.check_timeouts(state, now=now)
+        out = timeouts.check_requests(state, now=now)
         out += intake.admit_held(state, now=now)
         out += rollouts.tick(state, now=now)
         out += store_reading.tick(state, now=now)
@@ -324,7 +324,7 @@
         out: list[effects.Effect] = []
         for opened in list(state.open.values()):
             code = errors.ErrorCode.SHUTTING_DOWN
-            out += watch.abort_request(state, opened, now=now, code=code)
+            out += timeouts.abort_request(state, opened, now=now, code=code)
         return [
             *out,
             fx.LogDecision(
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
@@ -1,11 +1,11 @@
 """State that the stages of request processing share.
 
     intake --> dispatch <--> answers
-                  ^             |
-                  +--- watch ---+
+                  ^              |
+                  +-- timeouts --+
 
 `intake` validates a request, `dispatch` sends it to an upstream, `answer_heads`
-and `answers` process the response, and `watch` enforces the timeouts.
+and `answers` process the response, and `timeouts` enforces the timeouts.
 """
 
 import dataclasses
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/watch.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/timeouts.py
@@ -13,7 +13,7 @@
 from rhubarbbank_router import state as states
 
 
-def check_timeouts(
+def check_requests(
     state: states.RouterState, *, now: float
 ) -> list[effects.Effect]:
     """Does what is due for all open requests."""
@@ -22,7 +22,7 @@
         if now >= opened.deadline:
             out += abort_request(state, opened, now=now)
         else:
-            out += watch_attempt(state, opened, now=now)
+            out += retry_silent_attempt(state, opened, now=now)
     return out
 
 
@@ -37,16 +37,16 @@
     out: list[effects.Effect] = []
     attempt = opened.current
     if attempt is not None:
-        out += attempt_ends.close_attempt(state, opened, attempt, now=now)
-        attempt_ends.note_silence(state, opened, attempt, now=now)
+        out += attempt_ends.cancel_attempt(state, opened, attempt, now=now)
+        attempt_ends.record_unanswered(state, opened, attempt, now=now)
         if attempt.status == 0:
-            attempt_evidence.finish_attempt(
+            attempt_evidence.record_outcome(
                 state, opened, attempt, now=now, failed=True
             )
     return [*out, *dispatch.give_up(state, opened, code, now=now)]
 
 
-def watch_attempt(
+def retry_silent_attempt(
     state: states.RouterState, opened: states.OpenRequest, *, now: float
 ) -> list[effects.Effect]:
     """Moves a request on from an attempt that has been silent too long."""
@@ -54,7 +54,7 @@
     if attempt is None or not opened.route.repeatable:
         return []
     silent_s = now - attempt.last_progress_at
-    patience_s = find_patience(state, opened, attempt, now=now)
+    patience_s = compute_patience_s(state, opened, attempt, now=now)
     if silent_s < patience_s:
         return []
     opened.excluded.add(attempt.upstream)
@@ -62,14 +62,14 @@
         opened.excluded.discard(attempt.upstream)
         # Asked again at the next beat; by then there may be room.
         return []
-    cancel = attempt_ends.close_attempt(state, opened, attempt, now=now)
+    cancelled = attempt_ends.cancel_attempt(state, opened, attempt, now=now)
     # A host that falls silent silences many requests, which together say
     # no more of its version than one.
-    first = state.view.note_silence(attempt.upstream, now=now)
-    attempt_evidence.finish_attempt(
-        state, opened, attempt, now=now, failed=True, silent=first
+    starts_silence = state.view.note_silence(attempt.upstream, now=now)
+    attempt_evidence.record_outcome(
+        state, opened, attempt, now=now, failed=True, silent=starts_silence
     )
-    attempt_ends.note_silence(state, opened, attempt, now=now)
+    attempt_ends.record_unanswered(state, opened, attempt, now=now)
     log = attempt_log.log_attempt(
         opened,
         attempt,
@@ -80,11 +80,11 @@
             ("patience_s", round(patience_s, 3)),
         ),
     )
-    again = dispatch.send(state, opened, now=now, cause="silent")
-    return [log, fx.Count("silent_attempts"), *cancel, *again]
+    resent = dispatch.send(state, opened, now=now, cause="silent")
+    return [log, fx.Count("silent_attempts"), *cancelled, *resent]
 
 
-def find_patience(
+def compute_patience_s(
     state: states.RouterState,
     opened: states.OpenRequest,
     attempt: attempt_states.Attempt,
@@ -99,7 +99,7 @@
         return max(defaults.PLAIN_PATIENCE_FLOOR_S, usual_s)
     patience_s = max(
         defaults.STALL_PATIENCE_SHARE * route.target_gap_s,
-        defaults.STALL_EVENT_INTERVALS * find_pace_s(attempt),
+        defaults.STALL_EVENT_INTERVALS * compute_mean_pace_s(attempt),
     )
     if attempt.first_event_at is None:
         patience_s = max(
@@ -116,7 +116,7 @@
     return patience_s
 
 
-def find_pace_s(attempt: attempt_states.Attempt) -> float:
+def compute_mean_pace_s(attempt: attempt_states.Attempt) -> float:
     """Returns the mean time between a stream's events so far, in seconds."""
     if attempt.first_event_at is None or attempt.events <= 1:
         return 0.0
