--- a/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
@@ -283,12 +283,12 @@
     """
     if opened.request.generation is None:
         return ""
-    near = [
+    local = [
         each.listed.upstream_id
         for each in usable
         if each.listed.data_centre == state.settings.data_centre
     ]
-    names = near or [each.listed.upstream_id for each in usable]
+    names = local or [each.listed.upstream_id for each in usable]
     return rendezvous.prefer(opened.request.affinity_key, names) or ""
 
 
@@ -301,8 +301,8 @@
     a fixed minimum.
     """
     generation = opened.request.generation
-    shared = generation.shared_tokens if generation else 0
-    saved_s = shared / state.prefill_speeds.find(
+    shared_tokens = generation.shared_tokens if generation else 0
+    saved_s = shared_tokens / state.prefill_speeds.find(
         opened.service, find_model(opened)
     )
     credit_s = defaults.AFFINITY_PREFILL_SHARE * saved_s
@@ -312,13 +312,13 @@
 def build_size_context(
     opened: states.OpenRequest, *, now: float
 ) -> size_policy.SizeContext:
-    """Returns the facts from which a model size is chosen."""
+    """Returns the properties of a request that decide its model size."""
     generation = opened.request.generation
     target_latency_s = opened.route.target_latency_s
     return size_policy.SizeContext(
         sizes=opened.route.sizes,
         left_s=opened.deadline - now,
-        objective_left_s=opened.arrived_at + target_latency_s - now,
+        target_latency_left_s=opened.arrived_at + target_latency_s - now,
         prompt_tokens=generation.prompt_tokens if generation else 0,
         expected_output_tokens=generation.expected_output_tokens
         if generation
@@ -345,8 +345,10 @@
     not_run = attempt_states.has_not_run(opened.attempts)
     if not (not_run or opened.route.repeatable):
         return False
-    runs = attempt_states.count_possible_runs(opened.attempts)
-    if runs >= opened.route.max_attempts:
+    if (
+        attempt_states.count_possible_runs(opened.attempts)
+        >= opened.route.max_attempts
+    ):
         return False
     if opened.deadline - now < defaults.MIN_ATTEMPT_S:
         return False
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/size_policy.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/size_policy.py
@@ -13,13 +13,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class SizeContext:
-    """The facts of a request from which its model size is chosen.
+    """The properties of a request that decide its model size.
 
     Attributes:
         sizes: Names of the models that may answer, smallest first.
         left_s: Time left until the request's deadline, in seconds.
-        objective_left_s: Time left within the route's latency objective, in
-            seconds; negative once the objective is missed.
+        target_latency_left_s: Time left until the route's target latency, in
+            seconds; negative after it.
         prompt_tokens: Length of the prompt, in tokens.
         expected_output_tokens: Expected length of the answer, in tokens; 0 if
             unknown.
@@ -27,7 +27,7 @@
 
     sizes: tuple[str, ...]
     left_s: float
-    objective_left_s: float
+    target_latency_left_s: float
     prompt_tokens: int
     expected_output_tokens: int
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/timeouts.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/timeouts.py
@@ -120,5 +120,6 @@
     """Returns the mean time between a stream's events so far, in seconds."""
     if attempt.first_event_at is None or attempt.events <= 1:
         return 0.0
-    streaming_s = attempt.last_progress_at - attempt.first_event_at
-    return streaming_s / (attempt.events - 1)
+    return (attempt.last_progress_at - attempt.first_event_at) / (
+        attempt.events - 1
+    )
