--- a/features/steps/router_notice_steps.py
+++ b/features/steps/router_notice_steps.py
@@ -63,7 +63,7 @@
 def say_closed(context, upstream, wish):
     world = context.world
     request = ask_until_sent(world, upstream)
-    world.head(request, 503, refused=True, closed_s=float(wish))
+    world.head(request, 503, refused=True, closed_for_s=float(wish))
     if not world.answers(request):
         world.answer_whole(request)
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/answer_heads.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/answer_heads.py
@@ -71,14 +71,14 @@
             )
         )
     unavailable = head.status == http.HTTPStatus.SERVICE_UNAVAILABLE
-    if unavailable and head.closed_s is not None:
-        state.view.note_closed(attempt.upstream, head.closed_s, now=now)
+    if unavailable and head.closed_for_s is not None:
+        state.view.note_closed(attempt.upstream, head.closed_for_s, now=now)
         out.append(
             fx.LogDecision(
                 decision="upstream_closed",
                 upstream=attempt.upstream,
                 reason="it asked for nothing more",
-                inputs=(("for_s", head.closed_s),),
+                inputs=(("for_s", head.closed_for_s),),
             )
         )
     return out
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/events.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/events.py
@@ -48,8 +48,8 @@
             not reported.
         load: Load report of the upstream; None if the head has none.
         leaving: Whether the upstream announces its shutdown.
-        closed_s: For how long the upstream accepts no more requests from this
-            entry, in seconds; None if not stated.
+        closed_for_s: For how long the upstream accepts no more requests from
+            this entry, in seconds; None if not stated.
     """
 
     request_id: str
@@ -62,7 +62,7 @@
     confidence: int | None = None
     load: upstreams.LoadReport | None = None
     leaving: bool = False
-    closed_s: float | None = None
+    closed_for_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
