--- a/experiments/src/rhubarbbank_experiments/mix_world.py
+++ b/experiments/src/rhubarbbank_experiments/mix_world.py
@@ -184,7 +184,7 @@
             target=f"/{arrival.wanted.name}/{arrival.number}",
             path=f"/{arrival.wanted.name}/{arrival.number}",
             host=mix_site.HOST,
-            wait_s=arrival.wanted.wait_s - waited_s,
+            timeout_s=arrival.wanted.wait_s - waited_s,
             body=str(arrival.number).encode(),
             generation=arrival.generation,
         )
--- a/features/router_engine_load.feature
+++ b/features/router_engine_load.feature
@@ -61,10 +61,10 @@
   Scenario: What can't begin before its caller leaves is refused at once
     When the peer nearby tells of 12 s of work at "up-0"
     And the peer far away tells of 14 s of work at "up-1"
-    And a caller that waits 5 s asks "chat"
+    And a caller with a timeout of 5 s asks "chat"
     Then the caller has a 503 with Retry-After
     And its caller may come back after 1.2 to 2 s
-    When a caller that waits 9 s asks "chat"
+    When a caller with a timeout of 9 s asks "chat"
     Then the caller has no answer yet
-    When a caller that waits 1 s asks "look"
+    When a caller with a timeout of 1 s asks "look"
     Then the caller has no answer yet
--- a/features/router_requests.feature
+++ b/features/router_requests.feature
@@ -40,19 +40,19 @@
     Then the caller has a 502 without Retry-After
 
   Scenario: The answer at the route's time-out
-    When a caller that waits 20 s asks "book"
+    When a caller with a timeout of 20 s asks "book"
     And 10.1 s pass
     Then the caller has a 504 without Retry-After
     And the attempt is cancelled
 
   Scenario: The caller's own deadline comes first
-    When a caller that waits 1.5 s asks "book"
+    When a caller with a timeout of 1.5 s asks "book"
     Then the upstream is told that 1.5 s are left
     When 1.6 s pass
     Then the caller has a 504 without Retry-After
 
   Scenario: An upstream is told only what is left of the deadline
-    When a caller that waits 1.5 s asks "look"
+    When a caller with a timeout of 1.5 s asks "look"
     And 0.8 s pass in which the upstream is silent
     Then the request has been sent 2 times
     And the upstream is told at most 0.9 s
--- a/features/steps/router_steps.py
+++ b/features/steps/router_steps.py
@@ -49,9 +49,9 @@
     context.request = context.world.ask(route)
 
 
-@when('a caller that waits {wait:g} s asks "{route}"')
-def ask_waiting(context, wait, route):
-    context.request = context.world.ask(route, wait_s=wait)
+@when('a caller with a timeout of {timeout:g} s asks "{route}"')
+def ask_with_timeout(context, timeout, route):
+    context.request = context.world.ask(route, timeout_s=timeout)
 
 
 @when('a caller with key "{key}" asks "{route}"')
--- a/features/support/router_world.py
+++ b/features/support/router_world.py
@@ -162,7 +162,7 @@
         self.list_upstreams(*(build_upstream(n) for n in range(count)))
         self.configure()
 
-    def ask(self, route, *, key=KEY, wait_s=20.0, **changes):
+    def ask(self, route, *, key=KEY, timeout_s=20.0, **changes):
         self.asked += 1
         request_id = f"r{self.asked}"
         given = {
@@ -173,7 +173,7 @@
             "path": f"/{route}/1",
             "host": HOST,
             "key": key,
-            "wait_s": wait_s,
+            "timeout_s": timeout_s,
             "body": request_id.encode(),
         }
         if route == "chat":
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/callers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/callers.py
@@ -58,7 +58,7 @@
         headers: Headers to forward, without those that the router sets.
         body: The complete body.
         key: The caller's API key; empty if it sent none.
-        wait_s: The caller's timeout, in seconds; None if it gave none.
+        timeout_s: The caller's timeout, in seconds; None if it gave none.
         session: Groups the requests of a session; empty for none.
         resume_after: Id of the last stream event that the caller received;
             empty to start at the beginning.
@@ -74,7 +74,7 @@
     headers: tuple[tuple[str, str], ...] = ()
     body: bytes = b""
     key: str = ""
-    wait_s: float | None = None
+    timeout_s: float | None = None
     session: str = ""
     resume_after: str = ""
     generation: GenerationParameters | None = None
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/intake.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/intake.py
@@ -174,9 +174,9 @@
         state.suspects.record_refusal(fingerprint, now=now)
         known = state.suspects.build_log_inputs(fingerprint)
         return refuse(state, request, CRASH_SUSPECT, now=now, inputs=known)
-    wait_s = route.timeout_s
-    if request.wait_s is not None:
-        wait_s = min(wait_s, request.wait_s)
+    timeout_s = route.timeout_s
+    if request.timeout_s is not None:
+        timeout_s = min(timeout_s, request.timeout_s)
     priority = route.priority
     if organisation.priority is not None:
         priority = organisation.priority
@@ -188,7 +188,7 @@
         priority=priority,
         fingerprint=fingerprint,
         arrived_at=arrived_at,
-        deadline=arrived_at + wait_s,
+        deadline=arrived_at + timeout_s,
     )
     state.open[request.request_id] = opened
     state.budget.count_request(opened.service, now=now)
