--- a/packages/rhubarbbank-router/src/rhubarbbank_router/answer_heads.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/answer_heads.py
@@ -1,7 +1,8 @@
-"""Takes the head of an upstream's answer, which decides what becomes of it.
+"""Handles the status and headers of an upstream's answer.
 
-The upstream may refuse, say something of itself, or answer with a smaller
-model that is unsure; else the answer follows (`answers`).
+The upstream may refuse the request, report its own state, or answer with a
+smaller model whose confidence is too low. Otherwise the body of the answer is
+handled by `answers`.
 """
 
 import http
@@ -22,7 +23,7 @@
 def handle_head(
     state: states.RouterState, head: events.UpstreamHead, *, now: float
 ) -> list[effects.Effect]:
-    """Takes the head of an upstream's answer."""
+    """Handles the status and headers of an upstream's answer."""
     found = state.find_open(head.request_id, head.attempt)
     if found is None:
         return []
@@ -53,9 +54,10 @@
     *,
     now: float,
 ) -> list[effects.Effect]:
-    """Takes what an upstream says of itself, before anything is sent on.
+    """Applies an upstream's notice that it is leaving or wants no requests.
 
-    A misdirected answer speaks of another upstream.
+    This happens before anything is sent again, so that the retry avoids it.
+    The notices of a misdirected answer come from another upstream.
     """
     if head.misdirected:
         return []
@@ -92,7 +94,7 @@
     *,
     now: float,
 ) -> list[effects.Effect]:
-    """Takes that an upstream did not run the request."""
+    """Handles an answer that says that the request was not run."""
     attempt.state = attempt_states.AttemptState.REFUSED
     cancelled = attempt_ends.cancel_attempt(state, opened, attempt, now=now)
     opened.excluded.add(attempt.upstream)
@@ -128,7 +130,7 @@
     *,
     now: float,
 ) -> list[effects.Effect]:
-    """Asks a larger model instead, if this one is unsure of its answer."""
+    """Asks a larger model instead if the answer's confidence is too low."""
     is_replaceable = (
         not opened.answer_started and head.status == http.HTTPStatus.OK
     )
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
@@ -1,7 +1,8 @@
-"""Takes what upstreams answer, and passes it on to callers.
+"""Handles the answers of upstreams and relays them to callers.
 
-Plain answers are passed on once they are whole, streams event by event from
-the first whole event on; until then a request may still go elsewhere.
+A plain answer is relayed once it is complete, a stream event by event as soon
+as its first event is complete. Until then a request may still be sent to
+another upstream.
 """
 
 import http
@@ -27,11 +28,11 @@
 def handle_data(
     state: states.RouterState, data: events.UpstreamData, *, now: float
 ) -> list[effects.Effect]:
-    """Takes bytes of an upstream's answer.
+    """Handles bytes of an upstream's answer.
 
-    Of a stream only events that go on are a sign of life: one that sends a
-    byte, a comment or its last event now and then has stalled. Bytes without
-    end are broken off, whatever they are.
+    In a stream, only an event with a new id counts as progress: one that only
+    sends single bytes, comments or its last event again has stalled. An
+    answer that exceeds the size limits is aborted.
     """
     found = state.find_open(data.request_id, data.attempt)
     if found is None:
@@ -58,7 +59,10 @@
 
 
 def exceeds_size_limits(attempt: attempt_states.Attempt) -> bool:
-    """Returns whether an attempt's stream is taken to have no end."""
+    """Returns whether a stream has sent too many bytes.
+
+    That is in all, or since the last event that advanced it.
+    """
     return (
         attempt.idle_bytes > answer_bounds.MAX_IDLE_BYTES
         or attempt.stream_bytes > answer_bounds.MAX_ANSWER_BYTES
@@ -68,9 +72,9 @@
 def advances_stream(
     attempt: attempt_states.Attempt, event: event_stream.StreamEvent
 ) -> bool:
-    """Returns whether an event brings an attempt's stream further.
+    """Returns whether an event comes after the attempt's last one.
 
-    The caller may have it from an attempt before.
+    The caller may have received it from an earlier attempt.
     """
     if not event.event_id:
         return False
@@ -84,7 +88,7 @@
     *,
     now: float,
 ) -> list[effects.Effect]:
-    """Breaks off an attempt whose bytes have no end."""
+    """Cancels an attempt whose answer exceeds the size limits."""
     cancelled = attempt_ends.cancel_attempt(state, opened, attempt, now=now)
     detail = "more bytes than an answer has"
     return [
@@ -101,14 +105,14 @@
     *,
     now: float,
 ) -> list[effects.Effect]:
-    """Passes one event on, unless the caller has it."""
+    """Forwards one event, unless the caller has already received it."""
     out: list[effects.Effect] = []
     attempt.events += 1
     if attempt.first_event_at is None:
         attempt.first_event_at = now
         out += record_first_event(state, opened, attempt, now=now)
     elif attempt.events == defaults.MIN_EVENTS_FOR_PACE:
-        # A slow stream would tell too late at its end.
+        # Recorded now, since evidence of a slow stream at its end is too late.
         times = state.view.get_service_times(attempt.service)
         if attempt_evidence.is_slow(opened, attempt, times, now=now):
             attempt_evidence.record_trial_evidence(
@@ -139,7 +143,7 @@
     *,
     now: float,
 ) -> list[effects.Effect]:
-    """Learns from the time to an attempt's first event."""
+    """Updates the usual times with the time to an attempt's first event."""
     times = state.view.get_service_times(attempt.service)
     waited_s = now - attempt.sent_at
     if not attempt_evidence.is_on_trial(state, attempt):
@@ -154,7 +158,7 @@
 def handle_end(
     state: states.RouterState, ended: events.UpstreamEnded, *, now: float
 ) -> list[effects.Effect]:
-    """Takes the end of an exchange with an upstream."""
+    """Handles the end of an exchange with an upstream."""
     found = state.find_open(ended.request_id, ended.attempt)
     if found is None:
         return []
@@ -179,7 +183,7 @@
     *,
     now: float,
 ) -> list[effects.Effect]:
-    """Takes that no byte reached the upstream."""
+    """Handles an attempt of which no byte reached the upstream."""
     attempt.state = attempt_states.AttemptState.NOT_SENT
     opened.excluded.add(attempt.upstream)
     out: list[effects.Effect] = [
@@ -208,7 +212,7 @@
     *,
     now: float,
 ) -> list[effects.Effect]:
-    """Takes a whole answer."""
+    """Handles an exchange that ended with a complete HTTP response."""
     if attempt.splitter.partial:
         return attempt_ends.handle_failure(
             state, opened, attempt, "ended inside an event", now=now
@@ -224,7 +228,7 @@
         state, opened, attempt, now=now, failed=failed
     )
     if opened.answer_started and attempt.status != http.HTTPStatus.OK:
-        # The rest of the stream is missing.
+        # The caller has a part of a stream, and this response can't resume it.
         code = errors.ErrorCode.UPSTREAM_FAILED
         return dispatch.give_up(state, opened, code, now=now)
     request_id = opened.request.request_id
@@ -268,9 +272,10 @@
     *,
     now: float,
 ) -> list[effects.Effect]:
-    """Clears a request with a good answer of crashing its upstreams.
+    """Clears a request of the suspicion that it crashes its upstreams.
 
-    A failure may come from an upstream that didn't run it to its end.
+    A response with a 5xx status doesn't clear it: the upstream may not have
+    finished running the request.
     """
     if attempt.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR:
         return []
@@ -293,7 +298,7 @@
 
 
 def build_timing_inputs(opened: states.OpenRequest) -> tuple[fx.LogInput, ...]:
-    """Returns when a stream's events were passed on, for the log."""
+    """Returns log inputs on when a stream's events were forwarded."""
     if opened.first_event_at is None:
         return ()
     waited_s = opened.first_event_at - opened.arrived_at
@@ -306,7 +311,7 @@
 def handle_caller_left(
     state: states.RouterState, request_id: str, *, now: float
 ) -> list[effects.Effect]:
-    """Ends a request whose caller has left."""
+    """Drops a request whose caller has closed the connection."""
     state.held_requests.pop(request_id, None)
     opened = state.open.pop(request_id, None)
     if opened is None:
