--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_ends.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_ends.py
@@ -1,7 +1,7 @@
-"""Ends attempts, and goes on after those that failed.
+"""Ends attempts, and retries those that failed.
 
-Each failure counts against its upstream; another attempt follows where the
-route, the budget and the time left allow it.
+Each failure counts against its upstream. Another attempt follows if the
+route, the retry budget and the time left allow it.
 """
 
 import http
@@ -25,7 +25,10 @@
     *,
     now: float,
 ) -> list[effects.Effect] | None:
-    """Tries again after an upstream's own failure; None if that can't be."""
+    """Retries after a 5xx status; None if it is not retried.
+
+    A gateway timeout (504) isn't retried.
+    """
     if attempt.status == http.HTTPStatus.GATEWAY_TIMEOUT:
         return None
     opened.excluded.add(attempt.upstream)
@@ -53,7 +56,10 @@
     *,
     now: float,
 ) -> list[effects.Effect]:
-    """Goes on after an attempt that broke off once it had been sent."""
+    """Handles an attempt that failed after it had been sent.
+
+    Another attempt is made if that is allowed; otherwise the request fails.
+    """
     attempt_evidence.record_outcome(
         state, opened, attempt, now=now, failed=True
     )
@@ -86,7 +92,7 @@
     *,
     now: float,
 ) -> None:
-    """Notes that an upstream ended under a request."""
+    """Records that an upstream crashed while it ran a request."""
     fingerprint = opened.fingerprint
     crash = crash_suspects.hash_incarnation(
         attempt.upstream, attempt.upstream_started_ms
@@ -103,9 +109,11 @@
     *,
     now: float,
 ) -> None:
-    """Notes that an attempt was given up without an answer.
+    """Records that an attempt was cancelled before its upstream answered.
 
-    Whether its upstream ended, or only was slow, the list will tell.
+    If the upstream is no longer listed, or has restarted, it has crashed.
+    Otherwise it may be slow, or have crashed unnoticed: that shows when the
+    list of upstreams drops it.
     """
     if attempt.status:
         return
@@ -121,7 +129,7 @@
 def record_upstream_failure(
     state: states.RouterState, upstream: str, *, now: float, weight: int
 ) -> list[effects.Effect]:
-    """Notes a failure; logs if the upstream is set aside for it."""
+    """Records an upstream's failure; logs it if the upstream is set aside."""
     if not state.view.note_failure(upstream, now=now, weight=weight):
         return []
     tracked = state.view.tracked[upstream]
@@ -146,7 +154,7 @@
     *,
     now: float,
 ) -> list[effects.Effect]:
-    """Breaks an attempt off."""
+    """Cancels an attempt at its upstream."""
     release_attempt(state, opened, attempt, now=now)
     return [effects.CancelAttempt(opened.request.request_id, attempt.number)]
 
@@ -158,7 +166,7 @@
     *,
     now: float,
 ) -> None:
-    """Notes that nothing more comes of an attempt."""
+    """Closes an attempt's records in its session and at its upstream."""
     if attempt.open:
         attempt.open = False
         state.sessions.end_request(opened.request.session, now=now)
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_evidence.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_evidence.py
@@ -1,8 +1,7 @@
-"""Learns from attempts: usual times, and evidence on versions.
+"""Collects statistics from attempts: usual times, and evidence on versions.
 
-`answers` and `timeouts` hand each attempt over once it has ended. Speeds are
-kept by service and model; what speaks for or against a version that is being
-rolled out goes to its trial.
+An attempt is recorded once it has ended. Times are kept by service and model;
+evidence for or against a version that is being rolled out goes to its trial.
 """
 
 import http
@@ -23,11 +22,11 @@
     failed: bool,
     silent: bool = False,
 ) -> None:
-    """Learns from an attempt that has ended with an answer or a failure.
+    """Records an attempt that has ended with an answer or a failure.
 
-    A connection that breaks off says something of the upstream's host, and
-    often of many requests at once; for or against the upstream's version
-    speak its answers alone, and how long they take.
+    A connection that is interrupted is evidence on the upstream's host, often
+    from many requests at once. Evidence on its version comes only from its
+    answers and from how long they take.
 
     Args:
         state: The router's state.
@@ -35,7 +34,8 @@
         attempt: The attempt.
         now: In seconds.
         failed: Whether it failed.
-        silent: Whether it was given up since nothing came.
+        silent: Whether it was cancelled because no bytes arrived, and this is
+            the first one in the upstream's current period of silence.
     """
     times = state.view.get_service_times(attempt.service)
     if attempt.status or silent or not failed:
@@ -65,10 +65,10 @@
 def is_on_trial(
     state: states.RouterState, attempt: attempt_states.Attempt
 ) -> bool:
-    """Returns whether an attempt runs on a version that is being tried.
+    """Returns whether an attempt runs on a version that is being rolled out.
 
-    What is usual is learnt from the others, so that a slow version doesn't
-    become the measure of itself.
+    Such attempts are left out of the usual times, so that a slow version
+    isn't compared with its own times.
     """
     trial = state.trials.get(attempt.service)
     if trial is None or trial.order.target != attempt.version:
@@ -85,7 +85,7 @@
     slow: bool,
     now: float,
 ) -> None:
-    """Takes an attempt as evidence on its version, once."""
+    """Counts an attempt in the trial of its version, at most once."""
     trial = state.trials.get(attempt.service)
     if trial is None or attempt.evidence_counted:
         return
@@ -111,13 +111,13 @@
     *,
     now: float,
 ) -> bool:
-    """Returns whether an attempt took several times what was expected."""
+    """Returns whether an attempt took several times the expected time."""
     waited_s = (attempt.first_event_at or now) - attempt.sent_at
     expected_s = times.answer_s
     if opened.is_stream:
         work_s = attempt.backlog_s + attempt.prefill_s
         expected_s = max(times.first_event_s, work_s)
-    # Whoever waits past the objective finds it slow, however short it is.
+    # A wait past the route's objective is slow even below SLOW_FLOOR_S.
     floor_s = min(defaults.SLOW_FLOOR_S, opened.route.target_latency_s)
     limit_s = max(defaults.SLOW_TIMES * expected_s, floor_s)
     if waited_s > limit_s:
@@ -133,10 +133,12 @@
     *,
     now: float,
 ) -> bool | None:
-    """Returns whether an answer drags; None if that can't be told.
+    """Returns whether an answer drags; None if it can't be compared.
 
-    A plain one drags if it takes clearly longer than its route's usual one.
-    Silence doesn't count: it comes from hosts and connections as well.
+    That is a weaker sign than `is_slow`. A plain answer drags if it takes
+    DRAG_PLAIN_TIMES its route's usual time, a stream if its events come
+    DRAG_PACE_TIMES slower than usual. A plain attempt without a 200 answer is
+    not compared: hosts and connections cause silence as well.
     """
     times = state.view.get_service_times(attempt.service)
     if not opened.is_stream:
@@ -154,17 +156,17 @@
     *,
     now: float,
 ) -> bool | None:
-    """Returns whether events come so many times slower than usual.
+    """Returns whether a stream's events come too slowly, compared with usual.
 
     Args:
-        max_ratio: As a multiple of the model's usual time between events, at
-            the load that the upstream had.
+        max_ratio: The limit, as a multiple of the model's usual time between
+            events at the load that the upstream had.
         attempt: The attempt.
-        times: Of its service.
+        times: Usual times of its service.
         now: In seconds.
 
     Returns:
-        None for a stream too short to tell, or before any pace is usual.
+        None if the stream is too short, or no usual time is known yet.
     """
     pace_s = measure_pace_s(attempt, now=now)
     usual_s = times.find_pace_s(attempt.model, attempt.load_level)
@@ -176,7 +178,7 @@
 def measure_pace_s(
     attempt: attempt_states.Attempt, *, now: float
 ) -> float | None:
-    """Returns the mean time between a stream's events, or None."""
+    """Returns the mean time between events; None if there are too few."""
     if attempt.first_event_at is None:
         return None
     if attempt.events < defaults.MIN_EVENTS_FOR_PACE:
@@ -190,7 +192,7 @@
     *,
     now: float,
 ) -> None:
-    """Learns how fast a model's events come at the load of the upstream."""
+    """Updates a model's usual time between events at the upstream's load."""
     pace_s = measure_pace_s(attempt, now=now)
     if pace_s is not None:
         times.learn_pace(attempt.model, attempt.load_level, pace_s)
@@ -199,6 +201,6 @@
 def record_progress(
     state: states.RouterState, attempt: attempt_states.Attempt, *, now: float
 ) -> None:
-    """Notes that an attempt makes progress."""
+    """Records that an attempt has made progress."""
     attempt.last_progress_at = now
     state.view.note_bytes_received(attempt.upstream, now=now)
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_log.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_log.py
@@ -1,7 +1,7 @@
-"""The log line that says what became of one attempt.
+"""Builds the log line on the outcome of one attempt.
 
-`answers` and `timeouts` write one wherever an attempt ends without the answer
-that the caller gets.
+`answer_heads`, `answers`, `attempt_ends` and `timeouts` log one for each
+attempt that ends without delivering the caller's answer.
 """
 
 from rhubarbbank_core import program_effects as fx
@@ -17,14 +17,14 @@
     reason: str,
     inputs: tuple[fx.LogInput, ...] = (),
 ) -> fx.LogDecision:
-    """Returns the line on an attempt.
+    """Returns the log line on an attempt.
 
     Args:
         opened: The request.
         attempt: The attempt.
-        decision: What became of it.
-        reason: Why.
-        inputs: What decided it, by name.
+        decision: Name of the decision, such as `unreached`.
+        reason: Why it was made.
+        inputs: Names and values of what it was based on.
     """
     return fx.LogDecision(
         decision=decision,
