--- a/packages/rhubarbbank-router/src/rhubarbbank_router/event_stream.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/event_stream.py
@@ -1,7 +1,7 @@
-"""Cuts a stream of server-sent events into whole events.
+"""Splits a stream of server-sent events into complete events.
 
-A stream that breaks off may end inside an event. Only whole events are
-passed on, so that another upstream can go on after the last one.
+A stream that is interrupted may end in the middle of an event. Only complete
+events are forwarded, so that another upstream can resume after the last one.
 """
 
 import dataclasses
@@ -12,11 +12,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StreamEvent:
-    """One whole event.
+    """One complete event.
 
     Attributes:
-        event_id: Its id; empty if it has none.
-        raw: Its bytes, with the blank line that ends it.
+        event_id: Value of its `id` field; empty if it has none.
+        raw: Its bytes, including the blank line that terminates it.
     """
 
     event_id: str
@@ -24,17 +24,17 @@
 
 
 class EventSplitter:
-    """Collects bytes until an event is whole.
+    """Buffers bytes until an event is complete.
 
     Attributes:
-        partial: Bytes of an event that isn't whole yet.
+        partial: Bytes of an event that isn't complete yet.
     """
 
     def __init__(self) -> None:
         self.partial = b""
 
     def feed(self, data: bytes) -> list[StreamEvent]:
-        """Returns the events that are whole now."""
+        """Adds bytes to the buffer; returns the events that they complete."""
         self.partial += data
         found: list[StreamEvent] = []
         while True:
@@ -46,7 +46,7 @@
 
 
 def find_event_end(data: bytes) -> int:
-    """Returns where the first event ends, or -1."""
+    """Returns the offset just past the first event; -1 if it is incomplete."""
     ends = [
         position + len(separator)
         for separator in EVENT_SEPARATORS
@@ -56,7 +56,7 @@
 
 
 def parse_event_id(raw: bytes) -> str:
-    """Returns the id of an event; empty if it has none."""
+    """Returns the value of an event's `id` field; empty if it has none."""
     for line in raw.splitlines():
         if line.startswith(ID_FIELD):
             return line[len(ID_FIELD) :].strip().decode("utf-8", "replace")
@@ -64,9 +64,10 @@
 
 
 def follows(event_id: str, last_id: str) -> bool:
-    """Returns whether an event comes after the last one passed on.
+    """Returns whether an event comes after the last one forwarded.
 
-    Ids that aren't numbers can't be compared; such an event follows.
+    Unless both ids are decimal numbers they have no order: an id that differs
+    from the last one counts as following it, and so does an empty id.
     """
     if not (event_id.isdecimal() and last_id.isdecimal()):
         return event_id != last_id or not event_id
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/name_hashes.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/name_hashes.py
@@ -1,4 +1,4 @@
-"""Short marks of names, as entries tell them to each other."""
+"""Short hashes of names, which stand for the names in messages to entries."""
 
 import xxhash
 
@@ -6,5 +6,5 @@
 
 
 def hash_name(name: str) -> NameHash:
-    """Returns a mark of 32 bits, the same at every entry."""
+    """Returns a 32-bit hash of a name, the same at every entry."""
     return xxhash.xxh32_intdigest(name.encode())
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/timeouts.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/timeouts.py
@@ -1,4 +1,7 @@
-"""Ends requests whose time is over, and attempts that are silent too long."""
+"""Ends requests at their deadline, and attempts that are silent for too long.
+
+Router.tick calls it for all open requests.
+"""
 
 from rhubarbbank_core import errors
 from rhubarbbank_core import program_effects as fx
@@ -16,7 +19,7 @@
 def check_requests(
     state: states.RouterState, *, now: float
 ) -> list[effects.Effect]:
-    """Does what is due for all open requests."""
+    """Aborts overdue requests, and retries silent attempts of the others."""
     out: list[effects.Effect] = []
     for opened in list(state.open.values()):
         if now >= opened.deadline:
@@ -33,7 +36,14 @@
     now: float,
     code: errors.ErrorCode = errors.ErrorCode.DEADLINE_EXCEEDED,
 ) -> list[effects.Effect]:
-    """Ends a request, whatever it is waiting for."""
+    """Refuses or breaks off a request, and cancels its current attempt.
+
+    Args:
+        state: The router's state.
+        opened: The request.
+        now: In seconds.
+        code: The error that its caller gets.
+    """
     out: list[effects.Effect] = []
     attempt = opened.current
     if attempt is not None:
@@ -49,7 +59,7 @@
 def retry_silent_attempt(
     state: states.RouterState, opened: states.OpenRequest, *, now: float
 ) -> list[effects.Effect]:
-    """Moves a request on from an attempt that has been silent too long."""
+    """Sends a request elsewhere if its attempt is silent for too long."""
     attempt = opened.current
     if attempt is None or not opened.route.repeatable:
         return []
@@ -60,11 +70,11 @@
     opened.excluded.add(attempt.upstream)
     if not dispatch.acquire_retry(state, opened, now=now):
         opened.excluded.discard(attempt.upstream)
-        # Asked again at the next beat; by then there may be room.
+        # Checked again at the next tick, when a retry may be possible.
         return []
     cancelled = attempt_ends.cancel_attempt(state, opened, attempt, now=now)
-    # A host that falls silent silences many requests, which together say
-    # no more of its version than one.
+    # A host that stops responding silences many requests at once, which are
+    # no more evidence on its version than a single one.
     starts_silence = state.view.note_silence(attempt.upstream, now=now)
     attempt_evidence.record_outcome(
         state, opened, attempt, now=now, failed=True, silent=starts_silence
@@ -110,8 +120,8 @@
     if tracked is not None and engine_load.was_heard_within(
         tracked, state.remote_work, defaults.UPSTREAM_ALIVE_S, now=now
     ):
-        # It works on others' requests: this one waits for its turn, and
-        # elsewhere it would begin anew.
+        # The upstream is running other requests, so that this one is probably
+        # queued; elsewhere it would start from the beginning.
         patience_s *= defaults.ALIVE_PATIENCE_TIMES
     return patience_s
 
