--- a/experiments/src/rhubarbbank_experiments/mix_arms.py
+++ b/experiments/src/rhubarbbank_experiments/mix_arms.py
@@ -168,7 +168,7 @@
             incarnation=number + 1,
             rng=rng,
             sizes=self.sizes,
-            placed=self.place(rng),
+            placer=self.place(rng),
         )
 
 
--- a/features/steps/router_steps.py
+++ b/features/steps/router_steps.py
@@ -397,7 +397,7 @@
                 case "revoke":
                     revoked_at = now if revoked_at is None else revoked_at
                 case "request":
-                    accepted = proof.holds(now=now) and key_in_force
+                    accepted = proof.is_valid(now=now) and key_in_force
                     late = revoked_at is not None and (
                         now > revoked_at + bound_s
                     )
--- a/features/steps/store_relay_steps.py
+++ b/features/steps/store_relay_steps.py
@@ -30,7 +30,7 @@
     found = [
         name
         for name, node in context.fleet.nodes.items()
-        if node.world.state.relay.reading
+        if node.world.state.relay.is_reader
     ]
     assert 1 <= len(found) <= most, found
 
@@ -76,7 +76,7 @@
 
 @then("it still reads the store itself")
 def check_reading(context):
-    assert context.world.state.relay.reading
+    assert context.world.state.relay.is_reader
     asks = [
         x
         for x in context.world.messages()
@@ -91,7 +91,9 @@
 )
 def register_upstreams(context, allow, count, period):
     store = growing_store.GrowingStore(
-        count=count, period_s=period, for_others=allow == "allow for readers"
+        count=count,
+        period_s=period,
+        relays_enabled=allow == "allow for readers",
     )
     asyncio.run(store.follow(KNOWN_WITHIN_S))
     context.store = store
--- a/features/support/growing_store.py
+++ b/features/support/growing_store.py
@@ -15,7 +15,7 @@
     Attributes:
         count: Upstreams that register.
         period_s: In which they do.
-        for_others: Whether the bounds let entries read for one another.
+        relays_enabled: Whether the bounds let entries read for one another.
         registered: How many have registered.
         watches: Answers to watches.
         known: Ids of which the entry has been told.
@@ -23,15 +23,15 @@
 
     list_position = 0
 
-    def __init__(self, *, count, period_s, for_others):
+    def __init__(self, *, count, period_s, relays_enabled):
         self.count = count
         self.period_s = period_s
-        self.for_others = for_others
+        self.relays_enabled = relays_enabled
         self.registered = 0
         self.watches = 0
         self.known = set()
 
-    def reads(self, subject):
+    def should_read(self, subject):
         return True
 
     async def follow(self, longer_s):
--- a/features/support/relay_fleet.py
+++ b/features/support/relay_fleet.py
@@ -195,7 +195,9 @@
         if self.rng.random() < 0.5:
             # The reader, most often.
             readers = [
-                n for n, x in self.nodes.items() if x.world.state.relay.reading
+                n
+                for n, x in self.nodes.items()
+                if x.world.state.relay.is_reader
             ]
             name = self.rng.choice(readers or [name])
         node = self.nodes[name]
@@ -216,9 +218,9 @@
         if node.cut_until <= self.now:
             router = world.router
             subject = events.Subject.CONFIGURATION
-            if router.reads(subject) and self.now >= node.read_at:
+            if router.should_read(subject) and self.now >= node.read_at:
                 self.read(node)
-            if router.reads(events.Subject.UPSTREAMS):
+            if router.should_read(events.Subject.UPSTREAMS):
                 self.watch(node)
         world.apply(core_events.Ticked())
         self.note_turns(node)
@@ -270,8 +272,8 @@
         state = node.world.state
         name = state.settings.name
         known = state.active_configuration.revision
-        if state.proof.holds(now=self.now):
-            proved = self.find_revision(state.proof.asked_at)
+        if state.proof.is_valid(now=self.now):
+            proved = self.find_revision(state.proof.read_sent_at)
             if known < proved:
                 self.fault(name, f"proof of {proved} with {known} in force")
         for upstream, tracked in state.view.tracked.items():
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/freshness_proof.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/freshness_proof.py
@@ -18,18 +18,18 @@
 
     def __init__(self, *, limit_s: float) -> None:
         self.limit_s = limit_s
-        self.asked_at: float | None = None
+        self.read_sent_at: float | None = None
 
     def confirm(self, *, asked_at: float) -> None:
         """Takes a confirmed read that was sent at `asked_at`."""
-        if self.asked_at is None or asked_at > self.asked_at:
-            self.asked_at = asked_at
+        if self.read_sent_at is None or asked_at > self.read_sent_at:
+            self.read_sent_at = asked_at
 
     def age(self, *, now: float) -> float | None:
         """Returns the proof's age in seconds, or None without a proof."""
-        return None if self.asked_at is None else now - self.asked_at
+        return None if self.read_sent_at is None else now - self.read_sent_at
 
-    def holds(self, *, now: float) -> bool:
+    def is_valid(self, *, now: float) -> bool:
         """Returns whether keys may be accepted at `now`."""
         age = self.age(now=now)
         return age is not None and 0.0 <= age <= self.limit_s
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
@@ -36,7 +36,7 @@
         case messages.NewsBundle():
             return take_bundle(state, message, now=now)
         case messages.StoreAsk():
-            return store_reading.take_ask(state, message, now=now)
+            return store_reading.handle_ask(state, message, now=now)
         case messages.StoreTold():
             return take_told(state, message, now=now)
         case _:
@@ -47,14 +47,14 @@
     state: states.RouterState, told: messages.StoreTold, *, now: float
 ) -> list[effects.Effect]:
     """Takes what a reader of the store tells."""
-    if not state.relay.reading:
-        store_reading.note_contact(state, told, now=now)
-    is_current = store_reading.take_proof(state, told)
+    if not state.relay.is_reader:
+        store_reading.record_contact(state, told, now=now)
+    is_current = store_reading.apply_proof(state, told)
     out: list[effects.Effect] = []
-    for event in store_reading.list_changes(state, told):
+    for event in store_reading.build_upstream_events(state, told):
         out += upstream_list.handle_event(state, event, now=now)
     if is_current:
-        store_reading.note_informed(state, told, now=now)
+        store_reading.update_informed(state, told, now=now)
     return out
 
 
@@ -151,7 +151,7 @@
         leaving=state.view.list_announced_leaving(),
         loads=engine_load.list_loads(state.view, now=now),
         data_centre=settings.data_centre,
-        reads=state.relay.reading,
+        reads=state.relay.is_reader,
     )
     near = state.entries.list_near(settings.data_centre)
     out += [core_effects.Send(address, news) for address in near]
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/intake.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/intake.py
@@ -143,7 +143,7 @@
     if len(state.open) >= defaults.MAX_OPEN_REQUESTS:
         return OVERLOADED
     needs_key = current.keys is not None and not (route and route.public)
-    if needs_key and not state.proof.holds(now=now):
+    if needs_key and not state.proof.is_valid(now=now):
         return NO_CONFIGURATION
     if route is None:
         return NO_ROUTE
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/options.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/options.py
@@ -69,7 +69,7 @@
 )
 
 
-def check_router(
+def parse_settings(
     text: bytes,
 ) -> RouterSettings | list[options.SettingsFault]:
     """Returns the settings in a JSON text, or every fault in it."""
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
@@ -53,14 +53,14 @@
         rng: random.Random,
         sizes: size_policy.SizePolicy | None = None,
         judge: version_trial.TrialJudge | None = None,
-        placed: placement.Placement | None = None,
+        placer: placement.Placement | None = None,
     ) -> None:
         bounds = settings.bounds
         self.state = states.RouterState(
             settings=settings,
             incarnation=incarnation,
             rng=rng,
-            placer=placed or work_placement.WorkPlacement(rng=rng),
+            placer=placer or work_placement.WorkPlacement(rng=rng),
             sizes=sizes or size_policy.SmallestThenLargest(),
             judge=judge or trial_judge.LikelihoodJudge(),
             budget=window_budget.WindowBudget(
@@ -78,7 +78,7 @@
             ),
             entries=peers.PeerTable(name=settings.name),
             relay=store_relay.StoreRelay(
-                limits=store_reading.find_limits(bounds)
+                limits=store_reading.compute_age_limits(bounds)
             ),
             suspects=crash_suspects.CrashSuspects(),
         )
@@ -108,7 +108,7 @@
             case core_events.StopRequested():
                 return self.stop(now)
             case _:
-                return self.learn(now, event)
+                return self.apply_store_event(now, event)
 
     def is_ready(self, *, now: float) -> bool:
         """Returns whether the balancer should send callers here."""
@@ -116,29 +116,29 @@
         return (
             not state.stopping
             and state.is_initialised
-            and state.proof.holds(now=now)
+            and state.proof.is_valid(now=now)
         )
 
-    def reads(self, subject: events.Subject) -> bool:
+    def should_read(self, subject: events.Subject) -> bool:
         """Returns whether a subject should be read in the store now."""
-        return store_reading.reads(self.state, subject)
+        return store_reading.should_read(self.state, subject)
 
     @property
-    def for_others(self) -> bool:
+    def relays_enabled(self) -> bool:
         """Whether entries here read the store for one another."""
         return self.state.relay.limits.allow_relays
 
     @property
     def list_position(self) -> int:
         """The store's revision up to which the list of upstreams is known."""
-        return self.state.relay.log.position
+        return self.state.relay.change_log.position
 
-    def use_settings(self, settings: options.RouterSettings) -> None:
+    def apply_settings(self, settings: options.RouterSettings) -> None:
         """Takes new bounds; names and addresses need a new start."""
         state = self.state
         state.settings = settings
         bounds = settings.bounds
-        state.relay.limits = store_reading.find_limits(bounds)
+        state.relay.limits = store_reading.compute_age_limits(bounds)
         state.proof.limit_s = max(
             0.0, bounds.revoke_ms / MS_PER_S - defaults.PROOF_MARGIN_S
         )
@@ -148,16 +148,18 @@
             window_s=bounds.retry_window_s,
         )
 
-    def learn(self, now: float, event: events.AnyEvent) -> list[effects.Effect]:
+    def apply_store_event(
+        self, now: float, event: events.AnyEvent
+    ) -> list[effects.Effect]:
         """Takes what the platform's store says."""
         state = self.state
         match event:
             case events.ConfigurationRead(asked_at=asked_at, found=found):
-                return self.take_configuration(now, asked_at, found)
+                return self.apply_configuration(now, asked_at, found)
             case events.StoreAnswered(subject):
-                return self.note_contact(now, subject)
+                return self.record_contact(now, subject)
             case events.StoreFailed(subject, detail):
-                return self.note_failure(now, subject, detail)
+                return self.record_failure(now, subject, detail)
             case events.RolloutsListed(orders):
                 state.listed_subjects.add(events.Subject.ROLLOUTS)
                 return rollouts.apply_orders(state, orders, now=now)
@@ -167,12 +169,12 @@
                 rollouts.remove_order(state, service)
                 return []
             case events.RolloutRecorded(service, done):
-                return self.take_recorded(service, done)
+                return self.log_record_ended(service, done)
             case _:
-                self.learn_entries(event)
+                self.apply_entry_event(event)
                 return upstream_list.handle_event(self.state, event, now=now)
 
-    def learn_entries(self, event: events.AnyEvent) -> None:
+    def apply_entry_event(self, event: events.AnyEvent) -> None:
         """Takes what the platform's store says of other entries."""
         entries = self.state.entries
         match event:
@@ -183,7 +185,7 @@
             case events.EntryUnlisted(name):
                 entries.remove_registered(name)
 
-    def take_configuration(
+    def apply_configuration(
         self,
         now: float,
         asked_at: float,
@@ -203,7 +205,7 @@
         state.active_configuration = found
         state.routes = route_match.RouteIndex(routes=found.routes)
         return [
-            *store_reading.tell_all(state, now=now),
+            *store_reading.send_updates(state, now=now),
             fx.LogDecision(
                 decision="configuration_adopted",
                 reason=f"version {found.version}",
@@ -217,7 +219,7 @@
             fx.Gauge("configuration_version", found.version),
         ]
 
-    def note_contact(
+    def record_contact(
         self, now: float, subject: events.Subject
     ) -> list[effects.Effect]:
         """Notes that the store answers."""
@@ -237,7 +239,7 @@
             )
         ]
 
-    def note_failure(
+    def record_failure(
         self, now: float, subject: events.Subject, detail: str
     ) -> list[effects.Effect]:
         """Notes that a store call failed."""
@@ -256,7 +258,9 @@
             ),
         ]
 
-    def take_recorded(self, service: str, done: bool) -> list[effects.Effect]:
+    def log_record_ended(
+        self, service: str, done: bool
+    ) -> list[effects.Effect]:
         """Takes the end of a call to record a roll-out."""
         return [
             fx.LogDecision(
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/store_reading.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/store_reading.py
@@ -17,7 +17,7 @@
 MS_PER_S = 1000.0
 
 
-def find_limits(bounds: options.RouterBounds) -> store_relay.AgeLimits:
+def compute_age_limits(bounds: options.RouterBounds) -> store_relay.AgeLimits:
     """Returns how old knowledge may be, from the deployment's bounds."""
     return store_relay.AgeLimits(
         configuration_s=bounds.config_apply_ms / MS_PER_S
@@ -26,10 +26,10 @@
     )
 
 
-def reads(state: states.RouterState, subject: events.Subject) -> bool:
+def should_read(state: states.RouterState, subject: events.Subject) -> bool:
     """Returns whether this entry should read a subject in the store now."""
     relay = state.relay
-    if relay.reading:
+    if relay.is_reader:
         return True
     if subject is events.Subject.CONFIGURATION:
         known = (
@@ -37,7 +37,7 @@
             if state.active_configuration
             else 0
         )
-        return relay.newest > known
+        return relay.newest_revision > known
     return subject is not events.Subject.UPSTREAMS
 
 
@@ -46,21 +46,21 @@
     relay = state.relay
     if not relay.limits.allow_relays:
         return []
-    reader = find_reader(state, now=now)
+    reader = select_reader(state, now=now)
     out = update_role(state, reader, now=now)
-    if reader is None or not relay.is_due(now=now):
+    if reader is None or not relay.is_ask_due(now=now):
         return out
     relay.asked_at = now
     ask = messages.StoreAsk(
         name=state.settings.name,
         address=state.settings.peer_address,
         asked_at=now,
-        position=relay.log.position,
+        position=relay.change_log.position,
     )
     return [*out, core_effects.Send(reader.address, ask)]
 
 
-def find_reader(
+def select_reader(
     state: states.RouterState, *, now: float
 ) -> messages.EntryNews | None:
     """Returns the entry to ask: the first reader nearby by name.
@@ -70,7 +70,7 @@
     settings = state.settings
     near = state.entries.list_live_near(settings.data_centre, now=now)
     readers = [each for each in near if each.reads]
-    if state.relay.reading:
+    if state.relay.is_reader:
         readers = [each for each in readers if each.name < settings.name]
     return min(readers, key=lambda each: each.name, default=None)
 
@@ -83,13 +83,13 @@
 ) -> list[effects.Effect]:
     """Decides whether this entry reads; returns the line if that changes."""
     relay = state.relay
-    wanted = is_reading_wanted(state, reader, now=now)
-    if wanted == relay.reading:
+    wanted = should_be_reader(state, reader, now=now)
+    if wanted == relay.is_reader:
         return []
-    relay.reading = wanted
+    relay.is_reader = wanted
     if wanted:
         # The reader has to prove itself anew before this entry stops again.
-        relay.told_since = None
+        relay.informed_since = None
     # The others learn it soon.
     state.next_heartbeat_at = min(
         state.next_heartbeat_at, now + defaults.URGENT_NEWS_DELAY_S
@@ -101,21 +101,21 @@
             decision="store_reading_begun" if wanted else "store_reading_ended",
             reason=reader.name if reader else "no reader nearby",
             inputs=(
-                ("proof_age_s", describe_age(proof_age_s)),
-                ("list_age_s", describe_age(list_age_s)),
-                ("position", relay.log.position),
+                ("proof_age_s", format_age(proof_age_s)),
+                ("list_age_s", format_age(list_age_s)),
+                ("position", relay.change_log.position),
             ),
         ),
         fx.Gauge("store_reading", int(wanted)),
     ]
 
 
-def describe_age(age_s: float | None) -> float | str:
+def format_age(age_s: float | None) -> float | str:
     """Returns an age for the log."""
     return "none" if age_s is None else round(age_s, 3)
 
 
-def is_reading_wanted(
+def should_be_reader(
     state: states.RouterState,
     reader: messages.EntryNews | None,
     *,
@@ -123,7 +123,7 @@
 ) -> bool:
     """Returns whether this entry should read the store."""
     relay = state.relay
-    if relay.reading:
+    if relay.is_reader:
         return reader is None or not relay.is_informed_by_reader(now=now)
     proof_age_s = state.proof.age(now=now)
     list_age_s = relay.list_age(now=now)
@@ -133,37 +133,39 @@
     stale = (
         proof_age_s > limits.configuration_s or list_age_s > limits.upstreams_s
     )
-    return stale or (reader is None and is_first_near(state, now=now))
+    return stale or (reader is None and is_first_in_data_centre(state, now=now))
 
 
-def is_first_near(state: states.RouterState, *, now: float) -> bool:
+def is_first_in_data_centre(state: states.RouterState, *, now: float) -> bool:
     """Returns whether this entry's name comes first in its data centre."""
     settings = state.settings
     near = state.entries.list_live_near(settings.data_centre, now=now)
     return all(settings.name < each.name for each in near)
 
 
-def take_ask(
+def handle_ask(
     state: states.RouterState, ask: messages.StoreAsk, *, now: float
 ) -> list[effects.Effect]:
     """Answers an entry that asks, if this one reads the store."""
-    if not state.relay.reading:
+    if not state.relay.is_reader:
         return []
-    state.relay.note_ask(ask, now=now)
-    return tell(state, ask, now=now)
+    state.relay.record_ask(ask, now=now)
+    return build_reply(state, ask, now=now)
 
 
-def tell_all(state: states.RouterState, *, now: float) -> list[effects.Effect]:
+def send_updates(
+    state: states.RouterState, *, now: float
+) -> list[effects.Effect]:
     """Tells all entries that ask of a change at once."""
-    if not state.relay.reading:
+    if not state.relay.is_reader:
         return []
     out: list[effects.Effect] = []
-    for ask in state.relay.list_asks(now=now):
-        out += tell(state, ask, now=now)
+    for ask in state.relay.recent_asks(now=now):
+        out += build_reply(state, ask, now=now)
     return out
 
 
-def tell(
+def build_reply(
     state: states.RouterState, ask: messages.StoreAsk, *, now: float
 ) -> list[effects.Effect]:
     """Tells one entry what it asked for."""
@@ -184,17 +186,19 @@
             if not tracked.lapsed
         ),
     )
-    told = state.relay.build_told(ask, facts, now=now)
+    told = state.relay.build_reply(ask, facts, now=now)
     return [] if told is None else [core_effects.Send(ask.address, told)]
 
 
-def take_proof(state: states.RouterState, told: messages.StoreTold) -> bool:
+def apply_proof(state: states.RouterState, told: messages.StoreTold) -> bool:
     """Takes what a reader proves of the configuration.
 
     Returns:
         Whether the revision in force here is the one that it confirms.
     """
-    state.relay.newest = max(state.relay.newest, told.revision)
+    state.relay.newest_revision = max(
+        state.relay.newest_revision, told.revision
+    )
     current = state.active_configuration
     if current is None or current.revision != told.revision:
         return False
@@ -202,7 +206,7 @@
     return True
 
 
-def note_contact(
+def record_contact(
     state: states.RouterState, told: messages.StoreTold, *, now: float
 ) -> None:
     """Notes that the store answers, by a reader's word.
@@ -217,17 +221,17 @@
     contact.answered_at = now
 
 
-def list_changes(
+def build_upstream_events(
     state: states.RouterState, told: messages.StoreTold
 ) -> list[events.AnyEvent]:
     """Returns what an answer changes in the list of upstreams, as events."""
     relay = state.relay
-    if told.position < relay.log.position:
+    if told.position < relay.change_log.position:
         # This entry knows more, by another reader or a read of its own.
         return []
     at = told.asked_at - told.list_age_s
     if told.whole is not None:
-        if told.position == relay.log.position:
+        if told.position == relay.change_log.position:
             return []
         return [
             events.UpstreamsListed(told.whole, position=told.position, at=at)
@@ -239,17 +243,17 @@
     ]
 
 
-def note_informed(
+def update_informed(
     state: states.RouterState, told: messages.StoreTold, *, now: float
 ) -> None:
     """Notes whether the reader's knowledge is fresh enough to go by."""
     limits = state.relay.limits
     proof_age_s = state.proof.age(now=now)
     list_age_s = state.relay.list_age(now=now)
-    enough = (
+    is_fresh = (
         proof_age_s is not None
         and list_age_s is not None
         and now - told.asked_at + told.proof_age_s <= limits.configuration_s
         and now - told.asked_at + told.list_age_s <= limits.upstreams_s
     )
-    state.relay.note_told(now=now, enough=enough)
+    state.relay.record_reply(now=now, is_fresh=is_fresh)
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/store_relay.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/store_relay.py
@@ -26,7 +26,7 @@
 from rhubarbbank_router import messages
 from rhubarbbank_router import upstreams
 
-Change = upstreams.Upstream | str
+UpstreamChange = upstreams.Upstream | str
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -48,7 +48,7 @@
         return least_s >= defaults.RELAY_MIN_MARGIN_S
 
 
-def find_id(change: Change) -> str:
+def get_upstream_id(change: UpstreamChange) -> str:
     """Returns the id of the upstream that a change is about."""
     return change if isinstance(change, str) else change.upstream_id
 
@@ -63,7 +63,7 @@
     """
 
     position: int
-    changes: tuple[Change, ...]
+    changes: tuple[UpstreamChange, ...]
 
 
 class ChangeLog:
@@ -76,38 +76,40 @@
     """
 
     def __init__(self) -> None:
-        self.floor = 0
+        self.oldest_position = 0
         self.position = 0
         self.logged: collections.deque[LoggedChanges] = collections.deque()
 
-    def begin(self, position: int) -> None:
+    def reset(self, position: int) -> None:
         """Begins anew after a whole list."""
         if position == self.position and self.logged:
             return
         self.logged.clear()
-        self.floor = position
+        self.oldest_position = position
         self.position = position
 
-    def add(self, position: int, changes: tuple[Change, ...]) -> None:
+    def append(
+        self, position: int, changes: tuple[UpstreamChange, ...]
+    ) -> None:
         """Takes the changes up to a revision."""
         if changes:
             self.logged.append(LoggedChanges(position, changes))
         self.position = max(self.position, position)
         while len(self.logged) > defaults.MAX_LOGGED_CHANGES:
-            self.floor = self.logged.popleft().position
+            self.oldest_position = self.logged.popleft().position
 
-    def list_since(self, position: int) -> tuple[Change, ...] | None:
+    def changes_since(self, position: int) -> tuple[UpstreamChange, ...] | None:
         """Returns each upstream's last change after a revision.
 
         Returns:
             None if the log doesn't reach back so far.
         """
-        if position < self.floor:
+        if position < self.oldest_position:
             return None
-        last: dict[str, Change] = {}
+        last: dict[str, UpstreamChange] = {}
         for logged in self.logged:
             if logged.position > position:
-                last.update({find_id(x): x for x in logged.changes})
+                last.update({get_upstream_id(x): x for x in logged.changes})
         return tuple(last.values())
 
 
@@ -120,71 +122,75 @@
         log: The list's last changes.
         pending: Changes that no revision has been told for yet.
         listed_at: Up to when the list is known to be complete, in seconds.
-        told_at: When another reader last told enough; None before.
-        told_since: Since when a reader has done so without a gap; None
+        informed_at: When another reader last told is_fresh; None before.
+        informed_since: Since when a reader has done so without a gap; None
             while none does.
         asked_at: When one was last asked.
-        askers: What each address asked last, and when.
+        last_asks: What each address asked last, and when.
         newest: The newest revision of the configuration that was told of.
     """
 
     def __init__(self, *, limits: AgeLimits) -> None:
         self.limits = limits
-        self.reading = True
-        self.log = ChangeLog()
-        self.pending: list[Change] = []
-        self.listed_at: float | None = None
-        self.told_at: float | None = None
-        self.told_since: float | None = None
+        self.is_reader = True
+        self.change_log = ChangeLog()
+        self.pending: list[UpstreamChange] = []
+        self.list_confirmed_at: float | None = None
+        self.informed_at: float | None = None
+        self.informed_since: float | None = None
         self.asked_at = 0.0
-        self.askers: dict[str, tuple[messages.StoreAsk, float]] = {}
-        self.newest = 0
+        self.last_asks: dict[str, tuple[messages.StoreAsk, float]] = {}
+        self.newest_revision = 0
 
-    def note_change(self, change: Change) -> None:
+    def record_change(self, change: UpstreamChange) -> None:
         """Notes a change that the store told this entry."""
         self.pending.append(change)
 
-    def note_list(self, position: int, *, at: float) -> None:
+    def record_list(self, position: int, *, at: float) -> None:
         """Notes that the whole list was read from the store."""
         self.pending.clear()
-        self.log.begin(position)
+        self.change_log.reset(position)
         self.confirm(at=at)
 
-    def note_watched(self, position: int, *, at: float) -> bool:
+    def record_watch(self, position: int, *, at: float) -> bool:
         """Notes the end of a watch; returns whether it told changes."""
         changes = tuple(self.pending)
         self.pending.clear()
-        self.log.add(position, changes)
+        self.change_log.append(position, changes)
         self.confirm(at=at)
         return bool(changes)
 
     def confirm(self, *, at: float) -> None:
         """Notes that the list is complete up to a time, in seconds."""
-        if self.listed_at is None or at > self.listed_at:
-            self.listed_at = at
+        if self.list_confirmed_at is None or at > self.list_confirmed_at:
+            self.list_confirmed_at = at
 
     def list_age(self, *, now: float) -> float | None:
         """Returns the age of the list in seconds; None without one."""
-        return None if self.listed_at is None else now - self.listed_at
+        return (
+            None
+            if self.list_confirmed_at is None
+            else now - self.list_confirmed_at
+        )
 
-    def note_ask(self, ask: messages.StoreAsk, *, now: float) -> None:
+    def record_ask(self, ask: messages.StoreAsk, *, now: float) -> None:
         """Notes that an entry wants to be kept informed."""
-        self.askers[ask.address] = (ask, now)
+        self.last_asks[ask.address] = (ask, now)
 
-    def list_asks(self, *, now: float) -> list[messages.StoreAsk]:
+    def recent_asks(self, *, now: float) -> list[messages.StoreAsk]:
         """Returns the last ask of each entry that this one informs."""
-        self.askers = {
+        self.last_asks = {
             address: (ask, at)
-            for address, (ask, at) in self.askers.items()
+            for address, (ask, at) in self.last_asks.items()
             if now - at <= defaults.ASKER_EXPIRY_S
         }
-        return [ask for ask, _ in self.askers.values()]
+        return [ask for ask, _ in self.last_asks.values()]
 
-    def is_due(self, *, now: float) -> bool:
+    def is_ask_due(self, *, now: float) -> bool:
         """Returns whether it is time to ask a reader."""
         return now - self.asked_at >= defaults.ASK_PERIOD_S
 
-    def build_told(
+    def build_reply(
         self, ask: messages.StoreAsk, facts: "ReaderFacts", *, now: float
     ) -> messages.StoreTold | None:
         """Returns the answer to an ask; None while too little is known.
@@ -197,7 +203,7 @@
         age_s = self.list_age(now=now)
         if facts.proof_age_s is None or age_s is None:
             return None
-        changes = self.log.list_since(ask.position)
+        changes = self.change_log.changes_since(ask.position)
         whole: tuple[upstreams.Upstream, ...] | None = None
         if changes is None:
             whole = facts.listed
@@ -206,7 +212,7 @@
             asked_at=ask.asked_at,
             revision=facts.revision,
             proof_age_s=facts.proof_age_s,
-            position=self.log.position,
+            position=self.change_log.position,
             list_age_s=age_s,
             regained_age_s=facts.regained_age_s,
             changed=tuple(
@@ -216,23 +222,23 @@
             whole=whole,
         )
 
-    def note_told(self, *, now: float, enough: bool) -> None:
+    def record_reply(self, *, now: float, is_fresh: bool) -> None:
         """Notes whether a reader keeps this entry informed."""
-        if not enough:
-            self.told_since = None
+        if not is_fresh:
+            self.informed_since = None
             return
-        self.told_at = now
-        if self.told_since is None:
-            self.told_since = now
+        self.informed_at = now
+        if self.informed_since is None:
+            self.informed_since = now
 
     def is_informed_by_reader(self, *, now: float) -> bool:
         """Returns whether a reader has informed this entry for a while."""
-        if self.told_at is None or self.told_since is None:
+        if self.informed_at is None or self.informed_since is None:
             return False
-        if now - self.told_at > defaults.ASKER_EXPIRY_S:
-            self.told_since = None
+        if now - self.informed_at > defaults.ASKER_EXPIRY_S:
+            self.informed_since = None
             return False
-        return now - self.told_since >= defaults.RELAY_PROVEN_S
+        return now - self.informed_since >= defaults.RELAY_PROVEN_S
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/upstream_list.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/upstream_list.py
@@ -94,7 +94,7 @@
     match event:
         case events.UpstreamsListed(listed, position=position, at=at):
             state.listed_subjects.add(events.Subject.UPSTREAMS)
-            state.relay.note_list(position, at=at)
+            state.relay.record_list(position, at=at)
             gone = state.view.replace_list(
                 listed, store_unstable=store_unstable
             )
@@ -112,7 +112,7 @@
             ]
         case events.UpstreamChanged(listed):
             state.view.put(listed)
-            state.relay.note_change(listed)
+            state.relay.record_change(listed)
             rollouts.init_all_settled_versions(state)
             return [
                 fx.LogDecision(
@@ -124,7 +124,7 @@
                 )
             ]
         case events.UpstreamUnlisted(upstream_id):
-            state.relay.note_change(upstream_id)
+            state.relay.record_change(upstream_id)
             known = upstream_id in state.view.tracked
             state.view.remove(upstream_id, store_unstable=store_unstable)
             if not known:
@@ -137,8 +137,8 @@
                 )
             ]
         case events.UpstreamsConfirmed(position=position, at=at):
-            if state.relay.note_watched(position, at=at):
-                return store_reading.tell_all(state, now=now)
+            if state.relay.record_watch(position, at=at):
+                return store_reading.send_updates(state, now=now)
             return []
         case _:
             return []
