--- a/packages/rhubarbbank-router/src/rhubarbbank_router/crash_suspects.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/crash_suspects.py
@@ -1,16 +1,16 @@
-"""Notices requests that crash the upstreams that run them.
-
-A request that ends several upstreams, without an answer in between, is
-refused before it reaches another one. No entry needs to see that alone: what
-is known of a request is the set of upstreams that have ended under it, and
-each entry tells what it knows with its heartbeats. Sets only grow together,
-so that the order of messages, lost ones and repeated ones don't matter, and
-what an entry has told outlives its process. A good answer clears the request
-of all that happened before.
-
-    caller --> entry 1 --> upstream a ends    {a}
-           --> entry 2 --> upstream b ends    {a, b}
-           --> entry 3 --> upstream c ends    {a, b, c}, refused everywhere
+"""Detects requests that crash the upstreams that run them.
+
+A request that crashes several upstreams, without a good answer in between, is
+refused before it reaches another one. The crashes needn't happen at the same
+entry: for each request an entry keeps the set of upstreams that crashed while
+running it, and sends it to the other entries with its heartbeats. A received
+set is merged by union, so that messages may be lost, repeated or reordered,
+and what an entry has sent survives its process. A good answer clears the
+request of all earlier crashes.
+
+    caller --> entry 1 --> upstream a crashes    {a}
+           --> entry 2 --> upstream b crashes    {a, b}
+           --> entry 3 --> upstream c crashes    {a, b, c}, refused everywhere
 """
 
 import collections
@@ -30,11 +30,11 @@
 def compute_fingerprint(
     request: callers.IncomingRequest, *, organisation: str
 ) -> str:
-    """Returns what all sendings of one request have in common.
+    """Returns a hash that is the same each time a caller sends a request.
 
     Args:
         request: The request.
-        organisation: Whose it is, under whatever key.
+        organisation: Its organisation, which may have several API keys.
     """
     digest = xxhash.xxh64()
     for part in (organisation, request.method, request.target):
@@ -45,17 +45,17 @@
 
 
 def hash_incarnation(upstream_id: str, started_ms: int) -> name_hashes.NameHash:
-    """Returns what stands for the end of one incarnation of an upstream."""
+    """Returns the hash by which a crash of an upstream's process is known."""
     return name_hashes.hash_name(f"{upstream_id}/{started_ms}")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class UnansweredAttempt:
-    """An attempt that was given up while its upstream was silent.
+    """An attempt that was cancelled before its upstream answered.
 
     Attributes:
-        fingerprint: Of the request.
-        given_up_at: When, in seconds.
+        fingerprint: Fingerprint of the request.
+        given_up_at: When it was cancelled, in seconds.
     """
 
     fingerprint: str
@@ -64,14 +64,15 @@
 
 @dataclasses.dataclass(slots=True)
 class Suspect:
-    """What is known of one request.
+    """The crashes that one request is suspected of.
 
     Attributes:
-        seen_at: When it last ended an upstream or was refused, in seconds.
-        crashes: The upstreams that ended under it, with the time.
-        seen_locally: Those of them whose end was seen here.
+        seen_at: When it last crashed an upstream or was refused, in seconds.
+        crashes: Time of each crash, by hash of the upstream's incarnation.
+        seen_locally: Those of them that this entry observed itself.
         cleared_at: When it last had a good answer; None if it had none.
-        share_until: It is told until then, with all that is known.
+        share_until: Heartbeats carry it until then, even if it has too few
+            crashes to be sent for as long as it is kept.
     """
 
     seen_at: float
@@ -85,14 +86,17 @@
     )
 
     def add_crash(self, crash: name_hashes.NameHash, *, at: float) -> None:
-        """Notes the end of an upstream, once, unless it is cleared of it."""
+        """Adds a crash, unless a later good answer has cleared it.
+
+        If it is already known, the earlier time is kept.
+        """
         if self.cleared_at is not None and at <= self.cleared_at:
             return
         self.crashes[crash] = min(at, self.crashes.get(crash, at))
         self.seen_at = max(self.seen_at, at)
 
     def clear(self, *, at: float) -> None:
-        """Clears the request of what happened before a time."""
+        """Clears the request of all crashes up to a time."""
         self.cleared_at = max(at, self.cleared_at or at)
         self.crashes = {
             crash: crashed_at
@@ -103,11 +107,12 @@
 
 
 class CrashSuspects:
-    """What all entries together know of requests that end upstreams.
+    """Requests that may crash upstreams, as far as all entries know.
 
     Attributes:
         suspects: By fingerprint, the most recently changed last.
-        unanswered: Silent attempts, by the end that they would be explained by.
+        unanswered: Attempts without an answer, by the hash of the incarnation
+            of the upstream that may have crashed.
     """
 
     def __init__(self) -> None:
@@ -121,17 +126,26 @@
     def record_no_answer(
         self, fingerprint: str, crash: name_hashes.NameHash, *, now: float
     ) -> None:
-        """Notes an attempt without an answer, whose upstream may have ended."""
+        """Records an attempt without an answer; its upstream may have crashed.
+
+        Args:
+            fingerprint: Fingerprint of the request.
+            crash: Hash of the upstream's incarnation.
+            now: In seconds.
+        """
         attempts = self.unanswered.setdefault(crash, [])
         attempts.append(UnansweredAttempt(fingerprint, now))
 
     def confirm_crash(
         self, crash: name_hashes.NameHash, *, now: float
     ) -> list[str]:
-        """Takes that an upstream has ended, as the list tells.
+        """Attributes a crash to the requests that had no answer there.
+
+        Called when the list of upstreams no longer has this incarnation.
 
         Returns:
-            The requests that were given up there shortly before.
+            Fingerprints of the requests whose attempts there were cancelled
+            less than SILENT_END_S ago.
         """
         found = [
             each.fingerprint
@@ -145,17 +159,18 @@
     def record_crash(
         self, fingerprint: str, crash: name_hashes.NameHash, *, now: float
     ) -> None:
-        """Notes an end that was seen here.
+        """Records a crash that this entry observed.
 
         Args:
-            fingerprint: Of the request.
-            crash: Of the upstream that ran it.
+            fingerprint: Fingerprint of the request.
+            crash: Hash of the incarnation of the upstream that ran it.
             now: In seconds.
         """
         suspect = self.find_or_create(fingerprint, now=now)
         seen = crash in suspect.seen_locally
         if seen and now - suspect.crashes[crash] > defaults.MIN_RESTART_S:
-            # It has been back, and its new start wasn't listed yet.
+            # The upstream has restarted and crashed again before its restart
+            # was listed, so that the hash is still that of the first crash.
             crash = name_hashes.hash_name(
                 f"{crash}/{len(suspect.seen_locally)}"
             )
@@ -167,23 +182,27 @@
         suspect.share_until = now + defaults.SUSPECT_REPORT_S
 
     def record_refusal(self, fingerprint: str, *, now: float) -> None:
-        """Notes that a suspect has come again, so that it is remembered."""
+        """Records that a suspect was refused, which postpones its expiry."""
         self.find_or_create(fingerprint, now=now).seen_at = now
 
     def find_or_create(self, fingerprint: str, *, now: float) -> Suspect:
-        """Returns what is known of a request that is of interest now."""
+        """Returns a request's record, and makes it the most recent one."""
         suspect = self.suspects.setdefault(fingerprint, Suspect(seen_at=now))
         self.suspects.move_to_end(fingerprint)
         return suspect
 
     def evict_excess(self) -> list[str]:
-        """Forgets what tells least if there is too much; returns what.
+        """Removes the suspects with the fewest crashes above MAX_SUSPECTS.
 
-        Called with each heartbeat, between which little comes.
+        Called with each heartbeat; few are added between two of them.
 
-        An upstream that ends breaks off all that it ran, so that most
-        requests here have one end. What was seen here is kept first: each end
-        is remembered by whoever saw it, and told when a second one is heard.
+        A crash interrupts every request that the upstream ran, so that most
+        suspects have a single crash. Among those, the ones observed here are
+        kept first: each crash is kept by the entry that observed it, and is
+        sent when that entry hears of a second one.
+
+        Returns:
+            The fingerprints that were removed.
         """
         if len(self.suspects) <= defaults.MAX_SUSPECTS:
             return []
@@ -200,10 +219,10 @@
         return forgotten
 
     def clear(self, fingerprint: str, *, now: float) -> bool:
-        """Notes that the request had a good answer: it ends nothing.
+        """Records a good answer, which shows that the request is harmless.
 
         Returns:
-            Whether ends of upstreams under it were known.
+            Whether any crashes were known.
         """
         if not self.count_crashes(fingerprint):
             return False
@@ -215,14 +234,14 @@
     def merge(
         self, received: tuple[messages.SuspectNews, ...], *, now: float
     ) -> list[str]:
-        """Takes what a peer knows.
+        """Merges the suspects of another entry.
 
         Args:
-            received: By the peer.
-            now: When it was received, in seconds.
+            received: The suspects in its message.
+            now: When they were received, in seconds.
 
         Returns:
-            The requests of which something else is known than before.
+            Fingerprints of the requests whose known crashes have changed.
         """
         changed: list[str] = []
         for each in received:
@@ -233,9 +252,9 @@
     def merge_suspect(
         self, received: messages.SuspectNews, *, now: float
     ) -> bool:
-        """Takes what a peer knows of one request; returns whether it is news.
+        """Merges one suspect; returns whether its known crashes have changed.
 
-        Entries of earlier releases name no ends.
+        Entries of earlier releases send no `ends`; those are ignored.
         """
         if not received.ends and received.cleared_ms is None:
             return False
@@ -247,22 +266,22 @@
         for each in received.ends:
             suspect.add_crash(each.upstream, at=now - convert_to_s(each.age_ms))
         if received.cleared_ms is None and suspect.cleared_at is not None:
-            # The peer has missed the answer.
+            # The sender hasn't heard of the good answer.
             suspect.share_until = now + defaults.SUSPECT_REPORT_S
         suspect.seen_at = max(suspect.seen_at, seen_at)
         return before != suspect.crashes.keys()
 
     def count_crashes(self, fingerprint: str) -> int:
-        """Returns how many upstreams are known to have ended under it."""
+        """Returns how many crashes of upstreams the request is known for."""
         suspect = self.suspects.get(fingerprint)
         return len(suspect.crashes) if suspect else 0
 
     def is_suspect(self, fingerprint: str) -> bool:
-        """Returns whether the request must not reach another upstream."""
+        """Returns whether the request must be refused."""
         return self.count_crashes(fingerprint) >= defaults.ENDS_TO_SUSPECT
 
     def build_log_inputs(self, fingerprint: str) -> tuple[fx.LogInput, ...]:
-        """Returns what is known of a request, for the log."""
+        """Returns the log inputs that describe a request's crashes."""
         suspect = self.suspects.get(fingerprint)
         return (
             ("fingerprint", fingerprint),
@@ -271,7 +290,7 @@
         )
 
     def remove_expired(self, *, now: float) -> list[str]:
-        """Forgets requests not seen for long; returns their fingerprints."""
+        """Removes suspects not seen recently; returns their fingerprints."""
         old = [
             fingerprint
             for fingerprint, suspect in self.suspects.items()
@@ -287,11 +306,12 @@
         return old
 
     def build_news(self, *, now: float) -> tuple[messages.SuspectNews, ...]:
-        """Returns what peers are received, the most telling first.
+        """Returns the suspects for a heartbeat, those with most crashes first.
 
-        Ends seen here are told until all peers have heard of them. Requests
-        with several are told by everyone who knows of them, for as long as
-        they are remembered, so that entries that have been away learn of them.
+        A crash observed here is sent until every live entry should have
+        received it. A request with several crashes is sent by all entries for
+        as long as they keep it, so that entries that were disconnected learn
+        of it.
         """
         shared = [
             (fingerprint, suspect)
@@ -309,7 +329,7 @@
 def build_suspect_news(
     fingerprint: str, suspect: Suspect, *, now: float
 ) -> messages.SuspectNews:
-    """Returns what is known of a request as a heartbeat carries it."""
+    """Returns one suspect in the form that heartbeats carry."""
     cleared_ms = None
     if suspect.cleared_at is not None:
         cleared_ms = compute_age_ms(suspect.cleared_at, now=now)
@@ -326,10 +346,10 @@
 
 
 def compute_age_ms(at: float, *, now: float) -> int:
-    """Returns how long ago a time was, in milliseconds."""
+    """Returns the time since then, in milliseconds."""
     return int((now - at) * MS_PER_S)
 
 
 def convert_to_s(age_ms: int) -> float:
-    """Returns an age in seconds."""
+    """Converts an age from milliseconds to seconds."""
     return age_ms / MS_PER_S
