--- a/features/steps/router_load_steps.py
+++ b/features/steps/router_load_steps.py
@@ -1,4 +1,4 @@
-"""Steps for the router under load: placement, budget, trouble."""
+"""Steps for the router under load: placement, retry budget, failures."""
 
 import collections
 import random
@@ -61,7 +61,7 @@
     )
 
 
-def count_away(context):
+def count_in_other_centre(context):
     return sum(
         int(each.upstream_id.removeprefix("up-")) >= 10
         for each in context.sendings
@@ -69,13 +69,13 @@
 
 
 @then("all of them are sent to this data centre")
-def check_here(context):
-    assert count_away(context) == 0
+def check_own_centre(context):
+    assert count_in_other_centre(context) == 0
 
 
 @then("some of them are sent to the other data centre")
-def check_away(context):
-    assert count_away(context) > 0
+def check_other_centre(context):
+    assert count_in_other_centre(context) > 0
 
 
 @when('a caller in session "{session}" asks "chat" and is answered')
@@ -103,10 +103,11 @@
 
 
 @then(
-    "long prompts wait less than with placement by count, over {seeds:d} seeds"
+    "the mean wait is shorter than with placement by request count, "
+    "over {seeds:d} seeds"
 )
 def check_waits(context, seeds):
-    """Plays a burst on queues that read one prompt after another."""
+    """Simulates a burst on queues that prefill one prompt at a time."""
 
     def play(chooser, rng):
         backlog = [0.0] * 6
@@ -157,7 +158,7 @@
     assert statistics.fmean(by_work) < statistics.fmean(by_count)
 
 
-@when('{count:d} callers ask "look" and every upstream breaks off')
+@when('{count:d} callers ask "look" and every upstream breaks the connection')
 def ask_failing(context, count):
     world = context.world
     for _ in range(count):
@@ -169,11 +170,8 @@
     context.count = count
 
 
-@then(
-    "there are at most {ratio:g} additional sends for each request"
-    " and {extra:d} more"
-)
-def check_additional(context, ratio, extra):
+@then("there are at most {ratio:g} retries for each request and {extra:d} more")
+def check_retries(context, ratio, extra):
     sent = sum(
         type(each).__name__ == "SendAttempt" for each in context.world.done
     )
@@ -181,7 +179,10 @@
     assert sent - context.count <= ratio * context.count + extra
 
 
-@then("{count:d} entries together stay within ratio and extra over any 10 s")
+@then(
+    "the retries of {count:d} entries together stay within ratio and extra "
+    "in any 10 s"
+)
 def check_shared(context, count):
     rng = random.Random(7)
     limits = window_budget.BudgetLimits(
@@ -190,7 +191,7 @@
     budgets = [window_budget.WindowBudget(limits=limits) for _ in range(count)]
     for budget in budgets:
         budget.note_entries(count, now=0.0)
-    requests, repeats = [], []
+    requests, retries = [], []
     now = 0.0
     while now < 60.0:
         now += rng.expovariate(40.0)
@@ -198,12 +199,12 @@
         budget.count_request("pool", now=now)
         requests.append(now)
         while budget.take("pool", now=now):
-            repeats.append(now)
+            retries.append(now)
     for end in range(10, 60):
-        window = [x for x in repeats if end - WINDOW_S < x <= end]
+        window = [x for x in retries if end - WINDOW_S < x <= end]
         asked = [x for x in requests if end - WINDOW_S < x <= end]
         assert len(window) <= RATIO * len(asked) + EXTRA, end
-    assert len(repeats) > 0.5 * len(requests)
+    assert len(retries) > 0.5 * len(requests)
 
 
 @when("upstream {number:d} fails {count:d} times in a row")
@@ -224,14 +225,14 @@
     return found
 
 
-@then("the next {count:d} requests go elsewhere")
-def check_elsewhere(context, count):
-    assert "up-0" not in send_many(context, count)
+@then("none of the next {count:d} requests goes to upstream {number:d}")
+def check_none_sent(context, count, number):
+    assert f"up-{number}" not in send_many(context, count)
 
 
-@then("upstream {number:d} is tried again")
-def check_tried(context, number):
-    assert f"up-{number}" in send_many(context, 40)
+@then("some of the next {count:d} requests go to upstream {number:d}")
+def check_some_sent(context, count, number):
+    assert f"up-{number}" in send_many(context, count)
 
 
 @when("upstream {number:d} is listed as leaving")
@@ -240,8 +241,8 @@
     context.world.apply(events.UpstreamChanged(listed))
 
 
-@when("upstream {number:d} leaves the list")
-def unlist(context, number):
+@when("upstream {number:d} is removed from the list")
+def remove_from_list(context, number):
     context.world.apply(events.UpstreamUnlisted(f"up-{number}"))
 
 
@@ -253,14 +254,14 @@
 
 
 @when("the store answers again and {duration:g} s pass")
-def regain_store(context, duration):
+def restore_store(context, duration):
     world = context.world
     world.apply(events.StoreAnswered(events.Subject.UPSTREAMS))
     world.run(duration)
     world.configure(world.state.active_configuration)
 
 
-@when("the same request breaks off {count:d} upstreams")
+@when("the same request crashes {count:d} upstreams")
 def crash_upstreams(context, count):
     world = context.world
     ended = set()
@@ -271,20 +272,22 @@
             world.end(request, "broken")
 
 
-def check_suspect(world):
+def check_refused(world):
     request = world.ask("look", body=b"poison", target="/look/p")
     assert not world.sent(request)
     (answer,) = world.answers(request)
     assert answer.status == 503, answer
 
 
-@then("its next sending is refused as not run")
-def check_refused_here(context):
-    check_suspect(context.world)
+@then("the same request is refused as not run")
+def check_refused_by_router(context):
+    check_refused(context.world)
 
 
-@then("its next sending to a peer that has heard of it is refused as not run")
-def check_refused_there(context):
+@then(
+    "the same request is refused as not run by a peer that has got a heartbeat"
+)
+def check_refused_by_peer(context):
     world = context.world
     other = router_world.World(name="entry-1")
     other.start(9)
@@ -292,14 +295,17 @@
     peer = peers.PeerAddress(name="entry-1", address=address)
     world.apply(events.EntryListed(peer))
     world.run(1.0)
-    told = [x.message for x in world.messages() if x.address == address]
-    assert told
-    for message in told:
+    received = [x.message for x in world.messages() if x.address == address]
+    assert received
+    for message in received:
         other.apply(core_events.MessageReceived(message))
-    check_suspect(other)
+    check_refused(other)
 
 
-@when("the same request breaks off once and is answered then, {count:d} times")
+@when(
+    "the connection of the same request breaks and its retry is answered, "
+    "{count:d} times"
+)
 def break_and_answer(context, count):
     world = context.world
     for _ in range(count):
@@ -310,7 +316,7 @@
         world.configure(world.state.active_configuration)
 
 
-@then("its next sending is sent to an upstream")
+@then("the same request is sent to an upstream")
 def check_not_suspect(context):
     world = context.world
     request = world.ask("look", body=b"hot", target="/look/hot")
