--- a/features/steps/engine_load_steps.py
+++ b/features/steps/engine_load_steps.py
@@ -1,4 +1,4 @@
-"""Steps for what entries tell one another of their work at engines."""
+"""Steps for the reports of open work at engines between entries."""
 
 import random
 
@@ -17,20 +17,20 @@
 
 NEAR = "entry-7"
 FAR = "entry-8"
-PLACES = {NEAR: "west-a", FAR: "west-b"}
+DATA_CENTRES = {NEAR: "west-a", FAR: "west-b"}
 ADDRESSES = {NEAR: "127.0.0.1:17", FAR: "127.0.0.1:18"}
 PEERS = {"nearby": NEAR, "far away": FAR}
 
 
-def hear(world, name, loads=()):
-    """A peer's heartbeat comes."""
+def receive_heartbeat(world, name, loads=()):
+    """Delivers a heartbeat of a peer."""
     news = messages.EntryNews(
         name=name,
         incarnation=1,
         address=ADDRESSES[name],
         stopping=False,
         loads=tuple(loads),
-        data_centre=PLACES[name],
+        data_centre=DATA_CENTRES[name],
     )
     world.apply(core_events.MessageReceived(news))
 
@@ -46,8 +46,8 @@
 
 @given("a peer nearby and a peer in another data centre")
 def add_peers(context):
-    for name in PLACES:
-        hear(context.world, name)
+    for name in DATA_CENTRES:
+        receive_heartbeat(context.world, name)
 
 
 @given("{count:d} more peers in the other data centre")
@@ -58,14 +58,14 @@
             incarnation=1,
             address=f"127.0.0.1:{30 + number}",
             stopping=False,
-            data_centre=PLACES[FAR],
+            data_centre=DATA_CENTRES[FAR],
         )
         context.world.apply(core_events.MessageReceived(news))
 
 
-@when('the peer {where} tells of {work:g} s of work at "{upstream}"')
-def tell_work(context, where, work, upstream):
-    hear(context.world, PEERS[where], [build_load(upstream, work)])
+@when('the peer {where} reports {work:g} s of work at "{upstream}"')
+def report_work(context, where, work, upstream):
+    receive_heartbeat(context.world, PEERS[where], [build_load(upstream, work)])
 
 
 @then('the next {count:d} chats go to "{upstream}"')
@@ -82,8 +82,8 @@
         world.end(request)
 
 
-@then("nothing is known of others' work")
-def check_forgotten(context):
+@then("no work of other entries is known")
+def check_expired(context):
     assert not context.world.state.remote_work.loads
 
 
@@ -115,7 +115,7 @@
     assert 1 <= len(list_heartbeats(world, FAR)) <= most
 
 
-@then("only the peer nearby was told of the short prompt")
+@then("only the peer nearby has had a report of the short prompt")
 def check_short(context):
     world = context.world
     near = [len(x.loads) for x in list_heartbeats(world, NEAR)]
@@ -124,8 +124,8 @@
 
 
 @then(
-    "the peer far away has had at least {least:d} heartbeats, and was told of "
-    "the short prompt"
+    "the peer far away has had at least {least:d} heartbeats, and a report "
+    "of the short prompt"
 )
 def check_far(context, least):
     heartbeats = list_heartbeats(context.world, FAR)
@@ -133,20 +133,22 @@
     assert any(x.loads for x in heartbeats), heartbeats
 
 
-@then("in a roll-out the peer far away has at least {least:d} in {wait:g} s")
+@then(
+    "during a roll-out the peer far away gets at least {least:d} in {wait:g} s"
+)
 def check_trial_heartbeats(context, least, wait):
     world = context.world
     world.apply(events.RolloutChanged(router_world.build_order()))
     world.run(2.0)
-    for name in PLACES:
-        hear(world, name)
+    for name in DATA_CENTRES:
+        receive_heartbeat(world, name)
     before = len(list_heartbeats(world, FAR))
     world.run(wait)
     assert len(list_heartbeats(world, FAR)) - before >= least
 
 
-def list_told(world, name):
-    """Addresses that were told of work there."""
+def list_reports(world, name):
+    """Returns messages to the peer with work at the request's upstream."""
     upstream = name_hashes.hash_name(
         world.sent(world_request(world))[-1].upstream_id
     )
@@ -162,14 +164,14 @@
     return f"r{world.asked}"
 
 
-@then("the peer nearby has been told of work there, the peer far away not")
-def check_told(context):
-    assert list_told(context.world, NEAR)
-    assert not list_told(context.world, FAR)
+@then("the peer nearby has had a report of the prompt, the peer far away none")
+def check_reported(context):
+    assert list_reports(context.world, NEAR)
+    assert not list_reports(context.world, FAR)
 
 
-@then("no peer has been told of it yet")
-def check_untold(context):
+@then("no peer has had a report ahead of its heartbeat")
+def check_unreported(context):
     found = [
         x
         for x in context.world.messages()
@@ -178,36 +180,39 @@
     assert not found, found
 
 
-@when("{who} from its upstream while it is silent for {silent:g} s")
-def stay_silent(context, who, silent):
+@when(
+    "{who} gets bytes from its upstream while the request gets none for "
+    "{silent:g} s"
+)
+def send_no_bytes(context, who, silent):
     world = context.world
     upstream = world.sent(context.request)[0].upstream_id
     for _ in range(round(silent / 0.1)):
-        if who == "the peer nearby hears":
-            hear(world, NEAR, [build_load(upstream)])
-        if who == "another request hears":
+        if who == "the peer nearby":
+            receive_heartbeat(world, NEAR, [build_load(upstream)])
+        if who == "another request":
             world.state.view.note_bytes_received(upstream, now=world.now)
         world.configure(world.state.active_configuration)
         world.run(0.1)
 
 
-@then("its attempts are {count:d}")
+@then("the request has had {count:d} attempts")
 def check_attempts(context, count):
     found = context.world.sent(context.request)
     assert len(found) == count, found
 
 
 @then(
-    "after {count:d} prompts that are read at {speed:g} tokens/ms behind 0 to "
-    "2 s of others, the speed is {least:g} to {most:g} tokens/ms"
+    "after {count:d} prompts with a prefill of {speed:g} tokens/ms, half of "
+    "them queued for up to 2 s, the estimate is {least:g} to {most:g} tokens/ms"
 )
 def check_speed(context, count, speed, least, most):
     rng = random.Random(3)
     speeds = engine_work.PrefillSpeeds()
     for _ in range(count):
         tokens = rng.randrange(500, 20_000)
-        # Half of the prompts find the engine idle.
-        waited_s = rng.uniform(0.0, 2.0) * (rng.random() < 0.5)
+        # Half of the prompts come to an idle engine.
+        queued_s = rng.uniform(0.0, 2.0) * (rng.random() < 0.5)
         attempt = attempt_states.Attempt(
             number=1,
             upstream="up-0",
@@ -217,7 +222,7 @@
             sent_at=0.0,
             uncached_tokens=tokens,
         )
-        read_s = tokens / speed / 1000 + defaults.ENGINE_LATENCY_S
-        speeds.learn(attempt, waited_s=waited_s + read_s)
+        engine_s = tokens / speed / 1000 + defaults.ENGINE_LATENCY_S
+        speeds.learn(attempt, waited_s=queued_s + engine_s)
     found = speeds.find("pool", "large") / 1000
     assert least <= found <= most, found
