--- a/features/steps/router_notice_steps.py
+++ b/features/steps/router_notice_steps.py
@@ -1,4 +1,4 @@
-"""Steps for what upstreams say of themselves in their answers."""
+"""Steps for what upstreams announce in the headers of their answers."""
 
 import dataclasses
 
@@ -17,7 +17,7 @@
 
 
 def ask_until_sent(world, upstream):
-    """Asks until a request goes to the upstream; answers the others."""
+    """Sends requests until one goes to the upstream; answers the others."""
     for _ in range(200):
         request = world.ask("look")
         if world.sent(request)[-1].upstream_id == upstream:
@@ -27,7 +27,7 @@
 
 
 def count_sent(world, upstream, count):
-    """Asks a number of times; returns how many went to the upstream."""
+    """Sends requests; returns how many of them went to the upstream."""
     found = 0
     for _ in range(count):
         request = world.ask("look")
@@ -44,8 +44,8 @@
     world.apply(events.UpstreamChanged(listed))
 
 
-@when('upstream "{upstream}" answers {status:d} and says that it shuts down')
-def say_leaving(context, upstream, status):
+@when('upstream "{upstream}" answers {status:d} and announces its shutdown')
+def announce_shutdown(context, upstream, status):
     world = context.world
     request = ask_until_sent(world, upstream)
     world.head(
@@ -59,42 +59,44 @@
         world.end(request)
 
 
-@when('upstream "{upstream}" refuses a request and wants nothing for {wish} s')
-def say_closed(context, upstream, wish):
+@when(
+    'upstream "{upstream}" refuses a request and asks for a pause of {pause} s'
+)
+def ask_for_pause(context, upstream, pause):
     world = context.world
     request = ask_until_sent(world, upstream)
-    world.head(request, 503, refused=True, closed_for_s=float(wish))
+    world.head(request, 503, refused=True, closed_for_s=float(pause))
     if not world.answers(request):
         world.answer_whole(request)
 
 
-@when("a request's other upstream breaks off")
+@when("a request's other upstream breaks the connection")
 def break_other(context):
     world = context.world
     context.request = world.ask("look")
     world.end(context.request, "broken")
 
 
-@then("its caller has its answer at once")
+@then("its caller has an answer at once")
 def check_answered(context):
     assert context.world.answers(context.request)
     assert len(context.world.sent(context.request)) == 1
 
 
-@when('the list says again that "{upstream}" is ready')
+@when('the list shows "{upstream}" as ready again')
 def list_again(context, upstream):
     relist(context.world, upstream, leaving=False)
 
 
-@when('"{upstream}" lapses from the list and is back')
-def lapse(context, upstream):
+@when('"{upstream}" is removed from the list and added again')
+def remove_and_add(context, upstream):
     listed = context.world.state.view.tracked[upstream].listed
     context.world.apply(events.UpstreamUnlisted(upstream))
     context.world.apply(events.UpstreamChanged(listed))
 
 
-@when('"{upstream}" starts anew under its id')
-def start_anew(context, upstream):
+@when('"{upstream}" restarts with the same id')
+def restart(context, upstream):
     relist(context.world, upstream, started_ms=77)
 
 
@@ -127,20 +129,20 @@
     check_heartbeat(context, "")
 
 
-@when('"{upstream}" leaves the list')
-def leave_list(context, upstream):
+@when('"{upstream}" is removed from the list')
+def remove_from_list(context, upstream):
     context.listed = context.world.state.view.tracked[upstream].listed
     context.world.apply(events.UpstreamUnlisted(upstream))
 
 
-@when('"{upstream}" is listed again as it was')
+@when('"{upstream}" is added to the list again, unchanged')
 def list_as_before(context, upstream):
     assert context.listed.upstream_id == upstream
     context.world.apply(events.UpstreamChanged(context.listed))
 
 
-@then('1 line says that "{upstream}" is leaving, by the peer\'s word')
-def check_line(context, upstream):
+@then('1 log line says that "{upstream}" is leaving, with the peer as reason')
+def check_log_line(context, upstream):
     (line,) = [
         x
         for x in context.world.done
@@ -151,7 +153,7 @@
 
 
 @when('the peer names "{upstream}" as shutting down')
-def hear_peer(context, upstream):
+def receive_from_peer(context, upstream):
     news = messages.EntryNews(
         name=PEER.name,
         incarnation=1,
@@ -171,7 +173,7 @@
     assert not context.world.sent(context.request)
 
 
-@then("its caller may come back after {low:g} to {high:g} s")
-def check_return(context, low, high):
+@then("its Retry-After is {low:g} to {high:g} s")
+def check_retry_after(context, low, high):
     (answer,) = context.world.answers(context.request)
     assert low <= answer.retry_after_s <= high, answer
