--- a/features/router_budgets.feature
+++ b/features/router_budgets.feature
@@ -1,20 +1,21 @@
 @quick
-Feature: The budget for additional sends when entries come and go
+Feature: The retry budget while entries start and end
 
-  A budget without a store call or message can only hold while processes that
-  end take their counts along no more than once in a window.
+  Entries share the budget without exchanging their counts, and a process that
+  ends loses its counts. So the budget holds only as long as no entry is
+  replaced more than once in a window.
 
-  Scenario: Histories of entries that start, end and spend what they may
-    Then in 400 generated histories all entries together keep the budget
+  Scenario: Generated histories of entries that start, end and use up their budgets
+    Then in 400 generated histories all entries together stay within the budget
 
-  Scenario: All entries end after they have spent everything, and come back
-    Then 5 entries that are replaced at once keep the budget
+  Scenario: All entries use up their budgets, end and are replaced
+    Then 5 entries that are replaced at once stay within the budget
 
-  Scenario: Half of the entries end, the others spend, and the half comes back
-    Then 10 entries of which half is away for 2 s keep the budget
+  Scenario: Half of the entries end, the others use up their budgets, and the half returns
+    Then 10 entries of which half is down for 2 s stay within the budget
 
-  Scenario: An entry that hears nothing of others for long keeps their number
-    Then a budget of 8 entries that hears of none for 60 s shares by 8
+  Scenario: An entry without heartbeats keeps the last number of entries
+    Then each of 8 entries still has 1/8 of the budget after 60 s without heartbeats
 
-  Scenario: What was spent counts until the whole window has passed
-    Then an entry that spends all twice within 9.7 s keeps the budget
+  Scenario: Retries count until a whole window has passed
+    Then an entry that uses up its budget twice within 9.7 s stays within the budget
--- a/features/steps/router_budget_steps.py
+++ b/features/steps/router_budget_steps.py
@@ -1,4 +1,4 @@
-"""Generated histories of entries that come and go and share one budget."""
+"""Generated histories of entries that start, end and share a retry budget."""
 
 import dataclasses
 
@@ -11,11 +11,11 @@
 
 SERVICE = "pool"
 LIMITS = window_budget.BudgetLimits(ratio=0.2, extra=560.0, window_s=10.0)
-# Entries hear of another one's end this much later.
-HEARD_AFTER_S = 3.0
-MOST_ENTRIES = 12
+# The other entries notice the end of an entry after this time.
+DETECTION_S = 3.0
+MAX_ENTRIES = 12
 # Callers' requests in one step.
-REQUESTS = 10
+REQUESTS_PER_STEP = 10
 STEPS = strategies.lists(
     strategies.tuples(
         strategies.sampled_from(
@@ -30,7 +30,7 @@
                 "start_all",
             ]
         ),
-        strategies.integers(0, MOST_ENTRIES - 1),
+        strategies.integers(0, MAX_ENTRIES - 1),
         strategies.sampled_from([0.1, 0.5, 2.0, 6.0]),
     ),
     max_size=40,
@@ -42,8 +42,8 @@
     """One process of an entry.
 
     Attributes:
-        budget: What it counts.
-        started_at: In seconds.
+        budget: Its retry budget.
+        started_at: Time of its start, in seconds.
     """
 
     budget: window_budget.WindowBudget
@@ -51,51 +51,52 @@
 
 
 class Fleet:
-    """Entries in places; each process takes all that its budget allows.
+    """Entries in numbered slots, each of which runs at most one process.
+
+    `spend` makes a process send as many retries as its budget allows.
 
     Attributes:
         now: The time in seconds.
-        places: The process in each place, or None.
-        replaced_at: When a place's process ended last, in seconds.
-        asked: Times of callers' requests.
-        sent: Times of additional sends.
-        numbers: Times and numbers of the processes there were.
+        slots: The process in each slot, or None.
+        ended_at: When a slot's last process ended, in seconds.
+        requests: Times of callers' requests.
+        retries: Times of retries.
+        numbers: Unused.
     """
 
     def __init__(self, count):
         self.now = 0.0
-        self.places = {}
-        self.replaced_at = {}
-        self.asked = []
-        self.sent = []
+        self.slots = {}
+        self.ended_at = {}
+        self.requests = []
+        self.retries = []
         self.numbers = []
-        for place in range(count):
-            self.start(place)
+        for slot in range(count):
+            self.start(slot)
         self.pass_time(3 * LIMITS.window_s)
 
-    def start(self, place):
-        if self.places.get(place):
+    def start(self, slot):
+        if self.slots.get(slot):
             return
         budget = window_budget.WindowBudget(limits=LIMITS)
-        self.places[place] = Process(budget, self.now)
-        self.tell()
-
-    def end(self, place):
-        """Ends a process, unless its place saw an end in this window."""
-        since = self.now - self.replaced_at.get(place, -1_000.0)
-        if self.places.get(place) and since > LIMITS.window_s:
-            self.places[place] = None
-            self.replaced_at[place] = self.now
-
-    def tell(self):
-        """Tells each process how many it hears of; ends are heard late."""
-        running = sum(x is not None for x in self.places.values())
+        self.slots[slot] = Process(budget, self.now)
+        self.update_counts()
+
+    def end(self, slot):
+        """Ends a process, unless the slot had an end in this window."""
+        since = self.now - self.ended_at.get(slot, -1_000.0)
+        if self.slots.get(slot) and since > LIMITS.window_s:
+            self.slots[slot] = None
+            self.ended_at[slot] = self.now
+
+    def update_counts(self):
+        """Updates each process's number of entries; ends are noticed late."""
+        running = sum(x is not None for x in self.slots.values())
         gone = sum(
-            process is None
-            and self.now - self.replaced_at[place] < HEARD_AFTER_S
-            for place, process in self.places.items()
+            process is None and self.now - self.ended_at[slot] < DETECTION_S
+            for slot, process in self.slots.items()
         )
-        for process in self.places.values():
+        for process in self.slots.values():
             if process:
                 process.budget.note_entries(running + gone, now=self.now)
 
@@ -104,29 +105,30 @@
         while left > 0.0:
             self.now += min(0.5, left)
             left -= 0.5
-            self.tell()
+            self.update_counts()
 
-    def ask(self, place):
-        process = self.places.get(place)
-        for _ in range(REQUESTS if process else 0):
+    def ask(self, slot):
+        process = self.slots.get(slot)
+        for _ in range(REQUESTS_PER_STEP if process else 0):
             process.budget.count_request(SERVICE, now=self.now)
-            self.asked.append(self.now)
+            self.requests.append(self.now)
 
-    def spend(self, place):
-        process = self.places.get(place)
+    def spend(self, slot):
+        process = self.slots.get(slot)
         while process and process.budget.take(SERVICE, now=self.now):
-            self.sent.append(self.now)
+            self.retries.append(self.now)
         self.check()
 
     def check(self):
-        """Checks the window that ends now."""
+        """Checks the limit in the window that ends now."""
         begin = self.now - LIMITS.window_s
-        sent = sum(begin < at for at in self.sent)
-        asked = sum(begin < at for at in self.asked)
-        assert sent <= LIMITS.ratio * asked + LIMITS.extra, (sent, asked)
+        retries = sum(begin < at for at in self.retries)
+        requests = sum(begin < at for at in self.requests)
+        limit = LIMITS.ratio * requests + LIMITS.extra
+        assert retries <= limit, (retries, requests)
 
-    def play(self, step, place, seconds):
-        """Plays one generated step; "..._all" plays it for each place."""
+    def play(self, step, slot, seconds):
+        """Runs one generated step; "..._all" runs it for each slot."""
         if step == "time":
             self.pass_time(seconds)
             return
@@ -136,31 +138,34 @@
             "end": self.end,
             "start": self.start,
         }[step.removesuffix("_all")]
-        for each in list(self.places) if step.endswith("_all") else [place]:
+        for each in list(self.slots) if step.endswith("_all") else [slot]:
             act(each)
 
 
-@then("in {count:d} generated histories all entries together keep the budget")
+@then(
+    "in {count:d} generated histories all entries together stay within the "
+    "budget"
+)
 def check_histories(context, count):
     spent = []
 
     @trial_settings(max_examples=count, deadline=None, derandomize=True)
-    @examples(strategies.integers(1, MOST_ENTRIES), STEPS)
+    @examples(strategies.integers(1, MAX_ENTRIES), STEPS)
     def play(entries, steps):
         fleet = Fleet(entries)
         for step in steps:
             fleet.play(*step)
-        spent.append(len(fleet.sent))
+        spent.append(len(fleet.retries))
 
     play()
-    assert max(spent) > LIMITS.extra, "the histories spend too little"
+    assert max(spent) > LIMITS.extra, "the histories use too few retries"
 
 
-@then("{count:d} entries that are replaced at once keep the budget")
+@then("{count:d} entries that are replaced at once stay within the budget")
 def check_replaced(context, count):
     fleet = Fleet(count)
     fleet.play("spend_all", 0, 0.0)
-    assert len(fleet.sent) > LIMITS.extra / 2
+    assert len(fleet.retries) > LIMITS.extra / 2
     fleet.play("end_all", 0, 0.0)
     fleet.pass_time(1.0)
     fleet.play("start_all", 0, 0.0)
@@ -170,24 +175,28 @@
 
 
 @then(
-    "{count:d} entries of which half is away for {seconds:g} s keep the budget"
+    "{count:d} entries of which half is down for {seconds:g} s stay within the "
+    "budget"
 )
-def check_half_away(context, count, seconds):
+def check_half_down(context, count, seconds):
     fleet = Fleet(count)
-    away = range(count // 2)
-    for place in away:
-        fleet.spend(place)
-        fleet.end(place)
-    fleet.pass_time(seconds + HEARD_AFTER_S)
+    stopped = range(count // 2)
+    for slot in stopped:
+        fleet.spend(slot)
+        fleet.end(slot)
+    fleet.pass_time(seconds + DETECTION_S)
     fleet.play("spend_all", 0, 0.0)
-    for place in away:
-        fleet.start(place)
+    for slot in stopped:
+        fleet.start(slot)
     fleet.play("spend_all", 0, 0.0)
     fleet.pass_time(1.0)
     fleet.play("spend_all", 0, 0.0)
 
 
-@then("an entry that spends all twice within {seconds:g} s keeps the budget")
+@then(
+    "an entry that uses up its budget twice within {seconds:g} s stays within "
+    "the budget"
+)
 def check_window_ends(context, seconds):
     for offset_s in (0.0, 0.1, 0.2, 0.3, 0.4):
         fleet = Fleet(1)
@@ -198,8 +207,8 @@
 
 
 @then(
-    "a budget of {count:d} entries that hears of none for {seconds:g} s shares"
-    " by {shared:d}"
+    "each of {count:d} entries still has 1/{shared:d} of the budget after "
+    "{seconds:g} s without heartbeats"
 )
 def check_silence(context, count, seconds, shared):
     budget = window_budget.WindowBudget(limits=LIMITS)
