--- a/features/steps/router_steps.py
+++ b/features/steps/router_steps.py
@@ -392,7 +392,7 @@
                 case "answer" if asked:
                     asked_at, holds_key = asked.pop(0)
                     key_in_force = key_in_force and holds_key
-                    proof.confirm(asked_at=asked_at)
+                    proof.confirm(sent_at=asked_at)
                 case "revoke":
                     revoked_at = now if revoked_at is None else revoked_at
                 case "request":
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/freshness_proof.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/freshness_proof.py
@@ -1,35 +1,36 @@
-"""Proves that the configuration in use can't be older than a bound.
+"""Bounds the age of the active configuration.
 
 The proof is the time at which a linearizable read of the configuration was
-sent, once its answer has confirmed the revision in use: whatever had been
-acknowledged by then is in force. Times are of a clock that goes on while the
-machine is suspended, so that a proof ages through a suspension. Intake asks
-before it accepts a key.
+sent whose response confirmed the active revision: every change acknowledged
+before that time is active. The clock has to continue while the machine is
+suspended, so that a proof also ages during a suspension. `intake` checks the
+proof before it accepts an API key.
 """
 
 
 class FreshnessProof:
-    """The newest proof.
+    """The most recent confirmation of the active configuration.
 
     Attributes:
-        limit_s: Age up to which it holds.
-        asked_at: When the read that gave it was sent; None for no proof.
+        limit_s: Maximum age of a valid proof.
+        read_sent_at: When the confirming read was sent, in seconds; None if
+            no read has confirmed the configuration.
     """
 
     def __init__(self, *, limit_s: float) -> None:
         self.limit_s = limit_s
         self.read_sent_at: float | None = None
 
-    def confirm(self, *, asked_at: float) -> None:
-        """Takes a confirmed read that was sent at `asked_at`."""
-        if self.read_sent_at is None or asked_at > self.read_sent_at:
-            self.read_sent_at = asked_at
+    def confirm(self, *, sent_at: float) -> None:
+        """Records a confirming read that was sent at `sent_at`."""
+        if self.read_sent_at is None or sent_at > self.read_sent_at:
+            self.read_sent_at = sent_at
 
     def age(self, *, now: float) -> float | None:
         """Returns the proof's age in seconds, or None without a proof."""
         return None if self.read_sent_at is None else now - self.read_sent_at
 
     def is_valid(self, *, now: float) -> bool:
-        """Returns whether keys may be accepted at `now`."""
+        """Returns whether API keys may be accepted at `now`."""
         age = self.age(now=now)
         return age is not None and 0.0 <= age <= self.limit_s
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/options.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/options.py
@@ -1,4 +1,4 @@
-"""Settings of a router: their form, and a check that finds all faults."""
+"""The settings of a router and their validation."""
 
 import msgspec
 
@@ -6,18 +6,19 @@
 
 
 class RouterBounds(msgspec.Struct, frozen=True, kw_only=True):
-    """What the deployment's operators have agreed with their users.
+    """Service-level bounds that the operators guarantee to their users.
 
     Attributes:
-        revoke_ms: After this a key that was taken away opens nothing.
-        grace_s: From the request to stop until the process is killed.
-        retry_ratio: Additional sends to a service for each request.
-        retry_extra: Additional sends besides, in each window.
-        retry_window_s: The window's length.
-        config_apply_ms: After this a change of the configuration is in force
-            everywhere.
-        drain_ms: After this an upstream that leaves gets nothing new.
-        session_s: Requests of a session follow each other within this.
+        revoke_ms: Maximum time after which a revoked API key is rejected.
+        grace_s: Time from a stop request until the process is killed.
+        retry_ratio: Maximum number of retries per request to a service.
+        retry_extra: Retries allowed beyond `retry_ratio` in each window.
+        retry_window_s: Length of the window of the retry limits.
+        config_apply_ms: Maximum time after which a configuration change is
+            active on all entries.
+        drain_ms: Maximum time after which a leaving upstream receives no new
+            requests.
+        session_s: Maximum time between two requests of a session.
     """
 
     revoke_ms: float = 5_000.0
@@ -35,17 +36,21 @@
 ):
     """Settings of an entry that routes on a platform.
 
+    Addresses have the form "ip:port".
+
     Attributes:
-        name: Unique among all entries.
-        data_centre: Where the host stands.
-        caller_address: Where callers connect, "ip:port".
-        ready_address: Where the balancer asks, "ip:port".
-        metrics_address: Where metrics are read, "ip:port".
-        peer_address: Where other entries connect, "ip:port".
-        store_address: The platform's store, "ip:port".
-        bounds: What has been agreed with users.
-        log_level: Such as INFO.
-        seed: Of the process's randomness; 0 takes the system's.
+        name: The entry's name, unique among all entries.
+        data_centre: The data centre in which the entry runs.
+        caller_address: Listening address for callers.
+        ready_address: Listening address for the load balancer's readiness
+            checks.
+        metrics_address: Listening address for metrics.
+        peer_address: Listening address for other entries.
+        store_address: Address of the platform's store.
+        bounds: Service-level bounds.
+        log_level: Name of the lowest level to log, such as INFO.
+        seed: Seed of the random number generator; 0 to seed it from the
+            system.
     """
 
     name: str
@@ -72,7 +77,7 @@
 def parse_settings(
     text: bytes,
 ) -> RouterSettings | list[options.SettingsFault]:
-    """Returns the settings in a JSON text, or every fault in it."""
+    """Parses settings from JSON; returns all faults if they are invalid."""
     try:
         settings = msgspec.json.decode(text, type=RouterSettings)
     except msgspec.MsgspecError as error:
@@ -80,7 +85,7 @@
             options.SettingsFault(
                 field="file",
                 fault=str(error),
-                remedy="Correct this field; the others are checked after it.",
+                remedy="Correct this field; other fields aren't checked yet.",
             )
         ]
     found = [
@@ -92,7 +97,7 @@
         options.SettingsFault(
             field=f"bounds.{field}",
             fault=f"{getattr(settings.bounds, field)} is not above 0",
-            remedy="Write the bound that was agreed with the users.",
+            remedy="Set it to the bound agreed with the users.",
         )
         for field in settings.bounds.__struct_fields__
         if getattr(settings.bounds, field) <= 0
@@ -102,7 +107,7 @@
             options.SettingsFault(
                 field="name",
                 fault="it is empty",
-                remedy="Write a name that no other entry has.",
+                remedy="Set a name that no other entry has.",
             )
         )
     return faults or settings
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
@@ -1,7 +1,7 @@
-"""The router's reducer: one step for each event, effects as data.
+"""The router's state machine: processes events and returns effects as data.
 
-`Router.step` has no socket, clock or thread, so that any program can drive
-it. The passes over a request are listed in `state`.
+`Router.step` performs no I/O and reads no clock, so that any program can drive
+it. The stages of request processing are listed in `state`.
 """
 
 import random
@@ -42,7 +42,7 @@
     """One entry that routes on a platform, as a state machine without I/O.
 
     Attributes:
-        state: What the passes share.
+        state: State shared by the stages of request processing.
     """
 
     def __init__(
@@ -86,7 +86,7 @@
     def step(
         self, *, now: float, event: events.AnyEvent
     ) -> list[effects.Effect]:
-        """Applies one event at time `now` (seconds); returns the effects."""
+        """Processes an event at time `now` (seconds); returns its effects."""
         state = self.state
         if state.started_at is None:
             state.started_at = now
@@ -111,7 +111,7 @@
                 return self.apply_store_event(now, event)
 
     def is_ready(self, *, now: float) -> bool:
-        """Returns whether the balancer should send callers here."""
+        """Returns whether the load balancer should send callers here."""
         state = self.state
         return (
             not state.stopping
@@ -120,21 +120,21 @@
         )
 
     def should_read(self, subject: events.Subject) -> bool:
-        """Returns whether a subject should be read in the store now."""
+        """Returns whether a subject should be read from the store now."""
         return store_reading.should_read(self.state, subject)
 
     @property
     def relays_enabled(self) -> bool:
-        """Whether entries here read the store for one another."""
+        """Whether entries of the data centre share reads of the store."""
         return self.state.relay.limits.allow_relays
 
     @property
     def list_position(self) -> int:
-        """The store's revision up to which the list of upstreams is known."""
+        """The store revision up to which the list of upstreams is known."""
         return self.state.relay.change_log.position
 
     def apply_settings(self, settings: options.RouterSettings) -> None:
-        """Takes new bounds; names and addresses need a new start."""
+        """Applies new bounds; names and addresses require a restart."""
         state = self.state
         state.settings = settings
         bounds = settings.bounds
@@ -151,7 +151,7 @@
     def apply_store_event(
         self, now: float, event: events.AnyEvent
     ) -> list[effects.Effect]:
-        """Takes what the platform's store says."""
+        """Applies the outcome of a call to the platform's store."""
         state = self.state
         match event:
             case events.ConfigurationRead(asked_at=asked_at, found=found):
@@ -175,7 +175,7 @@
                 return upstream_list.handle_event(self.state, event, now=now)
 
     def apply_entry_event(self, event: events.AnyEvent) -> None:
-        """Takes what the platform's store says of other entries."""
+        """Applies a change of the entries registered in the store."""
         entries = self.state.entries
         match event:
             case events.EntriesListed(listed):
@@ -191,15 +191,15 @@
         asked_at: float,
         found: configuration.Configuration | None,
     ) -> list[effects.Effect]:
-        """Puts a configuration in force, unless a newer one is."""
+        """Activates a configuration unless a newer one is active."""
         state = self.state
         if found is None:
             return []
         current = state.active_configuration
         if current is not None and found.revision < current.revision:
-            # An answer that was overtaken proves nothing of today.
+            # A response overtaken by a newer one proves no freshness.
             return []
-        state.proof.confirm(asked_at=asked_at)
+        state.proof.confirm(sent_at=asked_at)
         if current is not None and found.revision == current.revision:
             return []
         state.active_configuration = found
@@ -222,7 +222,7 @@
     def record_contact(
         self, now: float, subject: events.Subject
     ) -> list[effects.Effect]:
-        """Notes that the store answers."""
+        """Records a successful call to the store."""
         contact = self.state.contact(subject)
         was_unavailable = contact.is_unavailable
         contact.answered_at = now
@@ -242,7 +242,7 @@
     def record_failure(
         self, now: float, subject: events.Subject, detail: str
     ) -> list[effects.Effect]:
-        """Notes that a store call failed."""
+        """Records a failed call to the store."""
         contact = self.state.contact(subject)
         was_unavailable = contact.is_unavailable
         contact.failed_at = now
@@ -261,7 +261,7 @@
     def log_record_ended(
         self, service: str, done: bool
     ) -> list[effects.Effect]:
-        """Takes the end of a call to record a roll-out."""
+        """Logs the end of a call that records a roll-out."""
         return [
             fx.LogDecision(
                 decision="rollout_record_ended",
@@ -271,7 +271,7 @@
         ]
 
     def tick(self, now: float) -> list[effects.Effect]:
-        """Does what is due at this time."""
+        """Performs the actions that are due at time `now` (seconds)."""
         state = self.state
         out = timeouts.check_requests(state, now=now)
         out += intake.admit_held(state, now=now)
@@ -315,14 +315,14 @@
         ]
 
     def exit_if_idle(self, now: float) -> list[effects.Effect]:
-        """Ends the process once all requests are answered, or time is up."""
+        """Ends the process when it is idle or the grace time is over."""
         state = self.state
         if state.exiting or state.stop_at is None:
             return []
-        stopping_s = now - state.stop_at
-        last_s = state.settings.bounds.grace_s - defaults.STOP_MARGIN_S
-        idle = not state.open and stopping_s >= defaults.STOP_MIN_S
-        if not idle and stopping_s < last_s:
+        elapsed_s = now - state.stop_at
+        max_elapsed_s = state.settings.bounds.grace_s - defaults.STOP_MARGIN_S
+        idle = not state.open and elapsed_s >= defaults.STOP_MIN_S
+        if not idle and elapsed_s < max_elapsed_s:
             return []
         state.exiting = True
         out: list[effects.Effect] = []
@@ -334,7 +334,7 @@
             fx.LogDecision(
                 decision="stopped",
                 reason="all answered" if idle else "grace time is over",
-                inputs=(("after_s", round(stopping_s, 3)),),
+                inputs=(("after_s", round(elapsed_s, 3)),),
             ),
             effects.StopAccepting(),
             effects.DeregisterEntry(state.settings.name),
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/store_reading.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/store_reading.py
@@ -1,7 +1,8 @@
-"""Decides which entries read the store, and passes on what they read.
+"""Decides which entries read the store, and relays what they read.
 
-`store_relay` holds what an entry knows of it; here are the router's steps:
-the role at each beat, asks and answers, and what an answer changes.
+The state is kept in `store_relay`; this module has the router's steps: it
+updates the entry's role at each tick, exchanges asks and replies, and applies
+replies.
 """
 
 from rhubarbbank_core import effects as core_effects
@@ -18,7 +19,7 @@
 
 
 def compute_age_limits(bounds: options.RouterBounds) -> store_relay.AgeLimits:
-    """Returns how old knowledge may be, from the deployment's bounds."""
+    """Derives the maximum ages of an entry's data from the bounds."""
     return store_relay.AgeLimits(
         configuration_s=bounds.config_apply_ms / MS_PER_S
         - defaults.CONFIGURATION_MARGIN_S,
@@ -27,7 +28,7 @@
 
 
 def should_read(state: states.RouterState, subject: events.Subject) -> bool:
-    """Returns whether this entry should read a subject in the store now."""
+    """Returns whether this entry should read a subject from the store now."""
     relay = state.relay
     if relay.is_reader:
         return True
@@ -42,7 +43,7 @@
 
 
 def tick(state: states.RouterState, *, now: float) -> list[effects.Effect]:
-    """Takes up or gives up reading, and asks a reader when it is time."""
+    """Updates the entry's role, and asks a reader if an ask is due."""
     relay = state.relay
     if not relay.limits.allow_relays:
         return []
@@ -63,9 +64,9 @@
 def select_reader(
     state: states.RouterState, *, now: float
 ) -> messages.EntryNews | None:
-    """Returns the entry to ask: the first reader nearby by name.
+    """Returns the reader to ask: the first by name in the data centre.
 
-    An entry that reads asks only those whose names come before its own.
+    A reader asks only readers whose names sort before its own.
     """
     settings = state.settings
     near = state.entries.list_live_near(settings.data_centre, now=now)
@@ -81,16 +82,17 @@
     *,
     now: float,
 ) -> list[effects.Effect]:
-    """Decides whether this entry reads; returns the line if that changes."""
+    """Updates whether this entry is a reader; returns effects of a change."""
     relay = state.relay
     wanted = should_be_reader(state, reader, now=now)
     if wanted == relay.is_reader:
         return []
     relay.is_reader = wanted
     if wanted:
-        # The reader has to prove itself anew before this entry stops again.
+        # Another reader has to keep this entry informed for a while again
+        # before this entry stops reading.
         relay.informed_since = None
-    # The others learn it soon.
+    # Announce the change of role early.
     state.next_heartbeat_at = min(
         state.next_heartbeat_at, now + defaults.URGENT_NEWS_DELAY_S
     )
@@ -111,7 +113,7 @@
 
 
 def format_age(age_s: float | None) -> float | str:
-    """Returns an age for the log."""
+    """Formats an age for the log."""
     return "none" if age_s is None else round(age_s, 3)
 
 
@@ -121,7 +123,7 @@
     *,
     now: float,
 ) -> bool:
-    """Returns whether this entry should read the store."""
+    """Returns whether this entry should be a reader."""
     relay = state.relay
     if relay.is_reader:
         return reader is None or not relay.is_informed_by_reader(now=now)
@@ -137,7 +139,7 @@
 
 
 def is_first_in_data_centre(state: states.RouterState, *, now: float) -> bool:
-    """Returns whether this entry's name comes first in its data centre."""
+    """Returns whether this entry's name sorts first in its data centre."""
     settings = state.settings
     near = state.entries.list_live_near(settings.data_centre, now=now)
     return all(settings.name < each.name for each in near)
@@ -146,7 +148,7 @@
 def handle_ask(
     state: states.RouterState, ask: messages.StoreAsk, *, now: float
 ) -> list[effects.Effect]:
-    """Answers an entry that asks, if this one reads the store."""
+    """Replies to an ask if this entry is a reader."""
     if not state.relay.is_reader:
         return []
     state.relay.record_ask(ask, now=now)
@@ -156,7 +158,7 @@
 def send_updates(
     state: states.RouterState, *, now: float
 ) -> list[effects.Effect]:
-    """Tells all entries that ask of a change at once."""
+    """Sends a change immediately to all entries that asked recently."""
     if not state.relay.is_reader:
         return []
     out: list[effects.Effect] = []
@@ -168,7 +170,7 @@
 def build_reply(
     state: states.RouterState, ask: messages.StoreAsk, *, now: float
 ) -> list[effects.Effect]:
-    """Tells one entry what it asked for."""
+    """Returns the reply to an ask as an effect, if there is one."""
     contact = state.contact(events.Subject.UPSTREAMS)
     regained_age_s = None
     if contact.recovered_at is not None:
@@ -186,74 +188,75 @@
             if not tracked.lapsed
         ),
     )
-    told = state.relay.build_reply(ask, facts, now=now)
-    return [] if told is None else [core_effects.Send(ask.address, told)]
+    reply = state.relay.build_reply(ask, facts, now=now)
+    return [] if reply is None else [core_effects.Send(ask.address, reply)]
 
 
-def apply_proof(state: states.RouterState, told: messages.StoreTold) -> bool:
-    """Takes what a reader proves of the configuration.
+def apply_proof(state: states.RouterState, reply: messages.StoreTold) -> bool:
+    """Applies a reader's proof of the configuration's freshness.
 
     Returns:
-        Whether the revision in force here is the one that it confirms.
+        Whether the reader confirmed the revision that is active here.
     """
     state.relay.newest_revision = max(
-        state.relay.newest_revision, told.revision
+        state.relay.newest_revision, reply.revision
     )
     current = state.active_configuration
-    if current is None or current.revision != told.revision:
+    if current is None or current.revision != reply.revision:
         return False
-    state.proof.confirm(asked_at=told.asked_at - told.proof_age_s)
+    state.proof.confirm(sent_at=reply.asked_at - reply.proof_age_s)
     return True
 
 
 def record_contact(
-    state: states.RouterState, told: messages.StoreTold, *, now: float
+    state: states.RouterState, reply: messages.StoreTold, *, now: float
 ) -> None:
-    """Notes that the store answers, by a reader's word.
+    """Records that a reader has reached the store.
 
-    What lapsed while the store was away is in doubt here as it is there.
+    Upstreams that lapsed during the store's outage are treated here as they
+    are at the reader.
     """
     contact = state.contact(events.Subject.UPSTREAMS)
     if contact.is_unavailable:
         contact.recovered_at = now
-    elif told.regained_age_s is not None:
-        contact.recovered_at = now - told.regained_age_s
+    elif reply.regained_age_s is not None:
+        contact.recovered_at = now - reply.regained_age_s
     contact.answered_at = now
 
 
 def build_upstream_events(
-    state: states.RouterState, told: messages.StoreTold
+    state: states.RouterState, reply: messages.StoreTold
 ) -> list[events.AnyEvent]:
-    """Returns what an answer changes in the list of upstreams, as events."""
+    """Converts a reply's changes of the list of upstreams to events."""
     relay = state.relay
-    if told.position < relay.change_log.position:
-        # This entry knows more, by another reader or a read of its own.
+    if reply.position < relay.change_log.position:
+        # This entry has newer data, from another reader or its own reads.
         return []
-    at = told.asked_at - told.list_age_s
-    if told.whole is not None:
-        if told.position == relay.change_log.position:
+    at = reply.asked_at - reply.list_age_s
+    if reply.whole is not None:
+        if reply.position == relay.change_log.position:
             return []
         return [
-            events.UpstreamsListed(told.whole, position=told.position, at=at)
+            events.UpstreamsListed(reply.whole, position=reply.position, at=at)
         ]
     return [
-        *(events.UpstreamChanged(x) for x in told.changed),
-        *(events.UpstreamUnlisted(x) for x in told.gone),
-        events.UpstreamsConfirmed(position=told.position, at=at),
+        *(events.UpstreamChanged(x) for x in reply.changed),
+        *(events.UpstreamUnlisted(x) for x in reply.gone),
+        events.UpstreamsConfirmed(position=reply.position, at=at),
     ]
 
 
 def update_informed(
-    state: states.RouterState, told: messages.StoreTold, *, now: float
+    state: states.RouterState, reply: messages.StoreTold, *, now: float
 ) -> None:
-    """Notes whether the reader's knowledge is fresh enough to go by."""
+    """Records whether the reader's data is fresh enough to rely on."""
     limits = state.relay.limits
     proof_age_s = state.proof.age(now=now)
     list_age_s = state.relay.list_age(now=now)
     is_fresh = (
         proof_age_s is not None
         and list_age_s is not None
-        and now - told.asked_at + told.proof_age_s <= limits.configuration_s
-        and now - told.asked_at + told.list_age_s <= limits.upstreams_s
+        and now - reply.asked_at + reply.proof_age_s <= limits.configuration_s
+        and now - reply.asked_at + reply.list_age_s <= limits.upstreams_s
     )
     state.relay.record_reply(now=now, is_fresh=is_fresh)
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/store_relay.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/store_relay.py
@@ -1,22 +1,23 @@
-"""Lets one entry of a data centre read the store, and tell the others.
+"""Lets one entry per data centre read the store on behalf of the others.
 
-Each call to the store is paid for, and its rates grow more slowly than the
-fleet. So a few entries read and the others ask them: which revision of the
-configuration the store has confirmed, and which changes of the list of
-upstreams. What an entry is told proves as much as a read of its own, only
-older: the asker's own time stamp comes back with the answer, and the reader's
-proof counts from there, so that no clock is compared and no delay on the way
-makes a proof look younger than it is.
+Calls to the store are billed, and its rate limits grow more slowly than the
+fleet. Therefore a few entries (readers) read the store, and the others poll
+a reader for the confirmed revision of the configuration and for changes to
+the list of upstreams. A reader's reply is as conclusive as a read of the
+store, only older: it echoes the time stamp of the ask, and the ages in it are
+counted back from that time. So no clocks of two machines are compared, and
+network delay can't make a proof look younger than it is.
 
-    asker                      reader
+    asker                         reader
       | StoreAsk (asked_at, position) |
       |------------------------------>|
       | StoreTold (asked_at, ages)    |
       |<------------------------------|
 
-An entry whose knowledge grows older than its bounds allow reads for itself,
-and goes on until another reader nearby, whose name comes before its own,
-keeps it informed again. So the loss of a reader needs no agreement.
+An entry whose data gets older than its limits becomes a reader itself. It
+stops once another reader in its data centre, whose name sorts before its own,
+has kept it up to date for a while. So the failure of a reader is handled
+without an election.
 """
 
 import collections
@@ -31,11 +32,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class AgeLimits:
-    """How old knowledge may be before an entry reads for itself.
+    """Maximum ages of an entry's data before it reads the store itself.
 
     Attributes:
-        configuration_s: Of the proof of the configuration.
-        upstreams_s: Of the list of upstreams.
+        configuration_s: Maximum age of the configuration's freshness proof.
+        upstreams_s: Maximum age of the list of upstreams.
     """
 
     configuration_s: float
@@ -43,23 +44,24 @@
 
     @property
     def allow_relays(self) -> bool:
-        """Whether the bounds leave time for the way over a reader."""
+        """Whether the limits leave enough time for the relay by a reader."""
         least_s = min(self.configuration_s, self.upstreams_s)
         return least_s >= defaults.RELAY_MIN_MARGIN_S
 
 
 def get_upstream_id(change: UpstreamChange) -> str:
-    """Returns the id of the upstream that a change is about."""
+    """Returns the id of the changed upstream."""
     return change if isinstance(change, str) else change.upstream_id
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LoggedChanges:
-    """What changed up to a revision of the store.
+    """Changes to the list of upstreams up to a revision of the store.
 
     Attributes:
         position: The revision.
-        changes: Upstreams that are new or changed, ids of those gone.
+        changes: Upstreams that were added or changed, and ids of those that
+            were removed.
     """
 
     position: int
@@ -67,12 +69,12 @@
 
 
 class ChangeLog:
-    """The last changes of the list of upstreams, for entries that ask.
+    """The latest changes to the list of upstreams.
 
     Attributes:
-        floor: The revision after which all changes are in the log.
-        position: The revision up to which all changes are known.
-        logged: Oldest first.
+        oldest_position: The revision after which the log is complete.
+        position: The revision up to which the log is complete.
+        logged: The changes, oldest first.
     """
 
     def __init__(self) -> None:
@@ -81,7 +83,7 @@
         self.logged: collections.deque[LoggedChanges] = collections.deque()
 
     def reset(self, position: int) -> None:
-        """Begins anew after a whole list."""
+        """Restarts the log after the complete list was read."""
         if position == self.position and self.logged:
             return
         self.logged.clear()
@@ -91,7 +93,7 @@
     def append(
         self, position: int, changes: tuple[UpstreamChange, ...]
     ) -> None:
-        """Takes the changes up to a revision."""
+        """Appends the changes up to a revision."""
         if changes:
             self.logged.append(LoggedChanges(position, changes))
         self.position = max(self.position, position)
@@ -99,10 +101,10 @@
             self.oldest_position = self.logged.popleft().position
 
     def changes_since(self, position: int) -> tuple[UpstreamChange, ...] | None:
-        """Returns each upstream's last change after a revision.
+        """Returns each upstream's latest change after a revision.
 
         Returns:
-            None if the log doesn't reach back so far.
+            The changes, or None if the log doesn't reach back that far.
         """
         if position < self.oldest_position:
             return None
@@ -114,20 +116,25 @@
 
 
 class StoreRelay:
-    """One entry's part in reading the store for its data centre.
+    """One entry's state in the sharing of store reads.
+
+    All times are in seconds.
 
     Attributes:
-        limits: How old knowledge may be.
-        reading: Whether this entry reads the store itself.
-        log: The list's last changes.
-        pending: Changes that no revision has been told for yet.
-        listed_at: Up to when the list is known to be complete, in seconds.
-        informed_at: When another reader last told is_fresh; None before.
-        informed_since: Since when a reader has done so without a gap; None
-            while none does.
-        asked_at: When one was last asked.
-        last_asks: What each address asked last, and when.
-        newest: The newest revision of the configuration that was told of.
+        limits: Maximum ages of the entry's data.
+        is_reader: Whether this entry reads the store itself.
+        change_log: The latest changes to the list of upstreams.
+        pending: Changes whose revision isn't known yet.
+        list_confirmed_at: Time up to which the list is known to be complete;
+            None before the first list.
+        informed_at: When a reader last sent sufficiently fresh data; None
+            if none has.
+        informed_since: Since when readers have done so without interruption;
+            None while they don't.
+        asked_at: When a reader was last asked.
+        last_asks: The last ask from each address, and when it was received.
+        newest_revision: The newest revision of the configuration that a
+            reader has reported.
     """
 
     def __init__(self, *, limits: AgeLimits) -> None:
@@ -143,17 +150,17 @@
         self.newest_revision = 0
 
     def record_change(self, change: UpstreamChange) -> None:
-        """Notes a change that the store told this entry."""
+        """Records a change that was read from the store."""
         self.pending.append(change)
 
     def record_list(self, position: int, *, at: float) -> None:
-        """Notes that the whole list was read from the store."""
+        """Records that the complete list was read from the store."""
         self.pending.clear()
         self.change_log.reset(position)
         self.confirm(at=at)
 
     def record_watch(self, position: int, *, at: float) -> bool:
-        """Notes the end of a watch; returns whether it told changes."""
+        """Records the end of a watch; returns whether it reported changes."""
         changes = tuple(self.pending)
         self.pending.clear()
         self.change_log.append(position, changes)
@@ -161,12 +168,12 @@
         return bool(changes)
 
     def confirm(self, *, at: float) -> None:
-        """Notes that the list is complete up to a time, in seconds."""
+        """Records that the list is complete up to a time, in seconds."""
         if self.list_confirmed_at is None or at > self.list_confirmed_at:
             self.list_confirmed_at = at
 
     def list_age(self, *, now: float) -> float | None:
-        """Returns the age of the list in seconds; None without one."""
+        """Returns the age of the list in seconds; None without a list."""
         return (
             None
             if self.list_confirmed_at is None
@@ -174,11 +181,11 @@
         )
 
     def record_ask(self, ask: messages.StoreAsk, *, now: float) -> None:
-        """Notes that an entry wants to be kept informed."""
+        """Records an ask, so that later changes are sent to its sender."""
         self.last_asks[ask.address] = (ask, now)
 
     def recent_asks(self, *, now: float) -> list[messages.StoreAsk]:
-        """Returns the last ask of each entry that this one informs."""
+        """Returns the last ask of each entry that asked recently."""
         self.last_asks = {
             address: (ask, at)
             for address, (ask, at) in self.last_asks.items()
@@ -187,18 +194,18 @@
         return [ask for ask, _ in self.last_asks.values()]
 
     def is_ask_due(self, *, now: float) -> bool:
-        """Returns whether it is time to ask a reader."""
+        """Returns whether the next ask to a reader is due."""
         return now - self.asked_at >= defaults.ASK_PERIOD_S
 
     def build_reply(
         self, ask: messages.StoreAsk, facts: "ReaderFacts", *, now: float
     ) -> messages.StoreTold | None:
-        """Returns the answer to an ask; None while too little is known.
+        """Returns the reply to an ask; None without a proof or a list.
 
         Args:
-            ask: What was asked.
-            facts: What this entry knows besides.
-            now: In seconds.
+            ask: The ask to reply to.
+            facts: Data of this entry that isn't kept by the relay.
+            now: The current time in seconds.
         """
         age_s = self.list_age(now=now)
         if facts.proof_age_s is None or age_s is None:
@@ -223,7 +230,7 @@
         )
 
     def record_reply(self, *, now: float, is_fresh: bool) -> None:
-        """Notes whether a reader keeps this entry informed."""
+        """Records whether a reader's reply was fresh enough."""
         if not is_fresh:
             self.informed_since = None
             return
@@ -232,7 +239,7 @@
             self.informed_since = now
 
     def is_informed_by_reader(self, *, now: float) -> bool:
-        """Returns whether a reader has informed this entry for a while."""
+        """Returns whether readers have sent fresh data for long enough."""
         if self.informed_at is None or self.informed_since is None:
             return False
         if now - self.informed_at > defaults.ASKER_EXPIRY_S:
@@ -243,15 +250,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ReaderFacts:
-    """What a reader tells besides the list's changes.
+    """Data that a reader sends in addition to changes of the list.
 
     Attributes:
-        name: The reader.
-        revision: Of the configuration in force there.
-        proof_age_s: Of its proof; None without one.
-        regained_age_s: How long ago the store came back; None if it wasn't
-            away lately.
-        listed: All upstreams as they are listed.
+        name: The reader's name.
+        revision: Revision of its active configuration.
+        proof_age_s: Age of its freshness proof; None without a proof.
+        regained_age_s: Time since the store became available again; None if
+            it hasn't been unavailable.
+        listed: The complete list of upstreams.
     """
 
     name: str
