--- a/packages/rhubarbbank-router/src/rhubarbbank_router/crash_suspects.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/crash_suspects.py
@@ -278,7 +278,7 @@
 
     def is_suspect(self, fingerprint: str) -> bool:
         """Returns whether the request must be refused."""
-        return self.count_crashes(fingerprint) >= defaults.ENDS_TO_SUSPECT
+        return self.count_crashes(fingerprint) >= defaults.CRASHES_TO_REFUSE
 
     def build_log_inputs(self, fingerprint: str) -> tuple[fx.LogInput, ...]:
         """Returns the log inputs that describe a request's crashes."""
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -249,7 +249,7 @@
 
 # A request is refused after this many upstreams have ended while they ran it
 # (deployment bound).
-ENDS_TO_SUSPECT = 3
+CRASHES_TO_REFUSE = 3
 # From this many ends on, each entry repeats what it knows of a request.
 ENDS_TO_REPEAT = 2
 # The list drops an upstream after three missed heartbeats of 1.2 s, and
