--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_ends.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_ends.py
@@ -98,7 +98,7 @@
         attempt.upstream, attempt.upstream_started_ms
     )
     state.suspects.record_crash(fingerprint, crash, now=now)
-    if state.suspects.count_crashes(fingerprint) >= defaults.ENDS_TO_REPEAT:
+    if state.suspects.count_crashes(fingerprint) >= defaults.CRASHES_TO_SHARE:
         state.expedite_heartbeat(now=now)
 
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/crash_suspects.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/crash_suspects.py
@@ -316,7 +316,7 @@
         shared = [
             (fingerprint, suspect)
             for fingerprint, suspect in self.suspects.items()
-            if len(suspect.crashes) >= defaults.ENDS_TO_REPEAT
+            if len(suspect.crashes) >= defaults.CRASHES_TO_SHARE
             or now < suspect.share_until
         ]
         shared.sort(key=lambda each: (-len(each[1].crashes), -each[1].seen_at))
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -251,7 +251,7 @@
 # (deployment bound).
 CRASHES_TO_REFUSE = 3
 # From this many ends on, each entry repeats what it knows of a request.
-ENDS_TO_REPEAT = 2
+CRASHES_TO_SHARE = 2
 # The list drops an upstream after three missed heartbeats of 1.2 s, and
 # reports that about a second later.
 SILENT_END_S = 6.0
