--- a/packages/rhubarbbank-router/src/rhubarbbank_router/crash_suspects.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/crash_suspects.py
@@ -145,12 +145,12 @@
 
         Returns:
             Fingerprints of the requests whose attempts there were cancelled
-            less than SILENT_END_S ago.
+            less than UNANSWERED_CRASH_WINDOW_S ago.
         """
         found = [
             each.fingerprint
             for each in self.unanswered.pop(crash, [])
-            if now - each.given_up_at <= defaults.SILENT_END_S
+            if now - each.given_up_at <= defaults.UNANSWERED_CRASH_WINDOW_S
         ]
         for fingerprint in found:
             self.record_crash(fingerprint, crash, now=now)
@@ -301,7 +301,8 @@
         self.unanswered = {
             crash: attempts
             for crash, attempts in self.unanswered.items()
-            if now - attempts[-1].given_up_at <= defaults.SILENT_END_S
+            if now - attempts[-1].given_up_at
+            <= defaults.UNANSWERED_CRASH_WINDOW_S
         }
         return old
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -254,7 +254,7 @@
 CRASHES_TO_SHARE = 2
 # The list drops an upstream after three missed heartbeats of 1.2 s, and
 # reports that about a second later.
-SILENT_END_S = 6.0
+UNANSWERED_CRASH_WINDOW_S = 6.0
 # Shortest time in which an upstream can end, restart and end again; the
 # connection errors of one end come within milliseconds.
 MIN_RESTART_S = 1.0
