--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -143,7 +143,7 @@
 RETRY_AFTER_HIGH_S = 0.8
 
 # Interval of heartbeats between entries of one data centre.
-NEWS_PERIOD_S = 0.5
+HEARTBEAT_PERIOD_S = 0.5
 # Interval to other data centres, where traffic costs money. It applies up to
 # this many entries there: frames of 300 bytes to so many a second are half of
 # a node's control traffic.
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
@@ -133,7 +133,7 @@
 def send_news(state: states.RouterState, *, now: float) -> list[effects.Effect]:
     """Sends this entry's heartbeat, and counts the others."""
     carriers.note_beat(state, now=now)
-    state.next_heartbeat_at = now + defaults.NEWS_PERIOD_S
+    state.next_heartbeat_at = now + defaults.HEARTBEAT_PERIOD_S
     state.next_load_update_at = None
     out = forget(state, now=now)
     live = state.entries.list_live(now=now)
