--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -147,7 +147,7 @@
 # Interval to other data centres, where traffic costs money. It applies up to
 # this many entries there: frames of 300 bytes to so many a second are half of
 # a node's control traffic.
-FAR_NEWS_PERIOD_S = 1.0
+REMOTE_HEARTBEAT_PERIOD_S = 1.0
 MAX_FAR_ENTRIES_FULL_NEWS = 8
 # Number of entries of a data centre that forward heartbeats to other data
 # centres, and their interval; it is shorter during a roll-out, which needs the
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
@@ -179,7 +179,9 @@
         return []
     addresses = [x for x in state.entries.list_addresses() if x not in near]
     if len(addresses) <= defaults.MAX_FAR_ENTRIES_FULL_NEWS:
-        state.next_remote_heartbeat_at = now + defaults.FAR_NEWS_PERIOD_S
+        state.next_remote_heartbeat_at = (
+            now + defaults.REMOTE_HEARTBEAT_PERIOD_S
+        )
         return send_each(addresses, news)
     if not pressing:
         addresses = carriers.list_unheard(state, addresses, now=now)
