--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -148,7 +148,7 @@
 # this many entries there: frames of 300 bytes to so many a second are half of
 # a node's control traffic.
 REMOTE_HEARTBEAT_PERIOD_S = 1.0
-MAX_FAR_ENTRIES_FULL_NEWS = 8
+MAX_REMOTE_ENTRIES_FULL_HEARTBEAT = 8
 # Number of entries of a data centre that forward heartbeats to other data
 # centres, and their interval; it is shorter during a roll-out, which needs the
 # evidence of all entries.
@@ -158,7 +158,7 @@
 # An entry whose own heartbeat is overdue by more than this was suspended.
 SUSPENDED_S = 0.7
 # Less work at an upstream isn't reported to other data centres once they have
-# more than MAX_FAR_ENTRIES_FULL_NEWS entries.
+# more than MAX_REMOTE_ENTRIES_FULL_HEARTBEAT entries.
 FAR_MIN_REPORTED_WORK_MS = 200
 # An attempt with at least this much work is reported within the data centre
 # without waiting for the heartbeat; further ones are batched for LOAD_BATCH_S.
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
@@ -178,7 +178,7 @@
     if not due and not pressing:
         return []
     addresses = [x for x in state.entries.list_addresses() if x not in near]
-    if len(addresses) <= defaults.MAX_FAR_ENTRIES_FULL_NEWS:
+    if len(addresses) <= defaults.MAX_REMOTE_ENTRIES_FULL_HEARTBEAT:
         state.next_remote_heartbeat_at = (
             now + defaults.REMOTE_HEARTBEAT_PERIOD_S
         )
