--- a/packages/rhubarbbank-router/src/rhubarbbank_router/carriers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/carriers.py
@@ -35,7 +35,7 @@
 
 def shorten(news: messages.EntryNews) -> messages.EntryNews:
     """Returns a heartbeat without the small work that it tells of."""
-    least_ms = defaults.FAR_MIN_REPORTED_WORK_MS
+    least_ms = defaults.REMOTE_MIN_REPORTED_WORK_MS
     loads = tuple(each for each in news.loads if each.work_ms >= least_ms)
     return msgspec.structs.replace(news, loads=loads)
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -159,7 +159,7 @@
 SUSPENDED_S = 0.7
 # Less work at an upstream isn't reported to other data centres once they have
 # more than MAX_REMOTE_ENTRIES_FULL_HEARTBEAT entries.
-FAR_MIN_REPORTED_WORK_MS = 200
+REMOTE_MIN_REPORTED_WORK_MS = 200
 # An attempt with at least this much work is reported within the data centre
 # without waiting for the heartbeat; further ones are batched for LOAD_BATCH_S.
 IMMEDIATE_REPORT_WORK_S = 0.08
