--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -166,7 +166,7 @@
 LOAD_BATCH_S = 0.03
 # Delay of an urgent heartbeat after its cause, so that it carries whatever
 # else happens until then.
-URGENT_NEWS_DELAY_S = 0.05
+URGENT_HEARTBEAT_DELAY_S = 0.05
 # An entry without a heartbeat for this long counts as down.
 PEER_TIMEOUT_S = 3.0
 # An entry's report of its work is valid for two of the longest heartbeat
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
@@ -268,7 +268,7 @@
     def expedite_heartbeat(self, *, now: float) -> None:
         """Brings the next heartbeat forward and sends it to all entries."""
         self.next_heartbeat_at = min(
-            self.next_heartbeat_at, now + defaults.URGENT_NEWS_DELAY_S
+            self.next_heartbeat_at, now + defaults.URGENT_HEARTBEAT_DELAY_S
         )
         self.is_heartbeat_urgent = True
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/store_reading.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/store_reading.py
@@ -94,7 +94,7 @@
         relay.informed_since = None
     # Announce the change of role early.
     state.next_heartbeat_at = min(
-        state.next_heartbeat_at, now + defaults.URGENT_NEWS_DELAY_S
+        state.next_heartbeat_at, now + defaults.URGENT_HEARTBEAT_DELAY_S
     )
     proof_age_s = state.proof.age(now=now)
     list_age_s = relay.list_age(now=now)
