--- a/packages/rhubarbbank-router/src/rhubarbbank_router/timeouts.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/timeouts.py
@@ -105,7 +105,7 @@
     times = state.view.get_service_times(opened.service)
     route = opened.route
     if not opened.is_stream:
-        usual_s = defaults.PLAIN_PATIENCE_MEANS * times.answer_s
+        usual_s = defaults.PLAIN_TIMEOUT_MEANS * times.answer_s
         return max(defaults.PLAIN_PATIENCE_FLOOR_S, usual_s)
     patience_s = max(
         defaults.STALL_PATIENCE_SHARE * route.target_gap_s,
