--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -14,9 +14,9 @@
 # No further attempt is started with less time left than this.
 MIN_ATTEMPT_S = 0.05
 # An attempt at a request that isn't a stream times out after this many mean
-# answer times, but never before PLAIN_PATIENCE_FLOOR_S.
+# answer times, but never before PLAIN_TIMEOUT_FLOOR_S.
 PLAIN_TIMEOUT_MEANS = 3.0
-PLAIN_PATIENCE_FLOOR_S = 0.12
+PLAIN_TIMEOUT_FLOOR_S = 0.12
 # The time-out for a stream's first event is this share of the route's target
 # latency, or this many times the mean wait if that is longer.
 FIRST_EVENT_PATIENCE_SHARE = 0.6
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/timeouts.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/timeouts.py
@@ -106,7 +106,7 @@
     route = opened.route
     if not opened.is_stream:
         usual_s = defaults.PLAIN_TIMEOUT_MEANS * times.answer_s
-        return max(defaults.PLAIN_PATIENCE_FLOOR_S, usual_s)
+        return max(defaults.PLAIN_TIMEOUT_FLOOR_S, usual_s)
     patience_s = max(
         defaults.STALL_PATIENCE_SHARE * route.target_gap_s,
         defaults.STALL_EVENT_INTERVALS * compute_mean_pace_s(attempt),
