--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -20,7 +20,7 @@
 # The time-out for a stream's first event is this share of the route's target
 # latency, or this many times the mean wait if that is longer.
 FIRST_EVENT_TIMEOUT_SHARE = 0.6
-FIRST_EVENT_PATIENCE_MEANS = 4.0
+FIRST_EVENT_TIMEOUT_MEANS = 4.0
 # A stream is retried elsewhere after a silence of this many times the route's
 # target gap between events: shorter silences are normal.
 STALL_PATIENCE_SHARE = 1.1
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/timeouts.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/timeouts.py
@@ -114,7 +114,7 @@
     if attempt.first_event_at is None:
         patience_s = max(
             defaults.FIRST_EVENT_TIMEOUT_SHARE * route.target_latency_s,
-            defaults.FIRST_EVENT_PATIENCE_MEANS * times.first_event_s,
+            defaults.FIRST_EVENT_TIMEOUT_MEANS * times.first_event_s,
         )
     tracked = state.view.tracked.get(attempt.upstream)
     if tracked is not None and engine_load.was_heard_within(
