--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -23,7 +23,7 @@
 FIRST_EVENT_TIMEOUT_MEANS = 4.0
 # A stream is retried elsewhere after a silence of this many times the route's
 # target gap between events: shorter silences are normal.
-STALL_PATIENCE_SHARE = 1.1
+STALL_TIMEOUT_GAPS = 1.1
 # A slow but steady stream hasn't stalled before a silence of this many of its
 # own mean intervals between events.
 STALL_EVENT_INTERVALS = 3.0
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/timeouts.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/timeouts.py
@@ -108,7 +108,7 @@
         usual_s = defaults.PLAIN_TIMEOUT_MEANS * times.answer_s
         return max(defaults.PLAIN_TIMEOUT_FLOOR_S, usual_s)
     patience_s = max(
-        defaults.STALL_PATIENCE_SHARE * route.target_gap_s,
+        defaults.STALL_TIMEOUT_GAPS * route.target_gap_s,
         defaults.STALL_EVENT_INTERVALS * compute_mean_pace_s(attempt),
     )
     if attempt.first_event_at is None:
