--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -30,7 +30,7 @@
 # An upstream that any entry has received bytes from within this time is
 # alive; attempts there get this many times the usual time-out.
 UPSTREAM_ALIVE_S = 1.0
-ALIVE_PATIENCE_TIMES = 3.0
+ALIVE_TIMEOUT_FACTOR = 3.0
 # For routes that configure no target latency, target gap or time-out.
 DEFAULT_TARGET_LATENCY_S = 2.0
 DEFAULT_TARGET_GAP_S = 1.5
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/timeouts.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/timeouts.py
@@ -122,7 +122,7 @@
     ):
         # The upstream is running other requests, so that this one is probably
         # queued; elsewhere it would start from the beginning.
-        patience_s *= defaults.ALIVE_PATIENCE_TIMES
+        patience_s *= defaults.ALIVE_TIMEOUT_FACTOR
     return patience_s
 
 
