--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_evidence.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_evidence.py
@@ -119,7 +119,7 @@
         expected_s = max(times.first_event_s, work_s)
     # A wait past the route's objective is slow even below SLOW_FLOOR_S.
     floor_s = min(defaults.SLOW_FLOOR_S, opened.route.target_latency_s)
-    limit_s = max(defaults.SLOW_TIMES * expected_s, floor_s)
+    limit_s = max(defaults.SLOW_FACTOR * expected_s, floor_s)
     if waited_s > limit_s:
         return True
     max_ratio = defaults.SLOW_PACE_TIMES
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -222,7 +222,7 @@
 # Probability of a false alarm in a whole roll-out.
 TRIAL_FALSE_ALARM = 0.01
 # An answer is slow if its first event took this many times the usual wait.
-SLOW_TIMES = 3.0
+SLOW_FACTOR = 3.0
 # Shorter waits never count as slow, however short the usual one is, unless
 # they exceed the route's target latency.
 SLOW_FLOOR_S = 0.25
