--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_evidence.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_evidence.py
@@ -122,7 +122,7 @@
     limit_s = max(defaults.SLOW_FACTOR * expected_s, floor_s)
     if waited_s > limit_s:
         return True
-    max_ratio = defaults.SLOW_PACE_TIMES
+    max_ratio = defaults.SLOW_PACE_FACTOR
     return bool(exceeds_usual_pace(max_ratio, attempt, times, now=now))
 
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -228,7 +228,7 @@
 SLOW_FLOOR_S = 0.25
 # A stream is slow if the interval between its events is this many times the
 # usual one.
-SLOW_PACE_TIMES = 2.5
+SLOW_PACE_FACTOR = 2.5
 # Engines slow down with each concurrent request, so intervals are compared at
 # the same load level. Level 1 begins at this many requests; each further level
 # begins at twice as many.
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
@@ -137,7 +137,7 @@
         paces = self.pace_s.setdefault(model, {})
         usual_s = paces.get(level, pace_s)
         # Limits the influence of a single stalled stream.
-        pace_s = min(pace_s, defaults.SLOW_PACE_TIMES * usual_s)
+        pace_s = min(pace_s, defaults.SLOW_PACE_FACTOR * usual_s)
         paces[level] = smooth(usual_s, pace_s)
 
 
