--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_evidence.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_evidence.py
@@ -137,7 +137,7 @@
 
     That is a weaker sign than `is_slow`. A plain answer drags if it takes
     DRAG_PLAIN_TIMES its route's usual time, a stream if its events come
-    DRAG_PACE_TIMES slower than usual. A plain attempt without a 200 answer is
+    DRAG_PACE_FACTOR slower than usual. A plain attempt without a 200 answer is
     not compared: hosts and connections cause silence as well.
     """
     times = state.view.get_service_times(attempt.service)
@@ -146,7 +146,9 @@
         if usual_s is None or attempt.status != http.HTTPStatus.OK:
             return None
         return now - attempt.sent_at > defaults.DRAG_PLAIN_TIMES * usual_s
-    return exceeds_usual_pace(defaults.DRAG_PACE_TIMES, attempt, times, now=now)
+    return exceeds_usual_pace(
+        defaults.DRAG_PACE_FACTOR, attempt, times, now=now
+    )
 
 
 def exceeds_usual_pace(
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -236,7 +236,7 @@
 # A stream drags if the interval between its events is this many times the
 # usual one: a sixth of the streams of good versions do, and most of those of
 # slow versions.
-DRAG_PACE_TIMES = 1.5
+DRAG_PACE_FACTOR = 1.5
 # An answer without a stream drags if it takes this many times its route's
 # usual time: two in a hundred of those of good versions do, with work
 # distributed as the users' is.
