--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_evidence.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_evidence.py
@@ -136,7 +136,7 @@
     """Returns whether an answer drags; None if it can't be compared.
 
     That is a weaker sign than `is_slow`. A plain answer drags if it takes
-    DRAG_PLAIN_TIMES its route's usual time, a stream if its events come
+    DRAG_PLAIN_FACTOR its route's usual time, a stream if its events come
     DRAG_PACE_FACTOR slower than usual. A plain attempt without a 200 answer is
     not compared: hosts and connections cause silence as well.
     """
@@ -145,7 +145,7 @@
         usual_s = times.answer_s_by_route.get(opened.route.name)
         if usual_s is None or attempt.status != http.HTTPStatus.OK:
             return None
-        return now - attempt.sent_at > defaults.DRAG_PLAIN_TIMES * usual_s
+        return now - attempt.sent_at > defaults.DRAG_PLAIN_FACTOR * usual_s
     return exceeds_usual_pace(
         defaults.DRAG_PACE_FACTOR, attempt, times, now=now
     )
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -240,7 +240,7 @@
 # An answer without a stream drags if it takes this many times its route's
 # usual time: two in a hundred of those of good versions do, with work
 # distributed as the users' is.
-DRAG_PLAIN_TIMES = 2.5
+DRAG_PLAIN_FACTOR = 2.5
 # Time-outs at one upstream that follow each other within this time count as
 # one.
 SILENCE_EPISODE_S = 2.0
