--- a/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
@@ -72,7 +72,7 @@
         failures: Weighted number of failures since the last success.
         set_aside_until: Until then it is used only if there is no other.
         set_aside_s: Length of the last such period.
-        silent_at: When an attempt there last timed out.
+        timed_out_at: When an attempt there last timed out.
         full_until: It refused a request for lack of capacity; until then it
             is used only if there is no other.
         lapsed: Whether the list dropped it while the store was unreliable.
@@ -90,7 +90,7 @@
     failures: int = 0
     set_aside_until: float = 0.0
     set_aside_s: float = 0.0
-    silent_at: float | None = None
+    timed_out_at: float | None = None
     full_until: float = 0.0
     lapsed: bool = False
     misdirected: bool = False
@@ -362,7 +362,7 @@
         tracked = self.tracked.get(upstream_id)
         if tracked is None:
             return False
-        last, tracked.silent_at = tracked.silent_at, now
+        last, tracked.timed_out_at = tracked.timed_out_at, now
         return last is None or now - last > defaults.SILENCE_EPISODE_S
 
     def note_full(self, upstream_id: str, *, now: float) -> None:
