--- a/features/steps/engine_load_steps.py
+++ b/features/steps/engine_load_steps.py
@@ -191,7 +191,7 @@
         if who == "the peer nearby":
             receive_heartbeat(world, NEAR, [build_load(upstream)])
         if who == "another request":
-            world.state.view.note_bytes_received(upstream, now=world.now)
+            world.state.view.record_bytes_received(upstream, now=world.now)
         world.configure(world.state.active_configuration)
         world.run(0.1)
 
--- a/features/steps/router_budget_steps.py
+++ b/features/steps/router_budget_steps.py
@@ -98,7 +98,7 @@
         )
         for process in self.slots.values():
             if process:
-                process.budget.note_entries(running + gone, now=self.now)
+                process.budget.record_entry_count(running + gone, now=self.now)
 
     def pass_time(self, seconds):
         left = seconds
@@ -213,5 +213,5 @@
 def check_silence(context, count, seconds, shared):
     budget = window_budget.WindowBudget(limits=LIMITS)
     budget.count_sharers(now=0.0)
-    budget.note_entries(count, now=0.0)
+    budget.record_entry_count(count, now=0.0)
     assert budget.count_sharers(now=seconds) == shared
--- a/features/steps/router_load_steps.py
+++ b/features/steps/router_load_steps.py
@@ -190,7 +190,7 @@
     )
     budgets = [window_budget.WindowBudget(limits=limits) for _ in range(count)]
     for budget in budgets:
-        budget.note_entries(count, now=0.0)
+        budget.record_entry_count(count, now=0.0)
     requests, retries = [], []
     now = 0.0
     while now < 60.0:
@@ -210,7 +210,7 @@
 @when("upstream {number:d} fails {count:d} times in a row")
 def fail_upstream(context, number, count):
     for _ in range(count):
-        context.world.state.view.note_failure(
+        context.world.state.view.record_failure(
             f"up-{number}", now=context.world.now
         )
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/answer_heads.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/answer_heads.py
@@ -31,7 +31,7 @@
     attempt_evidence.record_progress(state, attempt, now=now)
     if head.load is not None:
         attempt.load_level = head.load.level
-        state.view.note_load(attempt.upstream, head.load, now=now)
+        state.view.record_load(attempt.upstream, head.load, now=now)
     out = apply_upstream_notices(state, attempt, head, now=now)
     if head.refused or head.misdirected:
         return [*out, *handle_refusal(state, opened, attempt, head, now=now)]
@@ -62,7 +62,7 @@
     if head.misdirected:
         return []
     out: list[effects.Effect] = []
-    if head.leaving and state.view.note_leaving(attempt.upstream):
+    if head.leaving and state.view.record_leaving(attempt.upstream):
         out.append(
             fx.LogDecision(
                 decision="upstream_leaving",
@@ -74,7 +74,7 @@
         )
     unavailable = head.status == http.HTTPStatus.SERVICE_UNAVAILABLE
     if unavailable and head.closed_for_s is not None:
-        state.view.note_closed(attempt.upstream, head.closed_for_s, now=now)
+        state.view.record_closed(attempt.upstream, head.closed_for_s, now=now)
         out.append(
             fx.LogDecision(
                 decision="upstream_closed",
@@ -99,9 +99,9 @@
     cancelled = attempt_ends.cancel_attempt(state, opened, attempt, now=now)
     opened.excluded.add(attempt.upstream)
     if head.misdirected:
-        state.view.note_misdirected(attempt.upstream)
+        state.view.record_misdirected(attempt.upstream)
     elif head.status == http.HTTPStatus.SERVICE_UNAVAILABLE:
-        state.view.note_full(attempt.upstream, now=now)
+        state.view.record_full(attempt.upstream, now=now)
     log = attempt_log.log_attempt(
         opened,
         attempt,
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_ends.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_ends.py
@@ -130,7 +130,7 @@
     state: states.RouterState, upstream: str, *, now: float, weight: int
 ) -> list[effects.Effect]:
     """Records an upstream's failure; logs it if the upstream is set aside."""
-    if not state.view.note_failure(upstream, now=now, weight=weight):
+    if not state.view.record_failure(upstream, now=now, weight=weight):
         return []
     tracked = state.view.tracked[upstream]
     return [
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_evidence.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_evidence.py
@@ -50,9 +50,9 @@
     if opened.is_stream and is_typical:
         learn_pace(attempt, times, now=now)
     if failed:
-        state.view.note_failure(attempt.upstream, now=now)
+        state.view.record_failure(attempt.upstream, now=now)
         return
-    state.view.note_success(attempt.upstream)
+    state.view.record_success(attempt.upstream)
     if attempt.status == http.HTTPStatus.OK and is_typical:
         took_s = now - attempt.sent_at
         times.answer_s = upstreams.smooth(times.answer_s, took_s)
@@ -205,4 +205,4 @@
 ) -> None:
     """Records that an attempt has made progress."""
     attempt.last_progress_at = now
-    state.view.note_bytes_received(attempt.upstream, now=now)
+    state.view.record_bytes_received(attempt.upstream, now=now)
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
@@ -126,7 +126,7 @@
             inputs=(("started_ms", started_ms),),
         )
         for upstream_id, started_ms in message.leaving
-        if state.view.notices.note_leaving(upstream_id, started_ms)
+        if state.view.notices.record_leaving(upstream_id, started_ms)
     ]
 
 
@@ -139,7 +139,7 @@
     live = state.entries.list_live(now=now)
     known = max(len(live), len(state.entries.registered))
     if known:
-        state.budget.note_entries(known + 1, now=now)
+        state.budget.record_entry_count(known + 1, now=now)
     settings = state.settings
     news = messages.EntryNews(
         name=settings.name,
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/timeouts.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/timeouts.py
@@ -75,7 +75,7 @@
     cancelled = attempt_ends.cancel_attempt(state, opened, attempt, now=now)
     # A host that stops responding silences many requests at once, which are
     # no more evidence on its version than a single one.
-    starts_silence = state.view.note_silence(attempt.upstream, now=now)
+    starts_silence = state.view.record_timeout(attempt.upstream, now=now)
     attempt_evidence.record_outcome(
         state, opened, attempt, now=now, failed=True, silent=starts_silence
     )
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/upstream_notices.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/upstream_notices.py
@@ -51,14 +51,14 @@
             return False
         return notice.leaving or now < notice.closed_until
 
-    def note_leaving(self, upstream_id: str, started_ms: int) -> bool:
+    def record_leaving(self, upstream_id: str, started_ms: int) -> bool:
         """Records that an upstream shuts down; returns whether that is new."""
         notice = self.find_or_create(upstream_id, started_ms)
         is_new = not notice.leaving
         notice.leaving = True
         return is_new
 
-    def note_closed(
+    def record_closed(
         self, upstream_id: str, started_ms: int, *, until: float
     ) -> None:
         """Records until when an upstream wants no requests, in seconds."""
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
@@ -301,7 +301,7 @@
         if tracked is not None:
             tracked.attempts.pop(request_id, None)
 
-    def note_load(
+    def record_load(
         self, upstream_id: str, load: LoadReport, *, now: float
     ) -> None:
         """Records the load that an answer reports."""
@@ -311,20 +311,20 @@
             tracked.load_at = now
             tracked.own_at_report = tracked.in_flight
 
-    def note_bytes_received(self, upstream_id: str, *, now: float) -> None:
+    def record_bytes_received(self, upstream_id: str, *, now: float) -> None:
         """Records that bytes of an answer came."""
         tracked = self.tracked.get(upstream_id)
         if tracked is not None:
             tracked.heard_at = now
 
-    def note_success(self, upstream_id: str) -> None:
+    def record_success(self, upstream_id: str) -> None:
         """Records a successful attempt."""
         tracked = self.tracked.get(upstream_id)
         if tracked is not None:
             tracked.failures = 0
             tracked.set_aside_s = 0.0
 
-    def note_failure(
+    def record_failure(
         self, upstream_id: str, *, now: float, weight: int = 1
     ) -> bool:
         """Records a failed attempt.
@@ -352,7 +352,7 @@
         tracked.set_aside_until = now + tracked.set_aside_s
         return True
 
-    def note_silence(self, upstream_id: str, *, now: float) -> bool:
+    def record_timeout(self, upstream_id: str, *, now: float) -> bool:
         """Records that an attempt timed out.
 
         Returns:
@@ -365,29 +365,31 @@
         last, tracked.timed_out_at = tracked.timed_out_at, now
         return last is None or now - last > defaults.SILENCE_EPISODE_S
 
-    def note_full(self, upstream_id: str, *, now: float) -> None:
+    def record_full(self, upstream_id: str, *, now: float) -> None:
         """Records that an upstream refused a request for lack of capacity."""
         tracked = self.tracked.get(upstream_id)
         if tracked is not None:
             tracked.full_until = now + defaults.FULL_BACKOFF_S
 
-    def note_closed(
+    def record_closed(
         self, upstream_id: str, closed_s: float, *, now: float
     ) -> None:
         """Records for how many seconds an upstream wants no requests."""
         tracked = self.tracked.get(upstream_id)
         if tracked is not None:
             until = now + min(closed_s, defaults.MAX_CLOSED_S)
-            self.notices.note_closed(
+            self.notices.record_closed(
                 upstream_id, tracked.listed.started_ms, until=until
             )
 
-    def note_leaving(self, upstream_id: str) -> bool:
+    def record_leaving(self, upstream_id: str) -> bool:
         """Records that an upstream shuts down; returns whether that is new."""
         tracked = self.tracked.get(upstream_id)
         if tracked is None:
             return False
-        return self.notices.note_leaving(upstream_id, tracked.listed.started_ms)
+        return self.notices.record_leaving(
+            upstream_id, tracked.listed.started_ms
+        )
 
     def list_announced_leaving(self) -> tuple[tuple[str, int], ...]:
         """Returns id and start time of listed upstreams that shut down."""
@@ -397,7 +399,7 @@
             if upstream_id in self.tracked
         )
 
-    def note_misdirected(self, upstream_id: str) -> None:
+    def record_misdirected(self, upstream_id: str) -> None:
         """Records that another process answered at an upstream's address."""
         tracked = self.tracked.get(upstream_id)
         if tracked is not None:
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/window_budget.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/window_budget.py
@@ -31,7 +31,7 @@
     def take(self, service: str, *, now: float, share: float = 1.0) -> bool:
         """Returns whether a retry is allowed, and counts it if so."""
 
-    def note_entries(self, count: int, *, now: float) -> None:
+    def record_entry_count(self, count: int, *, now: float) -> None:
         """Records how many entries there are, including this one."""
 
 
@@ -79,7 +79,7 @@
         )
         self.buckets: dict[str, collections.deque[Bucket]] = {}
 
-    def note_entries(self, count: int, *, now: float) -> None:
+    def record_entry_count(self, count: int, *, now: float) -> None:
         """Records how many entries there are, including this one."""
         self.ensure_started(now=now)
         while self.entry_counts and self.entry_counts[-1][1] <= count:
@@ -166,5 +166,5 @@
         del service, now, share
         return True
 
-    def note_entries(self, count: int, *, now: float) -> None:
+    def record_entry_count(self, count: int, *, now: float) -> None:
         """Does nothing."""
