--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_ends.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_ends.py
@@ -170,4 +170,4 @@
     if attempt.open:
         attempt.open = False
         state.sessions.end_request(opened.request.session, now=now)
-        state.view.finish(opened.request.request_id, attempt.upstream)
+        state.view.finish_attempt(opened.request.request_id, attempt.upstream)
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
@@ -149,7 +149,7 @@
         ),
     )
     opened.attempts.append(attempt)
-    state.view.start(opened.request.request_id, attempt)
+    state.view.start_attempt(opened.request.request_id, attempt)
     if generation is not None:
         state.prefixes.record(
             upstream=upstream.upstream_id,
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
@@ -289,13 +289,15 @@
         available = [each for each in healthy if each.full_until <= now]
         return available or healthy or accepting
 
-    def start(self, request_id: str, attempt: attempt_states.Attempt) -> None:
+    def start_attempt(
+        self, request_id: str, attempt: attempt_states.Attempt
+    ) -> None:
         """Records that an attempt begins."""
         tracked = self.tracked.get(attempt.upstream)
         if tracked is not None:
             tracked.attempts[request_id] = attempt
 
-    def finish(self, request_id: str, upstream_id: str) -> None:
+    def finish_attempt(self, request_id: str, upstream_id: str) -> None:
         """Records that an attempt ended, whether it failed or not."""
         tracked = self.tracked.get(upstream_id)
         if tracked is not None:
