--- a/packages/rhubarbbank-router/src/rhubarbbank_router/upstream_list.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/upstream_list.py
@@ -22,7 +22,7 @@
     """Applies an event, and confirms crashes of upstreams that it removes."""
     previous = list_running_upstreams(state, event)
     out = apply_event(state, event, now=now)
-    return [*out, *confirm_ends(state, previous, now=now)]
+    return [*out, *confirm_crashes(state, previous, now=now)]
 
 
 def list_running_upstreams(
@@ -47,7 +47,7 @@
     ]
 
 
-def confirm_ends(
+def confirm_crashes(
     state: states.RouterState,
     previous: list[upstreams.Upstream],
     *,
@@ -65,10 +65,10 @@
         tracked = state.view.tracked.get(listed.upstream_id)
         if tracked and tracked.listed.started_ms == listed.started_ms:
             continue
-        end = crash_suspects.hash_incarnation(
+        incarnation = crash_suspects.hash_incarnation(
             listed.upstream_id, listed.started_ms
         )
-        found = state.suspects.confirm_crash(end, now=now)
+        found = state.suspects.confirm_crash(incarnation, now=now)
         if found:
             state.expedite_heartbeat(now=now)
         out += [
