--- a/features/steps/engine_load_steps.py
+++ b/features/steps/engine_load_steps.py
@@ -75,8 +75,8 @@
         request = world.ask(
             "chat", generation=router_world.build_generation(f"n{number}", 300)
         )
-        sending = world.sent(request)[-1]
-        assert sending.upstream_id == upstream, sending
+        attempt = world.sent(request)[-1]
+        assert attempt.upstream_id == upstream, attempt
         world.head(request, confidence=90)
         world.stream(request, 1, 2)
         world.end(request)
--- a/features/steps/router_load_steps.py
+++ b/features/steps/router_load_steps.py
@@ -37,12 +37,12 @@
 
 @when('{count:d} callers ask "chat" with prompts of {tokens:d} tokens at once')
 def ask_at_once(context, count, tokens):
-    context.sendings = ask_many(context, count, tokens)
+    context.attempts = ask_many(context, count, tokens)
 
 
 @then("no upstream has more than {most:d} of them")
 def check_spread(context, most):
-    counts = collections.Counter(each.upstream_id for each in context.sendings)
+    counts = collections.Counter(each.upstream_id for each in context.attempts)
     assert max(counts.values()) <= most, counts
 
 
@@ -64,7 +64,7 @@
 def count_in_other_centre(context):
     return sum(
         int(each.upstream_id.removeprefix("up-")) >= 10
-        for each in context.sendings
+        for each in context.attempts
     )
 
 
