--- a/experiments/src/rhubarbbank_experiments/mix_arms.py
+++ b/experiments/src/rhubarbbank_experiments/mix_arms.py
@@ -167,7 +167,7 @@
             settings=settings,
             incarnation=number + 1,
             rng=rng,
-            sizes=self.sizes,
+            sizing_policy=self.sizes,
             placer=self.place(rng),
         )
 
--- a/features/support/router_world.py
+++ b/features/support/router_world.py
@@ -125,7 +125,7 @@
             settings=build_settings(name, data_centre, **bounds),
             incarnation=seed,
             rng=random.Random(seed),
-            sizes=sizes,
+            sizing_policy=sizes,
         )
         self.now = 100.0
         self.done = []
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/answer_heads.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/answer_heads.py
@@ -138,7 +138,7 @@
         return []
     if not opened.route.repeatable:
         return []
-    larger = state.sizes.step_up(
+    larger = state.sizing_policy.step_up(
         dispatch.build_size_context(opened, now=now),
         model=opened.model,
         confidence=head.confidence,
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
@@ -48,7 +48,7 @@
 ) -> list[effects.Effect]:
     """Takes what a reader of the store tells."""
     if not state.relay.is_reader:
-        store_reading.record_contact(state, told, now=now)
+        store_reading.record_store_answer(state, told, now=now)
     is_current = store_reading.apply_proof(state, told)
     out: list[effects.Effect] = []
     for event in store_reading.build_upstream_events(state, told):
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/intake.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/intake.py
@@ -194,7 +194,7 @@
     state.budget.count_request(opened.service, now=now)
     if route.sizes and not (request.generation and request.generation.model):
         context = dispatch.build_size_context(opened, now=now)
-        opened.model = state.sizes.choose_first(context)
+        opened.model = state.sizing_policy.choose_first(context)
     return [
         fx.Count("requests"),
         *dispatch.send(state, opened, now=now, cause="first"),
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
@@ -51,7 +51,7 @@
         settings: options.RouterSettings,
         incarnation: int,
         rng: random.Random,
-        sizes: size_policy.SizePolicy | None = None,
+        sizing_policy: size_policy.SizePolicy | None = None,
         judge: version_trial.TrialJudge | None = None,
         placer: placement.Placement | None = None,
     ) -> None:
@@ -61,7 +61,7 @@
             incarnation=incarnation,
             rng=rng,
             placer=placer or work_placement.WorkPlacement(rng=rng),
-            sizes=sizes or size_policy.SmallestThenLargest(),
+            sizing_policy=sizing_policy or size_policy.SmallestThenLargest(),
             judge=judge or trial_judge.LikelihoodJudge(),
             budget=window_budget.WindowBudget(
                 limits=window_budget.BudgetLimits(
@@ -157,9 +157,9 @@
             case events.ConfigurationRead(asked_at=asked_at, found=found):
                 return self.apply_configuration(now, asked_at, found)
             case events.StoreAnswered(subject):
-                return self.record_contact(now, subject)
+                return self.record_store_answer(now, subject)
             case events.StoreFailed(subject, detail):
-                return self.record_failure(now, subject, detail)
+                return self.record_store_failure(now, subject, detail)
             case events.RolloutsListed(orders):
                 state.listed_subjects.add(events.Subject.ROLLOUTS)
                 return rollouts.apply_orders(state, orders, now=now)
@@ -219,33 +219,33 @@
             fx.Gauge("configuration_version", found.version),
         ]
 
-    def record_contact(
+    def record_store_answer(
         self, now: float, subject: events.Subject
     ) -> list[effects.Effect]:
         """Records a successful call to the store."""
-        contact = self.state.contact(subject)
-        was_unavailable = contact.is_unavailable
-        contact.answered_at = now
+        availability = self.state.get_store_availability(subject)
+        was_unavailable = availability.is_unavailable
+        availability.answered_at = now
         if not was_unavailable:
             return []
-        contact.recovered_at = now
+        availability.recovered_at = now
         return [
             fx.LogDecision(
                 decision="store_regained",
                 reason=subject.value,
                 inputs=(
-                    ("away_s", round(now - (contact.failed_at or now), 3)),
+                    ("away_s", round(now - (availability.failed_at or now), 3)),
                 ),
             )
         ]
 
-    def record_failure(
+    def record_store_failure(
         self, now: float, subject: events.Subject, detail: str
     ) -> list[effects.Effect]:
         """Records a failed call to the store."""
-        contact = self.state.contact(subject)
-        was_unavailable = contact.is_unavailable
-        contact.failed_at = now
+        availability = self.state.get_store_availability(subject)
+        was_unavailable = availability.is_unavailable
+        availability.failed_at = now
         count = fx.Count("store_failures")
         if was_unavailable:
             return [count]
@@ -277,8 +277,10 @@
         out += intake.admit_held(state, now=now)
         out += rollouts.tick(state, now=now)
         out += store_reading.tick(state, now=now)
-        contact = state.contact(events.Subject.UPSTREAMS)
-        keep = contact.was_recently_unavailable(defaults.LAPSE_GRACE_S, now=now)
+        availability = state.get_store_availability(events.Subject.UPSTREAMS)
+        keep = availability.was_recently_unavailable(
+            defaults.LAPSE_GRACE_S, now=now
+        )
         for upstream_id in state.view.drop_lapsed(keep=keep):
             out.append(
                 fx.LogDecision(
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
@@ -113,7 +113,7 @@
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
-class StoreContact:
+class StoreAvailability:
     """Availability of the store for calls about one subject.
 
     Attributes:
@@ -153,7 +153,7 @@
         incarnation: Unix time of the process's start, in nanoseconds.
         rng: Source of randomness.
         placer: Selects an upstream for an attempt.
-        sizes: Selects the models for a request.
+        sizing_policy: Selects the model for a request.
         judge: Evaluates new versions during a roll-out.
         budget: Limits how many requests are sent more than once.
         proof: Bounds the age of the active configuration.
@@ -173,7 +173,7 @@
         suspects: Requests that may have crashed upstreams.
         relay: Shares reads of the store within the data centre.
         remote_work: Work that the other entries have sent to upstreams.
-        contacts: Availability of the store, by subject.
+        store_availability: Availability of the store, by subject.
         started_at: When the first event was processed; None before.
         held_requests: Requests received before the initial data was read, by
             id.
@@ -197,7 +197,7 @@
     incarnation: int
     rng: random.Random
     placer: placement.Placement
-    sizes: size_policy.SizePolicy
+    sizing_policy: size_policy.SizePolicy
     judge: version_trial.TrialJudge
     budget: window_budget.WindowBudget
     proof: freshness_proof.FreshnessProof
@@ -233,7 +233,9 @@
     rollout_recorded_at: dict[str, float] = dataclasses.field(
         default_factory=dict
     )
-    contacts: dict[str, StoreContact] = dataclasses.field(default_factory=dict)
+    store_availability: dict[str, StoreAvailability] = dataclasses.field(
+        default_factory=dict
+    )
     started_at: float | None = None
     held_requests: dict[str, HeldRequest] = dataclasses.field(
         default_factory=dict
@@ -256,9 +258,9 @@
             and self.listed_subjects >= REQUIRED_LISTS
         )
 
-    def contact(self, subject: str) -> StoreContact:
+    def get_store_availability(self, subject: str) -> StoreAvailability:
         """Returns the store's availability for a subject."""
-        return self.contacts.setdefault(subject, StoreContact())
+        return self.store_availability.setdefault(subject, StoreAvailability())
 
     @property
     def stopping(self) -> bool:
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/store_reading.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/store_reading.py
@@ -171,10 +171,10 @@
     state: states.RouterState, ask: messages.StoreAsk, *, now: float
 ) -> list[effects.Effect]:
     """Returns the reply to an ask as an effect, if there is one."""
-    contact = state.contact(events.Subject.UPSTREAMS)
+    availability = state.get_store_availability(events.Subject.UPSTREAMS)
     regained_age_s = None
-    if contact.recovered_at is not None:
-        regained_age_s = now - contact.recovered_at
+    if availability.recovered_at is not None:
+        regained_age_s = now - availability.recovered_at
     facts = store_relay.ReaderFacts(
         name=state.settings.name,
         revision=state.active_configuration.revision
@@ -208,7 +208,7 @@
     return True
 
 
-def record_contact(
+def record_store_answer(
     state: states.RouterState, reply: messages.StoreTold, *, now: float
 ) -> None:
     """Records that a reader has reached the store.
@@ -216,12 +216,12 @@
     Upstreams that lapsed during the store's outage are treated here as they
     are at the reader.
     """
-    contact = state.contact(events.Subject.UPSTREAMS)
-    if contact.is_unavailable:
-        contact.recovered_at = now
+    availability = state.get_store_availability(events.Subject.UPSTREAMS)
+    if availability.is_unavailable:
+        availability.recovered_at = now
     elif reply.regained_age_s is not None:
-        contact.recovered_at = now - reply.regained_age_s
-    contact.answered_at = now
+        availability.recovered_at = now - reply.regained_age_s
+    availability.answered_at = now
 
 
 def build_upstream_events(
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/upstream_list.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/upstream_list.py
@@ -87,8 +87,8 @@
     state: states.RouterState, event: events.AnyEvent, *, now: float
 ) -> list[effects.Effect]:
     """Applies an event to the view of upstreams, and logs it."""
-    contact = state.contact(events.Subject.UPSTREAMS)
-    store_unstable = contact.was_recently_unavailable(
+    availability = state.get_store_availability(events.Subject.UPSTREAMS)
+    store_unstable = availability.was_recently_unavailable(
         defaults.LAPSE_REPORT_S, now=now
     )
     match event:
