--- a/features/steps/router_steps.py
+++ b/features/steps/router_steps.py
@@ -1,4 +1,4 @@
-"""Steps for a router in memory: requests, streams, freshness, stops."""
+"""Steps for a simulated router: requests, streams, freshness and stops."""
 
 import itertools
 
@@ -6,7 +6,7 @@
 from behave import then
 from behave import when
 from hypothesis import given as examples
-from hypothesis import settings as trial_settings
+from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies
 from support import router_world
 
@@ -19,7 +19,7 @@
 from rhubarbbank_router import freshness_proof
 from rhubarbbank_router import route_match
 
-PLACED_INPUTS = {"candidates", "load_age_s", "left_s"}
+PLACEMENT_INPUTS = {"candidates", "load_age_s", "left_s"}
 
 
 def make_world(context, count, **changes):
@@ -28,18 +28,18 @@
 
 
 @given("a router that knows its configuration and {count:d} upstreams")
-def start(context, count):
+def start_router(context, count):
     make_world(context, count)
 
 
 @given("a router that has just started")
-def start_empty(context):
+def start_unconfigured_router(context):
     context.world = router_world.World()
     context.world.apply(core_events.Ticked())
 
 
 @when("the router reads its configuration and {count:d} upstreams")
-def read_all(context, count):
+def read_configuration(context, count):
     context.world.start(count)
     context.world.run(0.1)
 
@@ -82,7 +82,7 @@
 
 
 @when("its upstream {outcome}")
-def let_upstream(context, outcome):
+def apply_outcome(context, outcome):
     OUTCOMES[outcome](context.world, context.request)
 
 
@@ -94,7 +94,7 @@
 
 
 @then("the request has been sent {count:d} times")
-def check_sendings(context, count):
+def check_attempt_count(context, count):
     found = context.world.sent(context.request)
     assert len(found) == count, found
     assert len({each.upstream_id for each in found}) == count, found
@@ -106,13 +106,13 @@
 
 
 @then("the caller has the upstream's {status:d}")
-def check_relayed(context, status):
+def check_forwarded_answer(context, status):
     (answer,) = context.world.answers(context.request)
     assert isinstance(answer, effects.RelayAnswer), answer
     assert (answer.status, answer.body) == (status, b"body"), answer
 
 
-def check_own(context, status):
+def check_error_response(context, status):
     (answer,) = context.world.answers(context.request)
     assert isinstance(answer, effects.RefuseRequest), answer
     assert answer.status == status, answer
@@ -120,17 +120,18 @@
 
 
 @then("the caller has a {status:d} without Retry-After")
-def check_final(context, status):
-    assert check_own(context, status).retry_after_s is None
+def check_error_without_retry_after(context, status):
+    assert check_error_response(context, status).retry_after_s is None
 
 
 @then("the caller has a {status:d} with Retry-After")
-def check_refused(context, status):
-    answer = check_own(context, status)
+def check_error_with_retry_after(context, status):
+    answer = check_error_response(context, status)
     assert answer.retry_after_s is not None, answer
-    opened = context.world.sent(context.request)
-    # A 503 says that the request has not run: nothing sent is left in doubt.
-    assert len(opened) == 0 or status == 503, opened
+    attempts = context.world.sent(context.request)
+    # Once it has been sent, a request gets Retry-After only with a 503, which
+    # says that it didn't run.
+    assert len(attempts) == 0 or status == 503, attempts
 
 
 @then("no request or attempt is open")
@@ -142,7 +143,7 @@
 
 @when("{duration:g} s pass")
 @when("the upstream is silent for {duration:g} s")
-def let_pass(context, duration):
+def advance(context, duration):
     world = context.world
     steps = max(1, round(duration / 0.5))
     for _ in range(steps):
@@ -153,7 +154,7 @@
 
 
 @when("the upstream sends events for {duration:g} s")
-def let_pass_sending(context, duration):
+def advance_while_sending(context, duration):
     world = context.world
     number = world.written(context.request)[-1]
     for _ in range(max(1, round(duration / 0.1))):
@@ -164,7 +165,7 @@
 
 
 @when("{duration:g} s pass without a read of the configuration")
-def let_pass_unread(context, duration):
+def advance_without_reads(context, duration):
     context.world.run(duration)
 
 
@@ -179,17 +180,17 @@
 
 
 @then("the upstream is given {left:g} s")
-def check_told(context, left):
+def check_time_left(context, left):
     assert context.world.sent(context.request)[-1].time_left_s == left
 
 
 @then("the upstream is given at most {left:g} s")
-def check_told_less(context, left):
+def check_time_left_at_most(context, left):
     assert context.world.sent(context.request)[-1].time_left_s <= left
 
 
 @when("the caller disconnects")
-def leave(context):
+def disconnect(context):
     context.world.apply(events.CallerLeft(context.request))
 
 
@@ -208,35 +209,35 @@
 
 
 @then('the logged decisions on the request are "{names}"')
-def check_lines(context, names):
+def check_logged_decisions(context, names):
     found = context.world.decisions(context.request)
     assert [each.decision for each in found] == names.split(", "), found
 
 
 @then("each logged placement has candidates, load age and time left")
-def check_inputs(context):
+def check_placement_inputs(context):
     for each in context.world.decisions(context.request):
         if each.decision == "placed":
-            assert dict(each.inputs).keys() >= PLACED_INPUTS, each
+            assert dict(each.inputs).keys() >= PLACEMENT_INPUTS, each
 
 
 # Streams.
 
 
 @when("the upstream begins a stream with events {first:d} to {last:d}")
-def stream_first(context, first, last):
+def begin_stream(context, first, last):
     context.world.head(context.request, confidence=90)
     context.world.stream(context.request, first, last)
 
 
 @when("the upstream sends events {first:d} to {last:d} and ends the stream")
-def stream_rest(context, first, last):
-    stream_first(context, first, last)
+def end_stream(context, first, last):
+    begin_stream(context, first, last)
     context.world.end(context.request)
 
 
 @when("the connection breaks in the middle of an event")
-def break_in_event(context):
+def break_inside_event(context):
     context.world.data(context.request, b"id: 4\ndata: ha")
     context.world.end(context.request, "broken")
 
@@ -263,20 +264,20 @@
 
 
 @then("the caller's stream is cut off without a retry")
-def check_cut(context):
+def check_cut_off_without_retry(context):
     found = context.world.answers(context.request)
     assert isinstance(found[-1], effects.AbortAnswer), found
     assert len(context.world.sent(context.request)) == 1
 
 
 @then("the caller's stream is cut off")
-def check_cut_late(context):
+def check_cut_off(context):
     found = context.world.answers(context.request)
     assert isinstance(found[-1], effects.AbortAnswer), found
 
 
 @given('upstreams 1 and 2 are replaced by one of version "{version}"')
-def list_other_version(context, version):
+def replace_upstreams(context, version):
     for number in (1, 2):
         context.world.apply(events.UpstreamUnlisted(f"up-{number}"))
     listed = router_world.build_upstream(7, version)
@@ -289,23 +290,23 @@
 
 
 @when("the upstream answers with confidence {confidence:d}")
-def answer_confident(context, confidence):
+def answer_with_confidence(context, confidence):
     context.world.head(context.request, confidence=confidence)
 
 
 @then("splitting a stream's bytes anywhere gives the same events")
-def check_cutting(context):
+def check_splitting(context):
     whole = b"".join(router_world.build_event(n) for n in range(1, 6))
     expected = event_stream.EventSplitter().feed(whole)
     assert [each.event_id for each in expected] == ["1", "2", "3", "4", "5"]
 
-    @trial_settings(max_examples=200, deadline=None, derandomize=True)
+    @hypothesis_settings(max_examples=200, deadline=None, derandomize=True)
     @examples(strategies.lists(strategies.integers(0, len(whole))))
-    def check(places):
-        cuts = [0, *sorted(places), len(whole)]
+    def check(offsets):
+        bounds = [0, *sorted(offsets), len(whole)]
         splitter = event_stream.EventSplitter()
         found = []
-        for start_at, end_at in itertools.pairwise(cuts):
+        for start_at, end_at in itertools.pairwise(bounds):
             found += splitter.feed(whole[start_at:end_at])
         assert found == expected
         assert not splitter.partial
@@ -317,7 +318,7 @@
 
 
 @when("a read that was sent {age:g} s ago confirms the configuration")
-def confirm_late(context, age):
+def confirm_after(context, age):
     world = context.world
     world.now += age
     world.apply(
@@ -333,18 +334,18 @@
 
 
 @when("then revision {revision:d} is read")
-def read_old(context, revision):
+def read_revision(context, revision):
     context.world.configure(router_world.build_configuration(revision))
 
 
 @then("route lookup agrees with a linear scan")
-def check_routes(context):
+def check_route_lookup(context):
     pieces = strategies.sampled_from(["a", "b", "ab", "c"])
     prefixes = strategies.lists(pieces, max_size=4).map(
         lambda found: "/" + "".join(f"{piece}/" for piece in found)
     )
 
-    @trial_settings(max_examples=300, deadline=None, derandomize=True)
+    @hypothesis_settings(max_examples=300, deadline=None, derandomize=True)
     @examples(
         strategies.lists(prefixes, unique=True, max_size=12),
         prefixes,
@@ -365,7 +366,7 @@
 
 
 @then("no revoked key is accepted after its bound")
-def check_histories(context):
+def check_revocation_bound(context):
     bound_s, limit_s = 5.0, 4.6
     steps = strategies.lists(
         strategies.tuples(
@@ -375,22 +376,23 @@
         max_size=40,
     )
 
-    @trial_settings(max_examples=400, deadline=None, derandomize=True)
+    @hypothesis_settings(max_examples=400, deadline=None, derandomize=True)
     @examples(steps)
     def check(history):
         now = 0.0
         revoked_at = None
         key_in_force = True
         proof = freshness_proof.FreshnessProof(limit_s=limit_s)
-        asked = []
+        reads = []
         for step, wait_s in history:
             now += wait_s
             match step:
                 case "ask":
-                    # A linearizable read sees all that was accepted by then.
-                    asked.append((now, revoked_at is None))
-                case "answer" if asked:
-                    asked_at, holds_key = asked.pop(0)
+                    # A linearizable read sees all writes accepted before it
+                    # was sent.
+                    reads.append((now, revoked_at is None))
+                case "answer" if reads:
+                    asked_at, holds_key = reads.pop(0)
                     key_in_force = key_in_force and holds_key
                     proof.confirm(sent_at=asked_at)
                 case "revoke":
@@ -423,25 +425,25 @@
 
 
 @then("the process keeps running")
-def check_going_on(context):
+def check_running(context):
     assert not has_exited(context)
 
 
 @then("the process exits")
-def check_ended(context):
+def check_exited(context):
     assert has_exited(context)
     assert not context.world.state.open
 
 
 @then("only states that prove that an attempt didn't run allow a refusal")
-def check_states(context):
+def check_not_run_states(context):
     for state in attempt_states.AttemptState:
         proof = state in attempt_states.NOT_RUN_STATES
         assert proof == (state.value in {"not_sent", "refused"})
 
 
 @when("the upstream sends an event every {pause:g} s up to event {last:d}")
-def send_slowly(context, pause, last):
+def send_events_slowly(context, pause, last):
     world = context.world
     for number in range(world.written(context.request)[-1] + 1, last + 1):
         for _ in range(round(pause / 0.1)):
