--- a/features/steps/router_session_steps.py
+++ b/features/steps/router_session_steps.py
@@ -1,4 +1,4 @@
-"""Steps for sessions whose requests come to many entries."""
+"""Steps for sessions whose requests go to different entries."""
 
 import random
 
@@ -11,30 +11,30 @@
 
 
 @when(
-    "{sessions:d} sessions move between {entries:d} entries in {places:d} "
-    "data centres, with {lost:d} of 100 heartbeats lost, through a roll-out"
+    "{sessions:d} sessions use {entries:d} entries in {data_centres:d} data "
+    "centres during a roll-out, with {lost:d} % of the heartbeats lost"
 )
-def run_fleet(context, sessions, entries, places, lost):
+def run_sessions(context, sessions, entries, data_centres, lost):
     context.fleet = session_fleet.SessionFleet(
         rng=random.Random(SEED),
         entries=entries,
-        places=places,
+        data_centres=data_centres,
         sessions=sessions,
-        loss=lost / 100,
+        loss_rate=lost / 100,
     )
     context.fleet.run(RUN_S)
 
 
-@then("none moves to the target in its first half")
-def check_early(context):
-    assert not context.fleet.early, context.fleet.early
+@then("no session moves to the target in the first half")
+def check_no_early_moves(context):
+    assert not context.fleet.early_moves, context.fleet.early_moves
 
 
-@then("none that ran on the target runs on the version before it")
-def check_back(context):
-    assert not context.fleet.back, context.fleet.back
+@then("no session moves from the target back to the old version")
+def check_no_moves_back(context):
+    assert not context.fleet.moves_back, context.fleet.moves_back
 
 
-@then("sessions that begin in the first half try the target")
-def check_tried(context):
-    assert context.fleet.on_target > 0
+@then("some requests run on the target in the first half")
+def check_target_requests(context):
+    assert context.fleet.target_requests > 0
--- a/features/support/session_fleet.py
+++ b/features/support/session_fleet.py
@@ -1,7 +1,7 @@
-"""Routers in memory whose callers' sessions move between entries.
+"""Simulates sessions at several routers in memory during a roll-out.
 
-A roll-out begins while sessions are under way. Heartbeats are delivered a
-moment late, and some are lost.
+Each request of a session goes to a random router. The roll-out begins while
+sessions are alive. Heartbeats are delayed, and some are lost.
 """
 
 import dataclasses
@@ -33,12 +33,12 @@
 
 @dataclasses.dataclass
 class Session:
-    """A session's last run.
+    """A session of a caller.
 
     Attributes:
-        key: Its name, and what its prompts share.
-        version: That its last request ran on; empty before the first.
-        ended_at: When that ended.
+        key: The session's name and the common part of its prompts.
+        version: Version that the last request ran on; empty before the first.
+        ended_at: When the last request ended.
     """
 
     key: str
@@ -47,37 +47,43 @@
 
 
 class SessionFleet:
-    """Entries that share sessions, and what was seen of the sessions.
+    """Routers that serve the same sessions, and the sessions' moves.
 
     Attributes:
-        early: Moves to the target in the first half of the roll-out.
-        back: Moves from the target to the version before it.
-        on_target: Requests that ran on the target in the first half.
+        early_moves: Moves to the target in the first half of the roll-out, as
+            pairs of time and session.
+        moves_back: Moves from the target back to the old version.
+        target_requests: Requests that ran on the target in the first half.
+        send_effects: By router and request, the effects that sent the attempt.
     """
 
-    def __init__(self, *, rng, entries, sessions, places=1, loss=0.0):
+    def __init__(
+        self, *, rng, entries, sessions, data_centres=1, loss_rate=0.0
+    ):
         self.rng = rng
-        self.loss = loss
-        self.places = places
+        self.loss_rate = loss_rate
+        self.data_centres = data_centres
         self.now = 0.0
-        self.numbers = itertools.count()
-        self.due = []
-        self.attempts = {}
-        self.early = []
-        self.back = []
-        self.on_target = 0
+        self.sequence = itertools.count()
+        self.scheduled = []
+        self.send_effects = {}
+        self.early_moves = []
+        self.moves_back = []
+        self.target_requests = 0
         self.worlds = [self.build_world(n) for n in range(entries)]
-        self.by_address = {
+        self.world_by_address = {
             x.state.settings.peer_address: x for x in self.worlds
         }
         for number in range(sessions):
-            self.after(rng.uniform(0, 6), self.ask, Session(f"s{number}"))
+            self.schedule(
+                rng.uniform(0, 6), self.send_request, Session(f"s{number}")
+            )
 
     def build_world(self, number):
         world = router_world.World(
             seed=number + 1,
             name=f"entry-{number}",
-            data_centre=f"west-{number % self.places}",
+            data_centre=f"west-{number % self.data_centres}",
             session_s=SESSION_S,
         )
         world.now = self.now
@@ -87,9 +93,9 @@
         )
         return world
 
-    def after(self, delay_s, call, *given):
-        entry = (self.now + delay_s, next(self.numbers), call, given)
-        heapq.heappush(self.due, entry)
+    def schedule(self, delay_s, call, *args):
+        entry = (self.now + delay_s, next(self.sequence), call, args)
+        heapq.heappush(self.scheduled, entry)
 
     def run(self, duration_s):
         listed = tuple(
@@ -101,21 +107,23 @@
         )
         for world in self.worlds:
             world.apply(events.EntriesListed(listed))
-        self.after(ORDER_AT_S, self.order)
+        self.schedule(ORDER_AT_S, self.issue_order)
         end = self.now + duration_s
         while self.now < end:
             self.now += STEP_S
-            while self.due and self.due[0][0] <= self.now:
-                _, _, call, given = heapq.heappop(self.due)
-                call(*given)
+            while self.scheduled and self.scheduled[0][0] <= self.now:
+                _, _, call, args = heapq.heappop(self.scheduled)
+                call(*args)
             for world in self.worlds:
                 self.step(world)
 
-    def order(self):
+    def issue_order(self):
         for world in self.worlds:
-            self.after(self.rng.uniform(0, 0.4), self.tell, world, ORDER)
+            self.schedule(
+                self.rng.uniform(0, 0.4), self.deliver_order, world, ORDER
+            )
 
-    def tell(self, world, order):
+    def deliver_order(self, world, order):
         world.now = self.now
         world.apply(events.RolloutChanged(order))
         for number in range(10, 13):
@@ -127,27 +135,30 @@
         world.configure(world.state.active_configuration)
         begun = len(world.done)
         world.apply(core_events.Ticked())
-        self.send(world, begun)
+        self.deliver_heartbeats(world, begun)
 
-    def send(self, world, begun):
-        """Delivers the heartbeats among what a router has just done."""
+    def deliver_heartbeats(self, world, begun):
+        """Schedules delivery of the heartbeats that a router has just sent."""
         for effect in world.done[begun:]:
             if not isinstance(effect, core_effects.Send):
                 continue
-            peer = self.by_address[effect.address]
-            if peer is world or self.rng.random() < self.loss:
+            peer = self.world_by_address[effect.address]
+            if peer is world or self.rng.random() < self.loss_rate:
                 continue
-            self.after(
-                self.rng.uniform(0, 0.05), self.deliver, peer, effect.message
+            self.schedule(
+                self.rng.uniform(0, 0.05),
+                self.deliver_message,
+                peer,
+                effect.message,
             )
         del world.done[begun:]
 
-    def deliver(self, world, message):
+    def deliver_message(self, world, message):
         world.now = self.now
         world.apply(core_events.MessageReceived(message))
 
-    def ask(self, session):
-        """The session's next request, at any entry."""
+    def send_request(self, session):
+        """Sends the session's next request to a random router."""
         world = self.rng.choice(self.worlds)
         world.now = self.now
         begun = len(world.done)
@@ -159,44 +170,53 @@
         sending = world.sent(request)[-1]
         number = int(sending.upstream_id.removeprefix("up-"))
         version = "v2" if number >= 10 else "v1"
-        self.check(session, version)
+        self.record_move(session, version)
         session.version = version
-        self.after(0.1, self.answer, world, request, world.done[begun:])
+        self.schedule(
+            0.1, self.start_answer, world, request, world.done[begun:]
+        )
         run_s = self.rng.uniform(0.2, 1.0)
-        self.after(run_s, self.end, world, request, session)
-
-    def answer(self, world, request, done):
-        """The request's events come; `done` is what its sending led to."""
-        self.attempts[world, request] = [x for x in done if self.is_sending(x)]
-        self.act(world, request, lambda: world.head(request, confidence=90))
-        self.act(world, request, lambda: world.stream(request, 1, 2))
+        self.schedule(run_s, self.end_answer, world, request, session)
+
+    def start_answer(self, world, request, done):
+        """Starts the answer; `done` holds the effects of sending."""
+        self.send_effects[world, request] = [
+            x for x in done if self.is_send_attempt(x)
+        ]
+        self.run_upstream(
+            world, request, lambda: world.head(request, confidence=90)
+        )
+        self.run_upstream(world, request, lambda: world.stream(request, 1, 2))
 
-    def end(self, world, request, session):
-        self.act(world, request, lambda: world.end(request))
-        del self.attempts[world, request]
+    def end_answer(self, world, request, session):
+        self.run_upstream(world, request, lambda: world.end(request))
+        del self.send_effects[world, request]
         session.ended_at = self.now
-        self.after(self.rng.uniform(0.1, 7.0), self.ask, session)
+        self.schedule(self.rng.uniform(0.1, 7.0), self.send_request, session)
+
+    def run_upstream(self, world, request, call):
+        """Runs an upstream's action and clears the router's recorded effects.
 
-    def act(self, world, request, call):
-        """Lets the request's upstream act; the world's log is kept short."""
+        The action needs the effects that sent the attempt.
+        """
         world.now = self.now
-        world.done[:0] = self.attempts[world, request]
+        world.done[:0] = self.send_effects[world, request]
         call()
         world.done.clear()
 
     @staticmethod
-    def is_sending(effect):
+    def is_send_attempt(effect):
         return isinstance(effect, effects.SendAttempt)
 
-    def check(self, session, version):
+    def record_move(self, session, version):
         age_s = self.now - ORDER_AT_S
         first_half = age_s < DURATION_S / 2
-        self.on_target += first_half and version == "v2"
+        self.target_requests += first_half and version == "v2"
         if not session.version or version == session.version:
             return
         if self.now - session.ended_at >= SESSION_S:
             return
         if version == "v2" and first_half:
-            self.early.append((round(self.now, 2), session.key))
+            self.early_moves.append((round(self.now, 2), session.key))
         if version == "v1":
-            self.back.append((round(self.now, 2), session.key))
+            self.moves_back.append((round(self.now, 2), session.key))
