--- a/features/support/rollout_fleet.py
+++ b/features/support/rollout_fleet.py
@@ -1,8 +1,9 @@
-"""Routers in memory around one store: a roll-out under faults.
+"""Simulates a roll-out at several routers in memory, under faults.
 
-Each entry reads the store late, its writes are refused, lost, or done late;
-entries are killed and start again without what they knew. The target is good
-or bad by the seed.
+The routers share one store. They are notified of changes late, their writes
+are refused, lost or delayed, heartbeats are lost, and one router is killed and
+restarts without its state. The seed determines whether the target is good or
+bad.
 """
 
 import collections
@@ -20,33 +21,33 @@
 DURATION_S = 12.0
 STEP_S = 0.1
 ENTRIES = 3
-MOST_DELAY_S = 1.0
-FINAL = version_trial.FINAL_STATES
+MAX_DELAY_S = 1.0
 
 
 @dataclasses.dataclass
-class Due:
-    """Something that happens later."""
+class ScheduledCall:
+    """A call that is due at a point in time."""
 
     at: float
     call: object
 
 
 class RolloutFleet:
-    """Entries, and the record of one roll-out.
+    """Routers and the store's record of one roll-out.
 
     Attributes:
-        outcomes: How the records of all fleets so far ended.
+        outcomes: Counts of the last recorded states, over all fleets so far.
+        states: The recorded states, in order.
     """
 
     outcomes: ClassVar[collections.Counter] = collections.Counter()
 
     def __init__(self, *, rng):
         self.rng = rng
-        self.bad = rng.random() < 0.5
-        self.faulty = rng.random() < 0.7
+        self.target_is_bad = rng.random() < 0.5
+        self.has_faults = rng.random() < 0.7
         self.now = 100.0
-        self.due = []
+        self.scheduled = []
         self.record = version_trial.RolloutOrder(
             service=SERVICE,
             target="v2",
@@ -56,13 +57,12 @@
             created_revision=50,
         )
         self.states = [self.record.state]
-        self.old_when_completed = None
         self.worlds = {}
         self.addresses = {}
         for number in range(ENTRIES):
-            self.start_entry(number, first=True)
+            self.start_entry(number)
 
-    def start_entry(self, number, *, first=False):
+    def start_entry(self, number):
         name = f"entry-{number}"
         world = router_world.World(seed=self.rng.randrange(1 << 30), name=name)
         world.now = self.now
@@ -74,7 +74,6 @@
         world.apply(events.RolloutChanged(self.record))
         self.worlds[name] = world
         self.addresses[world.state.settings.peer_address] = name
-        del first
 
     def run(self, duration_s):
         end = self.now + duration_s
@@ -82,18 +81,18 @@
         killed = None
         while self.now < end:
             self.now += STEP_S
-            for each in [x for x in self.due if x.at <= self.now]:
-                self.due.remove(each)
+            for each in [x for x in self.scheduled if x.at <= self.now]:
+                self.scheduled.remove(each)
                 each.call()
-            if self.faulty and killed is None and self.now >= kill_at:
+            if self.has_faults and killed is None and self.now >= kill_at:
                 killed = self.rng.randrange(ENTRIES)
                 del self.worlds[f"entry-{killed}"]
-                self.after(2.0, lambda n=killed: self.start_entry(n))
+                self.schedule(2.0, lambda n=killed: self.start_entry(n))
             for world in list(self.worlds.values()):
                 self.step(world)
 
-    def after(self, delay_s, call):
-        self.due.append(Due(self.now + delay_s, call))
+    def schedule(self, delay_s, call):
+        self.scheduled.append(ScheduledCall(self.now + delay_s, call))
 
     def step(self, world):
         world.now = self.now
@@ -101,47 +100,47 @@
         begun = len(world.done)
         world.apply(core_events.Ticked())
         for _ in range(3):
-            self.ask(world)
-        found, world.done = world.done[begun:], world.done[:begun]
-        for effect in found:
+            self.send_request(world)
+        new_effects, world.done = world.done[begun:], world.done[:begun]
+        for effect in new_effects:
             if isinstance(effect, core_effects.Send):
-                self.send(effect)
+                self.deliver_heartbeat(effect)
             elif isinstance(effect, effects.RecordRollout):
-                self.write(world, effect)
+                self.schedule_write(effect)
 
-    def ask(self, world):
-        """A request that is answered at once."""
+    def send_request(self, world):
+        """Sends a request that is answered at once."""
         key = f"k{self.rng.randrange(1 << 30)}"
         request = world.ask(
             "chat", generation=router_world.build_generation(key, 1000)
         )
         while request in world.state.open:
             sending = world.sent(request)[-1]
-            is_new = int(sending.upstream_id.removeprefix("up-")) >= 10
-            if is_new and self.bad and self.rng.random() < 0.5:
+            on_target = int(sending.upstream_id.removeprefix("up-")) >= 10
+            if on_target and self.target_is_bad and self.rng.random() < 0.5:
                 world.answer_whole(request, 500)
             else:
                 world.head(request, confidence=90)
                 world.stream(request, 1, 2)
                 world.end(request)
 
-    def send(self, effect):
+    def deliver_heartbeat(self, effect):
         name = self.addresses.get(effect.address)
-        if self.faulty and self.rng.random() < 0.2:
+        if self.has_faults and self.rng.random() < 0.2:
             return
         world = self.worlds.get(name)
         if world is not None:
             world.apply(core_events.MessageReceived(effect.message))
 
-    def write(self, world, effect):
-        """A conditional write that may be refused, lost, or done late."""
-        fault = self.rng.random() if self.faulty else 1.0
+    def schedule_write(self, effect):
+        """Schedules a conditional write, which may be lost or delayed."""
+        fault = self.rng.random() if self.has_faults else 1.0
         if fault < 0.15:
             return
-        delay_s = self.rng.uniform(0.0, MOST_DELAY_S) if fault < 0.5 else 0.0
-        self.after(delay_s, lambda: self.accept(effect))
+        delay_s = self.rng.uniform(0.0, MAX_DELAY_S) if fault < 0.5 else 0.0
+        self.schedule(delay_s, lambda: self.write_record(effect))
 
-    def accept(self, effect):
+    def write_record(self, effect):
         if effect.order.revision != self.record.revision:
             return
         self.record = dataclasses.replace(
@@ -152,22 +151,26 @@
         self.states.append(effect.state)
         for name in self.worlds:
             delay_s = 0.01
-            if self.faulty:
-                delay_s = self.rng.uniform(0.0, MOST_DELAY_S)
+            if self.has_faults:
+                delay_s = self.rng.uniform(0.0, MAX_DELAY_S)
             record = self.record
-            self.after(delay_s, lambda n=name, r=record: self.tell(n, r))
+            self.schedule(delay_s, lambda n=name, r=record: self.notify(n, r))
 
-    def tell(self, name, record):
+    def notify(self, name, record):
         world = self.worlds.get(name)
         if world is not None:
             world.now = self.now
             world.apply(events.RolloutChanged(record))
 
     def check(self):
-        final = [state for state in self.states if state in FINAL]
+        final = [
+            state
+            for state in self.states
+            if state in version_trial.FINAL_STATES
+        ]
         assert len(final) <= 1, self.states
         assert not final or self.states[-1] is final[0], self.states
-        if self.bad:
+        if self.target_is_bad:
             completed = version_trial.OrderState.COMPLETED
             assert completed not in self.states, self.states
         type(self).outcomes[self.states[-1].value] += 1
