--- a/features/router_rollouts.feature
+++ b/features/router_rollouts.feature
@@ -1,79 +1,79 @@
 @quick
-Feature: New versions come in with little exposure, and sessions keep theirs
+Feature: New versions are rolled out gradually, and sessions keep their version
 
-  Scenario: A version without an order gets nothing
+  Scenario: A version without an order gets no requests
     Given a router that knows its configuration and 3 upstreams
     When upstreams of version "v2" are listed
-    Then no request of 50 goes to version "v2"
+    Then none of 50 requests goes to version "v2"
 
-  Scenario: In the first half a small share of sessions tries the target
+  Scenario: A small share of sessions is routed to the target in the first half
     Given a router with a roll-out to version "v2" over 20 s
-    Then between 1 and 40 requests of 200 go to version "v2"
-    And all entries send the same sessions there
+    Then between 1 and 40 of 200 requests go to version "v2"
+    And another entry routes the same sessions to it
 
   Scenario: A session keeps its version in the first half
     Given a router with a roll-out to version "v2" over 20 s
     When a session has run on version "v1"
     Then its next request within 5 s runs on version "v1"
 
-  Scenario: A good target gets everything, and completion is recorded
+  Scenario: A good target gets all requests, and completion is recorded
     Given a router with a roll-out to version "v2" over 20 s
-    When requests are answered well for 18 s
-    Then every request of 50 goes to version "v2"
+    When requests succeed for 18 s
+    Then all of 50 requests go to version "v2"
     And the roll-out is recorded as "completed"
 
-  Scenario: A configuration without the service's models changes no plan midway
+  Scenario: Removing the service's models in the second half doesn't change the plan
     Given a router with a roll-out to version "v2" over 20 s
-    When requests are answered well for 18 s
-    And the service answers without models
-    And requests are answered well for 1 s
-    Then every request of 50 goes to version "v2"
+    When requests succeed for 18 s
+    And the service has no models
+    And requests succeed for 1 s
+    Then all of 50 requests go to version "v2"
 
-  Scenario: Completion waits for requests on the old version
+  Scenario: Completion waits for open requests on the old version
     Given a router with a roll-out to version "v2" over 20 s
-    When requests are answered well for 9 s
+    When requests succeed for 9 s
     And a stream begins on version "v1"
-    And requests are answered well for 8 s
+    And requests succeed for 8 s
     Then the roll-out isn't recorded as "completed"
     When that stream ends
-    And requests are answered well for 1 s
+    And requests succeed for 1 s
     Then the roll-out is recorded as "completed"
 
   Scenario: Completion waits for every live entry
     Given a router with a roll-out to version "v2" over 20 s
-    And a peer that still sends to version "v1"
-    When requests are answered well for 18 s
+    And a peer that still routes requests to version "v1"
+    When requests succeed for 18 s
     Then the roll-out isn't recorded as "completed"
 
-  Scenario: A roll-out that is over adds no counts to heartbeats
+  Scenario: A finished roll-out adds no counts to heartbeats
     Given a router with a roll-out to version "v2" over 20 s
-    And a peer that still sends to version "v1"
-    When requests are answered well for 2 s
-    Then its last heartbeat tells counts of the roll-out
+    And a peer that still routes requests to version "v1"
+    When requests succeed for 2 s
+    Then its last heartbeat contains the roll-out's counts
     When the roll-out to "v2" is completed
-    And requests are answered well for 1 s
-    Then its last heartbeat tells no counts, but the roll-out
+    And requests succeed for 1 s
+    Then its last heartbeat contains the roll-out without counts
 
-  Scenario: A bad target is stopped and rolled back
+  Scenario: A bad target is held and rolled back
     Given a router with a roll-out to version "v2" over 20 s
-    When a third of the target's answers are failures for 10 s
-    Then no request of 50 goes to version "v2"
+    When a third of the target's answers fail for 10 s
+    Then none of 50 requests goes to version "v2"
     And the roll-out is recorded as "rolled_back"
 
-  Scenario: A target that is bad on one route is stopped
+  Scenario: A target that is bad on a single route is held
     Given a router with a roll-out to version "v2" over 20 s
-    When half of the target's answers on one route are failures for 20 s
-    Then no request of 50 goes to version "v2"
+    When half of the target's answers on one route fail for 20 s
+    Then none of 50 requests goes to version "v2"
 
-  Scenario: A slow target is stopped
+  Scenario: A slow target is held
     Given a router with a roll-out to version "v2" over 20 s
-    When the target answers 8 times slower than the old version for 10 s
-    Then no request of 50 goes to version "v2"
+    When the target takes 8 times as long as the old version for 10 s
+    Then none of 50 requests goes to version "v2"
 
-  Scenario Outline: A plain target that is slow within a fraction of a second
+  Scenario Outline: A target of a plain service that is slower by a fraction of a second
     Given a router with a roll-out to version "v2" over 20 s
-    And the service answers without models
-    When <share> of 10 of the target's bookings take <slow> s and all others 0.03 s for 14 s
+    And the service has no models
+    When <share> of 10 bookings on the target take <slow> s and all others 0.03 s, for 14 s
     Then version "v2" <outcome>
 
     Examples:
@@ -83,72 +83,72 @@
       | 5     | 0.06 | isn't held   |
       | 0     | 0.24 | isn't held   |
 
-  Scenario: A second order in the record of the first is tried anew
+  Scenario: A second order in the record of the first starts a new trial
     Given a router with a roll-out to version "v2" over 20 s
     When the roll-out to "v2" is completed
     And an order for version "v3" is written into the same record
-    Then less than half of 100 requests go to version "v3"
+    Then some but less than half of 100 requests go to version "v3"
     And the roll-out isn't recorded as "completed"
 
-  Scenario: A peer's word that a target is held holds it here
+  Scenario: A target that a peer holds is held here too
     Given a router with a roll-out to version "v2" over 20 s
     And a peer that holds version "v2"
-    When requests are answered well for 1 s
-    Then no request of 50 goes to version "v2"
+    When requests succeed for 1 s
+    Then none of 50 requests goes to version "v2"
 
-  Scenario: Only one entry records, and another takes over from a dead one
+  Scenario: Only one entry records states, and another takes over when it dies
     Given a router with a roll-out to version "v2" over 20 s
-    And a live peer whose name comes first
-    When requests are answered well for 2 s
-    Then nothing is recorded
-    When that peer falls silent for 4 s
-    And requests are answered well for 1 s
+    And a live peer whose name sorts first
+    When requests succeed for 2 s
+    Then no state is recorded
+    When that peer sends no heartbeats for 4 s
+    And requests succeed for 1 s
     Then the roll-out is recorded as "running"
 
-  Scenario: Connections that break with their host don't speak against a version
+  Scenario: Connections that break with their host don't count against a version
     Given a router with a roll-out to version "v2" over 20 s
-    When 20 requests on version "v2" break off
+    When the connections of 20 requests on version "v2" break
     Then version "v2" isn't held
 
-  Scenario Outline: Slow versions beside load, over generated roll-outs
-    Then of 300 generated roll-outs, <slow> slow and <drag> dragging before, <new slow> and <new drag> after, <held> are held within <answers> answers
+  Scenario Outline: Slow versions and load, over generated roll-outs
+    Then of 300 generated roll-outs with shares <slow> slow and <drag> dragging before, and <new slow> and <new drag> after, <held> are held within <answers> answers
 
-    Examples: Good versions, on calm and on loaded engines, and plain ones
+    Examples: Good versions: light load, load, and a plain service
       | slow | drag | new slow | new drag | held        | answers |
       | 0.02 | 0.15 | 0.02     | 0.15     | at most 1 % | 60      |
       | 0.05 | 0.20 | 0.05     | 0.20     | at most 1 % | 60      |
       | 0.29 | 0.25 | 0.29     | 0.25     | at most 2 % | 60      |
-      | 0.09 | none | 0.09     | none     | at most 2 % | 60      |
+      | 0.09 | unknown | 0.09     | unknown     | at most 2 % | 60      |
 
-    Examples: Slow versions, seen on a loaded service and on a plain one
+    Examples: Slow versions: measured on a loaded service and on a plain one
       | slow | drag | new slow | new drag | held          | answers |
       | 0.29 | 0.13 | 0.47     | 0.80     | at least 95 % | 40      |
       | 0.07 | 0.14 | 0.25     | 0.85     | at least 95 % | 40      |
-      | 0.08 | none | 0.40     | none     | at least 95 % | 60      |
+      | 0.08 | unknown | 0.40     | unknown     | at least 95 % | 60      |
 
   Scenario Outline: Bad versions of a plain service with few requests
-    When 200 roll-outs of a plain service are generated, of whose answers <failed> fail, <slow> are slow and <drag> drag before, and <new failed>, <new slow> and <new drag> after
-    Then at most <most> % of them expose more requests than is agreed
+    When 200 roll-outs of a plain service are generated with shares <failed> failed, <slow> slow and <drag> dragging before, and <new failed>, <new slow> and <new drag> after
+    Then at most <most> % of them expose more requests than agreed
 
-    Examples: Failures; slow on some requests, calm and beside crashes
+    Examples: Failures; some slow requests; some slow requests during crashes
       | failed | slow | drag | new failed | new slow | new drag | most |
       | 0.07   | 0.02 | 0.02 | 0.45       | 0.02     | 0.02     | 1    |
       | 0.07   | 0.02 | 0.02 | 0.07       | 0.20     | 0.20     | 10   |
       | 0.15   | 0.11 | 0.03 | 0.15       | 0.25     | 0.25     | 6    |
 
   Scenario Outline: Good versions of a plain service with few requests
-    When 200 roll-outs of a plain service are generated, of whose answers <failed> fail, <slow> are slow and <drag> drag before, and <failed>, <slow> and <drag> after
-    Then at least <least> % get everything within 0.85 of their time
+    When 200 roll-outs of a plain service are generated with shares <failed> failed, <slow> slow and <drag> dragging before, and <failed>, <slow> and <drag> after
+    Then in at least <least> % of them the target gets all requests within 0.85 of the duration
 
-    Examples: Calm; with failures of its own; beside crashes
+    Examples: Few failures; usual failures; during crashes
       | failed | slow | drag | least |
       | 0.02   | 0.02 | 0.02 | 99    |
       | 0.14   | 0.02 | 0.02 | 90    |
       | 0.15   | 0.11 | 0.03 | 86    |
 
-  Scenario Outline: Doubt that rests on another time's load
-    Given a trial over 20 s whose target has got everything since 13 s
-    When it comes to <slow> slow of 96 answers and <drag> dragging of 81, against 65 of 326 and 4 of 311 before
+  Scenario Outline: A target with all requests is held only on clear evidence
+    Given a trial over 20 s whose target gets all requests from 13 s on
+    When the target has <slow> slow of 96 answers and <drag> dragging of 81, and the incumbent 65 of 326 and 4 of 311
     Then at 16 s the target is <outcome>
 
     Examples:
@@ -158,10 +158,10 @@
       | 60   | 19   | held     |
       | 30   | 50   | held     |
 
-  Scenario Outline: A target at rest beside incumbents that a burst keeps busy
-    Given a router whose streams have come each 0.03 s from engines at rest
+  Scenario Outline: A lightly loaded target beside incumbents under a burst of load
+    Given a router whose streams have had an event every 0.03 s from lightly loaded engines
     When a roll-out to version "v2" over 15 s is ordered
-    And for 14 s the target's come each <target> s from engines at rest, and all others each <others> s from busy ones
+    And for 14 s streams have an event every <target> s on a lightly loaded target, and every <others> s on a busy incumbent
     Then version "v2" <outcome>
 
     Examples:
@@ -171,20 +171,20 @@
       | 0.03   | 0.1    | isn't held |
       | 0.03   | 0.03   | isn't held |
 
-  Scenario: A target that answers no more gets no larger share
-    Given a router whose streams have come each 0.03 s from engines at rest
+  Scenario: A target that stops answering gets no larger share
+    Given a router whose streams have had an event every 0.03 s from lightly loaded engines
     When a roll-out to version "v2" over 15 s is ordered
-    And for 8 s the target's come each 0.03 s from engines at rest, and all others each 0.03 s from busy ones
-    And for 4 s the target's come each 9 s from engines at rest, and all others each 0.03 s from busy ones
-    Then version "v2" has less than all requests
+    And for 8 s streams have an event every 0.03 s on a lightly loaded target, and every 0.03 s on a busy incumbent
+    And for 4 s streams have an event every 9 s on a lightly loaded target, and every 0.03 s on a busy incumbent
+    Then version "v2" doesn't get all requests
 
-  Scenario: What is usual isn't learnt from the version on trial
+  Scenario: Usual times aren't learnt from the version on trial
     Given a router with a roll-out to version "v2" over 20 s
-    When the target answers 8 times slower than the old version for 3 s
+    When the target takes 8 times as long as the old version for 3 s
     Then the usual times are those of version "v1"
 
   Scenario Outline: False alarms and misses over generated roll-outs
-    Then of 300 generated roll-outs with <base> and <target> of failures, <held> are held within <answers> answers
+    Then of 300 generated roll-outs with failure rates <base> before and <target> after, <held> are held within <answers> answers
 
     Examples:
       | base | target | held          | answers |
--- a/features/steps/loaded_rollout_steps.py
+++ b/features/steps/loaded_rollout_steps.py
@@ -1,4 +1,4 @@
-"""Steps for roll-outs whose target is hardly loaded, beside busy incumbents."""
+"""Steps for roll-outs with a lightly loaded target and busy incumbents."""
 
 import heapq
 import itertools
@@ -12,77 +12,86 @@
 from rhubarbbank_router import upstreams
 from rhubarbbank_router import version_trial
 
-EVENTS = 8
-PERIOD_S = 0.05
-AT_REST = upstreams.LoadReport(running=2, waiting=0, slots=64)
-BUSY = upstreams.LoadReport(running=24, waiting=6, slots=64)
-TARGET = "v2"
+EVENTS_PER_STREAM = 8
+REQUEST_INTERVAL_S = 0.05
+LIGHT_LOAD = upstreams.LoadReport(running=2, waiting=0, slots=64)
+BUSY_LOAD = upstreams.LoadReport(running=24, waiting=6, slots=64)
 
 
-class StreamPlay:
-    """Streams whose events come at the pace of their version.
+class StreamDriver:
+    """Runs streams whose event rate depends on their version.
 
     Attributes:
         world: The router.
-        due: Events to come.
+        scheduled: Heap of the events to come.
     """
 
     def __init__(self, world):
         self.world = world
-        self.due = []
-        self.numbers = itertools.count()
+        self.scheduled = []
+        self.sequence = itertools.count()
 
     def run(self, duration_s, *, target, incumbent):
-        """Runs streams; each version has its load and pace, in seconds."""
+        """Runs streams for a time.
+
+        Args:
+            duration_s: The time in seconds.
+            target: The target's load, and the seconds between its events.
+            incumbent: The same for the incumbent.
+        """
         world = self.world
         end = world.now + duration_s
         while world.now < end:
-            number = next(self.numbers)
+            number = next(self.sequence)
             request = world.ask(
                 "chat",
                 generation=router_world.build_generation(f"p{number}", 1000),
             )
             if world.sent(request):
-                new = self.is_new(world.sent(request)[-1])
-                load, pace_s = target if new else incumbent
+                on_target = self.runs_on_target(world.sent(request)[-1])
+                load, interval_s = target if on_target else incumbent
                 world.head(request, confidence=90, load=load)
-                self.schedule(request, 1, pace_s)
-            world.run(PERIOD_S)
+                self.schedule(request, 1, interval_s)
+            world.run(REQUEST_INTERVAL_S)
             world.configure(world.state.active_configuration)
             self.deliver()
 
-    def is_new(self, sending):
+    def runs_on_target(self, sending):
         return int(sending.upstream_id.removeprefix("up-")) >= 10
 
-    def schedule(self, request, event, pace_s):
-        at = self.world.now + pace_s
+    def schedule(self, request, event, interval_s):
+        at = self.world.now + interval_s
         heapq.heappush(
-            self.due, (at, next(self.numbers), request, event, pace_s)
+            self.scheduled,
+            (at, next(self.sequence), request, event, interval_s),
         )
 
     def deliver(self):
-        while self.due and self.due[0][0] <= self.world.now:
-            _, _, request, event, pace_s = heapq.heappop(self.due)
+        while self.scheduled and self.scheduled[0][0] <= self.world.now:
+            _, _, request, event, interval_s = heapq.heappop(self.scheduled)
             if request not in self.world.state.open:
                 continue
             self.world.stream(request, event, event)
-            if event == EVENTS:
+            if event == EVENTS_PER_STREAM:
                 self.world.end(request)
             else:
-                self.schedule(request, event + 1, pace_s)
+                self.schedule(request, event + 1, interval_s)
 
 
-@given("a router whose streams have come each {pace:g} s from engines at rest")
-def run_at_rest(context, pace):
+@given(
+    "a router whose streams have had an event every {interval:g} s from "
+    "lightly loaded engines"
+)
+def run_at_rest(context, interval):
     context.world = router_world.World(name="entry-3")
     context.world.start(4)
-    context.play = StreamPlay(context.world)
-    at_rest = (AT_REST, pace)
-    context.play.run(6.0, target=at_rest, incumbent=at_rest)
+    context.streams = StreamDriver(context.world)
+    light_load = (LIGHT_LOAD, interval)
+    context.streams.run(6.0, target=light_load, incumbent=light_load)
 
 
 @when('a roll-out to version "{target}" over {duration:g} s is ordered')
-def order(context, target, duration):
+def order_rollout(context, target, duration):
     world = context.world
     world.apply(
         events.RolloutChanged(
@@ -99,16 +108,16 @@
 
 
 @when(
-    "for {duration:g} s the target's come each {target:g} s from engines at "
-    "rest, and all others each {incumbent:g} s from busy ones"
+    "for {duration:g} s streams have an event every {target:g} s on a lightly "
+    "loaded target, and every {incumbent:g} s on a busy incumbent"
 )
-def run_loaded(context, duration, target, incumbent):
-    context.play.run(
-        duration, target=(AT_REST, target), incumbent=(BUSY, incumbent)
+def run_busy_incumbent(context, duration, target, incumbent):
+    context.streams.run(
+        duration, target=(LIGHT_LOAD, target), incumbent=(BUSY_LOAD, incumbent)
     )
 
 
-@then('version "{target}" has less than all requests')
+@then('version "{target}" doesn\'t get all requests')
 def check_share(context, target):
     trial = context.world.state.trials["pool"]
     assert trial.order.target == target
--- a/features/steps/trial_judge_steps.py
+++ b/features/steps/trial_judge_steps.py
@@ -1,4 +1,4 @@
-"""Steps for the judge of new versions, and for trials without a router."""
+"""Steps for the trial judge, and for version trials without a router."""
 
 import random
 
@@ -24,10 +24,11 @@
 
 
 @then(
-    "of {count:d} generated roll-outs with {base:g} and {target:g} of "
-    "failures, {bound} {percent:d} % are held within {answers:d} answers"
+    "of {count:d} generated roll-outs with failure rates {base:g} before and "
+    "{target:g} after, {bound} {percent:d} % are held within {answers:d} "
+    "answers"
 )
-def check_judge(context, count, base, target, bound, percent, answers):  # noqa: PLR0917
+def check_failure_rates(context, count, base, target, bound, percent, answers):  # noqa: PLR0917
     share = find_held_share(
         count,
         answers,
@@ -39,9 +40,10 @@
 
 
 def find_held_share(count, answers, *, add_old, add_new, idle_routes=()):
-    """Returns how many of 100 generated roll-outs the judge holds.
+    """Returns the percentage of generated roll-outs that the judge holds.
 
-    Nine answers of the incumbent come with each of the target's.
+    The incumbent gives nine answers for each of the target's. The idle routes
+    have no answers.
     """
     judge = trial_judge.LikelihoodJudge()
     held = 0
@@ -53,33 +55,35 @@
             for _ in range(9):
                 old = add_old(old, rng)
             new = add_new(new, rng)
-            found = version_trial.Comparison(target=new, incumbent=old)
+            comparison = version_trial.Comparison(target=new, incumbent=old)
             routes = dict.fromkeys(idle_routes, version_trial.NO_COUNTS)
-            evidence = version_trial.TrialEvidence({"chat": found} | routes)
+            evidence = version_trial.TrialEvidence(
+                {"chat": comparison} | routes
+            )
             if judge.is_worse(evidence, plan=version_trial.STREAM_PLAN):
                 held += 1
                 break
     return 100.0 * held / count
 
 
-# Of the streams on the bench, those with events enough to tell their pace.
+# Share of streams that have enough events to determine their pace.
 PACED_SHARE = 0.55
 
 
 def add_timed(counts, rng, slow, drag):
-    """Adds an answer; the pace of some streams can't be told."""
+    """Adds an answer; the pace of some streams is unknown."""
     dragging = None
-    if drag != "none" and rng.random() < PACED_SHARE:
+    if drag != "unknown" and rng.random() < PACED_SHARE:
         dragging = rng.random() < float(drag)
     return counts.add(failed=False, slow=rng.random() < slow, dragging=dragging)
 
 
 @then(
-    "of {count:d} generated roll-outs, {slow:g} slow and {drag} dragging "
-    "before, {new_slow:g} and {new_drag} after, {bound} {percent:d} % are "
-    "held within {answers:d} answers"
+    "of {count:d} generated roll-outs with shares {slow:g} slow and {drag} "
+    "dragging before, and {new_slow:g} and {new_drag} after, {bound} "
+    "{percent:d} % are held within {answers:d} answers"
 )
-def check_speeds(  # noqa: PLR0917
+def check_slow_shares(  # noqa: PLR0917
     context, count, slow, drag, new_slow, new_drag, bound, percent, answers
 ):
     share = find_held_share(
@@ -100,10 +104,10 @@
 
 
 @given(
-    "a trial over {duration:g} s whose target has got everything since"
-    " {since:g} s"
+    "a trial over {duration:g} s whose target gets all requests from"
+    " {since:g} s on"
 )
-def build_whole_trial(context, duration, since):
+def build_trial_with_all_traffic(context, duration, since):
     context.trial = version_trial.VersionTrial(
         order=build_order(duration),
         judge=trial_judge.LikelihoodJudge(),
@@ -115,14 +119,14 @@
 
 
 @when(
-    "it comes to {slow:d} slow of {timed:d} answers and {drag:d} dragging of"
-    " {paced:d}, against {old_slow:d} of {old_timed:d} and {old_drag:d} of"
-    " {old_paced:d} before"
+    "the target has {slow:d} slow of {timed:d} answers and {drag:d} dragging"
+    " of {paced:d}, and the incumbent {old_slow:d} of {old_timed:d} and"
+    " {old_drag:d} of {old_paced:d}"
 )
 def build_evidence(  # noqa: PLR0917
     context, slow, timed, drag, paced, old_slow, old_timed, old_drag, old_paced
 ):
-    found = version_trial.Comparison(
+    comparison = version_trial.Comparison(
         target=version_trial.AnswerCounts(
             answers=timed, timed=timed, slow=slow, paced=paced, dragging=drag
         ),
@@ -134,10 +138,10 @@
             dragging=old_drag,
         ),
     )
-    context.evidence = version_trial.TrialEvidence({"chat": found})
+    context.evidence = version_trial.TrialEvidence({"chat": comparison})
 
 
 @then("at {now:g} s the target is {outcome}")
-def check_held(context, now, outcome):
+def check_outcome(context, now, outcome):
     context.trial.advance(context.evidence, now=now)
     assert context.trial.held is (outcome == "held")
