--- a/packages/rhubarbbank-router/src/rhubarbbank_router/rollouts.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/rollouts.py
@@ -18,7 +18,7 @@
 from rhubarbbank_router import upstreams
 from rhubarbbank_router import version_trial
 
-# Least time between two attempts to record a state.
+# Minimum time between two attempts to record a state.
 RECORD_RETRY_S = 0.5
 
 
@@ -263,12 +263,12 @@
         or version == trial.order.target
     ):
         return
-    session_mark = name_hashes.hash_name(session)
-    if session_mark in trial.kept_sessions or not trial.routes_to_target(
+    session_hash = name_hashes.hash_name(session)
+    if session_hash in trial.kept_sessions or not trial.routes_to_target(
         affinity_key
     ):
         return
-    trial.kept_sessions.add(session_mark)
+    trial.kept_sessions.add(session_hash)
     # Tell the peers soon: the next request may come to another entry.
     state.expedite_heartbeat(now=now)
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/trial_judge.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/trial_judge.py
@@ -25,7 +25,7 @@
 NO_EVIDENCE = 0.0
 # Alternative hypotheses: increases over the tolerated rate. Operators consider
 # a version bad if the rate rises by some tenths.
-RISES = (0.1, 0.2, 0.4)
+RATE_INCREASES = (0.1, 0.2, 0.4)
 # Keeps the logarithms finite.
 MAX_RATE = 0.95
 # Failures, slow answers and dragging answers; the significance level is
@@ -161,8 +161,8 @@
     base = base_rate
     good = count - bad
     ratios = []
-    for rise in RISES:
-        rate = min(MAX_RATE, base + rise)
+    for increase in RATE_INCREASES:
+        rate = min(MAX_RATE, base + increase)
         ratios.append(
             bad * math.log(rate / base)
             + good * math.log((1.0 - rate) / (1.0 - base))
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/version_trial.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/version_trial.py
@@ -176,7 +176,7 @@
     Attributes:
         initial_share: Share of affinity keys in the first half.
         steps: Shares in the second half, in ascending order.
-        step_duration_share: Least duration of a step, as a share of the
+        step_duration_share: Minimum duration of a step, as a share of the
             roll-out's duration.
         drag_tolerance: Tolerated increase of the share of dragging answers.
         doubt_ratio: Likelihood ratio for "worse" above which the target is
@@ -238,7 +238,7 @@
         target_answers: Answers of the target at all entries, as of the last
             call of `advance`.
         target_answers_at_step: The same when the share last grew.
-        kept_sessions: Marks of sessions that stay on the incumbent in the
+        kept_sessions: Hashes of sessions that stay on the incumbent in the
             first half although the hash of their key selects the target.
     """
 
@@ -308,8 +308,8 @@
         """
         if self.held or self.is_finished:
             return False
-        worse = self.judge.is_worse(evidence, plan=self.plan)
-        if worse or self.should_stop_in_doubt(evidence, now=now):
+        is_worse = self.judge.is_worse(evidence, plan=self.plan)
+        if is_worse or self.should_stop_in_doubt(evidence, now=now):
             self.held = True
             return True
         self.target_answers = evidence.pooled.target.answers
@@ -336,10 +336,10 @@
 
         Answers at a smaller share say little about a larger load.
         """
-        least = defaults.TRIAL_STEP_ANSWERS
+        required = defaults.TRIAL_STEP_ANSWERS
         if self.step < 0:
-            least = defaults.TRIAL_MIN_ANSWERS
-        return self.target_answers - self.target_answers_at_step >= least
+            required = defaults.TRIAL_MIN_ANSWERS
+        return self.target_answers - self.target_answers_at_step >= required
 
     def set_step(self, step: int, *, now: float) -> None:
         """Sets the target's share to that of a step."""
@@ -358,18 +358,20 @@
     ) -> bool:
         """Returns whether to give up a target that is still doubtful.
 
-        It is given up late in the roll-out or after too many bad answers; a
-        good target couldn't complete in time from there either. Doubt no
-        longer suffices once the target gets all requests, because the
-        incumbent's answers were then given earlier, under another load.
+        This happens late in the roll-out, when even a good target would no
+        longer complete in time, or after too many bad answers. Once the target
+        gets all requests, doubt isn't enough: the incumbent's answers date
+        from an earlier time with another load.
         """
         if self.has_all_traffic:
             return False
         target = evidence.pooled.target
         due_s = defaults.TRIAL_GIVE_UP_SHARE * self.order.duration_s
-        late = now - self.started_at >= due_s
-        many = target.failures + target.slow >= defaults.TRIAL_MAX_BAD_ANSWERS
-        if not (late or many):
+        is_late = now - self.started_at >= due_s
+        too_many_bad = (
+            target.failures + target.slow >= defaults.TRIAL_MAX_BAD_ANSWERS
+        )
+        if not (is_late or too_many_bad):
             return False
         return self.is_doubtful(evidence, share=1.0)
 
