--- a/features/router_stop.feature
+++ b/features/router_stop.feature
@@ -1,29 +1,29 @@
 @quick
-Feature: A planned stop cuts nothing off
+Feature: A graceful stop interrupts no requests
 
   Background:
     Given a router that knows its configuration and 3 upstreams
 
-  Scenario: Not ready at once, and nothing is refused yet
+  Scenario: The entry is unready immediately but still accepts requests
     When the router is asked to stop
     Then the router isn't ready
     When a caller asks "chat"
     Then the request has been sent 1 times
 
-  Scenario: Streams that might outlast the stop are sent elsewhere
+  Scenario: Streams that might not end in time are refused with a 503
     When the router is asked to stop
     And 3 s pass
     And a caller asks "chat"
     Then the caller has a 503 with Retry-After
     And the request has been sent 0 times
 
-  Scenario: Short requests are served nearly to the end
+  Scenario: Short requests are still accepted late in the grace time
     When the router is asked to stop
     And 5 s pass
     And a caller asks "look"
     Then the request has been sent 1 times
 
-  Scenario: The process ends once all are answered
+  Scenario: The process exits once all requests are answered
     When a caller asks "look"
     And the router is asked to stop
     And 3 s pass
--- a/features/router_store_relay.feature
+++ b/features/router_store_relay.feature
@@ -1,32 +1,32 @@
 @quick
-Feature: One entry of a data centre reads the store, and the others know enough
+Feature: One entry per data centre reads the store for the others
 
-  Scenario Outline: In quiet times one entry reads
-    When <entries> entries follow the store for 20 s
-    Then at most 1 of them reads it
-    And it got at most <calls> calls
-    And every entry knew in time what holds
+  Scenario Outline: Without faults, only one entry reads the store
+    When <entries> entries run for 20 s
+    Then at most 1 of them is a reader
+    And the store received at most <calls> calls
+    And every entry's data stayed within its age limits
 
     Examples:
       | entries | calls |
       | 2       | 100   |
       | 14      | 220   |
 
-  Scenario: Knowledge stays in bounds under troubles, in generated histories
-    Then in 25 histories with 6 entries each entry knows in time what holds
+  Scenario: Data stays within its age limits in histories with faults
+    Then in 25 histories with 6 entries all data stays within its age limits
 
-  Scenario: Where the bounds leave no time, each entry reads
+  Scenario: Each entry reads the store if the bounds are too short for a relay
     Given a router that knows its configuration and 3 upstreams
-    And a peer that reads the store and keeps it informed
+    And a peer that is a reader
     When 5 s pass
-    Then it still reads the store itself
+    Then it is still a reader and has sent no asks
 
-  Scenario Outline: Upstreams that register one after the other are told together
-    When an entry <allows> follows the store while 60 upstreams register in 1.5 s
-    Then it knows all of them within 0.5 s of the last
-    And its watches were at least <least> and at most <most>
+  Scenario Outline: Successive registrations of upstreams are reported in batches
+    When an entry whose bounds <bounds> a relay watches 60 upstreams register in 1.5 s
+    Then it knows all of them 0.5 s after the last
+    And it used between <least> and <most> watches
 
     Examples:
-      | allows                          | least | most |
-      | whose bounds allow for readers  | 2     | 8    |
-      | whose bounds leave no time      | 20    | 61   |
+      | bounds             | least | most |
+      | allow              | 2     | 8    |
+      | are too short for  | 20    | 61   |
--- a/features/steps/store_relay_steps.py
+++ b/features/steps/store_relay_steps.py
@@ -1,4 +1,4 @@
-"""Steps for entries that read the store for one another."""
+"""Steps for the sharing of store reads among entries."""
 
 import asyncio
 import random
@@ -12,20 +12,20 @@
 from rhubarbbank_core import events as core_events
 from rhubarbbank_router import messages
 
-LOSS = 0.03
-HISTORY_S = 40.0
-KNOWN_WITHIN_S = 0.5
+LOSS_RATE = 0.03
+HISTORY_DURATION_S = 40.0
+SETTLE_S = 0.5
 
 
-@when("{entries:d} entries follow the store for {duration:g} s")
-def follow(context, entries, duration):
+@when("{entries:d} entries run for {duration:g} s")
+def run_fleet(context, entries, duration):
     context.fleet = relay_fleet.RelayFleet(
-        rng=random.Random(entries), entries=entries, troubles=False
+        rng=random.Random(entries), entries=entries, faults=False
     )
     context.fleet.run(duration)
 
 
-@then("at most {most:d} of them reads it")
+@then("at most {most:d} of them is a reader")
 def check_readers(context, most):
     found = [
         name
@@ -35,30 +35,30 @@
     assert 1 <= len(found) <= most, found
 
 
-@then("it got at most {most:d} calls")
+@then("the store received at most {most:d} calls")
 def check_calls(context, most):
     assert context.fleet.calls <= most, context.fleet.calls
 
 
-@then("every entry knew in time what holds")
-def check_faults(context):
-    assert not context.fleet.faults, context.fleet.faults[:5]
+@then("every entry's data stayed within its age limits")
+def check_violations(context):
+    assert not context.fleet.violations, context.fleet.violations[:5]
 
 
 @then(
-    "in {count:d} histories with {entries:d} entries each entry knows in time "
-    "what holds"
+    "in {count:d} histories with {entries:d} entries all data stays within its "
+    "age limits"
 )
 def check_histories(context, count, entries):
     for seed in range(count):
         fleet = relay_fleet.RelayFleet(
-            rng=random.Random(seed), entries=entries, loss=LOSS
+            rng=random.Random(seed), entries=entries, loss_rate=LOSS_RATE
         )
-        fleet.run(HISTORY_S)
-        assert not fleet.faults, (seed, fleet.faults[:5])
+        fleet.run(HISTORY_DURATION_S)
+        assert not fleet.violations, (seed, fleet.violations[:5])
 
 
-@given("a peer that reads the store and keeps it informed")
+@given("a peer that is a reader")
 def add_reader(context):
     context.world.apply(
         core_events.MessageReceived(
@@ -74,8 +74,8 @@
     )
 
 
-@then("it still reads the store itself")
-def check_reading(context):
+@then("it is still a reader and has sent no asks")
+def check_still_reader(context):
     assert context.world.state.relay.is_reader
     asks = [
         x
@@ -86,26 +86,26 @@
 
 
 @when(
-    "an entry whose bounds {allow} follows the store while {count:d} upstreams "
+    "an entry whose bounds {bounds} a relay watches {count:d} upstreams "
     "register in {period:g} s"
 )
-def register_upstreams(context, allow, count, period):
+def register_upstreams(context, bounds, count, period):
     store = growing_store.GrowingStore(
         count=count,
         period_s=period,
-        relays_enabled=allow == "allow for readers",
+        relays_enabled=bounds == "allow",
     )
-    asyncio.run(store.follow(KNOWN_WITHIN_S))
+    asyncio.run(store.follow(SETTLE_S))
     context.store = store
 
 
-@then("it knows all of them within {wait:g} s of the last")
+@then("it knows all of them {wait:g} s after the last")
 def check_known(context, wait):
-    assert wait == KNOWN_WITHIN_S
+    assert wait == SETTLE_S
     store = context.store
     assert len(store.known) == store.count, len(store.known)
 
 
-@then("its watches were at least {least:d} and at most {most:d}")
+@then("it used between {least:d} and {most:d} watches")
 def check_watches(context, least, most):
     assert least <= context.store.watches <= most, context.store.watches
--- a/features/support/relay_fleet.py
+++ b/features/support/relay_fleet.py
@@ -1,7 +1,8 @@
-"""Routers of one data centre before a store: who reads, and what is known.
+"""Simulation of the routers of one data centre that share a store.
 
-Entries are cut off from the store, suspended or killed; messages between them
-are late or lost. The store's content changes meanwhile.
+Checks that data stays within its age limits while the store's contents
+change, entries are cut off from the store, suspended or restarted, and
+messages between them are delayed or lost.
 """
 
 import dataclasses
@@ -15,15 +16,14 @@
 from support import router_world
 
 STEP_S = 0.05
-CONFIGURATION_S = 0.9
-WATCH_S = 1.0
+READ_PERIOD_S = 0.9
+WATCH_TIMEOUT_S = 1.0
 APPLY_S = 4.0
 DRAIN_S = 4.0
 REVOKE_S = 5.0
-# A machine is in touch if it has had nothing to suffer for so long.
-STABLE_S = 5.0
-# Changes of the role in any second.
-MOST_TURNS = 2
+# Age limits are checked once an entry has had no fault for this long.
+RECOVERY_S = 5.0
+MAX_ROLE_CHANGES_PER_S = 2
 BOUNDS = {
     "config_apply_ms": APPLY_S * 1000,
     "drain_ms": DRAIN_S * 1000,
@@ -33,48 +33,50 @@
 
 @dataclasses.dataclass
 class Node:
-    """One entry.
+    """One entry of the simulation.
+
+    All times are in seconds.
 
     Attributes:
         world: Its router.
-        harmed_until: It suffers until then.
-        cut_until: It doesn't reach the store until then.
-        asleep_until: It is suspended until then.
-        read_at: When it reads the configuration next.
-        watch_at: When it asked for changes; None while it doesn't.
-        position: The revision that it watches from.
-        leaving: Upstreams that it has known as leaving.
-        turns: When it began or ended to read.
+        faulty_until: When its latest fault ends.
+        partitioned_until: Until when it can't reach the store.
+        suspended_until: Until when it is suspended.
+        next_read_at: When it reads the configuration next.
+        watch_started_at: When its watch began; None if it has no watch.
+        position: The revision from which it watches.
+        leaving: Upstreams that it has seen as leaving.
+        role_changes: When it became a reader or stopped being one.
     """
 
     world: router_world.World
-    harmed_until: float = 0.0
-    cut_until: float = 0.0
-    asleep_until: float = 0.0
-    read_at: float = 0.0
-    watch_at: float | None = None
+    faulty_until: float = 0.0
+    partitioned_until: float = 0.0
+    suspended_until: float = 0.0
+    next_read_at: float = 0.0
+    watch_started_at: float | None = None
     position: int = 0
     leaving: set[str] = dataclasses.field(default_factory=set)
-    turns: list[float] = dataclasses.field(default_factory=list)
+    role_changes: list[float] = dataclasses.field(default_factory=list)
 
 
 class RelayFleet:
-    """Entries before one store.
+    """Entries that share one store, on a simulated clock.
 
     Attributes:
-        calls: Calls to the store.
-        faults: What was found wrong, as text.
+        calls: Number of calls to the store.
+        violations: Descriptions of violated conditions.
     """
 
-    def __init__(self, *, rng, entries, loss=0.0, troubles=True):
+    def __init__(self, *, rng, entries, loss_rate=0.0, faults=True):
         self.rng = rng
-        self.loss = loss
-        self.troubles = troubles
+        self.loss_rate = loss_rate
+        self.faults = faults
         self.now = 100.0
         self.numbers = itertools.count()
-        self.due = []
+        self.scheduled = []
         self.calls = 0
-        self.faults = []
+        self.violations = []
         self.revision = 10
         self.configurations = [(self.now, 10)]
         self.listed = {
@@ -89,7 +91,7 @@
     def start(self, name):
         world = router_world.World(name=name, **BOUNDS)
         world.now = self.now
-        node = Node(world, harmed_until=self.now)
+        node = Node(world, faulty_until=self.now)
         self.nodes[name] = node
         world.apply(events.RolloutsListed(()))
         self.read(node)
@@ -106,14 +108,14 @@
         for each in self.nodes.values():
             each.world.apply(events.EntriesListed(found))
 
-    def after(self, delay_s, call, *given):
-        entry = (self.now + delay_s, next(self.numbers), call, given)
-        heapq.heappush(self.due, entry)
+    def schedule(self, delay_s, call, *args):
+        entry = (self.now + delay_s, next(self.numbers), call, args)
+        heapq.heappush(self.scheduled, entry)
 
     # The store.
 
     def change(self):
-        """The operators or an upstream change something."""
+        """Changes the configuration or the list of upstreams."""
         self.revision += self.rng.randrange(1, 4)
         if self.rng.random() < 0.4:
             self.configurations.append((self.now, self.revision))
@@ -122,7 +124,7 @@
         name = self.rng.choice(list(self.listed))
         changed = dataclasses.replace(self.listed[name], leaving=leaving)
         if self.listed[name].leaving:
-            # One that leaves never comes back but under another name.
+            # An upstream that has left is replaced under another name.
             del self.listed[name]
             self.changes.append((self.revision, name))
             number = next(self.numbers) + 100
@@ -137,7 +139,7 @@
         self.calls += 1
         revision = self.configurations[-1][1]
         node.world.configure(router_world.build_configuration(revision))
-        node.read_at = self.now + CONFIGURATION_S
+        node.next_read_at = self.now + READ_PERIOD_S
 
     def list_all(self, node):
         self.calls += 1
@@ -148,16 +150,16 @@
         )
 
     def watch(self, node):
-        """Tells what has changed, or that nothing has after a time."""
-        if node.watch_at is None:
-            node.watch_at = self.now
+        """Answers a watch with the changes, or after its timeout."""
+        if node.watch_started_at is None:
+            node.watch_started_at = self.now
             node.position = node.world.router.list_position
         found = [x for at, x in self.changes if at > node.position]
-        if not found and self.now - node.watch_at < WATCH_S:
+        if not found and self.now - node.watch_started_at < WATCH_TIMEOUT_S:
             return
         self.calls += 1
-        at = node.watch_at if found else self.now
-        node.watch_at = None
+        at = node.watch_started_at if found else self.now
+        node.watch_started_at = None
         if self.revision < node.world.router.list_position:
             return
         for each in found:
@@ -169,31 +171,31 @@
             events.UpstreamsConfirmed(position=self.revision, at=at)
         )
 
-    # Time.
+    # The simulation.
 
     def run(self, duration_s):
         end = self.now + duration_s
-        self.after(0.0, self.make_changes)
-        if self.troubles:
-            self.after(3.0, self.make_trouble)
+        self.schedule(0.0, self.make_changes)
+        if self.faults:
+            self.schedule(3.0, self.inject_fault)
         while self.now < end:
             self.now = round(self.now + STEP_S, 3)
-            while self.due and self.due[0][0] <= self.now:
-                _, _, call, given = heapq.heappop(self.due)
-                call(*given)
+            while self.scheduled and self.scheduled[0][0] <= self.now:
+                _, _, call, args = heapq.heappop(self.scheduled)
+                call(*args)
             for node in list(self.nodes.values()):
-                if node.asleep_until <= self.now:
+                if node.suspended_until <= self.now:
                     self.step(node)
                 self.check(node)
 
     def make_changes(self):
         self.change()
-        self.after(self.rng.uniform(0.2, 3.0), self.make_changes)
+        self.schedule(self.rng.uniform(0.2, 3.0), self.make_changes)
 
-    def make_trouble(self):
+    def inject_fault(self):
         name = self.rng.choice(list(self.nodes))
         if self.rng.random() < 0.5:
-            # The reader, most often.
+            # Half of the faults hit a reader.
             readers = [
                 n
                 for n, x in self.nodes.items()
@@ -202,67 +204,67 @@
             name = self.rng.choice(readers or [name])
         node = self.nodes[name]
         until = self.now + self.rng.uniform(1.0, 6.0)
-        node.harmed_until = until
+        node.faulty_until = until
         match self.rng.randrange(3):
             case 0:
-                node.cut_until = until
+                node.partitioned_until = until
             case 1:
-                node.asleep_until = until
+                node.suspended_until = until
             case _:
                 self.start(name)
-        self.after(self.rng.uniform(1.0, 5.0), self.make_trouble)
+        self.schedule(self.rng.uniform(1.0, 5.0), self.inject_fault)
 
     def step(self, node):
         world = node.world
         world.now = self.now
-        if node.cut_until <= self.now:
+        if node.partitioned_until <= self.now:
             router = world.router
             subject = events.Subject.CONFIGURATION
-            if router.should_read(subject) and self.now >= node.read_at:
+            if router.should_read(subject) and self.now >= node.next_read_at:
                 self.read(node)
             if router.should_read(events.Subject.UPSTREAMS):
                 self.watch(node)
         world.apply(core_events.Ticked())
-        self.note_turns(node)
+        self.record_role_changes(node)
         self.send(world)
 
-    def note_turns(self, node):
-        """Notes changes of the role; one that flutters is a fault."""
+    def record_role_changes(self, node):
+        """Records role changes; too many per second are a violation."""
         for effect in node.world.done:
             name = getattr(effect, "decision", "")
             if name.startswith("store_reading"):
-                node.turns.append(self.now)
-        if len(node.turns) > MOST_TURNS:
-            first, last = node.turns[-1 - MOST_TURNS], node.turns[-1]
-            if last - first < 1.0:
-                name = node.world.state.settings.name
-                self.fault(name, f"turned {MOST_TURNS + 1} times in a second")
+                node.role_changes.append(self.now)
+        recent = node.role_changes[-1 - MAX_ROLE_CHANGES_PER_S :]
+        if len(recent) > MAX_ROLE_CHANGES_PER_S and recent[-1] - recent[0] < 1:
+            name = node.world.state.settings.name
+            self.report(name, f"{len(recent)} role changes within a second")
 
     def send(self, world):
         for effect in world.done:
             if not isinstance(effect, core_effects.Send):
                 continue
-            if self.rng.random() >= self.loss:
+            if self.rng.random() >= self.loss_rate:
                 delay_s = self.rng.uniform(0.0, 0.04)
-                self.after(delay_s, self.deliver, effect)
+                self.schedule(delay_s, self.deliver, effect)
         world.done.clear()
 
     def deliver(self, effect):
         node = self.by_address.get(effect.address)
         if node is None:
             return
-        if node.asleep_until > self.now:
-            # It is read when the process goes on.
-            self.after(node.asleep_until - self.now, self.deliver, effect)
+        if node.suspended_until > self.now:
+            # The message is read once the process resumes.
+            delay_s = node.suspended_until - self.now
+            self.schedule(delay_s, self.deliver, effect)
             return
         node.world.now = self.now
         node.world.apply(core_events.MessageReceived(effect.message))
         self.send(node.world)
 
-    # What must hold.
+    # The checked conditions.
 
     def find_revision(self, at):
-        """The configuration's revision just before a time."""
+        """Returns the configuration's revision just before a time."""
         return max(
             (r for t, r in self.configurations if t < at - STEP_S / 2),
             default=0,
@@ -275,21 +277,24 @@
         if state.proof.is_valid(now=self.now):
             proved = self.find_revision(state.proof.read_sent_at)
             if known < proved:
-                self.fault(name, f"proof of {proved} with {known} in force")
+                self.report(name, f"proof of {proved} but {known} is active")
         for upstream, tracked in state.view.tracked.items():
             if tracked.listed.leaving:
                 node.leaving.add(upstream)
             elif upstream in node.leaving:
-                self.fault(name, f"{upstream} is taken to be back")
-        if self.now - node.harmed_until < STABLE_S:
+                self.report(name, f"leaving {upstream} is usable again")
+        if self.now - node.faulty_until < RECOVERY_S:
             return
         if known < self.find_revision(self.now - APPLY_S):
-            self.fault(name, "an old configuration is in force")
+            self.report(name, "an outdated configuration is active")
         for upstream, at in self.left_at.items():
             tracked = state.view.tracked.get(upstream)
             usable = tracked is not None and not tracked.listed.leaving
             if usable and self.now - at > DRAIN_S:
-                self.fault(name, f"{upstream} left {self.now - at:.2f} s ago")
+                age_s = self.now - at
+                self.report(
+                    name, f"{upstream}, leaving for {age_s:.2f} s, is usable"
+                )
 
-    def fault(self, name, text):
-        self.faults.append(f"{self.now:.2f} {name}: {text}")
+    def report(self, name, text):
+        self.violations.append(f"{self.now:.2f} {name}: {text}")
