--- a/features/steps/router_crash_steps.py
+++ b/features/steps/router_crash_steps.py
@@ -14,9 +14,9 @@
 # All entries have heard of one another by then.
 SETTLE_S = 3.0
 # Sendings that the users allow after the third end, of entries in touch.
-MOST_LATE = 3
+MAX_LATE = 3
 HISTORY_S = 40.0
-KNOWN = {"fingerprint", "crashes", "seen_here"}
+SUSPECT_INPUTS = {"fingerprint", "crashes", "seen_here"}
 
 
 @given(
@@ -32,45 +32,45 @@
     "that ends upstreams"
 )
 def build_fleet(context, entries, places, route):
-    context.crashes = crash_fleet.CrashFleet(
+    context.crash_fleet = crash_fleet.CrashFleet(
         rng=random.Random(entries),
         places=places,
         entries=entries // places,
         route=route,
     )
-    context.crashes.run(SETTLE_S)
+    context.crash_fleet.run(SETTLE_S)
 
 
 @given("every third of its attempts is answered with 500 in place of an end")
-def fail_some(context):
-    context.crashes.fail_each = 3
+def answer_some_with_error(context):
+    context.crash_fleet.error_every = 3
 
 
 @given("upstreams that end do so silently")
-def end_silently(context):
-    context.crashes.silent = True
+def crash_silently(context):
+    context.crash_fleet.crashes_silently = True
 
 
 @given("the list tells of no restart")
 def hide_restarts(context):
-    context.crashes.tells_ends = False
+    context.crash_fleet.lists_restarts = False
 
 
 @when("its caller sends it {times:d} times, each {pause:g} s")
-def ask_often(context, times, pause):
+def send_repeatedly(context, times, pause):
     for _ in range(times):
-        context.crashes.ask_next()
-        context.crashes.run(pause)
+        context.crash_fleet.send_next()
+        context.crash_fleet.run(pause)
 
 
 @when(
     "its caller sends it {times:d} times, each {pause:g} s, and each entry "
     "that took it is replaced"
 )
-def ask_and_replace(context, times, pause):
-    fleet = context.crashes
+def send_and_replace(context, times, pause):
+    fleet = context.crash_fleet
     for _ in range(times):
-        name = fleet.ask_next()
+        name = fleet.send_next()
         fleet.run(pause / 2)
         fleet.replace(name)
         fleet.run(pause / 2)
@@ -80,28 +80,28 @@
     "its caller sends it {times:d} times, each {pause:g} s, and {count:d} "
     "other requests break off each time"
 )
-def ask_beside_others(context, times, pause, count):
+def send_with_interruptions(context, times, pause, count):
     for _ in range(times):
-        context.crashes.ask_next()
-        context.crashes.break_others(count)
-        context.crashes.run(pause)
+        context.crash_fleet.send_next()
+        context.crash_fleet.interrupt_others(count)
+        context.crash_fleet.run(pause)
 
 
 @when(
     "its caller sends it {times:d} times, each {pause:g} s, with a new key "
     "each time"
 )
-def ask_with_new_keys(context, times, pause):
+def send_with_new_keys(context, times, pause):
     for _ in range(times):
-        context.crashes.change_key()
-        context.crashes.ask_next()
-        context.crashes.run(pause)
+        context.crash_fleet.change_key()
+        context.crash_fleet.send_next()
+        context.crash_fleet.run(pause)
 
 
 @when('peers tell "{entry}" of {count:d} other requests that ended upstreams')
-def tell_of_others(context, entry, count):
-    fleet = context.crashes
-    told = tuple(
+def report_other_suspects(context, entry, count):
+    fleet = context.crash_fleet
+    reported = tuple(
         messages.SuspectNews(
             fingerprint=f"{number:016x}",
             crashes=1,
@@ -115,51 +115,51 @@
         address="none",
         stopping=False,
         trials=(),
-        suspects=told,
+        suspects=reported,
     )
     fleet.deliver(fleet.worlds[entry], news)
 
 
 @when("it is sent once to an upstream that bears it")
-def begin_spared(context):
-    fleet = context.crashes
-    fleet.spares = True
-    fleet.ask_next()
-    fleet.spares = False
+def send_harmless(context):
+    fleet = context.crash_fleet
+    fleet.is_harmless = True
+    fleet.send_next()
+    fleet.is_harmless = False
 
 
 @when(
     "it is sent {times:d} times to upstreams that are silent and live, each "
     "{pause:g} s"
 )
-def ask_silent(context, times, pause):
-    fleet = context.crashes
-    fleet.spares = True
-    ask_often(context, times, pause)
+def send_to_silent(context, times, pause):
+    fleet = context.crash_fleet
+    fleet.is_harmless = True
+    send_repeatedly(context, times, pause)
 
 
 @when("that sending has a good answer")
-def answer_spared(context):
-    context.crashes.answer_spared()
+def answer_pending(context):
+    context.crash_fleet.answer_pending()
 
 
 @when('"{place}" is cut off for {wait:g} s in which it has a good answer')
-def answer_beside_cut(context, place, wait):
-    fleet = context.crashes
+def answer_during_partition(context, place, wait):
+    fleet = context.crash_fleet
     fleet.cut.add(place)
-    fleet.answer_spared()
+    fleet.answer_pending()
     fleet.run(wait)
     fleet.cut.discard(place)
 
 
 @when("the fleet goes on for {wait:g} s")
-def go_on(context, wait):
-    context.crashes.run(wait)
+def run_fleet(context, wait):
+    context.crash_fleet.run(wait)
 
 
 @then("every entry sends it to an upstream again")
 def check_sent(context):
-    fleet = context.crashes
+    fleet = context.crash_fleet
     for name, world in fleet.worlds.items():
         world.now = fleet.now
         request_id = world.ask("note", key=fleet.key, body=crash_fleet.BODY)
@@ -171,14 +171,14 @@
     "the third end"
 )
 def check_late(context, most, after):
-    fleet = context.crashes
-    assert len(fleet.sendings) >= crash_fleet.KNOWN_AFTER, fleet.sendings
-    assert fleet.count_late(after) <= most, fleet.sendings
+    fleet = context.crash_fleet
+    assert len(fleet.crashes) >= crash_fleet.CRASHES_TO_REFUSE, fleet.crashes
+    assert fleet.count_late(after) <= most, fleet.crashes
 
 
 @then("some of its sendings are refused as a crash suspect")
 def check_refused(context):
-    assert "crash_suspect" in context.crashes.refusals
+    assert "crash_suspect" in context.crash_fleet.refusals
 
 
 @then(
@@ -186,7 +186,7 @@
     "some"
 )
 def check_forgotten_lines(context, entry, count):
-    fleet = context.crashes
+    fleet = context.crash_fleet
     kept = len(fleet.worlds[entry].state.suspects.suspects)
     assert kept < count, kept
     logged = [
@@ -199,32 +199,32 @@
 
 @then("each line on a failed attempt names the request and its break-offs")
 def check_failed_lines(context):
-    fleet = context.crashes
-    lines = fleet.list_lines("failed_attempt")
-    assert len(lines) == len(fleet.sendings), lines
+    fleet = context.crash_fleet
+    lines = fleet.list_log_lines("failed_attempt")
+    assert len(lines) == len(fleet.crashes), lines
     for line in lines:
         inputs = dict(line.inputs)
-        assert inputs.keys() >= KNOWN, line
+        assert inputs.keys() >= SUSPECT_INPUTS, line
         assert inputs["crashes"] >= inputs["seen_here"] > 0, line
 
 
 @then("lines say what peers told of it")
-def check_told_lines(context):
-    lines = context.crashes.list_lines("suspect_told")
+def check_peer_lines(context):
+    lines = context.crash_fleet.list_log_lines("suspect_told")
     assert lines
-    assert {x.reason for x in lines} <= set(context.crashes.worlds)
-    assert all(dict(x.inputs).keys() >= KNOWN for x in lines)
+    assert {x.reason for x in lines} <= set(context.crash_fleet.worlds)
+    assert all(dict(x.inputs).keys() >= SUSPECT_INPUTS for x in lines)
 
 
 @then("the line on its refusal names what was known")
 def check_refusal_lines(context):
     lines = [
         line
-        for line in context.crashes.list_lines("refused")
+        for line in context.crash_fleet.list_log_lines("refused")
         if line.reason == "crash_suspect"
     ]
     assert lines
-    assert all(dict(x.inputs).keys() >= KNOWN for x in lines)
+    assert all(dict(x.inputs).keys() >= SUSPECT_INPUTS for x in lines)
 
 
 @then(
@@ -236,7 +236,7 @@
     "data centres few upstreams end"
 )
 def check_histories(context, count, entries, places):
-    ended = []
+    crash_counts = []
     for seed in range(count):
         fleet = crash_history.CrashHistory(
             rng=random.Random(seed),
@@ -245,11 +245,13 @@
             route=("note", "look", "chat")[seed % 3],
         )
         fleet.run(SETTLE_S)
-        fleet.play(HISTORY_S)
-        ended.append(len(fleet.sendings))
-        assert fleet.count_late_calm() <= MOST_LATE, (seed, fleet.sendings)
-    print("upstreams ended:", ended)
-    assert sum(ended) >= crash_fleet.KNOWN_AFTER * count, ended
+        fleet.run_with_faults(HISTORY_S)
+        crash_counts.append(len(fleet.crashes))
+        assert fleet.count_late_undisturbed() <= MAX_LATE, (seed, fleet.crashes)
+    print("crashes per history:", crash_counts)
+    assert sum(crash_counts) >= crash_fleet.CRASHES_TO_REFUSE * count, (
+        crash_counts
+    )
 
 
 @when(
@@ -257,16 +259,16 @@
     "other breaks off"
 )
 def answer_and_break_off(context):
-    fleet = context.crashes
+    fleet = context.crash_fleet
     world = fleet.worlds["entry-0"]
     world.list_upstreams(fleet.listed["up-0"])
-    fleet.spares = True
-    begun = []
+    fleet.is_harmless = True
+    started = []
     for _ in range(3):
-        fleet.ask_next()
-        begun.append(fleet.spared)
-    fleet.spares = False
-    fleet.end_exchange(begun[0], events.AttemptEnd.BROKEN)
-    fleet.answer_spared()
-    fleet.end_exchange(begun[1], events.AttemptEnd.BROKEN)
-    fleet.tells_ends = False
+        fleet.send_next()
+        started.append(fleet.unanswered)
+    fleet.is_harmless = False
+    fleet.end_exchange(started[0], events.AttemptEnd.BROKEN)
+    fleet.answer_pending()
+    fleet.end_exchange(started[1], events.AttemptEnd.BROKEN)
+    fleet.lists_restarts = False
--- a/features/support/crash_fleet.py
+++ b/features/support/crash_fleet.py
@@ -13,14 +13,14 @@
 from support import router_world
 
 BODY = b"ends whatever runs it"
-RUNS_S = 0.02
-BACK_S = 2.5
+CRASH_AFTER_S = 0.02
+RESTART_S = 2.5
 # Upstreams that may end before the request is known for what it is.
-KNOWN_AFTER = 3
+CRASHES_TO_REFUSE = 3
 
 
 @dataclasses.dataclass(frozen=True)
-class Sending:
+class CausedCrash:
     """One time that the request reached an upstream, which ended.
 
     Attributes:
@@ -29,22 +29,22 @@
         upstream: The upstream.
     """
 
-    at: float
+    sent_at: float
     entry: str
     upstream: str
 
 
 @dataclasses.dataclass(frozen=True)
-class Running:
+class RunningAttempt:
     """An attempt of the request that an upstream runs.
 
     Attributes:
-        until: When the upstream ends, or fails the attempt.
+        ends_at: When the upstream ends, or fails the attempt.
         world: The entry.
         effect: What it sent.
     """
 
-    until: float
+    ends_at: float
     world: router_world.World
     effect: effects.SendAttempt
 
@@ -54,20 +54,20 @@
 
     Attributes:
         listed: Upstreams by id, as they are listed when they run.
-        absent: Those that have ended and aren't back, with the time.
+        down: Those that have ended and aren't back, with the time.
         running: Attempts of the request.
         route: The request's route.
         key: The key of its caller.
         configuration: In force at all entries.
-        fail_each: Of so many attempts, the last is answered with 500 and ends
+        error_every: Of so many attempts, the last is answered with 500 and ends
             nothing; 0 for none.
-        reached: Attempts of the request so far.
-        silent: Whether upstreams end without a reset.
-        spares: Whether upstreams bear the request.
-        spared: The last attempt that an upstream bore; it has no answer yet.
-        tells_ends: Whether the list tells of ends and starts of upstreams.
-        sendings: Each time that it ended an upstream.
-        asked: How often the caller sent it.
+        attempts_ended: Attempts of the request so far.
+        crashes_silently: Whether upstreams end without a reset.
+        is_harmless: Whether upstreams bear the request.
+        unanswered: The last attempt that an upstream bore, unanswered.
+        lists_restarts: Whether the list tells of ends and starts of upstreams.
+        crashes: Each time that it ended an upstream.
+        requests_sent: How often the caller sent it.
         refusals: The codes with which it was refused.
     """
 
@@ -76,19 +76,19 @@
             f"up-{n}": router_world.build_upstream(n, started_ms=1)
             for n in range(upstreams)
         }
-        self.absent = {}
+        self.down = {}
         self.running = []
         self.route = route
         self.key = router_world.KEY
         self.configuration = router_world.build_configuration()
-        self.fail_each = 0
-        self.reached = 0
-        self.silent = False
-        self.spares = False
-        self.spared = None
-        self.tells_ends = True
-        self.sendings = []
-        self.asked = 0
+        self.error_every = 0
+        self.attempts_ended = 0
+        self.crashes_silently = False
+        self.is_harmless = False
+        self.unanswered = None
+        self.lists_restarts = True
+        self.crashes = []
+        self.requests_sent = 0
         self.refusals = []
         super().__init__(**given)
         self.names = itertools.cycle(sorted(self.worlds))
@@ -100,7 +100,7 @@
         world = self.worlds[f"entry-{number}"]
         world.configure(self.configuration)
         world.list_upstreams(
-            *(x for n, x in self.listed.items() if n not in self.absent)
+            *(x for n, x in self.listed.items() if n not in self.down)
         )
 
     def replace(self, name):
@@ -112,7 +112,7 @@
 
     def change_key(self):
         """The caller's organisation gets another key, its only one."""
-        self.key = f"key-{self.asked}"
+        self.key = f"key-{self.requests_sent}"
         self.configuration = router_world.build_configuration(
             revision=self.configuration.revision + 1, keys=(self.key,)
         )
@@ -130,12 +130,12 @@
         end = self.now + duration_s
         while self.now < end:
             self.configure()
-            for upstream_id, at in list(self.absent.items()):
-                if self.now >= at + BACK_S:
-                    self.start_upstream(upstream_id)
-            for each in [x for x in self.running if x.until <= self.now]:
-                self.running.remove(each)
-                self.end_attempt(each)
+            for upstream_id, at in list(self.down.items()):
+                if self.now >= at + RESTART_S:
+                    self.restart_upstream(upstream_id)
+            for attempt in [x for x in self.running if x.ends_at <= self.now]:
+                self.running.remove(attempt)
+                self.end_attempt(attempt)
             super().run(news_fleet.STEP_S, look=look)
 
     def send(self, world):
@@ -145,83 +145,85 @@
             ours = isinstance(effect, effects.SendAttempt)
             if not ours or effect.body != BODY:
                 continue
-            each = Running(self.now + RUNS_S, world, effect)
-            if self.spares:
-                self.spared = each
+            attempt = RunningAttempt(self.now + CRASH_AFTER_S, world, effect)
+            if self.is_harmless:
+                self.unanswered = attempt
             else:
-                self.running.append(each)
+                self.running.append(attempt)
         super().send(world)
 
     # Upstreams.
 
-    def end_attempt(self, each):
+    def end_attempt(self, attempt):
         """The upstream ends that runs an attempt, or it fails the attempt."""
-        self.reached += 1
-        effect = each.effect
-        if self.fail_each and self.reached % self.fail_each == 0:
-            each.world.now = self.now
-            each.world.apply(
+        self.attempts_ended += 1
+        effect = attempt.effect
+        if self.error_every and self.attempts_ended % self.error_every == 0:
+            attempt.world.now = self.now
+            attempt.world.apply(
                 events.UpstreamHead(
                     request_id=effect.request_id,
                     attempt=effect.attempt,
                     status=500,
                 )
             )
-            self.end_exchange(each, events.AttemptEnd.COMPLETE)
+            self.end_exchange(attempt, events.AttemptEnd.COMPLETE)
             return
-        name = each.world.state.settings.name
-        sending = Sending(each.until - RUNS_S, name, effect.upstream_id)
-        self.sendings.append(sending)
-        self.note_sending(sending)
-        if not self.silent:
-            self.end_exchange(each, events.AttemptEnd.BROKEN)
-        self.end_upstream(effect.upstream_id)
-
-    def answer_spared(self):
+        name = attempt.world.state.settings.name
+        crash = CausedCrash(
+            attempt.ends_at - CRASH_AFTER_S, name, effect.upstream_id
+        )
+        self.crashes.append(crash)
+        self.on_crash(crash)
+        if not self.crashes_silently:
+            self.end_exchange(attempt, events.AttemptEnd.BROKEN)
+        self.crash_upstream(effect.upstream_id)
+
+    def answer_pending(self):
         """The attempt that an upstream bore has a good answer."""
-        each = self.spared
-        each.world.now = self.now
-        request_id, number = each.effect.request_id, each.effect.attempt
-        each.world.apply(
+        attempt = self.unanswered
+        attempt.world.now = self.now
+        request_id, number = attempt.effect.request_id, attempt.effect.attempt
+        attempt.world.apply(
             events.UpstreamHead(
                 request_id=request_id, attempt=number, status=200
             )
         )
         event = router_world.build_event(1)
-        each.world.apply(events.UpstreamData(request_id, number, event))
-        self.end_exchange(each, events.AttemptEnd.COMPLETE)
+        attempt.world.apply(events.UpstreamData(request_id, number, event))
+        self.end_exchange(attempt, events.AttemptEnd.COMPLETE)
 
-    def note_sending(self, sending):
+    def on_crash(self, crash):
         """Takes what is known of the sender now."""
 
-    def end_exchange(self, each, end):
+    def end_exchange(self, attempt, end):
         """An exchange with an upstream ends."""
-        each.world.now = self.now
-        each.world.apply(
+        attempt.world.now = self.now
+        attempt.world.apply(
             events.UpstreamEnded(
-                request_id=each.effect.request_id,
-                attempt=each.effect.attempt,
+                request_id=attempt.effect.request_id,
+                attempt=attempt.effect.attempt,
                 end=end,
                 detail="Connection reset by peer",
             )
         )
-        self.send(each.world)
+        self.send(attempt.world)
 
-    def end_upstream(self, upstream_id):
+    def crash_upstream(self, upstream_id):
         """The list drops an upstream that has ended."""
-        if not self.tells_ends:
+        if not self.lists_restarts:
             return
-        self.absent[upstream_id] = self.now
-        if self.silent:
+        self.down[upstream_id] = self.now
+        if self.crashes_silently:
             # It is back before its line lapses.
             return
         for world in self.worlds.values():
             world.now = self.now
             world.apply(events.UpstreamUnlisted(upstream_id))
 
-    def start_upstream(self, upstream_id):
+    def restart_upstream(self, upstream_id):
         """An upstream that has ended is back, under its id."""
-        del self.absent[upstream_id]
+        del self.down[upstream_id]
         before = self.listed[upstream_id]
         self.listed[upstream_id] = dataclasses.replace(
             before, started_ms=before.started_ms + 1
@@ -232,21 +234,21 @@
 
     # Callers.
 
-    def ask_next(self):
+    def send_next(self):
         """The caller sends the request to the next entry by name."""
         name = next(self.names)
-        self.ask(name)
+        self.send_request(name)
         return name
 
-    def ask(self, name):
+    def send_request(self, name):
         """The caller sends the request to an entry."""
         world = self.worlds[name]
         world.now = self.now
-        self.asked += 1
+        self.requests_sent += 1
         world.ask(self.route, key=self.key, body=BODY)
         self.send(world)
 
-    def break_others(self, count):
+    def interrupt_others(self, count):
         """As many other requests break off at each entry."""
         for world in self.worlds.values():
             world.now = self.now
@@ -258,10 +260,10 @@
 
     def count_late(self, after_s):
         """How often it was sent later than this after the third end."""
-        if len(self.sendings) < KNOWN_AFTER:
+        if len(self.crashes) < CRASHES_TO_REFUSE:
             return 0
-        known_at = self.sendings[KNOWN_AFTER - 1].at + RUNS_S
-        return sum(x.at > known_at + after_s for x in self.sendings)
+        known_at = self.crashes[CRASHES_TO_REFUSE - 1].sent_at + CRASH_AFTER_S
+        return sum(x.sent_at > known_at + after_s for x in self.crashes)
 
-    def list_lines(self, decision):
+    def list_log_lines(self, decision):
         return [line for _, line in self.lines if line.decision == decision]
--- a/features/support/crash_history.py
+++ b/features/support/crash_history.py
@@ -7,60 +7,60 @@
 from support import crash_fleet
 
 # An entry is in touch if it has had nothing to suffer for so long.
-STABLE_S = 4.0
+UNDISTURBED_S = 4.0
 
 
 class CrashHistory(crash_fleet.CrashFleet):
     """A fleet with troubles.
 
     Attributes:
-        harmed_until: Until when each entry has suffered.
+        disturbed_until: Until when each entry has suffered.
         wake_at: When each suspended entry goes on.
         heal_at: When each data centre that is cut off is back.
         calm: Sendings of entries that had suffered nothing lately.
     """
 
     def __init__(self, **given):
-        self.harmed_until = {}
+        self.disturbed_until = {}
         self.wake_at = {}
         self.heal_at = {}
-        self.calm = []
+        self.undisturbed = []
         super().__init__(**given)
 
-    def play(self, duration_s):
+    def run_with_faults(self, duration_s):
         """The caller and troubles come at random times."""
         end = self.now + duration_s
         while self.now < end:
-            self.end_troubles()
+            self.lift_faults()
             if self.rng.random() < 0.3:
-                self.make_trouble()
+                self.inject_fault()
             awake = sorted(self.worlds.keys() - self.asleep)
             if awake and self.rng.random() < 0.7:
-                self.ask(self.rng.choice(awake))
+                self.send_request(self.rng.choice(awake))
             self.run(self.rng.uniform(0.1, 1.5))
 
-    def make_trouble(self):
+    def inject_fault(self):
         """Something befalls an entry, its data centre or all links."""
         name = self.rng.choice(sorted(self.worlds))
         until = self.now + self.rng.uniform(0.5, 5.0)
         match self.rng.randrange(4):
             case 0:
                 self.replace(name)
-                self.harmed_until[name] = self.now
+                self.disturbed_until[name] = self.now
             case 1:
                 self.asleep.add(name)
                 self.wake_at[name] = until
-                self.harmed_until[name] = until
+                self.disturbed_until[name] = until
             case 2:
                 place = self.worlds[name].state.settings.data_centre
                 self.cut.add(place)
                 self.heal_at[place] = until
                 for each in self.list_carriers(place):
-                    self.harmed_until[each] = until
+                    self.disturbed_until[each] = until
             case _:
                 self.loss = self.rng.choice([0.0, 0.1, 0.3])
 
-    def end_troubles(self):
+    def lift_faults(self):
         """Suspended entries go on and cuts heal, where it is time."""
         for name, at in list(self.wake_at.items()):
             if self.now >= at:
@@ -71,15 +71,17 @@
                 del self.heal_at[place]
                 self.cut.discard(place)
 
-    def note_sending(self, sending):
-        harmed_until = self.harmed_until.get(sending.entry, 0.0)
-        if sending.at - harmed_until > STABLE_S:
-            self.calm.append(sending)
+    def on_crash(self, crash):
+        disturbed_until = self.disturbed_until.get(crash.entry, 0.0)
+        if crash.sent_at - disturbed_until > UNDISTURBED_S:
+            self.undisturbed.append(crash)
 
-    def count_late_calm(self):
+    def count_late_undisturbed(self):
         """How often entries in touch sent it too late."""
-        if len(self.sendings) < crash_fleet.KNOWN_AFTER:
+        if len(self.crashes) < crash_fleet.CRASHES_TO_REFUSE:
             return 0
-        third = self.sendings[crash_fleet.KNOWN_AFTER - 1]
-        known_at = third.at + crash_fleet.RUNS_S
-        return sum(x.at > known_at + STABLE_S for x in self.calm)
+        third = self.crashes[crash_fleet.CRASHES_TO_REFUSE - 1]
+        known_at = third.sent_at + crash_fleet.CRASH_AFTER_S
+        return sum(
+            x.sent_at > known_at + UNDISTURBED_S for x in self.undisturbed
+        )
