--- a/features/router_crashes.feature
+++ b/features/router_crashes.feature
@@ -1,21 +1,21 @@
 @quick
-Feature: A request that ends its upstreams reaches few of them
+Feature: A request that crashes its upstreams reaches few of them
 
-  Three upstreams may end before the request is known for what it is. The users
-  let it reach three more later than 3 s after that.
+  A request is refused once three upstreams have crashed while running it. The
+  users allow at most three attempts later than 3 s after the third crash.
 
-  Scenario: What is believed of a request that ends upstreams has its lines
-    Given 3 entries in 1 data centre, and a "note" request that ends upstreams
-    When its caller sends it 12 times, each 1 s
-    Then each line on a failed attempt names the request and its break-offs
-    And lines say what peers told of it
-    And the line on its refusal names what was known
+  Scenario: The known crashes of a request are logged
+    Given 3 entries in 1 data centre, and a "note" request that crashes upstreams
+    When its caller sends it 12 times, every 1 s
+    Then each log line on a failed attempt names the request and its crashes
+    And log lines say what other entries reported of it
+    And the log line on its refusal names its known crashes
 
-  Scenario Outline: A request that comes to each entry in turn ends few upstreams
-    Given <entries> entries in <places> data centres, and a "<route>" request that ends upstreams
-    When its caller sends it <times> times, each <pause> s
-    Then at most 3 sendings reach upstreams later than 3 s after the third end
-    And some of its sendings are refused as a crash suspect
+  Scenario Outline: A request that is sent to each entry in turn crashes few upstreams
+    Given <entries> entries in <places> data centres, and a "<route>" request that crashes upstreams
+    When its caller sends it <times> times, every <pause> s
+    Then at most 3 attempts reach upstreams later than 3 s after the third crash
+    And some of the requests are refused as a crash suspect
 
     Examples:
       | entries | places | route | times | pause |
@@ -26,65 +26,65 @@
       | 27      | 3      | note  | 40    | 1     |
       | 27      | 3      | chat  | 40    | 1     |
 
-  Scenario: An upstream that is back unlisted and ends again counts twice
-    Given 1 entry in 1 data centre, and a "note" request that ends upstreams
-    And the list tells of no restart
-    When its caller sends it 12 times, each 4 s
-    Then at most 3 sendings reach upstreams later than 3 s after the third end
+  Scenario: An upstream that crashes again before its restart is listed counts twice
+    Given 1 entry in 1 data centre, and a "note" request that crashes upstreams
+    And the list of upstreams shows no restarts
+    When its caller sends it 12 times, every 4 s
+    Then at most 3 attempts reach upstreams later than 3 s after the third crash
 
-  Scenario Outline: A request that ends upstreams is remembered though each entry that sent it is replaced
-    Given 5 entries in 1 data centre, and a "<route>" request that ends upstreams
-    When its caller sends it 20 times, each 3 s, and each entry that took it is replaced
-    Then at most 3 sendings reach upstreams later than 3 s after the third end
+  Scenario Outline: A request that crashes upstreams stays known when each entry that sent it is replaced
+    Given 5 entries in 1 data centre, and a "<route>" request that crashes upstreams
+    When its caller sends it 20 times, every 3 s, and each entry that took it is replaced
+    Then at most 3 attempts reach upstreams later than 3 s after the third crash
 
     Examples:
       | route |
       | note  |
       | chat  |
 
-  Scenario: An upstream's failure doesn't clear a request that ends upstreams
-    Given 1 entry in 1 data centre, and a "note" request that ends upstreams
-    And every third of its attempts is answered with 500 in place of an end
-    When its caller sends it 30 times, each 1 s
-    Then at most 3 sendings reach upstreams later than 3 s after the third end
+  Scenario: A 500 answer doesn't clear a request that crashes upstreams
+    Given 1 entry in 1 data centre, and a "note" request that crashes upstreams
+    And every third of its attempts is answered with 500 instead of a crash
+    When its caller sends it 30 times, every 1 s
+    Then at most 3 attempts reach upstreams later than 3 s after the third crash
 
   Scenario: A good answer at one entry clears a request at all entries
-    Given 6 entries in 2 data centres, and a "note" request that ends upstreams
-    When it is sent once to an upstream that bears it
-    And its caller sends it 4 times, each 2 s
-    And that sending has a good answer
-    And the fleet goes on for 4 s
+    Given 6 entries in 2 data centres, and a "note" request that crashes upstreams
+    When it is sent once to an upstream that survives it
+    And its caller sends it 4 times, every 2 s
+    And that attempt has a good answer
+    And the entries run for 4 s
     Then every entry sends it to an upstream again
 
-  Scenario: An entry that was away when a request was cleared learns of it
-    Given 6 entries in 2 data centres, and a "note" request that ends upstreams
-    When it is sent once to an upstream that bears it
-    And its caller sends it 4 times, each 2 s
-    And "west-1" is cut off for 6 s in which it has a good answer
-    And the fleet goes on for 4 s
+  Scenario: An entry that was disconnected when a request was cleared learns of it
+    Given 6 entries in 2 data centres, and a "note" request that crashes upstreams
+    When it is sent once to an upstream that survives it
+    And its caller sends it 4 times, every 2 s
+    And "west-1" is cut off for 6 s while it has a good answer
+    And the entries run for 4 s
     Then every entry sends it to an upstream again
 
-  Scenario: Others that break off don't make a request that ends upstreams forgotten
-    Given 1 entry in 1 data centre, and a "note" request that ends upstreams
-    When its caller sends it 12 times, each 1 s, and 1100 other requests break off each time
-    Then at most 3 sendings reach upstreams later than 3 s after the third end
+  Scenario: Many interrupted requests don't displace one that crashes upstreams
+    Given 1 entry in 1 data centre, and a "note" request that crashes upstreams
+    When its caller sends it 12 times, every 1 s, and 1100 other requests are interrupted each time
+    Then at most 3 attempts reach upstreams later than 3 s after the third crash
 
-  Scenario: What is forgotten for want of room has its line, whoever told of it
-    Given 2 entries in 1 data centre, and a "note" request that ends upstreams
-    When peers tell "entry-0" of 6000 other requests that ended upstreams
-    And the fleet goes on for 2 s
-    Then "entry-0" has a line on each of the 6000 that it forgot, and forgot some
+  Scenario: Suspects that are removed for lack of space are logged, whichever entry reported them
+    Given 2 entries in 1 data centre, and a "note" request that crashes upstreams
+    When another entry reports to "entry-0" 6000 other requests that crashed upstreams
+    And the entries run for 2 s
+    Then "entry-0" logs how many of the 6000 it removed, and removed some
 
-  Scenario: A caller's new key doesn't make another request of one that ends upstreams
-    Given 3 entries in 1 data centre, and a "note" request that ends upstreams
-    When its caller sends it 12 times, each 1 s, with a new key each time
-    Then at most 3 sendings reach upstreams later than 3 s after the third end
+  Scenario: A request that crashes upstreams is recognised under a new API key
+    Given 3 entries in 1 data centre, and a "note" request that crashes upstreams
+    When its caller sends it 12 times, every 1 s, with a new key each time
+    Then at most 3 attempts reach upstreams later than 3 s after the third crash
 
-  Scenario Outline: An upstream that ends silently counts as ended
-    Given 3 entries in 1 data centre, and a "<route>" request that ends upstreams
-    And upstreams that end do so silently
-    When its caller sends it 12 times, each 4 s
-    Then at most 3 sendings reach upstreams later than 3 s after the third end
+  Scenario Outline: A crash that leaves connections open counts as a crash
+    Given 3 entries in 1 data centre, and a "<route>" request that crashes upstreams
+    And upstreams crash without closing their connections
+    When its caller sends it 12 times, every 4 s
+    Then at most 3 attempts reach upstreams later than 3 s after the third crash
 
     Examples:
       | route |
@@ -92,13 +92,13 @@
       | book  |
       | chat  |
 
-  Scenario: A slow upstream that goes on counts as nothing
-    Given 1 entry in 1 data centre, and a "look" request that ends upstreams
-    When it is sent 6 times to upstreams that are silent and live, each 4 s
+  Scenario: A slow upstream that keeps running counts as no crash
+    Given 1 entry in 1 data centre, and a "look" request that crashes upstreams
+    When it is sent 6 times to upstreams that are silent but alive, every 4 s
     Then every entry sends it to an upstream again
 
   Scenario Outline: Histories of entries that are killed, suspended and cut off
-    Then in 30 generated histories of <entries> entries in <places> data centres few upstreams end
+    Then in 30 generated histories of <entries> entries in <places> data centres few upstreams crash
 
     Examples:
       | entries | places |
@@ -106,8 +106,8 @@
       | 6       | 2      |
       | 12      | 3      |
 
-  Scenario: An end at the moment of a good answer, and another one later
-    Given 1 entry in 1 data centre, and a "note" request that ends upstreams
-    When it is sent twice to one upstream, and one sending is answered as the other breaks off
-    And its caller sends it 6 times, each 4 s
-    Then at most 3 sendings reach upstreams later than 3 s after the third end
+  Scenario: A crash at the moment of a good answer, and more crashes later
+    Given 1 entry in 1 data centre, and a "note" request that crashes upstreams
+    When it is sent three times to one upstream, and one attempt is answered between the interruptions of the others
+    And its caller sends it 6 times, every 4 s
+    Then at most 3 attempts reach upstreams later than 3 s after the third crash
--- a/features/steps/router_crash_steps.py
+++ b/features/steps/router_crash_steps.py
@@ -1,4 +1,4 @@
-"""Steps for requests that end the upstreams that run them."""
+"""Steps for requests that crash the upstreams that run them."""
 
 import random
 
@@ -11,25 +11,26 @@
 from rhubarbbank_router import events
 from rhubarbbank_router import messages
 
-# All entries have heard of one another by then.
+# By then all entries have exchanged heartbeats.
 SETTLE_S = 3.0
-# Sendings that the users allow after the third end, of entries in touch.
+# Late attempts that the users allow from entries without faults.
 MAX_LATE = 3
+# Length of a generated history.
 HISTORY_S = 40.0
 SUSPECT_INPUTS = {"fingerprint", "crashes", "seen_here"}
 
 
 @given(
     '{entries:d} entry in {places:d} data centre, and a "{route}" request '
-    "that ends upstreams"
+    "that crashes upstreams"
 )
 @given(
     '{entries:d} entries in {places:d} data centre, and a "{route}" request '
-    "that ends upstreams"
+    "that crashes upstreams"
 )
 @given(
     '{entries:d} entries in {places:d} data centres, and a "{route}" request '
-    "that ends upstreams"
+    "that crashes upstreams"
 )
 def build_fleet(context, entries, places, route):
     context.crash_fleet = crash_fleet.CrashFleet(
@@ -41,22 +42,22 @@
     context.crash_fleet.run(SETTLE_S)
 
 
-@given("every third of its attempts is answered with 500 in place of an end")
+@given("every third of its attempts is answered with 500 instead of a crash")
 def answer_some_with_error(context):
     context.crash_fleet.error_every = 3
 
 
-@given("upstreams that end do so silently")
+@given("upstreams crash without closing their connections")
 def crash_silently(context):
     context.crash_fleet.crashes_silently = True
 
 
-@given("the list tells of no restart")
+@given("the list of upstreams shows no restarts")
 def hide_restarts(context):
     context.crash_fleet.lists_restarts = False
 
 
-@when("its caller sends it {times:d} times, each {pause:g} s")
+@when("its caller sends it {times:d} times, every {pause:g} s")
 def send_repeatedly(context, times, pause):
     for _ in range(times):
         context.crash_fleet.send_next()
@@ -64,7 +65,7 @@
 
 
 @when(
-    "its caller sends it {times:d} times, each {pause:g} s, and each entry "
+    "its caller sends it {times:d} times, every {pause:g} s, and each entry "
     "that took it is replaced"
 )
 def send_and_replace(context, times, pause):
@@ -77,8 +78,8 @@
 
 
 @when(
-    "its caller sends it {times:d} times, each {pause:g} s, and {count:d} "
-    "other requests break off each time"
+    "its caller sends it {times:d} times, every {pause:g} s, and {count:d} "
+    "other requests are interrupted each time"
 )
 def send_with_interruptions(context, times, pause, count):
     for _ in range(times):
@@ -88,7 +89,7 @@
 
 
 @when(
-    "its caller sends it {times:d} times, each {pause:g} s, with a new key "
+    "its caller sends it {times:d} times, every {pause:g} s, with a new key "
     "each time"
 )
 def send_with_new_keys(context, times, pause):
@@ -98,7 +99,10 @@
         context.crash_fleet.run(pause)
 
 
-@when('peers tell "{entry}" of {count:d} other requests that ended upstreams')
+@when(
+    'another entry reports to "{entry}" {count:d} other requests that crashed '
+    "upstreams"
+)
 def report_other_suspects(context, entry, count):
     fleet = context.crash_fleet
     reported = tuple(
@@ -120,7 +124,7 @@
     fleet.deliver(fleet.worlds[entry], news)
 
 
-@when("it is sent once to an upstream that bears it")
+@when("it is sent once to an upstream that survives it")
 def send_harmless(context):
     fleet = context.crash_fleet
     fleet.is_harmless = True
@@ -129,7 +133,7 @@
 
 
 @when(
-    "it is sent {times:d} times to upstreams that are silent and live, each "
+    "it is sent {times:d} times to upstreams that are silent but alive, every "
     "{pause:g} s"
 )
 def send_to_silent(context, times, pause):
@@ -138,12 +142,12 @@
     send_repeatedly(context, times, pause)
 
 
-@when("that sending has a good answer")
+@when("that attempt has a good answer")
 def answer_pending(context):
     context.crash_fleet.answer_pending()
 
 
-@when('"{place}" is cut off for {wait:g} s in which it has a good answer')
+@when('"{place}" is cut off for {wait:g} s while it has a good answer')
 def answer_during_partition(context, place, wait):
     fleet = context.crash_fleet
     fleet.cut.add(place)
@@ -152,8 +156,8 @@
     fleet.cut.discard(place)
 
 
-@when("the fleet goes on for {wait:g} s")
-def run_fleet(context, wait):
+@when("the entries run for {wait:g} s")
+def run_entries(context, wait):
     context.crash_fleet.run(wait)
 
 
@@ -167,8 +171,8 @@
 
 
 @then(
-    "at most {most:d} sendings reach upstreams later than {after:g} s after "
-    "the third end"
+    "at most {most:d} attempts reach upstreams later than {after:g} s after "
+    "the third crash"
 )
 def check_late(context, most, after):
     fleet = context.crash_fleet
@@ -176,16 +180,13 @@
     assert fleet.count_late(after) <= most, fleet.crashes
 
 
-@then("some of its sendings are refused as a crash suspect")
+@then("some of the requests are refused as a crash suspect")
 def check_refused(context):
     assert "crash_suspect" in context.crash_fleet.refusals
 
 
-@then(
-    '"{entry}" has a line on each of the {count:d} that it forgot, and forgot '
-    "some"
-)
-def check_forgotten_lines(context, entry, count):
+@then('"{entry}" logs how many of the {count:d} it removed, and removed some')
+def check_removal_lines(context, entry, count):
     fleet = context.crash_fleet
     kept = len(fleet.worlds[entry].state.suspects.suspects)
     assert kept < count, kept
@@ -197,7 +198,7 @@
     assert sum(logged) == count - kept, (logged, kept)
 
 
-@then("each line on a failed attempt names the request and its break-offs")
+@then("each log line on a failed attempt names the request and its crashes")
 def check_failed_lines(context):
     fleet = context.crash_fleet
     lines = fleet.list_log_lines("failed_attempt")
@@ -208,7 +209,7 @@
         assert inputs["crashes"] >= inputs["seen_here"] > 0, line
 
 
-@then("lines say what peers told of it")
+@then("log lines say what other entries reported of it")
 def check_peer_lines(context):
     lines = context.crash_fleet.list_log_lines("suspect_told")
     assert lines
@@ -216,7 +217,7 @@
     assert all(dict(x.inputs).keys() >= SUSPECT_INPUTS for x in lines)
 
 
-@then("the line on its refusal names what was known")
+@then("the log line on its refusal names its known crashes")
 def check_refusal_lines(context):
     lines = [
         line
@@ -229,11 +230,11 @@
 
 @then(
     "in {count:d} generated histories of {entries:d} entries in {places:d} "
-    "data centre few upstreams end"
+    "data centre few upstreams crash"
 )
 @then(
     "in {count:d} generated histories of {entries:d} entries in {places:d} "
-    "data centres few upstreams end"
+    "data centres few upstreams crash"
 )
 def check_histories(context, count, entries, places):
     crash_counts = []
@@ -255,8 +256,8 @@
 
 
 @when(
-    "it is sent twice to one upstream, and one sending is answered as the "
-    "other breaks off"
+    "it is sent three times to one upstream, and one attempt is answered "
+    "between the interruptions of the others"
 )
 def answer_and_break_off(context):
     fleet = context.crash_fleet
--- a/features/support/crash_fleet.py
+++ b/features/support/crash_fleet.py
@@ -1,7 +1,8 @@
-"""Entries before upstreams that end when they run one certain request.
+"""Entries, and upstreams that crash when they run one particular request.
 
-Its caller sends it again and again, to one entry after the other. Whatever an
-upstream has open breaks off when it ends; some seconds later it is back.
+Its caller sends it repeatedly, to one entry after the other. A crash
+interrupts that attempt and takes the upstream off the list; RESTART_S later
+it has restarted.
 """
 
 import dataclasses
@@ -12,21 +13,21 @@
 from support import news_fleet
 from support import router_world
 
-BODY = b"ends whatever runs it"
+BODY = b"crashes whatever runs it"
 CRASH_AFTER_S = 0.02
 RESTART_S = 2.5
-# Upstreams that may end before the request is known for what it is.
+# Crashes after which the request is refused.
 CRASHES_TO_REFUSE = 3
 
 
 @dataclasses.dataclass(frozen=True)
 class CausedCrash:
-    """One time that the request reached an upstream, which ended.
+    """One crash of an upstream that ran the request.
 
     Attributes:
-        at: When it was sent.
-        entry: Who sent it.
-        upstream: The upstream.
+        sent_at: When the attempt was sent, in seconds.
+        entry: Name of the entry that sent it.
+        upstream: Id of the upstream.
     """
 
     sent_at: float
@@ -36,12 +37,12 @@
 
 @dataclasses.dataclass(frozen=True)
 class RunningAttempt:
-    """An attempt of the request that an upstream runs.
+    """An attempt of the request that an upstream is running.
 
     Attributes:
-        ends_at: When the upstream ends, or fails the attempt.
-        world: The entry.
-        effect: What it sent.
+        ends_at: When the upstream crashes or answers with 500, in seconds.
+        world: The entry that sent it.
+        effect: The effect by which it was sent.
     """
 
     ends_at: float
@@ -53,22 +54,23 @@
     """Entries, their upstreams, and the caller of the request.
 
     Attributes:
-        listed: Upstreams by id, as they are listed when they run.
-        down: Those that have ended and aren't back, with the time.
-        running: Attempts of the request.
-        route: The request's route.
-        key: The key of its caller.
-        configuration: In force at all entries.
-        error_every: Of so many attempts, the last is answered with 500 and ends
-            nothing; 0 for none.
-        attempts_ended: Attempts of the request so far.
-        crashes_silently: Whether upstreams end without a reset.
-        is_harmless: Whether upstreams bear the request.
-        unanswered: The last attempt that an upstream bore, unanswered.
-        lists_restarts: Whether the list tells of ends and starts of upstreams.
-        crashes: Each time that it ended an upstream.
-        requests_sent: How often the caller sent it.
-        refusals: The codes with which it was refused.
+        listed: Upstreams by id, as they are listed while they run.
+        down: Time of the crash of each upstream that hasn't restarted, by id.
+        running: Attempts of the request that upstreams are running.
+        route: Name of the request's route.
+        key: The caller's API key.
+        configuration: The configuration of all entries.
+        error_every: Every so many attempts, one is answered with 500 instead
+            of a crash; 0 for none.
+        attempts_ended: Attempts that crashed an upstream or got a 500.
+        crashes_silently: Whether a crash leaves its connections open.
+        is_harmless: Whether upstreams survive the request.
+        unanswered: The last attempt that an upstream survived, until it is
+            answered.
+        lists_restarts: Whether crashes and restarts change the list.
+        crashes: The crashes that the request caused.
+        requests_sent: How often the caller has sent it.
+        refusals: The codes with which requests were refused.
     """
 
     def __init__(self, *, route="note", upstreams=8, **given):
@@ -104,14 +106,14 @@
         )
 
     def replace(self, name):
-        """An entry's process is killed, and another one starts."""
+        """Kills an entry's process and starts a new one."""
         settings = self.worlds[name].state.settings
         self.build(int(name.rpartition("-")[2]), settings.data_centre)
         self.worlds[name].state.incarnation = int(self.now * 1000)
         self.register()
 
     def change_key(self):
-        """The caller's organisation gets another key, its only one."""
+        """Replaces the only API key of the caller's organisation."""
         self.key = f"key-{self.requests_sent}"
         self.configuration = router_world.build_configuration(
             revision=self.configuration.revision + 1, keys=(self.key,)
@@ -119,7 +121,7 @@
         self.configure()
 
     def configure(self):
-        """All entries read the configuration."""
+        """Has all entries read the configuration."""
         for world in self.worlds.values():
             world.now = self.now
             world.configure(self.configuration)
@@ -155,7 +157,7 @@
     # Upstreams.
 
     def end_attempt(self, attempt):
-        """The upstream ends that runs an attempt, or it fails the attempt."""
+        """Crashes the upstream of an attempt, or has it answer with 500."""
         self.attempts_ended += 1
         effect = attempt.effect
         if self.error_every and self.attempts_ended % self.error_every == 0:
@@ -180,7 +182,7 @@
         self.crash_upstream(effect.upstream_id)
 
     def answer_pending(self):
-        """The attempt that an upstream bore has a good answer."""
+        """Answers the last attempt that an upstream survived."""
         attempt = self.unanswered
         attempt.world.now = self.now
         request_id, number = attempt.effect.request_id, attempt.effect.attempt
@@ -194,10 +196,10 @@
         self.end_exchange(attempt, events.AttemptEnd.COMPLETE)
 
     def on_crash(self, crash):
-        """Takes what is known of the sender now."""
+        """Called at each crash; a hook for subclasses."""
 
     def end_exchange(self, attempt, end):
-        """An exchange with an upstream ends."""
+        """Ends the exchange of an attempt with its upstream."""
         attempt.world.now = self.now
         attempt.world.apply(
             events.UpstreamEnded(
@@ -210,19 +212,19 @@
         self.send(attempt.world)
 
     def crash_upstream(self, upstream_id):
-        """The list drops an upstream that has ended."""
+        """Marks an upstream as crashed, and takes it off the list."""
         if not self.lists_restarts:
             return
         self.down[upstream_id] = self.now
         if self.crashes_silently:
-            # It is back before its line lapses.
+            # It restarts before its entry in the list expires.
             return
         for world in self.worlds.values():
             world.now = self.now
             world.apply(events.UpstreamUnlisted(upstream_id))
 
     def restart_upstream(self, upstream_id):
-        """An upstream that has ended is back, under its id."""
+        """Restarts a crashed upstream under the same id."""
         del self.down[upstream_id]
         before = self.listed[upstream_id]
         self.listed[upstream_id] = dataclasses.replace(
@@ -235,13 +237,13 @@
     # Callers.
 
     def send_next(self):
-        """The caller sends the request to the next entry by name."""
+        """Sends the request to the next entry by name; returns its name."""
         name = next(self.names)
         self.send_request(name)
         return name
 
     def send_request(self, name):
-        """The caller sends the request to an entry."""
+        """Sends the request to an entry."""
         world = self.worlds[name]
         world.now = self.now
         self.requests_sent += 1
@@ -249,17 +251,17 @@
         self.send(world)
 
     def interrupt_others(self, count):
-        """As many other requests break off at each entry."""
+        """Interrupts this many other requests at each entry."""
         for world in self.worlds.values():
             world.now = self.now
             for _ in range(count):
                 world.end(world.ask("note", key=self.key), "broken")
             self.send(world)
 
-    # What must hold.
+    # Checks.
 
     def count_late(self, after_s):
-        """How often it was sent later than this after the third end."""
+        """Counts attempts sent later than this after the third crash."""
         if len(self.crashes) < CRASHES_TO_REFUSE:
             return 0
         known_at = self.crashes[CRASHES_TO_REFUSE - 1].sent_at + CRASH_AFTER_S
--- a/features/support/crash_history.py
+++ b/features/support/crash_history.py
@@ -1,23 +1,23 @@
-"""Random histories of a fleet, and a request that ends its upstreams.
+"""Random histories of a fleet with a request that crashes its upstreams.
 
-Entries are killed, suspended or cut off with their data centre, and frames
-are lost, while the caller comes to entries at random.
+Entries are killed, suspended or cut off with their data centre, and messages
+are lost, while the caller sends the request to random entries.
 """
 
 from support import crash_fleet
 
-# An entry is in touch if it has had nothing to suffer for so long.
+# An entry counts as undisturbed if its last fault ended this long ago.
 UNDISTURBED_S = 4.0
 
 
 class CrashHistory(crash_fleet.CrashFleet):
-    """A fleet with troubles.
+    """A fleet with random faults.
 
     Attributes:
-        disturbed_until: Until when each entry has suffered.
-        wake_at: When each suspended entry goes on.
-        heal_at: When each data centre that is cut off is back.
-        calm: Sendings of entries that had suffered nothing lately.
+        disturbed_until: End of the last fault of each entry, in seconds.
+        wake_at: When each suspended entry resumes, in seconds.
+        heal_at: When each partition of a data centre ends, in seconds.
+        undisturbed: Crashes caused by attempts of undisturbed entries.
     """
 
     def __init__(self, **given):
@@ -28,7 +28,7 @@
         super().__init__(**given)
 
     def run_with_faults(self, duration_s):
-        """The caller and troubles come at random times."""
+        """Sends requests and injects faults at random times."""
         end = self.now + duration_s
         while self.now < end:
             self.lift_faults()
@@ -40,7 +40,7 @@
             self.run(self.rng.uniform(0.1, 1.5))
 
     def inject_fault(self):
-        """Something befalls an entry, its data centre or all links."""
+        """Injects a fault at an entry, its data centre or all links."""
         name = self.rng.choice(sorted(self.worlds))
         until = self.now + self.rng.uniform(0.5, 5.0)
         match self.rng.randrange(4):
@@ -61,7 +61,7 @@
                 self.loss = self.rng.choice([0.0, 0.1, 0.3])
 
     def lift_faults(self):
-        """Suspended entries go on and cuts heal, where it is time."""
+        """Resumes entries and ends partitions that are due."""
         for name, at in list(self.wake_at.items()):
             if self.now >= at:
                 del self.wake_at[name]
@@ -77,7 +77,7 @@
             self.undisturbed.append(crash)
 
     def count_late_undisturbed(self):
-        """How often entries in touch sent it too late."""
+        """Counts late attempts of entries that were undisturbed."""
         if len(self.crashes) < crash_fleet.CRASHES_TO_REFUSE:
             return 0
         third = self.crashes[crash_fleet.CRASHES_TO_REFUSE - 1]
