--- a/features/steps/endless_steps.py
+++ b/features/steps/endless_steps.py
@@ -25,7 +25,7 @@
     context.sent_bytes = 0
     numbers = itertools.count(2)
     for _ in range(MOST_PIECES):
-        if 1 in world.cancelled(request):
+        if 1 in world.cancelled_attempts(request):
             return
         frame = FRAMES.get(what) or build_new_events(numbers)
         world.data(request, frame)
@@ -42,7 +42,7 @@
 
 @then("it is broken off before {most:g} MB have come")
 def check_broken_off(context, most):
-    assert 1 in context.world.cancelled(context.request)
+    assert 1 in context.world.cancelled_attempts(context.request)
     assert context.sent_bytes <= most * 1e6, context.sent_bytes
 
 
--- a/features/steps/engine_load_steps.py
+++ b/features/steps/engine_load_steps.py
@@ -90,7 +90,7 @@
 @when('a caller asks "{route}" with a prompt of {tokens:d} tokens')
 def ask_long(context, route, tokens):
     world = context.world
-    world.done = [x for x in world.done if x not in world.messages()]
+    world.effects = [x for x in world.effects if x not in world.messages()]
     context.request = world.ask(
         route, generation=router_world.build_generation(route, tokens)
     )
@@ -161,7 +161,7 @@
 
 
 def world_request(world):
-    return f"r{world.asked}"
+    return f"r{world.request_count}"
 
 
 @then("the peer nearby has had a report of the prompt, the peer far away none")
--- a/features/steps/router_history_steps.py
+++ b/features/steps/router_history_steps.py
@@ -149,7 +149,7 @@
         final = [x for x in answers if isinstance(x, FINAL_EFFECTS)]
         assert len(final) <= 1, final
         assert not final or answers[-1] is final[0], answers
-        numbers = self.world.written(request)
+        numbers = self.world.written_event_ids(request)
         assert numbers == list(range(1, len(numbers) + 1)), numbers
         opened = self.world.state.open.get(request)
         if opened is None:
--- a/features/steps/router_load_steps.py
+++ b/features/steps/router_load_steps.py
@@ -27,7 +27,7 @@
         world.ask(
             "chat",
             generation=router_world.build_generation(
-                f"s{world.asked}-{number}", tokens
+                f"s{world.request_count}-{number}", tokens
             ),
         )
         for number in range(count)
@@ -173,7 +173,7 @@
 @then("there are at most {ratio:g} retries for each request and {extra:d} more")
 def check_retries(context, ratio, extra):
     sent = sum(
-        type(each).__name__ == "SendAttempt" for each in context.world.done
+        type(each).__name__ == "SendAttempt" for each in context.world.effects
     )
     assert sent > context.count
     assert sent - context.count <= ratio * context.count + extra
--- a/features/steps/router_notice_steps.py
+++ b/features/steps/router_notice_steps.py
@@ -145,7 +145,7 @@
 def check_log_line(context, upstream):
     (line,) = [
         x
-        for x in context.world.done
+        for x in context.world.effects
         if isinstance(x, fx.LogDecision) and x.decision == "upstream_leaving"
     ]
     assert line.upstream == upstream, line
--- a/features/steps/router_rollout_steps.py
+++ b/features/steps/router_rollout_steps.py
@@ -207,7 +207,7 @@
     for number in range(round(duration * 10)):
         deliver_peer_heartbeats(context)
         world.configure(world.state.active_configuration)
-        request, _ = send_request(world, f"w{number}-{world.asked}")
+        request, _ = send_request(world, f"w{number}-{world.request_count}")
         answer_request(world, request)
         if context.open_stream:
             world.stream(context.open_stream, number + 3, number + 3)
@@ -254,7 +254,7 @@
 def list_recorded_states(context):
     return [
         each.state.value
-        for each in context.world.done
+        for each in context.world.effects
         if isinstance(each, effects.RecordRollout)
     ]
 
@@ -274,7 +274,7 @@
     """Returns the roll-out's part of the last heartbeat."""
     sent = [
         each.message
-        for each in world.done
+        for each in world.effects
         if isinstance(each, core_effects.Send)
     ]
     (trial,) = sent[-1].trials
--- a/features/steps/router_steps.py
+++ b/features/steps/router_steps.py
@@ -156,7 +156,7 @@
 @when("the upstream sends events for {duration:g} s")
 def advance_while_sending(context, duration):
     world = context.world
-    number = world.written(context.request)[-1]
+    number = world.written_event_ids(context.request)[-1]
     for _ in range(max(1, round(duration / 0.1))):
         number += 1
         world.stream(context.request, number, number)
@@ -176,7 +176,7 @@
 
 @then("the attempt is cancelled")
 def check_cancelled(context):
-    assert context.world.cancelled(context.request)
+    assert context.world.cancelled_attempts(context.request)
 
 
 @then("the upstream is given {left:g} s")
@@ -258,7 +258,9 @@
 @then("the caller has events {first:d} to {last:d}, and the stream {state}")
 def check_events(context, first, last, state):
     world = context.world
-    assert world.written(context.request) == list(range(first, last + 1))
+    assert world.written_event_ids(context.request) == list(
+        range(first, last + 1)
+    )
     ended = isinstance(world.answers(context.request)[-1], effects.FinishAnswer)
     assert ended == (state == "has ended"), world.answers(context.request)
 
@@ -421,7 +423,7 @@
 
 
 def has_exited(context):
-    return any(isinstance(each, fx.Exit) for each in context.world.done)
+    return any(isinstance(each, fx.Exit) for each in context.world.effects)
 
 
 @then("the process keeps running")
@@ -445,7 +447,9 @@
 @when("the upstream sends an event every {pause:g} s up to event {last:d}")
 def send_events_slowly(context, pause, last):
     world = context.world
-    for number in range(world.written(context.request)[-1] + 1, last + 1):
+    for number in range(
+        world.written_event_ids(context.request)[-1] + 1, last + 1
+    ):
         for _ in range(round(pause / 0.1)):
             world.configure(world.state.active_configuration)
             world.run(0.1)
--- a/features/support/crash_fleet.py
+++ b/features/support/crash_fleet.py
@@ -141,7 +141,7 @@
             super().run(news_fleet.STEP_S, look=look)
 
     def send(self, world):
-        for effect in world.done:
+        for effect in world.effects:
             if isinstance(effect, effects.RefuseRequest):
                 self.refusals.append(effect.code)
             ours = isinstance(effect, effects.SendAttempt)
--- a/features/support/news_fleet.py
+++ b/features/support/news_fleet.py
@@ -109,7 +109,7 @@
 
     def send(self, world):
         place = world.state.settings.data_centre
-        for effect in world.done:
+        for effect in world.effects:
             if isinstance(effect, fx.LogDecision):
                 self.lines.append((world.state.settings.name, effect))
             if not isinstance(effect, core_effects.Send):
@@ -130,7 +130,7 @@
                 effect.message,
             )
             heapq.heappush(self.due, entry)
-        world.done.clear()
+        world.effects.clear()
 
     def run_sessions(self, count):
         """As many sessions have a request at each entry."""
@@ -146,7 +146,7 @@
                 world.head(request, confidence=90)
                 world.stream(request, 1, 2)
                 world.end(request)
-            world.done.clear()
+            world.effects.clear()
 
     def list_kept(self):
         """The sessions that each entry knows to stay on their version."""
--- a/features/support/relay_fleet.py
+++ b/features/support/relay_fleet.py
@@ -230,7 +230,7 @@
 
     def record_role_changes(self, node):
         """Records role changes; too many per second are a violation."""
-        for effect in node.world.done:
+        for effect in node.world.effects:
             name = getattr(effect, "decision", "")
             if name.startswith("store_reading"):
                 node.role_changes.append(self.now)
@@ -240,13 +240,13 @@
             self.report(name, f"{len(recent)} role changes within a second")
 
     def send(self, world):
-        for effect in world.done:
+        for effect in world.effects:
             if not isinstance(effect, core_effects.Send):
                 continue
             if self.rng.random() >= self.loss_rate:
                 delay_s = self.rng.uniform(0.0, 0.04)
                 self.schedule(delay_s, self.deliver, effect)
-        world.done.clear()
+        world.effects.clear()
 
     def deliver(self, effect):
         node = self.by_address.get(effect.address)
--- a/features/support/rollout_fleet.py
+++ b/features/support/rollout_fleet.py
@@ -97,11 +97,14 @@
     def step(self, world):
         world.now = self.now
         world.configure(world.state.active_configuration)
-        begun = len(world.done)
+        begun = len(world.effects)
         world.apply(core_events.Ticked())
         for _ in range(3):
             self.send_request(world)
-        new_effects, world.done = world.done[begun:], world.done[:begun]
+        new_effects, world.effects = (
+            world.effects[begun:],
+            world.effects[:begun],
+        )
         for effect in new_effects:
             if isinstance(effect, core_effects.Send):
                 self.deliver_heartbeat(effect)
--- a/features/support/router_world.py
+++ b/features/support/router_world.py
@@ -1,4 +1,7 @@
-"""A router in memory: events in, effects out, time by hand."""
+"""A simulated router for tests, with a clock that the test advances.
+
+Tests apply events to the router and check the effects that it returns.
+"""
 
 import random
 
@@ -46,7 +49,7 @@
 
 
 def build_route(name, kind, **changes):
-    given = {
+    fields = {
         "name": name,
         "host": HOST,
         "prefix": f"/{name}/",
@@ -60,9 +63,11 @@
         "target_gap_s": 1.5,
         "priority": 1,
     }
-    return configuration.Route(**given | changes)
+    return configuration.Route(**fields | changes)
 
 
+# "look", "book" and "open" have buffered answers; "chat" and "note" stream.
+# Only "chat" can be resumed, and has two model sizes. "open" needs no key.
 ROUTES = (
     build_route("look", "idempotent", max_attempts=2, target_latency_s=0.2),
     build_route("book", "non_idempotent", max_attempts=1, target_latency_s=0.2),
@@ -85,7 +90,7 @@
 
 
 def build_upstream(number, version="v1", **changes):
-    given = {
+    fields = {
         "upstream_id": f"up-{number}",
         "service": "pool",
         "address": f"127.0.0.1:{9000 + number}",
@@ -93,12 +98,12 @@
         "version": version,
         "slots": 64,
     }
-    return upstreams.Upstream(**given | changes)
+    return upstreams.Upstream(**fields | changes)
 
 
 def build_order(**changes):
-    """A roll-out of the pool to the next version."""
-    given = {
+    """Returns an order to roll the service "pool" out to version "v2"."""
+    fields = {
         "service": "pool",
         "target": "v2",
         "duration_s": 60.0,
@@ -106,11 +111,18 @@
         "revision": 9,
         "created_revision": 9,
     }
-    return version_trial.RolloutOrder(**given | changes)
+    return version_trial.RolloutOrder(**fields | changes)
 
 
 class World:
-    """One router and what it did."""
+    """A router and its effects.
+
+    Attributes:
+        router: The router.
+        now: Current time, in seconds.
+        effects: Effects that the router returned, oldest first.
+        request_count: Number of requests sent so far.
+    """
 
     def __init__(
         self,
@@ -128,25 +140,28 @@
             sizing_policy=sizes,
         )
         self.now = 100.0
-        self.done = []
-        self.asked = 0
+        self.effects = []
+        self.request_count = 0
 
     @property
     def state(self):
         return self.router.state
 
     def apply(self, event):
-        found = self.router.step(now=self.now, event=event)
-        self.done += found
-        return found
+        """Applies an event, and returns its effects."""
+        new_effects = self.router.step(now=self.now, event=event)
+        self.effects += new_effects
+        return new_effects
 
     def run(self, duration_s):
+        """Advances the clock, and ticks the router after each period."""
         end = self.now + duration_s
         while self.now < end:
             self.now += defaults.TICK_S
             self.apply(core_events.Ticked())
 
     def configure(self, found=None):
+        """Answers a read of the configuration that was just sent."""
         self.apply(
             events.ConfigurationRead(
                 asked_at=self.now, found=found or build_configuration()
@@ -157,15 +172,16 @@
         self.apply(events.UpstreamsListed(listed))
 
     def start(self, count=3):
-        """Reads configuration, orders and upstreams."""
+        """Answers the first reads of orders, upstreams and configuration."""
         self.apply(events.RolloutsListed(()))
         self.list_upstreams(*(build_upstream(n) for n in range(count)))
         self.configure()
 
     def ask(self, route, *, key=KEY, timeout_s=20.0, **changes):
-        self.asked += 1
-        request_id = f"r{self.asked}"
-        given = {
+        """Sends a request to a route, and returns its id."""
+        self.request_count += 1
+        request_id = f"r{self.request_count}"
+        fields = {
             "request_id": request_id,
             "attempt_id": request_id,
             "method": "POST",
@@ -177,52 +193,56 @@
             "body": request_id.encode(),
         }
         if route == "chat":
-            given["generation"] = build_generation(f"s{self.asked}")
-        request = callers.IncomingRequest(**given | changes)
+            fields["generation"] = build_generation(f"s{self.request_count}")
+        request = callers.IncomingRequest(**fields | changes)
         self.apply(events.RequestArrived(request))
         return request.request_id
 
     def sent(self, request_id):
-        """The request's attempts, oldest first."""
+        """Returns the request's `SendAttempt` effects, oldest first."""
         return [
-            each
-            for each in self.done
-            if isinstance(each, effects.SendAttempt)
-            and each.request_id == request_id
+            effect
+            for effect in self.effects
+            if isinstance(effect, effects.SendAttempt)
+            and effect.request_id == request_id
         ]
 
-    def cancelled(self, request_id):
+    def cancelled_attempts(self, request_id):
+        """Returns the numbers of the request's cancelled attempts."""
         return [
-            each.attempt
-            for each in self.done
-            if isinstance(each, effects.CancelAttempt)
-            and each.request_id == request_id
+            effect.attempt
+            for effect in self.effects
+            if isinstance(effect, effects.CancelAttempt)
+            and effect.request_id == request_id
         ]
 
     def answers(self, request_id):
+        """Returns the effects that answer the request, oldest first."""
         return [
-            each
-            for each in self.done
-            if isinstance(each, ANSWER_EFFECTS)
-            and each.request_id == request_id
+            effect
+            for effect in self.effects
+            if isinstance(effect, ANSWER_EFFECTS)
+            and effect.request_id == request_id
         ]
 
     def head(self, request_id, status=200, **changes):
-        """The upstream of the newest attempt answers with a head."""
+        """Delivers the head of an answer to the newest attempt."""
         attempt = self.sent(request_id)[-1].attempt
-        given = {
+        fields = {
             "request_id": request_id,
             "attempt": attempt,
             "status": status,
             "headers": HEADERS,
         }
-        self.apply(events.UpstreamHead(**given | changes))
+        self.apply(events.UpstreamHead(**fields | changes))
 
     def data(self, request_id, data):
+        """Delivers a part of the body of an answer to the newest attempt."""
         attempt = self.sent(request_id)[-1].attempt
         self.apply(events.UpstreamData(request_id, attempt, data))
 
     def end(self, request_id, end="complete"):
+        """Ends the exchange of the newest attempt."""
         attempt = self.sent(request_id)[-1].attempt
         self.apply(
             events.UpstreamEnded(
@@ -234,34 +254,39 @@
         )
 
     def answer_whole(self, request_id, status=200):
+        """Delivers a complete answer to the newest attempt."""
         self.head(request_id, status)
         self.data(request_id, b"body")
         self.end(request_id)
 
     def stream(self, request_id, first, last):
-        """The upstream sends events with the ids first to last."""
+        """Delivers stream events with the ids first to last."""
         for number in range(first, last + 1):
             self.data(request_id, build_event(number))
 
-    def written(self, request_id):
-        """Ids of the events that the caller has."""
+    def written_event_ids(self, request_id):
+        """Returns the ids of the events sent to the caller."""
         return [
-            int(each.data.split(b"\n")[0].removeprefix(b"id: "))
-            for each in self.answers(request_id)
-            if isinstance(each, effects.WriteAnswer)
+            int(effect.data.split(b"\n")[0].removeprefix(b"id: "))
+            for effect in self.answers(request_id)
+            if isinstance(effect, effects.WriteAnswer)
         ]
 
     def decisions(self, request_id):
+        """Returns the logged decisions on the request."""
         return [
-            each
-            for each in self.done
-            if isinstance(each, fx.LogDecision)
-            and each.request_id == request_id
+            effect
+            for effect in self.effects
+            if isinstance(effect, fx.LogDecision)
+            and effect.request_id == request_id
         ]
 
     def messages(self):
+        """Returns the messages sent to other entries."""
         return [
-            each for each in self.done if isinstance(each, core_effects.Send)
+            effect
+            for effect in self.effects
+            if isinstance(effect, core_effects.Send)
         ]
 
 
--- a/features/support/session_fleet.py
+++ b/features/support/session_fleet.py
@@ -133,13 +133,13 @@
     def step(self, world):
         world.now = self.now
         world.configure(world.state.active_configuration)
-        begun = len(world.done)
+        begun = len(world.effects)
         world.apply(core_events.Ticked())
         self.deliver_heartbeats(world, begun)
 
     def deliver_heartbeats(self, world, begun):
         """Schedules delivery of the heartbeats that a router has just sent."""
-        for effect in world.done[begun:]:
+        for effect in world.effects[begun:]:
             if not isinstance(effect, core_effects.Send):
                 continue
             peer = self.world_by_address[effect.address]
@@ -151,7 +151,7 @@
                 peer,
                 effect.message,
             )
-        del world.done[begun:]
+        del world.effects[begun:]
 
     def deliver_message(self, world, message):
         world.now = self.now
@@ -161,7 +161,7 @@
         """Sends the session's next request to a random router."""
         world = self.rng.choice(self.worlds)
         world.now = self.now
-        begun = len(world.done)
+        begun = len(world.effects)
         request = world.ask(
             "chat",
             session=session.key,
@@ -173,7 +173,7 @@
         self.record_move(session, version)
         session.version = version
         self.schedule(
-            0.1, self.start_answer, world, request, world.done[begun:]
+            0.1, self.start_answer, world, request, world.effects[begun:]
         )
         run_s = self.rng.uniform(0.2, 1.0)
         self.schedule(run_s, self.end_answer, world, request, session)
@@ -200,9 +200,9 @@
         The action needs the effects that sent the attempt.
         """
         world.now = self.now
-        world.done[:0] = self.send_effects[world, request]
+        world.effects[:0] = self.send_effects[world, request]
         call()
-        world.done.clear()
+        world.effects.clear()
 
     @staticmethod
     def is_send_attempt(effect):
