--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -1,7 +1,8 @@
 """Times, limits and weights of the router, each with its unit.
 
 A value marked "deployment bound" must stay within a limit that the deployment
-sets. docs/MEASUREMENTS.md describes the experiments on these values.
+sets. docs/MEASUREMENTS.md describes the experiments on these values. "Plain"
+answers and services are those without streams.
 """
 
 # Interval between timer checks; a route's time-out is answered at most one
@@ -247,25 +248,27 @@
 # The interval between events isn't computed for streams with fewer events.
 MIN_EVENTS_FOR_PACE = 5
 
-# A request is refused after this many upstreams have ended while they ran it
+# A request is refused after this many upstreams have crashed while they ran it
 # (deployment bound).
 CRASHES_TO_REFUSE = 3
-# From this many ends on, each entry repeats what it knows of a request.
+# From this many crashes on, every entry shares what it knows of a request, not
+# only those that saw a crash.
 CRASHES_TO_SHARE = 2
-# The list drops an upstream after three missed heartbeats of 1.2 s, and
-# reports that about a second later.
+# If the list drops an upstream within this time after an attempt there timed
+# out, the request counts as the cause. The list drops an upstream after three
+# missed heartbeats of 1.2 s, and reports it about a second later.
 UNANSWERED_CRASH_WINDOW_S = 6.0
-# Shortest time in which an upstream can end, restart and end again; the
-# connection errors of one end come within milliseconds.
+# Shortest time in which an upstream can crash, restart and crash again; the
+# connection errors of one crash come within milliseconds.
 MIN_RESTART_S = 1.0
 # A suspect request is forgotten when it hasn't come for this long.
 SUSPECT_EXPIRY_S = 60.0
 # As many suspects as an entry may have open requests. When there are more,
-# only those with the most ends are kept; an eighth are dropped at a time, so
+# only those with the most crashes are kept; an eighth are dropped at a time, so
 # that the sort is rare.
 MAX_SUSPECTS = 4_096
 SUSPECTS_KEPT = 3_600
-# An end is reported for as long as a heartbeat of a live entry may be missing;
+# A crash is reported for as long as a heartbeat of a live entry may be missing;
 # one heartbeat names at most this many requests.
 SUSPECT_REPORT_S = PEER_TIMEOUT_S
 MAX_REPORTED_SUSPECTS = 128
