--- a/features/support/relay_fleet.py
+++ b/features/support/relay_fleet.py
@@ -234,10 +234,17 @@
             name = getattr(effect, "decision", "")
             if name.startswith("store_reading"):
                 node.role_changes.append(self.now)
-        recent = node.role_changes[-1 - MAX_ROLE_CHANGES_PER_S :]
-        if len(recent) > MAX_ROLE_CHANGES_PER_S and recent[-1] - recent[0] < 1:
-            name = node.world.state.settings.name
-            self.report(name, f"{len(recent)} role changes within a second")
+        if len(node.role_changes) > MAX_ROLE_CHANGES_PER_S:
+            first, last = (
+                node.role_changes[-1 - MAX_ROLE_CHANGES_PER_S],
+                node.role_changes[-1],
+            )
+            if last - first < 1.0:
+                name = node.world.state.settings.name
+                self.report(
+                    name,
+                    f"changed role {MAX_ROLE_CHANGES_PER_S + 1} times in 1 s",
+                )
 
     def send(self, world):
         for effect in world.effects:
@@ -254,8 +261,7 @@
             return
         if node.suspended_until > self.now:
             # The message is read once the process resumes.
-            delay_s = node.suspended_until - self.now
-            self.schedule(delay_s, self.deliver, effect)
+            self.schedule(node.suspended_until - self.now, self.deliver, effect)
             return
         node.world.now = self.now
         node.world.apply(core_events.MessageReceived(effect.message))
@@ -282,7 +288,7 @@
             if tracked.listed.leaving:
                 node.leaving.add(upstream)
             elif upstream in node.leaving:
-                self.report(name, f"leaving {upstream} is usable again")
+                self.report(name, f"{upstream} is usable after leaving")
         if self.now - node.faulty_until < RECOVERY_S:
             return
         if known < self.find_revision(self.now - APPLY_S):
@@ -291,9 +297,9 @@
             tracked = state.view.tracked.get(upstream)
             usable = tracked is not None and not tracked.listed.leaving
             if usable and self.now - at > DRAIN_S:
-                age_s = self.now - at
                 self.report(
-                    name, f"{upstream}, leaving for {age_s:.2f} s, is usable"
+                    name,
+                    f"{upstream} left {self.now - at:.2f} s ago, still usable",
                 )
 
     def report(self, name, text):
