--- a/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
@@ -374,12 +374,12 @@
             tracked.full_until = now + defaults.FULL_BACKOFF_S
 
     def record_closed(
-        self, upstream_id: str, closed_s: float, *, now: float
+        self, upstream_id: str, closed_for_s: float, *, now: float
     ) -> None:
         """Records for how many seconds an upstream wants no requests."""
         tracked = self.tracked.get(upstream_id)
         if tracked is not None:
-            until = now + min(closed_s, defaults.MAX_CLOSED_S)
+            until = now + min(closed_for_s, defaults.MAX_CLOSED_S)
             self.notices.record_closed(
                 upstream_id, tracked.listed.started_ms, until=until
             )
@@ -394,7 +394,7 @@
         )
 
     def list_announced_leaving(self) -> tuple[tuple[str, int], ...]:
-        """Returns id and start time of listed upstreams that shut down."""
+        """Returns id and start time of listed upstreams that are leaving."""
         return tuple(
             (upstream_id, started_ms)
             for upstream_id, started_ms in self.notices.list_leaving()
