--- a/features/steps/router_budget_steps.py
+++ b/features/steps/router_budget_steps.py
@@ -124,8 +124,10 @@
         begin = self.now - LIMITS.window_s
         retries = sum(begin < at for at in self.retries)
         requests = sum(begin < at for at in self.requests)
-        limit = LIMITS.ratio * requests + LIMITS.extra
-        assert retries <= limit, (retries, requests)
+        assert retries <= LIMITS.ratio * requests + LIMITS.extra, (
+            retries,
+            requests,
+        )
 
     def play(self, step, slot, seconds):
         """Runs one generated step; "..._all" runs it for each slot."""
