--- a/features/steps/loaded_rollout_steps.py
+++ b/features/steps/loaded_rollout_steps.py
@@ -69,7 +69,7 @@
     def deliver(self):
         while self.scheduled and self.scheduled[0][0] <= self.world.now:
             _, _, request, event, interval_s = heapq.heappop(self.scheduled)
-            if request not in self.world.state.open:
+            if request not in self.world.state.open_requests:
                 continue
             self.world.stream(request, event, event)
             if event == EVENTS_PER_STREAM:
--- a/features/steps/router_history_steps.py
+++ b/features/steps/router_history_steps.py
@@ -139,7 +139,8 @@
         for request, route in self.routes.items():
             self.check_request(request, route)
         open_attempts = sum(
-            opened.current is not None for opened in world.state.open.values()
+            opened.current_attempt is not None
+            for opened in world.state.open_requests.values()
         )
         in_flight = sum(x.in_flight for x in world.state.view.tracked.values())
         assert in_flight <= open_attempts, (in_flight, open_attempts)
@@ -151,7 +152,7 @@
         assert not final or answers[-1] is final[0], answers
         numbers = self.world.written_event_ids(request)
         assert numbers == list(range(1, len(numbers) + 1)), numbers
-        opened = self.world.state.open.get(request)
+        opened = self.world.state.open_requests.get(request)
         if opened is None:
             return
         assert not final, final
@@ -170,7 +171,7 @@
         self.states = {}
 
     def remember(self):
-        for request, opened in self.history.world.state.open.items():
+        for request, opened in self.history.world.state.open_requests.items():
             self.states[request] = [x.state for x in opened.attempts]
 
     def check(self):
@@ -199,7 +200,7 @@
             history.check()
             watch.check()
         history.world.run(10.5)
-        assert not history.world.state.open
+        assert not history.world.state.open_requests
 
     check()
 
--- a/features/steps/router_steps.py
+++ b/features/steps/router_steps.py
@@ -137,7 +137,7 @@
 @then("no request or attempt is open")
 def check_nothing_open(context):
     world = context.world
-    assert not world.state.open
+    assert not world.state.open_requests
     assert not any(x.in_flight for x in world.state.view.tracked.values())
 
 
@@ -434,7 +434,7 @@
 @then("the process exits")
 def check_exited(context):
     assert has_exited(context)
-    assert not context.world.state.open
+    assert not context.world.state.open_requests
 
 
 @then("only states that prove that an attempt didn't run allow a refusal")
--- a/features/support/rollout_fleet.py
+++ b/features/support/rollout_fleet.py
@@ -117,7 +117,7 @@
         request = world.ask(
             "chat", generation=router_world.build_generation(key, 1000)
         )
-        while request in world.state.open:
+        while request in world.state.open_requests:
             sending = world.sent(request)[-1]
             on_target = int(sending.upstream_id.removeprefix("up-")) >= 10
             if on_target and self.target_is_bad and self.rng.random() < 0.5:
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/answer_heads.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/answer_heads.py
@@ -24,7 +24,7 @@
     state: states.RouterState, head: events.UpstreamHead, *, now: float
 ) -> list[effects.Effect]:
     """Handles the status and headers of an upstream's answer."""
-    found = state.find_open(head.request_id, head.attempt)
+    found = state.find_open_attempt(head.request_id, head.attempt)
     if found is None:
         return []
     opened, attempt = found
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
@@ -34,7 +34,7 @@
     sends single bytes, comments or its last event again has stalled. An
     answer that exceeds the size limits is aborted.
     """
-    found = state.find_open(data.request_id, data.attempt)
+    found = state.find_open_attempt(data.request_id, data.attempt)
     if found is None:
         return []
     opened, attempt = found
@@ -131,7 +131,7 @@
         )
     if event.event_id:
         opened.last_event_id = event.event_id
-        opened.note_event(now=now)
+        opened.record_event(now=now)
     out.append(effects.WriteAnswer(opened.request.request_id, event.raw))
     return out
 
@@ -159,7 +159,7 @@
     state: states.RouterState, ended: events.UpstreamEnded, *, now: float
 ) -> list[effects.Effect]:
     """Handles the end of an exchange with an upstream."""
-    found = state.find_open(ended.request_id, ended.attempt)
+    found = state.find_open_attempt(ended.request_id, ended.attempt)
     if found is None:
         return []
     opened, attempt = found
@@ -232,7 +232,7 @@
         code = errors.ErrorCode.UPSTREAM_FAILED
         return dispatch.give_up(state, opened, code, now=now)
     request_id = opened.request.request_id
-    del state.open[request_id]
+    del state.open_requests[request_id]
     cleared = clear_suspect(state, opened, attempt, now=now)
     log = fx.LogDecision(
         decision="answered",
@@ -313,7 +313,7 @@
 ) -> list[effects.Effect]:
     """Drops a request whose caller has closed the connection."""
     state.held_requests.pop(request_id, None)
-    opened = state.open.pop(request_id, None)
+    opened = state.open_requests.pop(request_id, None)
     if opened is None:
         return []
     log = fx.LogDecision(
@@ -324,7 +324,7 @@
         inputs=(("age_s", round(now - opened.arrived_at, 3)),),
     )
     out: list[effects.Effect] = [log, fx.Count("callers_left")]
-    attempt = opened.current
+    attempt = opened.current_attempt
     if attempt is not None:
         out += attempt_ends.cancel_attempt(state, opened, attempt, now=now)
         attempt_ends.record_unanswered(state, opened, attempt, now=now)
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
@@ -384,7 +384,7 @@
         min_retry_after_s: Lower bound of Retry-After, in seconds.
     """
     request = opened.request
-    del state.open[request.request_id]
+    del state.open_requests[request.request_id]
     not_run = attempt_states.has_not_run(opened.attempts)
     late = now >= opened.deadline
     status = http.HTTPStatus.BAD_GATEWAY
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
@@ -54,7 +54,7 @@
     for event in store_reading.build_upstream_events(state, told):
         out += upstream_list.handle_event(state, event, now=now)
     if is_current:
-        store_reading.update_informed(state, told, now=now)
+        store_reading.record_reader_freshness(state, told, now=now)
     return out
 
 
@@ -156,7 +156,7 @@
     near = state.entries.list_near(settings.data_centre)
     out += [core_effects.Send(address, news) for address in near]
     out += send_far_news(state, news, now=now, near=frozenset(near))
-    out.append(fx.Gauge("open_requests", len(state.open)))
+    out.append(fx.Gauge("open_requests", len(state.open_requests)))
     out.append(fx.Gauge("upstreams", len(state.view.tracked)))
     return out
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/intake.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/intake.py
@@ -140,7 +140,7 @@
     current = state.active_configuration
     if current is None:
         return NO_CONFIGURATION
-    if len(state.open) >= defaults.MAX_OPEN_REQUESTS:
+    if len(state.open_requests) >= defaults.MAX_OPEN_REQUESTS:
         return OVERLOADED
     needs_key = current.keys is not None and not (route and route.public)
     if needs_key and not state.proof.is_valid(now=now):
@@ -190,7 +190,7 @@
         arrived_at=arrived_at,
         deadline=arrived_at + timeout_s,
     )
-    state.open[request.request_id] = opened
+    state.open_requests[request.request_id] = opened
     state.budget.count_request(opened.service, now=now)
     if route.sizes and not (request.generation and request.generation.model):
         context = dispatch.build_size_context(opened, now=now)
@@ -265,7 +265,7 @@
                     "proof_age_s",
                     "none" if proof_age_s is None else round(proof_age_s, 3),
                 ),
-                ("open", len(state.open)),
+                ("open", len(state.open_requests)),
                 *inputs,
             ),
         ),
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/rollouts.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/rollouts.py
@@ -424,10 +424,10 @@
 ) -> int:
     """Returns this entry's open attempts on other versions."""
     return sum(
-        opened.current is not None
+        opened.current_attempt is not None
         and opened.service == trial.order.service
-        and opened.current.version != trial.order.target
-        for opened in state.open.values()
+        and opened.current_attempt.version != trial.order.target
+        for opened in state.open_requests.values()
     )
 
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
@@ -310,7 +310,7 @@
             fx.LogDecision(
                 decision="stopping",
                 reason="asked to stop",
-                inputs=(("open", len(state.open)),),
+                inputs=(("open", len(state.open_requests)),),
             ),
             effects.DisableKeepAlive(),
             *heartbeats.send_pressing_news(state, now=now),
@@ -319,16 +319,16 @@
     def exit_if_idle(self, now: float) -> list[effects.Effect]:
         """Ends the process when it is idle or the grace time is over."""
         state = self.state
-        if state.exiting or state.stop_at is None:
+        if state.is_exiting or state.stop_at is None:
             return []
         elapsed_s = now - state.stop_at
         max_elapsed_s = state.settings.bounds.grace_s - defaults.STOP_MARGIN_S
-        idle = not state.open and elapsed_s >= defaults.STOP_MIN_S
+        idle = not state.open_requests and elapsed_s >= defaults.STOP_MIN_S
         if not idle and elapsed_s < max_elapsed_s:
             return []
-        state.exiting = True
+        state.is_exiting = True
         out: list[effects.Effect] = []
-        for opened in list(state.open.values()):
+        for opened in list(state.open_requests.values()):
             code = errors.ErrorCode.SHUTTING_DOWN
             out += timeouts.abort_request(state, opened, now=now, code=code)
         return [
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
@@ -47,7 +47,7 @@
         service: The service of the route that was selected for it.
         organisation: The tenant that sent it; empty on a public route.
         priority: 0 is the most urgent.
-        fingerprint: Hash that is equal for all attempts at the request.
+        fingerprint: Hash that is equal each time the same request is sent.
         arrived_at: When the request was received.
         deadline: When the response must be complete.
         attempts: All attempts, oldest first.
@@ -83,13 +83,13 @@
     excluded: set[str] = dataclasses.field(default_factory=set)
 
     @property
-    def current(self) -> attempt_states.Attempt | None:
+    def current_attempt(self) -> attempt_states.Attempt | None:
         """The attempt in progress, or None."""
         if self.attempts and self.attempts[-1].open:
             return self.attempts[-1]
         return None
 
-    def note_event(self, *, now: float) -> None:
+    def record_event(self, *, now: float) -> None:
         """Records that an event is sent to the caller."""
         if self.first_event_at is None:
             self.first_event_at = now
@@ -163,7 +163,7 @@
         view: What is known about the upstreams.
         prefixes: Which upstream caches which prompt prefix.
         prefill_speeds: Estimates of how fast models process prompts.
-        open: Open requests by id.
+        open_requests: Open requests, by id.
         sessions: The version that served each session's last request.
         trials: Roll-outs by service.
         settled_versions: Versions of each service that need no trial.
@@ -179,7 +179,7 @@
             id.
         listed_subjects: Subjects whose complete list has been read.
         stop_at: When the process was asked to stop; None if it wasn't.
-        exiting: Whether the effect that ends the process has been returned.
+        is_exiting: Whether the effect that ends the process has been returned.
         next_heartbeat_at: When the next heartbeat is due.
         next_remote_heartbeat_at: When the next heartbeat to other data
             centres is due.
@@ -220,7 +220,9 @@
     prefill_speeds: engine_work.PrefillSpeeds = dataclasses.field(
         default_factory=engine_work.PrefillSpeeds
     )
-    open: dict[str, OpenRequest] = dataclasses.field(default_factory=dict)
+    open_requests: dict[str, OpenRequest] = dataclasses.field(
+        default_factory=dict
+    )
     sessions: session_pins.SessionPins = dataclasses.field(
         default_factory=session_pins.SessionPins
     )
@@ -242,7 +244,7 @@
     )
     listed_subjects: set[str] = dataclasses.field(default_factory=set)
     stop_at: float | None = None
-    exiting: bool = False
+    is_exiting: bool = False
     next_heartbeat_at: float = 0.0
     next_remote_heartbeat_at: float = 0.0
     may_carry_from: float = 0.0
@@ -274,14 +276,14 @@
         )
         self.is_heartbeat_urgent = True
 
-    def find_open(
+    def find_open_attempt(
         self, request_id: str, number: int
     ) -> tuple[OpenRequest, attempt_states.Attempt] | None:
         """Returns a request and its attempt if that attempt is in progress."""
-        opened = self.open.get(request_id)
+        opened = self.open_requests.get(request_id)
         if opened is None:
             return None
-        attempt = opened.current
+        attempt = opened.current_attempt
         if attempt is None or attempt.number != number:
             return None
         return opened, attempt
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/store_reading.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/store_reading.py
@@ -162,7 +162,7 @@
     if not state.relay.is_reader:
         return []
     out: list[effects.Effect] = []
-    for ask in state.relay.recent_asks(now=now):
+    for ask in state.relay.list_recent_asks(now=now):
         out += build_reply(state, ask, now=now)
     return out
 
@@ -246,7 +246,7 @@
     ]
 
 
-def update_informed(
+def record_reader_freshness(
     state: states.RouterState, reply: messages.StoreTold, *, now: float
 ) -> None:
     """Records whether the reader's data is fresh enough to rely on."""
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/store_relay.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/store_relay.py
@@ -100,7 +100,9 @@
         while len(self.logged) > defaults.MAX_LOGGED_CHANGES:
             self.oldest_position = self.logged.popleft().position
 
-    def changes_since(self, position: int) -> tuple[UpstreamChange, ...] | None:
+    def list_changes_since(
+        self, position: int
+    ) -> tuple[UpstreamChange, ...] | None:
         """Returns each upstream's latest change after a revision.
 
         Returns:
@@ -184,7 +186,7 @@
         """Records an ask, so that later changes are sent to its sender."""
         self.last_asks[ask.address] = (ask, now)
 
-    def recent_asks(self, *, now: float) -> list[messages.StoreAsk]:
+    def list_recent_asks(self, *, now: float) -> list[messages.StoreAsk]:
         """Returns the last ask of each entry that asked recently."""
         self.last_asks = {
             address: (ask, at)
@@ -210,7 +212,7 @@
         age_s = self.list_age(now=now)
         if facts.proof_age_s is None or age_s is None:
             return None
-        changes = self.change_log.changes_since(ask.position)
+        changes = self.change_log.list_changes_since(ask.position)
         whole: tuple[upstreams.Upstream, ...] | None = None
         if changes is None:
             whole = facts.listed
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/timeouts.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/timeouts.py
@@ -21,7 +21,7 @@
 ) -> list[effects.Effect]:
     """Aborts overdue requests, and retries silent attempts of the others."""
     out: list[effects.Effect] = []
-    for opened in list(state.open.values()):
+    for opened in list(state.open_requests.values()):
         if now >= opened.deadline:
             out += abort_request(state, opened, now=now)
         else:
@@ -45,7 +45,7 @@
         code: The error that its caller gets.
     """
     out: list[effects.Effect] = []
-    attempt = opened.current
+    attempt = opened.current_attempt
     if attempt is not None:
         out += attempt_ends.cancel_attempt(state, opened, attempt, now=now)
         attempt_ends.record_unanswered(state, opened, attempt, now=now)
@@ -60,7 +60,7 @@
     state: states.RouterState, opened: states.OpenRequest, *, now: float
 ) -> list[effects.Effect]:
     """Sends a request elsewhere if its attempt is silent for too long."""
-    attempt = opened.current
+    attempt = opened.current_attempt
     if attempt is None or not opened.route.repeatable:
         return []
     silent_s = now - attempt.last_progress_at
