--- a/features/steps/router_history_steps.py
+++ b/features/steps/router_history_steps.py
@@ -3,8 +3,8 @@
 import random
 
 from behave import then
-from hypothesis import given as examples
-from hypothesis import settings as trial_settings
+from hypothesis import given as hypothesis_given
+from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies
 from support import rollout_fleet
 from support import router_world
@@ -21,11 +21,11 @@
     effects.RefuseRequest,
 )
 HEADS = {
-    "head": {"confidence": 90},
-    "unsure": {"confidence": 5},
-    "fail": {"status": 500},
+    "confident_head": {"confidence": 90},
+    "unsure_head": {"confidence": 5},
+    "server_error": {"status": 500},
     "refuse": {"status": 503, "refused": True},
-    "foreign": {"genuine": False},
+    "not_genuine": {"genuine": False},
 }
 # One request mostly, so that a history goes deep.
 ROUTES = strategies.lists(strategies.integers(0, 5), min_size=1, max_size=2)
@@ -33,23 +33,23 @@
     strategies.tuples(
         strategies.sampled_from(
             [
-                "head",
-                "head",
+                "confident_head",
+                "confident_head",
                 "data",
                 "data",
                 "data",
                 "broken",
-                "unsure",
-                "fail",
+                "unsure_head",
+                "server_error",
                 "refuse",
-                "foreign",
+                "not_genuine",
                 "data",
-                "half",
+                "partial_event",
                 "complete",
                 "broken",
                 "unreached",
-                "leave",
-                "time",
+                "caller_left",
+                "advance_clock",
                 "unlist",
                 "list",
             ]
@@ -68,14 +68,14 @@
         self.world = router_world.World()
         self.world.start(3)
         self.routes = {}
-        self.events = {}
+        self.next_events = {}
 
-    def play(self, step, choice, back):
+    def apply_step(self, step, choice, attempts_back):
         world = self.world
         if step == "ask":
             route = ("look", "book", "chat", "note", "chat", "look")[choice]
             self.routes[world.ask(route)] = route
-        elif step == "time":
+        elif step == "advance_clock":
             world.configure(world.state.active_configuration)
             world.run(0.05 * (1 + choice * choice))
         elif step == "unlist":
@@ -84,22 +84,22 @@
             listed = router_world.build_upstream(choice % 3)
             world.apply(events.UpstreamChanged(listed))
         elif self.routes:
-            self.play_upstream(step, choice, back)
+            self.apply_upstream_step(step, choice, attempts_back)
 
-    def play_upstream(self, step, choice, back):
+    def apply_upstream_step(self, step, choice, attempts_back):
         """An event of one of a request's attempts, also of an ended one."""
         request = list(self.routes)[choice % len(self.routes)]
         sent = self.world.sent(request)
-        if step == "leave":
+        if step == "caller_left":
             self.world.apply(events.CallerLeft(request))
             return
         if not sent:
             return
-        attempt = sent[max(0, len(sent) - 1 - back)].attempt
+        attempt = sent[max(0, len(sent) - 1 - attempts_back)].attempt
         key = (request, attempt)
-        if step in HEADS and key not in self.events:
+        if step in HEADS and key not in self.next_events:
             self.send_head(key, step, choice)
-        elif step in ("data", "half") and self.events.get(key):
+        elif step in ("data", "partial_event") and self.next_events.get(key):
             self.send_data(key, step)
         elif step in ("complete", "broken", "unreached"):
             self.world.apply(
@@ -112,27 +112,29 @@
 
     def send_head(self, key, step, choice):
         """An upstream's head; some begin with an event that is known."""
-        first = max(1, self.find_start(*key) - choice % 2)
-        self.events[key] = first if step in ("head", "unsure") else 0
-        found = {"request_id": key[0], "attempt": key[1], "status": 200}
-        self.world.apply(events.UpstreamHead(**found | HEADS[step]))
+        first = max(1, self.find_first_event(*key) - choice % 2)
+        self.next_events[key] = (
+            first if step in ("confident_head", "unsure_head") else 0
+        )
+        fields = {"request_id": key[0], "attempt": key[1], "status": 200}
+        self.world.apply(events.UpstreamHead(**fields | HEADS[step]))
 
     def send_data(self, key, step):
         """The next event, or half of it and then no more."""
-        number = self.events[key]
+        number = self.next_events[key]
         data = router_world.build_event(number)
-        self.events[key] = number + 1
-        if step == "half":
-            self.events[key] = 0
+        self.next_events[key] = number + 1
+        if step == "partial_event":
+            self.next_events[key] = 0
             data = data[:9]
         self.world.apply(events.UpstreamData(*key, data))
 
-    def find_start(self, request, attempt):
+    def find_first_event(self, request, attempt):
         """An upstream goes on after the event that it was told."""
-        (sending,) = (
+        (sent_attempt,) = (
             x for x in self.world.sent(request) if x.attempt == attempt
         )
-        return int(sending.resume_after or 0) + 1
+        return int(sent_attempt.resume_after or 0) + 1
 
     def check(self):
         world = self.world
@@ -163,14 +165,14 @@
         assert sum(x.open for x in opened.attempts) <= 1, opened.attempts
 
 
-class RefusalWatch:
+class RefusalChecker:
     """Remembers what is known of each request when it is refused."""
 
     def __init__(self, history):
         self.history = history
         self.states = {}
 
-    def remember(self):
+    def record_states(self):
         for request, opened in self.history.world.state.open_requests.items():
             self.states[request] = [x.state for x in opened.attempts]
 
@@ -188,17 +190,17 @@
 
 @then("in {count:d} generated histories every request keeps its promises")
 def check_attempts(context, count):
-    @trial_settings(max_examples=count, deadline=None, derandomize=True)
-    @examples(ROUTES, STEPS)
+    @hypothesis_settings(max_examples=count, deadline=None, derandomize=True)
+    @hypothesis_given(ROUTES, STEPS)
     def check(routes, steps):
         history = History()
-        watch = RefusalWatch(history)
-        asked = [("ask", route, 0) for route in routes]
-        for step, choice, back in [*asked, *steps]:
-            watch.remember()
-            history.play(step, choice, back)
+        checker = RefusalChecker(history)
+        requests = [("ask", route, 0) for route in routes]
+        for step, choice, attempts_back in [*requests, *steps]:
+            checker.record_states()
+            history.apply_step(step, choice, attempts_back)
             history.check()
-            watch.check()
+            checker.check()
         history.world.run(10.5)
         assert not history.world.state.open_requests
 
@@ -211,7 +213,7 @@
         fleet = rollout_fleet.RolloutFleet(rng=random.Random(seed))
         fleet.run(30.0)
         fleet.check()
-    states = rollout_fleet.RolloutFleet.outcomes
-    print(f"outcomes: {states}")
-    assert states["completed"] > count / 10, states
-    assert states["rolled_back"] > count / 10, states
+    outcomes = rollout_fleet.RolloutFleet.outcomes
+    print(f"outcomes: {outcomes}")
+    assert outcomes["completed"] > count / 10, outcomes
+    assert outcomes["rolled_back"] > count / 10, outcomes
