--- a/features/router_histories.feature
+++ b/features/router_histories.feature
@@ -1,8 +1,8 @@
 @quick
-Feature: What must hold of the router in any history
+Feature: Invariants of the router in generated histories
 
-  Scenario: One request's attempts under late, repeated and missing events
-    Then in 600 generated histories every request keeps its promises
+  Scenario: A request's attempts with late, repeated and missing events
+    Then in 600 generated histories no request violates an invariant
 
-  Scenario: A roll-out's record under competing entries, lost answers and kills
-    Then in 40 generated histories a roll-out's record never goes back
+  Scenario: A roll-out's record with competing entries, lost answers and kills
+    Then in 40 generated histories a roll-out's record never regresses
--- a/features/steps/router_history_steps.py
+++ b/features/steps/router_history_steps.py
@@ -1,4 +1,4 @@
-"""Generated histories of the router: attempts, and a roll-out's record."""
+"""Generated histories of the router: attempts, and records of roll-outs."""
 
 import random
 
@@ -27,7 +27,7 @@
     "refuse": {"status": 503, "refused": True},
     "not_genuine": {"genuine": False},
 }
-# One request mostly, so that a history goes deep.
+# One or two requests in a history, so that each of them gets many steps.
 ROUTES = strategies.lists(strategies.integers(0, 5), min_size=1, max_size=2)
 STEPS = strategies.lists(
     strategies.tuples(
@@ -62,7 +62,14 @@
 
 
 class History:
-    """Plays steps against a router, and checks it after each."""
+    """Applies generated steps to a router, and checks its invariants.
+
+    Attributes:
+        world: The router and its environment.
+        routes: Route of each request, by request id.
+        next_events: Number of the next event of each attempt's stream, by
+            request id and attempt number; 0 if none follows.
+    """
 
     def __init__(self):
         self.world = router_world.World()
@@ -87,7 +94,10 @@
             self.apply_upstream_step(step, choice, attempts_back)
 
     def apply_upstream_step(self, step, choice, attempts_back):
-        """An event of one of a request's attempts, also of an ended one."""
+        """Applies an event of a request or of one of its attempts.
+
+        The attempt may have ended already, so that the event is late.
+        """
         request = list(self.routes)[choice % len(self.routes)]
         sent = self.world.sent(request)
         if step == "caller_left":
@@ -111,7 +121,10 @@
             )
 
     def send_head(self, key, step, choice):
-        """An upstream's head; some begin with an event that is known."""
+        """Sends an upstream's head.
+
+        The stream may start with an event that the caller already has.
+        """
         first = max(1, self.find_first_event(*key) - choice % 2)
         self.next_events[key] = (
             first if step in ("confident_head", "unsure_head") else 0
@@ -120,7 +133,7 @@
         self.world.apply(events.UpstreamHead(**fields | HEADS[step]))
 
     def send_data(self, key, step):
-        """The next event, or half of it and then no more."""
+        """Sends the next event; a partial one ends the attempt's data."""
         number = self.next_events[key]
         data = router_world.build_event(number)
         self.next_events[key] = number + 1
@@ -130,7 +143,10 @@
         self.world.apply(events.UpstreamData(*key, data))
 
     def find_first_event(self, request, attempt):
-        """An upstream goes on after the event that it was told."""
+        """Returns the number of the event at which an attempt's stream starts.
+
+        An upstream resumes after the event that the router has named.
+        """
         (sent_attempt,) = (
             x for x in self.world.sent(request) if x.attempt == attempt
         )
@@ -166,7 +182,12 @@
 
 
 class RefusalChecker:
-    """Remembers what is known of each request when it is refused."""
+    """Checks that requests refused with 503 haven't run.
+
+    Attributes:
+        history: The history to check.
+        states: States of each request's attempts before the current step.
+    """
 
     def __init__(self, history):
         self.history = history
@@ -183,12 +204,12 @@
                 refused = isinstance(answer, effects.RefuseRequest)
                 if not refused or answer.status != 503:
                     continue
-                # All but the attempt that this very step ended.
+                # The current step ended the last attempt.
                 earlier = self.states.get(request, [])[:-1]
                 assert all(x in proofs for x in earlier), (request, earlier)
 
 
-@then("in {count:d} generated histories every request keeps its promises")
+@then("in {count:d} generated histories no request violates an invariant")
 def check_attempts(context, count):
     @hypothesis_settings(max_examples=count, deadline=None, derandomize=True)
     @hypothesis_given(ROUTES, STEPS)
@@ -207,7 +228,7 @@
     check()
 
 
-@then("in {count:d} generated histories a roll-out's record never goes back")
+@then("in {count:d} generated histories a roll-out's record never regresses")
 def check_records(context, count):
     for seed in range(count):
         fleet = rollout_fleet.RolloutFleet(rng=random.Random(seed))
