--- a/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
@@ -1,9 +1,10 @@
-"""Sends this entry's heartbeats, and takes what other entries send.
+"""Sends this entry's heartbeats and handles messages from other entries.
 
-Within a data centre heartbeats go twice a second, and long work is told in
-between; other data centres hear less often, and through `carriers` where they
-have many entries. All that entries learn from one another comes in here and
-is handed to the part that it concerns.
+Entries of the same data centre get a heartbeat twice a second, and a load
+update in between when long work starts. Other data centres get heartbeats less
+often, in forwarded bundles if they have many entries (see `carriers`). Every
+message from another entry arrives here and is dispatched to the modules that
+use its contents.
 """
 
 from rhubarbbank_core import effects as core_effects
@@ -19,14 +20,14 @@
 from rhubarbbank_router import upstream_list
 
 MS_PER_S = 1000.0
-# Fingerprints that one line names.
+# Maximum number of fingerprints in one log line.
 MOST_LOGGED = 8
 
 
 def take_news(
     state: states.RouterState, message: core_effects.Message, *, now: float
 ) -> list[effects.Effect]:
-    """Takes a message of another entry."""
+    """Handles a message from another entry."""
     match message:
         case messages.EntryNews():
             return take_heartbeat(state, message, now=now)
@@ -46,7 +47,7 @@
 def take_told(
     state: states.RouterState, told: messages.StoreTold, *, now: float
 ) -> list[effects.Effect]:
-    """Takes what a reader of the store tells."""
+    """Handles an update from an entry that reads the store."""
     if not state.relay.is_reader:
         store_reading.record_store_answer(state, told, now=now)
     is_current = store_reading.apply_proof(state, told)
@@ -61,7 +62,10 @@
 def take_bundle(
     state: states.RouterState, bundle: messages.NewsBundle, *, now: float
 ) -> list[effects.Effect]:
-    """Takes heartbeats that were passed on, as of when they were heard."""
+    """Forwards a bundle and applies its heartbeats.
+
+    Each heartbeat counts from the time at which the forwarder received it.
+    """
     out = carriers.hand_on(state, bundle, now=now)
     for each in bundle.told:
         heard_at = now - each.age_ms / MS_PER_S
@@ -74,12 +78,12 @@
 def take_heartbeat(
     state: states.RouterState, message: messages.EntryNews, *, now: float
 ) -> list[effects.Effect]:
-    """Takes what another entry tells of itself.
+    """Applies a heartbeat from another entry.
 
     Args:
         state: The router's state.
         message: The heartbeat.
-        now: When it was heard, in seconds.
+        now: Time at which it was first received, in seconds.
     """
     is_new = state.entries.take(message, now=now)
     learnt = state.suspects.merge(message.suspects, now=now)
@@ -106,7 +110,7 @@
 def log_told_suspect(
     state: states.RouterState, peer: str, fingerprint: str
 ) -> effects.Effect:
-    """Returns the line on a crash suspect of which a peer told anew."""
+    """Returns the log line for a crash suspect that a peer reported."""
     return fx.LogDecision(
         decision="suspect_told",
         reason=peer,
@@ -117,7 +121,7 @@
 def take_leaving(
     state: states.RouterState, message: messages.EntryNews
 ) -> list[effects.Effect]:
-    """Takes which upstreams have told another entry that they shut down."""
+    """Records upstreams that told another entry that they shut down."""
     return [
         fx.LogDecision(
             decision="upstream_leaving",
@@ -131,7 +135,11 @@
 
 
 def send_news(state: states.RouterState, *, now: float) -> list[effects.Effect]:
-    """Sends this entry's heartbeat, and counts the others."""
+    """Sends this entry's heartbeat and performs the periodic upkeep.
+
+    Expired state is removed, the retry budget gets the number of entries, and
+    the gauges are reported.
+    """
     carriers.note_beat(state, now=now)
     state.next_heartbeat_at = now + defaults.HEARTBEAT_PERIOD_S
     state.next_load_update_at = None
@@ -168,10 +176,11 @@
     now: float,
     near: frozenset[str],
 ) -> list[effects.Effect]:
-    """Sends the heartbeat to other data centres.
+    """Sends the heartbeat to other data centres if it is due or urgent.
 
-    Few entries there are told directly. Among many, carriers pass heartbeats
-    on, and only those that can't wait go to all directly.
+    If there are few remote entries, each gets the full heartbeat. Otherwise
+    bundles carry the heartbeats, and a direct one goes to all remote entries
+    only if it is urgent, else to those that have not been heard from lately.
     """
     pressing, state.is_heartbeat_urgent = state.is_heartbeat_urgent, False
     due = now >= state.next_remote_heartbeat_at
@@ -195,20 +204,20 @@
 def send_each(
     addresses: list[str], news: messages.EntryNews
 ) -> list[effects.Effect]:
-    """Sends a heartbeat to each address."""
+    """Returns the effects that send a heartbeat to each address."""
     return [core_effects.Send(address, news) for address in addresses]
 
 
 def send_pressing_news(
     state: states.RouterState, *, now: float
 ) -> list[effects.Effect]:
-    """Sends a heartbeat to all entries at once."""
+    """Sends a heartbeat immediately, also to other data centres."""
     state.is_heartbeat_urgent = True
     return send_news(state, now=now)
 
 
 def forget(state: states.RouterState, *, now: float) -> list[effects.Effect]:
-    """Forgets what is over: sessions, and entries that are silent."""
+    """Removes expired sessions, peer load, crash suspects and entries."""
     alive_s = state.settings.bounds.session_s + defaults.SESSION_MARGIN_S
     state.sessions.remove_expired(now=now, alive_s=alive_s)
     state.remote_work.drop_expired(now=now)
@@ -225,7 +234,7 @@
 def log_forgotten(
     fingerprints: list[str], *, reason: str
 ) -> list[effects.Effect]:
-    """Returns the line on crash suspects that are forgotten, if any are."""
+    """Returns the log line and count of removed crash suspects, if any."""
     if not fingerprints:
         return []
     return [
@@ -244,7 +253,7 @@
 def send_loads(
     state: states.RouterState, *, now: float
 ) -> list[effects.Effect]:
-    """Tells the entries nearby of new work, before the next heartbeat."""
+    """Sends the load to entries of this data centre between heartbeats."""
     state.next_load_update_at = None
     loads = messages.EntryLoads(
         name=state.settings.name,
