--- a/packages/rhubarbbank-router/src/rhubarbbank_router/carriers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/carriers.py
@@ -1,21 +1,24 @@
-"""Carries heartbeats between data centres in bundles.
-
-Between all entries of two data centres, heartbeats grow with the square of
-the entries, and these bytes cost. So the entries whose names come first in
-each data centre, its carriers, bundle what its entries told last, and send
-that to the other data centres, the first carrier to the first one there, the
-second to the second; who gets a bundle hands it on nearby.
-
-    west-a                          west-b
-    entries --> carrier 1 --bundle--> carrier 1 --> entries
-       |                                              ^
-       +-----> carrier 2 --bundle--> carrier 2 -------+
-
-Each heartbeat keeps its age, so that a silent entry is found silent at the
-same time everywhere; a carrier that was suspended can't tell the age of what
-waited for it, and pauses. The loss of a carrier needs no agreement: the other
-one goes on, and the next by name takes its place once it counts as silent.
-Who hasn't been heard of lately is told directly.
+"""Forwards heartbeats between data centres in bundles.
+
+If every entry sent heartbeats to every remote entry, their number would grow
+with the square of the number of entries, and traffic between data centres is
+costly. So the entries whose names sort first in each data centre, its
+forwarders, bundle the latest heartbeats of their data centre. The first
+forwarder sends its bundle to the first forwarder of each other data centre, the
+second to the second. The receiver of a bundle forwards it within its own data
+centre.
+
+    west-a                              west-b
+    entries --> forwarder 1 --bundle--> forwarder 1 --> entries
+       |                                                  ^
+       +------> forwarder 2 --bundle--> forwarder 2 ------+
+
+Each heartbeat carries its age, so that a silent entry times out at the same
+time everywhere. A forwarder that was suspended does not know the age of the
+messages that queued meanwhile, so it stops forwarding for a while. Failover
+needs no agreement: the other forwarder continues, and the next entry by name
+replaces the lost one once that one has timed out. Entries that have not been
+heard from lately get heartbeats directly.
 """
 
 import math
@@ -34,16 +37,17 @@
 
 
 def shorten(news: messages.EntryNews) -> messages.EntryNews:
-    """Returns a heartbeat without the small work that it tells of."""
+    """Returns a heartbeat without the loads that are too small to matter."""
     least_ms = defaults.REMOTE_MIN_REPORTED_WORK_MS
     loads = tuple(each for each in news.loads if each.work_ms >= least_ms)
     return msgspec.structs.replace(news, loads=loads)
 
 
 def leave_out_sessions(news: messages.EntryNews) -> messages.EntryNews:
-    """Returns a heartbeat without the sessions that stay on their version.
+    """Returns a heartbeat without the sessions that keep their version.
 
-    Each entry tells all that it has heard of, so that once a bundle is enough.
+    Each entry reports all such sessions that it knows of, so that one list per
+    bundle is enough.
     """
     trials = tuple(
         msgspec.structs.replace(each, kept_sessions=()) for each in news.trials
@@ -52,30 +56,33 @@
 
 
 def find_period_s(state: states.RouterState) -> float:
-    """Returns how long a carrier waits between two bundles, in seconds."""
+    """Returns the interval between two bundles, in seconds."""
     if any(not each.is_finished for each in state.trials.values()):
         return defaults.TRIAL_BUNDLE_PERIOD_S
     return defaults.BUNDLE_PERIOD_S
 
 
 def note_beat(state: states.RouterState, *, now: float) -> None:
-    """Notes that a heartbeat is sent, and whether the beat was missed."""
+    """Pauses forwarding if the heartbeat about to be sent is late.
+
+    A late heartbeat shows that this entry was suspended.
+    """
     if is_overdue(state, now=now):
         state.may_carry_from = now + defaults.PEER_TIMEOUT_S
 
 
 def is_overdue(state: states.RouterState, *, now: float) -> bool:
-    """Returns whether this entry has been suspended just before."""
+    """Returns whether the next heartbeat is late: the entry was suspended."""
     return 0.0 < state.next_heartbeat_at < now - defaults.SUSPENDED_S
 
 
 def may_carry(state: states.RouterState, *, now: float) -> bool:
-    """Returns whether the ages of what was heard here are right."""
+    """Returns whether the ages of received heartbeats can be trusted."""
     return now >= state.may_carry_from and not is_overdue(state, now=now)
 
 
 def find_rank(state: states.RouterState, *, now: float) -> int | None:
-    """Returns this entry's place among its carriers; None if it is none."""
+    """Returns this entry's rank as a forwarder; None if it isn't one."""
     if state.stopping or not may_carry(state, now=now):
         return None
     settings = state.settings
@@ -87,7 +94,7 @@
 def update_rank(
     state: states.RouterState, *, now: float
 ) -> list[effects.Effect]:
-    """Takes up or gives up carrying; returns the line if that changes."""
+    """Updates this entry's rank; returns a log line if it has changed."""
     rank = find_rank(state, now=now)
     if rank == state.carrier_rank:
         return []
@@ -105,7 +112,7 @@
 def explain_rank(
     state: states.RouterState, rank: int | None, *, now: float
 ) -> str:
-    """Returns why an entry carries or doesn't, for the log."""
+    """Returns the reason for a rank, for the log."""
     if rank is not None:
         return f"place {rank + 1} by name"
     if state.stopping:
@@ -118,9 +125,10 @@
 def list_receivers(
     state: states.RouterState, rank: int, *, now: float
 ) -> list[str]:
-    """Returns the addresses of other data centres' carriers of a rank.
+    """Returns the address of the forwarder of a rank in each data centre.
 
-    Where a data centre has fewer entries, its last one is meant.
+    This entry's own data centre is left out. A data centre with too few entries
+    is represented by its last one.
     """
     by_place: dict[str, list[messages.EntryNews]] = {}
     for news in state.entries.list_live(now=now):
@@ -136,7 +144,7 @@
 def list_unheard(
     state: states.RouterState, addresses: list[str], *, now: float
 ) -> list[str]:
-    """Returns those addresses whose entries haven't been heard of lately."""
+    """Returns the addresses of entries that haven't been heard from lately."""
     heard = {each.address for each in state.entries.list_live(now=now)}
     return [each for each in addresses if each not in heard]
 
@@ -144,7 +152,7 @@
 def send_bundles(
     state: states.RouterState, own: messages.EntryNews, *, now: float
 ) -> list[effects.Effect]:
-    """Sends what the entries nearby told last, if this one carries it."""
+    """Sends this data centre's heartbeats if this entry is a forwarder."""
     out = update_rank(state, now=now)
     rank = state.carrier_rank
     if rank is None:
@@ -167,7 +175,7 @@
 def list_known_near(
     state: states.RouterState, *, now: float
 ) -> list[peers.KnownPeer]:
-    """Returns the live entries nearby, and those that stop."""
+    """Returns the live entries of this data centre, also stopping ones."""
     return [
         known
         for known in state.entries.heard.values()
@@ -177,14 +185,14 @@
 
 
 def measure_age_ms(known: peers.KnownPeer, *, now: float) -> int:
-    """Returns a heartbeat's age, never as less than it is."""
+    """Returns a heartbeat's age, rounded up so that it never looks newer."""
     return math.ceil((now - known.heard_at) * MS_PER_S)
 
 
 def hand_on(
     state: states.RouterState, bundle: messages.NewsBundle, *, now: float
 ) -> list[effects.Effect]:
-    """Hands a bundle from elsewhere on to the entries nearby."""
+    """Forwards a remote bundle to the entries of this data centre."""
     if not bundle.onward or not may_carry(state, now=now):
         return []
     onward = msgspec.structs.replace(bundle, onward=False)
