--- a/packages/rhubarbbank-router/src/rhubarbbank_router/peers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/peers.py
@@ -1,7 +1,7 @@
-"""The other entries, as their heartbeats show them.
+"""Table of the other entries.
 
-The platform's store tells where entries listen; whether they live is told by
-their heartbeats alone.
+The platform's store lists the addresses of entries; only heartbeats show
+whether an entry is alive.
 """
 
 import collections.abc
@@ -16,11 +16,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class PeerAddress:
-    """An entry that has registered itself.
+    """Address of an entry that is registered in the store.
 
     Attributes:
-        name: The entry.
-        address: Where it hears its peers, "ip:port".
+        name: The entry's name.
+        address: Address on which it listens for its peers, "ip:port".
     """
 
     name: str
@@ -29,11 +29,11 @@
 
 @dataclasses.dataclass(slots=True)
 class KnownPeer:
-    """An entry that has been heard of.
+    """An entry from which a heartbeat has arrived.
 
     Attributes:
-        news: Its last heartbeat.
-        heard_at: When that came.
+        news: Its latest heartbeat.
+        heard_at: Time at which that was first received, in seconds.
     """
 
     news: messages.EntryNews
@@ -44,10 +44,11 @@
     """All other entries.
 
     Attributes:
-        name: This entry.
-        registered: Addresses by name, as the store lists them.
-        heard: By name.
-        retired: Evidence of earlier incarnations, by service and order key.
+        name: Name of this entry.
+        registered: Addresses in the store's list, by name.
+        heard: Entries from which a heartbeat has arrived, by name.
+        retired: Roll-out evidence of incarnations that have ended, by service
+            and order key.
     """
 
     def __init__(self, *, name: str) -> None:
@@ -59,22 +60,22 @@
     def replace_registered(
         self, listed: collections.abc.Iterable[PeerAddress]
     ) -> None:
-        """Takes the store's list."""
+        """Replaces the registered addresses with the store's list."""
         self.registered = {
             each.name: each.address for each in listed if each.name != self.name
         }
 
     def put_registered(self, peer: PeerAddress) -> None:
-        """Takes one line of the store's list."""
+        """Adds or updates a registered address."""
         if peer.name != self.name:
             self.registered[peer.name] = peer.address
 
     def remove_registered(self, name: str) -> None:
-        """Takes that an entry has left the store's list."""
+        """Removes a registered address."""
         self.registered.pop(name, None)
 
     def take(self, news: messages.EntryNews, *, now: float) -> bool:
-        """Takes a heartbeat; returns whether the entry is new here."""
+        """Stores a heartbeat; returns whether its incarnation is new here."""
         if news.name == self.name:
             return False
         known = self.heard.get(news.name)
@@ -87,11 +88,11 @@
     def is_overtaken(
         self, news: messages.EntryNews, *, heard_at: float
     ) -> bool:
-        """Returns whether a heartbeat that was passed on tells nothing new.
+        """Returns whether a forwarded heartbeat is older than the known one.
 
         Args:
             news: The heartbeat.
-            heard_at: When it was heard by who passed it on, in seconds.
+            heard_at: Time at which the forwarder received it, in seconds.
         """
         known = self.heard.get(news.name)
         if known is None:
@@ -101,14 +102,14 @@
         return heard_at <= known.heard_at
 
     def retire(self, news: messages.EntryNews) -> None:
-        """Keeps the evidence of an incarnation that has ended."""
+        """Adds the evidence of an incarnation that has ended to the totals."""
         for trial in news.trials:
             key = f"{trial.service}/{trial.key}"
             before = self.retired.get(key, version_trial.TrialEvidence())
             self.retired[key] = before.plus(read_evidence(trial))
 
     def forget_silent(self, *, now: float) -> list[str]:
-        """Forgets entries long silent; returns their names."""
+        """Removes entries that were silent too long; returns their names."""
         silent = [
             name
             for name, known in self.heard.items()
@@ -120,7 +121,7 @@
         return silent
 
     def list_live(self, *, now: float) -> list[messages.EntryNews]:
-        """Returns the last heartbeats of entries that live."""
+        """Returns the latest heartbeats of live entries."""
         return [
             known.news
             for known in self.heard.values()
@@ -130,9 +131,9 @@
     def list_live_near(
         self, data_centre: str, *, now: float
     ) -> list[messages.EntryNews]:
-        """Returns the last heartbeats of a data centre's live entries.
+        """Returns the latest heartbeats of a data centre's live entries.
 
-        Those that are about to stop are left out.
+        Entries that are stopping are left out.
         """
         return [
             news
@@ -141,9 +142,9 @@
         ]
 
     def list_near(self, data_centre: str) -> list[str]:
-        """Returns where to reach the entries in a data centre.
+        """Returns the addresses of a data centre's entries.
 
-        Entries that haven't been heard yet are taken to be there.
+        Entries whose data centre is unknown are included.
         """
         addresses = {
             known.news.address
@@ -158,13 +159,13 @@
         return sorted(addresses)
 
     def list_addresses(self) -> list[str]:
-        """Returns where to send heartbeats."""
+        """Returns the addresses of all entries, registered or heard from."""
         addresses = set(self.registered.values())
         addresses.update(known.news.address for known in self.heard.values())
         return sorted(addresses)
 
     def is_first(self, *, now: float) -> bool:
-        """Returns whether this entry's name comes first of all that live."""
+        """Returns whether this entry's name sorts first of all live entries."""
         names = [
             each.name for each in self.list_live(now=now) if not each.stopping
         ]
@@ -173,7 +174,7 @@
     def sum_evidence(
         self, service: str, order_key: str
     ) -> version_trial.TrialEvidence:
-        """Returns what all other entries have seen of a roll-out."""
+        """Returns the total evidence of all other entries on a roll-out."""
         total = self.retired.get(
             f"{service}/{order_key}", version_trial.TrialEvidence()
         )
@@ -186,7 +187,7 @@
 
 
 def read_evidence(trial: messages.TrialNews) -> version_trial.TrialEvidence:
-    """Returns the evidence that a heartbeat carries."""
+    """Converts a roll-out's counts in a heartbeat to evidence."""
     return version_trial.TrialEvidence(
         {
             found.route: version_trial.Comparison(
@@ -199,5 +200,5 @@
 
 
 def read_counts(found: messages.CountNews) -> version_trial.AnswerCounts:
-    """Returns counts as they stand in a heartbeat."""
+    """Converts counts in a heartbeat to `AnswerCounts`."""
     return version_trial.AnswerCounts(**msgspec.structs.asdict(found))
