--- a/packages/rhubarbbank-router/src/rhubarbbank_router/messages.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/messages.py
@@ -1,7 +1,7 @@
 """Messages between entries, and their codec.
 
-An entry sends `EntryNews` to its peers as a heartbeat; all that entries
-learn from one another is in it, so that a lost one is made good by the next.
+Each heartbeat, `EntryNews`, holds the sender's complete current state, so that
+the next heartbeat makes up for a lost one.
 """
 
 import msgspec
@@ -11,10 +11,10 @@
 
 
 class CountNews(msgspec.Struct, frozen=True, array_like=True):
-    """Counts of attempts, as `version_trial.AnswerCounts` has them.
+    """Counts of attempts; the fields are those of `AnswerCounts`.
 
-    New counts are added at the end, so that entries of two releases read one
-    another's.
+    New fields must be added at the end, so that entries of different releases
+    can decode each other's messages.
     """
 
     answers: int = 0
@@ -26,12 +26,12 @@
 
 
 class RouteNews(msgspec.Struct, frozen=True, array_like=True):
-    """Counts on one route.
+    """Counts of a roll-out on one route.
 
     Attributes:
         route: The route's name.
-        target: Of the target.
-        incumbent: Of other versions.
+        target: Counts of the target version.
+        incumbent: Counts of all other versions.
     """
 
     route: str
@@ -40,18 +40,18 @@
 
 
 class TrialNews(msgspec.Struct, frozen=True, array_like=True):
-    """What an entry knows of one roll-out.
+    """An entry's state of one roll-out.
 
     Attributes:
-        service: The service.
-        key: Of the order.
-        age_s: Since the order was first seen by anyone.
-        held: Whether the target gets no new work.
-        whole: Whether all new work goes to the target here.
-        old_in_flight: Open attempts here on other versions.
-        routes: Answers by route.
-        step: How many times the target's share has grown, less one.
-        kept_sessions: Marks of sessions that stay on their version.
+        service: The service's name.
+        key: The roll-out order's key.
+        age_s: Time since any entry first saw the order, in seconds.
+        held: Whether the target version gets no new work.
+        whole: Whether this entry sends all new work to the target version.
+        old_in_flight: This entry's open attempts on other versions.
+        routes: Counts of answers by route.
+        step: Number of increases of the target's share, less one.
+        kept_sessions: Name hashes of sessions that keep their version.
     """
 
     service: str
@@ -66,11 +66,11 @@
 
 
 class EndNews(msgspec.Struct, frozen=True, array_like=True):
-    """The end of an upstream that ran a request.
+    """A crash of an upstream that was running a request.
 
     Attributes:
-        upstream: The mark of the upstream's incarnation.
-        age_ms: How long ago it ended.
+        upstream: Hash of the upstream's incarnation.
+        age_ms: Time since the crash, in milliseconds.
     """
 
     upstream: int
@@ -78,15 +78,16 @@
 
 
 class SuspectNews(msgspec.Struct, frozen=True, array_like=True):
-    """What an entry knows of a request that ended its upstreams.
+    """A request that is suspected of crashing upstreams.
 
     Attributes:
-        fingerprint: Of the request.
-        crashes: How many of the ends the entry has seen itself.
-        age_ms: How long ago the request was last seen anywhere.
-        ends: The upstreams that ended under it, as far as anyone has seen.
-        cleared_ms: How long ago it last had a good answer, which clears it of
-            all ends before; None if it had none.
+        fingerprint: The request's fingerprint.
+        crashes: Number of the crashes that the sender observed itself.
+        age_ms: Time since any entry last saw the request, in milliseconds.
+        ends: Known crashes of upstreams that were running the request, as
+            observed by any entry.
+        cleared_ms: Time since its last successful answer, which clears it of
+            all earlier crashes, in milliseconds; None if there was none.
     """
 
     fingerprint: str
@@ -97,13 +98,15 @@
 
 
 class LoadNews(msgspec.Struct, frozen=True, array_like=True):
-    """What an entry has under way at one upstream.
+    """An entry's open work on one upstream.
 
     Attributes:
-        upstream: The upstream's mark.
-        work_ms: How long it is expected to hold others up.
-        in_flight: Attempts.
-        heard_ms: How long ago the entry last heard from it.
+        upstream: Hash of the upstream's id.
+        work_ms: Time by which the work is expected to delay other requests, in
+            milliseconds.
+        in_flight: Number of open attempts.
+        heard_ms: Time since the entry last received bytes from the upstream,
+            in milliseconds.
     """
 
     upstream: int
@@ -113,11 +116,11 @@
 
 
 class EntryLoads(effects.Message, frozen=True, tag="loads"):
-    """What an entry has under way, told between heartbeats.
+    """An entry's open work, sent between heartbeats.
 
     Attributes:
-        name: The entry.
-        loads: By upstream.
+        name: The entry's name.
+        loads: Open work by upstream.
     """
 
     name: str
@@ -128,15 +131,15 @@
     """An entry's heartbeat.
 
     Attributes:
-        name: The entry.
+        name: The entry's name.
         incarnation: Unix time of its start, in nanoseconds.
-        address: Where its peers reach it, "ip:port".
-        stopping: Whether it is about to leave.
-        trials: Its roll-outs.
-        suspects: Requests that it suspects.
-        leaving: Id and start of upstreams that said they shut down.
-        loads: What it has under way, by upstream.
-        data_centre: Where it stands.
+        address: Address on which it listens for its peers, "ip:port".
+        stopping: Whether it is shutting down.
+        trials: State of its roll-outs.
+        suspects: Requests that it suspects of crashing upstreams.
+        leaving: Id and start time of upstreams that announced a shutdown.
+        loads: Its open work by upstream.
+        data_centre: Its data centre; empty if unknown.
         reads: Whether it reads the store itself.
     """
 
@@ -153,10 +156,10 @@
 
 
 class AgedNews(msgspec.Struct, frozen=True, array_like=True):
-    """A heartbeat that somebody else passes on.
+    """A heartbeat that another entry forwards.
 
     Attributes:
-        age_ms: How long ago it was heard.
+        age_ms: Time since the forwarder received it, in milliseconds.
         news: The heartbeat.
     """
 
@@ -165,11 +168,12 @@
 
 
 class NewsBundle(effects.Message, frozen=True, tag="bundle"):
-    """What the entries of a data centre told last.
+    """The latest heartbeats of a data centre's entries.
 
     Attributes:
-        told: Their heartbeats.
-        onward: Whether the receiver hands it on to the entries nearby.
+        told: The heartbeats.
+        onward: Whether the receiver forwards the bundle to the entries of its
+            data centre.
     """
 
     told: tuple[AgedNews, ...]
@@ -177,14 +181,14 @@
 
 
 class StoreAsk(effects.Message, frozen=True, tag="ask"):
-    """Asks a reader of the store for what has changed.
+    """Asks an entry that reads the store for changes.
 
     Attributes:
-        name: Who asks.
-        address: Where to answer, "ip:port".
-        asked_at: When, by the asker's clock, which the answer repeats.
-        position: The store's revision up to which the asker knows all
-            changes of the list of upstreams.
+        name: The sender's name.
+        address: Address for the reply, "ip:port".
+        asked_at: Time of sending by the sender's clock; the reply repeats it.
+        position: Store revision up to which the sender knows all changes of
+            the list of upstreams.
     """
 
     name: str
@@ -194,20 +198,21 @@
 
 
 class StoreTold(effects.Message, frozen=True, tag="told"):
-    """What a reader of the store knows.
+    """Changes in the store, from an entry that reads it.
 
     Attributes:
-        name: The reader.
-        asked_at: When it was asked, by the asker's clock.
-        revision: Of the configuration that the store has confirmed.
-        proof_age_s: How long ago the read was sent that confirmed it.
-        position: The store's revision up to which the list is complete.
-        list_age_s: How long ago it was so for certain.
-        regained_age_s: How long ago the store came back; None if it wasn't
-            away lately.
-        changed: Upstreams that are new or changed since the asker's position.
-        gone: Ids of those that left the list since.
-        whole: All upstreams, where the changes aren't known; else None.
+        name: The sender's name.
+        asked_at: Time of the request, by the requester's clock.
+        revision: Configuration revision that the store has confirmed.
+        proof_age_s: Time since the confirming read was sent, in seconds.
+        position: Store revision up to which the list of upstreams is complete.
+        list_age_s: Time since the list was last known to be complete, in
+            seconds.
+        regained_age_s: Time since the store became available again, in seconds;
+            None if it wasn't unavailable lately.
+        changed: Upstreams added or changed since the requester's position.
+        gone: Ids of upstreams removed since then.
+        whole: All upstreams if the changes since then aren't known, else None.
     """
 
     name: str
@@ -227,9 +232,9 @@
 
 
 def decode_frame(frame: bytes) -> list[AnyNews]:
-    """Returns the messages of a frame.
+    """Decodes the messages in a frame.
 
     Raises:
-        msgspec.MsgspecError: The frame is not one of ours.
+        msgspec.MsgspecError: The frame is malformed.
     """
     return DECODER.decode(frame)
