--- a/features/steps/router_history_steps.py
+++ b/features/steps/router_history_steps.py
@@ -198,7 +198,7 @@
             self.states[request] = [x.state for x in opened.attempts]
 
     def check(self):
-        proofs = attempt_states.NOT_RUN_STATES
+        not_run_states = attempt_states.NOT_RUN_STATES
         for request in self.history.routes:
             for answer in self.history.world.answers(request):
                 refused = isinstance(answer, effects.RefuseRequest)
@@ -206,7 +206,10 @@
                     continue
                 # The current step ended the last attempt.
                 earlier = self.states.get(request, [])[:-1]
-                assert all(x in proofs for x in earlier), (request, earlier)
+                assert all(x in not_run_states for x in earlier), (
+                    request,
+                    earlier,
+                )
 
 
 @then("in {count:d} generated histories no request violates an invariant")
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/answer_heads.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/answer_heads.py
@@ -102,7 +102,7 @@
         state.view.record_misdirected(attempt.upstream)
     elif head.status == http.HTTPStatus.SERVICE_UNAVAILABLE:
         state.view.record_full(attempt.upstream, now=now)
-    log = attempt_log.log_attempt(
+    log = attempt_log.build_attempt_line(
         opened,
         attempt,
         decision="refused_by_upstream",
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
@@ -187,7 +187,7 @@
     attempt.state = attempt_states.AttemptState.NOT_SENT
     opened.excluded.add(attempt.upstream)
     out: list[effects.Effect] = [
-        attempt_log.log_attempt(
+        attempt_log.build_attempt_line(
             opened,
             attempt,
             decision="unreached",
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_ends.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_ends.py
@@ -37,7 +37,7 @@
     attempt_evidence.record_outcome(
         state, opened, attempt, now=now, failed=True
     )
-    log = attempt_log.log_attempt(
+    log = attempt_log.build_attempt_line(
         opened,
         attempt,
         decision="failed_attempt",
@@ -66,7 +66,7 @@
     opened.excluded.add(attempt.upstream)
     record_upstream_crash(state, opened, attempt, now=now)
     out: list[effects.Effect] = [
-        attempt_log.log_attempt(
+        attempt_log.build_attempt_line(
             opened,
             attempt,
             decision="failed_attempt",
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_log.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_log.py
@@ -9,7 +9,7 @@
 from rhubarbbank_router import state as states
 
 
-def log_attempt(
+def build_attempt_line(
     opened: states.OpenRequest,
     attempt: attempt_states.Attempt,
     *,
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/crash_suspects.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/crash_suspects.py
@@ -55,11 +55,11 @@
 
     Attributes:
         fingerprint: Fingerprint of the request.
-        given_up_at: When it was cancelled, in seconds.
+        cancelled_at: When it was cancelled, in seconds.
     """
 
     fingerprint: str
-    given_up_at: float
+    cancelled_at: float
 
 
 @dataclasses.dataclass(slots=True)
@@ -150,7 +150,7 @@
         found = [
             each.fingerprint
             for each in self.unanswered.pop(crash, [])
-            if now - each.given_up_at <= defaults.UNANSWERED_CRASH_WINDOW_S
+            if now - each.cancelled_at <= defaults.UNANSWERED_CRASH_WINDOW_S
         ]
         for fingerprint in found:
             self.record_crash(fingerprint, crash, now=now)
@@ -167,8 +167,11 @@
             now: In seconds.
         """
         suspect = self.find_or_create(fingerprint, now=now)
-        seen = crash in suspect.seen_locally
-        if seen and now - suspect.crashes[crash] > defaults.MIN_RESTART_S:
+        already_seen = crash in suspect.seen_locally
+        if (
+            already_seen
+            and now - suspect.crashes[crash] > defaults.MIN_RESTART_S
+        ):
             # The upstream has restarted and crashed again before its restart
             # was listed, so that the hash is still that of the first crash.
             crash = name_hashes.hash_name(
@@ -301,7 +304,7 @@
         self.unanswered = {
             crash: attempts
             for crash, attempts in self.unanswered.items()
-            if now - attempts[-1].given_up_at
+            if now - attempts[-1].cancelled_at
             <= defaults.UNANSWERED_CRASH_WINDOW_S
         }
         return old
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/event_stream.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/event_stream.py
@@ -36,13 +36,13 @@
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Adds bytes to the buffer; returns the events that they complete."""
         self.partial += data
-        found: list[StreamEvent] = []
+        events: list[StreamEvent] = []
         while True:
             end = find_event_end(self.partial)
             if end < 0:
-                return found
+                return events
             raw, self.partial = self.partial[:end], self.partial[end:]
-            found.append(StreamEvent(parse_event_id(raw), raw))
+            events.append(StreamEvent(parse_event_id(raw), raw))
 
 
 def find_event_end(data: bytes) -> int:
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/timeouts.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/timeouts.py
@@ -80,7 +80,7 @@
         state, opened, attempt, now=now, failed=True, silent=starts_silence
     )
     attempt_ends.record_unanswered(state, opened, attempt, now=now)
-    log = attempt_log.log_attempt(
+    log = attempt_log.build_attempt_line(
         opened,
         attempt,
         decision="silent_attempt",
