--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_ends.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_ends.py
@@ -92,7 +92,10 @@
     *,
     now: float,
 ) -> None:
-    """Records that an upstream crashed while it ran a request."""
+    """Counts a failed attempt as a crash of its upstream by the request.
+
+    Other entries are told soon once the request has several crashes.
+    """
     fingerprint = opened.fingerprint
     crash = crash_suspects.hash_incarnation(
         attempt.upstream, attempt.upstream_started_ms
@@ -111,9 +114,9 @@
 ) -> None:
     """Records that an attempt was cancelled before its upstream answered.
 
-    If the upstream is no longer listed, or has restarted, it has crashed.
-    Otherwise it may be slow, or have crashed unnoticed: that shows when the
-    list of upstreams drops it.
+    If the upstream is no longer listed, or has restarted, that counts as a
+    crash. Otherwise it may be slow or have crashed, which the list of
+    upstreams will show.
     """
     if attempt.status:
         return
@@ -166,7 +169,7 @@
     *,
     now: float,
 ) -> None:
-    """Closes an attempt's records in its session and at its upstream."""
+    """Closes an attempt, and releases its session and its upstream."""
     if attempt.open:
         attempt.open = False
         state.sessions.end_request(opened.request.session, now=now)
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_evidence.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_evidence.py
@@ -135,10 +135,11 @@
 ) -> bool | None:
     """Returns whether an answer drags; None if it can't be compared.
 
-    That is a weaker sign than `is_slow`. A plain answer drags if it takes
-    DRAG_PLAIN_FACTOR its route's usual time, a stream if its events come
-    DRAG_PACE_FACTOR slower than usual. A plain attempt without a 200 answer is
-    not compared: hosts and connections cause silence as well.
+    Dragging is a lower threshold than slow: a plain answer drags if it takes
+    longer than DRAG_PLAIN_FACTOR times its route's usual time, a stream if
+    the mean time between its events is over DRAG_PACE_FACTOR times the usual
+    one. Plain attempts without a 200 answer aren't compared, because silence
+    is also caused by hosts and connections.
     """
     times = state.view.get_service_times(attempt.service)
     if not opened.is_stream:
