--- a/features/support/relay_fleet.py
+++ b/features/support/relay_fleet.py
@@ -146,7 +146,9 @@
         listed = tuple(self.listed.values())
         node.position = self.revision
         node.world.apply(
-            events.UpstreamsListed(listed, position=self.revision, at=self.now)
+            events.UpstreamsListed(
+                listed, position=self.revision, asked_at=self.now
+            )
         )
 
     def watch(self, node):
@@ -168,7 +170,7 @@
                 event = events.UpstreamChanged
             node.world.apply(event(each))
         node.world.apply(
-            events.UpstreamsConfirmed(position=self.revision, at=at)
+            events.UpstreamsConfirmed(position=self.revision, current_at=at)
         )
 
     # The simulation.
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/events.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/events.py
@@ -154,12 +154,12 @@
     Attributes:
         listed: The upstreams.
         position: Revision of the store at which the list was read.
-        at: When the read was sent.
+        asked_at: When the read was sent.
     """
 
     listed: tuple[upstreams.Upstream, ...]
     position: int = 0
-    at: float = 0.0
+    asked_at: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -182,11 +182,11 @@
 
     Attributes:
         position: That revision of the store.
-        at: A time at which the delivered list was current.
+        current_at: A time at which the delivered list was current.
     """
 
     position: int
-    at: float
+    current_at: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -216,11 +216,11 @@
 
     Attributes:
         service: The service that is rolled out.
-        done: Whether the store accepted the write.
+        accepted: Whether the store accepted the write.
     """
 
     service: str
-    done: bool
+    accepted: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/store_reading.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/store_reading.py
@@ -237,12 +237,14 @@
         if reply.position == relay.change_log.position:
             return []
         return [
-            events.UpstreamsListed(reply.whole, position=reply.position, at=at)
+            events.UpstreamsListed(
+                reply.whole, position=reply.position, asked_at=at
+            )
         ]
     return [
         *(events.UpstreamChanged(x) for x in reply.changed),
         *(events.UpstreamUnlisted(x) for x in reply.gone),
-        events.UpstreamsConfirmed(position=reply.position, at=at),
+        events.UpstreamsConfirmed(position=reply.position, current_at=at),
     ]
 
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/upstream_list.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/upstream_list.py
@@ -92,7 +92,7 @@
         defaults.LAPSE_REPORT_S, now=now
     )
     match event:
-        case events.UpstreamsListed(listed, position=position, at=at):
+        case events.UpstreamsListed(listed, position=position, asked_at=at):
             state.listed_subjects.add(events.Subject.UPSTREAMS)
             state.relay.record_list(position, at=at)
             gone = state.view.replace_list(
@@ -136,7 +136,7 @@
                     reason="in doubt" if store_unstable else "gone",
                 )
             ]
-        case events.UpstreamsConfirmed(position=position, at=at):
+        case events.UpstreamsConfirmed(position=position, current_at=at):
             if state.relay.record_watch(position, at=at):
                 return store_reading.send_updates(state, now=now)
             return []
