--- a/experiments/src/rhubarbbank_experiments/mix_world.py
+++ b/experiments/src/rhubarbbank_experiments/mix_world.py
@@ -157,9 +157,9 @@
         match self.telling, news:
             case mix_arms.Telling.AT_ONCE, _:
                 pass
-            case _, messages.EntryLoads():
+            case _, messages.LoadUpdate():
                 return
-            case mix_arms.Telling.NOTHING, messages.EntryNews():
+            case mix_arms.Telling.NOTHING, messages.Heartbeat():
                 news = msgspec.structs.replace(news, loads=())
         peer = mix_site.find_entry(address)
         # The event's type names the core's messages only.
--- a/features/steps/carrier_steps.py
+++ b/features/steps/carrier_steps.py
@@ -192,8 +192,8 @@
     old = msgspec.structs.replace(
         known.news, incarnation=known.news.incarnation - 1, stopping=True
     )
-    bundle = messages.NewsBundle(
-        told=(messages.AgedNews(age_ms=0, news=old),), onward=False
+    bundle = messages.HeartbeatBundle(
+        told=(messages.ForwardedHeartbeat(age_ms=0, news=old),), onward=False
     )
     context.world.now = fleet.now + 1.0
     context.world.apply(core_events.MessageReceived(bundle))
--- a/features/steps/engine_load_steps.py
+++ b/features/steps/engine_load_steps.py
@@ -24,7 +24,7 @@
 
 def receive_heartbeat(world, name, loads=()):
     """Delivers a heartbeat of a peer."""
-    news = messages.EntryNews(
+    news = messages.Heartbeat(
         name=name,
         incarnation=1,
         address=ADDRESSES[name],
@@ -36,7 +36,7 @@
 
 
 def build_load(upstream, work_s=0.0, heard_s=0.0):
-    return messages.LoadNews(
+    return messages.WorkReport(
         upstream=name_hashes.hash_name(upstream),
         work_ms=round(work_s * 1000),
         in_flight=1,
@@ -53,7 +53,7 @@
 @given("{count:d} more peers in the other data centre")
 def add_far_peers(context, count):
     for number in range(count):
-        news = messages.EntryNews(
+        news = messages.Heartbeat(
             name=f"entry-far-{number}",
             incarnation=1,
             address=f"127.0.0.1:{30 + number}",
@@ -101,7 +101,7 @@
         x.message
         for x in world.messages()
         if x.address == ADDRESSES[name]
-        and isinstance(x.message, messages.EntryNews)
+        and isinstance(x.message, messages.Heartbeat)
     ]
 
 
@@ -175,7 +175,7 @@
     found = [
         x
         for x in context.world.messages()
-        if isinstance(x.message, messages.EntryLoads)
+        if isinstance(x.message, messages.LoadUpdate)
     ]
     assert not found, found
 
--- a/features/steps/router_crash_steps.py
+++ b/features/steps/router_crash_steps.py
@@ -106,14 +106,14 @@
 def report_other_suspects(context, entry, count):
     fleet = context.crash_fleet
     reported = tuple(
-        messages.SuspectNews(
+        messages.SuspectReport(
             fingerprint=f"{number:016x}",
             crashes=1,
-            ends=(messages.EndNews(upstream=number, age_ms=0),),
+            ends=(messages.CrashReport(upstream=number, age_ms=0),),
         )
         for number in range(count)
     )
-    news = messages.EntryNews(
+    news = messages.Heartbeat(
         name="entry-1",
         incarnation=0,
         address="none",
--- a/features/steps/router_notice_steps.py
+++ b/features/steps/router_notice_steps.py
@@ -154,7 +154,7 @@
 
 @when('the peer names "{upstream}" as shutting down')
 def receive_from_peer(context, upstream):
-    news = messages.EntryNews(
+    news = messages.Heartbeat(
         name=PEER.name,
         incarnation=1,
         address=PEER.address,
--- a/features/steps/router_rollout_steps.py
+++ b/features/steps/router_rollout_steps.py
@@ -157,7 +157,7 @@
             continue
         context.world.apply(
             core_events.MessageReceived(
-                messages.EntryNews(
+                messages.Heartbeat(
                     name=name,
                     incarnation=1,
                     address="127.0.0.1:77",
@@ -169,7 +169,7 @@
 
 
 def build_trial_news(*, held=False, whole=True, old=0):
-    return messages.TrialNews(
+    return messages.TrialReport(
         service=SERVICE,
         key=ORDER_KEY,
         age_s=0.0,
--- a/features/steps/store_relay_steps.py
+++ b/features/steps/store_relay_steps.py
@@ -62,7 +62,7 @@
 def add_reader(context):
     context.world.apply(
         core_events.MessageReceived(
-            messages.EntryNews(
+            messages.Heartbeat(
                 name="entry-",
                 incarnation=1,
                 address="127.0.0.1:9",
@@ -80,7 +80,7 @@
     asks = [
         x
         for x in context.world.messages()
-        if isinstance(x.message, messages.StoreAsk)
+        if isinstance(x.message, messages.StoreUpdateRequest)
     ]
     assert not asks
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/carriers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/carriers.py
@@ -36,14 +36,14 @@
 MS_PER_S = 1000.0
 
 
-def shorten(news: messages.EntryNews) -> messages.EntryNews:
+def shorten(news: messages.Heartbeat) -> messages.Heartbeat:
     """Returns a heartbeat without the loads that are too small to matter."""
     least_ms = defaults.REMOTE_MIN_REPORTED_WORK_MS
     loads = tuple(each for each in news.loads if each.work_ms >= least_ms)
     return msgspec.structs.replace(news, loads=loads)
 
 
-def leave_out_sessions(news: messages.EntryNews) -> messages.EntryNews:
+def leave_out_sessions(news: messages.Heartbeat) -> messages.Heartbeat:
     """Returns a heartbeat without the sessions that keep their version.
 
     Each entry reports all such sessions that it knows of, so that one list per
@@ -130,7 +130,7 @@
     This entry's own data centre is left out. A data centre with too few entries
     is represented by its last one.
     """
-    by_place: dict[str, list[messages.EntryNews]] = {}
+    by_place: dict[str, list[messages.Heartbeat]] = {}
     for news in state.entries.list_live(now=now):
         if news.data_centre != state.settings.data_centre and not news.stopping:
             by_place.setdefault(news.data_centre, []).append(news)
@@ -150,7 +150,7 @@
 
 
 def send_bundles(
-    state: states.RouterState, own: messages.EntryNews, *, now: float
+    state: states.RouterState, own: messages.Heartbeat, *, now: float
 ) -> list[effects.Effect]:
     """Sends this data centre's heartbeats if this entry is a forwarder."""
     out = update_rank(state, now=now)
@@ -158,16 +158,16 @@
     if rank is None:
         return out
     told = (
-        messages.AgedNews(age_ms=0, news=shorten(own)),
+        messages.ForwardedHeartbeat(age_ms=0, news=shorten(own)),
         *(
-            messages.AgedNews(
+            messages.ForwardedHeartbeat(
                 age_ms=measure_age_ms(known, now=now),
                 news=leave_out_sessions(shorten(known.news)),
             )
             for known in list_known_near(state, now=now)
         ),
     )
-    bundle = messages.NewsBundle(told=told, onward=True)
+    bundle = messages.HeartbeatBundle(told=told, onward=True)
     receivers = list_receivers(state, rank, now=now)
     return [*out, *(core_effects.Send(each, bundle) for each in receivers)]
 
@@ -190,7 +190,7 @@
 
 
 def hand_on(
-    state: states.RouterState, bundle: messages.NewsBundle, *, now: float
+    state: states.RouterState, bundle: messages.HeartbeatBundle, *, now: float
 ) -> list[effects.Effect]:
     """Forwards a remote bundle to the entries of this data centre."""
     if not bundle.onward or not may_carry(state, now=now):
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/crash_suspects.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/crash_suspects.py
@@ -235,7 +235,7 @@
         return True
 
     def merge(
-        self, received: tuple[messages.SuspectNews, ...], *, now: float
+        self, received: tuple[messages.SuspectReport, ...], *, now: float
     ) -> list[str]:
         """Merges the suspects of another entry.
 
@@ -253,7 +253,7 @@
         return changed
 
     def merge_suspect(
-        self, received: messages.SuspectNews, *, now: float
+        self, received: messages.SuspectReport, *, now: float
     ) -> bool:
         """Merges one suspect; returns whether its known crashes have changed.
 
@@ -309,7 +309,7 @@
         }
         return old
 
-    def build_news(self, *, now: float) -> tuple[messages.SuspectNews, ...]:
+    def build_news(self, *, now: float) -> tuple[messages.SuspectReport, ...]:
         """Returns the suspects for a heartbeat, those with most crashes first.
 
         A crash observed here is sent until every live entry should have
@@ -332,17 +332,17 @@
 
 def build_suspect_news(
     fingerprint: str, suspect: Suspect, *, now: float
-) -> messages.SuspectNews:
+) -> messages.SuspectReport:
     """Returns one suspect in the form that heartbeats carry."""
     cleared_ms = None
     if suspect.cleared_at is not None:
         cleared_ms = compute_age_ms(suspect.cleared_at, now=now)
-    return messages.SuspectNews(
+    return messages.SuspectReport(
         fingerprint=fingerprint,
         crashes=len(suspect.seen_locally),
         age_ms=compute_age_ms(suspect.seen_at, now=now),
         ends=tuple(
-            messages.EndNews(crash, compute_age_ms(at, now=now))
+            messages.CrashReport(crash, compute_age_ms(at, now=now))
             for crash, at in suspect.crashes.items()
         ),
         cleared_ms=cleared_ms,
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/engine_load.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/engine_load.py
@@ -33,10 +33,10 @@
 
 def list_loads(
     view: upstreams.UpstreamView, *, now: float
-) -> tuple[messages.LoadNews, ...]:
+) -> tuple[messages.WorkReport, ...]:
     """Returns the load of this entry's open attempts, for heartbeats."""
     return tuple(
-        messages.LoadNews(
+        messages.WorkReport(
             upstream=name_hashes.hash_name(tracked.listed.upstream_id),
             work_ms=round(sum_own_work_s(tracked, now=now) * MS_PER_S),
             in_flight=tracked.in_flight,
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
@@ -29,23 +29,23 @@
 ) -> list[effects.Effect]:
     """Handles a message from another entry."""
     match message:
-        case messages.EntryNews():
+        case messages.Heartbeat():
             return take_heartbeat(state, message, now=now)
-        case messages.EntryLoads(name=name, loads=loads):
+        case messages.LoadUpdate(name=name, loads=loads):
             state.remote_work.update(name, loads, now=now)
             return []
-        case messages.NewsBundle():
+        case messages.HeartbeatBundle():
             return take_bundle(state, message, now=now)
-        case messages.StoreAsk():
+        case messages.StoreUpdateRequest():
             return store_reading.handle_ask(state, message, now=now)
-        case messages.StoreTold():
+        case messages.StoreUpdate():
             return take_told(state, message, now=now)
         case _:
             return []
 
 
 def take_told(
-    state: states.RouterState, told: messages.StoreTold, *, now: float
+    state: states.RouterState, told: messages.StoreUpdate, *, now: float
 ) -> list[effects.Effect]:
     """Handles an update from an entry that reads the store."""
     if not state.relay.is_reader:
@@ -60,7 +60,7 @@
 
 
 def take_bundle(
-    state: states.RouterState, bundle: messages.NewsBundle, *, now: float
+    state: states.RouterState, bundle: messages.HeartbeatBundle, *, now: float
 ) -> list[effects.Effect]:
     """Forwards a bundle and applies its heartbeats.
 
@@ -76,7 +76,7 @@
 
 
 def take_heartbeat(
-    state: states.RouterState, message: messages.EntryNews, *, now: float
+    state: states.RouterState, message: messages.Heartbeat, *, now: float
 ) -> list[effects.Effect]:
     """Applies a heartbeat from another entry.
 
@@ -119,7 +119,7 @@
 
 
 def take_leaving(
-    state: states.RouterState, message: messages.EntryNews
+    state: states.RouterState, message: messages.Heartbeat
 ) -> list[effects.Effect]:
     """Records upstreams that told another entry that they shut down."""
     return [
@@ -149,7 +149,7 @@
     if known:
         state.budget.record_entry_count(known + 1, now=now)
     settings = state.settings
-    news = messages.EntryNews(
+    news = messages.Heartbeat(
         name=settings.name,
         incarnation=state.incarnation,
         address=settings.peer_address,
@@ -171,7 +171,7 @@
 
 def send_far_news(
     state: states.RouterState,
-    news: messages.EntryNews,
+    news: messages.Heartbeat,
     *,
     now: float,
     near: frozenset[str],
@@ -202,7 +202,7 @@
 
 
 def send_each(
-    addresses: list[str], news: messages.EntryNews
+    addresses: list[str], news: messages.Heartbeat
 ) -> list[effects.Effect]:
     """Returns the effects that send a heartbeat to each address."""
     return [core_effects.Send(address, news) for address in addresses]
@@ -255,7 +255,7 @@
 ) -> list[effects.Effect]:
     """Sends the load to entries of this data centre between heartbeats."""
     state.next_load_update_at = None
-    loads = messages.EntryLoads(
+    loads = messages.LoadUpdate(
         name=state.settings.name,
         loads=engine_load.list_loads(state.view, now=now),
     )
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/messages.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/messages.py
@@ -1,7 +1,7 @@
 """Messages between entries, and their codec.
 
-Each heartbeat, `EntryNews`, holds the sender's complete current state, so that
-the next heartbeat makes up for a lost one.
+A `Heartbeat` holds all that its sender reports to its peers, so that the next
+one makes up for one that was lost.
 """
 
 import msgspec
@@ -10,7 +10,7 @@
 from rhubarbbank_router import upstreams
 
 
-class CountNews(msgspec.Struct, frozen=True, array_like=True):
+class CountReport(msgspec.Struct, frozen=True, array_like=True):
     """Counts of attempts; the fields are those of `AnswerCounts`.
 
     New fields must be added at the end, so that entries of different releases
@@ -25,7 +25,7 @@
     dragging: int = 0
 
 
-class RouteNews(msgspec.Struct, frozen=True, array_like=True):
+class RouteReport(msgspec.Struct, frozen=True, array_like=True):
     """Counts of a roll-out on one route.
 
     Attributes:
@@ -35,11 +35,11 @@
     """
 
     route: str
-    target: CountNews
-    incumbent: CountNews
+    target: CountReport
+    incumbent: CountReport
 
 
-class TrialNews(msgspec.Struct, frozen=True, array_like=True):
+class TrialReport(msgspec.Struct, frozen=True, array_like=True):
     """An entry's state of one roll-out.
 
     Attributes:
@@ -60,12 +60,12 @@
     held: bool
     whole: bool
     old_in_flight: int
-    routes: tuple[RouteNews, ...]
+    routes: tuple[RouteReport, ...]
     step: int = -1
     kept_sessions: tuple[int, ...] = ()
 
 
-class EndNews(msgspec.Struct, frozen=True, array_like=True):
+class CrashReport(msgspec.Struct, frozen=True, array_like=True):
     """A crash of an upstream that was running a request.
 
     Attributes:
@@ -77,7 +77,7 @@
     age_ms: int
 
 
-class SuspectNews(msgspec.Struct, frozen=True, array_like=True):
+class SuspectReport(msgspec.Struct, frozen=True, array_like=True):
     """A request that is suspected of crashing upstreams.
 
     Attributes:
@@ -93,11 +93,11 @@
     fingerprint: str
     crashes: int
     age_ms: int = 0
-    ends: tuple[EndNews, ...] = ()
+    ends: tuple[CrashReport, ...] = ()
     cleared_ms: int | None = None
 
 
-class LoadNews(msgspec.Struct, frozen=True, array_like=True):
+class WorkReport(msgspec.Struct, frozen=True, array_like=True):
     """An entry's open work on one upstream.
 
     Attributes:
@@ -115,7 +115,7 @@
     heard_ms: int
 
 
-class EntryLoads(effects.Message, frozen=True, tag="loads"):
+class LoadUpdate(effects.Message, frozen=True, tag="loads"):
     """An entry's open work, sent between heartbeats.
 
     Attributes:
@@ -124,10 +124,10 @@
     """
 
     name: str
-    loads: tuple[LoadNews, ...]
+    loads: tuple[WorkReport, ...]
 
 
-class EntryNews(effects.Message, frozen=True, tag="news"):
+class Heartbeat(effects.Message, frozen=True, tag="news"):
     """An entry's heartbeat.
 
     Attributes:
@@ -147,15 +147,15 @@
     incarnation: int
     address: str
     stopping: bool
-    trials: tuple[TrialNews, ...] = ()
-    suspects: tuple[SuspectNews, ...] = ()
+    trials: tuple[TrialReport, ...] = ()
+    suspects: tuple[SuspectReport, ...] = ()
     leaving: tuple[tuple[str, int], ...] = ()
-    loads: tuple[LoadNews, ...] = ()
+    loads: tuple[WorkReport, ...] = ()
     data_centre: str = ""
     reads: bool = True
 
 
-class AgedNews(msgspec.Struct, frozen=True, array_like=True):
+class ForwardedHeartbeat(msgspec.Struct, frozen=True, array_like=True):
     """A heartbeat that another entry forwards.
 
     Attributes:
@@ -164,10 +164,10 @@
     """
 
     age_ms: int
-    news: EntryNews
+    news: Heartbeat
 
 
-class NewsBundle(effects.Message, frozen=True, tag="bundle"):
+class HeartbeatBundle(effects.Message, frozen=True, tag="bundle"):
     """The latest heartbeats of a data centre's entries.
 
     Attributes:
@@ -176,11 +176,11 @@
             data centre.
     """
 
-    told: tuple[AgedNews, ...]
+    told: tuple[ForwardedHeartbeat, ...]
     onward: bool
 
 
-class StoreAsk(effects.Message, frozen=True, tag="ask"):
+class StoreUpdateRequest(effects.Message, frozen=True, tag="ask"):
     """Asks an entry that reads the store for changes.
 
     Attributes:
@@ -197,7 +197,7 @@
     position: int
 
 
-class StoreTold(effects.Message, frozen=True, tag="told"):
+class StoreUpdate(effects.Message, frozen=True, tag="told"):
     """Changes in the store, from an entry that reads it.
 
     Attributes:
@@ -227,11 +227,13 @@
     whole: tuple[upstreams.Upstream, ...] | None = None
 
 
-AnyNews = EntryNews | EntryLoads | NewsBundle | StoreAsk | StoreTold
-DECODER = msgspec.msgpack.Decoder(list[AnyNews])
+PeerMessage = (
+    Heartbeat | LoadUpdate | HeartbeatBundle | StoreUpdateRequest | StoreUpdate
+)
+DECODER = msgspec.msgpack.Decoder(list[PeerMessage])
 
 
-def decode_frame(frame: bytes) -> list[AnyNews]:
+def decode_frame(frame: bytes) -> list[PeerMessage]:
     """Decodes the messages in a frame.
 
     Raises:
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/peer_work.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/peer_work.py
@@ -39,7 +39,7 @@
 class ReportedLoads:
     """An entry's last report, and when it came."""
 
-    loads: tuple[messages.LoadNews, ...]
+    loads: tuple[messages.WorkReport, ...]
     at: float
 
 
@@ -62,7 +62,7 @@
         return self.loads.get(name_hashes.hash_name(upstream_id), NO_LOAD)
 
     def update(
-        self, name: str, loads: tuple[messages.LoadNews, ...], *, now: float
+        self, name: str, loads: tuple[messages.WorkReport, ...], *, now: float
     ) -> None:
         """Replaces an entry's last report by a new one."""
         self.drop(name)
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/peers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/peers.py
@@ -36,7 +36,7 @@
         heard_at: Time at which that was first received, in seconds.
     """
 
-    news: messages.EntryNews
+    news: messages.Heartbeat
     heard_at: float
 
 
@@ -74,7 +74,7 @@
         """Removes a registered address."""
         self.registered.pop(name, None)
 
-    def take(self, news: messages.EntryNews, *, now: float) -> bool:
+    def take(self, news: messages.Heartbeat, *, now: float) -> bool:
         """Stores a heartbeat; returns whether its incarnation is new here."""
         if news.name == self.name:
             return False
@@ -86,7 +86,7 @@
         return is_new
 
     def is_overtaken(
-        self, news: messages.EntryNews, *, heard_at: float
+        self, news: messages.Heartbeat, *, heard_at: float
     ) -> bool:
         """Returns whether a forwarded heartbeat is older than the known one.
 
@@ -101,7 +101,7 @@
             return news.incarnation < known.news.incarnation
         return heard_at <= known.heard_at
 
-    def retire(self, news: messages.EntryNews) -> None:
+    def retire(self, news: messages.Heartbeat) -> None:
         """Adds the evidence of an incarnation that has ended to the totals."""
         for trial in news.trials:
             key = f"{trial.service}/{trial.key}"
@@ -120,7 +120,7 @@
             self.registered.pop(name, None)
         return silent
 
-    def list_live(self, *, now: float) -> list[messages.EntryNews]:
+    def list_live(self, *, now: float) -> list[messages.Heartbeat]:
         """Returns the latest heartbeats of live entries."""
         return [
             known.news
@@ -130,7 +130,7 @@
 
     def list_live_near(
         self, data_centre: str, *, now: float
-    ) -> list[messages.EntryNews]:
+    ) -> list[messages.Heartbeat]:
         """Returns the latest heartbeats of a data centre's live entries.
 
         Entries that are stopping are left out.
@@ -186,7 +186,7 @@
         return total
 
 
-def read_evidence(trial: messages.TrialNews) -> version_trial.TrialEvidence:
+def read_evidence(trial: messages.TrialReport) -> version_trial.TrialEvidence:
     """Converts a roll-out's counts in a heartbeat to evidence."""
     return version_trial.TrialEvidence(
         {
@@ -199,6 +199,6 @@
     )
 
 
-def read_counts(found: messages.CountNews) -> version_trial.AnswerCounts:
+def read_counts(found: messages.CountReport) -> version_trial.AnswerCounts:
     """Converts counts in a heartbeat to `AnswerCounts`."""
     return version_trial.AnswerCounts(**msgspec.structs.asdict(found))
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/rollouts.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/rollouts.py
@@ -303,7 +303,7 @@
 
 
 def merge_news(
-    state: states.RouterState, news: messages.EntryNews, *, now: float
+    state: states.RouterState, news: messages.Heartbeat, *, now: float
 ) -> None:
     """Merges a peer's view of the roll-outs: start, step, kept sessions.
 
@@ -433,10 +433,10 @@
 
 def build_news(
     state: states.RouterState, *, now: float
-) -> tuple[messages.TrialNews, ...]:
+) -> tuple[messages.TrialReport, ...]:
     """Returns this entry's roll-outs as a heartbeat carries them."""
     return tuple(
-        messages.TrialNews(
+        messages.TrialReport(
             service=service,
             key=trial.order.key,
             age_s=now - trial.started_at,
@@ -462,10 +462,10 @@
 
 def list_route_counts(
     trial: version_trial.VersionTrial,
-) -> tuple[messages.RouteNews, ...]:
+) -> tuple[messages.RouteReport, ...]:
     """Returns this entry's evidence as a heartbeat carries it."""
     return tuple(
-        messages.RouteNews(
+        messages.RouteReport(
             route,
             encode_counts(comparison.target),
             encode_counts(comparison.incumbent),
@@ -474,6 +474,6 @@
     )
 
 
-def encode_counts(counts: version_trial.AnswerCounts) -> messages.CountNews:
+def encode_counts(counts: version_trial.AnswerCounts) -> messages.CountReport:
     """Returns counts as a heartbeat carries them."""
-    return messages.CountNews(**dataclasses.asdict(counts))
+    return messages.CountReport(**dataclasses.asdict(counts))
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/store_reading.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/store_reading.py
@@ -52,7 +52,7 @@
     if reader is None or not relay.is_ask_due(now=now):
         return out
     relay.asked_at = now
-    ask = messages.StoreAsk(
+    ask = messages.StoreUpdateRequest(
         name=state.settings.name,
         address=state.settings.peer_address,
         asked_at=now,
@@ -63,7 +63,7 @@
 
 def select_reader(
     state: states.RouterState, *, now: float
-) -> messages.EntryNews | None:
+) -> messages.Heartbeat | None:
     """Returns the reader to ask: the first by name in the data centre.
 
     A reader asks only readers whose names sort before its own.
@@ -78,7 +78,7 @@
 
 def update_role(
     state: states.RouterState,
-    reader: messages.EntryNews | None,
+    reader: messages.Heartbeat | None,
     *,
     now: float,
 ) -> list[effects.Effect]:
@@ -119,7 +119,7 @@
 
 def should_be_reader(
     state: states.RouterState,
-    reader: messages.EntryNews | None,
+    reader: messages.Heartbeat | None,
     *,
     now: float,
 ) -> bool:
@@ -146,7 +146,7 @@
 
 
 def handle_ask(
-    state: states.RouterState, ask: messages.StoreAsk, *, now: float
+    state: states.RouterState, ask: messages.StoreUpdateRequest, *, now: float
 ) -> list[effects.Effect]:
     """Replies to an ask if this entry is a reader."""
     if not state.relay.is_reader:
@@ -168,7 +168,7 @@
 
 
 def build_reply(
-    state: states.RouterState, ask: messages.StoreAsk, *, now: float
+    state: states.RouterState, ask: messages.StoreUpdateRequest, *, now: float
 ) -> list[effects.Effect]:
     """Returns the reply to an ask as an effect, if there is one."""
     availability = state.get_store_availability(events.Subject.UPSTREAMS)
@@ -192,7 +192,7 @@
     return [] if reply is None else [core_effects.Send(ask.address, reply)]
 
 
-def apply_proof(state: states.RouterState, reply: messages.StoreTold) -> bool:
+def apply_proof(state: states.RouterState, reply: messages.StoreUpdate) -> bool:
     """Applies a reader's proof of the configuration's freshness.
 
     Returns:
@@ -209,7 +209,7 @@
 
 
 def record_store_answer(
-    state: states.RouterState, reply: messages.StoreTold, *, now: float
+    state: states.RouterState, reply: messages.StoreUpdate, *, now: float
 ) -> None:
     """Records that a reader has reached the store.
 
@@ -225,7 +225,7 @@
 
 
 def build_upstream_events(
-    state: states.RouterState, reply: messages.StoreTold
+    state: states.RouterState, reply: messages.StoreUpdate
 ) -> list[events.AnyEvent]:
     """Converts a reply's changes of the list of upstreams to events."""
     relay = state.relay
@@ -249,7 +249,7 @@
 
 
 def record_reader_freshness(
-    state: states.RouterState, reply: messages.StoreTold, *, now: float
+    state: states.RouterState, reply: messages.StoreUpdate, *, now: float
 ) -> None:
     """Records whether the reader's data is fresh enough to rely on."""
     limits = state.relay.limits
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/store_relay.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/store_relay.py
@@ -9,9 +9,9 @@
 network delay can't make a proof look younger than it is.
 
     asker                         reader
-      | StoreAsk (asked_at, position) |
+      | StoreUpdateRequest (asked_at, position) |
       |------------------------------>|
-      | StoreTold (asked_at, ages)    |
+      | StoreUpdate (asked_at, ages)    |
       |<------------------------------|
 
 An entry whose data gets older than its limits becomes a reader itself. It
@@ -148,7 +148,9 @@
         self.informed_at: float | None = None
         self.informed_since: float | None = None
         self.asked_at = 0.0
-        self.last_asks: dict[str, tuple[messages.StoreAsk, float]] = {}
+        self.last_asks: dict[
+            str, tuple[messages.StoreUpdateRequest, float]
+        ] = {}
         self.newest_revision = 0
 
     def record_change(self, change: UpstreamChange) -> None:
@@ -182,11 +184,15 @@
             else now - self.list_confirmed_at
         )
 
-    def record_ask(self, ask: messages.StoreAsk, *, now: float) -> None:
+    def record_ask(
+        self, ask: messages.StoreUpdateRequest, *, now: float
+    ) -> None:
         """Records an ask, so that later changes are sent to its sender."""
         self.last_asks[ask.address] = (ask, now)
 
-    def list_recent_asks(self, *, now: float) -> list[messages.StoreAsk]:
+    def list_recent_asks(
+        self, *, now: float
+    ) -> list[messages.StoreUpdateRequest]:
         """Returns the last ask of each entry that asked recently."""
         self.last_asks = {
             address: (ask, at)
@@ -200,8 +206,12 @@
         return now - self.asked_at >= defaults.ASK_PERIOD_S
 
     def build_reply(
-        self, ask: messages.StoreAsk, facts: "ReaderFacts", *, now: float
-    ) -> messages.StoreTold | None:
+        self,
+        ask: messages.StoreUpdateRequest,
+        facts: "ReaderFacts",
+        *,
+        now: float,
+    ) -> messages.StoreUpdate | None:
         """Returns the reply to an ask; None without a proof or a list.
 
         Args:
@@ -216,7 +226,7 @@
         whole: tuple[upstreams.Upstream, ...] | None = None
         if changes is None:
             whole = facts.listed
-        return messages.StoreTold(
+        return messages.StoreUpdate(
             name=facts.name,
             asked_at=ask.asked_at,
             revision=facts.revision,
