--- a/features/steps/router_steps.py
+++ b/features/steps/router_steps.py
@@ -95,9 +95,9 @@
 
 @then("the request has been sent {count:d} times")
 def check_attempt_count(context, count):
-    found = context.world.sent(context.request)
-    assert len(found) == count, found
-    assert len({each.upstream_id for each in found}) == count, found
+    attempts = context.world.sent(context.request)
+    assert len(attempts) == count, attempts
+    assert len({each.upstream_id for each in attempts}) == count, attempts
 
 
 @then("the caller has no answer yet")
@@ -210,8 +210,8 @@
 
 @then('the logged decisions on the request are "{names}"')
 def check_logged_decisions(context, names):
-    found = context.world.decisions(context.request)
-    assert [each.decision for each in found] == names.split(", "), found
+    logged = context.world.decisions(context.request)
+    assert [each.decision for each in logged] == names.split(", "), logged
 
 
 @then("each logged placement has candidates, load age and time left")
@@ -226,6 +226,7 @@
 
 @when("the upstream begins a stream with events {first:d} to {last:d}")
 def begin_stream(context, first, last):
+    # High enough that the answer isn't replaced by a larger model's.
     context.world.head(context.request, confidence=90)
     context.world.stream(context.request, first, last)
 
@@ -267,15 +268,15 @@
 
 @then("the caller's stream is cut off without a retry")
 def check_cut_off_without_retry(context):
-    found = context.world.answers(context.request)
-    assert isinstance(found[-1], effects.AbortAnswer), found
+    answers = context.world.answers(context.request)
+    assert isinstance(answers[-1], effects.AbortAnswer), answers
     assert len(context.world.sent(context.request)) == 1
 
 
 @then("the caller's stream is cut off")
 def check_cut_off(context):
-    found = context.world.answers(context.request)
-    assert isinstance(found[-1], effects.AbortAnswer), found
+    answers = context.world.answers(context.request)
+    assert isinstance(answers[-1], effects.AbortAnswer), answers
 
 
 @given('upstreams 1 and 2 are replaced by one of version "{version}"')
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
@@ -32,7 +32,9 @@
     now: float,
     cause: str,
 ) -> list[effects.Effect]:
-    """Sends the request to the best upstream, or gives up if there is none.
+    """Sends the request to the best upstream, or gives up on it.
+
+    Gives up if no upstream is usable, or if none would begin in time.
 
     Args:
         state: The router's state.
