--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -376,7 +376,7 @@
     fleet.wait_until(
         lambda: (
             sum(
-                "foreign" in line.get("message", "")
+                "ignoring invalid upstream" in line.get("message", "")
                 for line in fleet.entries[0].read_log()
             )
             >= 4
