--- a/packages/rhubarbbank-router/src/rhubarbbank_router/timeouts.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/timeouts.py
@@ -64,8 +64,8 @@
     if attempt is None or not opened.route.repeatable:
         return []
     silent_s = now - attempt.last_progress_at
-    patience_s = compute_patience_s(state, opened, attempt, now=now)
-    if silent_s < patience_s:
+    timeout_s = compute_timeout_s(state, opened, attempt, now=now)
+    if silent_s < timeout_s:
         return []
     opened.excluded.add(attempt.upstream)
     if not dispatch.acquire_retry(state, opened, now=now):
@@ -87,14 +87,14 @@
         reason="no bytes for too long",
         inputs=(
             ("silent_s", round(silent_s, 3)),
-            ("patience_s", round(patience_s, 3)),
+            ("patience_s", round(timeout_s, 3)),
         ),
     )
     resent = dispatch.send(state, opened, now=now, cause="silent")
     return [log, fx.Count("silent_attempts"), *cancelled, *resent]
 
 
-def compute_patience_s(
+def compute_timeout_s(
     state: states.RouterState,
     opened: states.OpenRequest,
     attempt: attempt_states.Attempt,
@@ -107,12 +107,12 @@
     if not opened.is_stream:
         usual_s = defaults.PLAIN_TIMEOUT_MEANS * times.answer_s
         return max(defaults.PLAIN_TIMEOUT_FLOOR_S, usual_s)
-    patience_s = max(
+    timeout_s = max(
         defaults.STALL_TIMEOUT_GAPS * route.target_gap_s,
         defaults.STALL_EVENT_INTERVALS * compute_mean_pace_s(attempt),
     )
     if attempt.first_event_at is None:
-        patience_s = max(
+        timeout_s = max(
             defaults.FIRST_EVENT_TIMEOUT_SHARE * route.target_latency_s,
             defaults.FIRST_EVENT_TIMEOUT_MEANS * times.first_event_s,
         )
@@ -122,8 +122,8 @@
     ):
         # The upstream is running other requests, so that this one is probably
         # queued; elsewhere it would start from the beginning.
-        patience_s *= defaults.ALIVE_TIMEOUT_FACTOR
-    return patience_s
+        timeout_s *= defaults.ALIVE_TIMEOUT_FACTOR
+    return timeout_s
 
 
 def compute_mean_pace_s(attempt: attempt_states.Attempt) -> float:
