--- a/features/steps/platform_cancel_steps.py
+++ b/features/steps/platform_cancel_steps.py
@@ -38,7 +38,7 @@
         connector=aiohttp.TCPConnector(
             force_close=True, socket_factory=watched_socket.open_socket
         ),
-        response_class=runners.WatchedResponse,
+        response_class=runners.CloseTrackingResponse,
         middlewares=middlewares,
     ) as session:
         for turns in list(range(MOST_TURNS)) * ROUNDS:
@@ -62,7 +62,7 @@
 
 
 async def call_upstream(session, port):
-    exchange = runners.Runners(
+    exchange = runners.UpstreamClient(
         session=session, apply=lambda _: None, spawn=lambda _: None
     )
     await exchange.exchange(raw_servers.build_sending(port=port))
--- a/features/steps/platform_endless_steps.py
+++ b/features/steps/platform_endless_steps.py
@@ -24,13 +24,13 @@
         connector=aiohttp.TCPConnector(
             force_close=True, socket_factory=watched_socket.open_socket
         ),
-        response_class=runners.WatchedResponse,
+        response_class=runners.CloseTrackingResponse,
         max_line_size=runners.MAX_LINE_BYTES,
         max_field_size=runners.MAX_LINE_BYTES,
         middlewares=(http_once.send_once,),
     )
     async with endless_answers.serve(answer) as port, session:
-        sender = runners.Runners(
+        sender = runners.UpstreamClient(
             session=session,
             apply=context.applied.append,
             spawn=lambda work: None,
--- a/features/steps/platform_failure_steps.py
+++ b/features/steps/platform_failure_steps.py
@@ -150,7 +150,7 @@
 def fail_attempt(context, error):
     context.applied = []
     context.error = error
-    exchange = runners.Runners(
+    exchange = runners.UpstreamClient(
         session=FailingSession(getattr(builtins, error)("unforeseen")),
         apply=context.applied.append,
         spawn=lambda work: None,
