--- a/features/steps/carrier_steps.py
+++ b/features/steps/carrier_steps.py
@@ -187,10 +187,12 @@
 def pass_on_old(context):
     fleet = context.news
     context.world = fleet.worlds[fleet.list_carriers(FAR)[0]]
-    known = context.world.state.entries.heard[fleet.list_carriers(ELSEWHERE)[0]]
-    context.newest = known.news
+    known = context.world.state.entries.peers[fleet.list_carriers(ELSEWHERE)[0]]
+    context.newest = known.heartbeat
     old = msgspec.structs.replace(
-        known.news, incarnation=known.news.incarnation - 1, stopping=True
+        known.heartbeat,
+        incarnation=known.heartbeat.incarnation - 1,
+        stopping=True,
     )
     bundle = messages.HeartbeatBundle(
         told=(messages.ForwardedHeartbeat(age_ms=0, news=old),), onward=False
@@ -201,5 +203,5 @@
 
 @then("the entry's newest incarnation is known")
 def check_newest(context):
-    known = context.world.state.entries.heard[context.newest.name]
-    assert known.news == context.newest, known
+    known = context.world.state.entries.peers[context.newest.name]
+    assert known.heartbeat == context.newest, known
--- a/features/support/news_fleet.py
+++ b/features/support/news_fleet.py
@@ -171,9 +171,9 @@
             for other in self.list_awake():
                 name = other.state.settings.name
                 if other is not world:
-                    known = entries.heard.get(name)
+                    known = entries.peers.get(name)
                     ages.append(
-                        self.now - known.heard_at if known else self.now
+                        self.now - known.received_at if known else self.now
                     )
         return max(ages)
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/carriers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/carriers.py
@@ -86,7 +86,7 @@
     if state.stopping or not may_carry(state, now=now):
         return None
     settings = state.settings
-    near = state.entries.list_live_near(settings.data_centre, now=now)
+    near = state.entries.list_live_in(settings.data_centre, now=now)
     rank = sum(each.name < settings.name for each in near)
     return rank if rank < defaults.CARRIERS else None
 
@@ -99,7 +99,7 @@
     if rank == state.carrier_rank:
         return []
     state.carrier_rank = rank
-    near = state.entries.list_live_near(state.settings.data_centre, now=now)
+    near = state.entries.list_live_in(state.settings.data_centre, now=now)
     return [
         fx.LogDecision(
             decision="carrying_ended" if rank is None else "carrying_begun",
@@ -162,7 +162,7 @@
         *(
             messages.ForwardedHeartbeat(
                 age_ms=measure_age_ms(known, now=now),
-                news=leave_out_sessions(shorten(known.news)),
+                news=leave_out_sessions(shorten(known.heartbeat)),
             )
             for known in list_known_near(state, now=now)
         ),
@@ -178,15 +178,15 @@
     """Returns the live entries of this data centre, also stopping ones."""
     return [
         known
-        for known in state.entries.heard.values()
-        if known.news.data_centre == state.settings.data_centre
-        and now - known.heard_at <= defaults.PEER_TIMEOUT_S
+        for known in state.entries.peers.values()
+        if known.heartbeat.data_centre == state.settings.data_centre
+        and now - known.received_at <= defaults.PEER_TIMEOUT_S
     ]
 
 
 def measure_age_ms(known: peers.KnownPeer, *, now: float) -> int:
     """Returns a heartbeat's age, rounded up so that it never looks newer."""
-    return math.ceil((now - known.heard_at) * MS_PER_S)
+    return math.ceil((now - known.received_at) * MS_PER_S)
 
 
 def hand_on(
@@ -197,6 +197,6 @@
         return []
     onward = msgspec.structs.replace(bundle, onward=False)
     return [
-        core_effects.Send(known.news.address, onward)
+        core_effects.Send(known.heartbeat.address, onward)
         for known in list_known_near(state, now=now)
     ]
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
@@ -68,10 +68,10 @@
     """
     out = carriers.hand_on(state, bundle, now=now)
     for each in bundle.told:
-        heard_at = now - each.age_ms / MS_PER_S
-        if state.entries.is_overtaken(each.news, heard_at=heard_at):
+        received_at = now - each.age_ms / MS_PER_S
+        if state.entries.is_outdated(each.news, received_at=received_at):
             continue
-        out += take_heartbeat(state, each.news, now=heard_at)
+        out += take_heartbeat(state, each.news, now=received_at)
     return out
 
 
@@ -85,7 +85,7 @@
         message: The heartbeat.
         now: Time at which it was first received, in seconds.
     """
-    is_new = state.entries.take(message, now=now)
+    is_new = state.entries.update(message, now=now)
     learnt = state.suspects.merge(message.suspects, now=now)
     state.remote_work.update(message.name, message.loads, now=now)
     rollouts.merge_news(state, message, now=now)
@@ -161,7 +161,7 @@
         data_centre=settings.data_centre,
         reads=state.relay.is_reader,
     )
-    near = state.entries.list_near(settings.data_centre)
+    near = state.entries.list_addresses_in(settings.data_centre)
     out += [core_effects.Send(address, news) for address in near]
     out += send_far_news(state, news, now=now, near=frozenset(near))
     out.append(fx.Gauge("open_requests", len(state.open_requests)))
@@ -225,7 +225,7 @@
         *log_forgotten(state.suspects.remove_expired(now=now), reason="old"),
         *log_forgotten(state.suspects.evict_excess(), reason="want of room"),
     ]
-    for name in state.entries.forget_silent(now=now):
+    for name in state.entries.remove_expired(now=now):
         out.append(fx.LogDecision(decision="entry_silent", reason=name))
         out.append(effects.DeregisterEntry(name))
     return out
@@ -259,5 +259,5 @@
         name=state.settings.name,
         loads=engine_load.list_loads(state.view, now=now),
     )
-    near = state.entries.list_near(state.settings.data_centre)
+    near = state.entries.list_addresses_in(state.settings.data_centre)
     return [core_effects.Send(address, loads) for address in near]
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/peers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/peers.py
@@ -32,12 +32,12 @@
     """An entry from which a heartbeat has arrived.
 
     Attributes:
-        news: Its latest heartbeat.
-        heard_at: Time at which that was first received, in seconds.
+        heartbeat: Its latest heartbeat.
+        received_at: Time at which that was first received, in seconds.
     """
 
-    news: messages.Heartbeat
-    heard_at: float
+    heartbeat: messages.Heartbeat
+    received_at: float
 
 
 class PeerTable:
@@ -46,16 +46,16 @@
     Attributes:
         name: Name of this entry.
         registered: Addresses in the store's list, by name.
-        heard: Entries from which a heartbeat has arrived, by name.
-        retired: Roll-out evidence of incarnations that have ended, by service
-            and order key.
+        peers: Entries from which a heartbeat has arrived, by name.
+        ended_evidence: Roll-out evidence of incarnations that have ended, by
+            service and order key.
     """
 
     def __init__(self, *, name: str) -> None:
         self.name = name
         self.registered: dict[str, str] = {}
-        self.heard: dict[str, KnownPeer] = {}
-        self.retired: dict[str, version_trial.TrialEvidence] = {}
+        self.peers: dict[str, KnownPeer] = {}
+        self.ended_evidence: dict[str, version_trial.TrialEvidence] = {}
 
     def replace_registered(
         self, listed: collections.abc.Iterable[PeerAddress]
@@ -74,61 +74,64 @@
         """Removes a registered address."""
         self.registered.pop(name, None)
 
-    def take(self, news: messages.Heartbeat, *, now: float) -> bool:
+    def update(self, heartbeat: messages.Heartbeat, *, now: float) -> bool:
         """Stores a heartbeat; returns whether its incarnation is new here."""
-        if news.name == self.name:
+        if heartbeat.name == self.name:
             return False
-        known = self.heard.get(news.name)
-        is_new = known is None or known.news.incarnation != news.incarnation
+        known = self.peers.get(heartbeat.name)
+        is_new = (
+            known is None
+            or known.heartbeat.incarnation != heartbeat.incarnation
+        )
         if known is not None and is_new:
-            self.retire(known.news)
-        self.heard[news.name] = KnownPeer(news, now)
+            self.add_ended_evidence(known.heartbeat)
+        self.peers[heartbeat.name] = KnownPeer(heartbeat, now)
         return is_new
 
-    def is_overtaken(
-        self, news: messages.Heartbeat, *, heard_at: float
+    def is_outdated(
+        self, heartbeat: messages.Heartbeat, *, received_at: float
     ) -> bool:
         """Returns whether a forwarded heartbeat is older than the known one.
 
         Args:
-            news: The heartbeat.
-            heard_at: Time at which the forwarder received it, in seconds.
+            heartbeat: The heartbeat.
+            received_at: Time at which the forwarder received it, in seconds.
         """
-        known = self.heard.get(news.name)
+        known = self.peers.get(heartbeat.name)
         if known is None:
             return False
-        if news.incarnation != known.news.incarnation:
-            return news.incarnation < known.news.incarnation
-        return heard_at <= known.heard_at
+        if heartbeat.incarnation != known.heartbeat.incarnation:
+            return heartbeat.incarnation < known.heartbeat.incarnation
+        return received_at <= known.received_at
 
-    def retire(self, news: messages.Heartbeat) -> None:
+    def add_ended_evidence(self, heartbeat: messages.Heartbeat) -> None:
         """Adds the evidence of an incarnation that has ended to the totals."""
-        for trial in news.trials:
+        for trial in heartbeat.trials:
             key = f"{trial.service}/{trial.key}"
-            before = self.retired.get(key, version_trial.TrialEvidence())
-            self.retired[key] = before.plus(read_evidence(trial))
+            known = self.ended_evidence.get(key, version_trial.TrialEvidence())
+            self.ended_evidence[key] = known.plus(decode_evidence(trial))
 
-    def forget_silent(self, *, now: float) -> list[str]:
+    def remove_expired(self, *, now: float) -> list[str]:
         """Removes entries that were silent too long; returns their names."""
-        silent = [
+        expired = [
             name
-            for name, known in self.heard.items()
-            if now - known.heard_at > defaults.PEER_EXPIRY_S
+            for name, known in self.peers.items()
+            if now - known.received_at > defaults.PEER_EXPIRY_S
         ]
-        for name in silent:
-            self.retire(self.heard.pop(name).news)
+        for name in expired:
+            self.add_ended_evidence(self.peers.pop(name).heartbeat)
             self.registered.pop(name, None)
-        return silent
+        return expired
 
     def list_live(self, *, now: float) -> list[messages.Heartbeat]:
         """Returns the latest heartbeats of live entries."""
         return [
-            known.news
-            for known in self.heard.values()
-            if now - known.heard_at <= defaults.PEER_TIMEOUT_S
+            known.heartbeat
+            for known in self.peers.values()
+            if now - known.received_at <= defaults.PEER_TIMEOUT_S
         ]
 
-    def list_live_near(
+    def list_live_in(
         self, data_centre: str, *, now: float
     ) -> list[messages.Heartbeat]:
         """Returns the latest heartbeats of a data centre's live entries.
@@ -136,35 +139,37 @@
         Entries that are stopping are left out.
         """
         return [
-            news
-            for news in self.list_live(now=now)
-            if news.data_centre == data_centre and not news.stopping
+            heartbeat
+            for heartbeat in self.list_live(now=now)
+            if heartbeat.data_centre == data_centre and not heartbeat.stopping
         ]
 
-    def list_near(self, data_centre: str) -> list[str]:
+    def list_addresses_in(self, data_centre: str) -> list[str]:
         """Returns the addresses of a data centre's entries.
 
         Entries whose data centre is unknown are included.
         """
         addresses = {
-            known.news.address
-            for known in self.heard.values()
-            if known.news.data_centre in (data_centre, "")
+            known.heartbeat.address
+            for known in self.peers.values()
+            if known.heartbeat.data_centre in (data_centre, "")
         }
         addresses.update(
             address
             for name, address in self.registered.items()
-            if name not in self.heard
+            if name not in self.peers
         )
         return sorted(addresses)
 
     def list_addresses(self) -> list[str]:
         """Returns the addresses of all entries, registered or heard from."""
         addresses = set(self.registered.values())
-        addresses.update(known.news.address for known in self.heard.values())
+        addresses.update(
+            known.heartbeat.address for known in self.peers.values()
+        )
         return sorted(addresses)
 
-    def is_first(self, *, now: float) -> bool:
+    def has_first_name(self, *, now: float) -> bool:
         """Returns whether this entry's name sorts first of all live entries."""
         names = [
             each.name for each in self.list_live(now=now) if not each.stopping
@@ -175,30 +180,30 @@
         self, service: str, order_key: str
     ) -> version_trial.TrialEvidence:
         """Returns the total evidence of all other entries on a roll-out."""
-        total = self.retired.get(
+        total = self.ended_evidence.get(
             f"{service}/{order_key}", version_trial.TrialEvidence()
         )
-        for known in self.heard.values():
-            for trial in known.news.trials:
-                same = trial.key == order_key
-                if trial.service == service and same:
-                    total = total.plus(read_evidence(trial))
+        for known in self.peers.values():
+            for trial in known.heartbeat.trials:
+                is_same_order = trial.key == order_key
+                if trial.service == service and is_same_order:
+                    total = total.plus(decode_evidence(trial))
         return total
 
 
-def read_evidence(trial: messages.TrialReport) -> version_trial.TrialEvidence:
+def decode_evidence(trial: messages.TrialReport) -> version_trial.TrialEvidence:
     """Converts a roll-out's counts in a heartbeat to evidence."""
     return version_trial.TrialEvidence(
         {
-            found.route: version_trial.Comparison(
-                target=read_counts(found.target),
-                incumbent=read_counts(found.incumbent),
+            report.route: version_trial.Comparison(
+                target=decode_counts(report.target),
+                incumbent=decode_counts(report.incumbent),
             )
-            for found in trial.routes
+            for report in trial.routes
         }
     )
 
 
-def read_counts(found: messages.CountReport) -> version_trial.AnswerCounts:
+def decode_counts(report: messages.CountReport) -> version_trial.AnswerCounts:
     """Converts counts in a heartbeat to `AnswerCounts`."""
-    return version_trial.AnswerCounts(**msgspec.structs.asdict(found))
+    return version_trial.AnswerCounts(**msgspec.structs.asdict(report))
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/rollouts.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/rollouts.py
@@ -387,7 +387,7 @@
         return []
     if now - state.rollout_recorded_at.get(service, 0.0) < RECORD_RETRY_S:
         return []
-    if state.stopping or not state.entries.is_first(now=now):
+    if state.stopping or not state.entries.has_first_name(now=now):
         return []
     state.rollout_recorded_at[service] = now
     return [
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/store_reading.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/store_reading.py
@@ -69,7 +69,7 @@
     A reader asks only readers whose names sort before its own.
     """
     settings = state.settings
-    near = state.entries.list_live_near(settings.data_centre, now=now)
+    near = state.entries.list_live_in(settings.data_centre, now=now)
     readers = [each for each in near if each.reads]
     if state.relay.is_reader:
         readers = [each for each in readers if each.name < settings.name]
@@ -141,7 +141,7 @@
 def is_first_in_data_centre(state: states.RouterState, *, now: float) -> bool:
     """Returns whether this entry's name sorts first in its data centre."""
     settings = state.settings
-    near = state.entries.list_live_near(settings.data_centre, now=now)
+    near = state.entries.list_live_in(settings.data_centre, now=now)
     return all(settings.name < each.name for each in near)
 
 
