--- a/packages/rhubarbbank-router/src/rhubarbbank_router/carriers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeat_forwarding.py
@@ -36,58 +36,61 @@
 MS_PER_S = 1000.0
 
 
-def shorten(news: messages.Heartbeat) -> messages.Heartbeat:
+def remove_small_loads(heartbeat: messages.Heartbeat) -> messages.Heartbeat:
     """Returns a heartbeat without the loads that are too small to matter."""
-    least_ms = defaults.REMOTE_MIN_REPORTED_WORK_MS
-    loads = tuple(each for each in news.loads if each.work_ms >= least_ms)
-    return msgspec.structs.replace(news, loads=loads)
+    min_work_ms = defaults.REMOTE_MIN_REPORTED_WORK_MS
+    loads = tuple(
+        each for each in heartbeat.loads if each.work_ms >= min_work_ms
+    )
+    return msgspec.structs.replace(heartbeat, loads=loads)
 
 
-def leave_out_sessions(news: messages.Heartbeat) -> messages.Heartbeat:
+def remove_kept_sessions(heartbeat: messages.Heartbeat) -> messages.Heartbeat:
     """Returns a heartbeat without the sessions that keep their version.
 
     Each entry reports all such sessions that it knows of, so that one list per
     bundle is enough.
     """
     trials = tuple(
-        msgspec.structs.replace(each, kept_sessions=()) for each in news.trials
+        msgspec.structs.replace(each, kept_sessions=())
+        for each in heartbeat.trials
     )
-    return msgspec.structs.replace(news, trials=trials)
+    return msgspec.structs.replace(heartbeat, trials=trials)
 
 
-def find_period_s(state: states.RouterState) -> float:
+def get_bundle_period_s(state: states.RouterState) -> float:
     """Returns the interval between two bundles, in seconds."""
     if any(not each.is_finished for each in state.trials.values()):
         return defaults.TRIAL_BUNDLE_PERIOD_S
     return defaults.BUNDLE_PERIOD_S
 
 
-def note_beat(state: states.RouterState, *, now: float) -> None:
+def pause_if_suspended(state: states.RouterState, *, now: float) -> None:
     """Pauses forwarding if the heartbeat about to be sent is late.
 
     A late heartbeat shows that this entry was suspended.
     """
-    if is_overdue(state, now=now):
+    if is_heartbeat_late(state, now=now):
         state.may_carry_from = now + defaults.PEER_TIMEOUT_S
 
 
-def is_overdue(state: states.RouterState, *, now: float) -> bool:
+def is_heartbeat_late(state: states.RouterState, *, now: float) -> bool:
     """Returns whether the next heartbeat is late: the entry was suspended."""
     return 0.0 < state.next_heartbeat_at < now - defaults.SUSPENDED_S
 
 
-def may_carry(state: states.RouterState, *, now: float) -> bool:
+def may_forward(state: states.RouterState, *, now: float) -> bool:
     """Returns whether the ages of received heartbeats can be trusted."""
-    return now >= state.may_carry_from and not is_overdue(state, now=now)
+    return now >= state.may_carry_from and not is_heartbeat_late(state, now=now)
 
 
-def find_rank(state: states.RouterState, *, now: float) -> int | None:
+def compute_rank(state: states.RouterState, *, now: float) -> int | None:
     """Returns this entry's rank as a forwarder; None if it isn't one."""
-    if state.stopping or not may_carry(state, now=now):
+    if state.stopping or not may_forward(state, now=now):
         return None
     settings = state.settings
-    near = state.entries.list_live_in(settings.data_centre, now=now)
-    rank = sum(each.name < settings.name for each in near)
+    nearby = state.entries.list_live_in(settings.data_centre, now=now)
+    rank = sum(each.name < settings.name for each in nearby)
     return rank if rank < defaults.CARRIERS else None
 
 
@@ -95,16 +98,16 @@
     state: states.RouterState, *, now: float
 ) -> list[effects.Effect]:
     """Updates this entry's rank; returns a log line if it has changed."""
-    rank = find_rank(state, now=now)
+    rank = compute_rank(state, now=now)
     if rank == state.carrier_rank:
         return []
     state.carrier_rank = rank
-    near = state.entries.list_live_in(state.settings.data_centre, now=now)
+    nearby = state.entries.list_live_in(state.settings.data_centre, now=now)
     return [
         fx.LogDecision(
             decision="carrying_ended" if rank is None else "carrying_begun",
             reason=explain_rank(state, rank, now=now),
-            inputs=(("live_nearby", len(near)),),
+            inputs=(("live_nearby", len(nearby)),),
         )
     ]
 
@@ -117,7 +120,7 @@
         return f"place {rank + 1} by name"
     if state.stopping:
         return "stopping"
-    if not may_carry(state, now=now):
+    if not may_forward(state, now=now):
         return "was suspended"
     return "others come first by name"
 
@@ -130,23 +133,28 @@
     This entry's own data centre is left out. A data centre with too few entries
     is represented by its last one.
     """
-    by_place: dict[str, list[messages.Heartbeat]] = {}
-    for news in state.entries.list_live(now=now):
-        if news.data_centre != state.settings.data_centre and not news.stopping:
-            by_place.setdefault(news.data_centre, []).append(news)
+    by_data_centre: dict[str, list[messages.Heartbeat]] = {}
+    for heartbeat in state.entries.list_live(now=now):
+        if (
+            heartbeat.data_centre != state.settings.data_centre
+            and not heartbeat.stopping
+        ):
+            by_data_centre.setdefault(heartbeat.data_centre, []).append(
+                heartbeat
+            )
     receivers: list[str] = []
-    for found in by_place.values():
-        found.sort(key=lambda each: each.name)
-        receivers.append(found[min(rank, len(found) - 1)].address)
+    for live in by_data_centre.values():
+        live.sort(key=lambda each: each.name)
+        receivers.append(live[min(rank, len(live) - 1)].address)
     return receivers
 
 
-def list_unheard(
+def filter_unheard(
     state: states.RouterState, addresses: list[str], *, now: float
 ) -> list[str]:
     """Returns the addresses of entries that haven't been heard from lately."""
-    heard = {each.address for each in state.entries.list_live(now=now)}
-    return [each for each in addresses if each not in heard]
+    live = {each.address for each in state.entries.list_live(now=now)}
+    return [each for each in addresses if each not in live]
 
 
 def send_bundles(
@@ -157,22 +165,22 @@
     rank = state.carrier_rank
     if rank is None:
         return out
-    told = (
-        messages.ForwardedHeartbeat(age_ms=0, news=shorten(own)),
+    forwarded = (
+        messages.ForwardedHeartbeat(age_ms=0, news=remove_small_loads(own)),
         *(
             messages.ForwardedHeartbeat(
-                age_ms=measure_age_ms(known, now=now),
-                news=leave_out_sessions(shorten(known.heartbeat)),
+                age_ms=compute_age_ms(known, now=now),
+                news=remove_kept_sessions(remove_small_loads(known.heartbeat)),
             )
-            for known in list_known_near(state, now=now)
+            for known in list_live_peers_nearby(state, now=now)
         ),
     )
-    bundle = messages.HeartbeatBundle(told=told, onward=True)
+    bundle = messages.HeartbeatBundle(told=forwarded, onward=True)
     receivers = list_receivers(state, rank, now=now)
     return [*out, *(core_effects.Send(each, bundle) for each in receivers)]
 
 
-def list_known_near(
+def list_live_peers_nearby(
     state: states.RouterState, *, now: float
 ) -> list[peers.KnownPeer]:
     """Returns the live entries of this data centre, also stopping ones."""
@@ -184,19 +192,19 @@
     ]
 
 
-def measure_age_ms(known: peers.KnownPeer, *, now: float) -> int:
+def compute_age_ms(known: peers.KnownPeer, *, now: float) -> int:
     """Returns a heartbeat's age, rounded up so that it never looks newer."""
     return math.ceil((now - known.received_at) * MS_PER_S)
 
 
-def hand_on(
+def forward_bundle(
     state: states.RouterState, bundle: messages.HeartbeatBundle, *, now: float
 ) -> list[effects.Effect]:
     """Forwards a remote bundle to the entries of this data centre."""
-    if not bundle.onward or not may_carry(state, now=now):
+    if not bundle.onward or not may_forward(state, now=now):
         return []
     onward = msgspec.structs.replace(bundle, onward=False)
     return [
         core_effects.Send(known.heartbeat.address, onward)
-        for known in list_known_near(state, now=now)
+        for known in list_live_peers_nearby(state, now=now)
     ]
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
@@ -2,17 +2,17 @@
 
 Entries of the same data centre get a heartbeat twice a second, and a load
 update in between when long work starts. Other data centres get heartbeats less
-often, in forwarded bundles if they have many entries (see `carriers`). Every
-message from another entry arrives here and is dispatched to the modules that
-use its contents.
+often, and in bundles if they have many entries (see `heartbeat_forwarding`).
+Every message from another entry arrives here and is dispatched to the modules
+that use its contents.
 """
 
 from rhubarbbank_core import effects as core_effects
 from rhubarbbank_core import program_effects as fx
-from rhubarbbank_router import carriers
 from rhubarbbank_router import defaults
 from rhubarbbank_router import effects
 from rhubarbbank_router import engine_load
+from rhubarbbank_router import heartbeat_forwarding
 from rhubarbbank_router import messages
 from rhubarbbank_router import rollouts
 from rhubarbbank_router import state as states
@@ -66,7 +66,7 @@
 
     Each heartbeat counts from the time at which the forwarder received it.
     """
-    out = carriers.hand_on(state, bundle, now=now)
+    out = heartbeat_forwarding.forward_bundle(state, bundle, now=now)
     for each in bundle.told:
         received_at = now - each.age_ms / MS_PER_S
         if state.entries.is_outdated(each.news, received_at=received_at):
@@ -140,7 +140,7 @@
     Expired state is removed, the retry budget gets the number of entries, and
     the gauges are reported.
     """
-    carriers.note_beat(state, now=now)
+    heartbeat_forwarding.pause_if_suspended(state, now=now)
     state.next_heartbeat_at = now + defaults.HEARTBEAT_PERIOD_S
     state.next_load_update_at = None
     out = forget(state, now=now)
@@ -193,11 +193,15 @@
         )
         return send_each(addresses, news)
     if not pressing:
-        addresses = carriers.list_unheard(state, addresses, now=now)
-    out = send_each(addresses, carriers.shorten(news))
+        addresses = heartbeat_forwarding.filter_unheard(
+            state, addresses, now=now
+        )
+    out = send_each(addresses, heartbeat_forwarding.remove_small_loads(news))
     if due:
-        state.next_remote_heartbeat_at = now + carriers.find_period_s(state)
-        out += carriers.send_bundles(state, news, now=now)
+        state.next_remote_heartbeat_at = (
+            now + heartbeat_forwarding.get_bundle_period_s(state)
+        )
+        out += heartbeat_forwarding.send_bundles(state, news, now=now)
     return out
 
 
