--- a/features/steps/platform_configuration_steps.py
+++ b/features/steps/platform_configuration_steps.py
@@ -104,7 +104,7 @@
         api=context.objects,
         apply=context.world.apply,
         clock=lambda: context.world.now,
-        reading=context.world.router,
+        read_policy=context.world.router,
     )
     context.routes = [build_route(n) for n in range(count)]
     context.objects.put(context.routes)
--- a/features/steps/platform_stop_steps.py
+++ b/features/steps/platform_stop_steps.py
@@ -122,7 +122,9 @@
         context.sending.writer.write(HEAD)
         await asyncio.sleep(head)
         stand = Stand(server=server, site=site)
-        entry_service.EntryService.close_intake(stand, effects.StopAccepting())
+        entry_service.EntryService.stop_accepting(
+            stand, effects.StopAccepting()
+        )
         asks = [
             asyncio.create_task(x.ask(head_after_s=head, body_after_s=body))
             for x in (context.kept, context.new)
--- a/features/support/growing_store.py
+++ b/features/support/growing_store.py
@@ -37,10 +37,10 @@
     async def follow(self, longer_s):
         """Follows while they register, and a little longer."""
         follower = store_follower.StoreFollower(
-            api=self, apply=self.apply, clock=self.clock, reading=self
+            api=self, apply=self.apply, clock=self.clock, read_policy=self
         )
         kind = store_follower.FOLLOWED_KINDS[0]
-        following = asyncio.ensure_future(follower.follow(kind))
+        following = asyncio.ensure_future(follower.follow_kind(kind))
         for _ in range(self.count):
             self.registered += 1
             await asyncio.sleep(self.period_s / self.count)
@@ -63,7 +63,7 @@
         body = {"items": items, "store_revision": self.registered}
         return answer(body)
 
-    async def watch(self, kind, *, revision, wait_s, may_be_old=False):
+    async def watch(self, kind, *, revision, wait_s, allow_stale=False):
         until = self.clock() + wait_s
         while self.registered <= revision and self.clock() < until:
             await asyncio.sleep(0.005)
