--- a/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
@@ -21,45 +21,45 @@
 
 MS_PER_S = 1000.0
 # Maximum number of fingerprints in one log line.
-MOST_LOGGED = 8
+MAX_LOGGED_FINGERPRINTS = 8
 
 
-def take_news(
+def handle_message(
     state: states.RouterState, message: core_effects.Message, *, now: float
 ) -> list[effects.Effect]:
     """Handles a message from another entry."""
     match message:
         case messages.Heartbeat():
-            return take_heartbeat(state, message, now=now)
+            return handle_heartbeat(state, message, now=now)
         case messages.LoadUpdate(name=name, loads=loads):
             state.remote_work.update(name, loads, now=now)
             return []
         case messages.HeartbeatBundle():
-            return take_bundle(state, message, now=now)
+            return handle_bundle(state, message, now=now)
         case messages.StoreUpdateRequest():
             return store_reading.handle_ask(state, message, now=now)
         case messages.StoreUpdate():
-            return take_told(state, message, now=now)
+            return handle_store_update(state, message, now=now)
         case _:
             return []
 
 
-def take_told(
-    state: states.RouterState, told: messages.StoreUpdate, *, now: float
+def handle_store_update(
+    state: states.RouterState, update: messages.StoreUpdate, *, now: float
 ) -> list[effects.Effect]:
     """Handles an update from an entry that reads the store."""
     if not state.relay.is_reader:
-        store_reading.record_store_answer(state, told, now=now)
-    is_current = store_reading.apply_proof(state, told)
+        store_reading.record_store_answer(state, update, now=now)
+    is_current = store_reading.apply_proof(state, update)
     out: list[effects.Effect] = []
-    for event in store_reading.build_upstream_events(state, told):
+    for event in store_reading.build_upstream_events(state, update):
         out += upstream_list.handle_event(state, event, now=now)
     if is_current:
-        store_reading.record_reader_freshness(state, told, now=now)
+        store_reading.record_reader_freshness(state, update, now=now)
     return out
 
 
-def take_bundle(
+def handle_bundle(
     state: states.RouterState, bundle: messages.HeartbeatBundle, *, now: float
 ) -> list[effects.Effect]:
     """Forwards a bundle and applies its heartbeats.
@@ -71,11 +71,11 @@
         received_at = now - each.age_ms / MS_PER_S
         if state.entries.is_outdated(each.news, received_at=received_at):
             continue
-        out += take_heartbeat(state, each.news, now=received_at)
+        out += handle_heartbeat(state, each.news, now=received_at)
     return out
 
 
-def take_heartbeat(
+def handle_heartbeat(
     state: states.RouterState, message: messages.Heartbeat, *, now: float
 ) -> list[effects.Effect]:
     """Applies a heartbeat from another entry.
@@ -85,17 +85,17 @@
         message: The heartbeat.
         now: Time at which it was first received, in seconds.
     """
-    is_new = state.entries.update(message, now=now)
-    learnt = state.suspects.merge(message.suspects, now=now)
+    is_new_incarnation = state.entries.update(message, now=now)
+    reported = state.suspects.merge(message.suspects, now=now)
     state.remote_work.update(message.name, message.loads, now=now)
     rollouts.merge_news(state, message, now=now)
     out = [
-        log_told_suspect(state, message.name, fingerprint)
-        for fingerprint in learnt
+        log_reported_suspect(state, message.name, fingerprint)
+        for fingerprint in reported
         if state.suspects.count_crashes(fingerprint) != 1
     ]
-    out += take_leaving(state, message)
-    if not is_new:
+    out += record_leaving_upstreams(state, message)
+    if not is_new_incarnation:
         return out
     return [
         *out,
@@ -107,7 +107,7 @@
     ]
 
 
-def log_told_suspect(
+def log_reported_suspect(
     state: states.RouterState, peer: str, fingerprint: str
 ) -> effects.Effect:
     """Returns the log line for a crash suspect that a peer reported."""
@@ -118,7 +118,7 @@
     )
 
 
-def take_leaving(
+def record_leaving_upstreams(
     state: states.RouterState, message: messages.Heartbeat
 ) -> list[effects.Effect]:
     """Records upstreams that told another entry that they shut down."""
@@ -134,7 +134,9 @@
     ]
 
 
-def send_news(state: states.RouterState, *, now: float) -> list[effects.Effect]:
+def send_heartbeat(
+    state: states.RouterState, *, now: float
+) -> list[effects.Effect]:
     """Sends this entry's heartbeat and performs the periodic upkeep.
 
     Expired state is removed, the retry budget gets the number of entries, and
@@ -143,13 +145,13 @@
     heartbeat_forwarding.pause_if_suspended(state, now=now)
     state.next_heartbeat_at = now + defaults.HEARTBEAT_PERIOD_S
     state.next_load_update_at = None
-    out = forget(state, now=now)
+    out = remove_expired(state, now=now)
     live = state.entries.list_live(now=now)
     known = max(len(live), len(state.entries.registered))
     if known:
         state.budget.record_entry_count(known + 1, now=now)
     settings = state.settings
-    news = messages.Heartbeat(
+    heartbeat = messages.Heartbeat(
         name=settings.name,
         incarnation=state.incarnation,
         address=settings.peer_address,
@@ -161,20 +163,22 @@
         data_centre=settings.data_centre,
         reads=state.relay.is_reader,
     )
-    near = state.entries.list_addresses_in(settings.data_centre)
-    out += [core_effects.Send(address, news) for address in near]
-    out += send_far_news(state, news, now=now, near=frozenset(near))
+    nearby = state.entries.list_addresses_in(settings.data_centre)
+    out += [core_effects.Send(address, heartbeat) for address in nearby]
+    out += send_remote_heartbeat(
+        state, heartbeat, now=now, nearby=frozenset(nearby)
+    )
     out.append(fx.Gauge("open_requests", len(state.open_requests)))
     out.append(fx.Gauge("upstreams", len(state.view.tracked)))
     return out
 
 
-def send_far_news(
+def send_remote_heartbeat(
     state: states.RouterState,
-    news: messages.Heartbeat,
+    heartbeat: messages.Heartbeat,
     *,
     now: float,
-    near: frozenset[str],
+    nearby: frozenset[str],
 ) -> list[effects.Effect]:
     """Sends the heartbeat to other data centres if it is due or urgent.
 
@@ -182,52 +186,60 @@
     bundles carry the heartbeats, and a direct one goes to all remote entries
     only if it is urgent, else to those that have not been heard from lately.
     """
-    pressing, state.is_heartbeat_urgent = state.is_heartbeat_urgent, False
-    due = now >= state.next_remote_heartbeat_at
-    if not due and not pressing:
+    is_urgent, state.is_heartbeat_urgent = state.is_heartbeat_urgent, False
+    is_due = now >= state.next_remote_heartbeat_at
+    if not is_due and not is_urgent:
         return []
-    addresses = [x for x in state.entries.list_addresses() if x not in near]
+    addresses = [x for x in state.entries.list_addresses() if x not in nearby]
     if len(addresses) <= defaults.MAX_REMOTE_ENTRIES_FULL_HEARTBEAT:
         state.next_remote_heartbeat_at = (
             now + defaults.REMOTE_HEARTBEAT_PERIOD_S
         )
-        return send_each(addresses, news)
-    if not pressing:
+        return send_to_each(addresses, heartbeat)
+    if not is_urgent:
         addresses = heartbeat_forwarding.filter_unheard(
             state, addresses, now=now
         )
-    out = send_each(addresses, heartbeat_forwarding.remove_small_loads(news))
-    if due:
+    out = send_to_each(
+        addresses, heartbeat_forwarding.remove_small_loads(heartbeat)
+    )
+    if is_due:
         state.next_remote_heartbeat_at = (
             now + heartbeat_forwarding.get_bundle_period_s(state)
         )
-        out += heartbeat_forwarding.send_bundles(state, news, now=now)
+        out += heartbeat_forwarding.send_bundles(state, heartbeat, now=now)
     return out
 
 
-def send_each(
-    addresses: list[str], news: messages.Heartbeat
+def send_to_each(
+    addresses: list[str], heartbeat: messages.Heartbeat
 ) -> list[effects.Effect]:
     """Returns the effects that send a heartbeat to each address."""
-    return [core_effects.Send(address, news) for address in addresses]
+    return [core_effects.Send(address, heartbeat) for address in addresses]
 
 
-def send_pressing_news(
+def send_urgent_heartbeat(
     state: states.RouterState, *, now: float
 ) -> list[effects.Effect]:
     """Sends a heartbeat immediately, also to other data centres."""
     state.is_heartbeat_urgent = True
-    return send_news(state, now=now)
+    return send_heartbeat(state, now=now)
 
 
-def forget(state: states.RouterState, *, now: float) -> list[effects.Effect]:
+def remove_expired(
+    state: states.RouterState, *, now: float
+) -> list[effects.Effect]:
     """Removes expired sessions, peer load, crash suspects and entries."""
     alive_s = state.settings.bounds.session_s + defaults.SESSION_MARGIN_S
     state.sessions.remove_expired(now=now, alive_s=alive_s)
     state.remote_work.drop_expired(now=now)
     out = [
-        *log_forgotten(state.suspects.remove_expired(now=now), reason="old"),
-        *log_forgotten(state.suspects.evict_excess(), reason="want of room"),
+        *log_removed_suspects(
+            state.suspects.remove_expired(now=now), reason="old"
+        ),
+        *log_removed_suspects(
+            state.suspects.evict_excess(), reason="want of room"
+        ),
     ]
     for name in state.entries.remove_expired(now=now):
         out.append(fx.LogDecision(decision="entry_silent", reason=name))
@@ -235,7 +247,7 @@
     return out
 
 
-def log_forgotten(
+def log_removed_suspects(
     fingerprints: list[str], *, reason: str
 ) -> list[effects.Effect]:
     """Returns the log line and count of removed crash suspects, if any."""
@@ -247,14 +259,17 @@
             reason=reason,
             inputs=(
                 ("count", len(fingerprints)),
-                ("fingerprints", ",".join(fingerprints[:MOST_LOGGED])),
+                (
+                    "fingerprints",
+                    ",".join(fingerprints[:MAX_LOGGED_FINGERPRINTS]),
+                ),
             ),
         ),
         fx.Count("suspects_forgotten", len(fingerprints)),
     ]
 
 
-def send_loads(
+def send_load_update(
     state: states.RouterState, *, now: float
 ) -> list[effects.Effect]:
     """Sends the load to entries of this data centre between heartbeats."""
@@ -263,5 +278,5 @@
         name=state.settings.name,
         loads=engine_load.list_loads(state.view, now=now),
     )
-    near = state.entries.list_addresses_in(state.settings.data_centre)
-    return [core_effects.Send(address, loads) for address in near]
+    nearby = state.entries.list_addresses_in(state.settings.data_centre)
+    return [core_effects.Send(address, loads) for address in nearby]
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
@@ -104,7 +104,7 @@
             case core_events.Ticked():
                 return self.tick(now)
             case core_events.MessageReceived(message):
-                return heartbeats.take_news(state, message, now=now)
+                return heartbeats.handle_message(state, message, now=now)
             case core_events.StopRequested():
                 return self.stop(now)
             case _:
@@ -290,12 +290,12 @@
                 )
             )
         if now >= state.next_heartbeat_at:
-            out += heartbeats.send_news(state, now=now)
+            out += heartbeats.send_heartbeat(state, now=now)
         elif (
             state.next_load_update_at is not None
             and now >= state.next_load_update_at
         ):
-            out += heartbeats.send_loads(state, now=now)
+            out += heartbeats.send_load_update(state, now=now)
         if state.stopping:
             out += self.exit_if_idle(now)
         return out
@@ -313,7 +313,7 @@
                 inputs=(("open", len(state.open_requests)),),
             ),
             effects.DisableKeepAlive(),
-            *heartbeats.send_pressing_news(state, now=now),
+            *heartbeats.send_urgent_heartbeat(state, now=now),
         ]
 
     def exit_if_idle(self, now: float) -> list[effects.Effect]:
