--- a/features/platform_names.feature
+++ b/features/platform_names.feature
@@ -1,8 +1,8 @@
 @quick
-Feature: Only one folder knows the users' platform's names
+Feature: Only the adapter uses the platform's names
 
-  Scenario: No wire name stands outside the folder
-    Then no header or field name of the platform stands in the packages
+  Scenario: The packages contain no names of the platform's interfaces
+    Then no header or field name of the platform occurs in the packages
 
-  Scenario: The folder is small
-    Then the folder is under a tenth of the product's lines
+  Scenario: The adapter is small
+    Then the adapter has less than a tenth of the product's lines
--- a/features/steps/platform_names_steps.py
+++ b/features/steps/platform_names_steps.py
@@ -1,4 +1,4 @@
-"""Steps that hold the platform's names in their folder."""
+"""Steps that check that only the adapter uses the platform's names."""
 
 import pathlib
 import re
@@ -9,8 +9,8 @@
 from rhubarbbank_platform import wire
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
-# Words that any router would use, or that our own interface has as well.
-COMMON = {
+# Generic names, and names that the product's own interface uses as well.
+GENERIC_NAMES = {
     "X-Deadline-Ms",
     "X-Model",
     "Authorization",
@@ -20,7 +20,7 @@
     "*",
     "bearer ",
 }
-COMMON_FIELDS = re.compile(
+GENERIC_FIELDS = re.compile(
     "^(name|host|kind|priority|sizes|service|weight|max_attempts|public|"
     "resumable|cost|models|version|routes|services|limits|state|zone|slots|"
     "target|duration_s|address|revision|items|events|object|removed|spec|"
@@ -47,22 +47,22 @@
 
 
 def list_names():
-    found = {
+    names = {
         value
         for name, value in vars(headers).items()
         if name.isupper() and isinstance(value, str)
     }
-    found -= COMMON
+    names -= GENERIC_NAMES
     fields = {
         field
         for struct in STRUCTS
         for field in struct.__struct_fields__
-        if not COMMON_FIELDS.match(field)
+        if not GENERIC_FIELDS.match(field)
     }
-    return found, fields
+    return names, fields
 
 
-@then("no header or field name of the platform stands in the packages")
+@then("no header or field name of the platform occurs in the packages")
 def check_names(context):
     names, fields = list_names()
     assert len(names) > 10, names
@@ -76,7 +76,7 @@
             assert not re.search(rf"\b{field}\b", text), (path, field)
 
 
-@then("the folder is under a tenth of the product's lines")
+@then("the adapter has less than a tenth of the product's lines")
 def check_size(context):
     adapter = sum(x.count("\n") for x in read_sources("platform").values())
     product = sum(x.count("\n") for x in read_sources("packages").values())
