--- a/features/platform_cancel.feature
+++ b/features/platform_cancel.feature
@@ -1,11 +1,11 @@
 @quick
-Feature: An exchange that is broken off harms no other
+Feature: Cancelling an exchange doesn't affect other connections
 
   Scenario: An attempt at an upstream
-    Then breaking off an attempt while it connects closes nobody else's socket
+    Then cancelling an attempt while it connects closes no other socket
 
   Scenario: A call to the store
-    Then breaking off a store call while it connects closes nobody else's socket
+    Then cancelling a store call while it connects closes no other socket
 
-  Scenario: A call to the object API of the own interface
-    Then breaking off an object call while it connects closes no other socket
+  Scenario: A call to the object API of the product's own interface
+    Then cancelling an object call while it connects closes no other socket
--- a/features/steps/platform_cancel_steps.py
+++ b/features/steps/platform_cancel_steps.py
@@ -1,4 +1,10 @@
-"""Steps that break exchanges off while they connect."""
+"""Steps that cancel exchanges while they connect.
+
+They guard against this failure: if an exchange is cancelled just when its
+connection is made, the event loop closes the socket's descriptor, and the
+socket object closes the same number again when it is garbage collected. By
+then, the number may belong to another connection.
+"""
 
 import asyncio
 import os
@@ -15,23 +21,23 @@
 from rhubarbbank_runtime import store_http
 from rhubarbbank_runtime import watched_socket
 
-MOST_TURNS = 12
+MAX_ITERATIONS = 12
 ROUNDS = 10
 
 
-async def hold(reader, writer):
-    """Takes a request and never answers."""
+async def handle_silently(reader, writer):
+    """Reads a request and never answers."""
     await reader.read()
     writer.close()
 
 
-async def break_off(begin, middlewares=()):
-    """Breaks exchanges off after any number of turns of the loop.
+async def cancel_exchanges(start, middlewares=()):
+    """Cancels exchanges after 0 to 11 iterations of the event loop.
 
     Returns:
-        How many descriptors of others were closed by it.
+        The number of unrelated file descriptors that this closed.
     """
-    server = await asyncio.start_server(hold, raw_servers.LOCAL, 0)
+    server = await asyncio.start_server(handle_silently, raw_servers.LOCAL, 0)
     port = server.sockets[0].getsockname()[1]
     closed = 0
     async with aiohttp.ClientSession(
@@ -41,17 +47,17 @@
         response_class=runners.CloseTrackingResponse,
         middlewares=middlewares,
     ) as session:
-        for turns in list(range(MOST_TURNS)) * ROUNDS:
-            task = asyncio.ensure_future(begin(session, port))
-            for _ in range(turns):
+        for iterations in list(range(MAX_ITERATIONS)) * ROUNDS:
+            task = asyncio.ensure_future(start(session, port))
+            for _ in range(iterations):
                 await asyncio.sleep(0)
             task.cancel()
             await asyncio.wait([task])
-            # These get the numbers of descriptors that are free now.
-            others = os.pipe()
+            # The pipe reuses the descriptor numbers that are free now.
+            unrelated = os.pipe()
             del task
             await asyncio.sleep(0)
-            for descriptor in others:
+            for descriptor in unrelated:
                 try:
                     os.fstat(descriptor)
                     os.close(descriptor)
@@ -62,10 +68,10 @@
 
 
 async def call_upstream(session, port):
-    exchange = runners.UpstreamClient(
+    client = runners.UpstreamClient(
         session=session, apply=lambda _: None, spawn=lambda _: None
     )
-    await exchange.exchange(raw_servers.build_sending(port=port))
+    await client.exchange(raw_servers.build_sending(port=port))
 
 
 async def call_store(session, port):
@@ -75,14 +81,14 @@
     await api.get("config", "main")
 
 
-@then("breaking off an attempt while it connects closes nobody else's socket")
+@then("cancelling an attempt while it connects closes no other socket")
 def check_attempts(context):
-    assert uvloop.run(break_off(call_upstream)) == 0
+    assert uvloop.run(cancel_exchanges(call_upstream)) == 0
 
 
-@then("breaking off a store call while it connects closes nobody else's socket")
+@then("cancelling a store call while it connects closes no other socket")
 def check_store_calls(context):
-    assert uvloop.run(break_off(call_store)) == 0
+    assert uvloop.run(cancel_exchanges(call_store)) == 0
 
 
 async def call_object_api(session, port):
@@ -99,7 +105,9 @@
     )
 
 
-@then("breaking off an object call while it connects closes no other socket")
+@then("cancelling an object call while it connects closes no other socket")
 def check_object_calls(context):
-    found = break_off(call_object_api, middlewares=http_session.MIDDLEWARES)
-    assert uvloop.run(found) == 0
+    count = cancel_exchanges(
+        call_object_api, middlewares=http_session.MIDDLEWARES
+    )
+    assert uvloop.run(count) == 0
