--- a/features/platform_endless.feature
+++ b/features/platform_endless.feature
@@ -1,21 +1,21 @@
 @quick
-Feature: An upstream's bytes that lead to no answer end its connection
+Feature: The HTTP client aborts exchanges whose bytes make no progress
 
-  Scenario Outline: Bytes without end in a head, or between the pieces of a body
+  Scenario Outline: An endless head, chunk header or trailer is aborted
     When an upstream sends <bytes> without end
-    Then the exchange breaks off by itself before 16 MB have come
+    Then the client aborts the exchange before it gets 16 MB
 
     Examples:
-      | bytes                  |
-      | a status line          |
-      | interim answers        |
-      | blank lines            |
-      | headers                |
-      | one header             |
-      | a chunk's size         |
-      | an extension of chunks |
-      | trailers               |
+      | bytes             |
+      | a status line     |
+      | interim responses |
+      | blank lines       |
+      | headers           |
+      | one header        |
+      | a chunk size      |
+      | a chunk extension |
+      | trailers          |
 
-  Scenario: A long answer in small chunks is no such thing
+  Scenario: A long answer in small chunks is received in full
     When an upstream sends 3 MB in chunks of 1 byte
-    Then all of its body has come
+    Then the client has received the whole body
--- a/features/steps/platform_endless_steps.py
+++ b/features/steps/platform_endless_steps.py
@@ -1,4 +1,4 @@
-"""Steps for upstreams that send bytes without end to the HTTP client."""
+"""Steps for upstreams that send endless answers to the HTTP client."""
 
 import asyncio
 
@@ -14,11 +14,11 @@
 from rhubarbbank_runtime import http_once
 from rhubarbbank_runtime import watched_socket
 
-MOST_S = 10.0
+TIMEOUT_S = 10.0
 
 
 async def exchange(context, answer):
-    """Sends an attempt to a server that answers so; keeps its events."""
+    """Sends an attempt to a server that runs `answer`; records the events."""
     context.applied = []
     session = aiohttp.ClientSession(
         connector=aiohttp.TCPConnector(
@@ -30,13 +30,13 @@
         middlewares=(http_once.send_once,),
     )
     async with endless_answers.serve(answer) as port, session:
-        sender = runners.UpstreamClient(
+        client = runners.UpstreamClient(
             session=session,
             apply=context.applied.append,
             spawn=lambda work: None,
         )
-        async with asyncio.timeout(MOST_S):
-            await sender.run(raw_servers.build_sending(port=port))
+        async with asyncio.timeout(TIMEOUT_S):
+            await client.run(raw_servers.build_sending(port=port))
 
 
 @when("an upstream sends {what} without end")
@@ -45,8 +45,8 @@
     uvloop.run(exchange(context, context.server.answer))
 
 
-@then("the exchange breaks off by itself before {most:d} MB have come")
-def check_broken_off(context, most):
+@then("the client aborts the exchange before it gets {most:d} MB")
+def check_aborted(context, most):
     ended = context.applied[-1]
     assert ended.end is events.AttemptEnd.BROKEN, ended
     sent_bytes = context.server.sent_bytes
@@ -59,23 +59,23 @@
 
     async def answer(writer):
         writer.write(endless_answers.CHUNKED)
-        for _ in range(context.sent_bytes // endless_answers.PIECE_BYTES):
-            writer.write(b"1\r\nx\r\n" * endless_answers.PIECE_BYTES)
+        for _ in range(context.sent_bytes // endless_answers.CHUNK_BYTES):
+            writer.write(b"1\r\nx\r\n" * endless_answers.CHUNK_BYTES)
             await writer.drain()
-        left = context.sent_bytes % endless_answers.PIECE_BYTES
-        writer.write(b"1\r\nx\r\n" * left)
+        remaining = context.sent_bytes % endless_answers.CHUNK_BYTES
+        writer.write(b"1\r\nx\r\n" * remaining)
         writer.write(b"0\r\n\r\n")
         await writer.drain()
 
     uvloop.run(exchange(context, answer))
 
 
-@then("all of its body has come")
+@then("the client has received the whole body")
 def check_body(context):
     assert context.applied[-1].end is events.AttemptEnd.COMPLETE
-    got = sum(
+    received_bytes = sum(
         len(each.data)
         for each in context.applied
         if isinstance(each, events.UpstreamData)
     )
-    assert got == context.sent_bytes, got
+    assert received_bytes == context.sent_bytes, received_bytes
--- a/features/support/raw_servers.py
+++ b/features/support/raw_servers.py
@@ -1,4 +1,4 @@
-"""What steps on single exchanges share: addresses and an attempt."""
+"""Helpers for steps that test single HTTP exchanges."""
 
 from rhubarbbank_router import effects
 
@@ -6,7 +6,7 @@
 
 
 def build_sending(*, port):
-    """Returns the effect that sends an attempt to a local port."""
+    """Returns the effect that sends an attempt to a port of this machine."""
     return effects.SendAttempt(
         request_id="a1",
         attempt=1,
