--- a/features/steps/platform_cancel_steps.py
+++ b/features/steps/platform_cancel_steps.py
@@ -37,7 +37,9 @@
     Returns:
         The number of unrelated file descriptors that this closed.
     """
-    server = await asyncio.start_server(handle_silently, raw_servers.LOCAL, 0)
+    server = await asyncio.start_server(
+        handle_silently, raw_servers.LOCALHOST, 0
+    )
     port = server.sockets[0].getsockname()[1]
     closed = 0
     async with aiohttp.ClientSession(
@@ -71,12 +73,12 @@
     client = runners.UpstreamClient(
         session=session, apply=lambda _: None, spawn=lambda _: None
     )
-    await client.exchange(raw_servers.build_sending(port=port))
+    await client.exchange(raw_servers.build_send_attempt(port=port))
 
 
 async def call_store(session, port):
     api = store_api.StoreApi(
-        address=f"{raw_servers.LOCAL}:{port}", session=session
+        address=f"{raw_servers.LOCALHOST}:{port}", session=session
     )
     await api.get("config", "main")
 
@@ -93,7 +95,9 @@
 
 async def call_object_api(session, port):
     api = store_http.StoreHttp(
-        url=f"http://{raw_servers.LOCAL}:{port}", session=session, client="t"
+        url=f"http://{raw_servers.LOCALHOST}:{port}",
+        session=session,
+        client="t",
     )
     await api.call(
         store.StoreCall(
--- a/features/steps/platform_endless_steps.py
+++ b/features/steps/platform_endless_steps.py
@@ -36,7 +36,7 @@
             spawn=lambda work: None,
         )
         async with asyncio.timeout(TIMEOUT_S):
-            await client.run(raw_servers.build_sending(port=port))
+            await client.run(raw_servers.build_send_attempt(port=port))
 
 
 @when("an upstream sends {what} without end")
--- a/features/steps/platform_failure_steps.py
+++ b/features/steps/platform_failure_steps.py
@@ -156,7 +156,7 @@
         spawn=lambda work: None,
     )
     with remember_log(runners.LOG.name):
-        uvloop.run(exchange.run(raw_servers.build_sending(port=1)))
+        uvloop.run(exchange.run(raw_servers.build_send_attempt(port=1)))
 
 
 @then("the router hears that the attempt broke off, and why")
@@ -181,10 +181,10 @@
         )
         writer.close()
 
-    server = await asyncio.start_server(answer, raw_servers.LOCAL, 0)
+    server = await asyncio.start_server(answer, raw_servers.LOCALHOST, 0)
     port = server.sockets[0].getsockname()[1]
     async with server, aiohttp.ClientSession() as session:
-        return await ask(f"{raw_servers.LOCAL}:{port}", session)
+        return await ask(f"{raw_servers.LOCALHOST}:{port}", session)
 
 
 async def read_configuration(address, session):
--- a/features/steps/platform_stop_steps.py
+++ b/features/steps/platform_stop_steps.py
@@ -37,7 +37,7 @@
 
     async def connect(self, port):
         self.reader, self.writer = await asyncio.open_connection(
-            raw_servers.LOCAL, port
+            raw_servers.LOCALHOST, port
         )
 
     async def exchange(self):
@@ -113,7 +113,7 @@
         server = caller_connection.BoundedServer(answer, bounds=lambda: BOUNDS)
         runner = web.ServerRunner(server, shutdown_timeout=context.end_s)
         await runner.setup()
-        site = web.TCPSite(runner, raw_servers.LOCAL, 0)
+        site = web.TCPSite(runner, raw_servers.LOCALHOST, 0)
         await site.start()
         port = runner.addresses[0][1]
         for caller in (context.kept, context.new, context.sending):
--- a/features/steps/sidecar_endless_steps.py
+++ b/features/steps/sidecar_endless_steps.py
@@ -23,7 +23,7 @@
     async with endless_answers.serve(answer) as port, session:
         await work(
             upstream_http.UpstreamHttp(
-                url=f"http://{raw_servers.LOCAL}:{port}",
+                url=f"http://{raw_servers.LOCALHOST}:{port}",
                 session=session,
                 apply=context.applied.append,
             )
@@ -109,11 +109,11 @@
 
     async def make_calls():
         session = http_session.open_session()
-        server = await asyncio.start_server(take, raw_servers.LOCAL, 0)
+        server = await asyncio.start_server(take, raw_servers.LOCALHOST, 0)
         port = server.sockets[0].getsockname()[1]
         async with server, session:
             upstream = upstream_http.UpstreamHttp(
-                url=f"http://{raw_servers.LOCAL}:{port}",
+                url=f"http://{raw_servers.LOCALHOST}:{port}",
                 session=session,
                 apply=context.applied.append,
             )
--- a/features/support/endless_answers.py
+++ b/features/support/endless_answers.py
@@ -59,6 +59,6 @@
             await answer(writer)
         writer.close()
 
-    server = await asyncio.start_server(handle, raw_servers.LOCAL, 0)
+    server = await asyncio.start_server(handle, raw_servers.LOCALHOST, 0)
     async with server:
         yield server.sockets[0].getsockname()[1]
--- a/features/support/raw_servers.py
+++ b/features/support/raw_servers.py
@@ -2,17 +2,17 @@
 
 from rhubarbbank_router import effects
 
-LOCAL = "127.0.0.1"
+LOCALHOST = "127.0.0.1"
 
 
-def build_sending(*, port):
+def build_send_attempt(*, port):
     """Returns the effect that sends an attempt to a port of this machine."""
     return effects.SendAttempt(
         request_id="a1",
         attempt=1,
         attempt_id="a1",
         upstream_id="i",
-        address=f"{LOCAL}:{port}",
+        address=f"{LOCALHOST}:{port}",
         method="GET",
         target="/",
         host="h",
