--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/bounded_answer.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/bounded_answer.py
@@ -1,9 +1,9 @@
-"""Bounds what an upstream may send that brings its answer no further.
+"""Limits how many bytes an upstream may send without any body data.
 
-The HTTP client bounds lines and the number of headers, but not interim
-answers, blank lines before an answer, or the framing of chunks: a faulty
-upstream may send these without end. So a protocol between connection and
-client counts bytes since the last byte of a body.
+The HTTP client limits the length of lines and the number of headers, but not
+interim responses, blank lines before a status line, or chunk framing, which a
+faulty upstream may send endlessly. A protocol between the transport and the
+client therefore counts the bytes received since the last byte of the body.
 """
 
 import asyncio
@@ -13,50 +13,51 @@
 import aiohttp
 from aiohttp import connector
 
-# More than one read of the event loop, in which head and body come together.
+# Larger than one read of the event loop, which may hold both head and body.
 MAX_BARREN_BYTES = 512 * 1024
 
 
 class InnerProtocol(Protocol):
-    """What the HTTP client's protocol takes from its connection."""
+    """The callbacks of the HTTP client's protocol."""
 
     def data_received(self, data: bytes) -> None:
-        """Takes bytes."""
+        """Handles received bytes."""
 
     def eof_received(self) -> bool | None:
-        """Takes the end of the other side's bytes."""
+        """Handles the end of the peer's data."""
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Takes the end of the connection."""
+        """Handles the loss of the connection."""
 
     def pause_writing(self) -> None:
-        """Stops writing for a time."""
+        """Pauses writing while the send buffer is full."""
 
     def resume_writing(self) -> None:
-        """Goes on writing."""
+        """Resumes writing once the send buffer has drained."""
 
 
 class BarrenAnswerError(OSError):
-    """An upstream sent too much that is no answer."""
+    """An upstream sent too many bytes without any body data."""
 
     def __init__(self) -> None:
         super().__init__(
-            f"over {MAX_BARREN_BYTES} bytes came without a byte of a body;"
-            " look at the upstream"
+            f"received over {MAX_BARREN_BYTES} bytes without any body data;"
+            " check the upstream"
         )
 
 
 class BoundedAnswer(asyncio.Protocol):
-    """Hands a connection's bytes on, and ends it if they lead nowhere.
+    """Forwards received bytes, and aborts a connection without body data.
 
     Attributes:
-        inner: Takes the bytes.
+        inner: The HTTP client's protocol, which receives the bytes.
         transport: The connection.
-        count_body: Returns how many bytes of the body have come, or None
-            before there is one.
-        body_bytes: What it returned last.
-        barren_bytes: Bytes that have come since that changed.
-        error: Why the connection was ended here; None if it wasn't.
+        count_body: Returns the number of body bytes received, or None before
+            the body begins.
+        body_bytes: The last result of `count_body`.
+        barren_bytes: Bytes received since that result changed.
+        error: The error for which this protocol aborted the connection, or
+            None.
     """
 
     def __init__(
@@ -74,7 +75,7 @@
         self.error: BarrenAnswerError | None = None
 
     def data_received(self, data: bytes) -> None:
-        """Hands bytes on, and counts those that bring no body."""
+        """Forwards bytes, and counts those without body data."""
         if self.error is not None:
             return
         self.inner.data_received(data)
@@ -89,29 +90,29 @@
             self.transport.abort()
 
     def eof_received(self) -> bool | None:
-        """Hands the end of the bytes on."""
+        """Forwards the end of the peer's data."""
         return self.inner.eof_received()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Hands the end of the connection on, with its reason."""
+        """Forwards the loss of the connection, with its cause."""
         self.inner.connection_lost(exc or self.error)
 
     def pause_writing(self) -> None:
-        """Hands on that the connection takes no more for now."""
+        """Forwards that the send buffer is full."""
         self.inner.pause_writing()
 
     def resume_writing(self) -> None:
-        """Hands on that the connection takes more."""
+        """Forwards that the send buffer has drained."""
         self.inner.resume_writing()
 
 
 class BoundedResponse(aiohttp.ClientResponse):
-    """An answer whose connection ends if its bytes lead nowhere."""
+    """A response whose bytes without body data are limited."""
 
     async def start(
         self, connection: connector.Connection
     ) -> aiohttp.ClientResponse:
-        """Waits for the head."""
+        """Wraps the connection's protocol, and waits for the head."""
         protocol, transport = connection.protocol, connection.transport
         if protocol is not None and transport is not None:
             transport.set_protocol(
@@ -124,5 +125,5 @@
         return await super().start(connection)
 
     def count_body(self) -> int | None:
-        """Returns how many bytes of the body have come; None before it."""
+        """Returns the number of body bytes received; None before the body."""
         return self.content.total_bytes if self.content else None
