--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/caller_connection.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/caller_connection.py
@@ -1,10 +1,10 @@
-"""Callers' connections: closes those that send a head, or rest, for too long.
+"""Enforces header and idle timeouts on callers' connections.
 
-aiohttp bounds how long a connection rests by one time for the server's whole
-life, and bounds neither a head that comes slowly nor the wait for the first
-one. Here a connection that serves no request has one timer, which follows the
-bounds in force when it is set: the time for a head once its first byte has
-come, the time of rest before that.
+aiohttp has one keep-alive timeout, which is fixed when the server starts, and
+no timeout for slowly sent headers or for the first request of a connection.
+Here each connection without an active request has one timer: the header
+timeout once the first byte of a head has arrived, the idle timeout before
+that. Each time the timer is set, it uses the timeouts configured at that time.
 """
 
 import asyncio
@@ -19,11 +19,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class WaitBounds:
-    """How long a caller may take, in seconds.
+    """The timeouts of a caller's connection, in seconds.
 
     Attributes:
-        head_s: From a head's first byte to its last.
-        idle_s: Between two requests of a connection.
+        head_s: From the first byte of a request's head to its last.
+        idle_s: From the opening of the connection, or the end of a request,
+            to the first byte of the next request.
     """
 
     head_s: float
@@ -31,12 +32,12 @@
 
 
 class BoundedConnection(web.RequestHandler):
-    """A caller's connection.
+    """A caller's connection with header and idle timeouts.
 
     Attributes:
-        bounds: Returns the bounds in force.
-        serving: Whether a request of it is being served.
-        head_begun: Whether bytes of the next head have come.
+        bounds: Returns the timeouts that are configured now.
+        serving: Whether a request is being served.
+        head_begun: Whether bytes of the next request's head have arrived.
         timer: Closes the connection; None while a request is served.
     """
 
@@ -56,17 +57,17 @@
         self.timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Begins to wait for the first request."""
+        """Starts the idle timeout for the first request."""
         super().connection_made(transport)
         self.rest()
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Stops waiting."""
+        """Stops the timer."""
         self.stop_timer()
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
-        """Takes bytes; those of a new head have to end in time."""
+        """Handles bytes; the first ones of a head start the header timeout."""
         if not self.serving and not self.head_begun:
             self.head_begun = True
             self.start_timer(self.bounds().head_s)
@@ -74,38 +75,38 @@
 
     @property
     def resting(self) -> bool:
-        """Whether no request of it is served or has begun to come."""
+        """Whether no request is being served or received."""
         return not self.serving and not self.head_begun
 
     def begin(self) -> None:
-        """Notes that a request is served from now on."""
+        """Stops the timer while a request is served."""
         self.serving = True
         self.stop_timer()
 
     def rest(self) -> None:
-        """Notes that the next request is waited for from now on."""
+        """Starts the idle timeout for the next request."""
         self.serving = False
         self.head_begun = False
         self.start_timer(self.bounds().idle_s)
 
     def start_timer(self, wait_s: float) -> None:
-        """Closes the connection after a time, unless a request begins."""
+        """Closes the connection after a time unless the timer is stopped."""
         self.stop_timer()
         self.timer = self.loop.call_later(wait_s, self.force_close)
 
     def stop_timer(self) -> None:
-        """Lets the connection go on."""
+        """Cancels the timer, if any."""
         if self.timer is not None:
             self.timer.cancel()
             self.timer = None
 
 
 class BoundedServer(web.Server):
-    """A server whose connections are bounded.
+    """A server whose connections have header and idle timeouts.
 
     Attributes:
-        bounds: Returns the bounds in force.
-        options: For each connection, as aiohttp names them.
+        bounds: Returns the timeouts that are configured now.
+        options: Keyword arguments for each `web.RequestHandler`.
     """
 
     def __init__(
@@ -129,7 +130,7 @@
         )
 
     def close_resting(self) -> None:
-        """Closes the connections on which no request is under way."""
+        """Closes the connections without a request in progress."""
         for connection in self.connections:
             assert isinstance(connection, BoundedConnection)
             if connection.resting:
@@ -138,13 +139,13 @@
 
 @contextlib.contextmanager
 def serve(request: web.BaseRequest) -> Iterator[None]:
-    """Keeps a request's connection open until the block ends."""
+    """Suspends the timeouts of a request's connection during the block."""
     connection = request.protocol
     assert isinstance(connection, BoundedConnection)
     connection.begin()
     try:
         yield
     finally:
-        # One that was closed meanwhile must not get a timer any more.
+        # A connection that has been closed meanwhile needs no timer.
         if connection.transport is not None:
             connection.rest()
