--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/caller_http.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/caller_http.py
@@ -1,9 +1,9 @@
-"""The HTTP side towards callers, operators and the balancer.
+"""The HTTP server for callers.
 
-Each request becomes an `Exchange`. The reducer's effects fill it; its handler
-writes what has gathered since the last write in one go, and waits for the
-caller to take it. A caller that reads too slowly or hangs up becomes a
-`CallerGone` event.
+Each request has an `Exchange`, to which the reducer's effects add the answer.
+The request's handler writes everything added since its last write at once,
+and waits until the caller has received it. If a caller reads too slowly or
+closes its connection, the reducer gets a `CallerGone` event.
 """
 
 import asyncio
@@ -35,16 +35,16 @@
 
 
 class Exchange:
-    """One caller's open request.
+    """One open request and the state of its answer.
 
     Attributes:
-        request_id: The request.
-        ready: Set when there is something to do.
-        start: Effect that began the stream, or None.
-        unsent: Bytes to write.
-        whole: The whole answer, or None.
-        problem: The error to answer, or None.
-        ended: Whether nothing more comes.
+        request_id: Id of the request.
+        ready: Set when the handler has something to write or to end.
+        start: The effect that started a streamed answer, or None.
+        unsent: Bytes of the stream that are still to be written.
+        whole: The answer if it isn't streamed, or None.
+        problem: The error to answer with, or None.
+        ended: Whether the answer is complete.
     """
 
     def __init__(self, *, request_id: str) -> None:
@@ -57,20 +57,20 @@
         self.ended = False
 
     def end(self) -> None:
-        """Notes that nothing more comes."""
+        """Marks the answer as complete."""
         self.ended = True
         self.ready.set()
 
 
 class CallerHttp:
-    """Serves callers.
+    """Serves callers' requests.
 
     Attributes:
-        apply: Takes the events that callers cause.
+        apply: Passes an event to the reducer.
         describe: Returns a problem's message and remedy in the language of
             an Accept-Language header.
-        exchanges: Open requests.
-        prefix: Makes request ids unique over all processes.
+        exchanges: Open requests, by request id.
+        prefix: Random prefix that makes request ids unique over all processes.
         last: Number of the last request.
     """
 
@@ -87,24 +87,24 @@
         self.last = 0
 
     def add_routes(self, app: web.Application) -> None:
-        """Adds the callers' routes."""
+        """Adds the routes for callers' requests."""
         app.router.add_post("/v1/chat/completions", self.serve_chat)
         app.router.add_route(
             "*", "/services/{service}/{path:.*}", self.serve_service
         )
 
     async def serve_chat(self, request: web.Request) -> web.StreamResponse:
-        """Serves a chat completion."""
+        """Serves a chat completion request."""
         return await self.serve(request, kind=requests.WorkKind.CHAT)
 
     async def serve_service(self, request: web.Request) -> web.StreamResponse:
-        """Serves a call of a plain service."""
+        """Serves a request to a plain service."""
         return await self.serve(request, kind=requests.WorkKind.SERVICE)
 
     async def serve(
         self, request: web.Request, *, kind: requests.WorkKind
     ) -> web.StreamResponse:
-        """Serves one request from first byte to last."""
+        """Reads and checks a request, and writes its answer."""
         self.last += 1
         request_id = f"{self.prefix}-{self.last:x}"
         try:
@@ -145,7 +145,7 @@
     async def answer(
         self, request: web.Request, exchange: Exchange
     ) -> web.StreamResponse:
-        """Writes the answer as the reducer gives it."""
+        """Writes the answer as the reducer's effects add to it."""
         await exchange.ready.wait()
         if exchange.start is None:
             return self.answer_whole(request, exchange)
@@ -172,7 +172,7 @@
         whole = exchange.whole
         if whole is None:
             raise RuntimeError(
-                "An exchange ended with neither answer nor error."
+                "the exchange ended without an answer or an error"
             )
         response = web.Response(
             status=whole.status,
@@ -186,7 +186,7 @@
     def refuse(
         self, request: web.Request, request_id: str, problem: errors.Problem
     ) -> web.Response:
-        """Returns the answer for a problem."""
+        """Returns the error response for a problem."""
         headers = {"X-Request-Id": request_id}
         retry_after = problem_status.build_retry_after(problem)
         if retry_after is not None:
@@ -203,14 +203,14 @@
         )
 
     def start_answer(self, effect: fx.StartAnswer) -> None:
-        """Begins a caller's stream."""
+        """Starts a streamed answer."""
         exchange = self.exchanges.get(effect.request_id)
         if exchange is not None:
             exchange.start = effect
             exchange.ready.set()
 
     def write_events(self, effect: fx.WriteEvents) -> None:
-        """Adds events to a caller's stream."""
+        """Adds events to a streamed answer."""
         exchange = self.exchanges.get(effect.request_id)
         if exchange is None:
             return
@@ -218,27 +218,29 @@
             exchange.unsent += EVENT_START + event + EVENT_END
         exchange.ready.set()
         if len(exchange.unsent) > MAX_UNREAD_BYTES and not exchange.ended:
-            LOG.warning("caller of %s reads too slowly", effect.request_id)
+            LOG.warning(
+                "request %s: caller reads too slowly", effect.request_id
+            )
             exchange.unsent.clear()
             exchange.end()
             self.apply(events.CallerGone(effect.request_id))
 
     def end_answer(self, effect: fx.EndAnswer) -> None:
-        """Ends a caller's stream with its end marker."""
+        """Ends a streamed answer with the `[DONE]` event."""
         exchange = self.exchanges.get(effect.request_id)
         if exchange is not None:
             exchange.unsent += END_MARK
             exchange.end()
 
     def whole_answer(self, effect: fx.WholeAnswer) -> None:
-        """Answers a caller in one go."""
+        """Answers a request with an answer that isn't streamed."""
         exchange = self.exchanges.get(effect.request_id)
         if exchange is not None:
             exchange.whole = effect
             exchange.end()
 
     def refuse_caller(self, effect: fx.RefuseCaller) -> None:
-        """Answers a caller with an error, at once."""
+        """Ends a request with an error; in a started stream, as an event."""
         exchange = self.exchanges.get(effect.request_id)
         if exchange is None:
             return
@@ -253,10 +255,10 @@
 
 
 def read_headers(request: web.Request) -> requests.CallerHeaders:
-    """Returns the headers that steer a request.
+    """Returns the headers that control how a request is handled.
 
-    The organisation may also come as the bearer token, where well-known
-    clients put their key.
+    Common client libraries send an API key as the bearer token, so the
+    organisation is taken from there if there is no `X-Organisation` header.
     """
     headers = request.headers
     bearer = headers.get("Authorization", "").removeprefix("Bearer ")
@@ -271,7 +273,7 @@
 
 
 def answer_json(value: msgspec.Struct, *, status: int = 200) -> web.Response:
-    """Returns a JSON answer."""
+    """Returns a JSON response."""
     return web.Response(
         status=status, body=msgspec.json.encode(value), content_type=JSON_TYPE
     )
