--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/upstream_http.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/upstream_http.py
@@ -1,4 +1,4 @@
-"""Calls the upstream beside a sidecar: a model engine or a plain service."""
+"""HTTP client for a sidecar's upstream: a model engine or a plain service."""
 
 import asyncio
 from collections.abc import Callable
@@ -25,7 +25,7 @@
 
 
 class LoadReport(msgspec.Struct, frozen=True):
-    """An upstream's load report."""
+    """The response of an upstream to `GET /load`."""
 
     running: int = 0
     waiting: int = 0
@@ -34,12 +34,12 @@
 
 
 class VersionList(msgspec.Struct, frozen=True):
-    """What an engine says it has loaded.
+    """The response of an engine to `GET /versions`.
 
     Attributes:
-        loaded: As `model@version`.
-        loading: As `model@version`.
-        last_fence: The highest fencing number that it has seen.
+        loaded: Loaded versions, each as `model@version`.
+        loading: Versions being loaded, each as `model@version`.
+        last_fence: The highest fencing token that the engine has seen.
     """
 
     loaded: list[str]
@@ -48,7 +48,7 @@
 
 
 class OrderBody(msgspec.Struct, frozen=True):
-    """An order to an engine."""
+    """The body of `POST /orders`: an order to load or unload a version."""
 
     order: str
     model: str
@@ -57,26 +57,26 @@
 
 
 class EndlessAnswerError(aiohttp.ClientError):
-    """An answer went on past what is taken of one.
+    """An answer exceeded a size limit.
 
     Args:
-        most: How much is taken.
-        unit: What that counts, in the plural.
+        most: The limit.
+        unit: The unit of the limit, in the plural.
     """
 
     def __init__(self, most: int, unit: str) -> None:
         super().__init__(
-            f"an answer went on past {most} {unit}; look at the upstream"
+            f"the answer exceeds {most} {unit}; check the upstream"
         )
 
 
 class EventParser:
-    """Cuts a byte stream into server-sent events.
+    """Splits a byte stream into server-sent events.
 
     Attributes:
-        rest: Bytes of an event that isn't whole yet.
+        rest: Bytes of an event that isn't complete yet.
         idle_bytes: Bytes since the last event with a payload.
-        count: Such events so far.
+        count: Number of events with a payload so far.
     """
 
     def __init__(self) -> None:
@@ -85,10 +85,10 @@
         self.count = 0
 
     def feed(self, data: bytes) -> list[bytes]:
-        """Returns the payloads of the events that are now whole.
+        """Returns the payloads of the events that `data` completes.
 
         Raises:
-            EndlessAnswerError: The stream is taken to have no end.
+            EndlessAnswerError: The stream exceeds a size limit.
         """
         pieces = (self.rest + data).split(EVENT_END)
         self.rest = pieces.pop()
@@ -111,11 +111,11 @@
 
 
 async def read_body(response: aiohttp.ClientResponse) -> bytes:
-    """Returns an answer's body.
+    """Returns the body of a response.
 
     Raises:
         EndlessAnswerError: It is longer than `MAX_ANSWER_BYTES`.
-        aiohttp.ClientError: The connection broke off.
+        aiohttp.ClientError: The connection was lost.
     """
     body = bytearray()
     async for data in response.content.iter_any():
@@ -126,13 +126,13 @@
 
 
 class UpstreamHttp:
-    """The upstream as its sidecar sees it.
+    """Calls, observes and orders one upstream.
 
     Attributes:
         url: Base URL of the upstream.
-        session: The HTTP session; the owner closes it.
-        apply: Takes the events that come of a call.
-        calls: Running calls, by request id and attempt.
+        session: The HTTP session; its owner closes it.
+        apply: Passes an event to the reducer.
+        calls: Tasks of the running calls, by request id and attempt.
     """
 
     def __init__(
@@ -148,20 +148,20 @@
         self.calls: dict[tuple[str, int], asyncio.Task[None]] = {}
 
     def start(self, call: fx.CallUpstream) -> None:
-        """Begins a call; its events go to `apply`."""
+        """Starts a call, which passes its events to `apply`."""
         name = (call.request_id, call.attempt)
         task = asyncio.get_running_loop().create_task(self.run(call))
         self.calls[name] = task
         task.add_done_callback(lambda _: self.calls.pop(name, None))
 
     def cancel(self, effect: fx.CancelUpstream) -> None:
-        """Breaks off a call."""
+        """Cancels a call."""
         task = self.calls.get((effect.request_id, effect.attempt))
         if task is not None:
             task.cancel()
 
     async def run(self, call: fx.CallUpstream) -> None:
-        """Carries out a call and reports how it ended."""
+        """Makes a call, and reports its end as an event."""
         try:
             async with asyncio.timeout(call.timeout_s):
                 ended = await self.send(call)
@@ -170,12 +170,12 @@
         except TimeoutError:
             ended = end_call(call, events.UpstreamEnd.TIMED_OUT)
         except (aiohttp.ClientError, OSError) as error:
-            LOG.info("call %s broke off: %s", call.request_id, error)
+            LOG.info("call for request %s failed: %s", call.request_id, error)
             ended = end_call(call, events.UpstreamEnd.BROKEN)
         self.apply(ended)
 
     async def send(self, call: fx.CallUpstream) -> events.UpstreamEnded:
-        """Sends a call and takes its answer in."""
+        """Sends a call, and receives its response."""
         async with self.session.request(
             call.method,
             f"{self.url}{call.path}",
@@ -197,7 +197,7 @@
     async def take_whole(
         self, call: fx.CallUpstream, response: aiohttp.ClientResponse
     ) -> events.UpstreamEnded:
-        """Takes in a plain service's answer."""
+        """Receives a response that isn't streamed."""
         body = await read_body(response)
         self.apply(events.UpstreamData(call.request_id, call.attempt, [body]))
         return end_call(
@@ -210,7 +210,7 @@
     async def take_stream(
         self, call: fx.CallUpstream, response: aiohttp.ClientResponse
     ) -> events.UpstreamEnded:
-        """Takes in an engine's stream, up to its end marker."""
+        """Receives a streamed response up to its `[DONE]` event."""
         parser = EventParser()
         while data := await response.content.readany():
             found = parser.feed(data)
@@ -226,7 +226,7 @@
         return end_call(call, events.UpstreamEnd.BROKEN)
 
     async def observe(self, fixed_version: str) -> events.UpstreamObserved:
-        """Asks the upstream for its load and its loaded versions.
+        """Requests the upstream's load and its loaded versions.
 
         Args:
             fixed_version: A plain service's version; empty for an engine.
@@ -251,7 +251,11 @@
         )
 
     async def get(self, path: str) -> bytes:
-        """Returns the body of a read."""
+        """Returns the body of a GET response.
+
+        Raises:
+            aiohttp.ClientError: The request failed, or its status is an error.
+        """
         async with self.session.get(
             f"{self.url}{path}", timeout=OBSERVE_TIMEOUT
         ) as response:
@@ -259,7 +263,7 @@
             return await read_body(response)
 
     async def order(self, order: fx.OrderUpstream) -> None:
-        """Gives the engine an order and reports its answer."""
+        """Sends the engine an order, and reports the status as an event."""
         body = OrderBody(order.order, order.model, order.version, order.fence)
         status = UNREACHED_STATUS
         with contextlib.suppress(aiohttp.ClientError, OSError):
@@ -273,7 +277,7 @@
         self.apply(events.OrderEnded(order.order_id, status))
 
     async def close(self) -> None:
-        """Breaks off all calls."""
+        """Cancels all calls, and waits until they have ended."""
         tasks = list(self.calls.values())
         for task in tasks:
             task.cancel()
@@ -281,7 +285,7 @@
 
 
 def build_headers(call: fx.CallUpstream) -> dict[str, str]:
-    """Returns the headers of a call."""
+    """Returns the request headers of a call."""
     headers = {
         "Content-Type": "application/json",
         "X-Request-Id": call.request_id,
@@ -293,7 +297,7 @@
 
 
 def read_retry_after(response: aiohttp.ClientResponse) -> float:
-    """Returns the answer's Retry-After in seconds, or 0."""
+    """Returns a response's `Retry-After` in seconds; 0 if absent or a date."""
     text = response.headers.get("Retry-After", "")
     return float(text) if text.isdigit() else 0.0
 
