--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/watched_socket.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/watched_socket.py
@@ -1,16 +1,16 @@
-"""Sockets of exchanges: how they ended, and who closes them.
-
-An answer without a length ends with its connection, and is whole only if
-that was closed in good order. The event loop reports a reset that comes
-together with the last bytes as an ordinary end, and has closed the socket by
-the time that anyone can ask it. So each exchange keeps a second descriptor
-of its socket until it is over.
-
-The event loop also closes the socket's descriptor if an exchange is cancelled
-at the moment at which its connection is made, while the socket object still
-believes that it owns it. That object would close the number once more when
-it is collected, and by then the number may be a caller's connection. So each
-exchange takes the descriptor away from the object when it ends.
+"""Reads the socket error of an exchange, and prevents double closes.
+
+A response without a length ends when its connection is closed, and is
+complete only if that was a clean close. The event loop reports a reset that
+arrives together with the last bytes as a normal end of file, and has closed
+the socket before its error can be read. Each exchange therefore keeps a
+duplicate of the socket's descriptor until it ends.
+
+If an exchange is cancelled just as its connection is established, the event
+loop closes the socket's descriptor while the socket object still owns it. The
+object would close that descriptor again when it is garbage collected, and by
+then the number may belong to a caller's connection. Each exchange therefore
+detaches the descriptor from the object when it ends.
 """
 
 from collections.abc import AsyncIterator
@@ -26,8 +26,9 @@
     """The socket of one exchange.
 
     Attributes:
-        second: A second descriptor of it; None before it is opened.
-        stack: Gives both up when the exchange ends.
+        second: Duplicate of the socket; None before the socket is opened.
+        stack: Closes the duplicate, and detaches the socket's descriptor,
+            when the exchange ends.
     """
 
     def __init__(self, *, stack: contextlib.ExitStack) -> None:
@@ -35,16 +36,17 @@
         self.stack = stack
 
     def watch(self, opened: socket.socket) -> None:
-        """Keeps a second descriptor, and who owns the first, until the end.
+        """Duplicates a socket, and detaches its descriptor at the end.
 
-        The event loop owns the first once the connection is made; a socket
-        that didn't get so far has been closed by then.
+        Detaching leaks nothing: the event loop owns the descriptor once the
+        connection is established, and a socket that failed to connect has
+        been closed by then.
         """
         self.second = self.stack.enter_context(opened.dup())
         self.stack.callback(opened.detach)
 
     def read_error(self) -> int:
-        """Returns the error that ended the connection; 0 for none."""
+        """Returns the `SO_ERROR` of the socket; 0 for none."""
         if self.second is None:
             return 0
         return self.second.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
@@ -56,7 +58,7 @@
 
 
 def begin(stack: contextlib.ExitStack) -> ExchangeSocket:
-    """Returns the record of the socket that this task opens next."""
+    """Returns an `ExchangeSocket` for the next socket this task opens."""
     record = ExchangeSocket(stack=stack)
     CURRENT.set(record)
     return record
@@ -64,7 +66,7 @@
 
 @contextlib.asynccontextmanager
 async def watch_exchange() -> AsyncIterator[ExchangeSocket]:
-    """Watches the socket that this task opens for one exchange."""
+    """Tracks the socket that this task opens during the block."""
     with contextlib.ExitStack() as stack:
         yield begin(stack)
 
@@ -72,16 +74,16 @@
 async def own_descriptor(
     request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
 ) -> aiohttp.ClientResponse:
-    """Keeps the descriptor that a request opens from being closed twice.
+    """Prevents a double close of the socket that a request opens.
 
-    For sessions whose exchanges need not know how their connection ended.
+    A client middleware for sessions that don't read the socket's error.
     """
     async with watch_exchange():
         return await handler(request)
 
 
 def open_socket(address: Any) -> socket.socket:
-    """Returns a socket for an address, for the HTTP client's connector."""
+    """Opens a socket for an address; a `socket_factory` of aiohttp."""
     family, kind, protocol, _, _ = address
     opened = socket.socket(family, kind, protocol)
     record = CURRENT.get(None)
