--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/http_once.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/http_once.py
@@ -1,21 +1,21 @@
-"""Keeps aiohttp from sending a request a second time by itself.
+"""Prevents the automatic retries of aiohttp.
 
-aiohttp repeats what HTTP calls idempotent (GET, PUT, DELETE) when the server
-disconnects before it answers. Here the first try may have taken effect, and
-whoever sent it must settle that; so each request is sent once.
+aiohttp retries requests with an idempotent method (GET, PUT, DELETE) when the
+server disconnects before it answers. The first request may already have taken
+effect, and only its sender can decide whether to repeat it.
 """
 
 import aiohttp
 
 
 class AnswerLostError(aiohttp.ClientConnectionError):
-    """The connection broke after a request may have been sent."""
+    """The connection was lost after the request may have been sent."""
 
 
 async def send_once(
     request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
 ) -> aiohttp.ClientResponse:
-    """Ends a request whose answer was lost with an error of another kind."""
+    """Raises an error that aiohttp doesn't retry when an answer is lost."""
     try:
         return await handler(request)
     except aiohttp.ClientConnectorError:
