--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/http_session.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/http_session.py
@@ -1,4 +1,4 @@
-"""Opens the HTTP session with which a process calls upstreams and stores."""
+"""Opens the HTTP client session for calls to upstreams and stores."""
 
 import aiohttp
 
@@ -10,10 +10,10 @@
 
 
 def open_session() -> aiohttp.ClientSession:
-    """Returns a session without a limit of connections; the caller closes it.
+    """Returns a session without a connection limit; the caller closes it.
 
-    Each request is sent once, and answers that lead nowhere are broken off.
-    A loop must be running.
+    The session doesn't retry requests, and aborts a response that sends too
+    many bytes without body data. Needs a running event loop.
     """
     return aiohttp.ClientSession(
         connector=aiohttp.TCPConnector(
