--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/rating_http.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/rating_http.py
@@ -1,4 +1,4 @@
-"""Asks the platform's rating service over HTTP."""
+"""HTTP client for the platform's rating service."""
 
 import aiohttp
 import msgspec
@@ -9,13 +9,13 @@
 
 
 class RatingAnswer(msgspec.Struct, frozen=True):
-    """The answer of the rating service; 0 is worthless, 1 is perfect."""
+    """The response of the rating service, from 0 (worst) to 1 (best)."""
 
     rating: float
 
 
 class RatingQuestion(msgspec.Struct, frozen=True):
-    """What the rating service is asked."""
+    """The request to the rating service: an answer and its origin."""
 
     request_id: str
     model: str
@@ -27,7 +27,7 @@
 async def read_rating(
     session: aiohttp.ClientSession, url: str, ask: fx.AskRating
 ) -> float | None:
-    """Returns the rating, or None when there is none to be had."""
+    """Returns the rating of an answer, or None if the request fails."""
     question = RatingQuestion(
         ask.request_id, ask.model, ask.version, ask.request_class, ask.answer
     )
