--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/listener_check.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/listener_check.py
@@ -1,4 +1,4 @@
-"""Tells whether a host refuses connections to an address."""
+"""Checks whether a host refuses connections to an address."""
 
 import asyncio
 
@@ -6,10 +6,11 @@
 
 
 async def is_refused(address: str) -> bool:
-    """Returns whether the host says that no process listens there.
+    """Returns whether the host refuses the connection.
 
-    Silence, an unreachable network and a connection that breaks off later
-    say nothing of the process.
+    A refusal proves that no process listens at the address. A timeout,
+    an unreachable network or a connection that is lost later proves nothing
+    about the process, so each of them returns False.
 
     Args:
         address: "ip:port".
