--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/hosts_http.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/hosts_http.py
@@ -1,9 +1,9 @@
-"""Reads the platform's list of live and leaving hosts over HTTP.
+"""HTTP client for the platform's list of live and leaving hosts.
 
 The list is read each second and changes a few hundred times a day, so reads
-are conditional: a platform that names its list by an `ETag` may answer 304,
-and the list that had this name counts as read again. A platform that gives no
-`ETag` sends the whole list each time.
+are conditional: if the platform sends an `ETag`, it may answer a later read
+with 304, and the read then returns the cached list. A platform without `ETag`
+sends the full list each time.
 """
 
 import dataclasses
@@ -18,18 +18,18 @@
 
 
 class HostListing(msgspec.Struct, frozen=True):
-    """The answer of the host list."""
+    """The response to `GET /hosts`."""
 
     hosts: list[wire.ListedHost]
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class KeptListing:
-    """A list as it was last sent in full.
+    """The last full list with an `ETag`.
 
     Attributes:
-        tag: The `ETag` that the platform gave it.
-        hosts: Its hosts.
+        tag: The value of the `ETag` header.
+        hosts: The listed hosts.
     """
 
     tag: str
@@ -37,10 +37,11 @@
 
 
 class HostListReader:
-    """Reads one host list again and again.
+    """Reads a host list repeatedly, with conditional requests.
 
     Attributes:
-        kept: The last full list with an `ETag`, or None.
+        kept: The list for conditional requests; None if the last full
+            response had no `ETag`.
     """
 
     def __init__(self, *, session: aiohttp.ClientSession, url: str) -> None:
@@ -49,9 +50,9 @@
         self.kept: KeptListing | None = None
 
     async def read(self) -> list[wire.ListedHost] | None:
-        """Returns the listed hosts, or None when the list can't be read."""
-        # Reads may overlap, and another one may replace the kept list before
-        # this one ends: a 304 speaks of the list whose tag this read sent.
+        """Returns the listed hosts, or None if the list can't be read."""
+        # Reads may overlap, and another one may replace the cached list before
+        # this one ends. A 304 refers to the list whose `ETag` this read sent.
         asked = self.kept
         headers = {"If-None-Match": asked.tag} if asked is not None else {}
         try:
@@ -73,5 +74,5 @@
 async def read_hosts(
     session: aiohttp.ClientSession, url: str
 ) -> list[wire.ListedHost] | None:
-    """Returns the hosts of a list that is read once, or None."""
+    """Reads a host list once; returns None if it can't be read."""
     return await HostListReader(session=session, url=url).read()
