--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/__init__.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/__init__.py
@@ -1,1 +1,1 @@
-"""Shells that carry out the effects of the core."""
+"""Asyncio runtime that executes the effects of the reducers."""
