--- a/features/platform_configuration.feature
+++ b/features/platform_configuration.feature
@@ -1,13 +1,13 @@
 @quick
-Feature: Large configurations are put in force without holding up requests
+Feature: Reading a large configuration doesn't delay requests
 
-  A machine with 0.387 of a core may be held up for 50 ms, which is 19 ms of a
-  core.
+  On a machine with 0.387 of a core, requests may be delayed by up to 50 ms,
+  which is 19 ms of CPU time.
 
-  Scenario Outline: Nothing is held up for long
+  Scenario Outline: The event loop is never blocked for long
     Given an entry that has read a configuration of <before> routes
-    When it reads one of <after> routes and 1000 keys
-    Then it is in force, and the loop was never held for more than 19 ms of a core
+    When it reads a configuration of <after> routes and 1000 keys
+    Then it is active, and the event loop was never blocked for more than 19 ms of CPU time
 
     Examples:
       | before | after |
@@ -15,15 +15,15 @@
       | 1400   | 1400  |
       | 1400   | 2400  |
 
-  Scenario: Routes that stand as before are taken over
+  Scenario: Unchanged routes are reused
     Given an entry that has read a configuration of 300 routes
-    When it reads one in which 2 routes are new and 1 is changed
-    Then 299 of its routes are those of the configuration before
-    And its routes stand in the operators' order
+    When it reads a configuration with 2 new routes and 1 changed one
+    Then 299 of its routes are reused from the previous configuration
+    And its routes are in the operators' order
 
-  Scenario: A configuration with an unreadable route isn't put in force
+  Scenario: A configuration with an invalid route is rejected
     Given an entry that has read a configuration of 300 routes
-    When it reads one with an unreadable route
-    Then the configuration before stays in force
-    When it reads one in which 2 routes are new and 1 is changed
-    Then 299 of its routes are those of the configuration before
+    When it reads a configuration with an invalid route
+    Then the previous configuration stays active
+    When it reads a configuration with 2 new routes and 1 changed one
+    Then 299 of its routes are reused from the previous configuration
--- a/features/steps/platform_configuration_steps.py
+++ b/features/steps/platform_configuration_steps.py
@@ -1,4 +1,4 @@
-"""Steps for configurations that an entry reads from the platform's store."""
+"""Steps for reading configurations from the platform's store."""
 
 import asyncio
 import contextlib
@@ -42,7 +42,7 @@
 
 
 class ConfigurationStore:
-    """Holds one configuration."""
+    """A store that holds one configuration."""
 
     def __init__(self):
         self.revision = 0
@@ -66,8 +66,11 @@
 
 
 @contextlib.contextmanager
-def set_aside_objects():
-    """Keeps the collector from what earlier scenarios have left."""
+def freeze_old_objects():
+    """Excludes the objects of earlier scenarios from garbage collection.
+
+    Otherwise collecting them would count as time that the decoder blocks.
+    """
     gc.collect()
     gc.freeze()
     try:
@@ -76,24 +79,27 @@
         gc.unfreeze()
 
 
-async def measure_longest_s(work):
-    """Returns the most that other tasks waited for, in seconds of a core."""
+async def measure_longest_block_s(work):
+    """Returns the longest time for which a coroutine blocks the event loop.
+
+    The time is CPU time of this thread, in seconds.
+    """
     longest = 0.0
     task = asyncio.ensure_future(work)
     while not task.done():
-        begun = time.thread_time()
+        started = time.thread_time()
         await asyncio.sleep(0)
-        longest = max(longest, time.thread_time() - begun)
+        longest = max(longest, time.thread_time() - started)
     await task
     return longest
 
 
-def read(context):
-    """The entry reads what the store has."""
+def read_configuration(context):
+    """Lets the entry read the configuration that the store holds."""
     follower = context.follower
     work = follower.read_configuration(context.world.now)
-    with set_aside_objects():
-        context.longest_s = asyncio.run(measure_longest_s(work))
+    with freeze_old_objects():
+        context.longest_s = asyncio.run(measure_longest_block_s(work))
 
 
 @given("an entry that has read a configuration of {count:d} routes")
@@ -108,58 +114,61 @@
     )
     context.routes = [build_route(n) for n in range(count)]
     context.objects.put(context.routes)
-    read(context)
-    context.before = context.world.state.active_configuration
-    assert len(context.before.routes) == count
+    read_configuration(context)
+    context.previous = context.world.state.active_configuration
+    assert len(context.previous.routes) == count
 
 
-@when("it reads one of {count:d} routes and {keys:d} keys")
+@when("it reads a configuration of {count:d} routes and {keys:d} keys")
 def read_large(context, count, keys):
     context.objects.put([build_route(n) for n in range(count)], keys)
     context.count = count
-    read(context)
+    read_configuration(context)
 
 
 @then(
-    "it is in force, and the loop was never held for more than {most:g} ms of "
-    "a core"
+    "it is active, and the event loop was never blocked for more than "
+    "{most:g} ms of CPU time"
 )
 def check_longest(context, most):
     assert len(context.world.state.active_configuration.routes) == context.count
     assert 0.0 < context.longest_s * MS_PER_S <= most, context.longest_s
 
 
-@when("it reads one in which {new:d} routes are new and {changed:d} is changed")
+@when(
+    "it reads a configuration with {new:d} new routes and {changed:d} "
+    "changed one"
+)
 def read_changed(context, new, changed):
     count = len(context.routes)
     routes = [build_route(n) for n in range(count + new)]
     for route in routes[:changed]:
         route["max_attempts"] = 2
-    context.wanted = [x["name"] for x in routes]
+    context.expected_names = [x["name"] for x in routes]
     context.objects.put(routes)
-    read(context)
+    read_configuration(context)
 
 
-@then("{count:d} of its routes are those of the configuration before")
-def check_taken_over(context, count):
-    before = {id(x) for x in context.before.routes}
+@then("{count:d} of its routes are reused from the previous configuration")
+def check_reused(context, count):
+    previous = {id(x) for x in context.previous.routes}
     routes = context.world.state.active_configuration.routes
-    assert sum(id(x) in before for x in routes) == count
+    assert sum(id(x) in previous for x in routes) == count
 
 
-@then("its routes stand in the operators' order")
+@then("its routes are in the operators' order")
 def check_order(context):
     names = [x.name for x in context.world.state.active_configuration.routes]
-    assert names == context.wanted
+    assert names == context.expected_names
 
 
-@when("it reads one with an unreadable route")
-def read_unreadable(context):
+@when("it reads a configuration with an invalid route")
+def read_invalid(context):
     routes = [*context.routes, build_route(900) | {"kind": "unheard-of"}]
     context.objects.put(routes)
-    read(context)
+    read_configuration(context)
 
 
-@then("the configuration before stays in force")
-def check_stays(context):
-    assert context.world.state.active_configuration is context.before
+@then("the previous configuration stays active")
+def check_unchanged(context):
+    assert context.world.state.active_configuration is context.previous
