--- a/features/router_streams.feature
+++ b/features/router_streams.feature
@@ -94,27 +94,27 @@
 
   Scenario Outline: An answer that exceeds the size limit is broken off
     When a caller asks "<route>"
-    And its upstream begins to answer and sends <bytes> without end
-    Then it is broken off before 5 MB have come
+    And the upstream starts its answer and sends <bytes> without end
+    Then the router cancels the attempt before it gets 5 MB
     And <outcome>
 
     Examples:
-      | route | bytes          | outcome                                  |
-      | look  | a body         | the request has been sent 2 times        |
-      | book  | a body         | the caller has a 502 without Retry-After |
-      | chat  | a long event   | the request has been sent 2 times        |
-      | chat  | comments       | the request has been sent 2 times        |
-      | chat  | its last event | the request has been sent 2 times        |
-      | chat  | new events     | the request has been sent 2 times        |
-      | note  | a long event   | the caller's stream is cut off           |
+      | route | bytes                | outcome                                  |
+      | look  | a body               | the request has been sent 2 times        |
+      | book  | a body               | the caller has a 502 without Retry-After |
+      | chat  | a long event         | the request has been sent 2 times        |
+      | chat  | comments             | the request has been sent 2 times        |
+      | chat  | the same event again | the request has been sent 2 times        |
+      | chat  | new events           | the request has been sent 2 times        |
+      | note  | a long event         | the caller's stream is cut off           |
 
   Scenario: Comments don't count as progress of a stream
     When a caller asks "chat"
     And the upstream begins a stream with events 1 to 3
-    And it sends a comment each 0.2 s for 2 s
+    And the upstream sends a comment every 0.2 s for 2 s
     Then another upstream is asked to resume after event 3
 
   Scenario: A long answer is forwarded in full
     When a caller asks "look"
-    And its upstream answers with a body of 3 MB
-    Then the caller has all of it
+    And the upstream answers with a body of 3 MB
+    Then the caller has the whole body
--- a/features/steps/endless_steps.py
+++ b/features/steps/endless_steps.py
@@ -1,4 +1,4 @@
-"""Steps for upstreams whose bytes have no end."""
+"""Steps for upstreams that send endless answers to the router."""
 
 import itertools
 
@@ -6,17 +6,17 @@
 from behave import when
 from support import router_world
 
-PIECE_BYTES = 64 * 1024
-MOST_PIECES = 1000
-FRAMES = {
-    "a body": b"x" * PIECE_BYTES,
-    "a long event": b"data: " + b"x" * PIECE_BYTES,
-    "comments": b": still here\n\n" * (PIECE_BYTES // 14),
-    "its last event": router_world.build_event(1) * (PIECE_BYTES // 24),
+CHUNK_BYTES = 64 * 1024
+MAX_CHUNKS = 1000
+CHUNKS = {
+    "a body": b"x" * CHUNK_BYTES,
+    "a long event": b"data: " + b"x" * CHUNK_BYTES,
+    "comments": b": still here\n\n" * (CHUNK_BYTES // 14),
+    "the same event again": router_world.build_event(1) * (CHUNK_BYTES // 24),
 }
 
 
-@when("its upstream begins to answer and sends {what} without end")
+@when("the upstream starts its answer and sends {what} without end")
 def send_endless(context, what):
     world, request = context.world, context.request
     world.head(request, confidence=90)
@@ -24,29 +24,29 @@
         world.stream(request, 1, 1)
     context.sent_bytes = 0
     numbers = itertools.count(2)
-    for _ in range(MOST_PIECES):
+    for _ in range(MAX_CHUNKS):
         if 1 in world.cancelled_attempts(request):
             return
-        frame = FRAMES.get(what) or build_new_events(numbers)
-        world.data(request, frame)
-        context.sent_bytes += len(frame)
+        chunk = CHUNKS.get(what) or build_new_events(numbers)
+        world.data(request, chunk)
+        context.sent_bytes += len(chunk)
 
 
 def build_new_events(numbers):
-    """Returns events with the next numbers, about as long as a piece."""
+    """Returns events with the next numbers, about `CHUNK_BYTES` in all."""
     return b"".join(
         router_world.build_event(number)
-        for number in itertools.islice(numbers, PIECE_BYTES // 24)
+        for number in itertools.islice(numbers, CHUNK_BYTES // 24)
     )
 
 
-@then("it is broken off before {most:g} MB have come")
-def check_broken_off(context, most):
+@then("the router cancels the attempt before it gets {most:g} MB")
+def check_cancelled(context, most):
     assert 1 in context.world.cancelled_attempts(context.request)
     assert context.sent_bytes <= most * 1e6, context.sent_bytes
 
 
-@when("it sends a comment each {pause:g} s for {duration:g} s")
+@when("the upstream sends a comment every {pause:g} s for {duration:g} s")
 def send_comments(context, pause, duration):
     world, request = context.world, context.request
     for _ in range(round(duration / pause)):
@@ -56,17 +56,17 @@
         world.configure(world.state.active_configuration)
 
 
-@when("its upstream answers with a body of {size:g} MB")
+@when("the upstream answers with a body of {size:g} MB")
 def answer_long(context, size):
     world, request = context.world, context.request
     world.head(request)
-    context.sent_bytes = round(size * 1e6) // PIECE_BYTES * PIECE_BYTES
-    for _ in range(context.sent_bytes // PIECE_BYTES):
-        world.data(request, b"x" * PIECE_BYTES)
+    context.sent_bytes = round(size * 1e6) // CHUNK_BYTES * CHUNK_BYTES
+    for _ in range(context.sent_bytes // CHUNK_BYTES):
+        world.data(request, b"x" * CHUNK_BYTES)
     world.end(request)
 
 
-@then("the caller has all of it")
+@then("the caller has the whole body")
 def check_whole(context):
     (answer,) = context.world.answers(context.request)
     assert answer.status == 200, answer.status
