--- a/packages/rhubarbbank-entry/src/rhubarbbank_entry/main.py
+++ b/packages/rhubarbbank-entry/src/rhubarbbank_entry/main.py
@@ -92,7 +92,7 @@
             settings: Path of the JSON file.
         """
         checked = settings_file.read_settings(settings, options.EntrySettings)
-        logs.set_up(checked.log_level, lossless=checked.record_events)
+        logs.configure(checked.log_level, lossless=checked.record_events)
         event_loop.run(entry_service.EntryService(settings=checked))
 
 
--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/logs.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/logs.py
@@ -65,12 +65,14 @@
 
     def format(self, record: logging.LogRecord) -> str:
         """Returns the line."""
-        moment = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(record.created))
-        head = f"{moment}.{int(record.msecs):03d}Z"
+        utc_time = time.strftime(
+            "%Y-%m-%dT%H:%M:%S", time.gmtime(record.created)
+        )
+        timestamp = f"{utc_time}.{int(record.msecs):03d}Z"
         decision = getattr(record, "decision", None)
         if isinstance(decision, fx.LogDecision):
             line = LogLine(
-                time=head,
+                time=timestamp,
                 level=record.levelname,
                 logger=record.name,
                 decision=decision.decision,
@@ -85,7 +87,7 @@
             )
         else:
             line = LogLine(
-                time=head,
+                time=timestamp,
                 level=record.levelname,
                 logger=record.name,
                 message=record.getMessage(),
@@ -104,8 +106,8 @@
         dropped: Lines dropped since the last one that was handed over.
     """
 
-    def __init__(self, lines: "queue.Queue[logging.LogRecord]") -> None:
-        super().__init__(lines)
+    def __init__(self, records: "queue.Queue[logging.LogRecord]") -> None:
+        super().__init__(records)
         self.bucket = token_bucket.TokenBucket(
             rate_per_s=LINES_PER_S, burst=BURST_LINES
         )
@@ -122,14 +124,14 @@
             return
         try:
             if self.dropped:
-                self.queue.put_nowait(describe_dropped(self.dropped))
+                self.queue.put_nowait(build_dropped_record(self.dropped))
                 self.dropped = 0
             self.queue.put_nowait(record)
         except queue.Full:
             self.dropped += 1
 
 
-def describe_dropped(count: int) -> logging.LogRecord:
+def build_dropped_record(count: int) -> logging.LogRecord:
     """Returns the line that says how many lines were dropped."""
     return logging.LogRecord(
         name=__name__,
@@ -142,7 +144,7 @@
     )
 
 
-def set_up(level: str, *, lossless: bool = False) -> None:
+def configure(level: str, *, lossless: bool = False) -> None:
     """Sends all logs to standard output as JSON lines.
 
     Args:
@@ -155,10 +157,10 @@
     if lossless:
         logging.basicConfig(level=level, handlers=[writer], force=True)
         return
-    lines: queue.Queue[logging.LogRecord] = queue.Queue(MAX_QUEUED_LINES)
-    handler = BoundedQueueHandler(lines)
+    records: queue.Queue[logging.LogRecord] = queue.Queue(MAX_QUEUED_LINES)
+    handler = BoundedQueueHandler(records)
     logging.basicConfig(level=level, handlers=[handler], force=True)
-    listener = logging.handlers.QueueListener(lines, writer)
+    listener = logging.handlers.QueueListener(records, writer)
     listener.start()
     atexit.register(listener.stop)
 
--- a/packages/rhubarbbank-sidecar/src/rhubarbbank_sidecar/main.py
+++ b/packages/rhubarbbank-sidecar/src/rhubarbbank_sidecar/main.py
@@ -19,7 +19,7 @@
         settings: Path of the JSON file.
     """
     checked = settings_file.read_settings(settings, options.SidecarSettings)
-    logs.set_up(checked.log_level, lossless=checked.record_events)
+    logs.configure(checked.log_level, lossless=checked.record_events)
     event_loop.run(sidecar_service.SidecarService(settings=checked))
 
 
