Rename vague names of the shell, timers and peer link

restart_failed becomes restart_on_failure, take_frame handle_frame; timer subscriptions take a callback, and methods that run as tasks say what they do.

--- a/features/steps/platform_failure_steps.py
+++ b/features/steps/platform_failure_steps.py
@@ -110,7 +110,7 @@
 @when("a shell that keeps it running breaks it off")
 def break_off(context):
     async def stop():
-        task = asyncio.create_task(shell.restart_failed(context.work.run))
+        task = asyncio.create_task(shell.restart_on_failure(context.work.run))
         await asyncio.sleep(0)
         begun_at = time.monotonic()
         with contextlib.suppress(TimeoutError):
@@ -126,13 +126,13 @@
 def check_ended(context, most):
     assert context.took_s < most, context.took_s
     lines = [record.getMessage() for record in context.records]
-    assert any("restart_failed" in x for x in lines), lines
+    assert any("restart_on_failure" in x for x in lines), lines
 
 
 @when("a shell keeps it running")
 def keep_running(context):
     with remember_log(shell.LOG.name) as context.records:
-        uvloop.run(shell.restart_failed(context.work.run))
+        uvloop.run(shell.restart_on_failure(context.work.run))
 
 
 @then("it has been begun {times:d} times")
@@ -231,7 +231,7 @@
         decode=list,
     )
     with remember_log(peer_link.LOG.name) as context.logged:
-        link.take_frame(bytes((1, 2, 3)))
+        link.handle_frame(bytes((1, 2, 3)))
     link.stack.close()
     loop.close()
 
--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/peer_link.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/peer_link.py
@@ -23,7 +23,7 @@
 RECONNECT_MS = 100
 RECONNECT_MAX_MS = 1_000
 MAX_FRAME_BYTES = 8_000_000
-FRAMES_PER_TURN = 64
+MAX_FRAMES_PER_CALL = 64
 ENCODER = msgspec.msgpack.Encoder()
 
 
@@ -69,7 +69,7 @@
         self.receiver.setsockopt(zmq.RCVHWM, HIGH_WATER_FRAMES)
         self.receiver.setsockopt(zmq.MAXMSGSIZE, MAX_FRAME_BYTES)
         self.receiver.bind(f"tcp://{self.address}")
-        self.loop.add_reader(self.receiver.fileno(), self.receive_ready)
+        self.loop.add_reader(self.receiver.fileno(), self.receive_frames)
 
     def close(self) -> None:
         """Sends what is pending and closes all sockets."""
@@ -115,18 +115,18 @@
             if address not in addresses:
                 self.senders.pop(address).close(linger=0)
 
-    def receive_ready(self) -> None:
+    def receive_frames(self) -> None:
         """Takes in frames; the descriptor only signals changes."""
-        for _ in range(FRAMES_PER_TURN):
+        for _ in range(MAX_FRAMES_PER_CALL):
             try:
                 parts = self.receiver.recv_multipart(zmq.NOBLOCK)
             except zmq.Again:
                 return
-            self.take_frame(parts[-1])
+            self.handle_frame(parts[-1])
         # More may wait, and the descriptor won't signal it again.
-        self.loop.call_soon(self.receive_ready)
+        self.loop.call_soon(self.receive_frames)
 
-    def take_frame(self, frame: bytes) -> None:
+    def handle_frame(self, frame: bytes) -> None:
         """Delivers the messages of one frame; foreign frames are dropped."""
         try:
             messages = self.decode(frame)
--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/platform_shell.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/platform_shell.py
@@ -45,23 +45,23 @@
             effects.AskListener: self.ask_listener,
         }
         self.shell.timers.subscribe(
-            period_s=defaults.HOST_LIST_PERIOD_S, call=self.read_hosts
+            period_s=defaults.HOST_LIST_PERIOD_S, callback=self.read_hosts
         )
 
     def call_store(self, call: store.StoreCall) -> None:
         """Begins a call to the object API."""
-        self.shell.spawn(self.finish_store_call(call))
+        self.shell.spawn(self.run_store_call(call))
 
-    async def finish_store_call(self, call: store.StoreCall) -> None:
+    async def run_store_call(self, call: store.StoreCall) -> None:
         """Carries out a call to the object API and reports its end."""
         reply = await self.store.call(call)
         self.shell.apply(events.StoreReplied(reply))
 
     def read_hosts(self) -> None:
         """Begins to read the host list."""
-        self.shell.spawn(self.finish_host_list())
+        self.shell.spawn(self.fetch_host_list())
 
-    async def finish_host_list(self) -> None:
+    async def fetch_host_list(self) -> None:
         """Reads the host list and reports it, if it could be read."""
         hosts = await self.host_list.read()
         if hosts is not None:
@@ -69,9 +69,9 @@
 
     def ask_listener(self, effect: effects.AskListener) -> None:
         """Begins to try an entry's address."""
-        self.shell.spawn(self.finish_listener(effect))
+        self.shell.spawn(self.check_listener(effect))
 
-    async def finish_listener(self, effect: effects.AskListener) -> None:
+    async def check_listener(self, effect: effects.AskListener) -> None:
         """Tries an entry's address and reports if it refuses."""
         if await listener_check.is_refused(effect.address):
             self.shell.apply(
@@ -82,9 +82,9 @@
 
     def ask_rating(self, effect: fx.AskRating) -> None:
         """Begins to ask the rating service."""
-        self.shell.spawn(self.finish_rating(effect))
+        self.shell.spawn(self.fetch_rating(effect))
 
-    async def finish_rating(self, effect: fx.AskRating) -> None:
+    async def fetch_rating(self, effect: fx.AskRating) -> None:
         """Asks the rating service and reports its answer."""
         rating = None
         if self.settings.rating_url:
--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/shell.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/shell.py
@@ -30,7 +30,7 @@
 # against the seconds for which what it keeps up to date stays usable.
 RESTART_PAUSE_S = 0.2
 # Longer than cancelled work takes to clean up.
-CANCEL_AGAIN_S = 0.5
+CANCEL_RETRY_S = 0.5
 
 
 class Reducer(Protocol):
@@ -65,7 +65,7 @@
     def record_event(self, now: float, event: Any) -> None:
         """Records an event before the step that takes it."""
 
-    def record_effects(self, found: list[Any]) -> None:
+    def record_effects(self, produced: list[Any]) -> None:
         """Records what a step led to."""
 
 
@@ -164,7 +164,7 @@
             self.loop.add_signal_handler(
                 number, self.apply, events.StopRequested()
             )
-        self.timers.subscribe(period_s=self.parts.tick_s, call=self.tick)
+        self.timers.subscribe(period_s=self.parts.tick_s, callback=self.tick)
 
     async def close(self) -> None:
         """Closes everything, in reverse order."""
@@ -177,12 +177,12 @@
         if recorder is not None:
             # Before the step, so that an event that it fails on is kept.
             recorder.record_event(now, event)
-        found = self.reducer.step(now=now, event=event)
+        produced = self.reducer.step(now=now, event=event)
         if recorder is not None:
             # Before the handlers, which may apply events of their own.
-            recorder.record_effects(list(found))
+            recorder.record_effects(list(produced))
         handlers = self.handlers
-        for effect in found:
+        for effect in produced:
             handlers[type(effect)](effect)
 
     def deliver(self, message: Any) -> None:
@@ -211,15 +211,15 @@
         """Runs work beside the loop; its failure is logged."""
         task = self.loop.create_task(work)
         self.tasks.add(task)
-        task.add_done_callback(self.finish_task)
+        task.add_done_callback(self.handle_task_done)
 
     def keep_running(
         self, work: Callable[[], Coroutine[Any, Any, None]]
     ) -> None:
         """Runs work beside the loop until it returns, anew if it fails."""
-        self.spawn(restart_failed(work))
+        self.spawn(restart_on_failure(work))
 
-    def finish_task(self, task: "asyncio.Task[None]") -> None:
+    def handle_task_done(self, task: "asyncio.Task[None]") -> None:
         """Forgets a task, and logs its failure."""
         self.tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
@@ -240,12 +240,12 @@
     while pending:
         for task in pending:
             task.cancel()
-        _, pending = await asyncio.wait(pending, timeout=CANCEL_AGAIN_S)
+        _, pending = await asyncio.wait(pending, timeout=CANCEL_RETRY_S)
         for task in pending:
             LOG.warning("still running, cancelled again: %r", task)
 
 
-async def restart_failed(
+async def restart_on_failure(
     work: Callable[[], Coroutine[Any, Any, None]],
 ) -> None:
     """Runs work until it returns; logs each failure and begins anew."""
--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/timers.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/timers.py
@@ -11,12 +11,12 @@
 
     Attributes:
         period_s: Seconds between two calls.
-        call: What to call.
+        callback: What to call.
         handle: The loop's pending timer.
     """
 
     period_s: float
-    call: Callable[[], None]
+    callback: Callable[[], None]
     handle: asyncio.TimerHandle
 
 
@@ -32,18 +32,20 @@
         self.loop = loop
         self.subscriptions: list[Subscription] = []
 
-    def subscribe(self, *, period_s: float, call: Callable[[], None]) -> None:
-        """Calls `call` every `period_s` seconds, the first time at once."""
+    def subscribe(
+        self, *, period_s: float, callback: Callable[[], None]
+    ) -> None:
+        """Calls `callback` every `period_s` seconds, the first time at once."""
         handle = self.loop.call_later(0, self.fire, len(self.subscriptions))
-        self.subscriptions.append(Subscription(period_s, call, handle))
+        self.subscriptions.append(Subscription(period_s, callback, handle))
 
-    def fire(self, number: int) -> None:
+    def fire(self, index: int) -> None:
         """Calls one subscriber and sets its next time."""
-        subscription = self.subscriptions[number]
+        subscription = self.subscriptions[index]
         subscription.handle = self.loop.call_later(
-            subscription.period_s, self.fire, number
+            subscription.period_s, self.fire, index
         )
-        subscription.call()
+        subscription.callback()
 
     def close(self) -> None:
         """Ends all subscriptions."""
--- a/packages/rhubarbbank-sidecar/src/rhubarbbank_sidecar/sidecar_service.py
+++ b/packages/rhubarbbank-sidecar/src/rhubarbbank_sidecar/sidecar_service.py
@@ -46,12 +46,12 @@
         self.shell.handlers |= {
             fx.CallUpstream: self.upstream.start,
             fx.CancelUpstream: self.upstream.cancel,
-            fx.OrderUpstream: self.order,
+            fx.OrderUpstream: self.send_order,
         }
         await self.shell.open()
         self.shell.stack.push_async_callback(self.upstream.close)
         self.shell.timers.subscribe(
-            period_s=defaults.LOAD_PERIOD_S, call=self.observe
+            period_s=defaults.LOAD_PERIOD_S, callback=self.start_observation
         )
 
     async def wait_stopped(self) -> None:
@@ -62,15 +62,15 @@
         """Closes everything."""
         await self.shell.close()
 
-    def observe(self) -> None:
+    def start_observation(self) -> None:
         """Begins to ask the upstream how it is."""
-        self.shell.spawn(self.finish_observation())
+        self.shell.spawn(self.report_observation())
 
-    async def finish_observation(self) -> None:
+    async def report_observation(self) -> None:
         """Asks the upstream how it is and reports the answer."""
         observed = await self.upstream.observe(self.settings.service_version)
         self.shell.apply(observed)
 
-    def order(self, effect: fx.OrderUpstream) -> None:
+    def send_order(self, effect: fx.OrderUpstream) -> None:
         """Begins to give the engine an order."""
         self.shell.spawn(self.upstream.order(effect))
