--- a/features/steps/ports_steps.py
+++ b/features/steps/ports_steps.py
@@ -10,7 +10,7 @@
 from rhubarbbank_experiments import fleet
 from rhubarbbank_experiments import ports
 
-FLEET_PORTS = 40
+FLEET_PORT_COUNT = 40
 
 
 @when(
@@ -18,7 +18,7 @@
 )
 def open_connections(context, count):
     finder = ports.PortFinder(seed=0)
-    context.ports = [finder.find() for _ in range(FLEET_PORTS)]
+    context.ports = [finder.find() for _ in range(FLEET_PORT_COUNT)]
     stack = context.stack.enter_context(contextlib.ExitStack())
     listener = stack.enter_context(socket.create_server((ports.LOCAL, 0)))
     for _ in range(count):
@@ -29,8 +29,8 @@
 
 @then("each of the fleet's ports can still be listened on")
 def check_ports(context):
-    taken = [x for x in context.ports if not ports.is_free(x)]
-    assert not taken, taken
+    unavailable = [x for x in context.ports if not ports.is_free(x)]
+    assert not unavailable, unavailable
 
 
 @when("{count:d} fleets of three entries are planned")
--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/recorded_shell.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/recorded_shell.py
@@ -42,15 +42,15 @@
 
     def record_start(self) -> None:
         """Records what the reducer begins with."""
-        record(self.start)
+        write_record(self.start)
 
     def record_event(self, now: float, event: Any) -> None:
         """Records an event before the step that takes it."""
-        record(event_log.RecordedEvent(now, event))
+        write_record(event_log.RecordedEvent(now, event))
 
-    def record_effects(self, found: list[Any]) -> None:
+    def record_effects(self, produced: list[Any]) -> None:
         """Records what a step led to."""
-        record(event_log.digest(found))
+        write_record(event_log.digest(produced))
 
 
 def build_parts(
@@ -65,7 +65,7 @@
     )
 
 
-def record(entry: event_log.AnyRecord) -> None:
+def write_record(record: event_log.AnyRecord) -> None:
     """Writes one record to the log, in the form that can be replayed."""
-    text = base64.b64encode(event_log.encode(entry)).decode()
+    text = base64.b64encode(event_log.encode(record)).decode()
     EVENT_LOG.info("%s", text)
--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/scraped_metrics.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/scraped_metrics.py
@@ -31,36 +31,40 @@
 
     def count(self, effect: fx.Count) -> None:
         """Adds to a counter."""
-        found = self.counters.get(effect.metric)
-        if found is None:
-            found = prometheus_client.Counter(
-                name(effect.metric), effect.metric, registry=self.registry
+        counter = self.counters.get(effect.metric)
+        if counter is None:
+            counter = prometheus_client.Counter(
+                build_metric_name(effect.metric),
+                effect.metric,
+                registry=self.registry,
             )
-            self.counters[effect.metric] = found
-        found.inc(effect.amount)
+            self.counters[effect.metric] = counter
+        counter.inc(effect.amount)
 
     def gauge(self, effect: fx.Gauge) -> None:
         """Sets a gauge."""
-        found = self.gauges.get(effect.metric)
-        if found is None:
-            found = prometheus_client.Gauge(
-                name(effect.metric), effect.metric, registry=self.registry
+        gauge = self.gauges.get(effect.metric)
+        if gauge is None:
+            gauge = prometheus_client.Gauge(
+                build_metric_name(effect.metric),
+                effect.metric,
+                registry=self.registry,
             )
-            self.gauges[effect.metric] = found
-        found.set(effect.value)
+            self.gauges[effect.metric] = gauge
+        gauge.set(effect.value)
 
     def timing(self, effect: fx.Timing) -> None:
         """Records a timing in its histogram."""
-        found = self.histograms.get(effect.metric)
-        if found is None:
-            found = prometheus_client.Histogram(
-                f"{name(effect.metric)}_seconds",
+        histogram = self.histograms.get(effect.metric)
+        if histogram is None:
+            histogram = prometheus_client.Histogram(
+                f"{build_metric_name(effect.metric)}_seconds",
                 effect.metric,
                 buckets=LATENCY_BUCKETS_S,
                 registry=self.registry,
             )
-            self.histograms[effect.metric] = found
-        found.observe(effect.value_ms * S_PER_MS)
+            self.histograms[effect.metric] = histogram
+        histogram.observe(effect.value_ms * S_PER_MS)
 
     def render(self) -> bytes:
         """Returns all metrics as text."""
@@ -70,6 +74,6 @@
         """Does nothing: nothing is held open."""
 
 
-def name(metric: str) -> str:
+def build_metric_name(metric: str) -> str:
     """Returns a metric's name in the collector's spelling."""
     return f"{PREFIX}_{metric.replace('.', '_')}"
--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/store_http.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/store_http.py
@@ -9,8 +9,8 @@
 
 from rhubarbbank_core import store
 
-CONDITION_ABSENT = {"If-None-Match": "*"}
-WATCH_MARGIN_S = 2.0
+IF_ABSENT_HEADERS = {"If-None-Match": "*"}
+WATCH_TIMEOUT_MARGIN_S = 2.0
 
 
 class ListedObject(msgspec.Struct, frozen=True):
@@ -57,7 +57,7 @@
     async def call(self, call: store.StoreCall) -> store.StoreReply:
         """Carries out one call; never raises for a failed one."""
         margin = (
-            WATCH_MARGIN_S
+            WATCH_TIMEOUT_MARGIN_S
             if call.operation is store.StoreOperation.WATCH
             else 0.0
         )
@@ -121,7 +121,7 @@
 def build_condition(expected_version: int) -> dict[str, str]:
     """Returns the header that makes a write conditional."""
     if expected_version == store.ABSENT_VERSION:
-        return CONDITION_ABSENT
+        return IF_ABSENT_HEADERS
     return {"If-Match": f'"{expected_version}"'}
 
 
@@ -129,7 +129,7 @@
     call: store.StoreCall, response: aiohttp.ClientResponse, body: bytes
 ) -> store.StoreReply:
     """Returns the reply in an HTTP answer."""
-    outcome = judge(call, response.status)
+    outcome = get_outcome(call, response.status)
     version = int(response.headers.get("ETag", "0").strip('"'))
     if call.operation in (
         store.StoreOperation.LIST,
@@ -149,7 +149,7 @@
     )
 
 
-def judge(call: store.StoreCall, status: int) -> store.StoreOutcome:
+def get_outcome(call: store.StoreCall, status: int) -> store.StoreOutcome:
     """Returns the outcome that an HTTP status stands for.
 
     A write that ends with any other status may have taken effect behind
