--- a/features/router_carriers.feature
+++ b/features/router_carriers.feature
@@ -1,76 +1,76 @@
 @quick
-Feature: Entries of large fleets tell of themselves through carriers
+Feature: Large fleets forward heartbeats between data centres in bundles
 
-  What an entry knows of another is at most 3 s old, or that one counts as
-  silent.
+  An entry counts as silent once the latest heartbeat known from it is 3 s old,
+  so forwarding must keep the known heartbeats of running entries newer.
 
-  Scenario: Few bytes go between data centres, and all are known to live
+  Scenario: Traffic between data centres is small, and no entry counts as silent
     Given 5 data centres with 14 entries each
-    When the entries are watched for 12 s after the first 4
-    Then every entry has known each other one by at most 2.7 s old news
-    And at most 140 frames and 30 KB a second went between data centres
+    When heartbeat ages are measured for 12 s, starting after 4 s
+    Then each entry's latest heartbeat from any other was at most 2.7 s old
+    And at most 140 messages and 30 KB a second were sent between data centres
 
-  Scenario: In a roll-out the news is as fresh as if it were told directly
+  Scenario: During a roll-out heartbeats are as recent as if they were sent directly
     Given 3 data centres with 7 entries each
     When a roll-out is ordered
-    And the entries are watched for 8 s after the first 4
-    Then every entry has known each other one by at most 1.5 s old news
+    And heartbeat ages are measured for 8 s, starting after 4 s
+    Then each entry's latest heartbeat from any other was at most 1.5 s old
 
-  Scenario: Sessions that stay on their version are told once a bundle
+  Scenario: A bundle lists the sessions that keep their version only once
     Given 3 data centres with 7 entries each
-    And 30 sessions have run at every entry
+    And every entry has served 30 sessions
     When a roll-out is ordered
-    Then every entry knows all sessions that stay within 1 s
-    When the entries are watched for 6 s after the first 0
-    Then at most 40 frames and 30 KB a second went between data centres
+    Then every entry knows all sessions that keep their version within 1 s
+    When heartbeat ages are measured for 6 s, starting after 0 s
+    Then at most 40 messages and 30 KB a second were sent between data centres
 
-  Scenario: A carrier is lost
+  Scenario: A forwarder is suspended
     Given 4 data centres with 6 entries each
-    When the entries go on for 4 s
-    And the first carrier of one data centre falls asleep
-    And the entries are watched for 12 s after the first 0
-    Then every entry has known each other one by at most 2.9 s old news
-    And the carrier counts as silent everywhere
-    And the log tells who carries in its place, and why
+    When the entries run on for 4 s
+    And the first forwarder of one data centre is suspended
+    And heartbeat ages are measured for 12 s, starting after 0 s
+    Then each entry's latest heartbeat from any other was at most 2.9 s old
+    And the forwarder counts as silent everywhere
+    And the log says which entries are the forwarders now, and why
 
-  Scenario: Both carriers are lost at once
+  Scenario: Both forwarders are suspended at once
     Given 4 data centres with 6 entries each
-    When the entries go on for 4 s
-    And both carriers of one data centre fall asleep
-    And the entries go on for 6 s
-    Then the entries that are awake know one another as live
+    When the entries run on for 4 s
+    And both forwarders of one data centre are suspended
+    And the entries run on for 6 s
+    Then the running entries know one another as live
 
-  Scenario: A carrier wakes up and hands on what is old
+  Scenario: A resumed forwarder doesn't pass off old heartbeats as new
     Given 4 data centres with 6 entries each
-    When the entries go on for 4 s
-    And the first carrier of one data centre falls asleep
-    And an entry elsewhere is lost 1 s later
-    And the carrier wakes up after 9 s
-    And the entries go on for 1 s
-    Then the lost entry counts as silent with all that stayed awake
+    When the entries run on for 4 s
+    And the first forwarder of one data centre is suspended
+    And an entry of another data centre is suspended 1 s later
+    And the forwarder resumes after 9 s
+    And the entries run on for 1 s
+    Then all entries that kept running count the suspended entry as silent
 
-  Scenario: A data centre is cut off and comes back
+  Scenario: A data centre is isolated and reconnected
     Given 4 data centres with 6 entries each
-    When the entries go on for 4 s
-    And one data centre is cut off for 8 s
-    Then nothing is taken to live there
-    When the entries go on for 2 s
-    Then the entries that are awake know one another as live
+    When the entries run on for 4 s
+    And one data centre is isolated for 8 s
+    Then no other data centre counts its entries as live
+    When the entries run on for 2 s
+    Then the running entries know one another as live
 
-  Scenario: Frames get lost
-    Given 4 data centres with 6 entries each, and every twentieth frame lost
-    When the entries are watched for 30 s after the first 4
-    Then every entry has known each other one by at most 6 s old news
+  Scenario: Messages are lost
+    Given 4 data centres with 6 entries each, and 5 % of the messages between them lost
+    When heartbeat ages are measured for 30 s, starting after 4 s
+    Then each entry's latest heartbeat from any other was at most 6 s old
 
-  Scenario: A new entry is heard of everywhere
+  Scenario: A new entry becomes known everywhere
     Given 4 data centres with 6 entries each
-    When the entries go on for 4 s
+    When the entries run on for 4 s
     And an entry is added
-    And the entries go on for 1.1 s
-    Then the entries that are awake know one another as live
+    And the entries run on for 1.1 s
+    Then the running entries know one another as live
 
-  Scenario: News of the last incarnation doesn't replace that of the new one
+  Scenario: A forwarded heartbeat of an earlier incarnation is ignored
     Given 4 data centres with 6 entries each
-    When the entries go on for 4 s
-    And a carrier passes on what an entry told before its restart
-    Then the entry's newest incarnation is known
+    When the entries run on for 4 s
+    And a heartbeat from before an entry's restart is forwarded
+    Then the entry's newest incarnation is still known
--- a/features/steps/carrier_steps.py
+++ b/features/steps/carrier_steps.py
@@ -1,4 +1,4 @@
-"""Steps for heartbeats that go between data centres through carriers."""
+"""Steps for heartbeats that are forwarded between data centres."""
 
 import random
 
@@ -24,15 +24,15 @@
 
 
 @given(
-    "{places:d} data centres with {entries:d} entries each, and every "
-    "twentieth frame lost"
+    "{places:d} data centres with {entries:d} entries each, and 5 % of the "
+    "messages between them lost"
 )
 def build_lossy_fleet(context, places, entries):
     build_fleet(context, places, entries)
     context.news.loss = LOSS
 
 
-@when("the entries are watched for {wait:g} s after the first {start:g}")
+@when("heartbeat ages are measured for {wait:g} s, starting after {start:g} s")
 def run_and_look(context, wait, start):
     fleet = context.news
     if start:
@@ -42,23 +42,25 @@
     context.looked_s = wait
 
 
-@when("the entries go on for {wait:g} s")
+@when("the entries run on for {wait:g} s")
 def run(context, wait):
     context.news.run(wait)
 
 
-@given("{count:d} sessions have run at every entry")
+@given("every entry has served {count:d} sessions")
 def run_sessions(context, count):
-    # The first second tells all entries where the others are.
+    # In the first second the entries learn which data centre each is in.
     context.news.run(1.0)
     context.news.run_sessions(count)
 
 
-@then("every entry knows all sessions that stay within {wait:g} s")
+@then(
+    "every entry knows all sessions that keep their version within {wait:g} s"
+)
 def check_kept(context, wait):
     context.news.run(wait)
     kept = context.news.list_kept()
-    assert kept[0], "no session stays"
+    assert kept[0], "no session keeps its version"
     assert all(x == kept[0] for x in kept), [len(x) for x in kept]
 
 
@@ -67,14 +69,14 @@
     context.news.order()
 
 
-@then("every entry has known each other one by at most {age:g} s old news")
+@then("each entry's latest heartbeat from any other was at most {age:g} s old")
 def check_ages(context, age):
     assert 0.0 < context.news.oldest_s <= age, context.news.oldest_s
 
 
 @then(
-    "at most {frames:d} frames and {size:d} KB a second went between data "
-    "centres"
+    "at most {frames:d} messages and {size:d} KB a second were sent between "
+    "data centres"
 )
 def check_far(context, frames, size):
     fleet = context.news
@@ -83,23 +85,23 @@
     assert fleet.far_bytes <= size * 1000 * context.looked_s, told
 
 
-@when("the first carrier of one data centre falls asleep")
+@when("the first forwarder of one data centre is suspended")
 def lose_carrier(context):
     fleet = context.news
     context.lost = fleet.list_carriers(FAR)[:1]
     fleet.asleep.update(context.lost)
-    # What others know of it ages from now on.
+    # Restart the measurement: the known heartbeats of this entry age from now.
     fleet.oldest_s = 0.0
 
 
-@when("both carriers of one data centre fall asleep")
+@when("both forwarders of one data centre are suspended")
 def lose_carriers(context):
     fleet = context.news
     context.lost = fleet.list_carriers(FAR)[:2]
     fleet.asleep.update(context.lost)
 
 
-@when("an entry elsewhere is lost {wait:g} s later")
+@when("an entry of another data centre is suspended {wait:g} s later")
 def lose_entry(context, wait):
     fleet = context.news
     fleet.run(wait)
@@ -108,7 +110,7 @@
     fleet.asleep.update(context.lost)
 
 
-@when("the carrier wakes up after {wait:g} s")
+@when("the forwarder resumes after {wait:g} s")
 def wake_carrier(context, wait):
     context.news.run(wait)
     context.news.wake(context.carrier)
@@ -118,12 +120,12 @@
     return {x.name for x in world.state.entries.list_live(now=now)}
 
 
-@then("the carrier counts as silent everywhere")
+@then("the forwarder counts as silent everywhere")
 def check_silent(context):
     check_silent_with(context, context.news.list_awake())
 
 
-@then("the log tells who carries in its place, and why")
+@then("the log says which entries are the forwarders now, and why")
 def check_lines(context):
     fleet = context.news
     _, second, third = fleet.list_carriers(FAR)[:3]
@@ -136,7 +138,7 @@
     assert (third, "place 2 by name") in told, told
 
 
-@then("the lost entry counts as silent with all that stayed awake")
+@then("all entries that kept running count the suspended entry as silent")
 def check_silent_elsewhere(context):
     fleet = context.news
     woken = fleet.worlds[context.carrier]
@@ -150,14 +152,14 @@
         assert not live & set(context.lost), world.state.settings.name
 
 
-@then("the entries that are awake know one another as live")
+@then("the running entries know one another as live")
 def check_live(context):
     fleet = context.news
     awake = len(fleet.list_awake())
     assert fleet.count_live() == (awake - 1, awake - 1), fleet.count_live()
 
 
-@when("one data centre is cut off for {wait:g} s")
+@when("one data centre is isolated for {wait:g} s")
 def cut_place(context, wait):
     fleet = context.news
     fleet.cut.add(FAR)
@@ -168,7 +170,7 @@
     fleet.cut.clear()
 
 
-@then("nothing is taken to live there")
+@then("no other data centre counts its entries as live")
 def check_cut(context):
     there = set(context.news.list_carriers(FAR))
     for name, live in context.seen.items():
@@ -183,7 +185,7 @@
     fleet.register()
 
 
-@when("a carrier passes on what an entry told before its restart")
+@when("a heartbeat from before an entry's restart is forwarded")
 def pass_on_old(context):
     fleet = context.news
     context.world = fleet.worlds[fleet.list_carriers(FAR)[0]]
@@ -201,7 +203,7 @@
     context.world.apply(core_events.MessageReceived(bundle))
 
 
-@then("the entry's newest incarnation is known")
+@then("the entry's newest incarnation is still known")
 def check_newest(context):
     known = context.world.state.entries.peers[context.newest.name]
     assert known.heartbeat == context.newest, known
--- a/features/support/news_fleet.py
+++ b/features/support/news_fleet.py
@@ -1,7 +1,7 @@
-"""Entries of several data centres that tell one another of themselves.
+"""Simulated entries of several data centres that exchange heartbeats.
 
-Only heartbeats and bundles go between them; those to other data centres are
-counted, with their encoded size.
+Messages are delivered after random delays. Those between data centres are
+counted, along with their encoded size, and can get lost.
 """
 
 import heapq
@@ -21,17 +21,17 @@
 
 
 class NewsFleet:
-    """Entries and the way between them.
+    """Entries and the network between them.
 
     Attributes:
         worlds: Routers by name.
-        cut: Data centres that nothing goes to or comes from.
-        asleep: Entries that do nothing; what they are sent waits.
-        far_frames: Messages between data centres.
-        far_bytes: Their encoded size.
-        lines: Who logged a decision, and the decision.
-        oldest_s: The greatest age, while it was looked at, of what an entry
-            knew of another.
+        cut: Data centres that are isolated from all others.
+        asleep: Names of suspended entries; messages to them are queued.
+        far_frames: Number of messages sent between data centres.
+        far_bytes: Encoded size of these messages.
+        lines: Logged decisions, each with the name of its entry.
+        oldest_s: The greatest age that an entry's latest heartbeat from another
+            one reached while it was measured, in seconds.
     """
 
     def __init__(self, *, rng, places, entries, loss=0.0):
@@ -133,7 +133,7 @@
         world.effects.clear()
 
     def run_sessions(self, count):
-        """As many sessions have a request at each entry."""
+        """Has each entry answer one request of each of its sessions."""
         for name, world in self.worlds.items():
             world.now = self.now
             for number in range(count):
@@ -149,14 +149,14 @@
             world.effects.clear()
 
     def list_kept(self):
-        """The sessions that each entry knows to stay on their version."""
+        """Returns the sessions that keep their version, per entry."""
         return [
             x.state.trials[ORDER.service].kept_sessions
             for x in self.worlds.values()
         ]
 
     def order(self):
-        """A roll-out is ordered."""
+        """Has all entries see a new roll-out order."""
         for world in self.worlds.values():
             world.apply(events.RolloutChanged(ORDER))
 
@@ -164,7 +164,7 @@
         return [x for name, x in self.worlds.items() if name not in self.asleep]
 
     def find_oldest_s(self):
-        """The age of the oldest that an entry knows of one that lives."""
+        """Returns the greatest age of a known heartbeat of a running entry."""
         ages = [0.0]
         for world in self.list_awake():
             entries = world.state.entries
@@ -178,7 +178,7 @@
         return max(ages)
 
     def count_live(self):
-        """How many others the entries take to live: the fewest, the most."""
+        """Returns the smallest and the largest number of live peers."""
         counts = [
             len(x.state.entries.list_live(now=self.now))
             for x in self.list_awake()
@@ -186,7 +186,10 @@
         return min(counts), max(counts)
 
     def list_carriers(self, place):
-        """The names of a data centre's entries, the first two first."""
+        """Returns the sorted names of a data centre's entries.
+
+        The first two are its forwarders.
+        """
         return sorted(
             name
             for name, x in self.worlds.items()
