--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/bounded_answer.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/bounded_answer.py
@@ -14,7 +14,7 @@
 from aiohttp import connector
 
 # Larger than one read of the event loop, which may hold both head and body.
-MAX_BARREN_BYTES = 512 * 1024
+MAX_BYTES_WITHOUT_BODY = 512 * 1024
 
 
 class InnerProtocol(Protocol):
@@ -41,21 +41,21 @@
 
     def __init__(self) -> None:
         super().__init__(
-            f"received over {MAX_BARREN_BYTES} bytes without any body data;"
-            " check the upstream"
+            f"received over {MAX_BYTES_WITHOUT_BODY} bytes without any body"
+            " data; check the upstream"
         )
 
 
-class BoundedAnswer(asyncio.Protocol):
+class BoundedProtocol(asyncio.Protocol):
     """Forwards received bytes, and aborts a connection without body data.
 
     Attributes:
         inner: The HTTP client's protocol, which receives the bytes.
         transport: The connection.
-        count_body: Returns the number of body bytes received, or None before
-            the body begins.
-        body_bytes: The last result of `count_body`.
-        barren_bytes: Bytes received since that result changed.
+        count_body_bytes: Returns the number of body bytes received, or None
+            before the body begins.
+        body_bytes: The last result of `count_body_bytes`.
+        bytes_without_body: Bytes received since that result changed.
         error: The error for which this protocol aborted the connection, or
             None.
     """
@@ -65,13 +65,13 @@
         *,
         inner: InnerProtocol,
         transport: asyncio.Transport,
-        count_body: Callable[[], int | None],
+        count_body_bytes: Callable[[], int | None],
     ) -> None:
         self.inner = inner
         self.transport = transport
-        self.count_body = count_body
+        self.count_body_bytes = count_body_bytes
         self.body_bytes: int | None = None
-        self.barren_bytes = 0
+        self.bytes_without_body = 0
         self.error: BarrenAnswerError | None = None
 
     def data_received(self, data: bytes) -> None:
@@ -79,13 +79,13 @@
         if self.error is not None:
             return
         self.inner.data_received(data)
-        body_bytes = self.count_body()
+        body_bytes = self.count_body_bytes()
         if body_bytes != self.body_bytes:
             self.body_bytes = body_bytes
-            self.barren_bytes = 0
+            self.bytes_without_body = 0
             return
-        self.barren_bytes += len(data)
-        if self.barren_bytes > MAX_BARREN_BYTES:
+        self.bytes_without_body += len(data)
+        if self.bytes_without_body > MAX_BYTES_WITHOUT_BODY:
             self.error = BarrenAnswerError()
             self.transport.abort()
 
@@ -116,14 +116,14 @@
         protocol, transport = connection.protocol, connection.transport
         if protocol is not None and transport is not None:
             transport.set_protocol(
-                BoundedAnswer(
+                BoundedProtocol(
                     inner=protocol,
                     transport=transport,
-                    count_body=self.count_body,
+                    count_body_bytes=self.count_body_bytes,
                 )
             )
         return await super().start(connection)
 
-    def count_body(self) -> int | None:
+    def count_body_bytes(self) -> int | None:
         """Returns the number of body bytes received; None before the body."""
         return self.content.total_bytes if self.content else None
