--- a/features/steps/platform_stop_steps.py
+++ b/features/steps/platform_stop_steps.py
@@ -15,7 +15,7 @@
 from rhubarbbank_router import effects
 from rhubarbbank_runtime import caller_connection
 
-BOUNDS = caller_connection.WaitBounds(head_s=5.0, idle_s=5.0)
+TIMEOUTS = caller_connection.ConnectionTimeouts(header_s=5.0, idle_s=5.0)
 BODY = b"x" * 1000
 HEAD = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n" % len(BODY)
 ANSWER_START = b"HTTP/1.1 200"
@@ -64,7 +64,7 @@
 
 async def answer(request):
     """Reads a request, as an entry does, and answers it."""
-    with caller_connection.serve(request):
+    with caller_connection.suspend_timeouts(request):
         await request.read()
         response = web.Response()
         await response.prepare(request)
@@ -110,7 +110,9 @@
 )
 def play_stop(context, head, body):
     async def play():
-        server = caller_connection.BoundedServer(answer, bounds=lambda: BOUNDS)
+        server = caller_connection.CallerServer(
+            answer, get_timeouts=lambda: TIMEOUTS
+        )
         runner = web.ServerRunner(server, shutdown_timeout=context.end_s)
         await runner.setup()
         site = web.TCPSite(runner, raw_servers.LOCALHOST, 0)
--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/caller_connection.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/caller_connection.py
@@ -18,26 +18,26 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class WaitBounds:
+class ConnectionTimeouts:
     """The timeouts of a caller's connection, in seconds.
 
     Attributes:
-        head_s: From the first byte of a request's head to its last.
+        header_s: From the first byte of a request's head to its last.
         idle_s: From the opening of the connection, or the end of a request,
             to the first byte of the next request.
     """
 
-    head_s: float
+    header_s: float
     idle_s: float
 
 
-class BoundedConnection(web.RequestHandler):
+class CallerConnection(web.RequestHandler):
     """A caller's connection with header and idle timeouts.
 
     Attributes:
-        bounds: Returns the timeouts that are configured now.
-        serving: Whether a request is being served.
-        head_begun: Whether bytes of the next request's head have arrived.
+        get_timeouts: Returns the timeouts that are configured now.
+        is_serving: Whether a request is being served.
+        head_started: Whether bytes of the next request's head have arrived.
         timer: Closes the connection; None while a request is served.
     """
 
@@ -45,21 +45,21 @@
         self,
         manager: web.Server,
         *,
-        bounds: Callable[[], WaitBounds],
+        get_timeouts: Callable[[], ConnectionTimeouts],
         loop: asyncio.AbstractEventLoop,
         **options: Any,
     ) -> None:
         super().__init__(manager, loop=loop, **options)
-        self.bounds = bounds
+        self.get_timeouts = get_timeouts
         self.loop = loop
-        self.serving = False
-        self.head_begun = False
+        self.is_serving = False
+        self.head_started = False
         self.timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Starts the idle timeout for the first request."""
         super().connection_made(transport)
-        self.rest()
+        self.start_idle()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Stops the timer."""
@@ -68,31 +68,31 @@
 
     def data_received(self, data: bytes) -> None:
         """Handles bytes; the first ones of a head start the header timeout."""
-        if not self.serving and not self.head_begun:
-            self.head_begun = True
-            self.start_timer(self.bounds().head_s)
+        if not self.is_serving and not self.head_started:
+            self.head_started = True
+            self.start_timer(self.get_timeouts().header_s)
         super().data_received(data)
 
     @property
-    def resting(self) -> bool:
+    def is_idle(self) -> bool:
         """Whether no request is being served or received."""
-        return not self.serving and not self.head_begun
+        return not self.is_serving and not self.head_started
 
-    def begin(self) -> None:
+    def start_request(self) -> None:
         """Stops the timer while a request is served."""
-        self.serving = True
+        self.is_serving = True
         self.stop_timer()
 
-    def rest(self) -> None:
+    def start_idle(self) -> None:
         """Starts the idle timeout for the next request."""
-        self.serving = False
-        self.head_begun = False
-        self.start_timer(self.bounds().idle_s)
+        self.is_serving = False
+        self.head_started = False
+        self.start_timer(self.get_timeouts().idle_s)
 
-    def start_timer(self, wait_s: float) -> None:
+    def start_timer(self, timeout_s: float) -> None:
         """Closes the connection after a time unless the timer is stopped."""
         self.stop_timer()
-        self.timer = self.loop.call_later(wait_s, self.force_close)
+        self.timer = self.loop.call_later(timeout_s, self.force_close)
 
     def stop_timer(self) -> None:
         """Cancels the timer, if any."""
@@ -101,11 +101,11 @@
             self.timer = None
 
 
-class BoundedServer(web.Server):
+class CallerServer(web.Server):
     """A server whose connections have header and idle timeouts.
 
     Attributes:
-        bounds: Returns the timeouts that are configured now.
+        get_timeouts: Returns the timeouts that are configured now.
         options: Keyword arguments for each `web.RequestHandler`.
     """
 
@@ -113,39 +113,39 @@
         self,
         handler: Callable[[web.BaseRequest], Any],
         *,
-        bounds: Callable[[], WaitBounds],
+        get_timeouts: Callable[[], ConnectionTimeouts],
         **options: Any,
     ) -> None:
         super().__init__(handler, handler_cancellation=True)
-        self.bounds = bounds
+        self.get_timeouts = get_timeouts
         self.options = options
 
-    def __call__(self) -> BoundedConnection:
+    def __call__(self) -> CallerConnection:
         """Returns the protocol of a new connection."""
-        return BoundedConnection(
+        return CallerConnection(
             self,
-            bounds=self.bounds,
+            get_timeouts=self.get_timeouts,
             loop=asyncio.get_running_loop(),
             **self.options,
         )
 
-    def close_resting(self) -> None:
+    def close_idle(self) -> None:
         """Closes the connections without a request in progress."""
         for connection in self.connections:
-            assert isinstance(connection, BoundedConnection)
-            if connection.resting:
+            assert isinstance(connection, CallerConnection)
+            if connection.is_idle:
                 connection.force_close()
 
 
 @contextlib.contextmanager
-def serve(request: web.BaseRequest) -> Iterator[None]:
+def suspend_timeouts(request: web.BaseRequest) -> Iterator[None]:
     """Suspends the timeouts of a request's connection during the block."""
     connection = request.protocol
-    assert isinstance(connection, BoundedConnection)
-    connection.begin()
+    assert isinstance(connection, CallerConnection)
+    connection.start_request()
     try:
         yield
     finally:
         # A connection that has been closed meanwhile needs no timer.
         if connection.transport is not None:
-            connection.rest()
+            connection.start_idle()
