--- a/packages/rhubarbbank-entry/src/rhubarbbank_entry/entry_service.py
+++ b/packages/rhubarbbank-entry/src/rhubarbbank_entry/entry_service.py
@@ -77,7 +77,7 @@
             fx.StartAnswer: self.callers.start_answer,
             fx.WriteEvents: self.callers.write_events,
             fx.EndAnswer: self.callers.end_answer,
-            fx.WholeAnswer: self.callers.whole_answer,
+            fx.WholeAnswer: self.callers.write_whole_answer,
             fx.RefuseCaller: self.callers.refuse_caller,
         }
         await self.shell.open()
@@ -130,7 +130,7 @@
         """Answers the entry's status."""
         state = self.reducer.state
         members = state.control.fleet.membership
-        return caller_http.answer_json(
+        return caller_http.build_json_response(
             reports.StatusReport(
                 name=self.settings.name,
                 table_revision=state.rows.revision,
@@ -154,6 +154,6 @@
         """Answers the decisions on a recent request."""
         request_id = request.match_info["request_id"]
         found = self.reducer.explain(request_id)
-        return caller_http.answer_json(
+        return caller_http.build_json_response(
             reports.Explanation(request_id, found), status=200 if found else 404
         )
--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/caller_http.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/caller_http.py
@@ -22,10 +22,10 @@
 from rhubarbbank_core import requests
 
 LOG = logging.getLogger(__name__)
-MAX_UNREAD_BYTES = 4_000_000
+MAX_UNSENT_BYTES = 4_000_000
 EVENT_START = b"data: "
 EVENT_END = b"\n\n"
-END_MARK = b"data: [DONE]\n\n"
+DONE_EVENT = b"data: [DONE]\n\n"
 STREAM_HEADERS = {
     "Content-Type": "text/event-stream",
     "Cache-Control": "no-cache",
@@ -40,25 +40,25 @@
     Attributes:
         request_id: Id of the request.
         ready: Set when the handler has something to write or to end.
-        start: The effect that started a streamed answer, or None.
+        stream_start: The effect that started a streamed answer, or None.
         unsent: Bytes of the stream that are still to be written.
-        whole: The answer if it isn't streamed, or None.
+        whole_answer: The answer if it isn't streamed, or None.
         problem: The error to answer with, or None.
-        ended: Whether the answer is complete.
+        is_complete: Whether the answer is complete.
     """
 
     def __init__(self, *, request_id: str) -> None:
         self.request_id = request_id
         self.ready = asyncio.Event()
-        self.start: fx.StartAnswer | None = None
+        self.stream_start: fx.StartAnswer | None = None
         self.unsent = bytearray()
-        self.whole: fx.WholeAnswer | None = None
+        self.whole_answer: fx.WholeAnswer | None = None
         self.problem: errors.Problem | None = None
-        self.ended = False
+        self.is_complete = False
 
-    def end(self) -> None:
+    def complete(self) -> None:
         """Marks the answer as complete."""
-        self.ended = True
+        self.is_complete = True
         self.ready.set()
 
 
@@ -70,8 +70,8 @@
         describe: Returns a problem's message and remedy in the language of
             an Accept-Language header.
         exchanges: Open requests, by request id.
-        prefix: Random prefix that makes request ids unique over all processes.
-        last: Number of the last request.
+        id_prefix: Random prefix that makes request ids unique across processes.
+        last_number: Number of the last request.
     """
 
     def __init__(
@@ -83,8 +83,8 @@
         self.apply = apply
         self.describe = describe
         self.exchanges: dict[str, Exchange] = {}
-        self.prefix = os.urandom(6).hex()
-        self.last = 0
+        self.id_prefix = os.urandom(6).hex()
+        self.last_number = 0
 
     def add_routes(self, app: web.Application) -> None:
         """Adds the routes for callers' requests."""
@@ -105,12 +105,12 @@
         self, request: web.Request, *, kind: requests.WorkKind
     ) -> web.StreamResponse:
         """Reads and checks a request, and writes its answer."""
-        self.last += 1
-        request_id = f"{self.prefix}-{self.last:x}"
+        self.last_number += 1
+        request_id = f"{self.id_prefix}-{self.last_number:x}"
         try:
             body = await request.read()
         except web.HTTPRequestEntityTooLarge:
-            return self.refuse(
+            return self.build_error_response(
                 request,
                 request_id,
                 errors.Problem(
@@ -122,35 +122,35 @@
         parsed = requests.parse_request(
             request_id=request_id,
             kind=kind,
-            headers=read_headers(request),
+            headers=parse_headers(request),
             service=service,
             method=request.method,
             path=request.raw_path.removeprefix("/services"),
             body=body,
         )
         if isinstance(parsed, errors.Problem):
-            return self.refuse(request, request_id, parsed)
+            return self.build_error_response(request, request_id, parsed)
         exchange = Exchange(request_id=request_id)
         self.exchanges[request_id] = exchange
         try:
             self.apply(events.RequestReceived(parsed))
-            return await self.answer(request, exchange)
+            return await self.write_answer(request, exchange)
         except (asyncio.CancelledError, ConnectionError):
-            if not exchange.ended:
+            if not exchange.is_complete:
                 self.apply(events.CallerGone(request_id))
             raise
         finally:
             del self.exchanges[request_id]
 
-    async def answer(
+    async def write_answer(
         self, request: web.Request, exchange: Exchange
     ) -> web.StreamResponse:
         """Writes the answer as the reducer's effects add to it."""
         await exchange.ready.wait()
-        if exchange.start is None:
-            return self.answer_whole(request, exchange)
+        if exchange.stream_start is None:
+            return self.build_response(request, exchange)
         response = web.StreamResponse(headers=STREAM_HEADERS)
-        for header in exchange.start.headers:
+        for header in exchange.stream_start.headers:
             response.headers[header.name] = header.value
         await response.prepare(request)
         while True:
@@ -159,17 +159,19 @@
             exchange.unsent.clear()
             if data:
                 await response.write(data)
-            if exchange.ended and not exchange.unsent:
+            if exchange.is_complete and not exchange.unsent:
                 return response
             await exchange.ready.wait()
 
-    def answer_whole(
+    def build_response(
         self, request: web.Request, exchange: Exchange
     ) -> web.Response:
         """Returns an answer that isn't streamed."""
         if exchange.problem is not None:
-            return self.refuse(request, exchange.request_id, exchange.problem)
-        whole = exchange.whole
+            return self.build_error_response(
+                request, exchange.request_id, exchange.problem
+            )
+        whole = exchange.whole_answer
         if whole is None:
             raise RuntimeError(
                 "the exchange ended without an answer or an error"
@@ -183,7 +185,7 @@
             response.headers[header.name] = header.value
         return response
 
-    def refuse(
+    def build_error_response(
         self, request: web.Request, request_id: str, problem: errors.Problem
     ) -> web.Response:
         """Returns the error response for a problem."""
@@ -206,7 +208,7 @@
         """Starts a streamed answer."""
         exchange = self.exchanges.get(effect.request_id)
         if exchange is not None:
-            exchange.start = effect
+            exchange.stream_start = effect
             exchange.ready.set()
 
     def write_events(self, effect: fx.WriteEvents) -> None:
@@ -217,27 +219,27 @@
         for event in effect.events:
             exchange.unsent += EVENT_START + event + EVENT_END
         exchange.ready.set()
-        if len(exchange.unsent) > MAX_UNREAD_BYTES and not exchange.ended:
+        if len(exchange.unsent) > MAX_UNSENT_BYTES and not exchange.is_complete:
             LOG.warning(
                 "request %s: caller reads too slowly", effect.request_id
             )
             exchange.unsent.clear()
-            exchange.end()
+            exchange.complete()
             self.apply(events.CallerGone(effect.request_id))
 
     def end_answer(self, effect: fx.EndAnswer) -> None:
         """Ends a streamed answer with the `[DONE]` event."""
         exchange = self.exchanges.get(effect.request_id)
         if exchange is not None:
-            exchange.unsent += END_MARK
-            exchange.end()
+            exchange.unsent += DONE_EVENT
+            exchange.complete()
 
-    def whole_answer(self, effect: fx.WholeAnswer) -> None:
+    def write_whole_answer(self, effect: fx.WholeAnswer) -> None:
         """Answers a request with an answer that isn't streamed."""
         exchange = self.exchanges.get(effect.request_id)
         if exchange is not None:
-            exchange.whole = effect
-            exchange.end()
+            exchange.whole_answer = effect
+            exchange.complete()
 
     def refuse_caller(self, effect: fx.RefuseCaller) -> None:
         """Ends a request with an error; in a started stream, as an event."""
@@ -245,16 +247,16 @@
         if exchange is None:
             return
         exchange.problem = effect.problem
-        if exchange.start is not None:
+        if exchange.stream_start is not None:
             message, remedy = self.describe(effect.problem, "")
             body = problem_status.build_body(
                 effect.problem, message=message, remedy=remedy
             )
             exchange.unsent += EVENT_START + body + EVENT_END
-        exchange.end()
+        exchange.complete()
 
 
-def read_headers(request: web.Request) -> requests.CallerHeaders:
+def parse_headers(request: web.Request) -> requests.CallerHeaders:
     """Returns the headers that control how a request is handled.
 
     Common client libraries send an API key as the bearer token, so the
@@ -272,7 +274,9 @@
     )
 
 
-def answer_json(value: msgspec.Struct, *, status: int = 200) -> web.Response:
+def build_json_response(
+    value: msgspec.Struct, *, status: int = 200
+) -> web.Response:
     """Returns a JSON response."""
     return web.Response(
         status=status, body=msgspec.json.encode(value), content_type=JSON_TYPE
