--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/upstream_http.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/upstream_http.py
@@ -17,11 +17,11 @@
 LOG = logging.getLogger(__name__)
 EVENT_END = b"\n\n"
 DATA_PREFIX = b"data: "
-DONE_MARK = b"[DONE]"
+DONE_PAYLOAD = b"[DONE]"
 OBSERVE_TIMEOUT = aiohttp.ClientTimeout(total=2.0)
 ORDER_TIMEOUT = aiohttp.ClientTimeout(total=600.0)
-FIRST_ERROR_STATUS = 400
-UNREACHED_STATUS = 0
+MIN_ERROR_STATUS = 400
+NO_STATUS = 0
 
 
 class LoadReport(msgspec.Struct, frozen=True):
@@ -60,13 +60,13 @@
     """An answer exceeded a size limit.
 
     Args:
-        most: The limit.
-        unit: The unit of the limit, in the plural.
+        limit: The largest size that is accepted.
+        unit: The unit of that size, in the plural.
     """
 
-    def __init__(self, most: int, unit: str) -> None:
+    def __init__(self, limit: int, unit: str) -> None:
         super().__init__(
-            f"the answer exceeds {most} {unit}; check the upstream"
+            f"the answer exceeds {limit} {unit}; check the upstream"
         )
 
 
@@ -74,15 +74,15 @@
     """Splits a byte stream into server-sent events.
 
     Attributes:
-        rest: Bytes of an event that isn't complete yet.
+        partial: Bytes of an event that isn't complete yet.
         idle_bytes: Bytes since the last event with a payload.
-        count: Number of events with a payload so far.
+        event_count: Number of events with a payload so far.
     """
 
     def __init__(self) -> None:
-        self.rest = b""
+        self.partial = b""
         self.idle_bytes = 0
-        self.count = 0
+        self.event_count = 0
 
     def feed(self, data: bytes) -> list[bytes]:
         """Returns the payloads of the events that `data` completes.
@@ -90,24 +90,24 @@
         Raises:
             EndlessAnswerError: The stream exceeds a size limit.
         """
-        pieces = (self.rest + data).split(EVENT_END)
-        self.rest = pieces.pop()
-        found = [
-            piece.removeprefix(DATA_PREFIX)
-            for piece in pieces
-            if piece.startswith(DATA_PREFIX)
+        blocks = (self.partial + data).split(EVENT_END)
+        self.partial = blocks.pop()
+        payloads = [
+            block.removeprefix(DATA_PREFIX)
+            for block in blocks
+            if block.startswith(DATA_PREFIX)
         ]
         self.idle_bytes += len(data)
-        if found:
-            self.idle_bytes = len(self.rest)
-            self.count += len(found)
+        if payloads:
+            self.idle_bytes = len(self.partial)
+            self.event_count += len(payloads)
         if self.idle_bytes > answer_bounds.MAX_IDLE_BYTES:
             raise EndlessAnswerError(
                 answer_bounds.MAX_IDLE_BYTES, "bytes without an event"
             )
-        if self.count > answer_bounds.MAX_ANSWER_EVENTS:
+        if self.event_count > answer_bounds.MAX_ANSWER_EVENTS:
             raise EndlessAnswerError(answer_bounds.MAX_ANSWER_EVENTS, "events")
-        return found
+        return payloads
 
 
 async def read_body(response: aiohttp.ClientResponse) -> bytes:
@@ -149,10 +149,10 @@
 
     def start(self, call: fx.CallUpstream) -> None:
         """Starts a call, which passes its events to `apply`."""
-        name = (call.request_id, call.attempt)
+        key = (call.request_id, call.attempt)
         task = asyncio.get_running_loop().create_task(self.run(call))
-        self.calls[name] = task
-        task.add_done_callback(lambda _: self.calls.pop(name, None))
+        self.calls[key] = task
+        task.add_done_callback(lambda _: self.calls.pop(key, None))
 
     def cancel(self, effect: fx.CancelUpstream) -> None:
         """Cancels a call."""
@@ -164,15 +164,15 @@
         """Makes a call, and reports its end as an event."""
         try:
             async with asyncio.timeout(call.timeout_s):
-                ended = await self.send(call)
+                end_event = await self.send(call)
         except aiohttp.ClientConnectorError:
-            ended = end_call(call, events.UpstreamEnd.UNREACHED)
+            end_event = build_end_event(call, events.UpstreamEnd.UNREACHED)
         except TimeoutError:
-            ended = end_call(call, events.UpstreamEnd.TIMED_OUT)
+            end_event = build_end_event(call, events.UpstreamEnd.TIMED_OUT)
         except (aiohttp.ClientError, OSError) as error:
             LOG.info("call for request %s failed: %s", call.request_id, error)
-            ended = end_call(call, events.UpstreamEnd.BROKEN)
-        self.apply(ended)
+            end_event = build_end_event(call, events.UpstreamEnd.BROKEN)
+        self.apply(end_event)
 
     async def send(self, call: fx.CallUpstream) -> events.UpstreamEnded:
         """Sends a call, and receives its response."""
@@ -184,46 +184,46 @@
             timeout=aiohttp.ClientTimeout(total=None),
         ) as response:
             if not call.streamed:
-                return await self.take_whole(call, response)
-            if response.status >= FIRST_ERROR_STATUS:
-                return end_call(
+                return await self.receive_whole(call, response)
+            if response.status >= MIN_ERROR_STATUS:
+                return build_end_event(
                     call,
                     events.UpstreamEnd.REFUSED,
                     status=response.status,
-                    retry_after_s=read_retry_after(response),
+                    retry_after_s=parse_retry_after_s(response),
                 )
-            return await self.take_stream(call, response)
+            return await self.receive_stream(call, response)
 
-    async def take_whole(
+    async def receive_whole(
         self, call: fx.CallUpstream, response: aiohttp.ClientResponse
     ) -> events.UpstreamEnded:
         """Receives a response that isn't streamed."""
         body = await read_body(response)
         self.apply(events.UpstreamData(call.request_id, call.attempt, [body]))
-        return end_call(
+        return build_end_event(
             call,
             events.UpstreamEnd.COMPLETE,
             status=response.status,
             content_type=response.content_type,
         )
 
-    async def take_stream(
+    async def receive_stream(
         self, call: fx.CallUpstream, response: aiohttp.ClientResponse
     ) -> events.UpstreamEnded:
         """Receives a streamed response up to its `[DONE]` event."""
         parser = EventParser()
         while data := await response.content.readany():
-            found = parser.feed(data)
-            if not found:
+            payloads = parser.feed(data)
+            if not payloads:
                 continue
             self.apply(
-                events.UpstreamData(call.request_id, call.attempt, found)
+                events.UpstreamData(call.request_id, call.attempt, payloads)
             )
-            if found[-1] == DONE_MARK:
-                return end_call(
+            if payloads[-1] == DONE_PAYLOAD:
+                return build_end_event(
                     call, events.UpstreamEnd.COMPLETE, status=response.status
                 )
-        return end_call(call, events.UpstreamEnd.BROKEN)
+        return build_end_event(call, events.UpstreamEnd.BROKEN)
 
     async def observe(self, fixed_version: str) -> events.UpstreamObserved:
         """Requests the upstream's load and its loaded versions.
@@ -233,9 +233,9 @@
         """
         try:
             load = msgspec.json.decode(await self.get("/load"), type=LoadReport)
-            held = VersionList([fixed_version])
+            versions = VersionList([fixed_version])
             if not fixed_version:
-                held = msgspec.json.decode(
+                versions = msgspec.json.decode(
                     await self.get("/versions"), type=VersionList
                 )
         except (aiohttp.ClientError, OSError, msgspec.MsgspecError):
@@ -245,9 +245,9 @@
             path_messages.Load(
                 load.running, load.waiting, load.max_batch, load.age_s
             ),
-            held.loaded,
-            held.loading,
-            held.last_fence,
+            versions.loaded,
+            versions.loading,
+            versions.last_fence,
         )
 
     async def get(self, path: str) -> bytes:
@@ -262,10 +262,10 @@
             response.raise_for_status()
             return await read_body(response)
 
-    async def order(self, order: fx.OrderUpstream) -> None:
+    async def send_order(self, order: fx.OrderUpstream) -> None:
         """Sends the engine an order, and reports the status as an event."""
         body = OrderBody(order.order, order.model, order.version, order.fence)
-        status = UNREACHED_STATUS
+        status = NO_STATUS
         with contextlib.suppress(aiohttp.ClientError, OSError):
             async with self.session.post(
                 f"{self.url}/orders",
@@ -296,17 +296,17 @@
     return headers
 
 
-def read_retry_after(response: aiohttp.ClientResponse) -> float:
+def parse_retry_after_s(response: aiohttp.ClientResponse) -> float:
     """Returns a response's `Retry-After` in seconds; 0 if absent or a date."""
     text = response.headers.get("Retry-After", "")
     return float(text) if text.isdigit() else 0.0
 
 
-def end_call(
+def build_end_event(
     call: fx.CallUpstream,
     end: events.UpstreamEnd,
     *,
-    status: int = UNREACHED_STATUS,
+    status: int = NO_STATUS,
     content_type: str = "",
     retry_after_s: float = 0.0,
 ) -> events.UpstreamEnded:
--- a/packages/rhubarbbank-sidecar/src/rhubarbbank_sidecar/sidecar_service.py
+++ b/packages/rhubarbbank-sidecar/src/rhubarbbank_sidecar/sidecar_service.py
@@ -73,4 +73,4 @@
 
     def send_order(self, effect: fx.OrderUpstream) -> None:
         """Begins to give the engine an order."""
-        self.shell.spawn(self.upstream.order(effect))
+        self.shell.spawn(self.upstream.send_order(effect))
