--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/hosts_http.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/hosts_http.py
@@ -24,15 +24,15 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class KeptListing:
+class CachedListing:
     """The last full list with an `ETag`.
 
     Attributes:
-        tag: The value of the `ETag` header.
+        etag: The value of the `ETag` header.
         hosts: The listed hosts.
     """
 
-    tag: str
+    etag: str
     hosts: list[wire.ListedHost]
 
 
@@ -40,34 +40,34 @@
     """Reads a host list repeatedly, with conditional requests.
 
     Attributes:
-        kept: The list for conditional requests; None if the last full
+        cached: The list for conditional requests; None if the last full
             response had no `ETag`.
     """
 
     def __init__(self, *, session: aiohttp.ClientSession, url: str) -> None:
         self.session = session
         self.url = url
-        self.kept: KeptListing | None = None
+        self.cached: CachedListing | None = None
 
     async def read(self) -> list[wire.ListedHost] | None:
         """Returns the listed hosts, or None if the list can't be read."""
         # Reads may overlap, and another one may replace the cached list before
         # this one ends. A 304 refers to the list whose `ETag` this read sent.
-        asked = self.kept
-        headers = {"If-None-Match": asked.tag} if asked is not None else {}
+        cached = self.cached
+        headers = {"If-None-Match": cached.etag} if cached is not None else {}
         try:
             async with self.session.get(
                 f"{self.url}/hosts", headers=headers, timeout=TIMEOUT
             ) as response:
                 if response.status == NOT_MODIFIED:
-                    return asked.hosts if asked is not None else None
+                    return cached.hosts if cached is not None else None
                 response.raise_for_status()
                 body = await response.read()
-                tag = response.headers.get("ETag")
+                etag = response.headers.get("ETag")
             hosts = msgspec.json.decode(body, type=HostListing).hosts
         except (aiohttp.ClientError, TimeoutError, msgspec.MsgspecError):
             return None
-        self.kept = KeptListing(tag=tag, hosts=hosts) if tag else None
+        self.cached = CachedListing(etag=etag, hosts=hosts) if etag else None
         return hosts
 
 
