--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/platform_shell.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/platform_shell.py
@@ -88,7 +88,7 @@
         """Asks the rating service and reports its answer."""
         rating = None
         if self.settings.rating_url:
-            rating = await rating_http.read_rating(
+            rating = await rating_http.request_rating(
                 self.shell.session, self.settings.rating_url, effect
             )
         self.shell.apply(
--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/rating_http.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/rating_http.py
@@ -24,12 +24,16 @@
     answer: str
 
 
-async def read_rating(
-    session: aiohttp.ClientSession, url: str, ask: fx.AskRating
+async def request_rating(
+    session: aiohttp.ClientSession, url: str, effect: fx.AskRating
 ) -> float | None:
     """Returns the rating of an answer, or None if the request fails."""
     question = RatingQuestion(
-        ask.request_id, ask.model, ask.version, ask.request_class, ask.answer
+        effect.request_id,
+        effect.model,
+        effect.version,
+        effect.request_class,
+        effect.answer,
     )
     try:
         async with session.post(
