--- a/features/steps/platform_cancel_steps.py
+++ b/features/steps/platform_cancel_steps.py
@@ -17,9 +17,9 @@
 from rhubarbbank_core import store
 from rhubarbbank_platform import runners
 from rhubarbbank_platform import store_api
+from rhubarbbank_runtime import exchange_socket
 from rhubarbbank_runtime import http_session
 from rhubarbbank_runtime import store_http
-from rhubarbbank_runtime import watched_socket
 
 MAX_ITERATIONS = 12
 ROUNDS = 10
@@ -44,7 +44,7 @@
     closed = 0
     async with aiohttp.ClientSession(
         connector=aiohttp.TCPConnector(
-            force_close=True, socket_factory=watched_socket.open_socket
+            force_close=True, socket_factory=exchange_socket.open_socket
         ),
         response_class=runners.CloseTrackingResponse,
         middlewares=middlewares,
--- a/features/steps/platform_endless_steps.py
+++ b/features/steps/platform_endless_steps.py
@@ -11,8 +11,8 @@
 
 from rhubarbbank_platform import runners
 from rhubarbbank_router import events
+from rhubarbbank_runtime import exchange_socket
 from rhubarbbank_runtime import http_once
-from rhubarbbank_runtime import watched_socket
 
 TIMEOUT_S = 10.0
 
@@ -22,7 +22,7 @@
     context.applied = []
     session = aiohttp.ClientSession(
         connector=aiohttp.TCPConnector(
-            force_close=True, socket_factory=watched_socket.open_socket
+            force_close=True, socket_factory=exchange_socket.open_socket
         ),
         response_class=runners.CloseTrackingResponse,
         max_line_size=runners.MAX_LINE_BYTES,
--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/watched_socket.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/exchange_socket.py
@@ -26,67 +26,67 @@
     """The socket of one exchange.
 
     Attributes:
-        second: Duplicate of the socket; None before the socket is opened.
+        duplicate: Duplicate of the socket; None before the socket is opened.
         stack: Closes the duplicate, and detaches the socket's descriptor,
             when the exchange ends.
     """
 
     def __init__(self, *, stack: contextlib.ExitStack) -> None:
-        self.second: socket.socket | None = None
+        self.duplicate: socket.socket | None = None
         self.stack = stack
 
-    def watch(self, opened: socket.socket) -> None:
-        """Duplicates a socket, and detaches its descriptor at the end.
+    def track(self, new_socket: socket.socket) -> None:
+        """Duplicates a socket, and detaches its descriptor when the stack ends.
 
         Detaching leaks nothing: the event loop owns the descriptor once the
         connection is established, and a socket that failed to connect has
         been closed by then.
         """
-        self.second = self.stack.enter_context(opened.dup())
-        self.stack.callback(opened.detach)
+        self.duplicate = self.stack.enter_context(new_socket.dup())
+        self.stack.callback(new_socket.detach)
 
     def read_error(self) -> int:
         """Returns the `SO_ERROR` of the socket; 0 for none."""
-        if self.second is None:
+        if self.duplicate is None:
             return 0
-        return self.second.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        return self.duplicate.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
 
 
-CURRENT: contextvars.ContextVar[ExchangeSocket] = contextvars.ContextVar(
-    "exchange_socket"
+CURRENT_EXCHANGE: contextvars.ContextVar[ExchangeSocket] = (
+    contextvars.ContextVar("exchange_socket")
 )
 
 
-def begin(stack: contextlib.ExitStack) -> ExchangeSocket:
+def track_next_socket(stack: contextlib.ExitStack) -> ExchangeSocket:
     """Returns an `ExchangeSocket` for the next socket this task opens."""
-    record = ExchangeSocket(stack=stack)
-    CURRENT.set(record)
-    return record
+    exchange = ExchangeSocket(stack=stack)
+    CURRENT_EXCHANGE.set(exchange)
+    return exchange
 
 
 @contextlib.asynccontextmanager
-async def watch_exchange() -> AsyncIterator[ExchangeSocket]:
+async def track_socket() -> AsyncIterator[ExchangeSocket]:
     """Tracks the socket that this task opens during the block."""
     with contextlib.ExitStack() as stack:
-        yield begin(stack)
+        yield track_next_socket(stack)
 
 
-async def own_descriptor(
+async def prevent_double_close(
     request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
 ) -> aiohttp.ClientResponse:
     """Prevents a double close of the socket that a request opens.
 
     A client middleware for sessions that don't read the socket's error.
     """
-    async with watch_exchange():
+    async with track_socket():
         return await handler(request)
 
 
 def open_socket(address: Any) -> socket.socket:
     """Opens a socket for an address; a `socket_factory` of aiohttp."""
     family, kind, protocol, _, _ = address
-    opened = socket.socket(family, kind, protocol)
-    record = CURRENT.get(None)
-    if record is not None:
-        record.watch(opened)
-    return opened
+    new_socket = socket.socket(family, kind, protocol)
+    exchange = CURRENT_EXCHANGE.get(None)
+    if exchange is not None:
+        exchange.track(new_socket)
+    return new_socket
--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/http_session.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/http_session.py
@@ -3,10 +3,10 @@
 import aiohttp
 
 from rhubarbbank_runtime import bounded_answer
+from rhubarbbank_runtime import exchange_socket
 from rhubarbbank_runtime import http_once
-from rhubarbbank_runtime import watched_socket
 
-MIDDLEWARES = (http_once.send_once, watched_socket.own_descriptor)
+MIDDLEWARES = (http_once.send_once, exchange_socket.prevent_double_close)
 
 
 def open_session() -> aiohttp.ClientSession:
@@ -19,7 +19,7 @@
         connector=aiohttp.TCPConnector(
             limit=0,
             limit_per_host=0,
-            socket_factory=watched_socket.open_socket,
+            socket_factory=exchange_socket.open_socket,
         ),
         response_class=bounded_answer.BoundedResponse,
         middlewares=MIDDLEWARES,
