--- a/features/platform_path.feature
+++ b/features/platform_path.feature
@@ -69,10 +69,10 @@
     When runners hang with 1 requests, and a caller leaves after 0.3 s
     Then no runner works on anything within 1 s
 
-  Scenario Outline: Bad input gets a clear answer, and nothing is sent on
-    When a caller sends as bad input <what>
-    Then the platform's status is <status>
-    And no runner got anything
+  Scenario Outline: Invalid input is rejected, and not forwarded
+    When a caller sends this invalid input: <what>
+    Then the platform answers with status <status>
+    And no runner received a request
 
     Examples:
       | what                        | status |
@@ -87,11 +87,11 @@
       | half a head                 | 0      |
       | half a body                 | 0      |
 
-  Scenario Outline: Callers that take too long
-    Given callers may take 0.6 s for a head and rest for 1.2 s
-    When a tardy caller sends <what>
+  Scenario Outline: Connections of slow callers are closed
+    Given the header timeout is 0.6 s and the idle timeout 1.2 s
+    When a slow caller sends <what>
     Then its connection is closed after <least> to <most> s
-    And no runner got more than <runs> requests
+    And no more than <runs> requests reached the runners
 
     Examples:
       | what                              | least | most | runs |
@@ -101,25 +101,25 @@
       | a whole request, then nothing     | 1.1   | 1.9  | 1    |
       | a whole request, then half a head | 0.5   | 1.1  | 1    |
 
-  Scenario: A body that stops halfway is answered, then closed
-    Given callers may take 0.6 s for a head and rest for 1.2 s
-    When a tardy caller sends half a body
-    Then the platform's status is 408
+  Scenario: A request whose body stalls gets a 408
+    Given the header timeout is 0.6 s and the idle timeout 1.2 s
+    When a slow caller sends half a body
+    Then the platform answers with status 408
     And its connection is closed after 1.1 to 2.9 s
-    And no runner got anything
+    And no runner received a request
 
-  Scenario: A slow answer outlasts the time of rest
-    Given callers may take 0.6 s for a head and rest for 1.2 s
+  Scenario: The idle timeout doesn't apply while a caller waits for its answer
+    Given the header timeout is 0.6 s and the idle timeout 1.2 s
     When runners hang with 1 requests, and a caller asks for "/book/1"
     Then the platform answers an own 504, and 1 runs began
 
   Scenario: Pipelined requests are answered in order
-    When a caller sends the platform two requests at once
+    When a caller pipelines two requests to the platform
     Then it gets both answers in order
 
-  Scenario: Open descriptors don't grow
-    When 200 callers come and go in all these ways
-    Then the entry has no more descriptors open than before
+  Scenario: File descriptors don't leak
+    When 200 callers send requests, some leave, and runners misbehave
+    Then the entry has no more file descriptors open than before
 
   Scenario: A configuration is in force within two seconds
     When the operators add a route and take the key away
--- a/features/steps/platform_input_steps.py
+++ b/features/steps/platform_input_steps.py
@@ -1,4 +1,4 @@
-"""Steps on callers that send bad input, send slowly, or leave."""
+"""Steps for callers that send invalid input, send slowly, or disconnect."""
 
 import itertools
 import os
@@ -11,8 +11,8 @@
 from support import platform_callers
 
 
-@when("a caller sends the platform two requests at once")
-def send_two(context):
+@when("a caller pipelines two requests to the platform")
+def send_pipelined(context):
     platform_callers.start_asking(context)
     data = platform_callers.build_request(
         "/look/first"
@@ -29,21 +29,22 @@
     assert first < second
 
 
-@when("a caller sends as bad input {what}")
-def send_bad(context, what):
+@when("a caller sends this invalid input: {what}")
+def send_invalid(context, what):
     platform_callers.start_asking(context)
     context.statuses, context.raw = platform_callers.send_raw(
         context.platform, platform_callers.BAD_INPUTS[what]()
     )
 
 
-@then("the platform's status is {status:d}")
+@then("the platform answers with status {status:d}")
 def check_status(context, status):
-    found = context.statuses or [0]
-    assert found == [status], context.raw[:300]
+    # 0 stands for no answer.
+    statuses = context.statuses or [0]
+    assert statuses == [status], context.raw[:300]
 
 
-@then("no runner got anything")
+@then("no runner received a request")
 def check_nothing_ran(context):
     assert not context.platform.list_runs()
 
@@ -53,15 +54,15 @@
     return len(os.listdir(f"/proc/{process.pid}/fd"))
 
 
-@when("{count:d} callers come and go in all these ways")
+@when("{count:d} callers send requests, some leave, and runners misbehave")
 def send_many(context, count):
     platform_callers.start_asking(context)
     fleet = context.platform
     time.sleep(0.5)
     context.before = count_descriptors(fleet)
-    deeds = itertools.cycle(["none", "cut", "shed", "fail", "foreign"])
+    misdeeds = itertools.cycle(["none", "cut", "shed", "fail", "foreign"])
     for number in range(count):
-        fleet.misbehave(next(deeds))
+        fleet.misbehave(next(misdeeds))
         if number % 4 == 0:
             with platform_callers.open_socket(fleet) as caller:
                 caller.sendall(platform_callers.build_request("/look/gone"))
@@ -70,7 +71,7 @@
     fleet.misbehave("none")
 
 
-@then("the entry has no more descriptors open than before")
+@then("the entry has no more file descriptors open than before")
 def check_descriptors(context):
     fleet = context.platform
     fleet.wait_until(
@@ -80,9 +81,10 @@
     )
 
 
-BYTE_EVERY_S = 0.05
-WATCHED_S = 4.0
-SLOW_DEEDS = {
+BYTE_INTERVAL_S = 0.05
+RECEIVE_TIMEOUT_S = 4.0
+# By name, what is sent and answered first, and what is sent after that.
+SLOW_INPUTS = {
     "nothing": (b"", b""),
     "half a head": (b"", platform_callers.build_request("/book/slow")[:40]),
     "half a body": (
@@ -102,19 +104,23 @@
 }
 
 
-@given("callers may take {head:g} s for a head and rest for {idle:g} s")
-def bound_callers(context, head, idle):
+@given("the header timeout is {head:g} s and the idle timeout {idle:g} s")
+def configure_timeouts(context, head, idle):
     platform_callers.start_asking(context)
     context.platform.configure(
         5, header_timeout_ms=int(head * 1000), idle_timeout_ms=int(idle * 1000)
     )
-    # It is in force everywhere after two seconds.
+    # Every entry applies a new configuration within two seconds.
     time.sleep(2.0)
 
 
-def read_some(caller, wait_s):
-    """Returns what comes within a time; nothing at a close, None if neither."""
-    readable, _, _ = select.select([caller], [], [], wait_s)
+def receive(caller, timeout_s):
+    """Returns the bytes that arrive within a time.
+
+    An empty string means that the connection was closed, None that no bytes
+    arrived.
+    """
+    readable, _, _ = select.select([caller], [], [], timeout_s)
     if not readable:
         return None
     try:
@@ -126,31 +132,31 @@
 def send_byte_by_byte(context):
     data = platform_callers.build_request("/book/slow")
     with platform_callers.open_socket(context.platform) as caller:
-        began = time.monotonic()
+        started_at = time.monotonic()
         for number in range(len(data)):
             caller.sendall(data[number : number + 1])
-            if read_some(caller, BYTE_EVERY_S) == b"":
+            if receive(caller, BYTE_INTERVAL_S) == b"":
                 break
-        context.took_s = time.monotonic() - began
+        context.took_s = time.monotonic() - started_at
 
 
-@when("a tardy caller sends {deed}")
-def send_slowly(context, deed):
-    if deed == "a head byte by byte":
+@when("a slow caller sends {what}")
+def send_slowly(context, what):
+    if what == "a head byte by byte":
         send_byte_by_byte(context)
         return
-    first, then_sent = SLOW_DEEDS[deed]
+    first, second = SLOW_INPUTS[what]
     with platform_callers.open_socket(context.platform) as caller:
         if first:
             caller.sendall(first)
             assert caller.recv(65_536).startswith(b"HTTP/1.1 200")
-        began = time.monotonic()
-        caller.sendall(then_sent)
-        found = b""
-        while piece := read_some(caller, WATCHED_S):
-            found += piece
-        context.took_s = time.monotonic() - began
-    context.statuses = platform_callers.read_statuses(found)
+        started_at = time.monotonic()
+        caller.sendall(second)
+        received = b""
+        while chunk := receive(caller, RECEIVE_TIMEOUT_S):
+            received += chunk
+        context.took_s = time.monotonic() - started_at
+    context.statuses = platform_callers.read_statuses(received)
 
 
 @then("its connection is closed after {least:g} to {most:g} s")
@@ -158,6 +164,6 @@
     assert least <= context.took_s <= most, context.took_s
 
 
-@then("no runner got more than {runs:d} requests")
+@then("no more than {runs:d} requests reached the runners")
 def check_runs(context, runs):
     assert len(context.platform.list_runs()) <= runs
