--- a/features/load_tool.feature
+++ b/features/load_tool.feature
@@ -40,7 +40,7 @@
     And the required entries changed at least 20 times
 
   Scenario: A connection can't take a port that a fleet has chosen
-    When a fleet's ports are chosen and 4000 connections are then open at once
+    When a fleet's ports are chosen and 4000 connections are then opened
     Then each of the fleet's ports can still be listened on
 
   Scenario: Each entry of a small fleet gets a shard of the ledger
--- a/features/steps/ports_steps.py
+++ b/features/steps/ports_steps.py
@@ -1,4 +1,4 @@
-"""Steps for the ports of a fleet."""
+"""Steps for the ports and the shard owners of a planned fleet."""
 
 import contextlib
 import socket
@@ -13,9 +13,7 @@
 FLEET_PORT_COUNT = 40
 
 
-@when(
-    "a fleet's ports are chosen and {count:d} connections are then open at once"
-)
+@when("a fleet's ports are chosen and {count:d} connections are then opened")
 def open_connections(context, count):
     finder = ports.PortFinder(seed=0)
     context.ports = [finder.find() for _ in range(FLEET_PORT_COUNT)]
