--- a/packages/rhubarbbank-sidecar/src/rhubarbbank_sidecar/__init__.py
+++ b/packages/rhubarbbank-sidecar/src/rhubarbbank_sidecar/__init__.py
@@ -1,1 +1,1 @@
-"""The process in the slot beside each upstream."""
+"""The sidecar, a process that runs beside each upstream."""
--- a/packages/rhubarbbank-sidecar/src/rhubarbbank_sidecar/main.py
+++ b/packages/rhubarbbank-sidecar/src/rhubarbbank_sidecar/main.py
@@ -24,7 +24,7 @@
 
 
 def main() -> None:
-    """Runs the command line."""
+    """Runs the command; prints an error and exits with status 1."""
     try:
         fire.Fire(run, name="rhubarbbank-sidecar")
     except errors.RhubarbbankError as error:
--- a/packages/rhubarbbank-sidecar/src/rhubarbbank_sidecar/sidecar_service.py
+++ b/packages/rhubarbbank-sidecar/src/rhubarbbank_sidecar/sidecar_service.py
@@ -1,4 +1,4 @@
-"""The sidecar's shell: the reducer, its upstream and the platform."""
+"""Connects the sidecar's reducer with its shell and its upstream."""
 
 import time
 
@@ -25,7 +25,7 @@
         self.settings = settings
 
     async def start(self) -> None:
-        """Opens everything; returns when submits are taken."""
+        """Starts the shell; returns once `Submit` messages are accepted."""
         settings = self.settings
         start = program_start.SidecarStart(
             settings=settings,
@@ -55,22 +55,22 @@
         )
 
     async def wait_stopped(self) -> None:
-        """Returns once the graceful stop is over."""
+        """Waits until the graceful stop is complete."""
         await self.shell.stopped.wait()
 
     async def stop(self, exception: Exception | None = None) -> None:
-        """Closes everything."""
+        """Closes the shell and all its resources."""
         await self.shell.close()
 
     def start_observation(self) -> None:
-        """Begins to ask the upstream how it is."""
+        """Starts a task that reads the upstream's health, load and versions."""
         self.shell.spawn(self.report_observation())
 
     async def report_observation(self) -> None:
-        """Asks the upstream how it is and reports the answer."""
+        """Reads the upstream's health, load and versions and applies them."""
         observed = await self.upstream.observe(self.settings.service_version)
         self.shell.apply(observed)
 
     def send_order(self, effect: fx.OrderUpstream) -> None:
-        """Begins to give the engine an order."""
+        """Starts a task that sends an order to the engine."""
         self.shell.spawn(self.upstream.send_order(effect))
