--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/event_loop.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/event_loop.py
@@ -1,7 +1,7 @@
-"""Makes the event loop that both programs run on.
+"""Runs a program's service on the uvloop event loop.
 
-Importing this module switches libuv's io_uring off, which must happen before
-the first loop is made; see docs/design/runtime.md.
+Importing this module disables io_uring in libuv, which must happen before the
+first loop is created; see docs/design/house_style.md.
 """
 
 import os
@@ -12,17 +12,17 @@
 
 
 class ProgramService(aiomisc.Service):
-    """Base of both programs' services."""
+    """Base class of the service that each program runs."""
 
     async def wait_stopped(self) -> None:
-        """Returns once the service has stopped."""
+        """Waits until the service has stopped."""
         raise NotImplementedError
 
 
 def run(service: ProgramService) -> None:
-    """Runs one service on uvloop until it says that it has stopped.
+    """Runs a service on uvloop until its `wait_stopped` returns.
 
-    The service handles SIGTERM and SIGINT itself, since a planned stop lets
+    The service handles SIGTERM and SIGINT itself, because a graceful stop lets
     open requests finish.
     """
     with aiomisc.entrypoint(
--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/platform_shell.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/platform_shell.py
@@ -1,4 +1,8 @@
-"""Carries out an entry's calls to the platform: object API, hosts, ratings."""
+"""Executes the effects with which an entry calls the platform.
+
+These are calls to the object API, the host list and the rating service, and
+checks whether another entry still listens.
+"""
 
 from rhubarbbank_core import defaults
 from rhubarbbank_core import effects
@@ -14,13 +18,13 @@
 
 
 class PlatformShell:
-    """The platform as an entry's shell sees it.
+    """Calls the platform on behalf of an entry's shell.
 
     Attributes:
         settings: The entry's settings.
         shell: The entry's shell.
-        store: The object API.
-        host_list: The platform's list of hosts.
+        store: Client of the object API.
+        host_list: Reads the platform's host list.
     """
 
     def __init__(
@@ -38,7 +42,7 @@
         )
 
     def open(self) -> None:
-        """Registers handlers and starts to read the host list."""
+        """Registers effect handlers and starts polling the host list."""
         self.shell.handlers |= {
             store.StoreCall: self.call_store,
             fx.AskRating: self.ask_rating,
@@ -49,30 +53,30 @@
         )
 
     def call_store(self, call: store.StoreCall) -> None:
-        """Begins a call to the object API."""
+        """Starts a task that calls the object API."""
         self.shell.spawn(self.run_store_call(call))
 
     async def run_store_call(self, call: store.StoreCall) -> None:
-        """Carries out a call to the object API and reports its end."""
+        """Calls the object API and applies its reply."""
         reply = await self.store.call(call)
         self.shell.apply(events.StoreReplied(reply))
 
     def read_hosts(self) -> None:
-        """Begins to read the host list."""
+        """Starts a task that reads the host list."""
         self.shell.spawn(self.fetch_host_list())
 
     async def fetch_host_list(self) -> None:
-        """Reads the host list and reports it, if it could be read."""
+        """Reads the host list and applies it if the read succeeded."""
         hosts = await self.host_list.read()
         if hosts is not None:
             self.shell.apply(events.HostsListed(hosts))
 
     def ask_listener(self, effect: effects.AskListener) -> None:
-        """Begins to try an entry's address."""
+        """Starts a task that checks an entry's listener."""
         self.shell.spawn(self.check_listener(effect))
 
     async def check_listener(self, effect: effects.AskListener) -> None:
-        """Tries an entry's address and reports if it refuses."""
+        """Connects to an entry's address; applies an event if it refuses."""
         if await listener_check.is_refused(effect.address):
             self.shell.apply(
                 events.ListenerRefused(
@@ -81,11 +85,11 @@
             )
 
     def ask_rating(self, effect: fx.AskRating) -> None:
-        """Begins to ask the rating service."""
+        """Starts a task that asks the rating service for a rating."""
         self.shell.spawn(self.fetch_rating(effect))
 
     async def fetch_rating(self, effect: fx.AskRating) -> None:
-        """Asks the rating service and reports its answer."""
+        """Requests a rating and applies it; None if there is none."""
         rating = None
         if self.settings.rating_url:
             rating = await rating_http.request_rating(
--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/recorded_shell.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/recorded_shell.py
@@ -1,7 +1,8 @@
-"""What entries and sidecars of the own interface choose of their shell.
+"""Shell components shared by the programs that can record their events.
 
-Their events can be recorded to the log and replayed, their metrics go to
-statsd, and their messages are those of `rhubarbbank_core.wire`.
+These are `rhubarbbank_entry` and `rhubarbbank_sidecar`: their events can be
+recorded to the log and replayed, their metrics go to statsd, and their
+messages are those of `rhubarbbank_core.wire`.
 """
 
 import base64
@@ -19,44 +20,44 @@
 
 
 class RecordedSettings(Protocol):
-    """The settings that decide how such a program is observed."""
+    """The settings that choose the metrics server and the recording."""
 
     @property
     def statsd_address(self) -> str:
-        """Where metrics go; empty for nowhere."""
+        """Address of the statsd server; empty to send no metrics."""
 
     @property
     def record_events(self) -> bool:
-        """Whether every event is written to the log."""
+        """Whether every event is recorded to the log."""
 
 
 class LogRecorder:
     """Writes every event and a digest of its effects to the log.
 
     Attributes:
-        start: What the reducer was built of.
+        start: What the reducer was built from.
     """
 
     def __init__(self, *, start: program_start.AnyStart) -> None:
         self.start = start
 
     def record_start(self) -> None:
-        """Records what the reducer begins with."""
+        """Records what the reducer was built from."""
         write_record(self.start)
 
     def record_event(self, now: float, event: Any) -> None:
-        """Records an event before the step that takes it."""
+        """Records an event, before the reducer applies it."""
         write_record(event_log.RecordedEvent(now, event))
 
     def record_effects(self, produced: list[Any]) -> None:
-        """Records what a step led to."""
+        """Records a digest of the effects of a step."""
         write_record(event_log.digest(produced))
 
 
 def build_parts(
     settings: RecordedSettings, start: program_start.AnyStart
 ) -> shell.ShellParts:
-    """Returns the parts of a program's shell."""
+    """Returns the shell components that the settings ask for."""
     recorder = LogRecorder(start=start) if settings.record_events else None
     return shell.ShellParts(
         metrics=metrics.Metrics(address=settings.statsd_address),
@@ -66,6 +67,6 @@
 
 
 def write_record(record: event_log.AnyRecord) -> None:
-    """Writes one record to the log, in the form that can be replayed."""
+    """Logs a record in the encoding that a replay reads."""
     text = base64.b64encode(event_log.encode(record)).decode()
     EVENT_LOG.info("%s", text)
--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/shell.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/shell.py
@@ -1,8 +1,8 @@
-"""The shell around a reducer: steps it and carries out its effects.
+"""The shell around a reducer: feeds it events and executes its effects.
 
-`Shell` holds what both programs need: the reducer's clock, the link to other
-processes, logs and metrics. Each program adds the handlers of its own effects;
-`PlatformShell` carries out what only entries do, calls to the platform.
+`Shell` provides what all programs need: the reducer's clock, the link to other
+processes, logs and metrics. Each program adds handlers for its own effects;
+`PlatformShell` adds those for the calls to the platform that an entry makes.
 """
 
 import asyncio
@@ -26,25 +26,25 @@
 from rhubarbbank_runtime import timers
 
 LOG = logging.getLogger(__name__)
-# Long enough that work which fails at once doesn't fill the log, short
-# against the seconds for which what it keeps up to date stays usable.
+# Long enough that a coroutine that fails immediately doesn't flood the log, and
+# short compared with the seconds for which the data it refreshes stays valid.
 RESTART_PAUSE_S = 0.2
-# Longer than cancelled work takes to clean up.
+# Longer than a cancelled task takes to clean up.
 CANCEL_RETRY_S = 0.5
 
 
 class Reducer(Protocol):
-    """What a shell drives."""
+    """The deterministic state machine that a shell drives."""
 
     def step(self, *, now: float, event: Any) -> Sequence[Any]:
-        """Applies one event; returns the effects."""
+        """Applies an event and returns the resulting effects."""
 
 
 class MetricsSink(Protocol):
-    """Where metrics go."""
+    """Receives metrics."""
 
     def count(self, effect: fx.Count) -> None:
-        """Adds to a counter."""
+        """Increments a counter."""
 
     def gauge(self, effect: fx.Gauge) -> None:
         """Sets a gauge."""
@@ -53,32 +53,33 @@
         """Records a timing."""
 
     def close(self) -> None:
-        """Releases what the sink holds."""
+        """Releases the resources of the sink."""
 
 
 class Recorder(Protocol):
-    """Keeps all that drives a reducer, so that it can be replayed."""
+    """Records the inputs of a reducer, so that a run can be replayed."""
 
     def record_start(self) -> None:
-        """Records what the reducer begins with."""
+        """Records what the reducer was built from."""
 
     def record_event(self, now: float, event: Any) -> None:
-        """Records an event before the step that takes it."""
+        """Records an event, before the reducer applies it."""
 
     def record_effects(self, produced: list[Any]) -> None:
-        """Records what a step led to."""
+        """Records the effects of a step."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ShellParts:
-    """What a program chooses of its shell.
+    """The components of a shell that each program chooses.
 
     Attributes:
-        metrics: Where metrics go.
-        decode: Returns the messages of a frame of another process.
-        clock: Tells the reducer's time in seconds; None for the loop's.
-        tick_s: Seconds between two beats.
-        recorder: Records events; None if they aren't recorded.
+        metrics: Receives metrics.
+        decode: Decodes a frame from another process into its messages.
+        clock: Returns the reducer's time in seconds; None to use the event
+            loop's clock.
+        tick_s: Seconds between two `Ticked` events.
+        recorder: Records events; None to record nothing.
     """
 
     metrics: MetricsSink
@@ -89,31 +90,31 @@
 
 
 class ShellSettings(Protocol):
-    """The settings that all programs have."""
+    """The settings that all programs share."""
 
     @property
     def name(self) -> str:
-        """Unique among all processes."""
+        """Name of the process, unique in the system."""
 
     @property
     def peer_address(self) -> str:
-        """Where other processes reach this one."""
+        """Address at which other processes reach this one, "ip:port"."""
 
 
 class Shell:
-    """Carries out the effects that both programs have.
+    """Drives a reducer and executes the effects that all programs share.
 
     Attributes:
         settings: The process's settings.
-        parts: What the program chose of its shell.
-        clock: Tells the reducer's time in seconds.
-        reducer: What decides.
+        parts: The components that the program chose.
+        clock: Returns the reducer's time in seconds.
+        reducer: The reducer, which makes all decisions.
         loop: The event loop.
-        stack: Owns all that must be closed.
-        session: For all HTTP calls.
-        handlers: What carries out an effect, by the effect's type.
-        stopped: Set once the process may end.
-        tasks: Work under way.
+        stack: Closes all resources, in reverse order.
+        session: The HTTP session for all outgoing calls.
+        handlers: Functions that execute effects, by the effect's type.
+        stopped: Set once the process may exit.
+        tasks: Running background tasks.
     """
 
     def __init__(
@@ -151,7 +152,7 @@
         }
 
     async def open(self) -> None:
-        """Opens links and timers."""
+        """Opens the peer link and starts signal handlers and timers."""
         if self.parts.recorder is not None:
             self.parts.recorder.record_start()
         self.stack.push_async_callback(self.session.close)
@@ -167,30 +168,30 @@
         self.timers.subscribe(period_s=self.parts.tick_s, callback=self.tick)
 
     async def close(self) -> None:
-        """Closes everything, in reverse order."""
+        """Closes all resources, in the reverse order of opening."""
         await self.stack.aclose()
 
     def apply(self, event: Any) -> None:
-        """Steps the reducer and carries out its effects."""
+        """Steps the reducer with an event and executes its effects."""
         now = self.clock()
         recorder = self.parts.recorder
         if recorder is not None:
-            # Before the step, so that an event that it fails on is kept.
+            # Before the step, so that an event that makes it fail is recorded.
             recorder.record_event(now, event)
         produced = self.reducer.step(now=now, event=event)
         if recorder is not None:
-            # Before the handlers, which may apply events of their own.
+            # Before the handlers, which may apply further events.
             recorder.record_effects(list(produced))
         handlers = self.handlers
         for effect in produced:
             handlers[type(effect)](effect)
 
     def deliver(self, message: Any) -> None:
-        """Takes in a message of another process."""
+        """Applies a message that another process sent."""
         self.apply(events.MessageReceived(message))
 
     def tick(self) -> None:
-        """The regular beat."""
+        """Applies the periodic `Ticked` event."""
         self.apply(events.Ticked())
 
     def send(self, effect: effects.Send) -> None:
@@ -198,17 +199,17 @@
         self.link.send(effect.address, effect.message)
 
     def retry_after(self, effect: fx.RetryAfter) -> None:
-        """Tells the reducer when the time it asked for has passed."""
+        """Applies `RetryDue` after the delay that the effect asks for."""
         self.loop.call_later(
             effect.delay_s, self.apply, events.RetryDue(effect.request_id)
         )
 
     def exit(self, effect: fx.Exit) -> None:
-        """Lets the process end."""
+        """Signals that the process may exit."""
         self.stopped.set()
 
     def spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        """Runs work beside the loop; its failure is logged."""
+        """Runs a coroutine as a background task; logs its failure."""
         task = self.loop.create_task(work)
         self.tasks.add(task)
         task.add_done_callback(self.handle_task_done)
@@ -216,25 +217,25 @@
     def keep_running(
         self, work: Callable[[], Coroutine[Any, Any, None]]
     ) -> None:
-        """Runs work beside the loop until it returns, anew if it fails."""
+        """Runs a coroutine in the background, and restarts it if it fails."""
         self.spawn(restart_on_failure(work))
 
     def handle_task_done(self, task: "asyncio.Task[None]") -> None:
-        """Forgets a task, and logs its failure."""
+        """Removes a finished task, and logs its failure."""
         self.tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
             LOG.error("task failed", exc_info=task.exception())
 
     async def cancel_tasks(self) -> None:
-        """Breaks off all work under way."""
+        """Cancels all background tasks and waits for them to end."""
         await cancel_all(list(self.tasks))
 
 
 async def cancel_all(tasks: list["asyncio.Task[None]"]) -> None:
     """Cancels tasks, and returns once they have ended.
 
-    A cancellation is lost where a clean-up fails, so that work may go on, or
-    be begun anew, after the first.
+    Cancels repeatedly, because an exception raised during clean-up replaces
+    the cancellation, and the task may then go on or restart its coroutine.
     """
     pending = set(tasks)
     while pending:
@@ -248,12 +249,12 @@
 async def restart_on_failure(
     work: Callable[[], Coroutine[Any, Any, None]],
 ) -> None:
-    """Runs work until it returns; logs each failure and begins anew."""
+    """Runs a coroutine until it returns; logs and restarts it if it fails."""
     while True:
         try:
             await work()
         except Exception:
-            # What others rely on goes on, whatever befell it once.
+            # Other parts rely on this work, so no failure may end it.
             LOG.exception("work failed, begun anew")
             await asyncio.sleep(RESTART_PAUSE_S)
         else:
--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/timers.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/timers.py
@@ -1,4 +1,4 @@
-"""The timer service: parts of a shell subscribe to a regular beat."""
+"""Periodic timers on the event loop."""
 
 import asyncio
 from collections.abc import Callable
@@ -7,12 +7,12 @@
 
 @dataclasses.dataclass(slots=True)
 class Subscription:
-    """One subscriber.
+    """A callback that is called periodically.
 
     Attributes:
         period_s: Seconds between two calls.
-        callback: What to call.
-        handle: The loop's pending timer.
+        callback: The function to call.
+        handle: The event loop's timer for the next call.
     """
 
     period_s: float
@@ -21,11 +21,11 @@
 
 
 class TimerService:
-    """Calls its subscribers regularly, on one event loop.
+    """Calls its subscribers periodically, on one event loop.
 
     Attributes:
-        loop: The loop.
-        subscriptions: All subscribers.
+        loop: The event loop.
+        subscriptions: All subscriptions, in the order in which they were made.
     """
 
     def __init__(self, *, loop: asyncio.AbstractEventLoop) -> None:
@@ -35,12 +35,12 @@
     def subscribe(
         self, *, period_s: float, callback: Callable[[], None]
     ) -> None:
-        """Calls `callback` every `period_s` seconds, the first time at once."""
+        """Calls `callback` every `period_s` seconds, starting immediately."""
         handle = self.loop.call_later(0, self.fire, len(self.subscriptions))
         self.subscriptions.append(Subscription(period_s, callback, handle))
 
     def fire(self, index: int) -> None:
-        """Calls one subscriber and sets its next time."""
+        """Schedules the next call of a subscriber and calls it."""
         subscription = self.subscriptions[index]
         subscription.handle = self.loop.call_later(
             subscription.period_s, self.fire, index
@@ -48,7 +48,7 @@
         subscription.callback()
 
     def close(self) -> None:
-        """Ends all subscriptions."""
+        """Cancels all subscriptions."""
         for subscription in self.subscriptions:
             subscription.handle.cancel()
         self.subscriptions.clear()
