--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/peer_link.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/peer_link.py
@@ -1,10 +1,10 @@
-"""Carries messages between the system's own processes over ZeroMQ.
+"""Exchanges messages between the system's processes over ZeroMQ.
 
-Each process binds one ROUTER socket for all that comes in and opens one
-DEALER socket to each process that it sends to; answers go to the address
-that the message names. All messages for one address that are sent within one
-turn of the event loop go out as one frame. A message may be lost, so that
-whoever needs an answer asks again.
+Each process binds one ROUTER socket for incoming messages and opens one DEALER
+socket to each process that it sends to; replies go to the address that a
+message gives. All messages to one address that are sent in one iteration of
+the event loop are batched into one frame. Messages may be lost, so a sender
+that needs a reply has to retry.
 """
 
 import asyncio
@@ -28,14 +28,14 @@
 
 
 class PeerLink:
-    """This process's end of the links to the others.
+    """Sends messages to other processes and receives theirs.
 
     Attributes:
-        address: Where this process listens, "ip:port".
+        address: Address that this process listens on, "ip:port".
         loop: The event loop.
-        deliver: Called with each message that comes in.
-        decode: Returns the messages of a frame.
-        pending: Messages to send at the end of this turn, by address.
+        deliver: Called with each received message.
+        decode: Decodes a frame into its messages.
+        pending: Messages to send in the next flush, by address.
         senders: Open DEALER sockets, by address.
     """
 
@@ -63,7 +63,8 @@
         """Starts listening.
 
         Raises:
-            zmq.ZMQError: The address is taken.
+            zmq.ZMQError: The address can't be bound, for example because it
+                is already in use.
         """
         self.receiver.setsockopt(zmq.LINGER, 0)
         self.receiver.setsockopt(zmq.RCVHWM, HIGH_WATER_FRAMES)
@@ -72,7 +73,7 @@
         self.loop.add_reader(self.receiver.fileno(), self.receive_frames)
 
     def close(self) -> None:
-        """Sends what is pending and closes all sockets."""
+        """Sends the pending messages and closes all sockets."""
         self.flush()
         self.loop.remove_reader(self.receiver.fileno())
         for sender in self.senders.values():
@@ -81,13 +82,13 @@
         self.stack.close()
 
     def send(self, address: str, message: effects.Message) -> None:
-        """Sends the message at the end of this turn of the event loop."""
+        """Queues a message; the event loop flushes it in its next iteration."""
         if not self.pending:
             self.loop.call_soon(self.flush)
         self.pending.setdefault(address, []).append(message)
 
     def flush(self) -> None:
-        """Sends everything that is pending, one frame an address."""
+        """Sends all pending messages, as one frame per address."""
         pending = self.pending
         self.pending = {}
         for address, messages in pending.items():
@@ -96,10 +97,10 @@
             try:
                 sender.send(frame, zmq.NOBLOCK)
             except zmq.Again:
-                LOG.warning("link to %s is full, frame dropped", address)
+                LOG.warning("send queue to %s is full, frame dropped", address)
 
     def connect(self, address: str) -> "zmq.Socket[bytes]":
-        """Opens the link to an address."""
+        """Opens a DEALER socket to an address."""
         sender = self.context.socket(zmq.DEALER)
         sender.setsockopt(zmq.LINGER, 0)
         sender.setsockopt(zmq.SNDHWM, HIGH_WATER_FRAMES)
@@ -110,32 +111,36 @@
         return sender
 
     def disconnect_except(self, addresses: set[str]) -> None:
-        """Closes links to processes that are gone."""
+        """Closes the sockets to all other addresses than these."""
         for address in list(self.senders):
             if address not in addresses:
                 self.senders.pop(address).close(linger=0)
 
     def receive_frames(self) -> None:
-        """Takes in frames; the descriptor only signals changes."""
+        """Receives the frames that are waiting, up to a limit.
+
+        The descriptor of a ZeroMQ socket is edge-triggered: it signals new
+        frames only once, so another call reads those beyond the limit.
+        """
         for _ in range(MAX_FRAMES_PER_CALL):
             try:
                 parts = self.receiver.recv_multipart(zmq.NOBLOCK)
             except zmq.Again:
                 return
             self.handle_frame(parts[-1])
-        # More may wait, and the descriptor won't signal it again.
+        # The descriptor doesn't signal frames that are left over.
         self.loop.call_soon(self.receive_frames)
 
     def handle_frame(self, frame: bytes) -> None:
-        """Delivers the messages of one frame; foreign frames are dropped."""
+        """Delivers the messages of a frame; drops one that can't be decoded."""
         try:
             messages = self.decode(frame)
         except msgspec.MsgspecError as error:
-            LOG.warning("foreign frame dropped: %s", error)
+            LOG.warning("undecodable frame dropped: %s", error)
             return
         for message in messages:
             try:
                 self.deliver(message)
             except Exception:
-                # One message must not cost the others their turn.
+                # A message that fails must not stop those after it.
                 LOG.exception("message failed: %r", message)
