--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/logs.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/logs.py
@@ -1,8 +1,8 @@
-"""Logging: one JSON line an event, on standard output.
+"""Structured logging: one line of JSON per record, on standard output.
 
-Lines go through a bounded queue to a thread of their own, so that a reader
-that falls behind never holds up the event loop; a token bucket bounds their
-number. Lines that are dropped are counted, and the count is logged.
+Records go through a bounded queue to a writer thread, so that a slow reader of
+standard output never blocks the event loop. A token bucket limits their rate.
+Dropped records are counted, and the count is logged.
 """
 
 import atexit
@@ -25,23 +25,25 @@
 
 
 class LogLine(msgspec.Struct, frozen=True, omit_defaults=True, kw_only=True):
-    """One line of the log.
+    """One log line.
+
+    Text fields are empty, and `attempt` is 0, where they don't apply.
 
     Attributes:
-        time: ISO 8601, UTC.
-        level: Such as INFO.
-        logger: Who wrote it.
-        message: The text, or empty for a decision.
-        decision: The decision, or empty.
-        request_id: Or empty.
-        organisation: Or empty.
-        model: Or empty.
-        version: Or empty.
-        upstream: Or empty.
-        reason: Or empty.
-        attempt: Or 0.
-        inputs: What decided it, by name.
-        exception: The traceback, or empty.
+        time: Time of the record in UTC, ISO 8601.
+        level: Name of the log level, such as INFO.
+        logger: Name of the logger.
+        message: The message; empty for a decision.
+        decision: Name of the decision that is logged.
+        request_id: The request that the decision is about.
+        organisation: The organisation of the request.
+        model: The model that the decision is about.
+        version: The version of the model or service.
+        upstream: Name of the upstream.
+        reason: Why the decision was taken.
+        attempt: Number of the attempt.
+        inputs: Values that the decision was based on, by name.
+        exception: The traceback of a logged exception.
     """
 
     time: str
@@ -61,10 +63,10 @@
 
 
 class JsonFormatter(logging.Formatter):
-    """Writes a record as one line of JSON."""
+    """Formats a log record as one line of JSON."""
 
     def format(self, record: logging.LogRecord) -> str:
-        """Returns the line."""
+        """Returns the JSON text of a record, without a line end."""
         utc_time = time.strftime(
             "%Y-%m-%dT%H:%M:%S", time.gmtime(record.created)
         )
@@ -99,11 +101,11 @@
 
 
 class BoundedQueueHandler(logging.handlers.QueueHandler):
-    """Hands records to the writing thread, or drops and counts them.
+    """Queues records for the writer thread; drops and counts the excess.
 
     Attributes:
-        bucket: Bounds the number of lines.
-        dropped: Lines dropped since the last one that was handed over.
+        bucket: Limits the rate of records.
+        dropped: Records dropped since the last one that was queued.
     """
 
     def __init__(self, records: "queue.Queue[logging.LogRecord]") -> None:
@@ -114,11 +116,11 @@
         self.dropped = 0
 
     def prepare(self, record: logging.LogRecord) -> logging.LogRecord:
-        """Returns the record as it is: it stays in this process."""
+        """Returns the record unchanged, as it isn't pickled."""
         return record
 
     def enqueue(self, record: logging.LogRecord) -> None:
-        """Hands a record over without waiting."""
+        """Queues a record without blocking, or drops it."""
         if not self.bucket.try_take(now=time.monotonic()):
             self.dropped += 1
             return
@@ -132,7 +134,7 @@
 
 
 def build_dropped_record(count: int) -> logging.LogRecord:
-    """Returns the line that says how many lines were dropped."""
+    """Returns the record that reports the number of dropped records."""
     return logging.LogRecord(
         name=__name__,
         level=logging.WARNING,
@@ -145,12 +147,12 @@
 
 
 def configure(level: str, *, lossless: bool = False) -> None:
-    """Sends all logs to standard output as JSON lines.
+    """Configures the root logger to write JSON lines to standard output.
 
     Args:
-        level: Least level that is written, such as INFO.
-        lossless: Whether to wait for the reader and drop nothing; needed
-            where events are recorded to be replayed.
+        level: Lowest level that is written, such as INFO.
+        lossless: Whether to write synchronously and drop nothing, which
+            recorded event logs need in order to be replayed.
     """
     writer = logging.StreamHandler(sys.stdout)
     writer.setFormatter(JsonFormatter())
@@ -166,5 +168,5 @@
 
 
 def write_decision(decision: fx.LogDecision) -> None:
-    """Writes one line for a decision."""
+    """Logs a decision."""
     DECISION_LOG.info("decision", extra={"decision": decision})
--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/metrics.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/metrics.py
@@ -1,4 +1,4 @@
-"""Metrics by statsd; without an address they go nowhere."""
+"""Sends metrics to a statsd server, if one is configured."""
 
 import statsd
 
@@ -11,7 +11,7 @@
     """Sends counters, gauges and timings over UDP.
 
     Attributes:
-        client: The statsd client, or None.
+        client: The statsd client; None if no address is configured.
     """
 
     def __init__(self, *, address: str) -> None:
@@ -21,7 +21,7 @@
             self.client = statsd.StatsClient(ip, int(port), prefix=PREFIX)
 
     def count(self, effect: fx.Count) -> None:
-        """Adds to a counter."""
+        """Increments a counter."""
         if self.client:
             self.client.incr(effect.metric, effect.amount)
 
--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/scraped_metrics.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/scraped_metrics.py
@@ -1,4 +1,4 @@
-"""Metrics that an operator's collector reads as text."""
+"""Metrics in the Prometheus text format, for a collector to scrape."""
 
 import prometheus_client
 from prometheus_client import exposition
@@ -7,20 +7,21 @@
 
 PREFIX = "rhubarbbank"
 S_PER_MS = 0.001
-# Seconds; from a plain read inside a data centre to a long stream.
+# From a short call inside a data centre to a long stream.
 LATENCY_BUCKETS_S = (
     0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0, 25.0,
 )  # fmt: skip
 
 
 class ScrapedMetrics:
-    """Counters, gauges and latency histograms, read over HTTP.
+    """Counters, gauges and latency histograms that are scraped over HTTP.
 
     Attributes:
-        registry: Holds all of them.
-        counters: By the effects' name.
-        gauges: Likewise.
-        histograms: Likewise, in seconds.
+        registry: The registry of all metrics.
+        counters: Counters, by the metric name of the effects.
+        gauges: Gauges, by the metric name of the effects.
+        histograms: Histograms in seconds, by the metric name of the
+            effects.
     """
 
     def __init__(self) -> None:
@@ -30,7 +31,7 @@
         self.histograms: dict[str, prometheus_client.Histogram] = {}
 
     def count(self, effect: fx.Count) -> None:
-        """Adds to a counter."""
+        """Increments a counter."""
         counter = self.counters.get(effect.metric)
         if counter is None:
             counter = prometheus_client.Counter(
@@ -54,7 +55,7 @@
         gauge.set(effect.value)
 
     def timing(self, effect: fx.Timing) -> None:
-        """Records a timing in its histogram."""
+        """Adds a timing to its histogram."""
         histogram = self.histograms.get(effect.metric)
         if histogram is None:
             histogram = prometheus_client.Histogram(
@@ -67,13 +68,13 @@
         histogram.observe(effect.value_ms * S_PER_MS)
 
     def render(self) -> bytes:
-        """Returns all metrics as text."""
+        """Returns all metrics in the Prometheus text format."""
         return exposition.generate_latest(self.registry)
 
     def close(self) -> None:
-        """Does nothing: nothing is held open."""
+        """Does nothing, as the registry holds no open resources."""
 
 
 def build_metric_name(metric: str) -> str:
-    """Returns a metric's name in the collector's spelling."""
+    """Returns the Prometheus name of a metric."""
     return f"{PREFIX}_{metric.replace('.', '_')}"
--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/settings_file.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/settings_file.py
@@ -1,4 +1,4 @@
-"""Reads and checks a program's settings file."""
+"""Reads and validates a program's settings file."""
 
 import pathlib
 
@@ -9,11 +9,11 @@
 def read_settings(
     path: str, settings_type: type[options.AnySettings]
 ) -> options.AnySettings:
-    """Returns the checked settings.
+    """Returns the validated settings.
 
     Raises:
-        errors.RhubarbbankError: The file can't be read, or has faults; the
-            message names all of them.
+        errors.RhubarbbankError: The file can't be read or is invalid; the
+            message lists all faults.
     """
     try:
         text = pathlib.Path(path).read_bytes()
@@ -26,7 +26,7 @@
 
 
 def build_error(detail: str) -> errors.RhubarbbankError:
-    """Returns the error for bad settings."""
+    """Returns the error for an unreadable or invalid settings file."""
     problem = errors.Problem(code=errors.ErrorCode.BAD_SETTINGS, detail=detail)
     return errors.RhubarbbankError(
         problem=problem, remedy="Correct the settings file and start again."
--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/store_http.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/store_http.py
@@ -1,4 +1,4 @@
-"""Carries out calls to the platform's object API over HTTP."""
+"""HTTP client of the platform's object API."""
 
 import asyncio
 import base64
@@ -14,7 +14,7 @@
 
 
 class ListedObject(msgspec.Struct, frozen=True):
-    """One object in the answer to a list or a watch."""
+    """One object in the response to a list or a watch."""
 
     key: str
     version: int
@@ -23,7 +23,7 @@
 
 
 class Listing(msgspec.Struct, frozen=True):
-    """The answer to a list or a watch."""
+    """The response to a list or a watch."""
 
     revision: int
     objects: list[ListedObject]
@@ -39,12 +39,13 @@
 
 
 class StoreHttp:
-    """The object API as seen by one process.
+    """Calls the object API on behalf of one process.
 
     Attributes:
         url: Base URL of the object API.
-        session: The HTTP session; the owner closes it.
-        client: This process's name, sent along for the platform's books.
+        session: The HTTP session; its owner closes it.
+        client: This process's name, sent in the `X-Client` header for the
+            platform's accounting.
     """
 
     def __init__(
@@ -55,7 +56,7 @@
         self.client = client
 
     async def call(self, call: store.StoreCall) -> store.StoreReply:
-        """Carries out one call; never raises for a failed one."""
+        """Makes a call; reports failures as outcomes, not as exceptions."""
         margin = (
             WATCH_TIMEOUT_MARGIN_S
             if call.operation is store.StoreOperation.WATCH
@@ -76,7 +77,7 @@
         return store.StoreReply(call_id=call.call_id, outcome=outcome)
 
     async def send(self, call: store.StoreCall) -> store.StoreReply:
-        """Sends one call and reads its answer."""
+        """Sends a call and reads its response."""
         headers = {"X-Client": self.client}
         if call.operation is store.StoreOperation.PUT:
             headers |= build_condition(call.expected_version)
@@ -104,7 +105,7 @@
 
 
 def build_params(call: store.StoreCall) -> dict[str, str]:
-    """Returns the query of a call."""
+    """Returns the query parameters of a call."""
     match call.operation:
         case store.StoreOperation.LIST:
             return {"prefix": call.key}
@@ -128,7 +129,7 @@
 def read_reply(
     call: store.StoreCall, response: aiohttp.ClientResponse, body: bytes
 ) -> store.StoreReply:
-    """Returns the reply in an HTTP answer."""
+    """Returns the reply that an HTTP response stands for."""
     outcome = get_outcome(call, response.status)
     version = int(response.headers.get("ETag", "0").strip('"'))
     if call.operation in (
@@ -152,8 +153,8 @@
 def get_outcome(call: store.StoreCall, status: int) -> store.StoreOutcome:
     """Returns the outcome that an HTTP status stands for.
 
-    A write that ends with any other status may have taken effect behind
-    whatever answered, so that it has to be read back.
+    A write that ends with an unexpected status may still have taken effect
+    behind the server that answered, so the object has to be read back.
     """
     known = STATUS_OUTCOMES.get(status)
     if known is not None:
