--- a/features/steps/store_relay_steps.py
+++ b/features/steps/store_relay_steps.py
@@ -103,7 +103,7 @@
 def check_known(context, wait):
     assert wait == SETTLE_S
     store = context.store
-    assert len(store.known) == store.count, len(store.known)
+    assert len(store.known_ids) == store.count, len(store.known_ids)
 
 
 @then("it used between {least:d} and {most:d} watches")
--- a/features/support/growing_store.py
+++ b/features/support/growing_store.py
@@ -18,7 +18,7 @@
         relays_enabled: Whether the bounds let entries read for one another.
         registered: How many have registered.
         watches: Answers to watches.
-        known: Ids of which the entry has been told.
+        known: Ids of which the entry has been changes.
     """
 
     list_position = 0
@@ -29,53 +29,55 @@
         self.relays_enabled = relays_enabled
         self.registered = 0
         self.watches = 0
-        self.known = set()
+        self.known_ids = set()
 
     def should_read(self, subject):
         return True
 
-    async def follow(self, longer_s):
+    async def follow(self, extra_s):
         """Follows while they register, and a little longer."""
         follower = store_follower.StoreFollower(
             api=self, apply=self.apply, clock=self.clock, read_policy=self
         )
         kind = store_follower.FOLLOWED_KINDS[0]
-        following = asyncio.ensure_future(follower.follow_kind(kind))
+        task = asyncio.ensure_future(follower.follow_kind(kind))
         for _ in range(self.count):
             self.registered += 1
             await asyncio.sleep(self.period_s / self.count)
-        await asyncio.sleep(longer_s)
-        following.cancel()
+        await asyncio.sleep(extra_s)
+        task.cancel()
 
     def clock(self):
         return asyncio.get_running_loop().time()
 
     def apply(self, event):
         if isinstance(event, events.UpstreamsListed):
-            self.known.update(x.upstream_id for x in event.listed)
+            self.known_ids.update(x.upstream_id for x in event.listed)
         if isinstance(event, events.UpstreamChanged):
-            self.known.add(event.listed.upstream_id)
+            self.known_ids.add(event.listed.upstream_id)
 
     # The calls of `store_api.StoreApi` that the follower makes.
 
     async def list_page(self, kind, *, after):
         items = [build_object(x) for x in range(1, self.registered + 1)]
         body = {"items": items, "store_revision": self.registered}
-        return answer(body)
+        return build_result(body)
 
     async def watch(self, kind, *, revision, wait_s, allow_stale=False):
-        until = self.clock() + wait_s
-        while self.registered <= revision and self.clock() < until:
+        deadline = self.clock() + wait_s
+        while self.registered <= revision and self.clock() < deadline:
             await asyncio.sleep(0.005)
         self.watches += 1
-        told = [
+        changes = [
             {"object": build_object(x)}
             for x in range(revision + 1, self.registered + 1)
         ]
-        return answer({"events": told, "store_revision": self.registered})
+        return build_result(
+            {"events": changes, "store_revision": self.registered}
+        )
 
 
-def answer(body):
+def build_result(body):
     return store_api.CallResult(
         outcome=store_api.CallOutcome.OK, body=msgspec.json.encode(body)
     )
