--- a/features/steps/platform_failure_steps.py
+++ b/features/steps/platform_failure_steps.py
@@ -21,7 +21,7 @@
 from rhubarbbank_runtime import shell
 from rhubarbbank_runtime import store_http
 
-MOST_S = 5.0
+TIMEOUT_S = 5.0
 
 
 class FailingWork:
@@ -29,15 +29,15 @@
 
     def __init__(self, failures):
         self.failures = failures
-        self.begun = 0
+        self.starts = 0
 
     async def run(self):
-        self.begun += 1
-        if self.begun <= self.failures:
-            raise RuntimeError("unforeseen")
+        self.starts += 1
+        if self.starts <= self.failures:
+            raise RuntimeError("unexpected")
 
 
-class StubbornWork:
+class CancellationIgnoringWork:
     """Work without an end that loses its first cancellation.
 
     Attributes:
@@ -52,7 +52,7 @@
     async def run(self):
         while True:
             try:
-                await asyncio.sleep(MOST_S)
+                await asyncio.sleep(TIMEOUT_S)
             except asyncio.CancelledError:
                 self.cancelled += 1
                 if self.cancelled > 1:
@@ -67,11 +67,11 @@
     def __init__(self, error):
         self.error = error
 
-    def request(self, *args, **more):
+    def request(self, *args, **options):
         raise self.error
 
 
-class LogMemory(logging.Handler):
+class RecordingHandler(logging.Handler):
     """Keeps what is logged."""
 
     def __init__(self):
@@ -83,17 +83,17 @@
 
 
 @contextlib.contextmanager
-def remember_log(name):
+def record_log(name):
     """Keeps what a logger is told until the block ends."""
-    memory = LogMemory()
+    handler = RecordingHandler()
     logger = logging.getLogger(name)
-    logger.addHandler(memory)
+    logger.addHandler(handler)
     logger.propagate = False
     try:
-        yield memory.records
+        yield handler.records
     finally:
         logger.propagate = True
-        logger.removeHandler(memory)
+        logger.removeHandler(handler)
 
 
 @given("work that fails {failures:d} times and then returns")
@@ -101,69 +101,69 @@
     context.work = FailingWork(failures)
 
 
-@given("work that answers its first cancellation with {what}")
-def make_stubborn_work(context, what):
+@given("work that reacts to its first cancellation with {what}")
+def make_cancellation_ignoring_work(context, what):
     error = None if what == "nothing" else RuntimeError(what)
-    context.work = StubbornWork(error)
+    context.work = CancellationIgnoringWork(error)
 
 
-@when("a shell that keeps it running breaks it off")
-def break_off(context):
+@when("a shell that restarts it cancels it")
+def cancel_work(context):
     async def stop():
         task = asyncio.create_task(shell.restart_on_failure(context.work.run))
         await asyncio.sleep(0)
-        begun_at = time.monotonic()
+        cancelled_at = time.monotonic()
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(MOST_S):
+            async with asyncio.timeout(TIMEOUT_S):
                 await shell.cancel_all([task])
-        context.took_s = time.monotonic() - begun_at
+        context.duration_s = time.monotonic() - cancelled_at
 
-    with remember_log(shell.LOG.name) as context.records:
+    with record_log(shell.LOG.name) as context.records:
         uvloop.run(stop())
 
 
-@then("it has ended within {most:g} s, and the log names it")
-def check_ended(context, most):
-    assert context.took_s < most, context.took_s
+@then("it has ended within {limit:g} s, and the log names it")
+def check_ended(context, limit):
+    assert context.duration_s < limit, context.duration_s
     lines = [record.getMessage() for record in context.records]
     assert any("restart_on_failure" in x for x in lines), lines
 
 
-@when("a shell keeps it running")
-def keep_running(context):
-    with remember_log(shell.LOG.name) as context.records:
+@when("a shell restarts it after failures")
+def restart_work(context):
+    with record_log(shell.LOG.name) as context.records:
         uvloop.run(shell.restart_on_failure(context.work.run))
 
 
-@then("it has been begun {times:d} times")
-def check_begun(context, times):
-    assert context.work.begun == times, context.work.begun
+@then("it has been started {times:d} times")
+def check_starts(context, times):
+    assert context.work.starts == times, context.work.starts
 
 
-@then("each failure is in the log")
+@then("each failure is logged")
 def check_log(context):
     found = [str(record.exc_info[1]) for record in context.records]
-    assert found == ["unforeseen"] * context.work.failures, found
+    assert found == ["unexpected"] * context.work.failures, found
 
 
-@when("the HTTP client fails an attempt with {error}")
+@when("an attempt fails in the HTTP client with {error}")
 def fail_attempt(context, error):
     context.applied = []
     context.error = error
     exchange = runners.UpstreamClient(
-        session=FailingSession(getattr(builtins, error)("unforeseen")),
+        session=FailingSession(getattr(builtins, error)("unexpected")),
         apply=context.applied.append,
         spawn=lambda work: None,
     )
-    with remember_log(runners.LOG.name):
+    with record_log(runners.LOG.name):
         uvloop.run(exchange.run(raw_servers.build_send_attempt(port=1)))
 
 
-@then("the router hears that the attempt broke off, and why")
+@then("the router is told that the attempt broke off, and why")
 def check_broken_off(context):
     (ended,) = context.applied
     assert ended.end is events.AttemptEnd.BROKEN, ended
-    assert ended.detail == f"{context.error}: unforeseen", ended
+    assert ended.detail == f"{context.error}: unexpected", ended
 
 
 @given("a store that answers every call with status {status:d}")
@@ -171,7 +171,7 @@
     context.status = status
 
 
-async def ask_odd_server(status, ask):
+async def call_stub_server(status, call):
     """Returns what a call to a server that knows one status only brings."""
 
     async def answer(reader, writer):
@@ -184,7 +184,7 @@
     server = await asyncio.start_server(answer, raw_servers.LOCALHOST, 0)
     port = server.sockets[0].getsockname()[1]
     async with server, aiohttp.ClientSession() as session:
-        return await ask(f"{raw_servers.LOCALHOST}:{port}", session)
+        return await call(f"{raw_servers.LOCALHOST}:{port}", session)
 
 
 async def read_configuration(address, session):
@@ -204,24 +204,24 @@
 
 @then('a read of the configuration ends with "{outcome}"')
 def check_configuration(context, outcome):
-    found = uvloop.run(ask_odd_server(context.status, read_configuration))
+    found = uvloop.run(call_stub_server(context.status, read_configuration))
     assert found == outcome, found
 
 
 @then('a read of an object ends with "{outcome}"')
 def check_object(context, outcome):
-    found = uvloop.run(ask_odd_server(context.status, read_object))
+    found = uvloop.run(call_stub_server(context.status, read_object))
     assert found == outcome, found
 
 
-@when("three messages come in one frame and the first fails")
+@when("a frame carries three messages and the first one's handler fails")
 def fail_message(context):
-    context.taken = []
+    context.handled = []
 
     def deliver(message):
         if message == 1:
             raise KeyError(message)
-        context.taken.append(message)
+        context.handled.append(message)
 
     loop = asyncio.new_event_loop()
     link = peer_link.PeerLink(
@@ -230,13 +230,13 @@
         deliver=deliver,
         decode=list,
     )
-    with remember_log(peer_link.LOG.name) as context.logged:
-        link.handle_frame(bytes((1, 2, 3)))
+    with record_log(peer_link.LOG.name) as context.logged:
+        link.take_frame(bytes((1, 2, 3)))
     link.stack.close()
     loop.close()
 
 
-@then("the other two are taken, and the failure is in the log")
-def check_taken(context):
-    assert context.taken == [2, 3], context.taken
+@then("the other two are handled, and the failure is logged")
+def check_handled(context):
+    assert context.handled == [2, 3], context.handled
     assert len(context.logged) == 1, context.logged
