--- a/features/steps/platform_stop_steps.py
+++ b/features/steps/platform_stop_steps.py
@@ -18,7 +18,7 @@
 TIMEOUTS = caller_connection.ConnectionTimeouts(header_s=5.0, idle_s=5.0)
 BODY = b"x" * 1000
 HEAD = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n" % len(BODY)
-ANSWER_START = b"HTTP/1.1 200"
+RESPONSE_START = b"HTTP/1.1 200"
 
 
 class Caller:
@@ -26,40 +26,40 @@
 
     Attributes:
         name: What it stands for.
-        begun: Whether it could send a head after the stop.
+        started: Whether it could send a head after the stop.
         answer: What came after that.
     """
 
     def __init__(self, name):
         self.name = name
-        self.begun = False
-        self.answer = b""
+        self.started = False
+        self.response = b""
 
     async def connect(self, port):
         self.reader, self.writer = await asyncio.open_connection(
             raw_servers.LOCALHOST, port
         )
 
-    async def exchange(self):
+    async def complete_request(self):
         """A whole request and its answer, after which it rests."""
         self.writer.write(HEAD + BODY)
         await self.reader.readuntil(b"\r\n\r\n")
 
-    async def ask(self, *, head_after_s, body_after_s):
+    async def send_request(self, *, head_after_s, body_after_s):
         """Sends a request in two parts, unless the connection is closed."""
         await asyncio.sleep(head_after_s)
         if self.reader.at_eof():
             return
-        self.begun = True
+        self.started = True
         with contextlib.suppress(OSError):
             self.writer.write(HEAD)
             await asyncio.sleep(body_after_s)
-            await self.end()
+            await self.send_body()
 
-    async def end(self):
+    async def send_body(self):
         """Sends the body, and takes what comes until the end."""
         self.writer.write(BODY)
-        self.answer = await self.reader.read()
+        self.response = await self.reader.read()
 
 
 async def answer(request):
@@ -72,7 +72,7 @@
         return response
 
 
-class Stand:
+class FakeService:
     """What an entry's service needs to close its intake.
 
     Attributes:
@@ -90,64 +90,66 @@
 
 
 @given(
-    "callers with a kept connection and a new one, and one whose body is on "
-    "its way"
+    "callers with an idle connection, a new connection and an unfinished "
+    "request body"
 )
-def build_callers(context):
-    context.kept = Caller("kept")
+def create_callers(context):
+    context.idle = Caller("idle")
     context.new = Caller("new")
     context.sending = Caller("sending")
 
 
-@when("the entry takes no more requests and ends {end:g} s later")
-def set_end(context, end):
-    context.end_s = end
+@when("the entry stops accepting requests and exits {end:g} s later")
+def set_exit_delay(context, end):
+    context.exit_delay_s = end
 
 
 @when(
     "each caller sends a request's head after {head:g} s, and its body after "
     "{body:g} s more"
 )
-def play_stop(context, head, body):
-    async def play():
+def stop_entry(context, head, body):
+    async def run_stop():
         server = caller_connection.CallerServer(
             answer, get_timeouts=lambda: TIMEOUTS
         )
-        runner = web.ServerRunner(server, shutdown_timeout=context.end_s)
+        runner = web.ServerRunner(server, shutdown_timeout=context.exit_delay_s)
         await runner.setup()
         site = web.TCPSite(runner, raw_servers.LOCALHOST, 0)
         await site.start()
         port = runner.addresses[0][1]
-        for caller in (context.kept, context.new, context.sending):
+        for caller in (context.idle, context.new, context.sending):
             await caller.connect(port)
-        await context.kept.exchange()
+        await context.idle.complete_request()
         context.sending.writer.write(HEAD)
         await asyncio.sleep(head)
-        stand = Stand(server=server, site=site)
+        service = FakeService(server=server, site=site)
         entry_service.EntryService.stop_accepting(
-            stand, effects.StopAccepting()
+            service, effects.StopAccepting()
         )
-        asks = [
-            asyncio.create_task(x.ask(head_after_s=head, body_after_s=body))
-            for x in (context.kept, context.new)
+        requests = [
+            asyncio.create_task(
+                x.send_request(head_after_s=head, body_after_s=body)
+            )
+            for x in (context.idle, context.new)
         ]
-        await asyncio.sleep(context.end_s / 2)
-        last = asyncio.create_task(context.sending.end())
-        await asyncio.sleep(context.end_s / 2)
+        await asyncio.sleep(context.exit_delay_s / 2)
+        unfinished = asyncio.create_task(context.sending.send_body())
+        await asyncio.sleep(context.exit_delay_s / 2)
         await runner.cleanup()
-        await asyncio.gather(*asks, last, *stand.tasks)
+        await asyncio.gather(*requests, unfinished, *service.tasks)
 
-    uvloop.run(play())
+    uvloop.run(run_stop())
 
 
-@then("no caller's request is cut off after it began")
-def check_none_cut(context):
-    for caller in (context.kept, context.new):
-        answered = caller.answer.startswith(ANSWER_START)
-        assert answered or not caller.begun, caller.name
+@then("no request that started is aborted")
+def check_none_aborted(context):
+    for caller in (context.idle, context.new):
+        answered = caller.response.startswith(RESPONSE_START)
+        assert answered or not caller.started, caller.name
 
 
-@then("the request whose body was on its way is answered")
+@then("the request with the unfinished body is answered")
 def check_answered(context):
-    found = context.sending.answer
-    assert found.startswith(ANSWER_START), found
+    found = context.sending.response
+    assert found.startswith(RESPONSE_START), found
