--- a/features/platform_notices.feature
+++ b/features/platform_notices.feature
@@ -1,14 +1,14 @@
 @platform
-Feature: Runners that shut down or want nothing, over real sockets
+Feature: Notices from runners that shut down or accept no requests, over real sockets
 
-  Scenario: A runner that wants nothing for a time is asked again after it
-    When a runner that is asked for "/book/1" does "close"
-    Then it got none of the next 20 requests
-    And after 1.6 s it gets some of 20 requests
+  Scenario: A runner that accepts no requests for a time gets requests again afterwards
+    When a runner answers a request for "/book/1" with fault "close"
+    Then it receives none of the next 20 requests
+    And after 1.6 s it receives some of 20 requests
 
-  Scenario Outline: A runner that says it shuts down gets nothing more
-    When a runner that is asked for "<path>" does "leave"
-    Then it got none of the next 20 requests
+  Scenario Outline: A runner that announces its shutdown gets no more requests
+    When a runner answers a request for "<path>" with fault "leave"
+    Then it receives none of the next 20 requests
 
     Examples:
       | path       |
--- a/features/platform_path.feature
+++ b/features/platform_path.feature
@@ -1,73 +1,73 @@
 @platform
-Feature: An entry on the platform, as a process, between callers, store and runners
-
-  Scenario: Requests of each kind get their runner's answer, unchanged
-    When a caller asks the platform for "/book/court/2?day=8%2F2" with a body
-    Then the platform's answer is the runner's, signature and all
-    And the runner got method, target and body as they were sent
-    And the runner got the organisation, not the key
-    And the runner got a deadline below the caller's, and its own name
-    When a caller asks the platform for "/look/court/2"
-    Then the platform's answer is the runner's, signature and all
-    When a caller asks the platform for "/chat/easy"
-    Then the platform's answer is a stream of events 1 to 6
-
-  Scenario: A body in chunks arrives whole
-    When a caller sends the platform a body in chunks
-    Then the platform's answer is the runner's, signature and all
-
-  Scenario: Headers that are the system's to set aren't passed on
+Feature: An entry process forwards callers' requests to runners
+
+  Scenario: Requests of every kind get the runner's response unchanged
+    When a caller requests "/book/court/2?day=8%2F2" from the platform with a body
+    Then the platform's response is the runner's, including its signature
+    And the runner received the method, target and body as sent
+    And the runner received the organisation but not the API key
+    And the runner received a deadline within the caller's, and its own name
+    When a caller requests "/look/court/2" from the platform
+    Then the platform's response is the runner's, including its signature
+    When a caller requests "/chat/easy" from the platform
+    Then the platform's response is a stream of events 1 to 6
+
+  Scenario: A chunked body is forwarded completely
+    When a caller sends the platform a chunked body
+    Then the platform's response is the runner's, including its signature
+
+  Scenario: Headers reserved for the system aren't forwarded
     When a caller sends the platform headers that only the system may set
-    Then the runner got none of them
+    Then the runner received none of these headers
 
   Scenario: A hard request is answered by the large model
-    When a caller asks the platform for "/chat/hard"
-    Then the platform's answer is a stream of events 1 to 6
-    And the events are of model "large"
+    When a caller requests "/chat/hard" from the platform
+    Then the platform's response is a stream of events 1 to 6
+    And the events come from model "large"
 
-  Scenario Outline: What a runner does wrong, and what callers get
-    When runners <misdeed> with <count> requests, and a caller asks for "<path>"
-    Then the platform answers <answer>, and <runs> runs began
+  Scenario Outline: Responses to callers when a runner misbehaves
+    When a caller requests "<path>" while runners have fault "<fault>" for <count> requests
+    Then the platform returns <answer>, and <runs> runs started
 
     Examples:
-      | misdeed        | count | path       | answer           | runs |
+      | fault          | count | path       | answer           | runs |
       | shed           | 1     | /book/1    | the runner's 200 | 1    |
       | another        | 1     | /book/1    | the runner's 200 | 1    |
       | fail           | 1     | /look/1    | the runner's 200 | 2    |
       | fail           | 1     | /book/1    | the runner's 500 | 1    |
       | cut            | 1     | /look/1    | the runner's 200 | 2    |
-      | cut            | 1     | /book/1    | an own 502       | 1    |
-      | cut_midway     | 1     | /book/1    | an own 502       | 1    |
+      | cut            | 1     | /book/1    | its own 502       | 1    |
+      | cut_midway     | 1     | /book/1    | its own 502       | 1    |
       | cut_midway     | 1     | /look/1    | the runner's 200 | 2    |
       | unframed       | 1     | /book/1    | the runner's 200 | 1    |
-      | reset_unframed | 1     | /book/1    | an own 502       | 1    |
+      | reset_unframed | 1     | /book/1    | its own 502       | 1    |
       | reset_unframed | 1     | /look/1    | the runner's 200 | 2    |
       | extra          | 1     | /book/1    | the runner's 200 | 1    |
-      | foreign        | 1     | /book/1    | an own 502       | 1    |
+      | foreign        | 1     | /book/1    | its own 502       | 1    |
       | early          | 1     | /book/1    | the runner's 200 | 1    |
       | hang           | 1     | /look/1    | the runner's 200 | 2    |
-      | shed           | 9     | /book/1    | an own 503       | 0    |
+      | shed           | 9     | /book/1    | its own 503       | 0    |
 
-  Scenario Outline: A stream that a runner spoils goes on elsewhere
-    When runners <misdeed> with 1 requests, and a caller asks for "/chat/easy"
-    Then the platform's answer is a stream of events 1 to 6
+  Scenario Outline: A stream interrupted by a runner continues on another one
+    When a caller requests "/chat/easy" while runners have fault "<fault>" for 1 requests
+    Then the platform's response is a stream of events 1 to 6
 
     Examples:
-      | misdeed    |
+      | fault      |
       | cut        |
       | cut_midway |
       | stall      |
       | hang       |
       | fail       |
 
-  Scenario: A runner that hangs with a booking: the answer at the time-out
-    When runners hang with 1 requests, and a caller asks for "/book/1"
-    Then the platform answers an own 504, and 1 runs began
+  Scenario: A booking on a runner that hangs is answered at the timeout
+    When a caller requests "/book/1" while runners have fault "hang" for 1 requests
+    Then the platform returns its own 504, and 1 runs started
     And it took at most 2.8 s
 
-  Scenario: A caller that leaves frees the runner
-    When runners hang with 1 requests, and a caller leaves after 0.3 s
-    Then no runner works on anything within 1 s
+  Scenario: A caller's disconnection cancels the work of the runner
+    When a caller disconnects after 0.3 s while its runner hangs
+    Then all runners are idle within 1 s
 
   Scenario Outline: Invalid input is rejected, and not forwarded
     When a caller sends this invalid input: <what>
@@ -110,8 +110,8 @@
 
   Scenario: The idle timeout doesn't apply while a caller waits for its answer
     Given the header timeout is 0.6 s and the idle timeout 1.2 s
-    When runners hang with 1 requests, and a caller asks for "/book/1"
-    Then the platform answers an own 504, and 1 runs began
+    When a caller requests "/book/1" while runners have fault "hang" for 1 requests
+    Then the platform returns its own 504, and 1 runs started
 
   Scenario: Pipelined requests are answered in order
     When a caller pipelines two requests to the platform
@@ -121,11 +121,11 @@
     When 200 callers send requests, some leave, and runners misbehave
     Then the entry has no more file descriptors open than before
 
-  Scenario: A configuration is in force within two seconds
-    When the operators add a route and take the key away
-    Then within 2 s the old key gets 401 and the new route is known
+  Scenario: A new configuration takes effect within two seconds
+    When the operators add a route and revoke the key
+    Then within 2 s the old key gets 401 and the new route works
 
-  Scenario: Requests of an id are found in the log, and counted
-    When a caller asks the platform for "/look/court/2"
-    Then the entry's log says who ran it and why
-    And the entry's metrics count it
+  Scenario: Requests are logged by ID and counted
+    When a caller requests "/look/court/2" from the platform
+    Then the entry's log names the runner and the reason for its choice
+    And the entry's metrics include the request
--- a/features/platform_store.feature
+++ b/features/platform_store.feature
@@ -1,79 +1,79 @@
 @platform
-Feature: Entries through the store's troubles, stops and kills
+Feature: Entries during store failures, graceful stops and crashes
 
-  Scenario Outline: Keys are refused once freshness can't be proved, and come back
+  Scenario Outline: Keys are refused while freshness can't be proved
     Given 2 entries on the platform
     When the store <fault> for entry 0
-    Then entry 0 refuses keys between 3 s and 5 s later, as not run
-    And entry 0 isn't ready, but entry 1 is and serves
+    Then entry 0 starts to refuse keys after 3 s to 5 s, and runs no such request
+    And entry 0 isn't ready, but entry 1 is ready and serves
     When the store serves entry 0 again
     Then entry 0 serves again within 2 s
 
     Examples:
-      | fault   |
-      | is busy |
-      | is silent |
-      | resets  |
+      | fault              |
+      | is busy            |
+      | doesn't respond    |
+      | resets connections |
 
-  Scenario: A key that was taken away while an entry was suspended
+  Scenario: A key revoked while an entry was suspended is refused
     Given 2 entries on the platform
-    When entry 0 is suspended, the key is taken away, and 5.2 s pass
+    When entry 0 is suspended, the key is revoked, and 5.2 s pass
     And entry 0 is resumed
-    Then no request that is sent to entry 0 with that key runs
+    Then no request sent to entry 0 with that key is run
 
-  Scenario: History that is gone
+  Scenario: A removal is noticed although the store discarded its history
     Given 1 entries on the platform
-    When the store drops its history and a runner leaves unseen
+    When a runner is removed and the store discards its history
     Then no request reaches that runner after 3 s
 
-  Scenario: Entries of other writers name no runner
+  Scenario: Invalid upstreams in the store are ignored
     Given 1 entries on the platform
-    When foreign entries are written beside the runners'
-    Then the entry goes on serving and logs them
+    When invalid upstreams are written beside the runners
+    Then the entry continues to serve and logs each invalid upstream
 
-  Scenario: A leaving runner gets nothing more
+  Scenario: A draining runner receives no more requests
     Given 1 entries on the platform
-    When a runner says that it is leaving
+    When a runner is registered as draining
     Then no request reaches that runner after 1 s
 
   Scenario: A graceful stop answers everything, and leaves
     Given 2 entries on the platform
-    When callers stream from entry 0 and it is asked to stop
-    Then all their streams are whole
-    And entry 0 isn't ready at once, ends within 8 s with code 0
-    And its registration is gone
+    When entry 0 is asked to stop while it streams to callers
+    Then all streams are complete
+    And entry 0 is immediately unready, and exits within 8 s with code 0
+    And its registration is removed
 
-  Scenario: A killed entry serves soon after its restart
+  Scenario: A killed entry accepts callers while it restarts
     Given 1 entries on the platform
-    When entry 0 is killed and started again
-    Then a caller that connects meanwhile is served
+    When entry 0 is killed and restarted
+    Then a caller that connects during the start is served
 
-  Scenario: A good version is rolled out over all entries
+  Scenario: A working version is rolled out on all entries
     Given 2 entries on the platform
-    When a good version is ordered within 6 s
+    When a roll-out of a working version over 6 s is ordered
     Then the roll-out's status is "completed" within 7 s
-    And its status was written by conditional calls
+    And its status was written with conditional calls, once per state
 
-  Scenario: Entries find each other from what may be old
+  Scenario: Entries find each other from stale reads
     Given 3 entries on the platform
-    Then every entry hears 2 others within 6 s
-    And of its calls to the store, those for entries and roll-outs allow an old answer
+    Then every entry receives heartbeats from 2 others within 6 s
+    And only watches of entries and roll-outs allow stale responses
 
-  Scenario: A bad version is rolled back
+  Scenario: A failing version is rolled back
     Given 2 entries on the platform
-    When a version that fails is ordered within 12 s
+    When a roll-out of a failing version over 12 s is ordered
     Then the roll-out's status is "rolled_back" within 12 s
 
-  Scenario Outline: The record survives writes that are lost or late
+  Scenario Outline: The roll-out's record survives lost or delayed writes
     Given 2 entries on the platform
     When the store <fault> for entry 0
-    And a good version is ordered within 6 s
+    And a roll-out of a working version over 6 s is ordered
     Then the roll-out's status is "completed" within 9 s
 
     Examples:
-      | fault                  |
-      | loses answers          |
-      | does writes late       |
+      | fault           |
+      | loses responses |
+      | delays writes   |
 
-  Scenario: Bad settings are named, each with its remedy
-    Then an entry with bad settings ends with code 1 and names each fault
+  Scenario: Each invalid setting is named
+    Then an entry with invalid settings exits with code 1 and names each invalid field
--- a/features/steps/platform_input_steps.py
+++ b/features/steps/platform_input_steps.py
@@ -13,7 +13,7 @@
 
 @when("a caller pipelines two requests to the platform")
 def send_pipelined(context):
-    platform_callers.start_asking(context)
+    platform_callers.prepare_fleet(context)
     data = platform_callers.build_request(
         "/look/first"
     ) + platform_callers.build_request("/look/second")
@@ -31,9 +31,9 @@
 
 @when("a caller sends this invalid input: {what}")
 def send_invalid(context, what):
-    platform_callers.start_asking(context)
+    platform_callers.prepare_fleet(context)
     context.statuses, context.raw = platform_callers.send_raw(
-        context.platform, platform_callers.BAD_INPUTS[what]()
+        context.platform, platform_callers.INVALID_INPUTS[what]()
     )
 
 
@@ -56,7 +56,7 @@
 
 @when("{count:d} callers send requests, some leave, and runners misbehave")
 def send_many(context, count):
-    platform_callers.start_asking(context)
+    platform_callers.prepare_fleet(context)
     fleet = context.platform
     time.sleep(0.5)
     context.before = count_descriptors(fleet)
@@ -64,7 +64,7 @@
     for number in range(count):
         fleet.misbehave(next(misdeeds))
         if number % 4 == 0:
-            with platform_callers.open_socket(fleet) as caller:
+            with platform_callers.connect(fleet) as caller:
                 caller.sendall(platform_callers.build_request("/look/gone"))
         else:
             fleet.ask(("/look/n", "/book/n", "/chat/n")[number % 3])
@@ -106,7 +106,7 @@
 
 @given("the header timeout is {head:g} s and the idle timeout {idle:g} s")
 def configure_timeouts(context, head, idle):
-    platform_callers.start_asking(context)
+    platform_callers.prepare_fleet(context)
     context.platform.configure(
         5, header_timeout_ms=int(head * 1000), idle_timeout_ms=int(idle * 1000)
     )
@@ -131,7 +131,7 @@
 
 def send_byte_by_byte(context):
     data = platform_callers.build_request("/book/slow")
-    with platform_callers.open_socket(context.platform) as caller:
+    with platform_callers.connect(context.platform) as caller:
         started_at = time.monotonic()
         for number in range(len(data)):
             caller.sendall(data[number : number + 1])
@@ -146,7 +146,7 @@
         send_byte_by_byte(context)
         return
     first, second = SLOW_INPUTS[what]
-    with platform_callers.open_socket(context.platform) as caller:
+    with platform_callers.connect(context.platform) as caller:
         if first:
             caller.sendall(first)
             assert caller.recv(65_536).startswith(b"HTTP/1.1 200")
--- a/features/steps/platform_notice_steps.py
+++ b/features/steps/platform_notice_steps.py
@@ -9,7 +9,7 @@
 from rhubarbbank_experiments import platform_fleet
 
 
-def count_new(fleet, runner, path, count):
+def count_new_runs(fleet, runner, path, count):
     """Asks a number of times; returns how many the runner ran."""
     before = len(fleet.runners[runner].runs)
     for number in range(count):
@@ -17,36 +17,45 @@
     return len(fleet.runners[runner].runs) - before
 
 
-@when('a runner that is asked for "{path}" does "{misdeed}"')
-def misbehave_once(context, path, misdeed):
-    platform_callers.start_asking(context)
+@when('a runner answers a request for "{path}" with fault "{fault}"')
+def answer_with_fault(context, path, fault):
+    platform_callers.prepare_fleet(context)
     fleet = context.platform
-    models = path.startswith("/chat")
-    service = platform_fleet.MODELS if models else platform_fleet.BOOKINGS
-    fleet.misbehave(misdeed, service=service, count=1)
-    waiting = {name: x for name, x in fleet.runners.items() if x.misdeeds}
-    before = {name: len(x.runs) for name, x in waiting.items()}
+    uses_models = path.startswith("/chat")
+    service = platform_fleet.MODELS if uses_models else platform_fleet.BOOKINGS
+    fleet.misbehave(fault, service=service, count=1)
+    faulty = {name: x for name, x in fleet.runners.items() if x.misdeeds}
+    before = {name: len(x.runs) for name, x in faulty.items()}
     fleet.ask(path)
-    ran = [n for n, x in waiting.items() if len(x.runs) > before[n]]
-    lines = [
+    runners_that_ran = [
+        name for name, x in faulty.items() if len(x.runs) > before[name]
+    ]
+    notices = [
         line["upstream"]
         for line in fleet.entries[0].read_log()
         if line.get("decision") in ("upstream_leaving", "upstream_closed")
     ]
     context.path = path
     # One that refuses has run nothing.
-    context.runner = lines[-1]
-    assert misdeed == "close" or context.runner in ran, (lines, ran)
+    context.runner = notices[-1]
+    assert fault == "close" or context.runner in runners_that_ran, (
+        notices,
+        runners_that_ran,
+    )
 
 
-@then("it got none of the next {count:d} requests")
+@then("it receives none of the next {count:d} requests")
 def check_none(context, count):
-    found = count_new(context.platform, context.runner, context.path, count)
+    found = count_new_runs(
+        context.platform, context.runner, context.path, count
+    )
     assert found == 0, found
 
 
-@then("after {wait:g} s it gets some of {count:d} requests")
+@then("after {wait:g} s it receives some of {count:d} requests")
 def check_again(context, wait, count):
     time.sleep(wait)
-    found = count_new(context.platform, context.runner, context.path, count)
+    found = count_new_runs(
+        context.platform, context.runner, context.path, count
+    )
     assert found > 0
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -35,34 +35,34 @@
     "Kv-From": "127.0.0.1:1/x",
     "X-Request-Priority": "0",
 }
-FAULTS = {
+STORE_FAULTS = {
     "is busy": platform_store.Fault.BUSY,
-    "is silent": platform_store.Fault.SILENT,
-    "resets": platform_store.Fault.RESET,
-    "loses answers": platform_store.Fault.LOST,
-    "does writes late": platform_store.Fault.LATE,
+    "doesn't respond": platform_store.Fault.SILENT,
+    "resets connections": platform_store.Fault.RESET,
+    "loses responses": platform_store.Fault.LOST,
+    "delays writes": platform_store.Fault.LATE,
 }
-ASK_EVERY_S = 0.1
+REQUEST_PERIOD_S = 0.1
 STATUS_LINE = re.compile(rb"HTTP/1\.[01] (\d{3}) ")
 
 
-@when('a caller asks the platform for "{path}"')
-def ask(context, path):
-    platform_callers.start_asking(context)
+@when('a caller requests "{path}" from the platform')
+def send_request(context, path):
+    platform_callers.prepare_fleet(context)
     context.path = path
     context.reply = context.platform.ask(path)
 
 
-@when('a caller asks the platform for "{path}" with a body')
-def ask_with_body(context, path):
-    platform_callers.start_asking(context)
+@when('a caller requests "{path}" from the platform with a body')
+def send_body(context, path):
+    platform_callers.prepare_fleet(context)
     context.path = path
     context.body = b'{"court": 2}'
     context.reply = context.platform.ask(path, body=context.body)
 
 
-@then("the platform's answer is the runner's, signature and all")
-def check_reply(context):
+@then("the platform's response is the runner's, including its signature")
+def check_response(context):
     (run,) = context.platform.list_runs(context.path.split("?")[0])
     reply = context.reply
     assert reply.status == 200, reply
@@ -72,29 +72,29 @@
     context.run = run
 
 
-@then("the runner got method, target and body as they were sent")
-def check_unchanged(context):
+@then("the runner received the method, target and body as sent")
+def check_forwarded(context):
     run = context.run
     assert run.method == "POST"
     assert run.target == context.path, run
     assert run.body == context.body
 
 
-@then("the runner got the organisation, not the key")
+@then("the runner received the organisation but not the API key")
 def check_organisation(context):
     found = context.run.headers
     assert found["x-tenant"] == platform_fleet.ORGANISATION
     assert "authorization" not in found
 
 
-@then("the runner got a deadline below the caller's, and its own name")
+@then("the runner received a deadline within the caller's, and its own name")
 def check_deadline(context):
     found = context.run.headers
     assert 0 < int(found["x-deadline-ms"]) <= 2500, found
     assert found["x-expect-instance"] == context.run.runner
 
 
-@then("the platform's answer is a stream of events {first:d} to {last:d}")
+@then("the platform's response is a stream of events {first:d} to {last:d}")
 def check_stream(context, first, last):
     reply = context.reply
     assert reply.status == 200, reply
@@ -102,15 +102,15 @@
     assert reply.events == list(range(first, last + 1)), reply
 
 
-@then('the events are of model "{model}"')
+@then('the events come from model "{model}"')
 def check_model(context, model):
     lines = [x for x in context.reply.body.splitlines() if b"data" in x]
     assert all(model.encode() in line for line in lines), lines
 
 
-@when("a caller sends the platform a body in chunks")
-def ask_chunked(context):
-    platform_callers.start_asking(context)
+@when("a caller sends the platform a chunked body")
+def send_chunked_body(context):
+    platform_callers.prepare_fleet(context)
     context.path = "/book/chunks"
     context.reply = context.platform.ask(
         context.path,
@@ -120,69 +120,70 @@
 
 
 @when("a caller sends the platform headers that only the system may set")
-def ask_with_headers(context):
-    platform_callers.start_asking(context)
+def send_system_headers(context):
+    platform_callers.prepare_fleet(context)
     context.reply = context.platform.ask("/look/own", headers=SYSTEM_HEADERS)
 
 
-@then("the runner got none of them")
-def check_dropped(context):
+@then("the runner received none of these headers")
+def check_headers_removed(context):
     (run,) = context.platform.list_runs("/look/own")
     for name, value in SYSTEM_HEADERS.items():
         assert run.headers.get(name.lower()) != value, (name, run.headers)
 
 
 @when(
-    'runners {misdeed} with {count:d} requests, and a caller asks for "{path}"'
+    'a caller requests "{path}" while runners have fault "{fault}" for '
+    "{count:d} requests"
 )
-def ask_spoilt(context, misdeed, count, path):
-    platform_callers.start_asking(context)
+def send_with_faults(context, fault, count, path):
+    platform_callers.prepare_fleet(context)
     service = platform_fleet.BOOKINGS
     if path.startswith("/chat"):
         service = platform_fleet.MODELS
     # The same request again and again would be taken for one that crashes.
-    path = f"{path}-{misdeed}-{context.platform.asked}"
+    path = f"{path}-{fault}-{context.platform.asked}"
     # One misdeed in all: whichever runner is asked first does it.
-    deeds = [platform_runner.Misdeed(misdeed)] * count
+    faults = [platform_runner.Misdeed(fault)] * count
     for name, runner in context.platform.runners.items():
         if name.startswith("m-" if service == "model-pool" else "b-"):
-            runner.misdeeds = deeds
-    began = time.monotonic()
+            runner.misdeeds = faults
+    started_at = time.monotonic()
     context.reply = context.platform.ask(path)
-    context.took_s = time.monotonic() - began
-    deeds.clear()
+    context.took_s = time.monotonic() - started_at
+    faults.clear()
     context.path = path
 
 
-@then("the platform answers {answer}, and {count:d} runs began")
-def check_answer(context, answer, count):
+@then("the platform returns {response}, and {count:d} runs started")
+def check_response_source(context, response, count):
     reply = context.reply
-    whose, status = answer.rsplit(" ", 1)
+    source, status = response.rsplit(" ", 1)
     assert reply.status == int(status), reply
-    signed = "x-response-stamp" in reply.headers
-    assert signed == (whose == "the runner's"), reply
+    is_signed = "x-response-stamp" in reply.headers
+    assert is_signed == (source == "the runner's"), reply
     assert ("retry-after" in reply.headers) == (status == "503"), reply
     runs = context.platform.list_runs(context.path)
     assert len(runs) == count, runs
 
 
 @then("it took at most {most:g} s")
-def check_took(context, most):
+def check_duration(context, most):
     assert context.took_s <= most, context.took_s
 
 
-@when("runners hang with 1 requests, and a caller leaves after {wait:g} s")
-def leave(context, wait):
-    platform_callers.start_asking(context)
+@when("a caller disconnects after {wait:g} s while its runner hangs")
+def disconnect(context, wait):
+    platform_callers.prepare_fleet(context)
     fleet = context.platform
     fleet.misbehave("hang", service=platform_fleet.BOOKINGS)
-    with platform_callers.open_socket(fleet) as caller:
+    with platform_callers.connect(fleet) as caller:
         caller.sendall(platform_callers.build_request("/book/leave"))
         fleet.wait_until(lambda: fleet.list_runs("/book/leave"), "it runs")
         time.sleep(wait)
 
 
-@then("no runner works on anything within {wait:g} s")
+@then("all runners are idle within {wait:g} s")
 def check_idle(context, wait):
     fleet = context.platform
     fleet.wait_until(
@@ -192,9 +193,9 @@
     )
 
 
-@when("the operators add a route and take the key away")
+@when("the operators add a route and revoke the key")
 def change_configuration(context):
-    platform_callers.start_asking(context)
+    platform_callers.prepare_fleet(context)
     added = platform_fleet.build_route(
         "added", "idempotent", platform_fleet.BOOKINGS
     )
@@ -202,8 +203,8 @@
     context.changed_at = time.monotonic()
 
 
-@then("within {bound:g} s the old key gets 401 and the new route is known")
-def check_in_force(context, bound):
+@then("within {bound:g} s the old key gets 401 and the new route works")
+def check_configuration_active(context, bound):
     fleet = context.platform
     new = {"Authorization": "Bearer key-new"}
     fleet.wait_until(
@@ -218,7 +219,7 @@
     fleet.wait_until(lambda: fleet.ask("/look/x").status == 200, "back")
 
 
-@then("the entry's log says who ran it and why")
+@then("the entry's log names the runner and the reason for its choice")
 def check_log(context):
     fleet = context.platform
     (run,) = fleet.list_runs(context.path)
@@ -238,7 +239,7 @@
     assert answered["decision"] == "answered", answered
 
 
-@then("the entry's metrics count it")
+@then("the entry's metrics include the request")
 def check_metrics(context):
     entry = context.platform.entries[0]
     with urllib.request.urlopen(
@@ -261,18 +262,18 @@
 @when("the store {fault} for entry {number:d}")
 def fail_store(context, fault, number):
     fleet = context.platform
-    fleet.store.faults[fleet.store_ports[number]] = FAULTS[fault]
+    fleet.store.faults[fleet.store_ports[number]] = STORE_FAULTS[fault]
     context.failed_at = time.monotonic()
 
 
 @then(
-    "entry {number:d} refuses keys between {least:g} s and {most:g} s later,"
-    " as not run"
+    "entry {number:d} starts to refuse keys after {least:g} s to {most:g} s, "
+    "and runs no such request"
 )
-def check_refusing(context, number, least, most):
+def check_keys_refused(context, number, least, most):
     fleet = context.platform
     while (reply := fleet.ask("/book/stale", entry=number)).status == 200:
-        time.sleep(ASK_EVERY_S)
+        time.sleep(REQUEST_PERIOD_S)
     took_s = time.monotonic() - context.failed_at
     assert least <= took_s <= most, took_s
     assert reply.status == 503, reply
@@ -282,8 +283,8 @@
     assert len(fleet.list_runs("/book/stale")) == before
 
 
-@then("entry 0 isn't ready, but entry 1 is and serves")
-def check_other(context):
+@then("entry 0 isn't ready, but entry 1 is ready and serves")
+def check_other_entry(context):
     fleet = context.platform
     assert not fleet.is_ready(fleet.entries[0])
     assert fleet.is_ready(fleet.entries[1])
@@ -291,7 +292,7 @@
 
 
 @when("the store serves entry {number:d} again")
-def heal_store(context, number):
+def clear_store_fault(context, number):
     fleet = context.platform
     fleet.store.faults.clear()
 
@@ -306,10 +307,8 @@
     )
 
 
-@when(
-    "entry {number:d} is suspended, the key is taken away, and {wait:g} s pass"
-)
-def suspend(context, number, wait):
+@when("entry {number:d} is suspended, the key is revoked, and {wait:g} s pass")
+def suspend_entry(context, number, wait):
     fleet = context.platform
     fleet.entries[number].process.send_signal(signal.SIGSTOP)
     fleet.configure(5, keys=("key-new",))
@@ -317,12 +316,12 @@
 
 
 @when("entry {number:d} is resumed")
-def resume(context, number):
+def resume_entry(context, number):
     context.platform.entries[number].process.send_signal(signal.SIGCONT)
 
 
-@then("no request that is sent to entry 0 with that key runs")
-def check_none_runs(context):
+@then("no request sent to entry 0 with that key is run")
+def check_revoked_key(context):
     fleet = context.platform
     for _ in range(20):
         reply = fleet.ask("/book/revoked")
@@ -330,20 +329,20 @@
     assert not fleet.list_runs("/book/revoked")
 
 
-@when("the store drops its history and a runner leaves unseen")
-def drop_history(context):
+@when("a runner is removed and the store discards its history")
+def remove_runner(context):
     fleet = context.platform
     fleet.call(lambda: fleet.store.remove("servers", "b-0"))
     fleet.call(fleet.store.drop_history)
 
 
-@when("a runner says that it is leaving")
-def leave_runner(context):
+@when("a runner is registered as draining")
+def drain_runner(context):
     context.platform.register("b-0", platform_fleet.BOOKINGS, state="draining")
 
 
 @then("no request reaches that runner after {wait:g} s")
-def check_unused(context, wait):
+def check_no_requests(context, wait):
     fleet = context.platform
     time.sleep(wait)
     before = len(fleet.runners["b-0"].runs)
@@ -352,8 +351,8 @@
     assert len(fleet.runners["b-0"].runs) == before
 
 
-@when("foreign entries are written beside the runners'")
-def write_foreign(context):
+@when("invalid upstreams are written beside the runners")
+def write_invalid_upstreams(context):
     fleet = context.platform
     for name, spec in (
         ("f-0", {"service": "bookings"}),
@@ -368,8 +367,8 @@
         )
 
 
-@then("the entry goes on serving and logs them")
-def check_foreign(context):
+@then("the entry continues to serve and logs each invalid upstream")
+def check_invalid_upstreams(context):
     fleet = context.platform
     for _ in range(20):
         assert fleet.ask("/look/x").status == 200
@@ -385,7 +384,7 @@
     )
 
 
-@when("callers stream from entry 0 and it is asked to stop")
+@when("entry 0 is asked to stop while it streams to callers")
 def stream_and_stop(context):
     fleet = context.platform
     for runner in fleet.runners.values():
@@ -407,16 +406,18 @@
         thread.join()
 
 
-@then("all their streams are whole")
-def check_whole(context):
+@then("all streams are complete")
+def check_streams(context):
     assert len(context.replies) == 8
     for reply in context.replies:
         assert reply.whole, reply
         assert reply.events == list(range(1, 101)), reply.status
 
 
-@then("entry 0 isn't ready at once, ends within {bound:g} s with code 0")
-def check_ended(context, bound):
+@then(
+    "entry 0 is immediately unready, and exits within {bound:g} s with code 0"
+)
+def check_exit(context, bound):
     assert not context.ready_after
     left_s = bound - (time.monotonic() - context.stopped_at)
     entry = context.platform.entries[0]
@@ -429,15 +430,15 @@
     assert code == 0, (code, entry.read_log()[-12:])
 
 
-@then("its registration is gone")
+@then("its registration is removed")
 def check_unregistered(context):
     kinds = context.platform.store.kinds
     assert "entry-0" not in kinds["rhubarbbank-entries"], kinds
     assert "entry-1" in kinds["rhubarbbank-entries"]
 
 
-@when("entry 0 is killed and started again")
-def kill(context):
+@when("entry 0 is killed and restarted")
+def restart_killed_entry(context):
     fleet = context.platform
     fleet.entries[0].process.kill()
     fleet.entries[0].process.wait()
@@ -446,12 +447,12 @@
     context.old_ports = ports
 
 
-@then("a caller that connects meanwhile is served")
-def check_meanwhile(context):
+@then("a caller that connects during the start is served")
+def check_early_caller(context):
     fleet = context.platform
     # The first moment at which the port is open, long before it is ready.
-    ends_at = time.monotonic() + 10.0
-    while time.monotonic() < ends_at:
+    deadline = time.monotonic() + 10.0
+    while time.monotonic() < deadline:
         try:
             early_ready = fleet.is_ready(fleet.entries[0])
             reply = fleet.ask("/look/early", wait_ms=8000)
@@ -464,12 +465,12 @@
     raise AssertionError("never served")
 
 
-def order_version(context, duration, misdeed):
+def order_rollout(context, duration, fault):
     fleet = context.platform
     for number in range(3):
         name = f"b-{10 + number}"
         fleet.add_runner(name, platform_fleet.BOOKINGS, version="v2")
-        fleet.runners[name].misdeed = platform_runner.Misdeed(misdeed)
+        fleet.runners[name].misdeed = platform_runner.Misdeed(fault)
     spec = {
         "service": platform_fleet.BOOKINGS,
         "target": "v2",
@@ -479,29 +480,29 @@
         lambda: fleet.store.put("rollouts", platform_fleet.BOOKINGS, spec=spec)
     )
     context.ordered_at = time.monotonic()
-    context.stop_asking = threading.Event()
+    context.stop_requests = threading.Event()
 
-    def ask_on():
+    def send_requests():
         number = itertools.count()
-        while not context.stop_asking.is_set():
+        while not context.stop_requests.is_set():
             entry = next(number) % len(fleet.entries)
             with contextlib.suppress(OSError, http.client.HTTPException):
                 fleet.ask(f"/look/r{entry}", entry=entry)
 
-    thread = threading.Thread(target=ask_on)
+    thread = threading.Thread(target=send_requests)
     thread.start()
     context.stack.callback(thread.join)
-    context.stack.callback(context.stop_asking.set)
+    context.stack.callback(context.stop_requests.set)
 
 
-@when("a good version is ordered within {duration:g} s")
-def order_good(context, duration):
-    order_version(context, duration, "none")
+@when("a roll-out of a working version over {duration:g} s is ordered")
+def order_working(context, duration):
+    order_rollout(context, duration, "none")
 
 
-@when("a version that fails is ordered within {duration:g} s")
-def order_bad(context, duration):
-    order_version(context, duration, "fail")
+@when("a roll-out of a failing version over {duration:g} s is ordered")
+def order_failing(context, duration):
+    order_rollout(context, duration, "fail")
 
 
 @then('the roll-out\'s status is "{state}" within {wait:g} s')
@@ -519,7 +520,7 @@
     )
 
 
-@then("its status was written by conditional calls")
+@then("its status was written with conditional calls, once per state")
 def check_conditional(context):
     store = context.platform.store
     states = [
@@ -530,9 +531,9 @@
     assert states == ["running", "completed"], states
 
 
-@then("every entry hears {count:d} others within {wait:g} s")
-def check_heard(context, count, wait):
-    def have_heard():
+@then("every entry receives heartbeats from {count:d} others within {wait:g} s")
+def check_heartbeats(context, count, wait):
+    def have_heartbeats():
         return all(
             len(
                 {
@@ -545,23 +546,23 @@
             for entry in context.platform.entries
         )
 
-    fleets.wait_until(have_heard, "entries hear each other", wait_s=wait)
+    fleets.wait_until(have_heartbeats, "entries hear each other", wait_s=wait)
 
 
-@then(
-    "of its calls to the store, those for entries and roll-outs allow an old"
-    " answer"
-)
-def check_old_answers(context):
+@then("only watches of entries and roll-outs allow stale responses")
+def check_stale_watches(context):
     fleet = context.platform
     watches = dict(fleet.call(lambda: fleet.store.watches))
-    cheap = {kind for kind, is_cheap in watches if is_cheap}
-    fresh = {kind for kind, is_cheap in watches if not is_cheap}
-    assert cheap == {wire.ENTRY_KIND, wire.ROLLOUT_KIND}, watches
+    stale = {kind for kind, allows_stale in watches if allows_stale}
+    fresh = {kind for kind, allows_stale in watches if not allows_stale}
+    assert stale == {wire.ENTRY_KIND, wire.ROLLOUT_KIND}, watches
     assert fresh == {wire.UPSTREAM_KIND}, watches
 
 
-@then("an entry with bad settings ends with code 1 and names each fault")
+@then(
+    "an entry with invalid settings exits with code 1 and names each invalid "
+    "field"
+)
 def check_bad_settings(context):
     root = platform_fleet.ROOT
     folder = pathlib.Path(context.config.base_dir)
--- a/features/support/platform_callers.py
+++ b/features/support/platform_callers.py
@@ -11,7 +11,7 @@
 STATUS_LINE = re.compile(rb"HTTP/1\.[01] (\d{3}) ")
 
 
-def find_fleet(context):
+def get_shared_fleet(context):
     """The fleet that the feature's scenarios share, quiet again."""
     fleet = getattr(context.feature, "shared_fleet", None)
     if fleet is None:
@@ -22,8 +22,8 @@
     return fleet
 
 
-def start_asking(context):
-    context.platform = find_fleet(context)
+def prepare_fleet(context):
+    context.platform = get_shared_fleet(context)
     # What an earlier scenario set aside gets its time to come back.
     context.platform.wait_until(
         lambda: all(
@@ -36,7 +36,7 @@
         runner.runs.clear()
 
 
-def open_socket(fleet, entry=0):
+def connect(fleet, entry=0):
     return socket.create_connection(
         (LOCAL, fleet.entries[entry].ports[0]), timeout=5.0
     )
@@ -58,7 +58,7 @@
     return ("\r\n".join(head) + "\r\n\r\n").encode() + body
 
 
-BAD_INPUTS = {
+INVALID_INPUTS = {
     "both framings at once": lambda: build_request(
         "/book/bad",
         lines=("Content-Length: 4", "Transfer-Encoding: chunked"),
@@ -90,18 +90,18 @@
 
 def send_raw(fleet, data, *, answers=1):
     """Returns the statuses that come back; 0 for a close without one."""
-    with open_socket(fleet) as caller:
+    with connect(fleet) as caller:
         caller.sendall(data)
         caller.settimeout(1.0)
-        found = b""
+        received = b""
         with contextlib.suppress(TimeoutError, ConnectionError):
-            while piece := caller.recv(65_536):
-                found += piece
-                if len(STATUS_LINE.findall(found)) >= answers:
+            while chunk := caller.recv(65_536):
+                received += chunk
+                if len(STATUS_LINE.findall(received)) >= answers:
                     caller.settimeout(0.2)
-    return read_statuses(found), found
+    return read_statuses(received), received
 
 
-def read_statuses(found):
+def read_statuses(received):
     """Returns the statuses of the answers in some bytes."""
-    return [int(each) for each in STATUS_LINE.findall(found)]
+    return [int(status) for status in STATUS_LINE.findall(received)]
