--- a/features/steps/router_crash_steps.py
+++ b/features/steps/router_crash_steps.py
@@ -35,7 +35,7 @@
 def build_fleet(context, entries, places, route):
     context.crash_fleet = crash_fleet.CrashFleet(
         rng=random.Random(entries),
-        places=places,
+        data_centres=places,
         entries=entries // places,
         route=route,
     )
@@ -150,10 +150,10 @@
 @when('"{place}" is cut off for {wait:g} s while it has a good answer')
 def answer_during_partition(context, place, wait):
     fleet = context.crash_fleet
-    fleet.cut.add(place)
+    fleet.isolated.add(place)
     fleet.answer_pending()
     fleet.run(wait)
-    fleet.cut.discard(place)
+    fleet.isolated.discard(place)
 
 
 @when("the entries run for {wait:g} s")
@@ -192,7 +192,7 @@
     assert kept < count, kept
     logged = [
         dict(line.inputs)["count"]
-        for name, line in fleet.lines
+        for name, line in fleet.decisions
         if (name, line.decision) == (entry, "suspects_forgotten")
     ]
     assert sum(logged) == count - kept, (logged, kept)
@@ -241,7 +241,7 @@
     for seed in range(count):
         fleet = crash_history.CrashHistory(
             rng=random.Random(seed),
-            places=places,
+            data_centres=places,
             entries=entries // places,
             route=("note", "look", "chat")[seed % 3],
         )
--- a/features/support/crash_fleet.py
+++ b/features/support/crash_fleet.py
@@ -10,7 +10,7 @@
 
 from rhubarbbank_router import effects
 from rhubarbbank_router import events
-from support import news_fleet
+from support import heartbeat_fleet
 from support import router_world
 
 BODY = b"crashes whatever runs it"
@@ -50,7 +50,7 @@
     effect: effects.SendAttempt
 
 
-class CrashFleet(news_fleet.NewsFleet):
+class CrashFleet(heartbeat_fleet.HeartbeatFleet):
     """Entries, their upstreams, and the caller of the request.
 
     Attributes:
@@ -97,8 +97,8 @@
 
     # Entries.
 
-    def build(self, number, place):
-        super().build(number, place)
+    def add_entry(self, number, data_centre):
+        super().add_entry(number, data_centre)
         world = self.worlds[f"entry-{number}"]
         world.configure(self.configuration)
         world.list_upstreams(
@@ -108,9 +108,9 @@
     def replace(self, name):
         """Kills an entry's process and starts a new one."""
         settings = self.worlds[name].state.settings
-        self.build(int(name.rpartition("-")[2]), settings.data_centre)
+        self.add_entry(int(name.rpartition("-")[2]), settings.data_centre)
         self.worlds[name].state.incarnation = int(self.now * 1000)
-        self.register()
+        self.register_entries()
 
     def change_key(self):
         """Replaces the only API key of the caller's organisation."""
@@ -128,7 +128,7 @@
 
     # Time.
 
-    def run(self, duration_s, *, look=False):
+    def run(self, duration_s, *, measure_age=False):
         end = self.now + duration_s
         while self.now < end:
             self.configure()
@@ -138,7 +138,7 @@
             for attempt in [x for x in self.running if x.ends_at <= self.now]:
                 self.running.remove(attempt)
                 self.end_attempt(attempt)
-            super().run(news_fleet.STEP_S, look=look)
+            super().run(heartbeat_fleet.STEP_S, measure_age=measure_age)
 
     def send(self, world):
         for effect in world.effects:
@@ -268,4 +268,4 @@
         return sum(x.sent_at > known_at + after_s for x in self.crashes)
 
     def list_log_lines(self, decision):
-        return [line for _, line in self.lines if line.decision == decision]
+        return [line for _, line in self.decisions if line.decision == decision]
--- a/features/support/crash_history.py
+++ b/features/support/crash_history.py
@@ -34,7 +34,7 @@
             self.lift_faults()
             if self.rng.random() < 0.3:
                 self.inject_fault()
-            awake = sorted(self.worlds.keys() - self.asleep)
+            awake = sorted(self.worlds.keys() - self.suspended)
             if awake and self.rng.random() < 0.7:
                 self.send_request(self.rng.choice(awake))
             self.run(self.rng.uniform(0.1, 1.5))
@@ -48,14 +48,14 @@
                 self.replace(name)
                 self.disturbed_until[name] = self.now
             case 1:
-                self.asleep.add(name)
+                self.suspended.add(name)
                 self.wake_at[name] = until
                 self.disturbed_until[name] = until
             case 2:
                 place = self.worlds[name].state.settings.data_centre
-                self.cut.add(place)
+                self.isolated.add(place)
                 self.heal_at[place] = until
-                for each in self.list_carriers(place):
+                for each in self.list_names(place):
                     self.disturbed_until[each] = until
             case _:
                 self.loss = self.rng.choice([0.0, 0.1, 0.3])
@@ -65,11 +65,11 @@
         for name, at in list(self.wake_at.items()):
             if self.now >= at:
                 del self.wake_at[name]
-                self.wake(name)
+                self.resume(name)
         for place, at in list(self.heal_at.items()):
             if self.now >= at:
                 del self.heal_at[place]
-                self.cut.discard(place)
+                self.isolated.discard(place)
 
     def on_crash(self, crash):
         disturbed_until = self.disturbed_until.get(crash.entry, 0.0)
--- a/features/support/news_fleet.py
+++ b/features/support/heartbeat_fleet.py
@@ -20,43 +20,43 @@
 ORDER = router_world.build_order()
 
 
-class NewsFleet:
+class HeartbeatFleet:
     """Entries and the network between them.
 
     Attributes:
         worlds: Routers by name.
-        cut: Data centres that are isolated from all others.
-        asleep: Names of suspended entries; messages to them are queued.
-        far_frames: Number of messages sent between data centres.
-        far_bytes: Encoded size of these messages.
-        lines: Logged decisions, each with the name of its entry.
-        oldest_s: The greatest age that an entry's latest heartbeat from another
-            one reached while it was measured, in seconds.
+        isolated: Data centres that are isolated from all others.
+        suspended: Names of suspended entries; messages to them are queued.
+        remote_messages: Number of messages sent between data centres.
+        remote_bytes: Encoded size of these messages.
+        decisions: Logged decisions, each with the name of its entry.
+        max_age_s: The greatest age that an entry's latest heartbeat from
+            another one reached while it was measured, in seconds.
     """
 
-    def __init__(self, *, rng, places, entries, loss=0.0):
+    def __init__(self, *, rng, data_centres, entries, loss=0.0):
         self.rng = rng
         self.loss = loss
         self.now = 100.0
-        self.numbers = itertools.count()
-        self.due = []
-        self.cut = set()
-        self.asleep = set()
-        self.waiting = {}
-        self.far_frames = 0
-        self.far_bytes = 0
-        self.oldest_s = 0.0
+        self.sequence = itertools.count()
+        self.in_transit = []
+        self.isolated = set()
+        self.suspended = set()
+        self.queued = {}
+        self.remote_messages = 0
+        self.remote_bytes = 0
+        self.max_age_s = 0.0
         self.worlds = {}
-        self.lines = []
-        for number in range(places * entries):
-            self.build(number, f"west-{number % places}")
-        self.register()
+        self.decisions = []
+        for number in range(data_centres * entries):
+            self.add_entry(number, f"west-{number % data_centres}")
+        self.register_entries()
 
-    def build(self, number, place):
+    def add_entry(self, number, data_centre):
         world = router_world.World(
             seed=number + 1,
             name=f"entry-{number}",
-            data_centre=place,
+            data_centre=data_centre,
             config_apply_ms=4000,
             drain_ms=4000,
         )
@@ -64,7 +64,7 @@
         world.start(3)
         self.worlds[world.state.settings.name] = world
 
-    def register(self):
+    def register_entries(self):
         self.by_address = {
             x.state.settings.peer_address: x for x in self.worlds.values()
         }
@@ -75,18 +75,18 @@
         for world in self.worlds.values():
             world.apply(events.EntriesListed(listed))
 
-    def run(self, duration_s, *, look=False):
+    def run(self, duration_s, *, measure_age=False):
         end = self.now + duration_s
         while self.now < end:
             self.now = round(self.now + STEP_S, 3)
-            while self.due and self.due[0][0] <= self.now:
-                _, _, world, message = heapq.heappop(self.due)
+            while self.in_transit and self.in_transit[0][0] <= self.now:
+                _, _, world, message = heapq.heappop(self.in_transit)
                 self.deliver(world, message)
             for name, world in self.worlds.items():
-                if name not in self.asleep:
+                if name not in self.suspended:
                     self.step(world)
-            if look:
-                self.oldest_s = max(self.oldest_s, self.find_oldest_s())
+            if measure_age:
+                self.max_age_s = max(self.max_age_s, self.compute_max_age_s())
 
     def step(self, world):
         world.now = self.now
@@ -95,41 +95,44 @@
 
     def deliver(self, world, message):
         name = world.state.settings.name
-        if name in self.asleep:
-            self.waiting.setdefault(name, []).append(message)
+        if name in self.suspended:
+            self.queued.setdefault(name, []).append(message)
             return
         world.now = self.now
         world.apply(core_events.MessageReceived(message))
         self.send(world)
 
-    def wake(self, name):
-        self.asleep.discard(name)
-        for message in self.waiting.pop(name, ()):
+    def resume(self, name):
+        self.suspended.discard(name)
+        for message in self.queued.pop(name, ()):
             self.deliver(self.worlds[name], message)
 
     def send(self, world):
-        place = world.state.settings.data_centre
+        data_centre = world.state.settings.data_centre
         for effect in world.effects:
             if isinstance(effect, fx.LogDecision):
-                self.lines.append((world.state.settings.name, effect))
+                self.decisions.append((world.state.settings.name, effect))
             if not isinstance(effect, core_effects.Send):
                 continue
             peer = self.by_address.get(effect.address)
             if peer is None:
                 continue
-            to = peer.state.settings.data_centre
-            if to != place:
-                self.far_frames += 1
-                self.far_bytes += len(msgspec.msgpack.encode(effect.message))
-                if self.cut & {to, place} or self.rng.random() < self.loss:
+            peer_data_centre = peer.state.settings.data_centre
+            if peer_data_centre != data_centre:
+                self.remote_messages += 1
+                self.remote_bytes += len(msgspec.msgpack.encode(effect.message))
+                if (
+                    self.isolated & {peer_data_centre, data_centre}
+                    or self.rng.random() < self.loss
+                ):
                     continue
-            entry = (
+            delivery = (
                 self.now + self.rng.uniform(0.001, 0.03),
-                next(self.numbers),
+                next(self.sequence),
                 peer,
                 effect.message,
             )
-            heapq.heappush(self.due, entry)
+            heapq.heappush(self.in_transit, delivery)
         world.effects.clear()
 
     def run_sessions(self, count):
@@ -148,27 +151,29 @@
                 world.end(request)
             world.effects.clear()
 
-    def list_kept(self):
+    def list_kept_sessions(self):
         """Returns the sessions that keep their version, per entry."""
         return [
             x.state.trials[ORDER.service].kept_sessions
             for x in self.worlds.values()
         ]
 
-    def order(self):
+    def order_rollout(self):
         """Has all entries see a new roll-out order."""
         for world in self.worlds.values():
             world.apply(events.RolloutChanged(ORDER))
 
-    def list_awake(self):
-        return [x for name, x in self.worlds.items() if name not in self.asleep]
+    def list_running_entries(self):
+        return [
+            x for name, x in self.worlds.items() if name not in self.suspended
+        ]
 
-    def find_oldest_s(self):
+    def compute_max_age_s(self):
         """Returns the greatest age of a known heartbeat of a running entry."""
         ages = [0.0]
-        for world in self.list_awake():
+        for world in self.list_running_entries():
             entries = world.state.entries
-            for other in self.list_awake():
+            for other in self.list_running_entries():
                 name = other.state.settings.name
                 if other is not world:
                     known = entries.peers.get(name)
@@ -177,15 +182,15 @@
                     )
         return max(ages)
 
-    def count_live(self):
+    def count_live_peers(self):
         """Returns the smallest and the largest number of live peers."""
         counts = [
             len(x.state.entries.list_live(now=self.now))
-            for x in self.list_awake()
+            for x in self.list_running_entries()
         ]
         return min(counts), max(counts)
 
-    def list_carriers(self, place):
+    def list_names(self, data_centre):
         """Returns the sorted names of a data centre's entries.
 
         The first two are its forwarders.
@@ -193,5 +198,5 @@
         return sorted(
             name
             for name, x in self.worlds.items()
-            if x.state.settings.data_centre == place
+            if x.state.settings.data_centre == data_centre
         )
