--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/settings_file.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/settings_file.py
@@ -18,14 +18,14 @@
     try:
         text = pathlib.Path(path).read_bytes()
     except OSError as error:
-        raise build_error(f"{path}: {error.strerror}.") from error
+        raise build_settings_error(f"{path}: {error.strerror}.") from error
     checked = options.check_settings(text, settings_type)
     if isinstance(checked, list):
-        raise build_error("\n".join(str(fault) for fault in checked))
+        raise build_settings_error("\n".join(str(fault) for fault in checked))
     return checked
 
 
-def build_error(detail: str) -> errors.RhubarbbankError:
+def build_settings_error(detail: str) -> errors.RhubarbbankError:
     """Returns the error for an unreadable or invalid settings file."""
     problem = errors.Problem(code=errors.ErrorCode.BAD_SETTINGS, detail=detail)
     return errors.RhubarbbankError(
