--- a/features/steps/ports_steps.py
+++ b/features/steps/ports_steps.py
@@ -33,16 +33,18 @@
 
 @when("{count:d} fleets of three entries are planned")
 def plan_fleets(context, count):
-    context.planned = []
+    context.entry_addresses = []
     for _ in range(count):
-        planned = fleet.Fleet(deployment=fleets.read_deployment("platzwart"))
-        planned.close()
-        places = planned.find_places("entry")
-        context.planned.append([x.peer_address for x in places])
+        planned_fleet = fleet.Fleet(
+            deployment=fleets.read_deployment("platzwart")
+        )
+        planned_fleet.close()
+        places = planned_fleet.find_places("entry")
+        context.entry_addresses.append([x.peer_address for x in places])
 
 
 @then("each of their entries is the preferred owner of a shard")
 def check_owners(context):
-    for addresses in context.planned:
+    for addresses in context.entry_addresses:
         assert len(addresses) == 3
         assert fleet.find_owners(addresses) == set(addresses)
--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/logs.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/logs.py
@@ -154,15 +154,15 @@
         lossless: Whether to write synchronously and drop nothing, which
             recorded event logs need in order to be replayed.
     """
-    writer = logging.StreamHandler(sys.stdout)
-    writer.setFormatter(JsonFormatter())
+    stdout_handler = logging.StreamHandler(sys.stdout)
+    stdout_handler.setFormatter(JsonFormatter())
     if lossless:
-        logging.basicConfig(level=level, handlers=[writer], force=True)
+        logging.basicConfig(level=level, handlers=[stdout_handler], force=True)
         return
     records: queue.Queue[logging.LogRecord] = queue.Queue(MAX_QUEUED_LINES)
     handler = BoundedQueueHandler(records)
     logging.basicConfig(level=level, handlers=[handler], force=True)
-    listener = logging.handlers.QueueListener(records, writer)
+    listener = logging.handlers.QueueListener(records, stdout_handler)
     listener.start()
     atexit.register(listener.stop)
 
--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/platform_shell.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/platform_shell.py
@@ -44,15 +44,16 @@
     def open(self) -> None:
         """Registers effect handlers and starts polling the host list."""
         self.shell.handlers |= {
-            store.StoreCall: self.call_store,
-            fx.AskRating: self.ask_rating,
-            effects.AskListener: self.ask_listener,
+            store.StoreCall: self.start_store_call,
+            fx.AskRating: self.start_rating_request,
+            effects.AskListener: self.start_listener_check,
         }
         self.shell.timers.subscribe(
-            period_s=defaults.HOST_LIST_PERIOD_S, callback=self.read_hosts
+            period_s=defaults.HOST_LIST_PERIOD_S,
+            callback=self.start_host_list_read,
         )
 
-    def call_store(self, call: store.StoreCall) -> None:
+    def start_store_call(self, call: store.StoreCall) -> None:
         """Starts a task that calls the object API."""
         self.shell.spawn(self.run_store_call(call))
 
@@ -61,7 +62,7 @@
         reply = await self.store.call(call)
         self.shell.apply(events.StoreReplied(reply))
 
-    def read_hosts(self) -> None:
+    def start_host_list_read(self) -> None:
         """Starts a task that reads the host list."""
         self.shell.spawn(self.fetch_host_list())
 
@@ -71,7 +72,7 @@
         if hosts is not None:
             self.shell.apply(events.HostsListed(hosts))
 
-    def ask_listener(self, effect: effects.AskListener) -> None:
+    def start_listener_check(self, effect: effects.AskListener) -> None:
         """Starts a task that checks an entry's listener."""
         self.shell.spawn(self.check_listener(effect))
 
@@ -84,7 +85,7 @@
                 )
             )
 
-    def ask_rating(self, effect: fx.AskRating) -> None:
+    def start_rating_request(self, effect: fx.AskRating) -> None:
         """Starts a task that asks the rating service for a rating."""
         self.shell.spawn(self.fetch_rating(effect))
 
--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/shell.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/shell.py
@@ -111,7 +111,7 @@
         reducer: The reducer, which makes all decisions.
         loop: The event loop.
         stack: Closes all resources, in reverse order.
-        session: The HTTP session for all outgoing calls.
+        session: The session for all HTTP calls.
         handlers: Functions that execute effects, by the effect's type.
         stopped: Set once the process may exit.
         tasks: Running background tasks.
@@ -161,9 +161,9 @@
         self.stack.callback(self.link.close)
         self.stack.push_async_callback(self.cancel_tasks)
         self.stack.callback(self.timers.close)
-        for number in (signal.SIGTERM, signal.SIGINT):
+        for signal_number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(
-                number, self.apply, events.StopRequested()
+                signal_number, self.apply, events.StopRequested()
             )
         self.timers.subscribe(period_s=self.parts.tick_s, callback=self.tick)
 
--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/store_http.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/store_http.py
@@ -57,13 +57,13 @@
 
     async def call(self, call: store.StoreCall) -> store.StoreReply:
         """Makes a call; reports failures as outcomes, not as exceptions."""
-        margin = (
+        margin_s = (
             WATCH_TIMEOUT_MARGIN_S
             if call.operation is store.StoreOperation.WATCH
             else 0.0
         )
         try:
-            async with asyncio.timeout(call.timeout_s + margin):
+            async with asyncio.timeout(call.timeout_s + margin_s):
                 return await self.send(call)
         except aiohttp.ClientConnectorError:
             outcome = store.StoreOutcome.UNAVAILABLE
@@ -139,11 +139,11 @@
         return read_listing(call, outcome, body)
     objects: tuple[store.StoredObject, ...] = ()
     if version:
-        written = (
+        is_stored = (
             call.operation is store.StoreOperation.PUT
             and outcome is store.StoreOutcome.OK
         )
-        value = call.value if written else body
+        value = call.value if is_stored else body
         objects = (store.StoredObject(call.key, version, value),)
     return store.StoreReply(
         call_id=call.call_id, outcome=outcome, objects=objects
@@ -156,11 +156,11 @@
     A write that ends with an unexpected status may still have taken effect
     behind the server that answered, so the object has to be read back.
     """
-    known = STATUS_OUTCOMES.get(status)
-    if known is not None:
-        return known
-    writes = (store.StoreOperation.PUT, store.StoreOperation.DELETE)
-    if call.operation in writes:
+    outcome = STATUS_OUTCOMES.get(status)
+    if outcome is not None:
+        return outcome
+    write_operations = (store.StoreOperation.PUT, store.StoreOperation.DELETE)
+    if call.operation in write_operations:
         return store.StoreOutcome.UNKNOWN
     return store.StoreOutcome.UNAVAILABLE
 
