--- a/features/sidecar_endless.feature
+++ b/features/sidecar_endless.feature
@@ -1,9 +1,12 @@
 @quick
-Feature: Upstreams' bytes without end don't fill a sidecar
+Feature: A sidecar limits the size of an upstream's response
 
-  Scenario Outline: A plain answer that has no end is broken off
-    When the sidecar calls a plain service that sends <bytes> without end
-    Then the call breaks off by itself before 16 MB have come
+  A faulty upstream may repeat a part of its response endlessly, and would fill
+  the sidecar's memory or keep a call open until its timeout.
+
+  Scenario Outline: An endless response of a plain service is aborted
+    When the sidecar calls a plain service that sends <bytes> endlessly
+    Then the sidecar aborts the call within 16 MB
 
     Examples:
       | bytes             |
@@ -13,9 +16,9 @@
       | trailers          |
       | a body            |
 
-  Scenario Outline: A stream that has no end is broken off
-    When the sidecar calls an engine that sends <bytes> without end
-    Then the call breaks off by itself before 16 MB have come
+  Scenario Outline: An endless stream of an engine is aborted
+    When the sidecar calls an engine that sends <bytes> endlessly
+    Then the sidecar aborts the call within 16 MB
 
     Examples:
       | bytes             |
@@ -25,15 +28,15 @@
       | comments          |
       | empty events      |
 
-  Scenario Outline: A load report that has no end tells nothing
-    When the sidecar asks an upstream for its load that sends <bytes> without end
-    Then the upstream is taken to be out of reach before 16 MB have come
+  Scenario Outline: An upstream with an endless load report is unhealthy
+    When the sidecar requests the load of an upstream that sends <bytes> endlessly
+    Then the upstream is reported as unhealthy within 16 MB
 
     Examples:
       | bytes             |
       | interim responses |
       | a body            |
 
-  Scenario: Calls one after the other over one connection are all answered
-    When the sidecar makes 3 calls to an upstream that answers 400 KB each
-    Then each of them is complete
+  Scenario: Sequential calls on one connection don't share a limit
+    When the sidecar makes 3 calls to an upstream, each answered with 400 KB
+    Then all calls complete on one connection
