--- a/features/host_list.feature
+++ b/features/host_list.feature
@@ -1,28 +1,28 @@
 Feature: Reading the platform's host list
 
-  Every entry reads the whole list each second, and it changes a few hundred
-  times a day. A list that has not changed crosses the network once.
+  Every entry reads the full list each second, and the list changes a few
+  hundred times a day. Conditional requests save sending an unchanged list.
 
-  Scenario: An unchanged list crosses the network once
+  Scenario: An unchanged list is sent once
     Given a host list of 970 hosts
     When the list is read 20 times
-    Then the host list answered 19 of 20 reads as unchanged
-    And it sent 1 body in all
-    And an answer that says unchanged has at most 250 bytes
+    Then the host list answered 19 of 20 reads with 304
+    And it sent 1 body in total
+    And a 304 response has at most 250 bytes
 
-  Scenario: A platform without tags sends the list each time
+  Scenario: A platform without ETags sends the full list each time
     Given a host list of 970 hosts
-    And the host list gives no tags
+    And the host list sends no ETags
     When the list is read 20 times
-    Then the host list answered 0 of 20 reads as unchanged
-    And it sent 20 bodies in all
+    Then the host list answered 0 of 20 reads with 304
+    And it sent 20 bodies in total
 
-  Scenario: Membership can't tell an unchanged list from the same list again
+  Scenario: Cached lists and full lists have the same effect on membership
     Given a host list of 6 hosts
-    Then over random histories entries are alike, with tags and without
+    Then entries with and without ETags have equal states over random histories
 
-  Scenario: A late answer that says unchanged speaks of the list asked about
+  Scenario: A late 304 response refers to the list whose ETag was sent
     Given a host list of 6 hosts
-    When a read that is answered unchanged ends after one of a newer list
-    Then the late read gives the list that it asked about
-    And the next read gives the newer list
+    When a read answered with 304 ends after a read of a newer list
+    Then the late read returns the list whose ETag it sent
+    And the next read returns the newer list
