--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/caller_http.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/caller_http.py
@@ -2,8 +2,8 @@
 
 Each request has an `Exchange`, to which the reducer's effects add the answer.
 The request's handler writes everything added since its last write at once,
-and waits until the caller has received it. If a caller reads too slowly or
-closes its connection, the reducer gets a `CallerGone` event.
+and waits while the connection's send buffer is full. If a caller reads too
+slowly or closes its connection, the reducer gets a `CallerGone` event.
 """
 
 import asyncio
