--- a/features/steps/platform_failure_steps.py
+++ b/features/steps/platform_failure_steps.py
@@ -231,7 +231,7 @@
         decode=list,
     )
     with record_log(peer_link.LOG.name) as context.logged:
-        link.take_frame(bytes((1, 2, 3)))
+        link.handle_frame(bytes((1, 2, 3)))
     link.stack.close()
     loop.close()
 
