--- a/features/steps/heartbeat_forwarding_steps.py
+++ b/features/steps/heartbeat_forwarding_steps.py
@@ -31,7 +31,7 @@
 )
 def build_lossy_fleet(context, data_centres, entries):
     build_fleet(context, data_centres, entries)
-    context.heartbeat_fleet.loss = LOSS_RATE
+    context.heartbeat_fleet.loss_rate = LOSS_RATE
 
 
 @when("heartbeat ages are measured for {wait:g} s, starting after {start:g} s")
--- a/features/support/crash_history.py
+++ b/features/support/crash_history.py
@@ -58,7 +58,7 @@
                 for each in self.list_names(place):
                     self.disturbed_until[each] = until
             case _:
-                self.loss = self.rng.choice([0.0, 0.1, 0.3])
+                self.loss_rate = self.rng.choice([0.0, 0.1, 0.3])
 
     def lift_faults(self):
         """Resumes entries and ends partitions that are due."""
--- a/features/support/heartbeat_fleet.py
+++ b/features/support/heartbeat_fleet.py
@@ -24,9 +24,13 @@
     """Entries and the network between them.
 
     Attributes:
+        loss_rate: Share of the messages between data centres that get lost.
+        now: Current time, in seconds.
         worlds: Routers by name.
+        in_transit: Heap of messages by arrival time.
         isolated: Data centres that are isolated from all others.
         suspended: Names of suspended entries; messages to them are queued.
+        queued: Messages to suspended entries, by name.
         remote_messages: Number of messages sent between data centres.
         remote_bytes: Encoded size of these messages.
         decisions: Logged decisions, each with the name of its entry.
@@ -34,9 +38,9 @@
             another one reached while it was measured, in seconds.
     """
 
-    def __init__(self, *, rng, data_centres, entries, loss=0.0):
+    def __init__(self, *, rng, data_centres, entries, loss_rate=0.0):
         self.rng = rng
-        self.loss = loss
+        self.loss_rate = loss_rate
         self.now = 100.0
         self.sequence = itertools.count()
         self.in_transit = []
@@ -53,6 +57,7 @@
         self.register_entries()
 
     def add_entry(self, number, data_centre):
+        """Starts an entry, which replaces an earlier one of its number."""
         world = router_world.World(
             seed=number + 1,
             name=f"entry-{number}",
@@ -65,6 +70,7 @@
         self.worlds[world.state.settings.name] = world
 
     def register_entries(self):
+        """Gives every entry the store's list of all entries."""
         self.by_address = {
             x.state.settings.peer_address: x for x in self.worlds.values()
         }
@@ -76,6 +82,7 @@
             world.apply(events.EntriesListed(listed))
 
     def run(self, duration_s, *, measure_age=False):
+        """Delivers messages and ticks the running entries for some time."""
         end = self.now + duration_s
         while self.now < end:
             self.now = round(self.now + STEP_S, 3)
@@ -94,6 +101,7 @@
         self.send(world)
 
     def deliver(self, world, message):
+        """Delivers a message, or queues it while its entry is suspended."""
         name = world.state.settings.name
         if name in self.suspended:
             self.queued.setdefault(name, []).append(message)
@@ -103,11 +111,13 @@
         self.send(world)
 
     def resume(self, name):
+        """Resumes an entry, which first gets its queued messages."""
         self.suspended.discard(name)
         for message in self.queued.pop(name, ()):
             self.deliver(self.worlds[name], message)
 
     def send(self, world):
+        """Takes over a router's effects: log lines and messages to peers."""
         data_centre = world.state.settings.data_centre
         for effect in world.effects:
             if isinstance(effect, fx.LogDecision):
@@ -123,7 +133,7 @@
                 self.remote_bytes += len(msgspec.msgpack.encode(effect.message))
                 if (
                     self.isolated & {peer_data_centre, data_centre}
-                    or self.rng.random() < self.loss
+                    or self.rng.random() < self.loss_rate
                 ):
                     continue
             delivery = (
