--- a/features/platform_path.feature
+++ b/features/platform_path.feature
@@ -36,17 +36,17 @@
       | fail           | 1     | /look/1    | the runner's 200 | 2    |
       | fail           | 1     | /book/1    | the runner's 500 | 1    |
       | cut            | 1     | /look/1    | the runner's 200 | 2    |
-      | cut            | 1     | /book/1    | its own 502       | 1    |
-      | cut_midway     | 1     | /book/1    | its own 502       | 1    |
+      | cut            | 1     | /book/1    | its own 502      | 1    |
+      | cut_midway     | 1     | /book/1    | its own 502      | 1    |
       | cut_midway     | 1     | /look/1    | the runner's 200 | 2    |
       | unframed       | 1     | /book/1    | the runner's 200 | 1    |
-      | reset_unframed | 1     | /book/1    | its own 502       | 1    |
+      | reset_unframed | 1     | /book/1    | its own 502      | 1    |
       | reset_unframed | 1     | /look/1    | the runner's 200 | 2    |
       | extra          | 1     | /book/1    | the runner's 200 | 1    |
-      | foreign        | 1     | /book/1    | its own 502       | 1    |
+      | foreign        | 1     | /book/1    | its own 502      | 1    |
       | early          | 1     | /book/1    | the runner's 200 | 1    |
       | hang           | 1     | /look/1    | the runner's 200 | 2    |
-      | shed           | 9     | /book/1    | its own 503       | 0    |
+      | shed           | 9     | /book/1    | its own 503      | 0    |
 
   Scenario Outline: A stream interrupted by a runner continues on another one
     When a caller requests "/chat/easy" while runners have fault "<fault>" for 1 requests
@@ -76,8 +76,8 @@
 
     Examples:
       | what                        | status |
-      | both framings at once       | 400    |
-      | two different lengths       | 400    |
+      | Content-Length and chunked  | 400    |
+      | two Content-Length lines    | 400    |
       | an oversize head            | 400    |
       | an oversize body            | 413    |
       | no attempt id               | 400    |
--- a/features/platform_store.feature
+++ b/features/platform_store.feature
@@ -40,7 +40,7 @@
     Given 2 entries on the platform
     When entry 0 is asked to stop while it streams to callers
     Then all streams are complete
-    And entry 0 is immediately unready, and exits within 8 s with code 0
+    And entry 0 stops being ready at once, and exits within 8 s with code 0
     And its registration is removed
 
   Scenario: A killed entry accepts callers while it restarts
--- a/features/steps/platform_failure_steps.py
+++ b/features/steps/platform_failure_steps.py
@@ -1,4 +1,4 @@
-"""Steps on failures that no code foresaw."""
+"""Steps for unexpected failures."""
 
 import asyncio
 import builtins
@@ -38,10 +38,10 @@
 
 
 class CancellationIgnoringWork:
-    """Work without an end that loses its first cancellation.
+    """Endless work that ignores its first cancellation.
 
     Attributes:
-        error: What it raises in place of it; None if it goes on.
+        error: The exception raised instead; None if it continues.
         cancelled: How often it was cancelled.
     """
 
@@ -62,7 +62,7 @@
 
 
 class FailingSession:
-    """An HTTP client whose every request fails."""
+    """An HTTP client whose requests all fail."""
 
     def __init__(self, error):
         self.error = error
@@ -72,7 +72,7 @@
 
 
 class RecordingHandler(logging.Handler):
-    """Keeps what is logged."""
+    """Keeps all log records."""
 
     def __init__(self):
         super().__init__()
@@ -84,7 +84,7 @@
 
 @contextlib.contextmanager
 def record_log(name):
-    """Keeps what a logger is told until the block ends."""
+    """Yields the list of records that a logger receives in the block."""
     handler = RecordingHandler()
     logger = logging.getLogger(name)
     logger.addHandler(handler)
@@ -172,7 +172,7 @@
 
 
 async def call_stub_server(status, call):
-    """Returns what a call to a server that knows one status only brings."""
+    """Returns the result of a call to a server that sends a fixed status."""
 
     async def answer(reader, writer):
         await reader.readuntil(b"\r\n\r\n")
--- a/features/steps/platform_notice_steps.py
+++ b/features/steps/platform_notice_steps.py
@@ -1,4 +1,4 @@
-"""Steps for what runners say of themselves, over real sockets."""
+"""Steps for notices from runners, over real sockets."""
 
 import time
 
@@ -10,7 +10,7 @@
 
 
 def count_new_runs(fleet, runner, path, count):
-    """Asks a number of times; returns how many the runner ran."""
+    """Sends a number of requests; returns how many of them a runner ran."""
     before = len(fleet.runners[runner].runs)
     for number in range(count):
         assert fleet.ask(f"{path}{number}").status == 200
@@ -36,8 +36,8 @@
         if line.get("decision") in ("upstream_leaving", "upstream_closed")
     ]
     context.path = path
-    # One that refuses has run nothing.
     context.runner = notices[-1]
+    # A runner with the fault "close" refuses, so it has run nothing.
     assert fault == "close" or context.runner in runners_that_ran, (
         notices,
         runners_that_ran,
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -1,4 +1,4 @@
-"""Steps for entries on the platform, as processes on loopback addresses."""
+"""Steps for entry processes on loopback addresses."""
 
 import contextlib
 import http.client
@@ -141,9 +141,11 @@
     service = platform_fleet.BOOKINGS
     if path.startswith("/chat"):
         service = platform_fleet.MODELS
-    # The same request again and again would be taken for one that crashes.
+    # A unique path, since a repeated request would be suspected of crashing
+    # runners.
     path = f"{path}-{fault}-{context.platform.asked}"
-    # One misdeed in all: whichever runner is asked first does it.
+    # All runners share the list, so that the faults happen `count` times in
+    # all, whichever runners get the requests.
     faults = [platform_runner.Misdeed(fault)] * count
     for name, runner in context.platform.runners.items():
         if name.startswith("m-" if service == "model-pool" else "b-"):
@@ -179,7 +181,9 @@
     fleet.misbehave("hang", service=platform_fleet.BOOKINGS)
     with platform_callers.connect(fleet) as caller:
         caller.sendall(platform_callers.build_request("/book/leave"))
-        fleet.wait_until(lambda: fleet.list_runs("/book/leave"), "it runs")
+        fleet.wait_until(
+            lambda: fleet.list_runs("/book/leave"), "the request runs"
+        )
         time.sleep(wait)
 
 
@@ -212,7 +216,7 @@
             fleet.ask("/look/x").status == 401
             and fleet.ask("/added/x", headers=new).status == 200
         ),
-        "in force",
+        "the new configuration",
         wait_s=bound,
     )
     fleet.configure(10)
@@ -250,7 +254,7 @@
     assert "rhubarbbank_answer_seconds_bucket" in text, text
 
 
-# Store, stops and kills.
+# Store failures, stops and kills.
 
 
 @given("{count:d} entries on the platform")
@@ -415,7 +419,8 @@
 
 
 @then(
-    "entry 0 is immediately unready, and exits within {bound:g} s with code 0"
+    "entry 0 stops being ready at once, and exits within {bound:g} s with "
+    "code 0"
 )
 def check_exit(context, bound):
     assert not context.ready_after
@@ -450,7 +455,7 @@
 @then("a caller that connects during the start is served")
 def check_early_caller(context):
     fleet = context.platform
-    # The first moment at which the port is open, long before it is ready.
+    # Connects as soon as the port is open, before the entry is ready.
     deadline = time.monotonic() + 10.0
     while time.monotonic() < deadline:
         try:
@@ -546,7 +551,9 @@
             for entry in context.platform.entries
         )
 
-    fleets.wait_until(have_heartbeats, "entries hear each other", wait_s=wait)
+    fleets.wait_until(
+        have_heartbeats, "heartbeats from all entries", wait_s=wait
+    )
 
 
 @then("only watches of entries and roll-outs allow stale responses")
--- a/features/steps/platform_stop_steps.py
+++ b/features/steps/platform_stop_steps.py
@@ -1,4 +1,4 @@
-"""Steps on callers' connections at the end of a graceful stop."""
+"""Steps for callers' connections at the end of a graceful stop."""
 
 import asyncio
 import contextlib
@@ -25,9 +25,9 @@
     """A caller's connection.
 
     Attributes:
-        name: What it stands for.
-        started: Whether it could send a head after the stop.
-        answer: What came after that.
+        name: The state of the connection at the stop.
+        started: Whether a head could be sent after the stop.
+        response: The bytes received after that.
     """
 
     def __init__(self, name):
@@ -41,12 +41,12 @@
         )
 
     async def complete_request(self):
-        """A whole request and its answer, after which it rests."""
+        """Makes a complete request, after which the connection is idle."""
         self.writer.write(HEAD + BODY)
         await self.reader.readuntil(b"\r\n\r\n")
 
     async def send_request(self, *, head_after_s, body_after_s):
-        """Sends a request in two parts, unless the connection is closed."""
+        """Sends a head and later a body, unless the connection is closed."""
         await asyncio.sleep(head_after_s)
         if self.reader.at_eof():
             return
@@ -57,13 +57,13 @@
             await self.send_body()
 
     async def send_body(self):
-        """Sends the body, and takes what comes until the end."""
+        """Sends the body and reads the response until the connection ends."""
         self.writer.write(BODY)
         self.response = await self.reader.read()
 
 
 async def answer(request):
-    """Reads a request, as an entry does, and answers it."""
+    """Reads a request as an entry does, and answers it."""
     with caller_connection.suspend_timeouts(request):
         await request.read()
         response = web.Response()
@@ -73,10 +73,10 @@
 
 
 class FakeService:
-    """What an entry's service needs to close its intake.
+    """The attributes of `EntryService` that `stop_accepting` uses.
 
     Attributes:
-        tasks: What it spawned.
+        tasks: The tasks that were spawned.
     """
 
     def __init__(self, *, server, site):
@@ -99,9 +99,9 @@
     context.sending = Caller("sending")
 
 
-@when("the entry stops accepting requests and exits {end:g} s later")
-def set_exit_delay(context, end):
-    context.exit_delay_s = end
+@when("the entry stops accepting requests and exits {delay:g} s later")
+def set_exit_delay(context, delay):
+    context.exit_delay_s = delay
 
 
 @when(
--- a/features/support/growing_store.py
+++ b/features/support/growing_store.py
@@ -1,4 +1,4 @@
-"""A store in memory to which upstreams register one after the other."""
+"""An in-memory store in which upstreams register one after another."""
 
 import asyncio
 
@@ -10,15 +10,15 @@
 
 
 class GrowingStore:
-    """The store's calls, and what an entry that follows it gets to know.
+    """Replaces `StoreApi` and records what the follower reports.
 
     Attributes:
-        count: Upstreams that register.
-        period_s: In which they do.
+        count: The number of upstreams that register.
+        period_s: The time over which they register, in seconds.
         relays_enabled: Whether the bounds let entries read for one another.
-        registered: How many have registered.
-        watches: Answers to watches.
-        known: Ids of which the entry has been changes.
+        registered: The number of upstreams registered so far.
+        watches: The number of watches answered.
+        known_ids: The IDs of the upstreams that the follower has reported.
     """
 
     list_position = 0
@@ -35,7 +35,7 @@
         return True
 
     async def follow(self, extra_s):
-        """Follows while they register, and a little longer."""
+        """Runs a follower while they register, and `extra_s` longer."""
         follower = store_follower.StoreFollower(
             api=self, apply=self.apply, clock=self.clock, read_policy=self
         )
@@ -56,7 +56,7 @@
         if isinstance(event, events.UpstreamChanged):
             self.known_ids.add(event.listed.upstream_id)
 
-    # The calls of `store_api.StoreApi` that the follower makes.
+    # The methods of `store_api.StoreApi` that the follower calls.
 
     async def list_page(self, kind, *, after):
         items = [build_object(x) for x in range(1, self.registered + 1)]
--- a/features/support/platform_callers.py
+++ b/features/support/platform_callers.py
@@ -1,4 +1,4 @@
-"""What steps on callers of the platform share: a fleet, raw requests."""
+"""A shared fleet and raw requests for the steps on callers of the platform."""
 
 import contextlib
 import re
@@ -12,7 +12,7 @@
 
 
 def get_shared_fleet(context):
-    """The fleet that the feature's scenarios share, quiet again."""
+    """Returns the fleet shared by the feature's scenarios, without faults."""
     fleet = getattr(context.feature, "shared_fleet", None)
     if fleet is None:
         fleet = platform_fleet.PlatformFleet()
@@ -24,7 +24,7 @@
 
 def prepare_fleet(context):
     context.platform = get_shared_fleet(context)
-    # What an earlier scenario set aside gets its time to come back.
+    # Runners that an earlier scenario made unavailable need time to return.
     context.platform.wait_until(
         lambda: all(
             context.platform.ask(path).status == 200
@@ -59,12 +59,12 @@
 
 
 INVALID_INPUTS = {
-    "both framings at once": lambda: build_request(
+    "Content-Length and chunked": lambda: build_request(
         "/book/bad",
         lines=("Content-Length: 4", "Transfer-Encoding: chunked"),
         body=b"0\r\n\r\nGET /book/smuggled HTTP/1.1\r\n\r\n",
     ),
-    "two different lengths": lambda: build_request(
+    "two Content-Length lines": lambda: build_request(
         "/book/bad",
         lines=("Content-Length: 4", "Content-Length: 40"),
         body=b"abcd",
@@ -89,7 +89,10 @@
 
 
 def send_raw(fleet, data, *, answers=1):
-    """Returns the statuses that come back; 0 for a close without one."""
+    """Sends raw bytes; returns the response statuses and the bytes received.
+
+    Stops 0.2 s after `answers` responses, or after 1 s without data.
+    """
     with connect(fleet) as caller:
         caller.sendall(data)
         caller.settimeout(1.0)
@@ -103,5 +106,5 @@
 
 
 def read_statuses(received):
-    """Returns the statuses of the answers in some bytes."""
+    """Returns the statuses of all responses in the received bytes."""
     return [int(status) for status in STATUS_LINE.findall(received)]
