Reword the entry's main module, status reports and service

Doc comments of main, entry_service, reports and __init__; renames describe -> describe_problem, name_freshness -> format_freshness and locals.

--- a/packages/rhubarbbank-entry/src/rhubarbbank_entry/__init__.py
+++ b/packages/rhubarbbank-entry/src/rhubarbbank_entry/__init__.py
@@ -1,1 +1,1 @@
-"""The entry host and the operator commands."""
+"""Entry host process and operator commands."""
--- a/packages/rhubarbbank-entry/src/rhubarbbank_entry/entry_service.py
+++ b/packages/rhubarbbank-entry/src/rhubarbbank_entry/entry_service.py
@@ -1,4 +1,4 @@
-"""The entry's shell: the reducer, callers over HTTP, and the platform."""
+"""Entry process: connects the reducer to HTTP callers and the platform."""
 
 import asyncio
 import time
@@ -21,11 +21,13 @@
 from rhubarbbank_runtime import shell
 
 
-def describe(problem: errors.Problem, accept: str) -> tuple[str, str]:
-    """Returns a problem's message and remedy.
+def describe_problem(problem: errors.Problem, accept: str) -> tuple[str, str]:
+    """Returns a problem's message and remedy in the caller's language.
+
+    Only the first language of the header counts; the default is English.
 
     Args:
-        problem: The problem.
+        problem: The problem to describe.
         accept: The caller's Accept-Language header.
     """
     language = texts.Language.EN
@@ -35,8 +37,8 @@
     return text.message.pick(language), text.remedy.pick(language)
 
 
-def name_freshness(verdict: freshness.FreshnessVerdict) -> str:
-    """Returns the word for a verdict, as `/status` shows it."""
+def format_freshness(verdict: freshness.FreshnessVerdict) -> str:
+    """Returns the label under which `/status` reports a verdict."""
     if verdict.problem is not None:
         return "stale"
     if verdict.in_outage:
@@ -45,7 +47,7 @@
 
 
 class EntryService(event_loop.ProgramService):
-    """One entry as an aiomisc service.
+    """Runs one entry as an aiomisc service.
 
     Attributes:
         settings: The entry's settings.
@@ -56,7 +58,7 @@
         self.settings = settings
 
     async def start(self) -> None:
-        """Opens everything; returns when callers are served."""
+        """Starts the shell, the platform connection and the HTTP server."""
         settings = self.settings
         start = program_start.EntryStart(
             settings=settings,
@@ -71,7 +73,7 @@
             parts=recorded_shell.build_parts(settings, start),
         )
         self.callers = caller_http.CallerHttp(
-            apply=self.shell.apply, describe=describe
+            apply=self.shell.apply, describe=describe_problem
         )
         self.shell.handlers |= {
             fx.StartAnswer: self.callers.start_answer,
@@ -85,7 +87,7 @@
         await self.open_http()
 
     async def open_http(self) -> None:
-        """Starts to listen to callers, operators and the balancer."""
+        """Starts the HTTP server for callers, operators and the balancer."""
         app = web.Application(client_max_size=defaults.MAX_BODY_BYTES)
         self.callers.add_routes(app)
         app.router.add_get("/health", self.serve_health)
@@ -105,43 +107,43 @@
         await web.TCPSite(runner, ip, int(port)).start()
 
     async def wait_stopped(self) -> None:
-        """Returns once the graceful stop is over."""
+        """Waits until the graceful stop is complete."""
         await self.shell.stopped.wait()
 
     async def stop(self, exception: Exception | None = None) -> None:
-        """Closes everything."""
+        """Closes the shell and all that it opened."""
         await self.shell.close()
 
     async def serve_health(self, request: web.Request) -> web.Response:
-        """Says that the process runs."""
+        """Responds to a liveness check."""
         return web.Response(text="ok\n")
 
     async def serve_ready(self, request: web.Request) -> web.Response:
-        """Says whether the balancer should send callers here."""
+        """Responds whether the balancer should send callers to this entry."""
         state = self.reducer.state
         now = self.shell.loop.time()
-        fresh = state.control.fleet.freshness.verdict(now=now)
-        ready = not state.stopping and fresh.problem is None
+        verdict = state.control.fleet.freshness.verdict(now=now)
+        ready = not state.stopping and verdict.problem is None
         return web.Response(
             status=200 if ready else 503, text="ready\n" if ready else "not\n"
         )
 
     async def serve_status(self, request: web.Request) -> web.Response:
-        """Answers the entry's status."""
+        """Responds with the entry's status report."""
         state = self.reducer.state
-        members = state.control.fleet.membership
+        membership = state.control.fleet.membership
         return caller_http.build_json_response(
             reports.StatusReport(
                 name=self.settings.name,
                 table_revision=state.rows.revision,
                 sidecars={
-                    name: known.heartbeat.revision
-                    for name, known in members.sidecars.items()
+                    name: sidecar.heartbeat.revision
+                    for name, sidecar in membership.sidecars.items()
                 },
                 open_requests=len(state.open),
                 unsettled_records=len(state.unsettled),
                 shards=len(state.control.owner.owned),
-                freshness=name_freshness(
+                freshness=format_freshness(
                     state.control.fleet.freshness.verdict(
                         now=self.shell.loop.time()
                     )
@@ -151,9 +153,10 @@
         )
 
     async def serve_explanation(self, request: web.Request) -> web.Response:
-        """Answers the decisions on a recent request."""
+        """Responds with the decisions on a recent request, or 404."""
         request_id = request.match_info["request_id"]
-        found = self.reducer.explain(request_id)
+        decisions = self.reducer.explain(request_id)
         return caller_http.build_json_response(
-            reports.Explanation(request_id, found), status=200 if found else 404
+            reports.Explanation(request_id, decisions),
+            status=200 if decisions else 404,
         )
--- a/packages/rhubarbbank-entry/src/rhubarbbank_entry/main.py
+++ b/packages/rhubarbbank-entry/src/rhubarbbank_entry/main.py
@@ -1,4 +1,4 @@
-"""The `rhubarbbank` command."""
+"""Command line of `rhubarbbank`."""
 
 from collections.abc import Callable
 import sys
@@ -16,10 +16,10 @@
 
 
 class SettingsCommands:
-    """Checks settings files."""
+    """Validates settings files."""
 
     def check(self, settings: str, kind: str = "entry") -> str:
-        """Checks a settings file and names every fault at once.
+        """Validates a settings file and reports all errors in it.
 
         Args:
             settings: Path of the JSON file.
@@ -47,19 +47,22 @@
         language: str = "en",
         author: str = "operator",
     ) -> dict[str, Callable[..., None]]:
-        """Shows and edits the operators' table.
+        """Shows and edits the routing table.
 
         Args:
-            settings: Path of an entry's settings, for the two addresses.
-            store_url: Base URL of the object API, instead of the settings'.
-            hosts_url: Base URL of the host list, instead of the settings'.
-            language: `en`, `de` or `ja`.
-            author: The name that the history shows.
+            settings: Path of an entry's settings file, which provides defaults
+                for `store_url` and `hosts_url`.
+            store_url: Base URL of the object API; overrides the settings.
+            hosts_url: Base URL of the host list; overrides the settings.
+            language: Language of messages: `en`, `de` or `ja`.
+            author: Name recorded in the edit history.
         """
         if settings:
-            found = settings_file.read_settings(settings, options.EntrySettings)
-            store_url = store_url or found.store_url
-            hosts_url = hosts_url or found.hosts_url
+            entry_settings = settings_file.read_settings(
+                settings, options.EntrySettings
+            )
+            store_url = store_url or entry_settings.store_url
+            hosts_url = hosts_url or entry_settings.hosts_url
         return table_commands.TableCommands(
             store_url=store_url,
             hosts_url=hosts_url,
@@ -68,7 +71,7 @@
         ).commands()
 
     def status(self, hosts_url: str) -> str:
-        """Shows what every entry says of itself.
+        """Shows the status of every entry.
 
         Args:
             hosts_url: Base URL of the host list.
@@ -76,24 +79,28 @@
         return operator_commands.OperatorCommands(hosts_url=hosts_url).status()
 
     def explain(self, request_id: str, hosts_url: str) -> str:
-        """Shows why a request went to its model, version and upstream.
+        """Shows why a request was routed to its model, version and upstream.
 
         Args:
-            request_id: As in the answer's X-Request-Id header.
+            request_id: Value of the response's X-Request-Id header.
             hosts_url: Base URL of the host list.
         """
-        asked = operator_commands.OperatorCommands(hosts_url=hosts_url)
-        return asked.explain(request_id)
+        commands = operator_commands.OperatorCommands(hosts_url=hosts_url)
+        return commands.explain(request_id)
 
     def entry(self, settings: str) -> None:
-        """Runs an entry host until it is asked to stop.
+        """Runs an entry host until it receives a stop signal.
 
         Args:
             settings: Path of the JSON file.
         """
-        checked = settings_file.read_settings(settings, options.EntrySettings)
-        logs.configure(checked.log_level, lossless=checked.record_events)
-        event_loop.run(entry_service.EntryService(settings=checked))
+        entry_settings = settings_file.read_settings(
+            settings, options.EntrySettings
+        )
+        logs.configure(
+            entry_settings.log_level, lossless=entry_settings.record_events
+        )
+        event_loop.run(entry_service.EntryService(settings=entry_settings))
 
 
 def main() -> None:
--- a/packages/rhubarbbank-entry/src/rhubarbbank_entry/reports.py
+++ b/packages/rhubarbbank-entry/src/rhubarbbank_entry/reports.py
@@ -1,4 +1,4 @@
-"""What an entry tells operators over HTTP."""
+"""Response bodies of an entry's HTTP endpoints for operators."""
 
 import msgspec
 
@@ -6,19 +6,21 @@
 
 
 class StatusReport(msgspec.Struct, frozen=True, kw_only=True):
-    """What `/status` answers.
+    """Response body of `/status`.
 
     Attributes:
-        name: The entry.
-        table_revision: The revision in force here.
-        sidecars: Revisions in force at the sidecars it knows, by name.
-        open_requests: Requests that are not answered yet.
-        unsettled_records: Billing records that are not durable yet.
-        shards: Ledger shards owned here.
-        freshness: `fresh`, `outage` (served because the store is down for
-            everyone), `unconfirmed` (served by setting, the promise on
-            table changes rests) or `stale` (new work is refused).
-        stopping: Whether it takes no new requests.
+        name: Name of the entry.
+        table_revision: Table revision in force at this entry.
+        sidecars: Table revision in force at each known sidecar, by name.
+        open_requests: Number of requests that are not answered yet.
+        unsettled_records: Number of billing records that are not
+            durable yet.
+        shards: Number of ledger shards that this entry owns.
+        freshness: `fresh`; `outage`: new work is accepted because the store is
+            down for everyone; `unconfirmed`: new work is accepted because of
+            `serve_unconfirmed`, without the guarantee that table edits are in
+            force within seconds; `stale`: new work is refused.
+        stopping: Whether the entry is stopping and refuses new requests.
     """
 
     name: str
@@ -32,7 +34,12 @@
 
 
 class Explanation(msgspec.Struct, frozen=True):
-    """What `/explain` answers: the decisions, oldest first."""
+    """Response body of `/explain`.
+
+    Attributes:
+        request_id: ID of the request.
+        decisions: Decisions on the request, oldest first.
+    """
 
     request_id: str
     decisions: list[fx.LogDecision]
