--- a/packages/rhubarbbank-entry/src/rhubarbbank_entry/table_commands.py
+++ b/packages/rhubarbbank-entry/src/rhubarbbank_entry/table_commands.py
@@ -479,7 +479,7 @@
         said: list[str] = []
         confirmed: set[str] = set()
         while True:
-            behind = await table_confirmation.find_behind(
+            behind = await table_confirmation.find_unconfirmed(
                 session, self.hosts_url, revision, confirmed
             )
             if not behind:
--- a/packages/rhubarbbank-entry/src/rhubarbbank_entry/table_confirmation.py
+++ b/packages/rhubarbbank-entry/src/rhubarbbank_entry/table_confirmation.py
@@ -1,8 +1,8 @@
-"""Asks each live process whether a revision of the table is in force there.
+"""Checks whether a table revision is in force on every live process.
 
-`table_commands` asks again and again when the operator waits for an edit. The
-platform's host list says which entries live; each entry's status tells its own
-revision and those of the sidecars that it hears.
+`table_commands` polls this check while an operator waits for an edit. The
+platform's host list names the live entries; each entry's status reports its
+own revision and those of the sidecars that it receives heartbeats from.
 """
 
 import asyncio
@@ -15,7 +15,7 @@
 
 
 class HostRecord(msgspec.Struct, frozen=True):
-    """One host of the platform's list, as far as it matters here."""
+    """The fields of a host list entry that this check needs."""
 
     name: str
     role: str
@@ -24,13 +24,13 @@
 
 
 class HostList(msgspec.Struct, frozen=True):
-    """The platform's list of hosts."""
+    """Response body of the platform's host list."""
 
     hosts: list[HostRecord]
 
 
 class EntryStatus(msgspec.Struct, frozen=True):
-    """What an entry says about revisions: its own and its sidecars'."""
+    """The fields of an entry's `/status` that hold table revisions."""
 
     table_revision: int
     sidecars: dict[str, int] = {}
@@ -38,59 +38,63 @@
 
 async def fetch(session: aiohttp.ClientSession, url: str) -> bytes | None:
     """Returns the body of a GET, or None when it fails."""
-    limit = aiohttp.ClientTimeout(total=STATUS_TIMEOUT_S)
+    timeout = aiohttp.ClientTimeout(total=STATUS_TIMEOUT_S)
     try:
-        async with session.get(url, timeout=limit) as response:
+        async with session.get(url, timeout=timeout) as response:
             return await response.read() if response.ok else None
     except (aiohttp.ClientError, TimeoutError, OSError):
         return None
 
 
-async def find_behind(
+async def find_unconfirmed(
     session: aiohttp.ClientSession,
     hosts_url: str,
     revision: int,
     confirmed: set[str],
 ) -> list[str]:
-    """Returns the names of what has not confirmed the revision, sorted.
+    """Returns the sorted names of processes that lack the revision.
 
-    Entries that have confirmed it are added to `confirmed` and not asked
-    again, since revisions only grow. The host list itself is among the names
-    when it can't be read or names no entry, since then nobody can tell which
-    processes live.
+    Entries that confirm it are added to `confirmed` and not polled again,
+    since revisions only grow. Returns `/hosts` when the host list can't be
+    read or contains no entry, since the live processes are unknown then.
     """
     body = await fetch(session, f"{hosts_url}/hosts")
     try:
-        listed = msgspec.json.decode(body or b"", type=HostList)
+        host_list = msgspec.json.decode(body or b"", type=HostList)
     except msgspec.MsgspecError:
         return ["/hosts"]
-    entries = [host for host in listed.hosts if host.role == ENTRY_ROLE]
+    entries = [host for host in host_list.hosts if host.role == ENTRY_ROLE]
     if not entries:
         return ["/hosts"]
-    asked = [host for host in entries if host.name not in confirmed]
-    checks = await asyncio.gather(
-        *(check_entry(session, host, revision) for host in asked)
+    pending = [host for host in entries if host.name not in confirmed]
+    results = await asyncio.gather(
+        *(check_entry(session, host, revision) for host in pending)
     )
-    behind: set[str] = set()
-    for host, names in zip(asked, checks, strict=True):
-        behind.update(names)
+    unconfirmed: set[str] = set()
+    for host, names in zip(pending, results, strict=True):
+        unconfirmed.update(names)
         if not names:
             confirmed.add(host.name)
-    return sorted(behind)
+    return sorted(unconfirmed)
 
 
 async def check_entry(
     session: aiohttp.ClientSession, host: HostRecord, revision: int
 ) -> list[str]:
-    """Returns the entry's and its sidecars' names that are behind."""
+    """Returns which of an entry and its sidecars lack the revision.
+
+    An entry whose status can't be read is taken to lack it.
+    """
     body = await fetch(session, f"http://{host.http_address}/status")
     try:
         status = msgspec.json.decode(body or b"", type=EntryStatus)
     except msgspec.MsgspecError:
         return [host.name]
-    behind = [
-        name for name, there in status.sidecars.items() if there < revision
+    unconfirmed = [
+        name
+        for name, sidecar_revision in status.sidecars.items()
+        if sidecar_revision < revision
     ]
     if status.table_revision < revision:
-        behind.append(host.name)
-    return behind
+        unconfirmed.append(host.name)
+    return unconfirmed
