--- a/packages/rhubarbbank-entry/src/rhubarbbank_entry/operator_commands.py
+++ b/packages/rhubarbbank-entry/src/rhubarbbank_entry/operator_commands.py
@@ -1,4 +1,4 @@
-"""The operator's look at running entries: `status` and `explain`."""
+"""Operator commands that query running entries: `status` and `explain`."""
 
 import asyncio
 
@@ -10,11 +10,11 @@
 from rhubarbbank_entry import reports
 from rhubarbbank_runtime import hosts_http
 
-TIMEOUT = aiohttp.ClientTimeout(total=3.0)
+REQUEST_TIMEOUT = aiohttp.ClientTimeout(total=3.0)
 
 
 class OperatorCommands:
-    """Asks every live entry of the host list.
+    """Queries the entries of the host list.
 
     Attributes:
         hosts_url: Base URL of the host list.
@@ -24,37 +24,42 @@
         self.hosts_url = hosts_url
 
     def status(self) -> str:
-        """Returns one line for each entry."""
+        """Returns the status of all entries, a line each."""
         return asyncio.run(self.collect_status())
 
     def explain(self, request_id: str) -> str:
-        """Returns why a request went where it did, oldest decision first."""
-        return asyncio.run(self.collect_explanation(request_id))
+        """Returns the routing decisions on a request, oldest first."""
+        return asyncio.run(self.find_explanation(request_id))
 
     async def collect_status(self) -> str:
-        """Asks all entries for their status."""
-        async with aiohttp.ClientSession(timeout=TIMEOUT) as session:
+        """Queries each entry for its status."""
+        async with aiohttp.ClientSession(timeout=REQUEST_TIMEOUT) as session:
             lines = [
                 describe_status(
-                    host, await read(session, f"{host.http_address}/status")
+                    host, await fetch(session, f"{host.http_address}/status")
                 )
                 for host in await self.list_entries(session)
             ]
         return "\n".join(lines)
 
-    async def collect_explanation(self, request_id: str) -> str:
-        """Asks all entries for a request's decisions."""
-        async with aiohttp.ClientSession(timeout=TIMEOUT) as session:
+    async def find_explanation(self, request_id: str) -> str:
+        """Queries entries until one has the decisions on a request.
+
+        Raises:
+            errors.RhubarbbankError: No entry has them, or the host list can't
+                be read.
+        """
+        async with aiohttp.ClientSession(timeout=REQUEST_TIMEOUT) as session:
             for host in await self.list_entries(session):
                 path = f"{host.http_address}/explain/{request_id}"
-                body = await read(session, path)
+                body = await fetch(session, path)
                 if body is not None:
                     return describe_explanation(body)
         raise errors.RhubarbbankError(
             problem=errors.Problem(
                 code=errors.ErrorCode.NOT_FOUND, detail=request_id
             ),
-            remedy="Entries keep recent requests only; look into the logs.",
+            remedy="Entries keep only recent requests; search the logs.",
         )
 
     async def list_entries(
@@ -63,7 +68,7 @@
         """Returns the entries of the host list.
 
         Raises:
-            errors.RhubarbbankError: The list can't be read.
+            errors.RhubarbbankError: The host list can't be read.
         """
         hosts = await hosts_http.read_hosts(session, self.hosts_url)
         if hosts is None:
@@ -77,7 +82,7 @@
         return [host for host in hosts if host.role == "entry"]
 
 
-async def read(
+async def fetch(
     session: aiohttp.ClientSession, address_and_path: str
 ) -> bytes | None:
     """Returns the body of a GET, or None when it fails."""
@@ -90,11 +95,11 @@
 
 
 def describe_status(host: wire.ListedHost, body: bytes | None) -> str:
-    """Returns the status line of one entry."""
+    """Returns an entry's status line; `body` is None without a response."""
     if body is None:
         return f"{host.name}: no answer"
     report = msgspec.json.decode(body, type=reports.StatusReport)
-    behind = sorted(
+    outdated = sorted(
         name
         for name, revision in report.sidecars.items()
         if revision < report.table_revision
@@ -105,8 +110,8 @@
         f"{report.open_requests} open requests",
         f"table {report.freshness}",
     ]
-    if behind:
-        parts.append(f"behind: {', '.join(behind)}")
+    if outdated:
+        parts.append(f"behind: {', '.join(outdated)}")
     if report.stopping:
         parts.append("stopping")
     return ", ".join(parts)
@@ -114,14 +119,14 @@
 
 def describe_explanation(body: bytes) -> str:
     """Returns the decisions on one request, a line each."""
-    found = msgspec.json.decode(body, type=reports.Explanation)
+    explanation = msgspec.json.decode(body, type=reports.Explanation)
     lines = []
-    for line in found.decisions:
+    for decision in explanation.decisions:
         parts = [
-            line.decision,
-            f"{line.model}@{line.version}" if line.model else "",
-            line.upstream,
-            line.reason,
+            decision.decision,
+            f"{decision.model}@{decision.version}" if decision.model else "",
+            decision.upstream,
+            decision.reason,
         ]
         lines.append("  ".join(part for part in parts if part))
     return "\n".join(lines)
