--- a/features/steps/table_steps.py
+++ b/features/steps/table_steps.py
@@ -770,7 +770,7 @@
         store_url=context.platform.url,
         hosts_url=context.platform.url,
         author="anna",
-        wait_s=2.0,
+        timeout_s=2.0,
         output=context.output,
     )
     context.error = None
--- a/packages/rhubarbbank-entry/src/rhubarbbank_entry/table_commands.py
+++ b/packages/rhubarbbank-entry/src/rhubarbbank_entry/table_commands.py
@@ -1,8 +1,8 @@
-"""The operator's table commands, mounted by the command line's main.
+"""Commands of `rhubarbbank table`, which show and edit the routing table.
 
-Each command reads and edits the table through the object API alone, by the
+Commands access the table only through the object API, and edit it with the
 same `table_editor.TableEditor` that the system uses for status cells. With
-`--wait` a command then polls each live entry's status until the accepted
+`--wait`, a command then polls each live entry's status until the accepted
 revision is in force there and on the sidecars that the entry reports.
 Every failure is an `errors.RhubarbbankError` in the operator's language.
 """
@@ -36,13 +36,13 @@
 from rhubarbbank_runtime import http_once
 from rhubarbbank_runtime import store_http
 
-WAIT_S = 30.0
-POLL_S = 0.25
-# As long as an editor's back-offs last, so that a command that can be carried
-# out isn't given up before its edit is begun.
-READ_WAIT_S = 8.0
-READ_RETRY_FIRST_S = 0.1
-READ_RETRY_LONGEST_S = 1.0
+CONFIRMATION_TIMEOUT_S = 30.0
+POLL_INTERVAL_S = 0.25
+# Equals the total back-off of `TableEditor`, so that a command doesn't give up
+# on its first read while its edit could still succeed.
+READ_TIMEOUT_S = 8.0
+MIN_READ_RETRY_S = 0.1
+MAX_READ_RETRY_S = 1.0
 IN_FORCE = texts.Text(
     "Revision {revision} is in force everywhere.",
     "Stand {revision} gilt überall.",
@@ -56,13 +56,13 @@
 NO_CHANGE = texts.Text(
     "Nothing to change.", "Nichts zu ändern.", "変更はありません。"
 )
-BEHIND = texts.Text(
+UNCONFIRMED = texts.Text(
     "Still behind: {names}",
     "Noch nicht bestätigt: {names}",
     "未反映: {names}",
 )
 WAIT_REMEDY = texts.Text(
-    "The edit stands; look again later with `table show`.",
+    "The edit was accepted; check again later with `table show`.",
     "Die Änderung gilt; sehen Sie später mit `table show` nach.",
     "変更は受け付け済みです。後で`table show`で確認してください。",
 )
@@ -72,22 +72,26 @@
 
 
 def parse_flag(text: str) -> bool:
-    """Returns the value of a flag; fire hands a bare one on as "True"."""
+    """Parses a flag; `fire` passes a flag without a value as "True"."""
     return text.strip().lower() in {"true", "1", "yes"}
 
 
 Command = typing.TypeVar("Command", bound=collections.abc.Callable[..., None])
 
 
-def takes_text(command: Command) -> Command:
-    """Has `fire` hand arguments on as text and `wait` as a flag."""
+def parse_as_text(command: Command) -> Command:
+    """Makes `fire` pass arguments as strings, except the flag `wait`."""
     decorators.SetParseFn(str)(command)
     decorators.SetParseFns(wait=parse_flag)(command)
     return command
 
 
 def parse_language(text: str) -> texts.Language:
-    """Returns the language of a code, refusing an unknown one."""
+    """Parses a language code.
+
+    Raises:
+        errors.RhubarbbankError: The code is unknown.
+    """
     try:
         return texts.Language(text.strip().lower())
     except ValueError as error:
@@ -101,17 +105,18 @@
 
 
 class TableCommands:
-    """The commands under `table`.
+    """Commands under `rhubarbbank table`.
 
-    Arguments stay text: fire would read a version 1.10 as the number 1.1.
+    Arguments stay strings: `fire` would parse version 1.10 as the number 1.1.
 
     Attributes:
-        store_url: Base address of the object API.
-        hosts_url: Base address of the host list, for `--wait`.
-        author: The name that the history shows.
-        client_name: What the store counts the calls under.
-        wait_s: How long `--wait` waits, in seconds.
-        output: Where lines go.
+        store_url: Base URL of the object API.
+        hosts_url: Base URL of the host list, for `--wait`.
+        language: Language of messages.
+        author: Name recorded in the edit history.
+        client_name: Name under which the store counts the calls.
+        timeout_s: Timeout of `--wait`, in seconds.
+        output: Stream to which commands print.
     """
 
     def __init__(
@@ -122,36 +127,38 @@
         language: str = texts.Language.EN.value,
         author: str = "operator",
         client_name: str = "rhubarbbank-table",
-        wait_s: float = WAIT_S,
+        timeout_s: float = CONFIRMATION_TIMEOUT_S,
         output: typing.TextIO | None = None,
     ) -> None:
         self.store_url = store_url
         self.hosts_url = hosts_url.rstrip("/")
         self.language = parse_language(language)
-        with self.translated():
+        with self.translate_errors():
             self.author = table_input.normalise_text(author, subject="author")
         self.client_name = client_name
-        self.wait_s = wait_s
+        self.timeout_s = timeout_s
         self.output = output or sys.stdout
 
-    @takes_text
+    @parse_as_text
     def show(self, organisation: str | None = None) -> None:
         """Prints the table, or one organisation's rows."""
         stored = asyncio.run(self.load())
-        value = stored.table
+        shown = stored.table
         if organisation is not None:
             name = self.normalise(table.Column.ORGANISATION, organisation)
-            rows = tuple(row for row in value.rows if row.organisation == name)
-            value = table.Table(revision=value.revision, rows=rows)
-        self.say(table_text.render_table(value, self.language))
-        self.say(f"revision {value.revision}")
+            rows = tuple(row for row in shown.rows if row.organisation == name)
+            shown = table.Table(revision=shown.revision, rows=rows)
+        self.print_line(table_text.render_table(shown, self.language))
+        self.print_line(f"revision {shown.revision}")
 
     def history(self) -> None:
-        """Prints the newest edits, oldest first."""
+        """Prints the most recent edits, oldest first."""
         stored = asyncio.run(self.load())
-        self.say(table_text.render_history(stored.history, self.language))
+        self.print_line(
+            table_text.render_history(stored.history, self.language)
+        )
 
-    @takes_text
+    @parse_as_text
     def set(
         self,
         organisation: str,
@@ -171,11 +178,12 @@
             version: The row's version.
             column: The column's code.
             value: The new value.
-            expected: The value that the operator saw; without it the value
-                that stands there when the command starts.
+            expected: The value that the edit replaces; the edit is refused if
+                the cell holds another. Defaults to the value that the command
+                reads at its start.
             wait: Whether to wait until the edit is in force everywhere.
         """
-        with self.translated():
+        with self.translate_errors():
             code = table_input.parse_column(str(column))
             if code in table.KEY_COLUMNS:
                 raise table_input.CellError(
@@ -184,17 +192,17 @@
         row_key = self.parse_key(organisation, model, version)
         new = self.normalise(code, value)
 
-        def plan(value_there: table.Table) -> list[table_codec.Change]:
+        def plan(current: table.Table) -> list[table_codec.Change]:
             old = expected
-            row = self.find_row(value_there, row_key)
+            row = self.find_row(current, row_key)
             if old is None:
                 old = table_input.read_cell(row, code)
-            seen = self.normalise(code, old)
-            return [table_codec.SetCell(row_key, code, seen, new)]
+            normalised = self.normalise(code, old)
+            return [table_codec.SetCell(row_key, code, normalised, new)]
 
         asyncio.run(self.edit(plan, wait=wait))
 
-    @takes_text
+    @parse_as_text
     def add(
         self,
         organisation: str,
@@ -204,15 +212,15 @@
         wait: bool = False,
         **cells: str,
     ) -> None:
-        """Adds a row; cells are given by column code, others by default."""
-        with self.translated():
-            named = {
+        """Adds a row; cells are given by column code, or get their defaults."""
+        with self.translate_errors():
+            given_cells = {
                 table_input.parse_column(code): str(text)
                 for code, text in cells.items()
             }
             row = table_input.build_row(
                 {
-                    **named,
+                    **given_cells,
                     table.Column.ORGANISATION: str(organisation),
                     table.Column.MODEL: str(model),
                     table.Column.VERSION: str(version),
@@ -220,7 +228,7 @@
             )
         asyncio.run(self.edit(lambda _: [table_codec.AddRow(row)], wait=wait))
 
-    @takes_text
+    @parse_as_text
     def remove(
         self,
         organisation: str,
@@ -232,14 +240,14 @@
         """Removes a row."""
         row_key = self.parse_key(organisation, model, version)
 
-        def plan(value_there: table.Table) -> list[table_codec.Change]:
-            return [table_codec.RemoveRow(self.find_row(value_there, row_key))]
+        def plan(current: table.Table) -> list[table_codec.Change]:
+            return [table_codec.RemoveRow(self.find_row(current, row_key))]
 
         asyncio.run(self.edit(plan, wait=wait))
 
-    @takes_text
+    @parse_as_text
     def export(self, path: str = "-", *, form: str = "csv") -> None:
-        """Writes the table as CSV or TSV to a file, or "-" for output."""
+        """Writes the table as CSV or TSV to a file, or to output for "-"."""
         stored = asyncio.run(self.load())
         text = table_text.export_table(stored.table, self.parse_format(form))
         if path == "-":
@@ -247,24 +255,25 @@
             return
         pathlib.Path(path).write_text(text, encoding="utf-8", newline="")
 
-    @takes_text
+    @parse_as_text
     def import_(
         self, path: str, *, form: str = "csv", wait: bool = False
     ) -> None:
-        """Edits the table so that it holds the file's rows."""
+        """Edits the table so that its rows are those of the file."""
         text = self.read_file(path)
-        with self.translated():
+        with self.translate_errors():
             rows = table_text.parse_rows(text, self.parse_format(form))
         asyncio.run(
             self.edit(
-                lambda there: table_text.compare_rows(there, rows), wait=wait
+                lambda current: table_text.compare_rows(current, rows),
+                wait=wait,
             )
         )
 
     def commands(
         self,
     ) -> dict[str, collections.abc.Callable[..., None]]:
-        """Returns each command under its name on the command line."""
+        """Returns the commands by their names on the command line."""
         return {
             "show": self.show,
             "set": self.set,
@@ -275,28 +284,28 @@
             "import": self.import_,
         }
 
-    def say(self, line: str) -> None:
-        """Prints one line."""
+    def print_line(self, line: str) -> None:
+        """Prints a line to the output."""
         print(line, file=self.output, flush=True)
 
     def open_session(self) -> aiohttp.ClientSession:
-        """Returns the HTTP session of one command."""
+        """Opens an HTTP session, which sends each request only once."""
         return aiohttp.ClientSession(middlewares=(http_once.send_once,))
 
     def open_store(
         self, session: aiohttp.ClientSession
     ) -> store_http.StoreHttp:
-        """Returns the object API over a session."""
+        """Returns a client of the object API that uses the session."""
         return store_http.StoreHttp(
             url=self.store_url.rstrip("/"),
             session=session,
             client=self.client_name,
         )
 
-    def make_error(
+    def build_error(
         self, problem: errors.Problem, remedy: str | None = None
     ) -> errors.RhubarbbankError:
-        """Returns the error in the operator's language."""
+        """Returns the error for a problem, in the operator's language."""
         text = texts.PROBLEMS[problem.code]
         message = text.message.pick(self.language)
         detail = f"{message} [{problem.detail}]" if problem.detail else message
@@ -306,25 +315,25 @@
         )
 
     @contextlib.contextmanager
-    def translated(self) -> collections.abc.Iterator[None]:
-        """Raises refused cells again in the operator's language."""
+    def translate_errors(self) -> collections.abc.Iterator[None]:
+        """Translates a `CellError` into an error in the operator's language."""
         try:
             yield
         except table_input.CellError as error:
-            raise self.make_error(
+            raise self.build_error(
                 error.problem,
                 table_input.REMEDIES[error.fault].pick(self.language),
             ) from error
 
     def normalise(self, column: table.Column, text: str) -> str:
         """Returns the canonical text of a cell."""
-        with self.translated():
+        with self.translate_errors():
             return table_input.normalise_cell(column, str(text))
 
     def parse_key(
         self, organisation: str, model: str, version: str
     ) -> table.RowKey:
-        """Returns the row key of three names."""
+        """Returns the key of a row, with normalised names."""
         return table.RowKey(
             self.normalise(table.Column.ORGANISATION, organisation),
             self.normalise(table.Column.MODEL, model),
@@ -332,11 +341,11 @@
         )
 
     def parse_format(self, form: str) -> table_text.ExportFormat:
-        """Returns the export format of a name."""
+        """Parses the value of `--form`."""
         try:
             return table_text.ExportFormat(form.lower())
         except ValueError as error:
-            raise self.make_error(
+            raise self.build_error(
                 errors.Problem(
                     code=errors.ErrorCode.BAD_REQUEST,
                     detail=f"--form {form}: csv, tsv",
@@ -344,45 +353,50 @@
             ) from error
 
     def read_file(self, path: str) -> str:
-        """Returns the text of a UTF-8 file."""
+        """Reads a UTF-8 file, with or without a byte order mark."""
         try:
             return pathlib.Path(path).read_bytes().decode("utf-8-sig")
         except (OSError, UnicodeDecodeError) as error:
             code = errors.ErrorCode.BAD_REQUEST
             if isinstance(error, FileNotFoundError):
                 code = errors.ErrorCode.NOT_FOUND
-            raise self.make_error(
+            raise self.build_error(
                 errors.Problem(code=code, detail=f"{path}: {error}")
             ) from error
 
     def find_row(self, value: table.Table, row_key: table.RowKey) -> table.Row:
-        """Returns a row of the table, or refuses with what looks like it."""
+        """Returns a row of the table.
+
+        Raises:
+            errors.RhubarbbankError: The row doesn't exist; names a similar row
+                if `table_input.check_names` finds one.
+        """
         row = value.find(
             row_key.organisation,
             table.VersionKey(row_key.model, row_key.version),
         )
         if row is not None:
             return row
-        with self.translated():
+        with self.translate_errors():
             table_input.check_names(
                 row_key, [other.row_key for other in value.rows]
             )
-        raise self.make_error(
+        raise self.build_error(
             errors.Problem(code=errors.ErrorCode.NOT_FOUND, detail=str(row_key))
         )
 
     async def load(self) -> table_codec.StoredTable:
-        """Returns the table as it stands in the store."""
+        """Returns the table that the store holds."""
         async with self.open_session() as session:
             return await self.read_table(self.open_store(session))
 
     async def read_table(
         self, client: store_http.StoreHttp
     ) -> table_codec.StoredTable:
-        """Reads the table, again if need be; an absent one is empty.
+        """Reads the table, with retries; a missing table counts as empty.
 
         Raises:
-            errors.RhubarbbankError: STORE_UNAVAILABLE after `READ_WAIT_S`;
+            errors.RhubarbbankError: STORE_UNAVAILABLE after `READ_TIMEOUT_S`;
                 nothing was written.
         """
         call = store.StoreCall(
@@ -390,8 +404,8 @@
             operation=store.StoreOperation.GET,
             key=table_codec.TABLE_KEY,
         )
-        deadline = time.monotonic() + READ_WAIT_S
-        pause_s = READ_RETRY_FIRST_S
+        deadline = time.monotonic() + READ_TIMEOUT_S
+        pause_s = MIN_READ_RETRY_S
         while True:
             reply = await client.call(call)
             if reply.outcome is store.StoreOutcome.NOT_FOUND:
@@ -401,8 +415,8 @@
             if time.monotonic() + pause_s > deadline:
                 break
             await asyncio.sleep(pause_s)
-            pause_s = min(READ_RETRY_LONGEST_S, 2.0 * pause_s)
-        raise self.make_error(
+            pause_s = min(MAX_READ_RETRY_S, 2.0 * pause_s)
+        raise self.build_error(
             errors.Problem(
                 code=errors.ErrorCode.STORE_UNAVAILABLE,
                 detail=f"GET {table_codec.TABLE_KEY}: {reply.outcome}",
@@ -410,9 +424,9 @@
         )
 
     async def edit(self, plan: Plan, *, wait: bool) -> None:
-        """Makes the planned changes as one batch and says how it ended."""
+        """Submits the planned changes as one batch and prints the result."""
         if wait and not self.hosts_url:
-            raise self.make_error(
+            raise self.build_error(
                 errors.Problem(
                     code=errors.ErrorCode.BAD_SETTINGS,
                     detail="--wait: hosts_url",
@@ -420,26 +434,26 @@
             )
         async with self.open_session() as session:
             client = self.open_store(session)
-            value = (await self.read_table(client)).table
-            changes = plan(value)
+            current = (await self.read_table(client)).table
+            changes = plan(current)
             if not changes:
-                self.say(NO_CHANGE.pick(self.language))
+                self.print_line(NO_CHANGE.pick(self.language))
                 return
-            edits = self.make_edits(changes, value.revision)
+            edits = self.build_edits(changes, current.revision)
             outcome = await run_editor(client, edits)
             if isinstance(outcome, table_edit.Refusal):
-                raise self.refuse(outcome)
+                raise self.build_refusal(outcome)
             accepted = ACCEPTED.pick(self.language)
-            self.say(accepted.format(revision=outcome.revision))
+            self.print_line(accepted.format(revision=outcome.revision))
             if wait:
                 await self.wait_in_force(session, outcome.revision)
 
-    def make_edits(
+    def build_edits(
         self,
         changes: collections.abc.Iterable[table_codec.Change],
         base_revision: int,
     ) -> list[table_codec.Edit]:
-        """Returns the changes as edits of this author, made now."""
+        """Returns the changes as edits of this author with the current time."""
         batch = uuid.uuid4().hex
         now = dt.datetime.now(dt.UTC)
         return [
@@ -453,8 +467,10 @@
             for number, change in enumerate(changes)
         ]
 
-    def refuse(self, refusal: table_edit.Refusal) -> errors.RhubarbbankError:
-        """Returns the error of a refused edit, both values shown."""
+    def build_refusal(
+        self, refusal: table_edit.Refusal
+    ) -> errors.RhubarbbankError:
+        """Returns the error for a refused edit; conflicts show both values."""
         message = texts.PROBLEMS[refusal.problem.code].message
         particulars = table_text.describe_particulars(refusal, self.language)
         problem = dataclasses.replace(
@@ -469,35 +485,37 @@
     async def wait_in_force(
         self, session: aiohttp.ClientSession, revision: int
     ) -> None:
-        """Polls until each entry and sidecar has the revision, or says who not.
+        """Polls until the revision is in force on each entry and sidecar.
+
+        Prints the names of those that lack it whenever they change.
 
         Raises:
-            errors.RhubarbbankError: TABLE_NOT_CONFIRMED after `wait_s`; the
-                edit itself stands.
+            errors.RhubarbbankError: TABLE_NOT_CONFIRMED after `timeout_s`; the
+                edit remains accepted.
         """
-        deadline = time.monotonic() + self.wait_s
-        said: list[str] = []
+        deadline = time.monotonic() + self.timeout_s
+        reported: list[str] = []
         confirmed: set[str] = set()
         while True:
-            behind = await table_confirmation.find_unconfirmed(
+            unconfirmed = await table_confirmation.find_unconfirmed(
                 session, self.hosts_url, revision, confirmed
             )
-            if not behind:
+            if not unconfirmed:
                 line = IN_FORCE.pick(self.language)
-                self.say(line.format(revision=revision))
+                self.print_line(line.format(revision=revision))
                 return
             if time.monotonic() >= deadline:
                 break
-            if behind != said:
-                line = BEHIND.pick(self.language)
-                self.say(line.format(names=", ".join(behind)))
-                said = behind
-            await asyncio.sleep(POLL_S)
-        raise self.make_error(
+            if unconfirmed != reported:
+                line = UNCONFIRMED.pick(self.language)
+                self.print_line(line.format(names=", ".join(unconfirmed)))
+                reported = unconfirmed
+            await asyncio.sleep(POLL_INTERVAL_S)
+        raise self.build_error(
             errors.Problem(
                 code=errors.ErrorCode.TABLE_NOT_CONFIRMED,
                 run_state=errors.RunState.RAN,
-                detail=f"revision {revision}: {', '.join(behind)}",
+                detail=f"revision {revision}: {', '.join(unconfirmed)}",
             ),
             WAIT_REMEDY.pick(self.language),
         )
@@ -507,7 +525,7 @@
     client: store_http.StoreHttp,
     edits: collections.abc.Sequence[table_codec.Edit],
 ) -> table_edit.Applied | table_edit.Refusal:
-    """Drives a `TableEditor` over HTTP until the batch has ended."""
+    """Runs a `TableEditor` over HTTP until the batch has an outcome."""
     editor = table_editor.TableEditor(
         calls=effects.CallIds(), randomness=random.Random()
     )
