--- a/packages/rhubarbbank-core/src/rhubarbbank_core/errors.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/errors.py
@@ -1,9 +1,8 @@
 """Error codes, run states and the typed error that carries them.
 
-Every refusal or failure that a caller, an operator or another process sees is
-one `ErrorCode` with one `RunState`. The wording for people stands in
-`texts.py`; nothing here is translated. This module is a leaf: every other
-module may import it.
+Every error that a caller, an operator or another process sees has one
+`ErrorCode` and one `RunState`. The translated messages are in `texts.py`. This
+module imports no other module of the package, so any module can import it.
 """
 
 import dataclasses
@@ -11,7 +10,7 @@
 
 
 class RunState(enum.StrEnum):
-    """Whether the work that an error speaks of ran at an upstream."""
+    """Whether the request that failed ran at an upstream."""
 
     NOT_RUN = "not_run"
     UNKNOWN = "unknown"
@@ -19,7 +18,7 @@
 
 
 class ErrorCode(enum.StrEnum):
-    """What went wrong, as a code that is the same in every language."""
+    """The kind of an error, independent of the message's language."""
 
     BAD_REQUEST = "bad_request"
     BODY_TOO_LARGE = "body_too_large"
@@ -51,14 +50,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Problem:
-    """One refusal or failure, as data.
+    """The data of one error.
 
     Attributes:
-        code: What went wrong.
-        run_state: Whether the work ran at an upstream.
-        detail: The particulars, such as a name or a value; may be empty.
-        retry_after_s: When coming back helps, in seconds; None when it
-            does not help.
+        code: The kind of the error.
+        run_state: Whether the request ran at an upstream.
+        detail: Details such as a name or a value; may be empty.
+        retry_after_s: Seconds after which a retry may succeed; None if a
+            retry does not help.
     """
 
     code: ErrorCode
@@ -68,11 +67,11 @@
 
 
 class RhubarbbankError(Exception):
-    """A problem raised where no effect can carry it.
+    """Carries a problem as an exception, where no effect can report it.
 
     Attributes:
         problem: The problem, with its code and run state.
-        remedy: What the reader can do about it, as one sentence.
+        remedy: How the reader can fix it, as one sentence.
     """
 
     def __init__(self, *, problem: Problem, remedy: str) -> None:
