--- a/packages/rhubarbbank-core/src/rhubarbbank_core/effects.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/effects.py
@@ -1,10 +1,10 @@
-"""Effects that coordination parts share.
+"""Effects shared by the coordination components.
 
-A part is a state machine without I/O: each method takes the time `now` in
-seconds and one event, changes the part's own state and returns a list of
-effects. `Send` goes to another process; a `store.StoreCall` goes to the
-object API; `AskListener` asks a host whether a process listens. Effects of
-the two programs alone stand beside their reducers.
+A component is a state machine without I/O: each method takes the time `now` in
+seconds and one event, updates the component's state and returns a list of
+effects. `Send` sends a message to another process, `store.StoreCall` calls the
+object API, and `AskListener` checks whether a process listens at an address.
+The remaining effects are in `program_effects`.
 """
 
 import dataclasses
@@ -15,21 +15,22 @@
 
 
 class Message(msgspec.Struct, frozen=True, array_like=True):
-    """Base of everything that goes between the system's own processes.
+    """Base class of the messages between the system's own processes.
 
-    Each subclass sets a short `tag`, unique over all modules. Subclasses are
-    gathered into one union in `wire.py`. `msgspec.Struct` stands in for a
-    frozen data class, since the codec can then tell the messages apart.
+    Each subclass sets a short `tag` that is unique across all modules and is
+    listed in the union in `wire.py`. Messages are structs instead of data
+    classes because the codec selects the class by its tag.
     """
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Send:
-    """Hands a message to the process that listens at `address`.
+    """Sends a message to the process that listens at `address`.
 
     Attributes:
         address: The peer address of the receiver, as "ip:port".
-        message: What to send. It may be lost, late, repeated or reordered.
+        message: The message. It may be lost, delayed, duplicated or
+            reordered.
     """
 
     address: str
@@ -38,12 +39,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AskListener:
-    """Tries a connection, to learn whether an entry's address refuses it.
+    """Opens a connection to check whether an entry's address refuses it.
 
     Attributes:
         name: The entry.
         address: Its peer address, as "ip:port".
-        asked_at: When the attempt begins, in seconds; the answer tells it.
+        asked_at: When the attempt begins, in seconds; the resulting event
+            repeats it.
     """
 
     name: str
@@ -55,12 +57,12 @@
 
 
 class CallIds:
-    """Hands out call ids that are unique within one process."""
+    """Allocates call ids that are unique within one process."""
 
     def __init__(self) -> None:
         self.last = 0
 
     def allot(self) -> int:
-        """Returns the next call id, from 1."""
+        """Returns the next call id; the first is 1."""
         self.last += 1
         return self.last
