--- a/packages/rhubarbbank-core/src/rhubarbbank_core/program_effects.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/program_effects.py
@@ -1,6 +1,6 @@
-"""Effects of the two programs, besides those that parts share.
+"""Effects of the entry and the sidecar, besides those in `effects`.
 
-Each is frozen data; a shell in `rhubarbbank_runtime` carries it out.
+Each effect is immutable data; a shell in `rhubarbbank_runtime` executes it.
 """
 
 import dataclasses
@@ -36,7 +36,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EndAnswer:
-    """Ends the stream with its end marker."""
+    """Ends the event stream with its end marker."""
 
     request_id: str
 
@@ -54,7 +54,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RefuseCaller:
-    """Sends an error; inside a started stream, as its last event."""
+    """Sends an error; if the stream has started, as its last event."""
 
     request_id: str
     problem: errors.Problem
@@ -62,14 +62,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class AskRating:
-    """Asks the rating service for a rating of one answer.
+    """Requests a rating of one answer from the rating service.
 
     Attributes:
         request_id: The request.
-        attempt: The attempt that made the answer.
-        model: Of the answer.
-        version: Of the answer.
-        request_class: Of the request.
+        attempt: The attempt that produced the answer.
+        model: The model that answered.
+        version: The model's version.
+        request_class: The class of the request.
         answer: The text to rate.
     """
 
@@ -83,18 +83,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class CallUpstream:
-    """Hands one attempt to the upstream. After this it may have run.
+    """Sends one attempt to the upstream; from then on it may have run.
 
     Attributes:
         request_id: The request.
         attempt: The attempt.
         method: HTTP method.
         path: Path at the upstream.
-        body: What to send.
+        body: The body of the request.
         streamed: Whether the answer is a stream of server-sent events.
-        priority: 0 is served first.
-        idempotency_key: Passed on, or empty.
-        timeout_s: When to break off.
+        priority: The priority; 0 is the highest.
+        idempotency_key: The key to forward, or empty.
+        timeout_s: The time after which the call is cancelled.
     """
 
     request_id: str
@@ -110,7 +110,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CancelUpstream:
-    """Breaks off a call to the upstream, so that it frees its place."""
+    """Cancels a call to the upstream, so that the upstream frees its slot."""
 
     request_id: str
     attempt: int
@@ -118,14 +118,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class OrderUpstream:
-    """Gives the engine an order.
+    """Orders the engine to load or unload a version.
 
     Attributes:
-        order_id: The answer carries it.
+        order_id: The id that `events.OrderEnded` repeats.
         order: `load` or `unload`.
-        model: Of the version.
+        model: The model of the version.
         version: The version.
-        fence: Fencing number of whoever decided it.
+        fence: Fencing number of the entry that decided the order.
     """
 
     order_id: int
@@ -140,18 +140,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class LogDecision:
-    """One log line for a decision, or for a change of what is believed.
+    """Logs a decision, or a change in the known state of other hosts.
 
     Attributes:
-        decision: What was decided, such as `placed` or `refused`.
+        decision: The decision, such as `placed` or `refused`.
         request_id: The request, or empty.
         organisation: The customer, or empty.
-        model: Or empty.
-        version: Or empty.
-        upstream: Or empty.
-        reason: Why, in a few words.
-        attempt: Or 0.
-        inputs: What decided it, by name, with ages and versions.
+        model: The model, or empty.
+        version: The model's version, or empty.
+        upstream: The upstream, or empty.
+        reason: The reason, in a few words.
+        attempt: The attempt, or 0.
+        inputs: The values that the decision was based on, as pairs of name
+            and value, with their ages and versions.
     """
 
     decision: str
@@ -191,11 +192,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RetryAfter:
-    """Asks for an `events.RetryDue` sooner than the next tick would come.
+    """Requests an `events.RetryDue` before the next tick.
 
     Attributes:
         request_id: The request that waits.
-        delay_s: When, from now, in seconds.
+        delay_s: The delay from now, in seconds.
     """
 
     request_id: str
@@ -204,7 +205,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Exit:
-    """The process has stopped gracefully and may end."""
+    """Ends the process after a graceful stop."""
 
 
 Effect = (
