--- a/packages/rhubarbbank-core/src/rhubarbbank_core/store.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/store.py
@@ -1,10 +1,10 @@
 """Calls to the platform's object API, as data.
 
-A coordination part that wants something kept yields a `StoreCall`; the shell
-carries it out over HTTP and hands back a `StoreReply` with the same call id.
-Parts never see a socket. The object API gives every object a version that
-grows with each change, accepts conditional changes, and may lose the answer
-to a call that took effect.
+A coordination component returns a `StoreCall` as an effect; the shell executes
+it over HTTP and passes back a `StoreReply` with the same call id. Components
+do no I/O themselves. The object API gives every object a version that grows
+with each change, and supports conditional writes. The answer to a call that
+took effect may be lost.
 """
 
 import dataclasses
@@ -14,7 +14,7 @@
 
 
 class StoreOperation(enum.StrEnum):
-    """What a call does.
+    """The operation of a call.
 
     GET reads one object. PUT writes one object if its version is
     `expected_version` (`ABSENT_VERSION`: only if it does not exist). DELETE
@@ -33,9 +33,10 @@
 class StoreOutcome(enum.StrEnum):
     """How a call ended.
 
-    CONFLICT: the condition did not hold, nothing changed. THROTTLED: refused
-    by the store's rate limit, nothing changed. UNAVAILABLE: the call did not
-    reach the store. UNKNOWN: the answer was lost; it may have taken effect.
+    CONFLICT: the condition did not hold; nothing changed. THROTTLED: the
+    store's rate limit refused the call; nothing changed. UNAVAILABLE: the call
+    did not reach the store. UNKNOWN: the answer was lost; the call may have
+    taken effect.
     """
 
     OK = "ok"
@@ -51,9 +52,9 @@
     """One object as the store returned it.
 
     Attributes:
-        key: Its name, with slashes.
-        version: Its version, at least 1.
-        value: Its content, up to a megabyte.
+        key: The object's name, a path separated by slashes.
+        version: The object's version, at least 1.
+        value: The content, up to a megabyte.
     """
 
     key: str
@@ -66,13 +67,13 @@
     """An effect: one call to the object API.
 
     Attributes:
-        call_id: Unique within the process; the reply carries it.
-        operation: What to do.
+        call_id: Id that is unique within the process; the reply repeats it.
+        operation: The operation.
         key: The object's key, or the prefix for LIST and WATCH.
-        value: What to write, for PUT.
-        expected_version: The condition of a PUT; for WATCH the store
-            revision after which changes count.
-        timeout_s: When the shell gives up and answers UNKNOWN.
+        value: The content that a PUT writes.
+        expected_version: The version that a PUT requires; for WATCH, the
+            store revision after which changes are reported.
+        timeout_s: The time after which the shell replies UNKNOWN.
     """
 
     call_id: int
@@ -88,12 +89,12 @@
     """An event: how one call ended.
 
     Attributes:
-        call_id: The call that this answers.
-        outcome: How it ended.
-        objects: What was read (GET: one; LIST, WATCH: any number); for a
-            PUT that took effect the object with its new version; for a
-            CONFLICT the object as it stands, if the store told.
-        revision: The store's revision at the answer, for LIST and WATCH.
+        call_id: The id of the call.
+        outcome: How the call ended.
+        objects: The objects read (GET: one; LIST, WATCH: any number); for a
+            PUT that took effect, the object with its new version; for a
+            CONFLICT, the current object if the store returned it.
+        revision: The store's revision when it answered a LIST or WATCH.
     """
 
     call_id: int
