--- a/packages/rhubarbbank-core/src/rhubarbbank_core/events.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/events.py
@@ -1,7 +1,7 @@
-"""Events that drive the two programs' reducers.
+"""Input events of the entry's and the sidecar's reducers.
 
-Events are `msgspec.Struct`s, the codec's kind of frozen data class, since an
-event log is recorded and replayed through the same codec.
+Events are `msgspec.Struct`s, so that the message codec can also record them in
+an event log and decode them for a replay.
 """
 
 import enum
@@ -15,17 +15,17 @@
 
 
 class Event(msgspec.Struct, frozen=True):
-    """Base of all events."""
+    """Base class of all events."""
 
 
 class RequestReceived(Event, frozen=True, tag="request_received"):
-    """A caller's checked request arrived."""
+    """A caller's request arrived and passed validation."""
 
     request: requests.CallerRequest
 
 
 class CallerGone(Event, frozen=True, tag="caller_gone"):
-    """The caller hung up, or reads too slowly."""
+    """The caller closed the connection or reads too slowly."""
 
     request_id: str
 
@@ -43,7 +43,7 @@
 
 
 class Ticked(Event, frozen=True, tag="ticked"):
-    """The timer service's regular beat."""
+    """The periodic tick of the timer service."""
 
 
 class HostsListed(Event, frozen=True, tag="hosts_listed"):
@@ -56,9 +56,9 @@
     """A host refused a connection: no process listens at the address.
 
     Attributes:
-        name: The entry that listened there.
-        address: The peer address.
-        asked_at: When the attempt began, as `effects.AskListener` told it.
+        name: The entry that the address belongs to.
+        address: The entry's peer address.
+        asked_at: When the attempt began, as in `effects.AskListener`.
     """
 
     name: str
@@ -67,12 +67,12 @@
 
 
 class RatingReceived(Event, frozen=True, tag="rating_received"):
-    """The rating service answered, or None when it failed.
+    """The rating service answered or failed.
 
     Attributes:
         request_id: The request.
-        attempt: The attempt that made the answer.
-        rating: From 0 to 1, or None.
+        attempt: The attempt that produced the answer.
+        rating: From 0 to 1, or None if the service failed.
     """
 
     request_id: str
@@ -81,7 +81,7 @@
 
 
 class UpstreamData(Event, frozen=True, tag="upstream_data"):
-    """The upstream sent answer events, or a service its whole body."""
+    """The upstream sent events of its answer, or a service its whole body."""
 
     request_id: str
     attempt: int
@@ -91,9 +91,9 @@
 class UpstreamEnd(enum.StrEnum):
     """How a call to the upstream ended.
 
-    COMPLETE: the answer is whole. REFUSED: an HTTP error. UNREACHED: no byte
-    of the request left this host. BROKEN: the connection broke off after
-    the request was sent. TIMED_OUT: broken off by us.
+    COMPLETE: the answer is complete. REFUSED: an HTTP error. UNREACHED: no
+    byte of the request left this host. BROKEN: the connection failed after
+    the request was sent. TIMED_OUT: this process cancelled the call.
     """
 
     COMPLETE = "complete"
@@ -109,10 +109,10 @@
     Attributes:
         request_id: The request.
         attempt: The attempt.
-        end: How.
+        end: How the call ended.
         status: HTTP status, or 0.
-        content_type: Of a service's answer.
-        retry_after_s: As the upstream said, or 0.
+        content_type: The content type of a service's answer.
+        retry_after_s: The upstream's Retry-After in seconds, or 0.
     """
 
     request_id: str
@@ -124,16 +124,16 @@
 
 
 class UpstreamObserved(Event, frozen=True, tag="upstream_observed"):
-    """The sidecar asked the upstream how it is.
+    """The sidecar polled the upstream's health, load and versions.
 
     Attributes:
-        healthy: Whether it answered.
-        load: Its load.
-        versions: Loaded versions, as `model@version`; a plain service's
-            are what its settings say.
-        loading: Versions being loaded, likewise.
-        last_fence: The highest fencing number that the engine has seen; 0
-            for none.
+        healthy: Whether the upstream answered.
+        load: The upstream's load.
+        versions: Loaded versions, as `model@version`; those of a plain
+            service come from the settings.
+        loading: Versions being loaded, in the same form.
+        last_fence: The highest fencing number that the engine has seen, or
+            0 if it has seen none.
     """
 
     healthy: bool
@@ -151,7 +151,7 @@
 
 
 class RetryDue(Event, frozen=True, tag="retry_due"):
-    """The time that a `program_effects.RetryAfter` asked for has passed."""
+    """The delay of a `program_effects.RetryAfter` has elapsed."""
 
     request_id: str
 
