--- a/packages/rhubarbbank-core/src/rhubarbbank_core/event_log.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/event_log.py
@@ -1,9 +1,9 @@
-"""Recorded events: the form in which a process's events can be replayed.
+"""Records a process's events, and replays them.
 
-A process with `record_events` set writes its start to its log, then each
-event with its time, and after each event a digest of the effects. Replaying
-the events into a new reducer of the same start gives the same effects;
-`find_difference` compares them with the digests.
+A process with `record_events` set logs its start record, then each event with
+its time, and after each event a digest of the effects. A new reducer that is
+built from the same start record produces the same effects for these events;
+`find_difference` compares its effects with the digests.
 """
 
 from collections.abc import Iterable
@@ -19,7 +19,7 @@
 
 
 class RecordedEvent(msgspec.Struct, frozen=True, array_like=True, tag="event"):
-    """One event and when it was applied, in the process's seconds."""
+    """One event and when it was applied, in seconds of the process's clock."""
 
     now: float
     event: events.AnyEvent
@@ -28,11 +28,13 @@
 class RecordedEffects(
     msgspec.Struct, frozen=True, array_like=True, tag="effects"
 ):
-    """What the event before led to; a reducer that failed leaves none.
+    """Digest of the effects of the preceding event.
+
+    It is missing after an event for which the reducer raised an exception.
 
     Attributes:
-        count: How many effects.
-        digest: Hash of their types and contents, in order.
+        count: The number of effects.
+        digest: Hash of the effects' types and contents, in order.
     """
 
     count: int
@@ -48,7 +50,7 @@
 
 
 class Reducer(Protocol):
-    """What events are replayed into."""
+    """The reducer of an entry or a sidecar."""
 
     def step(self, *, now: float, event: events.AnyEvent) -> list[fx.Effect]:
         """Applies one event; returns the effects."""
@@ -59,9 +61,9 @@
     """The first event whose effects differ from the recorded ones.
 
     Attributes:
-        number: Of the event in the log, from 0.
+        number: The index of the event in the log, from 0.
         event: The event.
-        recorded: What the process recorded of its effects.
+        recorded: The recorded digest of its effects.
         found: The effects of the replay.
     """
 
@@ -72,27 +74,27 @@
 
 
 ENCODER = msgspec.msgpack.Encoder()
-# Sets and mappings inside effects count by what they hold, as in `==`.
+# Sorts sets and mappings, so that equal effects have equal digests.
 DIGEST_ENCODER = msgspec.msgpack.Encoder(order="deterministic")
 DECODER = msgspec.msgpack.Decoder(AnyRecord)
 
 
 def encode(record: AnyRecord) -> bytes:
-    """Returns one record as bytes."""
+    """Encodes one record."""
     return ENCODER.encode(record)
 
 
 def decode(data: bytes) -> AnyRecord:
-    """Returns one record.
+    """Decodes one record.
 
     Raises:
-        msgspec.MsgspecError: The data is no record.
+        msgspec.MsgspecError: The data is not a valid record.
     """
     return DECODER.decode(data)
 
 
 def digest(effects: list[fx.Effect]) -> RecordedEffects:
-    """Returns what is recorded of an event's effects."""
+    """Returns the record of an event's effects."""
     named = [(type(each).__name__, each) for each in effects]
     data = DIGEST_ENCODER.encode(named)
     return RecordedEffects(len(effects), xxhash.xxh64_intdigest(data))
@@ -101,7 +103,7 @@
 def replay(
     reducer: Reducer, recorded: Iterable[RecordedEvent]
 ) -> list[list[fx.Effect]]:
-    """Returns the effects of each event, in order."""
+    """Applies the events; returns the effects of each, in order."""
     return [
         reducer.step(now=entry.now, event=entry.event) for entry in recorded
     ]
@@ -110,10 +112,10 @@
 def find_difference(
     reducer: Reducer, records: Iterable[AnyRecord]
 ) -> Difference | None:
-    """Returns the first event that a replay takes otherwise, or None.
+    """Returns the first event whose replayed effects differ, or None.
 
     Args:
-        reducer: A fresh reducer, built of the log's start.
+        reducer: A new reducer, built from the log's start record.
         records: The log; an event without recorded effects isn't compared.
     """
     number = -1
