--- a/packages/rhubarbbank-core/src/rhubarbbank_core/program_start.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/program_start.py
@@ -1,8 +1,8 @@
-"""How the two programs' reducers begin, as data.
+"""Initial inputs of the entry's and the sidecar's reducers.
 
-A reducer that is built of the same start and stepped through the same events
-gives the same effects, so that a recorded process begins its event log with
-its start.
+Reducers that are built from the same start record and process the same events
+produce the same effects. An event log therefore begins with the start record
+of its process.
 """
 
 import random
@@ -21,12 +21,12 @@
 class EntryStart(
     msgspec.Struct, frozen=True, array_like=True, kw_only=True, tag="entry"
 ):
-    """All that an entry's reducer begins with.
+    """Everything needed to build an entry's reducer.
 
     Attributes:
         settings: The entry's settings.
-        incarnation: Grows with each start of the process.
-        seed: Of the reducer's randomness.
+        incarnation: Number that grows with each start of the process.
+        seed: Seed of the reducer's random number generator.
         clock_offset_s: As in `entry_control.EntryIdentity`.
     """
 
@@ -36,7 +36,7 @@
     clock_offset_s: float
 
     def build_reducer(self) -> entry.EntryReducer:
-        """Returns a fresh reducer."""
+        """Returns a new reducer."""
         settings = self.settings
         return entry.EntryReducer(
             identity=entry_control.EntryIdentity(
@@ -66,12 +66,12 @@
 class SidecarStart(
     msgspec.Struct, frozen=True, array_like=True, kw_only=True, tag="sidecar"
 ):
-    """All that a sidecar's reducer begins with.
+    """Everything needed to build a sidecar's reducer.
 
     Attributes:
         settings: The sidecar's settings.
-        incarnation: Grows with each start of the process.
-        seed: Of the reducer's randomness.
+        incarnation: Number that grows with each start of the process.
+        seed: Seed of the reducer's random number generator.
     """
 
     settings: options.SidecarSettings
@@ -79,7 +79,7 @@
     seed: int
 
     def build_reducer(self) -> sidecar.SidecarReducer:
-        """Returns a fresh reducer."""
+        """Returns a new reducer."""
         settings = self.settings
         return sidecar.SidecarReducer(
             identity=sidecar_control.SidecarIdentity(
