--- a/packages/rhubarbbank-core/src/rhubarbbank_core/wire.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/wire.py
@@ -1,7 +1,7 @@
-"""The codec of everything that goes between the system's own processes.
+"""Codec of the messages between the system's own processes.
 
-A frame is one msgpack array of messages. Batching them spreads the cost of a
-frame over the chunks that are ready at the same moment.
+A frame is one msgpack array of messages. Batching spreads the cost of a frame
+over the answer chunks that are ready at the same time.
 """
 
 import msgspec
@@ -64,7 +64,7 @@
 
 
 class ListedHost(msgspec.Struct, frozen=True, kw_only=True):
-    """One line of the platform's host list; see `membership`."""
+    """One host of the platform's host list; see `membership`."""
 
     name: str
     role: str
@@ -78,14 +78,14 @@
 
 
 def encode_frame(messages: list[AnyMessage]) -> bytes:
-    """Returns the frame that carries the messages."""
+    """Encodes messages as one frame."""
     return ENCODER.encode(messages)
 
 
 def decode_frame(frame: bytes) -> list[AnyMessage]:
-    """Returns the messages of a frame.
+    """Decodes the messages of a frame.
 
     Raises:
-        msgspec.MsgspecError: The frame is not one of ours.
+        msgspec.MsgspecError: The frame is not valid.
     """
     return DECODER.decode(frame)
