--- a/packages/rhubarbbank-core/src/rhubarbbank_core/problem_status.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/problem_status.py
@@ -1,4 +1,4 @@
-"""The HTTP status and the JSON body of a problem."""
+"""HTTP status, JSON body and Retry-After header of a problem."""
 
 import http
 import math
@@ -30,15 +30,15 @@
 
 
 class ErrorDetail(msgspec.Struct, frozen=True, kw_only=True):
-    """The error object that a caller gets.
+    """The error object that a caller receives.
 
     Attributes:
-        code: The same in every language.
-        type: As `code`; well-known clients read this name.
-        message: What is wrong.
-        remedy: What to do about it.
+        code: The error code, independent of the message's language.
+        type: Same as `code`; widely used clients read this field.
+        message: Description of the error.
+        remedy: How to fix it.
         run_state: `not_run`, `unknown` or `ran`.
-        retry_after_s: When coming back helps, or null.
+        retry_after_s: Seconds after which a retry may succeed, or null.
     """
 
     code: str
@@ -50,7 +50,7 @@
 
 
 class ErrorBody(msgspec.Struct, frozen=True):
-    """The body of an error answer."""
+    """The body of an error response."""
 
     error: ErrorDetail
 
@@ -74,7 +74,7 @@
 
 
 def build_retry_after(problem: errors.Problem) -> str | None:
-    """Returns the Retry-After header in whole seconds, or None."""
+    """Returns the value of the Retry-After header in whole seconds, or None."""
     if problem.retry_after_s is None:
         return None
     return str(max(1, math.ceil(problem.retry_after_s)))
