--- a/packages/rhubarbbank-core/src/rhubarbbank_core/random_seed.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/random_seed.py
@@ -1,4 +1,4 @@
-"""Draws the seed of a process's randomness."""
+"""Choice of the seed of a process's random number generator."""
 
 import random
 
@@ -6,5 +6,5 @@
 
 
 def draw_seed(seed: int) -> int:
-    """Returns the seed as set, or for 0 one of the system's randomness."""
+    """Returns `seed`, or a random seed from the system if `seed` is 0."""
     return seed or random.SystemRandom().getrandbits(SEED_BITS)
