--- a/packages/rhubarbbank-core/src/rhubarbbank_core/token_bucket.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/token_bucket.py
@@ -1,4 +1,4 @@
-"""A token bucket: a rate with bursts, over time that is handed in."""
+"""A token bucket rate limiter, which takes the time as an argument."""
 
 
 class TokenBucket:
@@ -11,7 +11,7 @@
         self.filled_at: float | None = None
 
     def refill(self, *, now: float) -> float:
-        """Adds what has accrued until `now`; returns the tokens held."""
+        """Adds the tokens accrued until `now`; returns the available tokens."""
         if self.filled_at is not None:
             accrued = max(0.0, now - self.filled_at) * self.rate_per_s
             self.tokens = min(self.burst, self.tokens + accrued)
@@ -19,7 +19,7 @@
         return self.tokens
 
     def try_take(self, *, now: float, cost: float = 1.0) -> bool:
-        """Takes `cost` tokens if they are there."""
+        """Takes `cost` tokens if available; returns whether it did."""
         if self.refill(now=now) < cost:
             return False
         self.tokens -= cost
