--- a/packages/rhubarbbank-core/src/rhubarbbank_core/rendezvous.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/rendezvous.py
@@ -1,7 +1,7 @@
 """Rendezvous (highest random weight) hashing over names.
 
-Every process that knows the same names ranks them alike for a subject, and a
-name that comes or goes moves only the subjects that it ranked first for.
+Processes that know the same names rank them equally for a subject. Adding or
+removing a name moves only the subjects for which that name ranks first.
 """
 
 import collections.abc
@@ -15,14 +15,14 @@
 
 
 def rank(subject: str, names: collections.abc.Iterable[str]) -> list[str]:
-    """Returns the names, the preferred one first."""
+    """Returns the names by descending weight for the subject."""
     return sorted(
         names, key=lambda name: (weight(subject, name), name), reverse=True
     )
 
 
 def prefer(subject: str, names: collections.abc.Iterable[str]) -> str | None:
-    """Returns the preferred name, or None when there are no names."""
+    """Returns the name with the highest weight, or None without names."""
     return max(
         names, key=lambda name: (weight(subject, name), name), default=None
     )
