--- a/packages/rhubarbbank-core/src/rhubarbbank_core/answer_bounds.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/answer_bounds.py
@@ -1,10 +1,10 @@
-"""Bounds of what an upstream's answer may take, entry and sidecar alike."""
+"""Size limits of an upstream's answer, shared by entry and sidecar."""
 
-# Longer answers are taken to have no end. A process has 128 MB for all that
-# it collects.
+# Larger answers are treated as endless. A process has 128 MB of memory for all
+# the answers that it buffers.
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
-# The same for bytes of a stream between two events that go on; events take
-# some hundred bytes.
+# Limit on the bytes of a stream without an event that advances it; an event has
+# a few hundred bytes.
 MAX_IDLE_BYTES = 256 * 1024
-# Events of one stream, each with a token or more.
+# Limit on the events of one stream; each carries at least one token.
 MAX_ANSWER_EVENTS = 65_536
