--- a/packages/rhubarbbank-core/src/rhubarbbank_core/defaults.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/defaults.py
@@ -1,4 +1,4 @@
-"""Default values and fixed limits, each with its unit in the name."""
+"""Default values and fixed limits, with the unit in the name."""
 
 TICK_S = 0.1
 DEADLINE_S = 60.0
@@ -10,14 +10,14 @@
 STREAM_PROBE_S = 1.0
 ATTEMPT_SILENCE_S = 3.0
 MAX_ATTEMPTS = 3
-# A request that fails while it runs may be rerun once, so that a request
-# which crashes its upstream takes down two at most.
+# A request that fails while it runs is retried once at most, so that a request
+# which crashes its upstream takes down at most two upstreams.
 MAX_RUN_FAILURES = 2
 
 BILL_HOLD_AFTER_S = 0.1
 BILL_HOLD_RESEND_S = 0.3
 SLICE_WAIT_S = 2.0
-# While no owner answers: a dead one is replaced within about 4 s.
+# Wait while no owner answers; a failed owner is replaced within about 4 s.
 OWNER_WAIT_S = 6.0
 SLICE_TURN_WAIT_S = 0.3
 STEP_WAIT_S = 0.5
@@ -31,8 +31,8 @@
 MAX_OUTCOME_BYTES = 12_000
 MAX_PENDING_RATINGS = 10_000
 RATING_WAIT_S = 1.0
-# Share of settled versions' answers that are rated, as evidence to compare
-# new versions with and to notice versions that turn bad later.
+# Share of answers that are rated for versions not in roll-out. The ratings are
+# the baseline for new versions, and reveal later regressions.
 RATED_SHARE = 0.1
 MAX_UNSETTLED_RECORDS = 20_000
 BILL_HAND_IN_S = 3.0
@@ -46,7 +46,7 @@
 STOP_GRACE_S = 30.0
 HOST_LIST_PERIOD_S = 1.0
 LOAD_PERIOD_S = 0.5
-# Versions that all engines together load from the weight store at once.
+# Limit on the versions that all engines together load from the weight store.
 LOADS_AT_ONCE = 4
 PLACES = 4
 HEARTBEAT_PERIOD_S = 1.0
