--- a/packages/rhubarbbank-core/src/rhubarbbank_core/__init__.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/__init__.py
@@ -1,1 +1,1 @@
-"""Routing decisions and coordination parts, free of I/O."""
+"""Routing decisions and coordination components, without I/O."""
