--- a/features/steps/failure_session_steps.py
+++ b/features/steps/failure_session_steps.py
@@ -156,7 +156,7 @@
 def check_refused(context, version, remedy):
     found = find_on(context, version)
     assert found, context.sessions
-    before = operators.count_runs(context.fleet, version)
+    before = operators.count_version_runs(context.fleet, version)
     for entry, name in itertools.product(find_running(context), found):
         call = callers.ask(
             context.fleet,
@@ -169,7 +169,7 @@
         assert call.refused_cleanly, call
         assert call.answer.error["code"] == "session_version_withdrawn", call
         assert call.answer.error["remedy"] == remedy, call
-    assert operators.count_runs(context.fleet, version) == before
+    assert operators.count_version_runs(context.fleet, version) == before
 
 
 @when("entry {number:d} is killed")
--- a/features/steps/failure_steps.py
+++ b/features/steps/failure_steps.py
@@ -31,12 +31,14 @@
     for key in [(organisation, *split_version(x)) for x in versions]:
         row = rows.get(key)
         if row is None:
-            revision = operators.edit(running, "add", *key, *FIRST_CELLS)
+            revision = operators.run_edit(running, "add", *key, *FIRST_CELLS)
             continue
         if row.state is not table.VersionState.OFFERED:
-            revision = operators.edit(running, "set", *key, "state", "offered")
+            revision = operators.run_edit(
+                running, "set", *key, "state", "offered"
+            )
         if row.weight != FIRST_WEIGHT:
-            revision = operators.edit(
+            revision = operators.run_edit(
                 running, "set", *key, "weight_points", str(FIRST_WEIGHT)
             )
     operators.wait_in_force(running, revision)
@@ -86,7 +88,7 @@
 
 @when('the operator sets "{column}" of "{version}" to "{value}"')
 def set_cell(context, column, version, value):
-    context.revision = operators.edit(
+    context.revision = operators.run_edit(
         context.fleet,
         *("set", failures.ORGANISATION, *split_version(version)),
         *(column, value),
@@ -95,7 +97,7 @@
 
 @when('the operator removes "{version}"')
 def remove_row(context, version):
-    context.revision = operators.edit(
+    context.revision = operators.run_edit(
         context.fleet, "remove", failures.ORGANISATION, *split_version(version)
     )
 
@@ -107,7 +109,7 @@
 
 @then('"{version}" gets no more runs')
 def check_no_more_runs(context, version):
-    before = operators.count_runs(context.fleet, version)
+    before = operators.count_version_runs(context.fleet, version)
     assert before > 0, f"{version} never ran"
     failures.wait_for_answers(context.traffic)
     for place in context.fleet.find_places("entry"):
@@ -119,13 +121,13 @@
             model=version,
         )
         assert asked.refused_cleanly, asked
-    after = operators.count_runs(context.fleet, version)
+    after = operators.count_version_runs(context.fleet, version)
     assert after == before, (before, after)
 
 
 @then("no entry's revision ever fell")
 def check_monitor(context):
-    assert not context.monitor.falls, context.monitor.falls
+    assert not context.monitor.decreases, context.monitor.decreases
 
 
 @then("no caller got a broken answer")
--- a/features/steps/failure_version_steps.py
+++ b/features/steps/failure_version_steps.py
@@ -36,7 +36,7 @@
     refused as not run must not show.
     """
     for _ in range(EDIT_TRIES):
-        ended = operators.finish(set_weight(context.fleet, value))
+        ended = operators.wait_for_exit(set_weight(context.fleet, value))
         unsettled = "Check whether it took effect" in ended.stderr
         not_run = not unsettled and "Send it again later" in ended.stderr
         assert ended.returncode == 0 or unsettled or not_run, ended
@@ -90,7 +90,8 @@
         for value in (first, second)
     }
     context.endings = {
-        value: operators.finish(command) for value, command in started.items()
+        value: operators.wait_for_exit(command)
+        for value, command in started.items()
     }
 
 
@@ -128,7 +129,7 @@
 @then("they have the edit's revision while the store is down")
 def check_anew(context):
     def have_it():
-        found = operators.find_revisions(context.fleet)
+        found = operators.read_lowest_revisions(context.fleet)
         return all(found[x] == context.revision for x in context.anew)
 
     fleets.wait_until(have_it, "the new processes have the revision")
--- a/features/support/failures.py
+++ b/features/support/failures.py
@@ -115,7 +115,7 @@
         running.wait_ready(place)
     running.wait_settled()
     fleets.wait_until(
-        lambda: min(operators.find_revisions(running).values()) > 0,
+        lambda: min(operators.read_lowest_revisions(running).values()) > 0,
         "every entry and sidecar is known again",
     )
 
--- a/features/support/operators.py
+++ b/features/support/operators.py
@@ -1,4 +1,4 @@
-"""Operators' commands against a running fleet, and what the fleet then says."""
+"""Runs operator commands against a fleet and reads its table revisions."""
 
 import json
 import os
@@ -13,11 +13,11 @@
 from rhubarbbank_experiments import fleet
 from support import fleets
 
-# An accepted edit is in force everywhere within this time.
-IN_FORCE_S = 7.0
-COMMAND_WAIT_S = 60.0
-TABLE_MODULE = "rhubarbbank_entry.main"
-SAMPLE_S = 0.1
+# Bound on the time until an accepted edit is in force on every process.
+MAX_PROPAGATION_S = 7.0
+COMMAND_TIMEOUT_S = 60.0
+COMMAND_MODULE = "rhubarbbank_entry.main"
+SAMPLE_INTERVAL_S = 0.1
 
 
 def start_table_command(
@@ -26,7 +26,7 @@
     """Starts a command under `rhubarbbank table`."""
     return subprocess.Popen(
         [
-            *(sys.executable, "-m", TABLE_MODULE, "table"),
+            *(sys.executable, "-m", COMMAND_MODULE, "table"),
             *("--store_url", running.store_url),
             *("--hosts_url", running.hosts_url),
             *("--author", author),
@@ -39,37 +39,41 @@
     )
 
 
-def finish(command: subprocess.Popen[str]) -> subprocess.CompletedProcess[str]:
-    """Waits for a command and returns how it ended."""
-    output, faults = command.communicate(timeout=COMMAND_WAIT_S)
+def wait_for_exit(
+    command: subprocess.Popen[str],
+) -> subprocess.CompletedProcess[str]:
+    """Waits until a command exits; returns its output and exit code."""
+    output, errors = command.communicate(timeout=COMMAND_TIMEOUT_S)
     return subprocess.CompletedProcess(
-        command.args, command.returncode, output, faults
+        command.args, command.returncode, output, errors
     )
 
 
 def run_table_command(
     running: fleet.Fleet, *arguments: str, author: str = "operator"
 ) -> subprocess.CompletedProcess[str]:
-    """Runs a command under `rhubarbbank table` to its end."""
-    return finish(start_table_command(running, *arguments, author=author))
+    """Runs a command under `rhubarbbank table` until it exits."""
+    return wait_for_exit(
+        start_table_command(running, *arguments, author=author)
+    )
 
 
-def edit(running: fleet.Fleet, *arguments: str) -> int:
-    """Runs an edit that must be accepted; returns its revision."""
-    ended = run_table_command(running, *arguments)
-    assert ended.returncode == 0, (ended.stdout, ended.stderr)
-    accepted = ended.stdout.partition("Accepted as revision ")[2]
+def run_edit(running: fleet.Fleet, *arguments: str) -> int:
+    """Runs an edit, checks that it is accepted, and returns its revision."""
+    completed = run_table_command(running, *arguments)
+    assert completed.returncode == 0, (completed.stdout, completed.stderr)
+    accepted = completed.stdout.partition("Accepted as revision ")[2]
     return int(accepted.partition(".")[0])
 
 
 def read_table(running: fleet.Fleet) -> table.Table:
-    """Returns the table as it stands in the store."""
+    """Returns the table that the store holds."""
     raw = fleet.fetch(f"{running.store_url}/objects/{table_codec.TABLE_KEY}")
     return table_codec.decode_table(raw).table
 
 
 def read_status(running: fleet.Fleet, name: str) -> Any:
-    """Returns what an entry says of itself; None when it doesn't answer."""
+    """Returns the `/status` of an entry, or None if it doesn't respond."""
     place = running.places[name]
     try:
         return json.loads(fleet.fetch(f"http://{place.http_address}/status"))
@@ -77,77 +81,78 @@
         return None
 
 
-def find_revisions(running: fleet.Fleet) -> dict[str, int]:
-    """Returns the lowest revision told of each process; -1 for a silent one."""
-    found = dict.fromkeys(running.places, -1)
+def read_lowest_revisions(running: fleet.Fleet) -> dict[str, int]:
+    """Returns the lowest revision reported for each process, or -1 for none."""
+    revisions = dict.fromkeys(running.places, -1)
     for place in running.find_places("entry"):
         status = read_status(running, place.name)
         if status is None:
             continue
-        found[place.name] = status["table_revision"]
+        revisions[place.name] = status["table_revision"]
         for name, revision in status["sidecars"].items():
-            if found[name] == -1 or revision < found[name]:
-                found[name] = revision
-    return found
+            if revisions[name] == -1 or revision < revisions[name]:
+                revisions[name] = revision
+    return revisions
 
 
 def wait_in_force(running: fleet.Fleet, revision: int) -> None:
-    """Waits until every process tells the revision, within the bound."""
+    """Waits until every process reports the revision, within the bound."""
     fleets.wait_until(
-        lambda: min(find_revisions(running).values()) >= revision,
+        lambda: min(read_lowest_revisions(running).values()) >= revision,
         f"revision {revision} is in force everywhere",
-        wait_s=IN_FORCE_S,
+        wait_s=MAX_PROPAGATION_S,
     )
 
 
-def count_runs(running: fleet.Fleet, version: str) -> int:
-    """Returns how often the engines have started a version."""
+def count_version_runs(running: fleet.Fleet, version: str) -> int:
+    """Returns how many runs of a version the engines have started."""
     counts = fleets.read_counts(running, "engine")
     return sum(x["runs_by_version"].get(version, 0) for x in counts)
 
 
 class RevisionMonitor:
-    """Looks at each entry's revision all the time and notes any fall.
+    """Polls the table revision of each entry and records any decrease.
 
     Attributes:
-        running: The fleet.
-        falls: Each fall, as (entry, from, to).
+        running: The fleet to monitor.
+        decreases: Decreases, as (entry, revision before, revision after).
     """
 
     def __init__(self, *, running: fleet.Fleet) -> None:
         self.running = running
-        self.falls: list[tuple[str, int, int]] = []
+        self.decreases: list[tuple[str, int, int]] = []
         self.stopping = threading.Event()
         self.thread = threading.Thread(target=self.watch, daemon=True)
         self.thread.start()
 
     def watch(self) -> None:
-        """Compares each status with the entry's one before."""
-        known: dict[tuple[str, int], int] = {}
+        """Compares each status of an entry with its previous one."""
+        last_revisions: dict[tuple[str, int], int] = {}
         while not self.stopping.is_set():
             for place in self.running.find_places("entry"):
                 pid = self.running.members[place.name].pid
                 status = read_status(self.running, place.name)
-                # A process that starts has no table yet; that is no fall.
+                # A restarted process has no table at first. Revisions are
+                # kept by process ID, so this doesn't count as a decrease.
                 if status is None:
                     continue
-                self.compare(known, (place.name, pid), status)
-            time.sleep(SAMPLE_S)
+                self.compare(last_revisions, (place.name, pid), status)
+            time.sleep(SAMPLE_INTERVAL_S)
 
     def compare(
         self,
-        known: dict[tuple[str, int], int],
+        last_revisions: dict[tuple[str, int], int],
         process: tuple[str, int],
         status: Any,
     ) -> None:
-        """Notes a fall of one process's revision."""
+        """Records a decrease of a process's revision."""
         revision = status["table_revision"]
-        before = known.get(process, revision)
+        before = last_revisions.get(process, revision)
         if revision < before:
-            self.falls.append((process[0], before, revision))
-        known[process] = revision
+            self.decreases.append((process[0], before, revision))
+        last_revisions[process] = revision
 
     def close(self) -> None:
-        """Stops looking."""
+        """Stops polling."""
         self.stopping.set()
         self.thread.join()
