--- a/features/steps/rollout_orders_steps.py
+++ b/features/steps/rollout_orders_steps.py
@@ -182,7 +182,7 @@
         """Checks what must hold after every round."""
         loads = sum(len(each.loads) for each in self.engines.values())
         self.most_loads = max(self.most_loads, loads)
-        assert loads <= defaults.LOADS_AT_ONCE, loads
+        assert loads <= defaults.MAX_CONCURRENT_LOADS, loads
         for engine in self.engines.values():
             held = engine.loaded | engine.loads.keys()
             assert len(held) <= engine.places, (engine.name, held)
--- a/packages/rhubarbbank-core/src/rhubarbbank_core/entry_allowances.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/entry_allowances.py
@@ -97,7 +97,7 @@
         return []
     if retry_after_s >= defaults.TICK_S:
         return []
-    delay_s = max(retry_after_s, defaults.LEAST_RETRY_S)
+    delay_s = max(retry_after_s, defaults.MIN_RETRY_DELAY_S)
     return [fx.RetryAfter(opened.request.request_id, delay_s)]
 
 
@@ -118,7 +118,7 @@
     """
     held = state.control.slices.held.get(key)
     if held is not None and held.rate_per_s > 0.0 and held.is_scarce:
-        return retry_after_s <= defaults.SLICE_TURN_WAIT_S
+        return retry_after_s <= defaults.SCARCE_SLICE_WAIT_S
     since = state.control.slices.unanswered_since(key=key)
     if since is not None and not is_answered(state, key, now=now):
         return now < since + defaults.OWNER_WAIT_S
--- a/packages/rhubarbbank-core/src/rhubarbbank_core/entry_answers.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/entry_answers.py
@@ -135,7 +135,7 @@
 ) -> None:
     """Takes how long the attempt took into the version's mean."""
     key = opened.row.key
-    known = state.service_s.get(key, defaults.FIRST_SERVICE_S)
+    known = state.service_s.get(key, defaults.INITIAL_SERVICE_S)
     took_s = now - current.placed_at
     state.service_s[key] = known + defaults.SERVICE_SMOOTHING * (took_s - known)
 
--- a/packages/rhubarbbank-core/src/rhubarbbank_core/entry_cascade.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/entry_cascade.py
@@ -24,7 +24,7 @@
 ) -> list[fx.Effect]:
     """Begins to step up to the stronger version."""
     service_s = state.service_s.get(
-        opened.steps[0].key, defaults.FIRST_SERVICE_S
+        opened.steps[0].key, defaults.INITIAL_SERVICE_S
     )
     if now + service_s > opened.deadline:
         return stay(state, opened, now=now, reason="no_time_to_escalate")
--- a/packages/rhubarbbank-core/src/rhubarbbank_core/entry_dispatch.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/entry_dispatch.py
@@ -61,8 +61,10 @@
         waiting=found.waiting,
         max_batch=max(1, found.max_batch),
         report_age_s=float("inf") if age_s is None else age_s,
-        latency_ms=0.0 if here else defaults.CROSS_DATA_CENTRE_MS,
-        service_s=state.service_s.get(opened.row.key, defaults.FIRST_SERVICE_S),
+        latency_ms=0.0 if here else defaults.CROSS_DATA_CENTRE_LATENCY_MS,
+        service_s=state.service_s.get(
+            opened.row.key, defaults.INITIAL_SERVICE_S
+        ),
     )
 
 
@@ -90,7 +92,7 @@
         opened.step_reason = "no upstream"
         opened.await_step(now=now)
         return [
-            fx.RetryAfter(opened.request.request_id, defaults.LEAST_RETRY_S)
+            fx.RetryAfter(opened.request.request_id, defaults.MIN_RETRY_DELAY_S)
         ]
     if chosen is None or opened.attempts >= defaults.MAX_ATTEMPTS:
         return give_up(
@@ -326,7 +328,7 @@
     if current is None:
         return []
     silence = now - current.heard_at
-    if silence >= defaults.ATTEMPT_SILENCE_S:
+    if silence >= defaults.ATTEMPT_SILENCE_TIMEOUT_S:
         return [
             *state.control.fleet.membership.report_failure(
                 current.sidecar, now=now
--- a/packages/rhubarbbank-core/src/rhubarbbank_core/entry_intake.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/entry_intake.py
@@ -154,7 +154,7 @@
 
 def price_row(row: table.Row) -> cascade.PricedVersion:
     """Returns a row as the cascade weighs it."""
-    tokens = defaults.EXPECTED_TOKENS
+    tokens = defaults.EXPECTED_REQUEST_TOKENS
     return cascade.PricedVersion(
         key=row.key,
         price=row.price_per_1k_tokens * tokens / TOKENS_PER_PRICE_UNIT,
--- a/packages/rhubarbbank-core/src/rhubarbbank_core/entry_pins.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/entry_pins.py
@@ -129,7 +129,7 @@
     Forgetting is safe: the ledger is asked again.
     """
     state.pins[build_key(opened.request)] = entry_state.SessionPin(key=key)
-    entry_state.trim(state.pins, defaults.MAX_KNOWN_PINS)
+    entry_state.trim(state.pins, defaults.MAX_CACHED_PINS)
 
 
 def refuse_unknown(
--- a/packages/rhubarbbank-core/src/rhubarbbank_core/open_requests.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/open_requests.py
@@ -146,7 +146,7 @@
     def await_step(self, *, now: float) -> None:
         """Begins to wait for the stronger version's allowance."""
         self.phase = Phase.STEPPING
-        self.slice_until = now + defaults.STEP_WAIT_S
+        self.slice_until = now + defaults.STEP_UP_WAIT_S
 
     def take_step(self) -> None:
         """Goes on with the stronger version; the caller has nothing yet."""
--- a/packages/rhubarbbank-core/src/rhubarbbank_core/rollout_duty.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/rollout_duty.py
@@ -97,7 +97,7 @@
             desired=plan_desired(wanted, observed),
             observed=observed,
             fence=fence,
-            loads_at_once=defaults.LOADS_AT_ONCE,
+            loads_at_once=defaults.MAX_CONCURRENT_LOADS,
             pending=tuple(self.pending),
         )
         orders = (*found.orders, *self.withdraw(engines, wanted))
