--- a/features/steps/store_client_steps.py
+++ b/features/steps/store_client_steps.py
@@ -30,7 +30,7 @@
 
 def put_call(client, key, value, version=0):
     return store.StoreCall(
-        call_id=client.call_ids.allot(),
+        call_id=client.call_ids.allocate(),
         operation=store.StoreOperation.PUT,
         key=key,
         value=value.encode(),
@@ -40,7 +40,7 @@
 
 def get_call(client, key):
     return store.StoreCall(
-        call_id=client.call_ids.allot(),
+        call_id=client.call_ids.allocate(),
         operation=store.StoreOperation.GET,
         key=key,
     )
--- a/packages/rhubarbbank-core/src/rhubarbbank_core/effects.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/effects.py
@@ -60,9 +60,9 @@
     """Allocates call ids that are unique within one process."""
 
     def __init__(self) -> None:
-        self.last = 0
+        self.last_id = 0
 
-    def allot(self) -> int:
+    def allocate(self) -> int:
         """Returns the next call id; the first is 1."""
-        self.last += 1
-        return self.last
+        self.last_id += 1
+        return self.last_id
--- a/packages/rhubarbbank-core/src/rhubarbbank_core/ledger_context.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/ledger_context.py
@@ -145,7 +145,7 @@
     ) -> store.StoreCall:
         """Returns a store call with a new id."""
         return store.StoreCall(
-            call_id=self.call_ids.allot(),
+            call_id=self.call_ids.allocate(),
             operation=operation,
             key=key,
             value=value,
--- a/packages/rhubarbbank-core/src/rhubarbbank_core/store_client.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/store_client.py
@@ -219,7 +219,7 @@
     def send_try(self, step: StoreStep, pending: PendingCall) -> None:
         """Sends one try of a call, or the read-back of its object."""
         pending.tries += 1
-        call_id = self.call_ids.allot()
+        call_id = self.call_ids.allocate()
         self.in_flight[call_id] = pending
         if pending.reading_back:
             call = store.StoreCall(
@@ -276,7 +276,7 @@
             return
         if now < self.probe_at or not self.reads.try_take(now=now):
             return
-        self.probe_id = self.call_ids.allot()
+        self.probe_id = self.call_ids.allocate()
         step.calls.append(
             store.StoreCall(
                 call_id=self.probe_id,
--- a/packages/rhubarbbank-core/src/rhubarbbank_core/table_editor.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/table_editor.py
@@ -130,7 +130,7 @@
         """Returns the call that reads the table."""
         self.retry_at = None
         self.pending = store.StoreCall(
-            call_id=self.calls.allot(),
+            call_id=self.calls.allocate(),
             operation=store.StoreOperation.GET,
             key=table_codec.TABLE_KEY,
         )
@@ -152,7 +152,7 @@
         self.version = version
         self.proposed = applied
         self.pending = store.StoreCall(
-            call_id=self.calls.allot(),
+            call_id=self.calls.allocate(),
             operation=store.StoreOperation.PUT,
             key=table_codec.TABLE_KEY,
             value=table_codec.encode_table(applied.stored),
--- a/packages/rhubarbbank-core/src/rhubarbbank_core/table_sync.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/table_sync.py
@@ -177,7 +177,7 @@
     def make_read(self, now: float) -> store.StoreCall:
         """Returns a read of the table."""
         self.next_read_at = self.plan(now)
-        self.read = PendingCall(self.call_ids.allot(), now, READ_TIMEOUT_S)
+        self.read = PendingCall(self.call_ids.allocate(), now, READ_TIMEOUT_S)
         return store.StoreCall(
             call_id=self.read.call_id,
             operation=store.StoreOperation.GET,
@@ -188,7 +188,7 @@
     def make_watch(self, now: float) -> store.StoreCall:
         """Returns a watch for the next change of the table."""
         self.next_watch_at = now + WATCH_RETRY_S
-        self.watch = PendingCall(self.call_ids.allot(), now, WATCH_TIMEOUT_S)
+        self.watch = PendingCall(self.call_ids.allocate(), now, WATCH_TIMEOUT_S)
         return store.StoreCall(
             call_id=self.watch.call_id,
             operation=store.StoreOperation.WATCH,
