--- a/packages/rhubarbbank-core/src/rhubarbbank_core/token_bucket.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/token_bucket.py
@@ -8,14 +8,14 @@
         self.rate_per_s = rate_per_s
         self.burst = burst
         self.tokens = burst
-        self.filled_at: float | None = None
+        self.refilled_at: float | None = None
 
     def refill(self, *, now: float) -> float:
         """Adds the tokens accrued until `now`; returns the available tokens."""
-        if self.filled_at is not None:
-            accrued = max(0.0, now - self.filled_at) * self.rate_per_s
+        if self.refilled_at is not None:
+            accrued = max(0.0, now - self.refilled_at) * self.rate_per_s
             self.tokens = min(self.burst, self.tokens + accrued)
-        self.filled_at = now
+        self.refilled_at = now
         return self.tokens
 
     def try_take(self, *, now: float, cost: float = 1.0) -> bool:
