--- a/features/steps/refusal_steps.py
+++ b/features/steps/refusal_steps.py
@@ -96,7 +96,7 @@
 
 @then("the refusals' Retry-After spreads over at least {least:d} values")
 def check_spread(context, least):
-    values = {problem_status.build_retry_after(x) for x in context.problems}
+    values = {problem_status.format_retry_after(x) for x in context.problems}
     assert None not in values
     assert len(values) >= least, values
 
--- a/packages/rhubarbbank-core/src/rhubarbbank_core/problem_status.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/problem_status.py
@@ -9,7 +9,7 @@
 
 STATUS = http.HTTPStatus
 
-STATUSES = {
+STATUS_BY_CODE = {
     errors.ErrorCode.BAD_REQUEST: STATUS.BAD_REQUEST,
     errors.ErrorCode.BODY_TOO_LARGE: STATUS.REQUEST_ENTITY_TOO_LARGE,
     errors.ErrorCode.UNKNOWN_ORGANISATION: STATUS.FORBIDDEN,
@@ -55,9 +55,9 @@
     error: ErrorDetail
 
 
-def find_status(problem: errors.Problem) -> int:
+def get_status(problem: errors.Problem) -> int:
     """Returns the problem's HTTP status."""
-    return int(STATUSES.get(problem.code, STATUS.SERVICE_UNAVAILABLE))
+    return int(STATUS_BY_CODE.get(problem.code, STATUS.SERVICE_UNAVAILABLE))
 
 
 def build_body(problem: errors.Problem, *, message: str, remedy: str) -> bytes:
@@ -73,7 +73,7 @@
     return msgspec.json.encode(ErrorBody(detail))
 
 
-def build_retry_after(problem: errors.Problem) -> str | None:
+def format_retry_after(problem: errors.Problem) -> str | None:
     """Returns the value of the Retry-After header in whole seconds, or None."""
     if problem.retry_after_s is None:
         return None
--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/caller_http.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/caller_http.py
@@ -190,13 +190,13 @@
     ) -> web.Response:
         """Returns the error response for a problem."""
         headers = {"X-Request-Id": request_id}
-        retry_after = problem_status.build_retry_after(problem)
+        retry_after = problem_status.format_retry_after(problem)
         if retry_after is not None:
             headers["Retry-After"] = retry_after
         language = request.headers.get("Accept-Language", "")
         message, remedy = self.describe(problem, language)
         return web.Response(
-            status=problem_status.find_status(problem),
+            status=problem_status.get_status(problem),
             body=problem_status.build_body(
                 problem, message=message, remedy=remedy
             ),
