--- a/experiments/src/rhubarbbank_experiments/fleet.py
+++ b/experiments/src/rhubarbbank_experiments/fleet.py
@@ -40,7 +40,7 @@
 def find_owners(addresses: list[str]) -> set[str | None]:
     """Returns which of the entries' addresses get a shard of the ledger."""
     return {
-        rendezvous.prefer(ledger_records.shard_subject(shard), addresses)
+        rendezvous.select(ledger_records.shard_subject(shard), addresses)
         for shard in range(SHARDS)
     }
 
--- a/features/steps/allowance_failover_steps.py
+++ b/features/steps/allowance_failover_steps.py
@@ -63,7 +63,7 @@
 @when('the entry that owns the allowance of "{organisation}" is killed')
 def kill_owner(context, organisation):
     context.shard = find_shard(organisation)
-    owner = rendezvous.prefer(
+    owner = rendezvous.select(
         ledger_records.shard_subject(context.shard),
         [place.peer_address for place in context.entries],
     )
--- a/features/steps/deputy_steps.py
+++ b/features/steps/deputy_steps.py
@@ -163,7 +163,7 @@
     def move_shard(self):
         """The preferred process takes the shard, or is given it."""
         subject = ledger_records.shard_subject(0)
-        name = rendezvous.prefer(subject, self.seen)
+        name = rendezvous.select(subject, self.seen)
         taker = self.processes.get(name)
         if taker is None or self.now < taker.paused_until or taker.owned:
             return
--- a/features/steps/ledger_steps.py
+++ b/features/steps/ledger_steps.py
@@ -162,7 +162,7 @@
     shard = ledger_records.shard_of(key, ledger_world.SHARDS)
     subject = ledger_records.shard_subject(shard)
     live = next(iter(world.clients.values())).live
-    return rendezvous.prefer(subject, live)
+    return rendezvous.select(subject, live)
 
 
 def put_one(context, client, kind, key, value, *, wait_durable):
@@ -350,7 +350,7 @@
     """Returns the owner of shard 0 and a key maker for that shard."""
     world = context.world
     subject = ledger_records.shard_subject(0)
-    name = rendezvous.prefer(subject, world.owners)
+    name = rendezvous.select(subject, world.owners)
     keys = (f"key/{number}" for number in range(1000))
     shard_keys = (
         key
--- a/packages/rhubarbbank-core/src/rhubarbbank_core/allowance_raises.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/allowance_raises.py
@@ -184,7 +184,7 @@
         ]
         for shard in range(self.leases.shards):
             subject = ledger_records.shard_subject(shard)
-            name = rendezvous.prefer(subject, others)
+            name = rendezvous.select(subject, others)
             if name is not None:
                 self.chosen[shard] = name, self.live[name]
 
--- a/packages/rhubarbbank-core/src/rhubarbbank_core/evidence.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/evidence.py
@@ -22,7 +22,7 @@
 
 def find_judge(model: str, entries: Iterable[str]) -> str | None:
     """Returns the peer address of the entry that judges a model."""
-    return rendezvous.prefer(f"exposure/{model}", entries)
+    return rendezvous.select(f"exposure/{model}", entries)
 
 
 class Evidence:
--- a/packages/rhubarbbank-core/src/rhubarbbank_core/ledger_owner.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/ledger_owner.py
@@ -90,7 +90,7 @@
         self.preferred = {}
         for shard in range(self.shards):
             subject = ledger_records.shard_subject(shard)
-            name = rendezvous.prefer(subject, self.live)
+            name = rendezvous.select(subject, self.live)
             if name is not None:
                 self.preferred[shard] = name
         return []
--- a/packages/rhubarbbank-core/src/rhubarbbank_core/rendezvous.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/rendezvous.py
@@ -9,7 +9,7 @@
 import xxhash
 
 
-def weight(subject: str, name: str) -> int:
+def compute_weight(subject: str, name: str) -> int:
     """Returns the 64-bit weight of a name for a subject."""
     return xxhash.xxh64_intdigest(f"{subject}\x00{name}".encode())
 
@@ -17,12 +17,16 @@
 def rank(subject: str, names: collections.abc.Iterable[str]) -> list[str]:
     """Returns the names by descending weight for the subject."""
     return sorted(
-        names, key=lambda name: (weight(subject, name), name), reverse=True
+        names,
+        key=lambda name: (compute_weight(subject, name), name),
+        reverse=True,
     )
 
 
-def prefer(subject: str, names: collections.abc.Iterable[str]) -> str | None:
+def select(subject: str, names: collections.abc.Iterable[str]) -> str | None:
     """Returns the name with the highest weight, or None without names."""
     return max(
-        names, key=lambda name: (weight(subject, name), name), default=None
+        names,
+        key=lambda name: (compute_weight(subject, name), name),
+        default=None,
     )
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
@@ -291,7 +291,7 @@
         if each.listed.data_centre == state.settings.data_centre
     ]
     names = local or [each.listed.upstream_id for each in usable]
-    return rendezvous.prefer(opened.request.affinity_key, names) or ""
+    return rendezvous.select(opened.request.affinity_key, names) or ""
 
 
 def compute_affinity_credit_s(
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/version_trial.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/version_trial.py
@@ -220,7 +220,7 @@
 
 def hash_to_unit_interval(affinity_key: str, target: str) -> float:
     """Returns a number in [0, 1), the same one at all entries."""
-    return rendezvous.weight(affinity_key, target) / HASH_RANGE
+    return rendezvous.compute_weight(affinity_key, target) / HASH_RANGE
 
 
 class VersionTrial:
