--- a/packages/rhubarbbank-core/src/rhubarbbank_core/event_log.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/event_log.py
@@ -95,17 +95,17 @@
 
 def digest(effects: list[fx.Effect]) -> RecordedEffects:
     """Returns the record of an event's effects."""
-    named = [(type(each).__name__, each) for each in effects]
-    data = DIGEST_ENCODER.encode(named)
+    named_effects = [(type(each).__name__, each) for each in effects]
+    data = DIGEST_ENCODER.encode(named_effects)
     return RecordedEffects(len(effects), xxhash.xxh64_intdigest(data))
 
 
 def replay(
-    reducer: Reducer, recorded: Iterable[RecordedEvent]
+    reducer: Reducer, records: Iterable[RecordedEvent]
 ) -> list[list[fx.Effect]]:
     """Applies the events; returns the effects of each, in order."""
     return [
-        reducer.step(now=entry.now, event=entry.event) for entry in recorded
+        reducer.step(now=record.now, event=record.event) for record in records
     ]
 
 
