--- a/experiments/src/rhubarbbank_experiments/slopes_ledger.py
+++ b/experiments/src/rhubarbbank_experiments/slopes_ledger.py
@@ -84,7 +84,7 @@
         self.queue: list[tuple[float, int, store.StoreReply]] = []
         self.owner.set_live(now=self.now, names={OWNER})
 
-    def take(self, out: list[effects.PartEffect]) -> None:
+    def take(self, out: list[effects.CoordinationEffect]) -> None:
         """Carries out what the owner wants."""
         for effect in out:
             if isinstance(effect, store.StoreCall):
--- a/packages/rhubarbbank-core/src/rhubarbbank_core/allowance_owner.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/allowance_owner.py
@@ -230,7 +230,7 @@
         now: float,
         request: allowances.SliceRequest,
         is_confirmed: bool,
-    ) -> list[effects.PartEffect]:
+    ) -> list[effects.CoordinationEffect]:
         """Takes a holder's request.
 
         Args:
@@ -282,7 +282,7 @@
 
     def applied(
         self, *, now: float, applied: allowances.SliceApplied
-    ) -> list[effects.PartEffect]:
+    ) -> list[effects.CoordinationEffect]:
         """Frees what a holder no longer uses."""
         book = self.books.get(applied.key)
         holder = book and book.holders.get(applied.reply_to)
--- a/packages/rhubarbbank-core/src/rhubarbbank_core/allowance_raises.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/allowance_raises.py
@@ -55,7 +55,7 @@
 
     deputy: str
     note: deputy_messages.DeputyNote
-    sends: list[effects.PartEffect]
+    sends: list[effects.CoordinationEffect]
     since: float
     sent_at: float
     count: int = 1
@@ -207,7 +207,7 @@
 
     def message(
         self, *, now: float, message: deputy_messages.AnyDeputyMessage
-    ) -> list[effects.PartEffect]:
+    ) -> list[effects.CoordinationEffect]:
         """Takes what owners and deputies say to each other."""
         match message:
             case deputy_messages.DeputyNote():
@@ -225,8 +225,8 @@
         *,
         now: float,
         shard: int,
-        answers: collections.abc.Iterable[effects.PartEffect],
-    ) -> list[effects.PartEffect]:
+        answers: collections.abc.Iterable[effects.CoordinationEffect],
+    ) -> list[effects.CoordinationEffect]:
         """Returns the answers that may go out now; others wait."""
         owned = self.ledger.owned.get(shard)
         if owned is None:
@@ -244,7 +244,9 @@
             out.append(answer)
         return out
 
-    def ack(self, ack: deputy_messages.DeputyAck) -> list[effects.PartEffect]:
+    def ack(
+        self, ack: deputy_messages.DeputyAck
+    ) -> list[effects.CoordinationEffect]:
         """Lets the grants go that waited for a note."""
         for place in [p for p in self.silent if p[0] == ack.sender]:
             del self.silent[place]
@@ -263,9 +265,9 @@
         # The next owner trusts that nothing is granted after the release.
         return [] if owned.is_closing else item.sends
 
-    def tick(self, *, now: float) -> list[effects.PartEffect]:
+    def tick(self, *, now: float) -> list[effects.CoordinationEffect]:
         """Tells deputies what they don't know, and finds silent ones."""
-        out: list[effects.PartEffect] = [*self.leases.deputies.tick()]
+        out: list[effects.CoordinationEffect] = [*self.leases.deputies.tick()]
         for place in [p for p, at in self.silent.items() if now >= at]:
             del self.silent[place]
             self.choose_all()
@@ -282,7 +284,7 @@
 
     def follow(
         self, owned: ledger_shard.OwnedShard
-    ) -> list[effects.PartEffect]:
+    ) -> list[effects.CoordinationEffect]:
         """Takes the deputy that the log names for certain.
 
         The former one's book is worth nothing from then on: what waited for
@@ -305,7 +307,7 @@
         owned: ledger_shard.OwnedShard,
         answer: effects.Send,
         grant: allowances.SliceGrant,
-    ) -> list[effects.PartEffect]:
+    ) -> list[effects.CoordinationEffect]:
         """Notes a holder's higher bound; the grant waits for the answer.
 
         A deputy that is silent would only pile grants up: while it can't be
@@ -325,7 +327,7 @@
         link: DeputyLink,
         answer: effects.Send,
         grant: allowances.SliceGrant,
-    ) -> list[effects.PartEffect]:
+    ) -> list[effects.CoordinationEffect]:
         """Grants a slice without requests at once, if the bound allows it."""
         less = msgspec.structs.replace(grant, tokens=0.0)
         if not link.covers(answer.address, less):
@@ -338,11 +340,11 @@
         now: float,
         owned: ledger_shard.OwnedShard,
         link: DeputyLink,
-    ) -> list[effects.PartEffect]:
+    ) -> list[effects.CoordinationEffect]:
         """Sends the first note, lower bounds, and what got no answer."""
         if not link.is_told:
             return self.tell_all(now, owned, link)
-        out: list[effects.PartEffect] = []
+        out: list[effects.CoordinationEffect] = []
         for item in link.open.values():
             if now - item.since > HELD_S:
                 item.sends = []
@@ -363,7 +365,7 @@
         now: float,
         owned: ledger_shard.OwnedShard,
         link: DeputyLink,
-    ) -> list[effects.PartEffect]:
+    ) -> list[effects.CoordinationEffect]:
         """Sends the first note, once all that is in use is known here."""
         if not self.leases.is_whole(now=now, shard=owned.shard):
             return []
@@ -386,7 +388,7 @@
         now: float,
         owned: ledger_shard.OwnedShard,
         link: DeputyLink,
-    ) -> list[effects.PartEffect]:
+    ) -> list[effects.CoordinationEffect]:
         """Tells which holders use less than the deputy counts with."""
         lower = []
         for (key, holder), (rate_per_s, burst) in link.sure.items():
@@ -404,8 +406,8 @@
         now: float,
         owned: ledger_shard.OwnedShard,
         bounds: tuple[deputy_messages.LeaseBound, ...],
-        sends: list[effects.PartEffect],
-    ) -> list[effects.PartEffect]:
+        sends: list[effects.CoordinationEffect],
+    ) -> list[effects.CoordinationEffect]:
         """Sends a note, and keeps it until it is acknowledged."""
         link = self.links[owned.shard]
         deputy = link.deputy
--- a/packages/rhubarbbank-core/src/rhubarbbank_core/effects.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/effects.py
@@ -53,7 +53,7 @@
     asked_at: float
 
 
-PartEffect = Send | store.StoreCall | AskListener
+CoordinationEffect = Send | store.StoreCall | AskListener
 
 
 class CallIds:
--- a/packages/rhubarbbank-core/src/rhubarbbank_core/entry_control.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/entry_control.py
@@ -49,7 +49,7 @@
     renew_after_s=1.0, handover_wait_s=0.5, handover_waits=12
 )
 
-PartEffect = effects.PartEffect
+CoordinationEffect = effects.CoordinationEffect
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -109,7 +109,7 @@
         events: What concerns requests.
     """
 
-    effects: list[PartEffect] = dataclasses.field(default_factory=list)
+    effects: list[CoordinationEffect] = dataclasses.field(default_factory=list)
     events: list[ControlEvent] = dataclasses.field(default_factory=list)
 
 
@@ -360,9 +360,11 @@
             requests_per_minute=self.allowed, entries=self.entries_seen
         )
 
-    def leave(self, *, now: float) -> list[effects.PartEffect]:
+    def leave(self, *, now: float) -> list[effects.CoordinationEffect]:
         """Says that this entry leaves, and gives its shards up."""
-        out: list[effects.PartEffect] = [*self.fleet.membership.leave(now=now)]
+        out: list[effects.CoordinationEffect] = [
+            *self.fleet.membership.leave(now=now)
+        ]
         step = ControlStep()
         self.refresh_live(step, now)
         self.take_owner(step, now, self.owner.tick(now=now))
@@ -424,7 +426,10 @@
         step.events += found.events
 
     def take_owner(
-        self, step: ControlStep, now: float, found: list[effects.PartEffect]
+        self,
+        step: ControlStep,
+        now: float,
+        found: list[effects.CoordinationEffect],
     ) -> None:
         """Sends the owner's store calls through the process's store client."""
         self.leases.follow(ledger=self.owner)
@@ -449,7 +454,7 @@
 
     def grant_slice(
         self, now: float, request: allowances.SliceRequest
-    ) -> list[effects.PartEffect]:
+    ) -> list[effects.CoordinationEffect]:
         """Answers a request for a slice of an allowance."""
         shard = ledger_records.shard_of(request.key, self.owner.shards)
         owned = self.owner.owned.get(shard)
--- a/packages/rhubarbbank-core/src/rhubarbbank_core/ledger_owner.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/ledger_owner.py
@@ -82,7 +82,7 @@
 
     def set_live(
         self, *, now: float, names: collections.abc.Iterable[str]
-    ) -> list[effects.PartEffect]:
+    ) -> list[effects.CoordinationEffect]:
         """Takes the live entries; take-overs start at the next tick."""
         del now
         self.live = frozenset(names)
@@ -97,7 +97,7 @@
 
     def message(
         self, *, now: float, message: Inbound, outage_confirmed: bool = False
-    ) -> list[effects.PartEffect]:
+    ) -> list[effects.CoordinationEffect]:
         """Takes a put or get from a client."""
         shard = message.shard
         owned = self.owned.get(shard)
@@ -119,12 +119,12 @@
         now: float,
         reply: store.StoreReply,
         outage_confirmed: bool = False,
-    ) -> list[effects.PartEffect]:
+    ) -> list[effects.CoordinationEffect]:
         """Takes the final reply to one of this part's store calls."""
         shard = self.calls.pop(reply.call_id, None)
         if shard is None:
             return []
-        out: list[effects.PartEffect] = []
+        out: list[effects.CoordinationEffect] = []
         taking = self.taking.get(shard)
         owned = self.owned.get(shard)
         if taking is not None:
@@ -138,9 +138,9 @@
 
     def tick(
         self, *, now: float, outage_confirmed: bool = False
-    ) -> list[effects.PartEffect]:
+    ) -> list[effects.CoordinationEffect]:
         """Starts and ends ownership, and sends what waits for its turn."""
-        out: list[effects.PartEffect] = []
+        out: list[effects.CoordinationEffect] = []
         for shard, owned in self.owned.items():
             owned.is_releasing = not self.is_preferred(shard)
             out.extend(owned.tick(now=now, outage_confirmed=outage_confirmed))
@@ -170,7 +170,7 @@
         """Whether this entry should own the shard."""
         return self.preferred.get(shard) == self.context.name
 
-    def review_take_overs(self, out: list[effects.PartEffect]) -> None:
+    def review_take_overs(self, out: list[effects.CoordinationEffect]) -> None:
         """Starts take-overs of preferred shards and drops the others."""
         for shard in [s for s in self.taking if not self.is_preferred(s)]:
             del self.taking[shard]
@@ -189,7 +189,7 @@
 
     def take_reply(
         self,
-        out: list[effects.PartEffect],
+        out: list[effects.CoordinationEffect],
         now: float,
         taking: ledger_takeover.TakeOver,
         reply: store.StoreReply,
@@ -214,7 +214,9 @@
                 out.extend(owned.put(now=now, put=message))
 
     def drop_if_lost(
-        self, out: list[effects.PartEffect], owned: ledger_shard.OwnedShard
+        self,
+        out: list[effects.CoordinationEffect],
+        owned: ledger_shard.OwnedShard,
     ) -> None:
         """Forgets a shard that another owner holds or that was released."""
         if owned.checkpointer.is_fenced_off and not owned.is_lost:
@@ -226,7 +228,7 @@
 
     def hold(
         self, message: Inbound, outage_confirmed: bool
-    ) -> list[effects.PartEffect]:
+    ) -> list[effects.CoordinationEffect]:
         """Keeps a message during a take-over, else names the owner."""
         if outage_confirmed or not self.is_preferred(message.shard):
             return [self.not_owner(message)]
@@ -236,7 +238,9 @@
         held.append(message)
         return []
 
-    def drop_held(self, out: list[effects.PartEffect], shard: int) -> None:
+    def drop_held(
+        self, out: list[effects.CoordinationEffect], shard: int
+    ) -> None:
         """Sends everyone who waits for a take-over to another owner."""
         out.extend(self.not_owner(item) for item in self.held.pop(shard, []))
 
@@ -262,7 +266,10 @@
     # Store calls.
 
     def pump(
-        self, out: list[effects.PartEffect], now: float, outage_confirmed: bool
+        self,
+        out: list[effects.CoordinationEffect],
+        now: float,
+        outage_confirmed: bool,
     ) -> None:
         """Spends the call budget, shard by shard in turn."""
         if outage_confirmed:
@@ -287,7 +294,11 @@
         self.pump_checkpoints(out, now, overdue=False)
 
     def pump_checkpoints(
-        self, out: list[effects.PartEffect], now: float, *, overdue: bool
+        self,
+        out: list[effects.CoordinationEffect],
+        now: float,
+        *,
+        overdue: bool,
     ) -> None:
         """Spends on checkpoints and deletions what the flushes left.
 
@@ -314,7 +325,7 @@
 
     def send_call(
         self,
-        out: list[effects.PartEffect],
+        out: list[effects.CoordinationEffect],
         shard: int,
         call: store.StoreCall,
     ) -> None:
--- a/packages/rhubarbbank-core/src/rhubarbbank_core/ledger_shard.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/ledger_shard.py
@@ -112,7 +112,7 @@
 
     def put(
         self, *, now: float, put: ledger_messages.LedgerPut
-    ) -> list[effects.PartEffect]:
+    ) -> list[effects.CoordinationEffect]:
         """Takes a put: answers it, or lets it wait for a commit."""
         if self.is_closing:
             return [self.not_owner(put.reply_to, put.put_id)]
@@ -193,7 +193,9 @@
             for record in fresh.values()
         )
 
-    def defer(self, put: ledger_messages.LedgerPut) -> list[effects.PartEffect]:
+    def defer(
+        self, put: ledger_messages.LedgerPut
+    ) -> list[effects.CoordinationEffect]:
         """Keeps a put until the grace window ends."""
         if self.in_outage or len(self.deferred) >= self.context.timing.waiters:
             return [self.refuse(put, now=self.grace_until)]
@@ -260,7 +262,7 @@
 
     def get(
         self, *, now: float, get: ledger_messages.LedgerGet
-    ) -> list[effects.PartEffect]:
+    ) -> list[effects.CoordinationEffect]:
         """Answers with the committed records among the keys."""
         found = [self.memory.find(key, now=now) for key in get.keys]
         values = ledger_messages.LedgerValues(
@@ -276,9 +278,9 @@
 
     def tick(
         self, *, now: float, outage_confirmed: bool
-    ) -> list[effects.PartEffect]:
+    ) -> list[effects.CoordinationEffect]:
         """Follows the outage state and ends the grace window."""
-        out: list[effects.PartEffect] = []
+        out: list[effects.CoordinationEffect] = []
         if outage_confirmed and not self.in_outage:
             out.extend(self.enter_outage(now))
         self.in_outage = outage_confirmed
@@ -288,9 +290,9 @@
                 out.extend(self.put(now=now, put=put))
         return out
 
-    def enter_outage(self, now: float) -> list[effects.PartEffect]:
+    def enter_outage(self, now: float) -> list[effects.CoordinationEffect]:
         """Answers all that waits: what may, without durability."""
-        out: list[effects.PartEffect] = []
+        out: list[effects.CoordinationEffect] = []
         kept: dict[tuple[str, int], Waiter] = {}
         for waiter_key, waiter in self.waiters.items():
             if waiter.put.wait_durable:
@@ -386,7 +388,7 @@
 
     def log_reply(
         self, *, now: float, reply: store.StoreReply
-    ) -> list[effects.PartEffect]:
+    ) -> list[effects.CoordinationEffect]:
         """Takes the answer to the log call in flight."""
         if reply.call_id != self.log_call_id:
             return []
@@ -402,7 +404,7 @@
 
     def take_log_success(
         self, log_call: LogCall, now: float, reply: store.StoreReply
-    ) -> list[effects.PartEffect]:
+    ) -> list[effects.CoordinationEffect]:
         """Commits, or goes on after a confirmation or release."""
         self.failures = 0
         if log_call == LogCall.CONFIRM:
@@ -418,7 +420,7 @@
 
     def take_renewal(
         self, now: float, reply: store.StoreReply
-    ) -> list[effects.PartEffect]:
+    ) -> list[effects.CoordinationEffect]:
         """Takes the absence of the next segment as proof of ownership.
 
         It proves nothing once a next segment could have been created and
@@ -441,7 +443,7 @@
 
     def take_confirmation(
         self, now: float, reply: store.StoreReply
-    ) -> list[effects.PartEffect]:
+    ) -> list[effects.CoordinationEffect]:
         """Compares the newest segment listed with the own last one."""
         head = max(reply.objects, key=lambda item: item.key, default=None)
         if head is None:
@@ -459,7 +461,7 @@
         self.confirmed_at = self.sent_at
         return []
 
-    def commit(self, now: float) -> list[effects.PartEffect]:
+    def commit(self, now: float) -> list[effects.CoordinationEffect]:
         """Applies the sealed segment and answers those who waited."""
         committed = self.backlog.commit()
         self.checkpointer.log_bytes += len(self.backlog.sealed_value)
@@ -470,7 +472,7 @@
             sequence=self.memory.sequence + 1,
             now=now,
         )
-        out: list[effects.PartEffect] = []
+        out: list[effects.CoordinationEffect] = []
         for waiter_key, waiter in list(self.waiters.items()):
             waiter.keys -= committed.keys()
             if not waiter.keys:
@@ -478,7 +480,7 @@
                 del self.waiters[waiter_key]
         return out
 
-    def lose(self, lost_to: str) -> list[effects.PartEffect]:
+    def lose(self, lost_to: str) -> list[effects.CoordinationEffect]:
         """Drops everything and sends those who wait to the other owner."""
         self.is_lost = True
         self.lost_to = lost_to
--- a/packages/rhubarbbank-core/src/rhubarbbank_core/table_sync_events.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/table_sync_events.py
@@ -85,7 +85,7 @@
     at: float
 
 
-PartEffect = effects.PartEffect
+CoordinationEffect = effects.CoordinationEffect
 SyncEvent = (
     TableAdopted | TableFault | StoreConfirmed | StoreFailed | StoreAnswered
 )
@@ -100,5 +100,5 @@
         events: What others have to know.
     """
 
-    effects: list[PartEffect] = dataclasses.field(default_factory=list)
+    effects: list[CoordinationEffect] = dataclasses.field(default_factory=list)
     events: list[SyncEvent] = dataclasses.field(default_factory=list)
