--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -153,7 +153,7 @@
 # Number of entries of a data centre that forward heartbeats to other data
 # centres, and their interval; it is shorter during a roll-out, which needs the
 # evidence of all entries.
-CARRIERS = 2
+FORWARDERS_PER_DATA_CENTRE = 2
 BUNDLE_PERIOD_S = 1.5
 TRIAL_BUNDLE_PERIOD_S = 0.5
 # An entry whose own heartbeat is overdue by more than this was suspended.
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeat_forwarding.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeat_forwarding.py
@@ -71,7 +71,7 @@
     A late heartbeat shows that this entry was suspended.
     """
     if is_heartbeat_late(state, now=now):
-        state.may_carry_from = now + defaults.PEER_TIMEOUT_S
+        state.may_forward_from = now + defaults.PEER_TIMEOUT_S
 
 
 def is_heartbeat_late(state: states.RouterState, *, now: float) -> bool:
@@ -81,7 +81,9 @@
 
 def may_forward(state: states.RouterState, *, now: float) -> bool:
     """Returns whether the ages of received heartbeats can be trusted."""
-    return now >= state.may_carry_from and not is_heartbeat_late(state, now=now)
+    return now >= state.may_forward_from and not is_heartbeat_late(
+        state, now=now
+    )
 
 
 def compute_rank(state: states.RouterState, *, now: float) -> int | None:
@@ -91,7 +93,7 @@
     settings = state.settings
     nearby = state.entries.list_live_in(settings.data_centre, now=now)
     rank = sum(each.name < settings.name for each in nearby)
-    return rank if rank < defaults.CARRIERS else None
+    return rank if rank < defaults.FORWARDERS_PER_DATA_CENTRE else None
 
 
 def update_rank(
@@ -99,9 +101,9 @@
 ) -> list[effects.Effect]:
     """Updates this entry's rank; returns a log line if it has changed."""
     rank = compute_rank(state, now=now)
-    if rank == state.carrier_rank:
+    if rank == state.forwarder_rank:
         return []
-    state.carrier_rank = rank
+    state.forwarder_rank = rank
     nearby = state.entries.list_live_in(state.settings.data_centre, now=now)
     return [
         fx.LogDecision(
@@ -162,7 +164,7 @@
 ) -> list[effects.Effect]:
     """Sends this data centre's heartbeats if this entry is a forwarder."""
     out = update_rank(state, now=now)
-    rank = state.carrier_rank
+    rank = state.forwarder_rank
     if rank is None:
         return out
     forwarded = (
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
@@ -5,7 +5,7 @@
                   +-- timeouts --+
 
 `intake` validates a request, `dispatch` sends it to an upstream, `answer_heads`
-and `answers` process the response, and `timeouts` enforces the timeouts.
+and `answers` process the response, and `timeouts` enforces the time-outs.
 """
 
 import dataclasses
@@ -183,10 +183,10 @@
         next_heartbeat_at: When the next heartbeat is due.
         next_remote_heartbeat_at: When the next heartbeat to other data
             centres is due.
-        may_carry_from: When this entry may again forward heartbeats of other
+        may_forward_from: When this entry may again forward heartbeats of other
             entries.
-        carrier_rank: Rank among the data centre's carriers, from 0; None if
-            this entry isn't a carrier.
+        forwarder_rank: Rank among the data centre's forwarders, from 0; None
+            if this entry isn't a forwarder.
         is_heartbeat_urgent: Whether the next heartbeat is sent directly to
             all entries.
         next_load_update_at: When the entries of the data centre are told of
@@ -247,8 +247,8 @@
     is_exiting: bool = False
     next_heartbeat_at: float = 0.0
     next_remote_heartbeat_at: float = 0.0
-    may_carry_from: float = 0.0
-    carrier_rank: int | None = None
+    may_forward_from: float = 0.0
+    forwarder_rank: int | None = None
     is_heartbeat_urgent: bool = False
     next_load_update_at: float | None = None
 
