--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -127,10 +127,11 @@
 # transfer of the request.
 CONFIGURATION_MARGIN_S = 1.0
 UPSTREAMS_MARGIN_S = 1.2
-# How often an entry asks the readers, and for how long a reader informs an
-# entry after its last request.
-ASK_PERIOD_S = 0.4
-ASKER_EXPIRY_S = 1.2
+# How often an entry requests an update from a reader, and for how long a reader
+# sends changes to an entry after its last request. A reader that sent no fresh
+# data for as long counts as lost.
+UPDATE_REQUEST_PERIOD_S = 0.4
+UPDATE_REQUEST_EXPIRY_S = 1.2
 # An entry stops reading the store after a reader has kept it informed for this
 # long.
 RELAY_PROVEN_S = 1.0
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
@@ -37,7 +37,7 @@
         case messages.HeartbeatBundle():
             return handle_bundle(state, message, now=now)
         case messages.StoreUpdateRequest():
-            return store_reading.handle_ask(state, message, now=now)
+            return store_reading.handle_update_request(state, message, now=now)
         case messages.StoreUpdate():
             return handle_store_update(state, message, now=now)
         case _:
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/messages.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/messages.py
@@ -181,7 +181,7 @@
 
 
 class StoreUpdateRequest(effects.Message, frozen=True, tag="ask"):
-    """Asks an entry that reads the store for changes.
+    """Requests the changes in the store from an entry that reads it.
 
     Attributes:
         name: The sender's name.
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/store_reading.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/store_reading.py
@@ -1,8 +1,8 @@
 """Decides which entries read the store, and relays what they read.
 
-The state is kept in `store_relay`; this module has the router's steps: it
-updates the entry's role at each tick, exchanges asks and replies, and applies
-replies.
+The state is kept in `store_relay`. This module updates the entry's role at each
+tick, sends update requests to a reader, answers those of other entries, and
+applies the replies.
 """
 
 from rhubarbbank_core import effects as core_effects
@@ -43,30 +43,30 @@
 
 
 def tick(state: states.RouterState, *, now: float) -> list[effects.Effect]:
-    """Updates the entry's role, and asks a reader if an ask is due."""
+    """Updates the entry's role, and requests an update if one is due."""
     relay = state.relay
     if not relay.limits.allow_relays:
         return []
     reader = select_reader(state, now=now)
     out = update_role(state, reader, now=now)
-    if reader is None or not relay.is_ask_due(now=now):
+    if reader is None or not relay.is_request_due(now=now):
         return out
-    relay.asked_at = now
-    ask = messages.StoreUpdateRequest(
+    relay.requested_at = now
+    request = messages.StoreUpdateRequest(
         name=state.settings.name,
         address=state.settings.peer_address,
         asked_at=now,
         position=relay.change_log.position,
     )
-    return [*out, core_effects.Send(reader.address, ask)]
+    return [*out, core_effects.Send(reader.address, request)]
 
 
 def select_reader(
     state: states.RouterState, *, now: float
 ) -> messages.Heartbeat | None:
-    """Returns the reader to ask: the first by name in the data centre.
+    """Returns the data centre's reader whose name sorts first, if any.
 
-    A reader asks only readers whose names sort before its own.
+    A reader requests updates only from readers whose names sort before its own.
     """
     settings = state.settings
     near = state.entries.list_live_in(settings.data_centre, now=now)
@@ -145,32 +145,38 @@
     return all(settings.name < each.name for each in near)
 
 
-def handle_ask(
-    state: states.RouterState, ask: messages.StoreUpdateRequest, *, now: float
+def handle_update_request(
+    state: states.RouterState,
+    request: messages.StoreUpdateRequest,
+    *,
+    now: float,
 ) -> list[effects.Effect]:
-    """Replies to an ask if this entry is a reader."""
+    """Replies to an update request if this entry is a reader."""
     if not state.relay.is_reader:
         return []
-    state.relay.record_ask(ask, now=now)
-    return build_reply(state, ask, now=now)
+    state.relay.record_update_request(request, now=now)
+    return build_reply(state, request, now=now)
 
 
 def send_updates(
     state: states.RouterState, *, now: float
 ) -> list[effects.Effect]:
-    """Sends a change immediately to all entries that asked recently."""
+    """Sends a change immediately to all entries with a recent request."""
     if not state.relay.is_reader:
         return []
     out: list[effects.Effect] = []
-    for ask in state.relay.list_recent_asks(now=now):
-        out += build_reply(state, ask, now=now)
+    for request in state.relay.list_recent_requests(now=now):
+        out += build_reply(state, request, now=now)
     return out
 
 
 def build_reply(
-    state: states.RouterState, ask: messages.StoreUpdateRequest, *, now: float
+    state: states.RouterState,
+    request: messages.StoreUpdateRequest,
+    *,
+    now: float,
 ) -> list[effects.Effect]:
-    """Returns the reply to an ask as an effect, if there is one."""
+    """Returns the effect that sends a reply, or nothing without a reply."""
     availability = state.get_store_availability(events.Subject.UPSTREAMS)
     regained_age_s = None
     if availability.recovered_at is not None:
@@ -188,8 +194,8 @@
             if not tracked.lapsed
         ),
     )
-    reply = state.relay.build_reply(ask, facts, now=now)
-    return [] if reply is None else [core_effects.Send(ask.address, reply)]
+    reply = state.relay.build_reply(request, facts, now=now)
+    return [] if reply is None else [core_effects.Send(request.address, reply)]
 
 
 def apply_proof(state: states.RouterState, reply: messages.StoreUpdate) -> bool:
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/store_relay.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/store_relay.py
@@ -4,15 +4,15 @@
 fleet. Therefore a few entries (readers) read the store, and the others poll
 a reader for the confirmed revision of the configuration and for changes to
 the list of upstreams. A reader's reply is as conclusive as a read of the
-store, only older: it echoes the time stamp of the ask, and the ages in it are
-counted back from that time. So no clocks of two machines are compared, and
+store, only older: it echoes the time stamp of the request, and the ages in it
+are counted back from that time. So no clocks of two machines are compared, and
 network delay can't make a proof look younger than it is.
 
-    asker                         reader
+    requester                                 reader
       | StoreUpdateRequest (asked_at, position) |
-      |------------------------------>|
-      | StoreUpdate (asked_at, ages)    |
-      |<------------------------------|
+      |---------------------------------------->|
+      | StoreUpdate (asked_at, ages)            |
+      |<----------------------------------------|
 
 An entry whose data gets older than its limits becomes a reader itself. It
 stops once another reader in its data centre, whose name sorts before its own,
@@ -133,8 +133,9 @@
             if none has.
         informed_since: Since when readers have done so without interruption;
             None while they don't.
-        asked_at: When a reader was last asked.
-        last_asks: The last ask from each address, and when it was received.
+        requested_at: When an update was last requested from a reader.
+        last_requests: The last request from each address, and when it was
+            received.
         newest_revision: The newest revision of the configuration that a
             reader has reported.
     """
@@ -147,8 +148,8 @@
         self.list_confirmed_at: float | None = None
         self.informed_at: float | None = None
         self.informed_since: float | None = None
-        self.asked_at = 0.0
-        self.last_asks: dict[
+        self.requested_at = 0.0
+        self.last_requests: dict[
             str, tuple[messages.StoreUpdateRequest, float]
         ] = {}
         self.newest_revision = 0
@@ -184,51 +185,51 @@
             else now - self.list_confirmed_at
         )
 
-    def record_ask(
-        self, ask: messages.StoreUpdateRequest, *, now: float
+    def record_update_request(
+        self, request: messages.StoreUpdateRequest, *, now: float
     ) -> None:
-        """Records an ask, so that later changes are sent to its sender."""
-        self.last_asks[ask.address] = (ask, now)
+        """Records a request, so that later changes are sent to its sender."""
+        self.last_requests[request.address] = (request, now)
 
-    def list_recent_asks(
+    def list_recent_requests(
         self, *, now: float
     ) -> list[messages.StoreUpdateRequest]:
-        """Returns the last ask of each entry that asked recently."""
-        self.last_asks = {
-            address: (ask, at)
-            for address, (ask, at) in self.last_asks.items()
-            if now - at <= defaults.ASKER_EXPIRY_S
+        """Returns the last request of each entry that sent one recently."""
+        self.last_requests = {
+            address: (request, at)
+            for address, (request, at) in self.last_requests.items()
+            if now - at <= defaults.UPDATE_REQUEST_EXPIRY_S
         }
-        return [ask for ask, _ in self.last_asks.values()]
+        return [request for request, _ in self.last_requests.values()]
 
-    def is_ask_due(self, *, now: float) -> bool:
-        """Returns whether the next ask to a reader is due."""
-        return now - self.asked_at >= defaults.ASK_PERIOD_S
+    def is_request_due(self, *, now: float) -> bool:
+        """Returns whether the next request to a reader is due."""
+        return now - self.requested_at >= defaults.UPDATE_REQUEST_PERIOD_S
 
     def build_reply(
         self,
-        ask: messages.StoreUpdateRequest,
+        request: messages.StoreUpdateRequest,
         facts: "ReaderFacts",
         *,
         now: float,
     ) -> messages.StoreUpdate | None:
-        """Returns the reply to an ask; None without a proof or a list.
+        """Returns the reply to a request; None without a proof or a list.
 
         Args:
-            ask: The ask to reply to.
+            request: The request to reply to.
             facts: Data of this entry that isn't kept by the relay.
             now: The current time in seconds.
         """
         age_s = self.list_age(now=now)
         if facts.proof_age_s is None or age_s is None:
             return None
-        changes = self.change_log.list_changes_since(ask.position)
+        changes = self.change_log.list_changes_since(request.position)
         whole: tuple[upstreams.Upstream, ...] | None = None
         if changes is None:
             whole = facts.listed
         return messages.StoreUpdate(
             name=facts.name,
-            asked_at=ask.asked_at,
+            asked_at=request.asked_at,
             revision=facts.revision,
             proof_age_s=facts.proof_age_s,
             position=self.change_log.position,
@@ -254,7 +255,7 @@
         """Returns whether readers have sent fresh data for long enough."""
         if self.informed_at is None or self.informed_since is None:
             return False
-        if now - self.informed_at > defaults.ASKER_EXPIRY_S:
+        if now - self.informed_at > defaults.UPDATE_REQUEST_EXPIRY_S:
             self.informed_since = None
             return False
         return now - self.informed_since >= defaults.RELAY_PROVEN_S
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/upstream_list.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/upstream_list.py
@@ -2,7 +2,7 @@
 
 The list comes from the store's watch or from another entry that reads the
 store. Both produce the same events, which are handled here: they update the
-view and are relayed to the entries that ask this one.
+view and are relayed to the entries that request updates from this one.
 """
 
 from rhubarbbank_core import program_effects as fx
