--- a/packages/rhubarbbank-router/src/rhubarbbank_router/crash_suspects.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/crash_suspects.py
@@ -309,7 +309,9 @@
         }
         return old
 
-    def build_news(self, *, now: float) -> tuple[messages.SuspectReport, ...]:
+    def build_reports(
+        self, *, now: float
+    ) -> tuple[messages.SuspectReport, ...]:
         """Returns the suspects for a heartbeat, those with most crashes first.
 
         A crash observed here is sent until every live entry should have
@@ -325,12 +327,12 @@
         ]
         shared.sort(key=lambda each: (-len(each[1].crashes), -each[1].seen_at))
         return tuple(
-            build_suspect_news(fingerprint, suspect, now=now)
+            build_report(fingerprint, suspect, now=now)
             for fingerprint, suspect in shared[: defaults.MAX_REPORTED_SUSPECTS]
         )
 
 
-def build_suspect_news(
+def build_report(
     fingerprint: str, suspect: Suspect, *, now: float
 ) -> messages.SuspectReport:
     """Returns one suspect in the form that heartbeats carry."""
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
@@ -88,7 +88,7 @@
     is_new_incarnation = state.entries.update(message, now=now)
     reported = state.suspects.merge(message.suspects, now=now)
     state.remote_work.update(message.name, message.loads, now=now)
-    rollouts.merge_news(state, message, now=now)
+    rollouts.merge_trial_reports(state, message, now=now)
     out = [
         log_reported_suspect(state, message.name, fingerprint)
         for fingerprint in reported
@@ -156,8 +156,8 @@
         incarnation=state.incarnation,
         address=settings.peer_address,
         stopping=state.stopping,
-        trials=rollouts.build_news(state, now=now),
-        suspects=state.suspects.build_news(now=now),
+        trials=rollouts.build_trial_reports(state, now=now),
+        suspects=state.suspects.build_reports(now=now),
         leaving=state.view.list_announced_leaving(),
         loads=engine_load.list_loads(state.view, now=now),
         data_centre=settings.data_centre,
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/rollouts.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/rollouts.py
@@ -302,15 +302,15 @@
         )
 
 
-def merge_news(
-    state: states.RouterState, news: messages.Heartbeat, *, now: float
+def merge_trial_reports(
+    state: states.RouterState, heartbeat: messages.Heartbeat, *, now: float
 ) -> None:
-    """Merges a peer's view of the roll-outs: start, step, kept sessions.
+    """Merges a peer's reports: start, step, rejection and kept sessions.
 
     All entries must use the same share; otherwise a session that one entry
     moves would be routed back by another.
     """
-    for theirs in news.trials:
+    for theirs in heartbeat.trials:
         trial = state.trials.get(theirs.service)
         if trial is None or theirs.key != trial.order.key:
             continue
@@ -412,8 +412,10 @@
         return version_trial.OrderState.ROLLED_BACK
     if not trial.has_all_traffic or count_other_attempts(state, trial):
         return version_trial.OrderState.RUNNING
-    for news in state.entries.list_live(now=now):
-        theirs = [each for each in news.trials if each.key == trial.order.key]
+    for heartbeat in state.entries.list_live(now=now):
+        theirs = [
+            each for each in heartbeat.trials if each.key == trial.order.key
+        ]
         if not theirs or not theirs[0].whole or theirs[0].old_in_flight:
             return version_trial.OrderState.RUNNING
     return version_trial.OrderState.COMPLETED
@@ -431,10 +433,10 @@
     )
 
 
-def build_news(
+def build_trial_reports(
     state: states.RouterState, *, now: float
 ) -> tuple[messages.TrialReport, ...]:
-    """Returns this entry's roll-outs as a heartbeat carries them."""
+    """Returns this entry's roll-outs in the form that heartbeats carry."""
     return tuple(
         messages.TrialReport(
             service=service,
@@ -463,7 +465,7 @@
 def list_route_counts(
     trial: version_trial.VersionTrial,
 ) -> tuple[messages.RouteReport, ...]:
-    """Returns this entry's evidence as a heartbeat carries it."""
+    """Returns this entry's evidence in the form that heartbeats carry."""
     return tuple(
         messages.RouteReport(
             route,
@@ -475,5 +477,5 @@
 
 
 def encode_counts(counts: version_trial.AnswerCounts) -> messages.CountReport:
-    """Returns counts as a heartbeat carries them."""
+    """Returns counts in the form that heartbeats carry."""
     return messages.CountReport(**dataclasses.asdict(counts))
