--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -218,9 +218,9 @@
 # higher at small shares, where little is at stake, and for services without
 # streams, which bring little evidence.
 TRIAL_SMALL_SHARE = 0.15
-TRIAL_SMALL_SHARE_HOLD_RATIO = 2.0
-TRIAL_HOLD_RATIO = 1.0
-PLAIN_TRIAL_HOLD_RATIO = 2.0
+TRIAL_SMALL_SHARE_DOUBT_RATIO = 2.0
+TRIAL_DOUBT_RATIO = 1.0
+PLAIN_TRIAL_DOUBT_RATIO = 2.0
 # Probability of a false alarm in a whole roll-out.
 TRIAL_FALSE_ALARM = 0.01
 # An answer is slow if its first event took this many times the usual wait.
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/trial_judge.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/trial_judge.py
@@ -60,7 +60,7 @@
         """
         ratio = plan.doubt_ratio
         if share <= defaults.TRIAL_SMALL_SHARE:
-            ratio = defaults.TRIAL_SMALL_SHARE_HOLD_RATIO
+            ratio = defaults.TRIAL_SMALL_SHARE_DOUBT_RATIO
         return self.compute_log_ratio(evidence, plan) > math.log(ratio)
 
     def compute_log_ratio(
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/version_trial.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/version_trial.py
@@ -195,14 +195,14 @@
     steps=defaults.TRIAL_STEPS,
     step_duration_share=defaults.TRIAL_STEP_SHARE,
     drag_tolerance=defaults.TRIAL_DRAG_TOLERANCE,
-    doubt_ratio=defaults.TRIAL_HOLD_RATIO,
+    doubt_ratio=defaults.TRIAL_DOUBT_RATIO,
 )
 PLAIN_PLAN = TrialPlan(
     initial_share=defaults.PLAIN_TRIAL_SHARE,
     steps=defaults.PLAIN_TRIAL_STEPS,
     step_duration_share=defaults.PLAIN_TRIAL_STEP_SHARE,
     drag_tolerance=defaults.PLAIN_TRIAL_DRAG_TOLERANCE,
-    doubt_ratio=defaults.PLAIN_TRIAL_HOLD_RATIO,
+    doubt_ratio=defaults.PLAIN_TRIAL_DOUBT_RATIO,
 )
 
 
