--- a/features/steps/router_rollout_steps.py
+++ b/features/steps/router_rollout_steps.py
@@ -168,7 +168,7 @@
         )
 
 
-def build_trial_news(*, held=False, whole=True, old=0):
+def build_trial_report(*, held=False, whole=True, old=0):
     return messages.TrialReport(
         service=SERVICE,
         key=ORDER_KEY,
@@ -182,17 +182,17 @@
 
 @given('a peer that still routes requests to version "{version}"')
 def add_peer_on_old_version(context, version):
-    context.peer_trials["entry-7"] = build_trial_news(whole=False)
+    context.peer_trials["entry-7"] = build_trial_report(whole=False)
 
 
 @given('a peer that holds version "{version}"')
 def add_holding_peer(context, version):
-    context.peer_trials["entry-7"] = build_trial_news(held=True)
+    context.peer_trials["entry-7"] = build_trial_report(held=True)
 
 
 @given("a live peer whose name sorts first")
 def add_first_peer(context):
-    context.peer_trials["entry-0"] = build_trial_news()
+    context.peer_trials["entry-0"] = build_trial_report()
 
 
 @when("that peer sends no heartbeats for {duration:g} s")
@@ -270,7 +270,7 @@
     assert state not in list_recorded_states(context)
 
 
-def find_last_trial_news(world):
+def find_last_trial_report(world):
     """Returns the roll-out's part of the last heartbeat."""
     sent = [
         each.message
@@ -283,13 +283,13 @@
 
 @then("its last heartbeat contains the roll-out's counts")
 def check_counts_sent(context):
-    trial = find_last_trial_news(context.world)
+    trial = find_last_trial_report(context.world)
     assert sum(each.incumbent.answers for each in trial.routes) > 0, trial
 
 
 @then("its last heartbeat contains the roll-out without counts")
 def check_no_counts_sent(context):
-    trial = find_last_trial_news(context.world)
+    trial = find_last_trial_report(context.world)
     assert trial.key == ORDER_KEY, trial
     assert trial.routes == (), trial
 
