--- a/features/steps/engine_load_steps.py
+++ b/features/steps/engine_load_steps.py
@@ -84,7 +84,7 @@
 
 @then("no work of other entries is known")
 def check_expired(context):
-    assert not context.world.state.remote_work.loads
+    assert not context.world.state.peer_workload.loads
 
 
 @when('a caller asks "{route}" with a prompt of {tokens:d} tokens')
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
@@ -147,7 +147,7 @@
         uncached_tokens=uncached_tokens,
         prefill_s=uncached_tokens / speed,
         backlog_s=engine_load.sum_backlog_s(
-            tracked, state.remote_work, now=now
+            tracked, state.peer_workload, now=now
         ),
     )
     opened.attempts.append(attempt)
@@ -248,7 +248,7 @@
     return placement.Candidate(
         name=listed.upstream_id,
         own_in_flight=tracked.in_flight,
-        told_in_flight=state.remote_work.find(listed.upstream_id).in_flight,
+        told_in_flight=state.peer_workload.find(listed.upstream_id).in_flight,
         own_at_report=tracked.own_at_report,
         running=load.running if load else 0,
         waiting=load.waiting if load else 0,
@@ -258,7 +258,7 @@
         cached_blocks=cached_tokens // defaults.TOKENS_PER_BLOCK,
         service_s=times.answer_s,
         backlog_s=engine_load.sum_backlog_s(
-            tracked, state.remote_work, now=now
+            tracked, state.peer_workload, now=now
         ),
     )
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
@@ -32,7 +32,7 @@
         case messages.Heartbeat():
             return handle_heartbeat(state, message, now=now)
         case messages.LoadUpdate(name=name, loads=loads):
-            state.remote_work.update(name, loads, now=now)
+            state.peer_workload.update(name, loads, now=now)
             return []
         case messages.HeartbeatBundle():
             return handle_bundle(state, message, now=now)
@@ -87,7 +87,7 @@
     """
     is_new_incarnation = state.entries.update(message, now=now)
     reported = state.suspects.merge(message.suspects, now=now)
-    state.remote_work.update(message.name, message.loads, now=now)
+    state.peer_workload.update(message.name, message.loads, now=now)
     rollouts.merge_trial_reports(state, message, now=now)
     out = [
         log_reported_suspect(state, message.name, fingerprint)
@@ -232,7 +232,7 @@
     """Removes expired sessions, peer load, crash suspects and entries."""
     alive_s = state.settings.bounds.session_s + defaults.SESSION_MARGIN_S
     state.sessions.remove_expired(now=now, alive_s=alive_s)
-    state.remote_work.drop_expired(now=now)
+    state.peer_workload.drop_expired(now=now)
     out = [
         *log_removed_suspects(
             state.suspects.remove_expired(now=now), reason="old"
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
@@ -172,7 +172,7 @@
         entries: The other entries.
         suspects: Requests that may have crashed upstreams.
         relay: Shares reads of the store within the data centre.
-        remote_work: Work that the other entries have sent to upstreams.
+        peer_workload: Open work of the other entries at each upstream.
         store_availability: Availability of the store, by subject.
         started_at: When the first event was processed; None before.
         held_requests: Requests received before the initial data was read, by
@@ -208,7 +208,7 @@
     routes: route_match.RouteIndex = dataclasses.field(
         default_factory=lambda: route_match.RouteIndex(routes=())
     )
-    remote_work: peer_work.PeerWork = dataclasses.field(
+    peer_workload: peer_work.PeerWork = dataclasses.field(
         default_factory=peer_work.PeerWork
     )
     view: upstreams.UpstreamView = dataclasses.field(
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/timeouts.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/timeouts.py
@@ -118,7 +118,7 @@
         )
     tracked = state.view.tracked.get(attempt.upstream)
     if tracked is not None and engine_load.was_heard_within(
-        tracked, state.remote_work, defaults.UPSTREAM_ALIVE_S, now=now
+        tracked, state.peer_workload, defaults.UPSTREAM_ALIVE_S, now=now
     ):
         # The upstream is running other requests, so that this one is probably
         # queued; elsewhere it would start from the beginning.
