--- a/features/steps/table_steps.py
+++ b/features/steps/table_steps.py
@@ -747,18 +747,19 @@
 
 
 @behave.given(
-    "table entry-1 lags {first:d} polls and table entry-2 lags {second:d} polls"
+    "table edits reach entry-1 after {first:d} polls and entry-2 after "
+    "{second:d} polls"
 )
 def set_lags(context: runner.Context, first: int, second: int) -> None:
     context.platform.lags = {"entry-1": first, "entry-2": second}
 
 
-@behave.given("the table store loses the next answer after writing")
+@behave.given("the table store drops the response to the next write")
 def lose_answer(context: runner.Context) -> None:
     context.platform.loses_answer = True
 
 
-@behave.given("the table store loses the answers of the next {count:d} reads")
+@behave.given("the table store drops the responses to the next {count:d} reads")
 def lose_reads(context: runner.Context, count: int) -> None:
     context.platform.reads_lost = count
 
@@ -807,7 +808,7 @@
     assert context.platform.read().table.revision == revision
 
 
-@behave.then("the table store saw {count:d} write")
-@behave.then("the table store saw {count:d} writes")
+@behave.then("the table store received {count:d} write")
+@behave.then("the table store received {count:d} writes")
 def check_writes(context: runner.Context, count: int) -> None:
     assert context.platform.puts == count, context.platform.puts
