--- a/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
@@ -61,7 +61,8 @@
 def exceeds_size_limits(attempt: attempt_states.Attempt) -> bool:
     """Returns whether a stream has sent too many bytes.
 
-    That is in all, or since the last event that advanced it.
+    There is a limit for the whole stream, and one for the bytes since the last
+    event that advanced it.
     """
     return (
         attempt.idle_bytes > answer_bounds.MAX_IDLE_BYTES
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/crash_suspects.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/crash_suspects.py
@@ -71,8 +71,8 @@
         crashes: Time of each crash, by hash of the upstream's incarnation.
         seen_locally: Those of them that this entry observed itself.
         cleared_at: When it last had a good answer; None if it had none.
-        share_until: Heartbeats carry it until then, even if it has too few
-            crashes to be sent for as long as it is kept.
+        share_until: Until then heartbeats carry it even if it has fewer
+            crashes than CRASHES_TO_SHARE.
     """
 
     seen_at: float
@@ -195,7 +195,7 @@
         return suspect
 
     def evict_excess(self) -> list[str]:
-        """Removes the suspects with the fewest crashes above MAX_SUSPECTS.
+        """Removes those with the fewest crashes if there are too many suspects.
 
         Called with each heartbeat; few are added between two of them.
 
@@ -335,7 +335,7 @@
 def build_report(
     fingerprint: str, suspect: Suspect, *, now: float
 ) -> messages.SuspectReport:
-    """Returns one suspect in the form that heartbeats carry."""
+    """Returns the report of one suspect in a heartbeat."""
     cleared_ms = None
     if suspect.cleared_at is not None:
         cleared_ms = compute_age_ms(suspect.cleared_at, now=now)
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
@@ -99,7 +99,7 @@
     """Returns how far the expected wait exceeds the time left, in seconds.
 
     Guards against engines that have more prompts queued than they can process
-    before callers time out: one more prompt would be processed in vain, and
+    before callers time out: one more prompt would be answered too late, and
     delay those behind it. Only generations that haven't been sent anywhere
     are refused; other requests wait for milliseconds only.
     """
@@ -437,8 +437,8 @@
 ) -> float:
     """Returns the Retry-After of a service's request, in seconds.
 
-    If no upstream of the service is usable, it runs from the time when the
-    next one becomes usable again.
+    If no upstream of the service accepts requests, it is counted from the time
+    at which the next one accepts them again.
     """
     random_s = draw_retry_after_s(state)
     if state.view.list_accepting(service, now=now):
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeat_forwarding.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeat_forwarding.py
@@ -75,7 +75,7 @@
 
 
 def is_heartbeat_late(state: states.RouterState, *, now: float) -> bool:
-    """Returns whether the next heartbeat is late: the entry was suspended."""
+    """Returns whether the next heartbeat is overdue by SUSPENDED_S."""
     return 0.0 < state.next_heartbeat_at < now - defaults.SUSPENDED_S
 
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/rollouts.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/rollouts.py
@@ -114,7 +114,7 @@
 def remove_order(state: states.RouterState, service: str) -> None:
     """Ends the trial of an order that was removed from the store.
 
-    The settled versions stay as they are, so that a target that was held isn't
+    The settled versions stay as they are, so that a held target doesn't become
     settled.
     """
     state.trials.pop(service, None)
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
@@ -189,8 +189,8 @@
             if this entry isn't a forwarder.
         is_heartbeat_urgent: Whether the next heartbeat is sent directly to
             all entries.
-        next_load_update_at: When the entries of the data centre are told of
-            new work; None if no update is due.
+        next_load_update_at: When the next load update is sent to the entries
+            of the data centre; None if none is due.
     """
 
     settings: options.RouterSettings
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/store_reading.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/store_reading.py
@@ -219,8 +219,8 @@
 ) -> None:
     """Records that a reader has reached the store.
 
-    Upstreams that lapsed during the store's outage are treated here as they
-    are at the reader.
+    So upstreams whose list entries lapsed during an outage of the store are
+    kept for the same grace time as at the reader.
     """
     availability = state.get_store_availability(events.Subject.UPSTREAMS)
     if availability.is_unavailable:
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/trial_judge.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/trial_judge.py
@@ -14,8 +14,8 @@
 from rhubarbbank_router import defaults
 from rhubarbbank_router import version_trial
 
-# Pseudo-count for the incumbent's rate: this many more answers, of which one
-# was bad. The target, with a tenth of the traffic, has given about three
+# Prior of the incumbent's rate, as pseudo-counts: this many answers, of which
+# one was bad. The target, with a tenth of the traffic, has given about three
 # answers when the incumbent has given this many.
 PRIOR_ANSWERS = 30.0
 # If more than half of the incumbent's answers are bad, an increase isn't
@@ -138,7 +138,7 @@
         plan: version_trial.TrialPlan,
         share: float,
     ) -> bool:
-        """Returns the same as `is_worse`; this judge has no doubt level."""
+        """Returns the same as `is_worse`; this judge has a single threshold."""
         del share
         return self.is_worse(evidence, plan=plan)
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/upstream_list.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/upstream_list.py
@@ -53,11 +53,11 @@
     *,
     now: float,
 ) -> list[effects.Effect]:
-    """Counts a crash against requests that timed out at an ended upstream.
+    """Attributes crashes of ended upstreams to requests that timed out there.
 
     Args:
         state: The router's state, after the event.
-        previous: The upstreams that ran before the event.
+        previous: The upstreams that were listed before the event.
         now: In seconds.
     """
     out: list[effects.Effect] = []
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
@@ -68,7 +68,7 @@
         load: The last load report; None before the first.
         load_at: Time of the last load report.
         own_at_report: Number of this entry's open attempts at that time.
-        heard_at: When bytes of any of its answers last came.
+        heard_at: When bytes of any of its answers were last received.
         failures: Weighted number of failures since the last success.
         set_aside_until: Until then it is used only if there is no other.
         set_aside_s: Length of the last such period.
@@ -314,7 +314,7 @@
             tracked.own_at_report = tracked.in_flight
 
     def record_bytes_received(self, upstream_id: str, *, now: float) -> None:
-        """Records that bytes of an answer came."""
+        """Records that bytes of an answer were received."""
         tracked = self.tracked.get(upstream_id)
         if tracked is not None:
             tracked.heard_at = now
