--- a/packages/rhubarbbank-entry/src/rhubarbbank_entry/table_confirmation.py
+++ b/packages/rhubarbbank-entry/src/rhubarbbank_entry/table_confirmation.py
@@ -54,9 +54,10 @@
 ) -> list[str]:
     """Returns the sorted names of processes that lack the revision.
 
-    Entries that confirm it are added to `confirmed` and not polled again,
-    since revisions only grow. Returns `/hosts` when the host list can't be
-    read or contains no entry, since the live processes are unknown then.
+    Entries that confirm it for themselves and all their sidecars are added to
+    `confirmed` and not polled again, since revisions only grow.
+    Returns `/hosts` when the host list can't be read or contains no entry,
+    since the live processes are unknown then.
     """
     body = await fetch(session, f"{hosts_url}/hosts")
     try:
