--- a/packages/rhubarbbank-entry/src/rhubarbbank_entry/main.py
+++ b/packages/rhubarbbank-entry/src/rhubarbbank_entry/main.py
@@ -47,7 +47,7 @@
         language: str = "en",
         author: str = "operator",
     ) -> dict[str, Callable[..., None]]:
-        """Shows and edits the routing table.
+        """Shows and edits the operators' table.
 
         Args:
             settings: Path of an entry's settings file, which provides defaults
--- a/packages/rhubarbbank-entry/src/rhubarbbank_entry/table_commands.py
+++ b/packages/rhubarbbank-entry/src/rhubarbbank_entry/table_commands.py
@@ -1,4 +1,4 @@
-"""Commands of `rhubarbbank table`, which show and edit the routing table.
+"""Commands of `rhubarbbank table`, which show and edit the operators' table.
 
 Commands access the table only through the object API, and edit it with the
 same `table_editor.TableEditor` that the system uses for status cells. With
