--- a/features/router_store_relay.feature
+++ b/features/router_store_relay.feature
@@ -19,7 +19,7 @@
     Given a router that knows its configuration and 3 upstreams
     And a peer that is a reader
     When 5 s pass
-    Then it is still a reader and has sent no asks
+    Then it is still a reader and has sent no update requests
 
   Scenario Outline: Successive registrations of upstreams are reported in batches
     When an entry whose bounds <bounds> a relay watches 60 upstreams register in 1.5 s
--- a/features/steps/router_crash_steps.py
+++ b/features/steps/router_crash_steps.py
@@ -113,7 +113,7 @@
         )
         for number in range(count)
     )
-    news = messages.Heartbeat(
+    heartbeat = messages.Heartbeat(
         name="entry-1",
         incarnation=0,
         address="none",
@@ -121,7 +121,7 @@
         trials=(),
         suspects=reported,
     )
-    fleet.deliver(fleet.worlds[entry], news)
+    fleet.deliver(fleet.worlds[entry], heartbeat)
 
 
 @when("it is sent once to an upstream that survives it")
--- a/features/steps/store_relay_steps.py
+++ b/features/steps/store_relay_steps.py
@@ -74,15 +74,15 @@
     )
 
 
-@then("it is still a reader and has sent no asks")
+@then("it is still a reader and has sent no update requests")
 def check_still_reader(context):
     assert context.world.state.relay.is_reader
-    asks = [
+    requests = [
         x
         for x in context.world.messages()
         if isinstance(x.message, messages.StoreUpdateRequest)
     ]
-    assert not asks
+    assert not requests
 
 
 @when(
