--- a/packages/rhubarbbank-core/src/rhubarbbank_core/placement.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/placement.py
@@ -2,16 +2,19 @@
 
 The request path calls `choose` once for each attempt, with what this entry
 knows of the upstreams that offer the version. The order of preference is:
-the upstream that holds the session, then one that has the prompt's prefix
-cached, each only while its expected wait stays within what the cache saves;
-otherwise the least expected wait among a few random candidates (the power
-of k choices). An entry with many requests in flight knows enough to compare
-several; one with few would go by old reports alone, and all such entries
-would pick the same upstream, so it compares only two.
+the upstream that served the session's last turn, then the one with most of
+the prompt's prefix cached, otherwise the least expected wait among a few
+random candidates (power of k choices). The cached prefix shortens the expected
+wait, and is preferred only if the wait is then no longer than that of the best
+candidate; the upstream of the session may exceed it by `session_credit_s`. An
+entry with few requests in flight compares only two candidates: it relies on
+old reports, and with more candidates all such entries would pick the same
+upstream.
 
 The expected wait is estimated from this entry's own requests in flight,
-which are exact, and the work of others from the upstream's last report,
-whose weight decays with its age towards the mean of the candidates.
+which are known exactly, and from the requests of other entries in the
+upstream's last report. The older the report, the more the mean of the
+compared candidates replaces it.
 """
 
 import collections.abc
@@ -21,16 +24,17 @@
 import random
 from typing import Protocol
 
+# Time constant with which the weight of a load report decays.
 REPORT_DECAY_S = 0.3
 SECONDS_PER_MS = 0.001
-# Share of a full batch's slow-down that one request on an idle engine sees.
+# Wait that a full batch adds, as a fraction of the mean service time.
 BATCH_SLOWDOWN = 0.5
 DEFAULT_CHOICES = 5
 SPARSE_CHOICES = 2
 
 
 class PlacementReason(enum.StrEnum):
-    """Why an upstream was chosen, for the log line."""
+    """Why an upstream was chosen, as written to the decision log."""
 
     SESSION = "session"
     PREFIX = "prefix"
@@ -43,20 +47,23 @@
     """What this entry knows of one upstream.
 
     Attributes:
-        name: The upstream.
+        name: Name of the upstream.
         own_in_flight: This entry's requests in flight there now.
         own_at_report: How many of this entry's requests were in flight
             there when the report was made.
-        told_in_flight: Other entries' requests there, as they tell.
+        told_in_flight: Other entries' requests in flight there, as those
+            entries report them.
         running: Requests in the batch, as last reported.
         waiting: Requests queued, as last reported.
-        max_batch: How many requests run side by side.
-        report_age_s: Age of the report; infinite when there is none.
+        max_batch: The most requests that run concurrently.
+        report_age_s: Age of the load report; infinite when there is none.
         latency_ms: One-way network latency to it.
-        cached_blocks: Blocks of this prompt's prefix hinted as cached there.
-        service_s: Mean time that a request runs there.
-        leaving: Whether it takes no new work.
-        backlog_s: Work of this entry's own attempts there, still to be done.
+        cached_blocks: Blocks of this prompt's prefix that are probably
+            cached there.
+        service_s: Mean service time of a request there.
+        leaving: Whether it is shutting down and accepts no new requests.
+        backlog_s: Remaining work of this entry's attempts there, in
+            seconds.
     """
 
     name: str
@@ -76,16 +83,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class PlacementRequest:
-    """What placement needs to know of a request.
+    """The properties of a request that placement depends on.
 
     Attributes:
         session_upstream: The upstream that served the session's last turn;
             empty when there is none.
-        session_credit_s: How much longer that one may take; None for the
-            placement's own figure.
+        session_credit_s: How much longer the expected wait at that upstream
+            may be before another one is chosen; None for the default of the
+            placement policy.
         prompt_blocks: Length of the prompt in cache blocks.
-        prefill_s_per_block: What one uncached block costs, in seconds.
-        excluded: Upstreams that an earlier attempt failed on.
+        prefill_s_per_block: Prefill time of one uncached block, in seconds.
+        excluded: Upstreams at which an earlier attempt failed.
     """
 
     session_upstream: str = ""
@@ -100,7 +108,7 @@
     """The upstream chosen, and why.
 
     Attributes:
-        upstream: Its name.
+        upstream: Name of the upstream.
         reason: Which rule chose it.
         expected_wait_s: Estimated time before the first token, in seconds.
     """
@@ -111,7 +119,7 @@
 
 
 class Placement(Protocol):
-    """Chooses one of several upstreams."""
+    """A policy that chooses one of several upstreams."""
 
     def choose(
         self,
@@ -119,11 +127,11 @@
         candidates: collections.abc.Sequence[Candidate],
         request: PlacementRequest,
     ) -> PlacementDecision | None:
-        """Returns the choice, or None when no candidate may be used."""
+        """Returns the decision, or None when no candidate is usable."""
 
 
 def count_others(candidate: Candidate) -> int:
-    """Returns the reported work that is not this entry's own."""
+    """Returns the number of reported requests from other entries."""
     reported = candidate.running + candidate.waiting
     return max(0, reported - candidate.own_at_report)
 
@@ -148,12 +156,12 @@
 
 
 class ExpectedWaitPlacement:
-    """Affinity bounded by expected wait, else the power of k choices.
+    """Prefers session and prefix affinity, else uses power of k choices.
 
     Attributes:
-        choices: How many random candidates are compared at most.
-        session_credit_s: How much longer a session's own upstream may be
-            expected to take before the session is moved.
+        choices: Maximum number of random candidates to compare.
+        session_credit_s: How much longer the expected wait at a session's
+            upstream may be before the session moves to another one.
     """
 
     def __init__(
@@ -173,7 +181,7 @@
         candidates: collections.abc.Sequence[Candidate],
         request: PlacementRequest,
     ) -> PlacementDecision | None:
-        """Returns the choice, or None when no candidate may be used."""
+        """Returns the decision, or None when no candidate is usable."""
         usable = list_usable(candidates, request)
         if not usable:
             return None
@@ -200,7 +208,7 @@
         )
 
     def draw_sample(self, usable: list[Candidate]) -> list[Candidate]:
-        """Returns a few different candidates, at random."""
+        """Returns a few distinct candidates, chosen at random."""
         count = min(self.choices, len(usable))
         sample = self.rng.sample(usable, count)
         own = sum(each.own_in_flight for each in sample)
@@ -210,7 +218,7 @@
 def list_usable(
     candidates: collections.abc.Sequence[Candidate], request: PlacementRequest
 ) -> list[Candidate]:
-    """Returns the candidates that take new work and are not excluded."""
+    """Returns the candidates that are neither leaving nor excluded."""
     usable = [each for each in candidates if not each.leaving]
     if request.excluded:
         usable = [each for each in usable if each.name not in request.excluded]
@@ -218,7 +226,7 @@
 
 
 def find_cached(usable: list[Candidate]) -> Candidate | None:
-    """Returns the candidate with most of the prompt cached, if any has."""
+    """Returns the candidate with the most cached blocks, or None."""
     hinted = [each for each in usable if each.cached_blocks]
     if not hinted:
         return None
@@ -226,7 +234,7 @@
 
 
 def find_named(usable: list[Candidate], name: str) -> Candidate | None:
-    """Returns the candidate of this name; None for an empty name."""
+    """Returns the candidate with this name, or None."""
     if not name:
         return None
     found = [each for each in usable if each.name == name]
--- a/packages/rhubarbbank-core/src/rhubarbbank_core/placement_baselines.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/placement_baselines.py
@@ -1,7 +1,7 @@
-"""Naive placements that `placement.ExpectedWaitPlacement` is measured against.
+"""Baseline placements to compare with `placement.ExpectedWaitPlacement`.
 
-Each takes the same candidates, leaves out those that are leaving, and ignores
-affinity. Entries use them only in experiments and tests, by their setting.
+They skip leaving and excluded candidates, and ignore session and prefix
+affinity. Only experiments and tests select them, with the `placement` setting.
 """
 
 import collections.abc
@@ -20,7 +20,7 @@
 
 
 class RoundRobinPlacement:
-    """Takes the candidates in turn."""
+    """Chooses the candidates in turn."""
 
     def __init__(self) -> None:
         self.turn = 0
@@ -31,7 +31,7 @@
         candidates: collections.abc.Sequence[placement.Candidate],
         request: placement.PlacementRequest,
     ) -> placement.PlacementDecision | None:
-        """Returns the next candidate in turn, or None without any."""
+        """Returns the next candidate, or None when none is usable."""
         usable = placement.list_usable(candidates, request)
         if not usable:
             return None
@@ -40,7 +40,7 @@
 
 
 class RandomPlacement:
-    """Takes any candidate with equal probability."""
+    """Chooses uniformly at random."""
 
     def __init__(self, *, rng: random.Random) -> None:
         self.rng = rng
@@ -51,13 +51,13 @@
         candidates: collections.abc.Sequence[placement.Candidate],
         request: placement.PlacementRequest,
     ) -> placement.PlacementDecision | None:
-        """Returns a random candidate, or None without any."""
+        """Returns a random candidate, or None when none is usable."""
         usable = placement.list_usable(candidates, request)
         return decide(self.rng.choice(usable)) if usable else None
 
 
 class LeastPlacement:
-    """Takes the candidate with the least of some measure, ties at random."""
+    """Chooses the candidate with the least load, breaking ties at random."""
 
     def __init__(
         self,
@@ -74,7 +74,7 @@
         candidates: collections.abc.Sequence[placement.Candidate],
         request: placement.PlacementRequest,
     ) -> placement.PlacementDecision | None:
-        """Returns one of the least candidates, or None without any."""
+        """Returns a least-loaded candidate, or None when none is usable."""
         usable = placement.list_usable(candidates, request)
         if not usable:
             return None
@@ -84,14 +84,14 @@
 
 
 class LeastOwnInFlightPlacement(LeastPlacement):
-    """Takes the candidate with the fewest requests of this entry."""
+    """Chooses the candidate with the fewest requests of this entry."""
 
     def __init__(self, *, rng: random.Random) -> None:
         super().__init__(rng=rng, measure=lambda each: each.own_in_flight)
 
 
 class LeastReportedLoadPlacement(LeastPlacement):
-    """Takes the candidate whose last report shows the least load."""
+    """Chooses the candidate with the least load in its last report."""
 
     def __init__(self, *, rng: random.Random) -> None:
         super().__init__(
