--- a/packages/rhubarbbank-core/src/rhubarbbank_core/policies.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/policies.py
@@ -1,7 +1,7 @@
-"""Which placement and which cascade an entry uses, by name.
+"""Builds the placement and cascade policies that the settings name.
 
-Deployments use the model-aware ones. The naive ones are there to be measured
-against, with the same processes around them.
+Deployments use the model-aware policies. The others are baselines, which
+experiments run in the same processes for comparison.
 """
 
 import dataclasses
@@ -15,7 +15,7 @@
 
 
 class PlacementName(enum.StrEnum):
-    """Ways to choose among upstreams."""
+    """Names of the policies that choose among upstreams."""
 
     MODEL_AWARE = "model_aware"
     ROUND_ROBIN = "round_robin"
@@ -25,7 +25,7 @@
 
 
 class CascadeName(enum.StrEnum):
-    """Ways to choose among models."""
+    """Names of the policies that choose among models."""
 
     MODEL_AWARE = "model_aware"
     ALWAYS_STRONG = "always_strong"
@@ -34,11 +34,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class PolicyNames:
-    """The policies of one entry.
+    """Names of the policies of one entry.
 
     Attributes:
-        placement: Chooses among upstreams.
-        cascade: Chooses among models.
+        placement: Policy that chooses among upstreams.
+        cascade: Policy that chooses among models.
     """
 
     placement: PlacementName = PlacementName.MODEL_AWARE
@@ -51,7 +51,7 @@
 def build_placement(
     name: PlacementName, *, rng: random.Random
 ) -> placement.Placement:
-    """Returns a new placement of that name."""
+    """Returns a new instance of the named placement policy."""
     match name:
         case PlacementName.MODEL_AWARE:
             return placement.ExpectedWaitPlacement(rng=rng)
@@ -66,7 +66,7 @@
 
 
 def build_cascade(name: CascadeName, *, rng: random.Random) -> cascade.Cascade:
-    """Returns a new cascade of that name."""
+    """Returns a new instance of the named cascade policy."""
     match name:
         case CascadeName.MODEL_AWARE:
             return cascade.LearningCascade(rng=rng)
--- a/packages/rhubarbbank-core/src/rhubarbbank_core/retry_budget.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/retry_budget.py
@@ -1,35 +1,35 @@
-"""A local retry budget: retries may only be a share of what succeeds.
-
-The request path asks before each retry. Every entry keeps a budget of its
-own and sees only its own successes, so that the fleet as a whole never
-retries more than `ratio` of its successes plus a small trickle; no
-agreement between entries is needed. It is a token bucket whose refill is
-tied to successes: when everything fails, nothing refills it but the
-trickle, and a retry storm cannot feed itself.
+"""A retry budget per entry that limits retries to a fraction of successes.
+
+The request path asks the budget before each retry. Every entry counts only
+its own successes, so the retries of the whole fleet stay below `ratio` of its
+successes plus a small constant rate and the initial burst, without
+coordination between entries. The budget is a token bucket refilled by
+successes: when all requests fail, only the constant rate refills it, so
+retries cannot grow into a retry storm.
 """
 
 from typing import Protocol
 
 
 class RetryBudget(Protocol):
-    """Decides whether one more retry is affordable."""
+    """Decides whether another retry may be sent."""
 
     def record_success(self) -> None:
-        """Notes that a request succeeded."""
+        """Records that a request succeeded."""
 
     def may_retry(self, *, now: float) -> bool:
-        """Returns whether a retry may be sent, and spends it if so."""
+        """Takes a token for one retry; returns False when none is left."""
 
 
 class SuccessRetryBudget:
-    """A token bucket that successes refill.
+    """A token bucket that successful requests refill.
 
     Attributes:
-        ratio: Retries earned by one success.
-        trickle_per_s: Retries earned by time alone, so that an entry with
-            little traffic can still retry.
-        burst: The most retries that can be saved up.
-        tokens: Retries in hand.
+        ratio: Tokens added for each success.
+        trickle_per_s: Tokens added per second regardless of successes, so
+            that an entry with little traffic can still retry.
+        burst: Capacity of the bucket.
+        tokens: Retries that may be sent now.
     """
 
     def __init__(
@@ -46,11 +46,11 @@
         self.refilled_at: float | None = None
 
     def record_success(self) -> None:
-        """Notes that a request succeeded."""
+        """Records that a request succeeded."""
         self.tokens = min(self.burst, self.tokens + self.ratio)
 
     def may_retry(self, *, now: float) -> bool:
-        """Returns whether a retry may be sent, and spends it if so."""
+        """Takes a token for one retry; returns False when none is left."""
         self.refill(now=now)
         if self.tokens < 1.0:
             return False
@@ -58,7 +58,7 @@
         return True
 
     def refill(self, *, now: float) -> None:
-        """Adds what time alone has earned since the last call."""
+        """Adds the tokens for the time since the last call."""
         if self.refilled_at is not None and now > self.refilled_at:
             earned = (now - self.refilled_at) * self.trickle_per_s
             self.tokens = min(self.burst, self.tokens + earned)
@@ -66,12 +66,12 @@
 
 
 class UnlimitedRetryBudget:
-    """The naive baseline: every retry is affordable."""
+    """A baseline that allows every retry."""
 
     def record_success(self) -> None:
         """Does nothing."""
 
     def may_retry(self, *, now: float) -> bool:
-        """Returns True at any time."""
+        """Returns True."""
         del now
         return True
