Reword the docstrings and fault texts of the settings

Names check_settings instead of two functions that do not exist; makes the texts and remedies of faults plainer; renames the local sound to is_valid.

--- a/packages/rhubarbbank-core/src/rhubarbbank_core/options.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/options.py
@@ -1,7 +1,8 @@
-"""Settings of the two programs: their form, and a check that finds all faults.
+"""Settings of the entry and the sidecar, and their validation.
 
-A settings file is one JSON object. `check_entry` and `check_sidecar` return
-either the settings or every fault at once, each with field, fault and remedy.
+A settings file is one JSON object. `check_settings` returns either the
+settings or the faults found, each with its field and a remedy. The values are
+checked only when all fields are known, present and of the right type.
 """
 
 import dataclasses
@@ -25,26 +26,32 @@
 
     Attributes:
         name: Unique among all processes.
-        data_centre: Where the host stands.
-        region: Where the data centre stands.
-        http_address: Where callers and operators reach it, "ip:port".
-        peer_address: Where other processes reach it, "ip:port".
+        data_centre: Data centre of the host.
+        region: Region of the data centre.
+        http_address: Address for callers and operators, "ip:port".
+        peer_address: Address for the other processes, "ip:port".
         store_url: Base URL of the object API.
         hosts_url: Base URL of the host list.
         rating_url: Base URL of the rating service; empty for none.
-        statsd_address: Where metrics go, "ip:port"; empty for nowhere.
-        shards: Number of ledger shards; the same on all hosts, for good.
-        subset_size: Upstreams of each version that this entry uses.
-        store_writes_per_s: Most writes of this process to the object API.
-        store_reads_per_s: Most reads of this process from the object API.
-        serve_unconfirmed: Whether to serve when cut off from the store and
-            from all that reach it. The promise on table changes then rests.
-        placement: Chooses among upstreams; others are for experiments.
-        cascade: Chooses among models; others are for experiments.
-        record_events: Whether to write every event to the log.
-        log_level: Such as INFO.
-        stop_grace_s: Longest graceful stop.
-        seed: Of the process's randomness; 0 takes the system's.
+        statsd_address: StatsD server, "ip:port"; empty to send no metrics.
+        shards: Number of ledger shards; must be the same on all hosts and
+            never change.
+        subset_size: Number of upstreams of each version that this entry
+            uses.
+        store_writes_per_s: Maximum rate of writes to the object API.
+        store_reads_per_s: Maximum rate of reads from the object API.
+        serve_unconfirmed: Whether to serve while neither the store nor a
+            process connected to it is reachable. The guarantee on table
+            changes does not hold during that time.
+        placement: Policy that chooses among upstreams; values other than the
+            default are for experiments.
+        cascade: Policy that chooses among models; values other than the
+            default are for experiments.
+        record_events: Whether to record every event in the log.
+        log_level: Lowest level that is logged, such as INFO.
+        stop_grace_s: Time limit of a graceful stop.
+        seed: Seed of the random number generator; 0 takes one from the
+            operating system.
     """
 
     name: str
@@ -76,20 +83,21 @@
 
     Attributes:
         name: Unique among all processes.
-        data_centre: Where the host stands.
-        region: Where the data centre stands.
-        peer_address: Where other processes reach it, "ip:port".
-        upstream: Name of the upstream beside it.
+        data_centre: Data centre of the host.
+        region: Region of the data centre.
+        peer_address: Address for the other processes, "ip:port".
+        upstream: Name of the upstream that this sidecar serves.
         upstream_url: Base URL of the upstream.
         kind: `chat` for a model engine, `service` for a plain service.
         service_version: For a plain service, its `model@version`.
-        places: How many versions the engine can hold.
-        statsd_address: Where metrics go, "ip:port"; empty for nowhere.
+        places: Number of versions that the engine can load at once.
+        statsd_address: StatsD server, "ip:port"; empty to send no metrics.
         serve_unconfirmed: As for the entry.
-        record_events: Whether to write every event to the log.
-        log_level: Such as INFO.
-        stop_grace_s: Longest graceful stop.
-        seed: Of the process's randomness; 0 takes the system's.
+        record_events: Whether to record every event in the log.
+        log_level: Lowest level that is logged, such as INFO.
+        stop_grace_s: Time limit of a graceful stop.
+        seed: Seed of the random number generator; 0 takes one from the
+            operating system.
     """
 
     name: str
@@ -117,7 +125,7 @@
     """One fault in a settings file.
 
     Attributes:
-        field: The field, or empty for the file as a whole.
+        field: Name of the field; empty for the file as a whole.
         fault: What is wrong.
         remedy: What to write instead.
     """
@@ -131,19 +139,19 @@
 
 
 def check_address(field: str, text: str) -> SettingsFault | None:
-    """Returns a fault unless the text is "ip:port"."""
+    """Returns a fault unless the text has the form "ip:port"."""
     ip, _, port = text.rpartition(":")
     try:
         ipaddress.ip_address(ip.strip("[]"))
-        sound = 0 < int(port) <= MAX_PORT
+        is_valid = 0 < int(port) <= MAX_PORT
     except ValueError:
-        sound = False
-    if sound:
+        is_valid = False
+    if is_valid:
         return None
     return SettingsFault(
         field=field,
         fault=f"{text!r} is not an address.",
-        remedy='Write an IP number and a port, such as "127.0.0.1:8080".',
+        remedy='Write an IP address and a port, such as "127.0.0.1:8080".',
     )
 
 
@@ -154,34 +162,34 @@
     return SettingsFault(
         field=field,
         fault=f"{text!r} is not a base URL.",
-        remedy='Write it as "http://127.0.0.1:9000", with no slash behind.',
+        remedy='Write it as "http://127.0.0.1:9000", without a trailing slash.',
     )
 
 
 def check_positive(field: str, number: float) -> SettingsFault | None:
-    """Returns a fault unless the number is above 0."""
+    """Returns a fault unless the number is greater than 0."""
     if number > 0:
         return None
     return SettingsFault(
         field=field,
-        fault=f"{number} is not above 0.",
-        remedy="Write a number above 0.",
+        fault=f"{number} is not greater than 0.",
+        remedy="Write a number greater than 0.",
     )
 
 
 def check_filled(field: str, text: str) -> SettingsFault | None:
-    """Returns a fault for an empty text."""
+    """Returns a fault when the text is empty."""
     if text:
         return None
     return SettingsFault(
-        field=field, fault="It is empty.", remedy="Fill it in."
+        field=field, fault="It is empty.", remedy="Enter a value."
     )
 
 
 def find_faults(
     settings: EntrySettings | SidecarSettings,
 ) -> list[SettingsFault]:
-    """Returns every fault in settings whose form is right."""
+    """Returns every invalid value in settings with the right types."""
     found = [
         check_filled("name", settings.name),
         check_filled("data_centre", settings.data_centre),
@@ -207,14 +215,14 @@
 
 
 def check_service_version(settings: SidecarSettings) -> SettingsFault | None:
-    """Returns a fault when a plain service lacks its version."""
+    """Returns a fault when a plain service has no `model@version`."""
     if settings.kind is requests.WorkKind.CHAT:
         return None
     if settings.service_version.count("@") == 1:
         return None
     return SettingsFault(
         field="service_version",
-        fault=f"{settings.service_version!r} names no version.",
+        fault=f"{settings.service_version!r} is not a model@version.",
         remedy='Write it as "booking@v1".',
     )
 
@@ -222,7 +230,7 @@
 def find_form_faults(
     text: bytes, settings_type: type[AnySettings]
 ) -> list[SettingsFault]:
-    """Returns every fault of form: missing, unknown and mistyped fields."""
+    """Returns every missing, unknown or wrongly typed field."""
     try:
         given = msgspec.json.decode(text, type=dict[str, msgspec.Raw])
     except msgspec.MsgspecError as error:
@@ -262,7 +270,7 @@
 
 
 def describe_remedy(wanted: object) -> str:
-    """Returns what to write instead of a value of the wrong form."""
+    """Returns the remedy for a value of the wrong type."""
     if isinstance(wanted, type) and issubclass(wanted, enum.Enum):
         return f"Write one of {', '.join(x.value for x in wanted)}."
     return "Correct its type."
@@ -271,7 +279,7 @@
 def check_settings(
     text: bytes, settings_type: type[AnySettings]
 ) -> AnySettings | list[SettingsFault]:
-    """Returns the settings in a file's text, or all faults found in it."""
+    """Returns the settings in a file's text, or the faults found."""
     faults = find_form_faults(text, settings_type)
     if faults:
         return faults
