--- a/packages/rhubarbbank-core/src/rhubarbbank_core/placement.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/placement.py
@@ -28,9 +28,9 @@
 REPORT_DECAY_S = 0.3
 SECONDS_PER_MS = 0.001
 # Wait that a full batch adds, as a fraction of the mean service time.
-BATCH_SLOWDOWN = 0.5
+FULL_BATCH_DELAY_RATIO = 0.5
 DEFAULT_CHOICES = 5
-SPARSE_CHOICES = 2
+LOW_TRAFFIC_CHOICES = 2
 
 
 class PlacementReason(enum.StrEnum):
@@ -137,15 +137,17 @@
 
 
 def estimate_wait_s(
-    candidate: Candidate, request: PlacementRequest, mean_others: float
+    candidate: Candidate, request: PlacementRequest, mean_peer_load: float
 ) -> float:
     """Returns the expected time to the first token, in seconds."""
     weight = math.exp(-candidate.report_age_s / REPORT_DECAY_S)
-    others = weight * count_others(candidate) + (1.0 - weight) * mean_others
-    load = candidate.own_in_flight + others
+    peer_load = (
+        weight * count_others(candidate) + (1.0 - weight) * mean_peer_load
+    )
+    load = candidate.own_in_flight + peer_load
     queued = max(0.0, load + 1.0 - candidate.max_batch)
     batch_share = min(1.0, load / candidate.max_batch)
-    busy = queued / candidate.max_batch + BATCH_SLOWDOWN * batch_share
+    busy = queued / candidate.max_batch + FULL_BATCH_DELAY_RATIO * batch_share
     cached = min(candidate.cached_blocks, request.prompt_blocks)
     prefill_s = (request.prompt_blocks - cached) * request.prefill_s_per_block
     return (
@@ -186,22 +188,24 @@
         if not usable:
             return None
         sample = self.draw_sample(usable)
-        mean_others = sum(map(count_others, sample)) / len(sample)
-        best, wait_s = find_least_wait(sample, request, mean_others)
+        mean_peer_load = sum(map(count_others, sample)) / len(sample)
+        best, wait_s = find_least_wait(sample, request, mean_peer_load)
         reason = PlacementReason.LEAST_WAIT
         if len(usable) == 1:
             reason = PlacementReason.ONLY_CANDIDATE
-        cached = find_cached(usable) if request.prompt_blocks else None
+        cached = find_most_cached(usable) if request.prompt_blocks else None
         if cached is not None:
-            cached_wait_s = estimate_wait_s(cached, request, mean_others)
+            cached_wait_s = estimate_wait_s(cached, request, mean_peer_load)
             if cached_wait_s <= wait_s:
                 best, wait_s = cached, cached_wait_s
                 reason = PlacementReason.PREFIX
-        holder = find_named(usable, request.session_upstream)
-        if holder is not None:
-            session_wait_s = estimate_wait_s(holder, request, mean_others)
+        session_candidate = find_by_name(usable, request.session_upstream)
+        if session_candidate is not None:
+            session_wait_s = estimate_wait_s(
+                session_candidate, request, mean_peer_load
+            )
             if session_wait_s <= wait_s + self.session_credit_s:
-                best, wait_s = holder, session_wait_s
+                best, wait_s = session_candidate, session_wait_s
                 reason = PlacementReason.SESSION
         return PlacementDecision(
             upstream=best.name, reason=reason, expected_wait_s=wait_s
@@ -212,7 +216,7 @@
         count = min(self.choices, len(usable))
         sample = self.rng.sample(usable, count)
         own = sum(each.own_in_flight for each in sample)
-        return sample if own >= count else sample[:SPARSE_CHOICES]
+        return sample if own >= count else sample[:LOW_TRAFFIC_CHOICES]
 
 
 def list_usable(
@@ -225,15 +229,15 @@
     return usable
 
 
-def find_cached(usable: list[Candidate]) -> Candidate | None:
+def find_most_cached(usable: list[Candidate]) -> Candidate | None:
     """Returns the candidate with the most cached blocks, or None."""
-    hinted = [each for each in usable if each.cached_blocks]
-    if not hinted:
+    with_cache = [each for each in usable if each.cached_blocks]
+    if not with_cache:
         return None
-    return max(hinted, key=lambda each: each.cached_blocks)
+    return max(with_cache, key=lambda each: each.cached_blocks)
 
 
-def find_named(usable: list[Candidate], name: str) -> Candidate | None:
+def find_by_name(usable: list[Candidate], name: str) -> Candidate | None:
     """Returns the candidate with this name, or None."""
     if not name:
         return None
@@ -242,9 +246,9 @@
 
 
 def find_least_wait(
-    sample: list[Candidate], request: PlacementRequest, mean_others: float
+    sample: list[Candidate], request: PlacementRequest, mean_peer_load: float
 ) -> tuple[Candidate, float]:
     """Returns the candidate with the least expected wait, and that wait."""
-    waits = [estimate_wait_s(each, request, mean_others) for each in sample]
+    waits = [estimate_wait_s(each, request, mean_peer_load) for each in sample]
     index = min(range(len(sample)), key=waits.__getitem__)
     return sample[index], waits[index]
--- a/packages/rhubarbbank-core/src/rhubarbbank_core/placement_baselines.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/placement_baselines.py
@@ -10,7 +10,7 @@
 from rhubarbbank_core import placement
 
 
-def decide(chosen: placement.Candidate) -> placement.PlacementDecision:
+def build_decision(chosen: placement.Candidate) -> placement.PlacementDecision:
     """Returns a decision for a candidate whose wait was not estimated."""
     return placement.PlacementDecision(
         upstream=chosen.name,
@@ -36,7 +36,7 @@
         if not usable:
             return None
         self.turn += 1
-        return decide(usable[self.turn % len(usable)])
+        return build_decision(usable[self.turn % len(usable)])
 
 
 class RandomPlacement:
@@ -53,20 +53,20 @@
     ) -> placement.PlacementDecision | None:
         """Returns a random candidate, or None when none is usable."""
         usable = placement.list_usable(candidates, request)
-        return decide(self.rng.choice(usable)) if usable else None
+        return build_decision(self.rng.choice(usable)) if usable else None
 
 
-class LeastPlacement:
+class LeastLoadPlacement:
     """Chooses the candidate with the least load, breaking ties at random."""
 
     def __init__(
         self,
         *,
         rng: random.Random,
-        measure: collections.abc.Callable[[placement.Candidate], int],
+        get_load: collections.abc.Callable[[placement.Candidate], int],
     ) -> None:
         self.rng = rng
-        self.measure = measure
+        self.get_load = get_load
 
     def choose(
         self,
@@ -78,22 +78,22 @@
         usable = placement.list_usable(candidates, request)
         if not usable:
             return None
-        least = min(map(self.measure, usable))
-        tied = [each for each in usable if self.measure(each) == least]
-        return decide(self.rng.choice(tied))
+        least = min(map(self.get_load, usable))
+        tied = [each for each in usable if self.get_load(each) == least]
+        return build_decision(self.rng.choice(tied))
 
 
-class LeastOwnInFlightPlacement(LeastPlacement):
+class LeastOwnInFlightPlacement(LeastLoadPlacement):
     """Chooses the candidate with the fewest requests of this entry."""
 
     def __init__(self, *, rng: random.Random) -> None:
-        super().__init__(rng=rng, measure=lambda each: each.own_in_flight)
+        super().__init__(rng=rng, get_load=lambda each: each.own_in_flight)
 
 
-class LeastReportedLoadPlacement(LeastPlacement):
+class LeastReportedLoadPlacement(LeastLoadPlacement):
     """Chooses the candidate with the least load in its last report."""
 
     def __init__(self, *, rng: random.Random) -> None:
         super().__init__(
-            rng=rng, measure=lambda each: each.running + each.waiting
+            rng=rng, get_load=lambda each: each.running + each.waiting
         )
