--- a/packages/rhubarbbank-core/src/rhubarbbank_core/options.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/options.py
@@ -177,7 +177,7 @@
     )
 
 
-def check_filled(field: str, text: str) -> SettingsFault | None:
+def check_not_empty(field: str, text: str) -> SettingsFault | None:
     """Returns a fault when the text is empty."""
     if text:
         return None
@@ -186,14 +186,14 @@
     )
 
 
-def find_faults(
+def find_value_faults(
     settings: EntrySettings | SidecarSettings,
 ) -> list[SettingsFault]:
     """Returns every invalid value in settings with the right types."""
     found = [
-        check_filled("name", settings.name),
-        check_filled("data_centre", settings.data_centre),
-        check_filled("region", settings.region),
+        check_not_empty("name", settings.name),
+        check_not_empty("data_centre", settings.data_centre),
+        check_not_empty("region", settings.region),
         check_address("peer_address", settings.peer_address),
         check_positive("stop_grace_s", settings.stop_grace_s),
     ]
@@ -207,7 +207,7 @@
         if settings.rating_url:
             found.append(check_url("rating_url", settings.rating_url))
     else:
-        found.append(check_filled("upstream", settings.upstream))
+        found.append(check_not_empty("upstream", settings.upstream))
         found.append(check_url("upstream_url", settings.upstream_url))
         found.append(check_service_version(settings))
         found.append(check_positive("places", settings.places))
@@ -227,7 +227,7 @@
     )
 
 
-def find_form_faults(
+def find_field_faults(
     text: bytes, settings_type: type[AnySettings]
 ) -> list[SettingsFault]:
     """Returns every missing, unknown or wrongly typed field."""
@@ -280,8 +280,8 @@
     text: bytes, settings_type: type[AnySettings]
 ) -> AnySettings | list[SettingsFault]:
     """Returns the settings in a file's text, or the faults found."""
-    faults = find_form_faults(text, settings_type)
+    faults = find_field_faults(text, settings_type)
     if faults:
         return faults
     settings = msgspec.json.decode(text, type=settings_type)
-    return find_faults(settings) or settings
+    return find_value_faults(settings) or settings
