--- a/packages/rhubarbbank-core/src/rhubarbbank_core/placement.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/placement.py
@@ -51,7 +51,7 @@
         own_in_flight: This entry's requests in flight there now.
         own_at_report: How many of this entry's requests were in flight
             there when the report was made.
-        told_in_flight: Other entries' requests in flight there, as those
+        peer_in_flight: Other entries' requests in flight there, as those
             entries report them.
         running: Requests in the batch, as last reported.
         waiting: Requests queued, as last reported.
@@ -69,7 +69,7 @@
     name: str
     own_in_flight: int = 0
     own_at_report: int = 0
-    told_in_flight: int = 0
+    peer_in_flight: int = 0
     running: int = 0
     waiting: int = 0
     max_batch: int = 1
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
@@ -248,7 +248,7 @@
     return placement.Candidate(
         name=listed.upstream_id,
         own_in_flight=tracked.in_flight,
-        told_in_flight=state.peer_workload.find(listed.upstream_id).in_flight,
+        peer_in_flight=state.peer_workload.find(listed.upstream_id).in_flight,
         own_at_report=tracked.own_at_report,
         running=load.running if load else 0,
         waiting=load.waiting if load else 0,
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/work_placement.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/work_placement.py
@@ -102,7 +102,7 @@
     """Returns the expected time to the first event, in seconds."""
     weight = math.exp(-candidate.report_age_s / defaults.REPORT_DECAY_S)
     reported = weight * placement.count_others(candidate)
-    others = max(reported, candidate.told_in_flight)
+    others = max(reported, candidate.peer_in_flight)
     excess = candidate.own_in_flight + others + 1.0 - candidate.max_batch
     queued = max(0.0, excess) / candidate.max_batch
     uncached = max(0, request.prompt_blocks - candidate.cached_blocks)
