--- a/experiments/src/rhubarbbank_experiments/mix_arms.py
+++ b/experiments/src/rhubarbbank_experiments/mix_arms.py
@@ -96,7 +96,7 @@
     answered lately looks empty.
     """
     weight = math.exp(-candidate.report_age_s / defaults.REPORT_DECAY_S)
-    others = placement.count_others(candidate)
+    others = placement.count_peer_requests(candidate)
     return dataclasses.replace(
         candidate,
         backlog_s=candidate.backlog_s + others * OTHER_WORK_S * weight,
--- a/packages/rhubarbbank-core/src/rhubarbbank_core/placement.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/placement.py
@@ -130,7 +130,7 @@
         """Returns the decision, or None when no candidate is usable."""
 
 
-def count_others(candidate: Candidate) -> int:
+def count_peer_requests(candidate: Candidate) -> int:
     """Returns the number of reported requests from other entries."""
     reported = candidate.running + candidate.waiting
     return max(0, reported - candidate.own_at_report)
@@ -142,7 +142,8 @@
     """Returns the expected time to the first token, in seconds."""
     weight = math.exp(-candidate.report_age_s / REPORT_DECAY_S)
     peer_load = (
-        weight * count_others(candidate) + (1.0 - weight) * mean_peer_load
+        weight * count_peer_requests(candidate)
+        + (1.0 - weight) * mean_peer_load
     )
     load = candidate.own_in_flight + peer_load
     queued = max(0.0, load + 1.0 - candidate.max_batch)
@@ -188,7 +189,7 @@
         if not usable:
             return None
         sample = self.draw_sample(usable)
-        mean_peer_load = sum(map(count_others, sample)) / len(sample)
+        mean_peer_load = sum(map(count_peer_requests, sample)) / len(sample)
         best, wait_s = find_least_wait(sample, request, mean_peer_load)
         reason = PlacementReason.LEAST_WAIT
         if len(usable) == 1:
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/work_placement.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/work_placement.py
@@ -101,7 +101,7 @@
 ) -> float:
     """Returns the expected time to the first event, in seconds."""
     weight = math.exp(-candidate.report_age_s / defaults.REPORT_DECAY_S)
-    reported = weight * placement.count_others(candidate)
+    reported = weight * placement.count_peer_requests(candidate)
     others = max(reported, candidate.peer_in_flight)
     excess = candidate.own_in_flight + others + 1.0 - candidate.max_batch
     queued = max(0.0, excess) / candidate.max_batch
