--- a/experiments/src/rhubarbbank_experiments/policy_admission.py
+++ b/experiments/src/rhubarbbank_experiments/policy_admission.py
@@ -165,7 +165,7 @@
 
     def try_again(self, tries: Tries, now: float, delay_s: float) -> None:
         """A caller sends the next attempt, if it has one left."""
-        if tries.attempt + 1 < ATTEMPTS and self.budget.may_retry(now=now):
+        if tries.attempt + 1 < ATTEMPTS and self.budget.try_acquire(now=now):
             jitter = self.rng.uniform(1.0, 1.2)
             at = now + delay_s * jitter
             self.push(at, "arrive", tries.call, tries.attempt + 1)
--- a/features/steps/retry_budget_steps.py
+++ b/features/steps/retry_budget_steps.py
@@ -30,7 +30,7 @@
                 budget.record_success()
                 successes += 1
             else:
-                retries += budget.may_retry(now=now)
+                retries += budget.try_acquire(now=now)
             # The naive bound: all that was ever earned.
             assert retries <= 3.0 + 0.1 * successes + 0.1 * now + 1e-9
 
@@ -41,13 +41,13 @@
 def step_used_budget(context: runner.Context) -> None:
     context.budget = retry_budget.SuccessRetryBudget()
     for _ in range(1000):
-        context.budget.may_retry(now=0.0)
+        context.budget.try_acquire(now=0.0)
 
 
 @then("the retry budget allows at most {most:d} of 1000 retries in {end:d} s")
 def step_starved(context: runner.Context, most: int, end: int) -> None:
     allowed = sum(
-        context.budget.may_retry(now=number * end / 1000)
+        context.budget.try_acquire(now=number * end / 1000)
         for number in range(1000)
     )
     assert 0 < allowed <= most, allowed
--- a/packages/rhubarbbank-core/src/rhubarbbank_core/entry_dispatch.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/entry_dispatch.py
@@ -270,7 +270,7 @@
     may_rerun = (
         opened.request.idempotent
         and opened.crash_failures < defaults.MAX_RUN_FAILURES
-        and state.retries.may_retry(now=now)
+        and state.retries.try_acquire(now=now)
     )
     if not may_rerun:
         return give_up(state, opened, now=now, code=code)
@@ -312,7 +312,7 @@
     another = opened.attempts < defaults.MAX_ATTEMPTS and find_candidates(
         state, opened, now=now
     )
-    if another and state.retries.may_retry(now=now):
+    if another and state.retries.try_acquire(now=now):
         return place(state, opened, now=now)
     return give_up(state, opened, now=now, code=failed.code)
 
--- a/packages/rhubarbbank-core/src/rhubarbbank_core/retry_budget.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/retry_budget.py
@@ -17,7 +17,7 @@
     def record_success(self) -> None:
         """Records that a request succeeded."""
 
-    def may_retry(self, *, now: float) -> bool:
+    def try_acquire(self, *, now: float) -> bool:
         """Takes a token for one retry; returns False when none is left."""
 
 
@@ -49,7 +49,7 @@
         """Records that a request succeeded."""
         self.tokens = min(self.burst, self.tokens + self.ratio)
 
-    def may_retry(self, *, now: float) -> bool:
+    def try_acquire(self, *, now: float) -> bool:
         """Takes a token for one retry; returns False when none is left."""
         self.refill(now=now)
         if self.tokens < 1.0:
@@ -71,7 +71,7 @@
     def record_success(self) -> None:
         """Does nothing."""
 
-    def may_retry(self, *, now: float) -> bool:
+    def try_acquire(self, *, now: float) -> bool:
         """Returns True."""
         del now
         return True
