--- a/features/steps/retry_budget_steps.py
+++ b/features/steps/retry_budget_steps.py
@@ -20,7 +20,7 @@
     @hypothesis.given(strategies.lists(event, max_size=100))
     def check(events: list[tuple[bool, float]]) -> None:
         budget = retry_budget.SuccessRetryBudget(
-            ratio=0.1, trickle_per_s=0.1, burst=3.0
+            ratio=0.1, min_retries_per_s=0.1, burst=3.0
         )
         now = 0.0
         retries = successes = 0
--- a/packages/rhubarbbank-core/src/rhubarbbank_core/retry_budget.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/retry_budget.py
@@ -26,7 +26,7 @@
 
     Attributes:
         ratio: Tokens added for each success.
-        trickle_per_s: Tokens added per second regardless of successes, so
+        min_retries_per_s: Tokens added per second regardless of successes, so
             that an entry with little traffic can still retry.
         burst: Capacity of the bucket.
         tokens: Retries that may be sent now.
@@ -36,11 +36,11 @@
         self,
         *,
         ratio: float = 0.1,
-        trickle_per_s: float = 0.1,
+        min_retries_per_s: float = 0.1,
         burst: float = 10.0,
     ) -> None:
         self.ratio = ratio
-        self.trickle_per_s = trickle_per_s
+        self.min_retries_per_s = min_retries_per_s
         self.burst = burst
         self.tokens = burst
         self.refilled_at: float | None = None
@@ -60,7 +60,7 @@
     def refill(self, *, now: float) -> None:
         """Adds the tokens for the time since the last call."""
         if self.refilled_at is not None and now > self.refilled_at:
-            earned = (now - self.refilled_at) * self.trickle_per_s
+            earned = (now - self.refilled_at) * self.min_retries_per_s
             self.tokens = min(self.burst, self.tokens + earned)
         self.refilled_at = now
 
