--- a/experiments/src/rhubarbbank_experiments/load_verdicts.py
+++ b/experiments/src/rhubarbbank_experiments/load_verdicts.py
@@ -58,7 +58,11 @@
         figures: Of all arms of one deployment.
     """
     by_key = {(x.phase, x.request_class, x.arm): x for x in figures}
-    ours = [x.name for x in settings.arms if x.names == policies.MODEL_AWARE]
+    ours = [
+        x.name
+        for x in settings.arms
+        if x.names == policies.DEFAULT_POLICY_NAMES
+    ]
     if not ours:
         return []
     found = []
--- a/packages/rhubarbbank-core/src/rhubarbbank_core/entry.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/entry.py
@@ -60,7 +60,7 @@
         call_ids: effects.CallIds,
         rng: random.Random,
         stop_grace_s: float = defaults.STOP_GRACE_S,
-        policy_names: policies.PolicyNames = policies.MODEL_AWARE,
+        policy_names: policies.PolicyNames = policies.DEFAULT_POLICY_NAMES,
     ) -> None:
         control = entry_control.EntryControl(
             identity=identity, settings=settings, call_ids=call_ids, rng=rng
--- a/packages/rhubarbbank-core/src/rhubarbbank_core/entry_state.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/entry_state.py
@@ -139,7 +139,7 @@
         control: entry_control.EntryControl,
         call_ids: effects.CallIds,
         rng: random.Random,
-        policy_names: policies.PolicyNames = policies.MODEL_AWARE,
+        policy_names: policies.PolicyNames = policies.DEFAULT_POLICY_NAMES,
     ) -> None:
         self.identity = control.identity
         self.control = control
--- a/packages/rhubarbbank-core/src/rhubarbbank_core/policies.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/policies.py
@@ -45,7 +45,7 @@
     cascade: CascadeName = CascadeName.MODEL_AWARE
 
 
-MODEL_AWARE = PolicyNames()
+DEFAULT_POLICY_NAMES = PolicyNames()
 
 
 def build_placement(
