--- a/packages/rhubarbbank-core/src/rhubarbbank_core/defaults.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/defaults.py
@@ -46,7 +46,7 @@
 STOP_GRACE_S = 30.0
 HOST_LIST_PERIOD_S = 1.0
 LOAD_PERIOD_S = 0.5
-# Limit on the versions that all engines together load from the weight store.
+# Limit on simultaneous loads from the weight store, across all engines.
 MAX_CONCURRENT_LOADS = 4
 PLACES = 4
 HEARTBEAT_PERIOD_S = 1.0
