--- a/packages/rhubarbbank-core/src/rhubarbbank_core/event_log.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/event_log.py
@@ -1,4 +1,4 @@
-"""Records a process's events, and replays them.
+"""Encodes, decodes and replays the recorded events of a process.
 
 A process with `record_events` set logs its start record, then each event with
 its time, and after each event a digest of the effects. A new reducer that is
