--- a/features/policy_settings.feature
+++ b/features/policy_settings.feature
@@ -1,24 +1,24 @@
-Feature: An entry's settings name the policies it uses
+Feature: The settings of an entry select its policies
 
-  Scenario: Without a word on policies an entry is model-aware
+  Scenario: An entry uses the model-aware policies by default
     When entry settings without policies are checked
-    Then an entry with these settings places by ExpectedWaitPlacement
-    And an entry with these settings plans by LearningCascade
+    Then the placement policy of the entry is ExpectedWaitPlacement
+    And the cascade policy of the entry is LearningCascade
 
-  Scenario Outline: A setting chooses a policy
+  Scenario Outline: A setting selects a policy
     When entry settings with <field> "<name>" are checked
-    Then an entry with these settings <verb> by <policy>
+    Then the <field> policy of the entry is <policy>
 
     Examples:
-      | field     | name                | verb   | policy                     |
-      | placement | round_robin         | places | RoundRobinPlacement        |
-      | placement | random              | places | RandomPlacement            |
-      | placement | least_own_in_flight | places | LeastOwnInFlightPlacement  |
-      | placement | least_reported_load | places | LeastReportedLoadPlacement |
-      | cascade   | always_strong       | plans  | AlwaysStrong               |
-      | cascade   | always_cheap        | plans  | AlwaysCheap                |
+      | field     | name                | policy                     |
+      | placement | round_robin         | RoundRobinPlacement        |
+      | placement | random              | RandomPlacement            |
+      | placement | least_own_in_flight | LeastOwnInFlightPlacement  |
+      | placement | least_reported_load | LeastReportedLoadPlacement |
+      | cascade   | always_strong       | AlwaysStrong               |
+      | cascade   | always_cheap        | AlwaysCheap                |
 
-  Scenario: An unknown policy is a fault that names the known ones
+  Scenario: The fault for an unknown policy lists the valid names
     When entry settings with cascade "oracle" are checked
-    Then the only settings fault is of field "cascade"
-    And its remedy is "Write one of model_aware, always_strong, always_cheap."
+    Then the only settings fault is in the field "cascade"
+    And the remedy of the fault is "Write one of model_aware, always_strong, always_cheap."
--- a/features/steps/policy_settings_steps.py
+++ b/features/steps/policy_settings_steps.py
@@ -1,4 +1,4 @@
-"""Steps for the settings that choose an entry's policies."""
+"""Steps for the settings that select an entry's policies."""
 
 import json
 import random
@@ -12,7 +12,7 @@
 from rhubarbbank_core import options
 from rhubarbbank_core import policies
 
-SOUND = {
+VALID_SETTINGS = {
     "name": "entry-0",
     "data_centre": "at-west-1",
     "region": "at-west",
@@ -23,19 +23,19 @@
 }
 
 
-def check(**extra):
-    text = json.dumps(SOUND | extra).encode()
+def check_entry_settings(**extra):
+    text = json.dumps(VALID_SETTINGS | extra).encode()
     return options.check_settings(text, options.EntrySettings)
 
 
 @when("entry settings without policies are checked")
-def check_plain(context):
-    context.checked = check()
+def check_default_settings(context):
+    context.check_result = check_entry_settings()
 
 
 @when('entry settings with {field} "{name}" are checked')
-def check_named(context, field, name):
-    context.checked = check(**{field: name})
+def check_changed_settings(context, field, name):
+    context.check_result = check_entry_settings(**{field: name})
 
 
 def build_entry(settings):
@@ -57,23 +57,25 @@
     )
 
 
-@then("an entry with these settings places by {policy}")
+@then("the placement policy of the entry is {policy}")
 def check_placement(context, policy):
-    found = build_entry(context.checked).state.placement
-    assert type(found).__name__ == policy, found
+    built = build_entry(context.check_result).state.placement
+    assert type(built).__name__ == policy, built
 
 
-@then("an entry with these settings plans by {policy}")
+@then("the cascade policy of the entry is {policy}")
 def check_cascade(context, policy):
-    found = build_entry(context.checked).state.cascade
-    assert type(found).__name__ == policy, found
+    built = build_entry(context.check_result).state.cascade
+    assert type(built).__name__ == policy, built
 
 
-@then('the only settings fault is of field "{field}"')
+@then('the only settings fault is in the field "{field}"')
 def check_fault(context, field):
-    assert [x.field for x in context.checked] == [field], context.checked
+    assert [fault.field for fault in context.check_result] == [field], (
+        context.check_result
+    )
 
 
-@then('its remedy is "{remedy}"')
+@then('the remedy of the fault is "{remedy}"')
 def check_remedy(context, remedy):
-    assert context.checked[0].remedy == remedy, context.checked[0]
+    assert context.check_result[0].remedy == remedy, context.check_result[0]
