--- a/features/refusals.feature
+++ b/features/refusals.feature
@@ -1,10 +1,10 @@
-Feature: A refusal says what hinders a request, and that nothing has run
+Feature: A refusal states its cause and that the request has not run
 
-  Scenario Outline: A version that is asked for by name
+  Scenario Outline: A request names a version that it cannot use
     Given the fleet in memory, where "kurz@v1" is <state>
-    When a caller asks the fleet in memory for "<wanted>"
-    Then that caller is refused with "<code>", and nothing has run
-    And that refusal's remedy is "<remedy>"
+    When a caller requests version "<wanted>"
+    Then the request is refused with "<code>" and has not run
+    And the remedy of the refusal is "<remedy>"
 
     Examples:
       | state     | wanted  | code              | remedy                           |
@@ -13,22 +13,22 @@
       | withdrawn | kurz@v9 | model_not_allowed | Ask the operators to change the table. |
       | withdrawn | kurz@   | model_not_allowed | Ask the operators to change the table. |
 
-  Scenario: A session that begins on a withdrawn version
+  Scenario: A new session requests a withdrawn version
     Given the fleet in memory, where "kurz@v1" is withdrawn
-    When a new session asks the fleet in memory for "kurz@v1"
-    Then that caller is refused with "version_withdrawn", and nothing has run
+    When a new session requests version "kurz@v1"
+    Then the request is refused with "version_withdrawn" and has not run
 
-  Scenario: An allowance none of whose owners can be reached
-    Given the fleet in memory, where each allowance is 100 a minute
-    And no request for a slice of an allowance arrives any more
-    When 20 callers ask the fleet in memory for "kurz@v1" at once
-    Then each is refused with "allowance_unavailable" within 6 s, not run
-    And the refusals' Retry-After spreads over at least 3 values
-    And one that asks then is refused with "allowance_unavailable" at once
+  Scenario: No owner of an allowance is reachable
+    Given the fleet in memory, where each allowance is 100 requests a minute
+    And all requests for allowance slices are lost
+    When 20 callers request version "kurz@v1" at the same time
+    Then each is refused with "allowance_unavailable" within 6 s and has not run
+    And the refusals have at least 3 different Retry-After values
+    And a later request is refused with "allowance_unavailable" immediately
 
-  Scenario: An allowance whose owner is reached again
-    Given the fleet in memory, where each allowance is 100 a minute
-    And no request for a slice of an allowance arrives any more
-    When 1 callers ask the fleet in memory for "kurz@v1" at once
-    And requests for slices arrive again
-    Then the fleet in memory answers the next caller
+  Scenario: The owner of an allowance is reachable again
+    Given the fleet in memory, where each allowance is 100 requests a minute
+    And all requests for allowance slices are lost
+    When 1 callers request version "kurz@v1" at the same time
+    And requests for allowance slices are delivered again
+    Then the fleet in memory answers the next request
