--- a/features/policy_decisions.feature
+++ b/features/policy_decisions.feature
@@ -6,7 +6,7 @@
       | a    | 2   | 4       | 0       | 0      | no      |
       | b    | 2   | 4       | 0       | 0      | no      |
     When placement chooses for a session last served by "b"
-    Then placement chose "b" because of "session"
+    Then placement chose "b" for the reason "session"
 
   Scenario: Placement moves a session off an upstream that is overloaded
     Given placement candidates
@@ -14,7 +14,7 @@
       | a    | 0   | 0       | 0       | 0      | no      |
       | b    | 30  | 8       | 22      | 0      | no      |
     When placement chooses for a session last served by "b"
-    Then placement chose "a" because of "least_wait"
+    Then placement chose "a" for the reason "least_wait"
 
   Scenario: Placement goes where the prompt's prefix is cached
     Given placement candidates
@@ -22,7 +22,7 @@
       | a    | 2   | 4       | 0       | 0      | no      |
       | b    | 2   | 4       | 0       | 90     | no      |
     When placement chooses for a prompt of 100 blocks
-    Then placement chose "b" because of "prefix"
+    Then placement chose "b" for the reason "prefix"
 
   Scenario: Placement leaves a leaving upstream even with its session there
     Given placement candidates
@@ -30,10 +30,10 @@
       | a    | 9   | 8       | 9       | 0      | no      |
       | b    | 0   | 0       | 0       | 100    | yes     |
     When placement chooses for a session last served by "b"
-    Then placement chose "a" because of "only_candidate"
+    Then placement chose "a" for the reason "only_candidate"
 
   Scenario: Placement never picks a leaving or excluded upstream
-    Then placement keeps to usable upstreams for 200 random fleets
+    Then placement chooses only usable upstreams in 200 random fleets
 
   Scenario: Admission refuses what cannot be in time
     Given an admission of 2 slots and 1 s service with 8 queued requests
@@ -109,8 +109,8 @@
     Then the cascade's usual plan for a new organisation is "cheap"
 
   Scenario: Retry budget lets only a share of successes be retried
-    Then the retry budget keeps to its share over 200 random sequences
+    Then the retry budget stays within its limit in 200 random sequences
 
   Scenario: Retry budget starves a retry storm
-    Given a retry budget that 1000 failures have used
+    Given a retry budget after 1000 attempted retries
     Then the retry budget allows at most 12 of 1000 retries in 20 s
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -1,4 +1,4 @@
-"""Steps for the placement among upstreams."""
+"""Steps for placement: the choice of an upstream for a request."""
 
 import random
 
@@ -14,7 +14,7 @@
 
 
 @given("placement candidates")
-def step_candidates(context: runner.Context) -> None:
+def step_set_candidates(context: runner.Context) -> None:
     context.candidates = [
         placement.Candidate(
             name=row["name"],
@@ -32,7 +32,7 @@
 
 
 @when('placement chooses for a session last served by "{name}"')
-def step_choose_session(context: runner.Context, name: str) -> None:
+def step_choose_for_session(context: runner.Context, name: str) -> None:
     policy = placement.ExpectedWaitPlacement(rng=random.Random(1))
     request = placement.PlacementRequest(session_upstream=name)
     context.decision = policy.choose(
@@ -41,7 +41,7 @@
 
 
 @when("placement chooses for a prompt of {blocks:d} blocks")
-def step_choose_prefix(context: runner.Context, blocks: int) -> None:
+def step_choose_for_prompt(context: runner.Context, blocks: int) -> None:
     policy = placement.ExpectedWaitPlacement(rng=random.Random(1))
     request = placement.PlacementRequest(prompt_blocks=blocks)
     context.decision = policy.choose(
@@ -49,14 +49,14 @@
     )
 
 
-@then('placement chose "{name}" because of "{reason}"')
-def step_chose(context: runner.Context, name: str, reason: str) -> None:
+@then('placement chose "{name}" for the reason "{reason}"')
+def step_check_choice(context: runner.Context, name: str, reason: str) -> None:
     assert context.decision.upstream == name, context.decision
     assert context.decision.reason == reason, context.decision
 
 
-@then("placement keeps to usable upstreams for {count:d} random fleets")
-def step_usable(context: runner.Context, count: int) -> None:
+@then("placement chooses only usable upstreams in {count:d} random fleets")
+def step_check_usable(context: runner.Context, count: int) -> None:
     candidate = strategies.builds(
         placement.Candidate,
         name=strategies.sampled_from("abcdefgh"),
@@ -75,7 +75,7 @@
         strategies.frozensets(strategies.sampled_from("abcdefgh")),
         strategies.integers(),
     )
-    def check(
+    def check_fleet(
         fleet: list[placement.Candidate],
         session: str,
         excluded: frozenset[str],
@@ -92,4 +92,4 @@
         else:
             assert decision.upstream in usable
 
-    check()
+    check_fleet()
