--- a/packages/rhubarbbank-core/src/rhubarbbank_core/placement.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/placement.py
@@ -6,10 +6,10 @@
 the prompt's prefix cached, otherwise the least expected wait among a few
 random candidates (power of k choices). The cached prefix shortens the expected
 wait, and is preferred only if the wait is then no longer than that of the best
-candidate; the upstream of the session may exceed it by `session_credit_s`. An
-entry with few requests in flight compares only two candidates: it relies on
-old reports, and with more candidates all such entries would pick the same
-upstream.
+candidate; the upstream of the session may exceed it by `session_credit_s`, the
+time that its cache is assumed to save. An entry with few requests in flight
+compares only two candidates: it relies on old reports, and with more
+candidates all such entries would pick the same upstream.
 
 The expected wait is estimated from this entry's own requests in flight,
 which are known exactly, and from the requests of other entries in the
@@ -61,7 +61,7 @@
         cached_blocks: Blocks of this prompt's prefix that are probably
             cached there.
         service_s: Mean service time of a request there.
-        leaving: Whether it is shutting down and accepts no new requests.
+        leaving: Whether it accepts no new requests.
         backlog_s: Remaining work of this entry's attempts there, in
             seconds.
     """
