--- a/packages/rhubarbbank-core/src/rhubarbbank_core/freshness.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/freshness.py
@@ -1,16 +1,17 @@
 """Decides whether this process's table is fresh enough for new work.
 
-A confirmation is a time up to which the table surely includes every accepted
-edit. It comes from the store, counted from when the read was sent, or from a
-peer with the same or a lower revision, counted as `gossip.place_age` says.
-Whatever a message's delay, the true time is never before the claimed one;
-and since revisions only grow, a table of a higher revision includes what a
-lower one did.
-
-New work is refused once the confirmation is older than a bound, which keeps
-a process that is cut off from running withdrawn versions. The one exception
-is an outage of the store for everyone (`outage.py`): no edit can be accepted
-then, so serving goes on.
+A confirmation is a time up to which the table is known to include every
+accepted edit. It comes from a store read, timed at the sending of the read,
+or from a peer with the same or a lower revision, timed by `gossip.place_age`.
+Message delay can only make the recorded time earlier than the actual one.
+Because revisions only grow, a table of a higher revision includes every edit
+of a lower one.
+
+New work is refused once the confirmation is older than a bound, so that an
+isolated process does not run withdrawn versions. The default exception is an
+outage of the store for all processes (`outage.py`): no edit can be accepted
+during the outage, so serving continues. `FreshnessSettings.serve_unconfirmed`
+lifts the bound altogether.
 """
 
 import dataclasses
@@ -28,9 +29,10 @@
     """How old a confirmation may be.
 
     Attributes:
-        bound_s: New work is refused once the confirmation is older.
-        serve_unconfirmed: Serves on nevertheless: the promise that edits are
-            in force within seconds then rests, and status says so.
+        bound_s: The maximum age of a confirmation for new work.
+        serve_unconfirmed: Whether to accept new work beyond the bound. Edits
+            are then not guaranteed to take effect within seconds, and the
+            status reports "unconfirmed".
     """
 
     bound_s: float = ENTRY_BOUND_S
@@ -38,13 +40,14 @@
 
 
 class Confirmation:
-    """Up to which time the table includes every accepted edit.
+    """Tracks the time up to which the table includes every accepted edit.
 
     Attributes:
         revision: The table's revision; 0 without a table.
         digest: The table's digest.
-        confirmed_at: The time, in seconds; None if nothing confirmed it.
-        claims: Confirmations of higher revisions, until these arrive.
+        confirmed_at: The time in seconds; None before any confirmation.
+        claims: Times of confirmation by revision, for revisions that are
+            higher than the table's.
     """
 
     def __init__(self) -> None:
@@ -54,16 +57,16 @@
         self.claims: dict[int, float] = {}
 
     def adopt(self, *, revision: int, digest: int) -> None:
-        """Takes note of the table now in force."""
+        """Records the current table and applies the claims that it covers."""
         self.revision = revision
         self.digest = digest
         for claimed in [c for c in self.claims if c <= revision]:
             self.raise_to(self.claims.pop(claimed))
 
     def claim(self, *, revision: int, at: float) -> None:
-        """Takes it that `revision` included every edit up to `at`.
+        """Records that `revision` included every edit up to `at`.
 
-        Any table of that revision or a higher one does so too.
+        The same holds for every higher revision.
         """
         if revision <= self.revision:
             self.raise_to(at)
@@ -73,30 +76,31 @@
             del self.claims[min(self.claims)]
 
     def raise_to(self, at: float) -> None:
-        """Moves the confirmation forward, never back."""
+        """Sets the confirmation to `at` if that is later."""
         if self.confirmed_at is None or at > self.confirmed_at:
             self.confirmed_at = at
 
     def latest_claim(self) -> float | None:
-        """Returns the last time at which anyone is known to have read."""
+        """Returns the latest confirmation of any revision, or None."""
         times = list(self.claims.values())
         if self.confirmed_at is not None:
             times.append(self.confirmed_at)
         return max(times, default=None)
 
     def age_s(self, *, now: float) -> float | None:
-        """Returns how old the confirmation is; None if there is none."""
+        """Returns the age of the confirmation, or None without one."""
         return None if self.confirmed_at is None else now - self.confirmed_at
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class FreshnessVerdict:
-    """Whether new work may run, and on what ground.
+    """Whether new work may run, and why.
 
     Attributes:
-        problem: Why it may not; None if it may.
-        in_outage: It may because the store is down for everyone.
-        promise_rests: It may only because the setting says so.
+        problem: The reason for a refusal; None if new work may run.
+        in_outage: Whether work is allowed because the store is down for all
+            processes.
+        is_unconfirmed: Whether work is allowed only by `serve_unconfirmed`.
     """
 
     problem: errors.Problem | None = None
@@ -114,10 +118,10 @@
     """Returns whether new work may run.
 
     Args:
-        confirmation: What confirms the table.
-        in_outage: Whether the store is down for everyone.
-        settings: The bound and what to do beyond it.
-        now: Seconds.
+        confirmation: The confirmation of the current table.
+        in_outage: Whether the store is down for all processes.
+        settings: The bound, and whether to serve beyond it.
+        now: The current time in seconds.
     """
     age_s = confirmation.age_s(now=now)
     if age_s is not None and age_s <= settings.bound_s:
