Rename figurative names of freshness.py

judge, claim, adopt, latest_claim, raise_to and promise_rests became check_freshness, add_claim, set_table, get_latest, advance_to, is_unconfirmed.

--- a/features/steps/fleet.py
+++ b/features/steps/fleet.py
@@ -291,7 +291,7 @@
             assert held >= self.seen.get(place.name, 0), "revision went back"
             self.seen[place.name] = held
             verdict = place.node.freshness.verdict(now=self.now)
-            if verdict.problem is not None or verdict.promise_rests:
+            if verdict.problem is not None or verdict.is_unconfirmed:
                 continue
             bound_s = place.node.freshness.settings.bound_s
             if verdict.in_outage:
--- a/features/steps/freshness_steps.py
+++ b/features/steps/freshness_steps.py
@@ -141,7 +141,7 @@
 @behave.then("host {name} says that its promise rests")
 def then_rests(context, name):
     verdict = context.fleet.node(name).freshness.verdict(now=context.fleet.now)
-    assert verdict.promise_rests
+    assert verdict.is_unconfirmed
 
 
 @behave.then("the outage is {word} for {name}")
--- a/packages/rhubarbbank-core/src/rhubarbbank_core/freshness.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/freshness.py
@@ -21,7 +21,7 @@
 ENTRY_BOUND_S = 5.0
 SIDECAR_BOUND_S = 6.0
 RETRY_AFTER_S = 1.0
-KEPT_CLAIMS = 8
+MAX_CLAIMS = 8
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -56,31 +56,31 @@
         self.confirmed_at: float | None = None
         self.claims: dict[int, float] = {}
 
-    def adopt(self, *, revision: int, digest: int) -> None:
+    def set_table(self, *, revision: int, digest: int) -> None:
         """Records the current table and applies the claims that it covers."""
         self.revision = revision
         self.digest = digest
-        for claimed in [c for c in self.claims if c <= revision]:
-            self.raise_to(self.claims.pop(claimed))
+        for covered in [c for c in self.claims if c <= revision]:
+            self.advance_to(self.claims.pop(covered))
 
-    def claim(self, *, revision: int, at: float) -> None:
+    def add_claim(self, *, revision: int, at: float) -> None:
         """Records that `revision` included every edit up to `at`.
 
         The same holds for every higher revision.
         """
         if revision <= self.revision:
-            self.raise_to(at)
+            self.advance_to(at)
             return
         self.claims[revision] = max(at, self.claims.get(revision, at))
-        while len(self.claims) > KEPT_CLAIMS:
+        while len(self.claims) > MAX_CLAIMS:
             del self.claims[min(self.claims)]
 
-    def raise_to(self, at: float) -> None:
+    def advance_to(self, at: float) -> None:
         """Sets the confirmation to `at` if that is later."""
         if self.confirmed_at is None or at > self.confirmed_at:
             self.confirmed_at = at
 
-    def latest_claim(self) -> float | None:
+    def get_latest(self) -> float | None:
         """Returns the latest confirmation of any revision, or None."""
         times = list(self.claims.values())
         if self.confirmed_at is not None:
@@ -105,10 +105,10 @@
 
     problem: errors.Problem | None = None
     in_outage: bool = False
-    promise_rests: bool = False
+    is_unconfirmed: bool = False
 
 
-def judge(
+def check_freshness(
     *,
     confirmation: Confirmation,
     in_outage: bool,
@@ -129,7 +129,7 @@
     if confirmation.revision > 0 and in_outage:
         return FreshnessVerdict(in_outage=True)
     if confirmation.revision > 0 and settings.serve_unconfirmed:
-        return FreshnessVerdict(promise_rests=True)
+        return FreshnessVerdict(is_unconfirmed=True)
     age = "never confirmed" if age_s is None else f"age {age_s:.1f} s"
     return FreshnessVerdict(
         problem=errors.Problem(
--- a/packages/rhubarbbank-core/src/rhubarbbank_core/outage.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/outage.py
@@ -148,9 +148,11 @@
         for event in events:
             match event:
                 case table_sync_events.TableAdopted(revision, digest, _):
-                    self.confirmation.adopt(revision=revision, digest=digest)
+                    self.confirmation.set_table(
+                        revision=revision, digest=digest
+                    )
                 case table_sync_events.StoreConfirmed(revision, at):
-                    self.confirmation.claim(revision=revision, at=at)
+                    self.confirmation.add_claim(revision=revision, at=at)
                     self.note_store_answer(now=now)
                 case table_sync_events.StoreAnswered():
                     self.note_store_answer(now=now)
@@ -179,7 +181,7 @@
         same = report.revision == self.confirmation.revision
         contested = same and report.digest != self.confirmation.digest
         if report.confirmed_at is not None and not contested:
-            self.confirmation.claim(
+            self.confirmation.add_claim(
                 revision=report.revision, at=report.confirmed_at
             )
         self.evidence[report.name] = PeerEvidence(
@@ -233,7 +235,7 @@
                 evidence.heard_at if is_dead else evidence.failed_at
             )
         oldest = min(failures)
-        confirmed_at = self.confirmation.latest_claim()
+        confirmed_at = self.confirmation.get_latest()
         if confirmed_at is None:
             return oldest if now - oldest <= WINDOW_S else None
         # Confirmations take up to SPREAD_S to come here, failures are
@@ -309,7 +311,7 @@
         the table is as good as confirmed up to then. This covers the time
         from the first answer of the store to the next read of the table.
         """
-        return freshness.judge(
+        return freshness.check_freshness(
             confirmation=self.confirmation,
             in_outage=was_down(self.outage_until, self.settings, now=now)
             or self.outage_confirmed(now=now),
@@ -342,9 +344,11 @@
         for event in events:
             match event:
                 case table_sync_events.TableAdopted(revision, digest, _):
-                    self.confirmation.adopt(revision=revision, digest=digest)
+                    self.confirmation.set_table(
+                        revision=revision, digest=digest
+                    )
                 case table_sync_events.StoreConfirmed(revision, at):
-                    self.confirmation.claim(revision=revision, at=at)
+                    self.confirmation.add_claim(revision=revision, at=at)
                 case _:
                     pass
 
@@ -355,7 +359,7 @@
         same = greeting.revision == self.confirmation.revision
         contested = same and greeting.digest != self.confirmation.digest
         if greeting.confirmed_at is not None and not contested:
-            self.confirmation.claim(
+            self.confirmation.add_claim(
                 revision=greeting.revision, at=greeting.confirmed_at
             )
         self.greetings[greeting.name] = (now, greeting)
@@ -383,12 +387,12 @@
             return False
         if any(g.revision > self.confirmation.revision for g in heard):
             return False
-        confirmed_at = self.confirmation.latest_claim()
+        confirmed_at = self.confirmation.get_latest()
         return confirmed_at is None or confirmed_at < max(vouched)
 
     def verdict(self, *, now: float) -> freshness.FreshnessVerdict:
         """Returns whether new work may run, as an entry's verdict does."""
-        return freshness.judge(
+        return freshness.check_freshness(
             confirmation=self.confirmation,
             in_outage=was_down(self.outage_until, self.settings, now=now)
             or self.in_outage(now=now),
--- a/packages/rhubarbbank-entry/src/rhubarbbank_entry/entry_service.py
+++ b/packages/rhubarbbank-entry/src/rhubarbbank_entry/entry_service.py
@@ -43,7 +43,7 @@
         return "stale"
     if verdict.in_outage:
         return "outage"
-    return "unconfirmed" if verdict.promise_rests else "fresh"
+    return "unconfirmed" if verdict.is_unconfirmed else "fresh"
 
 
 class EntryService(event_loop.ProgramService):
