--- a/packages/rhubarbbank-core/src/rhubarbbank_core/sidecar.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/sidecar.py
@@ -1,11 +1,11 @@
-"""The sidecar's reducer: the last gate before one upstream.
-
-`SidecarReducer.step` takes one event and returns effects. A submit passes
-the gate (stopping, table, freshness, deadline) and waits in the admission's
-queue; it passes the gate again just before it is handed to the upstream, and
-its answer events go back to the entry that asked. Only this reducer may say
-`not_run`, and it says so only of attempts that it hasn't handed over, or
-whose request provably never left this host.
+"""The sidecar's reducer: the last checks before one upstream.
+
+`SidecarReducer.step` takes one event and returns effects. A submit is checked
+(stopping, table, freshness, deadline) and queued by the admission control; it
+is checked again just before it is sent to the upstream, and its answer events
+go back to the entry that submitted it. Only this reducer may report
+`not_run`, and only for attempts that it hasn't sent to the upstream, or whose
+request provably never left this host.
 """
 
 import collections
@@ -40,18 +40,18 @@
     """One sidecar as a state machine without I/O.
 
     Attributes:
-        identity: Who this process is.
+        identity: The identity of this process.
         control: Presence, table and freshness.
-        attempts: Attempts waiting, running and finished.
-        admission: Decides what runs, and in which order.
-        held: Bills and pins kept for entries.
-        rows: The table in force here.
+        attempts: Waiting, running and finished attempts.
+        admission: Decides which attempts run, and in which order.
+        held: Bills and pins kept on behalf of entries.
+        rows: The table that this sidecar has adopted.
         load: The upstream's last load report.
-        crashes: Names the upstream's crashes.
+        crashes: Assigns ids to the upstream's crashes.
         orders: Roll-out orders to the engine.
-        isolated: Crash suspects, which run one by one and alone.
-        stopping: Whether the process takes no new work.
-        stop_at: When a graceful stop ends regardless, in seconds.
+        isolated: Queue of crash suspects; each runs with nothing else.
+        stopping: Whether a graceful stop has begun.
+        stop_at: Deadline of a graceful stop, in seconds.
     """
 
     def __init__(
@@ -107,7 +107,7 @@
                 return []
 
     def receive(self, now: float, message: wire.AnyMessage) -> list[fx.Effect]:
-        """Handles a message of another process."""
+        """Handles a message from another process."""
         match message:
             case path_messages.Submit():
                 return self.submit(now, message)
@@ -141,7 +141,7 @@
     def receive_control(
         self, now: float, message: wire.AnyMessage
     ) -> list[fx.Effect]:
-        """Handles a message for the coordination parts."""
+        """Handles a coordination message, and adopts a new table."""
         step = self.control.message(now=now, message=message)
         out: list[fx.Effect] = [
             effect
@@ -164,7 +164,7 @@
     def take_order(
         self, now: float, message: order_messages.RolloutOrder
     ) -> list[fx.Effect]:
-        """Takes a roll-out order; a plain service and a stop take none."""
+        """Handles a roll-out order unless plain service or stopping."""
         if self.identity.kind is requests.WorkKind.SERVICE or self.stopping:
             return []
         return [
@@ -174,7 +174,7 @@
         ]
 
     def tell_orders(self, now: float) -> list[effects.Send]:
-        """Tells entries when what came of orders has changed."""
+        """Announces the state of versions to entries if it changed."""
         return self.control.tell_orders(now=now, orders=self.orders.report())
 
     # Submits.
@@ -182,7 +182,7 @@
     def submit(
         self, now: float, submit: path_messages.Submit
     ) -> list[fx.Effect]:
-        """Lets an attempt through the gate, or refuses it as not run."""
+        """Checks and queues an attempt, or refuses it as not run."""
         accepted = path_messages.Accepted(submit.request_id, submit.attempt)
         attempt = sidecar_attempts.Attempt(submit=submit, arrived=now)
         known = self.attempts.find(attempt.id)
@@ -213,7 +213,7 @@
     def check(
         self, now: float, submit: path_messages.Submit
     ) -> errors.Problem | None:
-        """Returns why the attempt must not be handed over, or None."""
+        """Returns why the attempt must not run here, or None."""
         if self.stopping:
             return errors.Problem(
                 code=errors.ErrorCode.UPSTREAM_LEAVING,
@@ -232,7 +232,7 @@
     def check_unloading(
         self, submit: path_messages.Submit
     ) -> errors.Problem | None:
-        """Returns why a new attempt must go elsewhere, or None."""
+        """Returns the problem if the attempt's version is unloading."""
         key = table.VersionKey(submit.model, submit.version)
         if not self.orders.is_unloading(key):
             return None
@@ -242,7 +242,7 @@
         )
 
     def start_waiting(self, now: float) -> list[fx.Effect]:
-        """Hands over what the admission lets run, and sheds what is late."""
+        """Starts attempts that may run, and sheds those that are late."""
         out = self.start_isolated(now)
         if not self.isolated:
             for ticket in self.admission.start(now=now):
@@ -256,9 +256,10 @@
         return out
 
     def start_isolated(self, now: float) -> list[fx.Effect]:
-        """Hands over the next crash suspect once nothing else runs.
+        """Starts the next crash suspect once nothing else is running.
 
-        Suspects go one by one, and nothing starts beside or before them.
+        Suspects run one at a time; other attempts start only after the
+        queue of suspects is empty.
         """
         out: list[fx.Effect] = []
         while self.isolated and not self.attempts.running:
@@ -270,7 +271,7 @@
         return out
 
     def start(self, now: float, ticket: admission.Ticket) -> list[fx.Effect]:
-        """Hands over an attempt that the admission chose."""
+        """Starts an attempt that the admission control selected."""
         attempt_id = sidecar_attempts.parse_id(ticket.request_id)
         attempt = self.attempts.waiting.get(attempt_id)
         if attempt is None:
@@ -281,7 +282,7 @@
     def hand_over(
         self, now: float, attempt: sidecar_attempts.Attempt
     ) -> list[fx.Effect]:
-        """Hands one attempt over, unless the gate has closed meanwhile."""
+        """Sends an attempt to the upstream if it still passes checks."""
         problem = self.check(now, attempt.submit)
         if problem is not None:
             self.admission.finish(str(attempt.id), now=now)
@@ -299,7 +300,7 @@
         attempt_id: sidecar_attempts.AttemptId,
         problem: errors.Problem,
     ) -> list[fx.Effect]:
-        """Refuses an attempt that waited; it did not run."""
+        """Refuses a waiting attempt as not run."""
         attempt = self.attempts.waiting.pop(attempt_id, None)
         if attempt is None:
             return []
@@ -311,10 +312,10 @@
         attempt: sidecar_attempts.Attempt,
         problem: errors.Problem,
     ) -> list[fx.Effect]:
-        """Returns the refusal of an attempt that was not handed over.
+        """Refuses an attempt that wasn't sent to the upstream.
 
-        The refusal is kept, so that a late repeat of the submit can't run
-        what was said not to have run.
+        The refusal is kept, so that a late duplicate of the submit can't
+        run an attempt that was already reported as not run.
         """
         submit = attempt.submit
         failed = sidecar_ends.build_refusal(submit, problem, load=self.load)
@@ -328,7 +329,7 @@
     def log(
         self, submit: path_messages.Submit, *, decision: str, reason: str = ""
     ) -> fx.LogDecision:
-        """Returns the log line of a decision."""
+        """Returns the log entry of a decision on a submit."""
         return fx.LogDecision(
             decision=decision,
             request_id=submit.request_id,
@@ -343,7 +344,7 @@
     # Answers.
 
     def forward(self, event: events.UpstreamData) -> list[fx.Effect]:
-        """Sends answer events on to the entry."""
+        """Forwards answer events to the entry."""
         attempt = self.attempts.running.get(
             sidecar_attempts.AttemptId(event.request_id, event.attempt)
         )
@@ -360,7 +361,7 @@
     def end_attempt(
         self, now: float, event: events.UpstreamEnded
     ) -> list[fx.Effect]:
-        """Tells the entry how the attempt ended, and starts the next."""
+        """Reports an attempt's end to the entry, and starts the next."""
         attempt_id = sidecar_attempts.AttemptId(event.request_id, event.attempt)
         attempt = self.attempts.running.get(attempt_id)
         if attempt is None:
@@ -382,7 +383,7 @@
     def release(
         self, now: float, attempt_id: sidecar_attempts.AttemptId
     ) -> None:
-        """Frees an attempt's place."""
+        """Frees the slot of an attempt."""
         self.admission.finish(str(attempt_id), now=now)
         if self.isolated and self.isolated[0].id == attempt_id:
             self.isolated.popleft()
@@ -390,7 +391,7 @@
     def cancel(
         self, now: float, attempt_id: sidecar_attempts.AttemptId
     ) -> list[fx.Effect]:
-        """Breaks off an attempt that nobody wants any more."""
+        """Cancels an attempt that the entry no longer needs."""
         out: list[fx.Effect] = []
         if attempt_id in self.attempts.running:
             out.append(fx.CancelUpstream(*attempt_id.parts))
@@ -399,15 +400,15 @@
             self.attempts.confirm(attempt_id)
             return []
         self.release(now, attempt_id)
-        # It stays known for a while, so that a late repeat of the submit
-        # doesn't run it again.
+        # The attempt is kept until it expires, so that a late duplicate of
+        # the submit doesn't run it again.
         message = sidecar_ends.build_cancelled(attempt, load=self.load)
         self.attempts.end(attempt, message=message, now=now)
         self.attempts.confirm(attempt_id)
         return out + self.start_waiting(now)
 
     def resend(self, ask: path_messages.Resend) -> list[fx.Effect]:
-        """Sends what the entry is missing of an attempt."""
+        """Resends the events and the end that the entry is missing."""
         attempt = self.attempts.find(
             sidecar_attempts.AttemptId(ask.request_id, ask.attempt)
         )
@@ -428,7 +429,7 @@
     def observe(
         self, now: float, event: events.UpstreamObserved
     ) -> list[fx.Effect]:
-        """Takes what the upstream says of itself."""
+        """Handles an observation of the upstream's health and load."""
         if event.healthy:
             self.load = event.load
             self.admission.slots = max(1, event.load.max_batch)
@@ -448,7 +449,7 @@
         ]
 
     def tick(self, now: float) -> list[fx.Effect]:
-        """Does what is due at this time."""
+        """Does the periodic work."""
         self.attempts.expire(now=now)
         out: list[fx.Effect] = [
             *self.held.hand_in(
@@ -467,7 +468,7 @@
         return out
 
     def measure(self) -> list[fx.Effect]:
-        """Returns the regular gauges."""
+        """Returns the gauges that are reported periodically."""
         name = self.identity.name
         return [
             fx.Gauge(f"sidecar.{name}.running", len(self.attempts.running)),
@@ -476,7 +477,7 @@
         ]
 
     def stop(self, now: float) -> list[fx.Effect]:
-        """Begins a graceful stop: nothing new, what runs is finished."""
+        """Begins a graceful stop: only running attempts are finished."""
         if self.stopping:
             return []
         self.stopping = True
@@ -492,7 +493,7 @@
         return out
 
     def exit_if_idle(self, now: float) -> list[fx.Effect]:
-        """Ends the process once nothing is left to do or hand over."""
+        """Exits once no work, unconfirmed answer or held record is left."""
         busy = (
             self.attempts.running
             or self.attempts.count_unconfirmed()
@@ -504,7 +505,7 @@
 
 
 def build_ticket(attempt: sidecar_attempts.Attempt) -> admission.Ticket:
-    """Returns an attempt as the admission sees it."""
+    """Returns the ticket with which an attempt is admitted."""
     submit = attempt.submit
     return admission.Ticket(
         request_id=str(attempt.id),
@@ -515,14 +516,14 @@
 
 
 def build_shed_problem(shed: admission.Shed) -> errors.Problem:
-    """Returns the problem of a request that is shed."""
+    """Returns the problem reported for a shed attempt."""
     return errors.Problem(code=shed.code, retry_after_s=shed.retry_after_s)
 
 
 def build_call(
     attempt: sidecar_attempts.Attempt, *, now: float
 ) -> fx.CallUpstream:
-    """Returns the call that hands the attempt to the upstream."""
+    """Returns the effect that sends the attempt to the upstream."""
     submit = attempt.submit
     chat = submit.kind is requests.WorkKind.CHAT
     return fx.CallUpstream(
--- a/packages/rhubarbbank-core/src/rhubarbbank_core/sidecar_attempts.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/sidecar_attempts.py
@@ -1,10 +1,11 @@
-"""The sidecar's attempts: state, retained answers and their bounds.
-
-An attempt's answer stays here until its entry says that it has all of it, so
-that lost messages can be sent again, and its name some time longer, so that a
-late repeat of its submit runs nothing. Finished attempts lapse after a while;
-the oldest go first when the number is at its bound. An entry that then asks
-for one is told that it is unknown.
+"""The sidecar's attempts, and the answers retained for retransmission.
+
+The sidecar keeps an attempt's answer until the entry confirms that it has
+received all of it, so that lost messages can be sent again. It keeps the
+attempt's id longer, so that a late duplicate of the submit isn't run again.
+Finished attempts expire after FINISHED_ATTEMPT_RETENTION_S; when there are
+more than MAX_RETAINED_ATTEMPTS, the oldest are removed first. An entry that
+asks for a removed attempt receives AttemptUnknown.
 """
 
 import collections
@@ -18,7 +19,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, order=True)
 class AttemptId:
-    """Names one try of one request."""
+    """Identifies one attempt at one request."""
 
     request_id: str
     attempt: int
@@ -28,30 +29,30 @@
 
     @property
     def parts(self) -> tuple[str, int]:
-        """The request id and the attempt's number."""
+        """The request id and the attempt number."""
         return self.request_id, self.attempt
 
 
 def parse_id(text: str) -> AttemptId:
-    """Returns the attempt that a text such as "a1-7/2" names."""
+    """Parses an attempt id such as "a1-7/2"."""
     request_id, _, attempt = text.rpartition("/")
     return AttemptId(request_id, int(attempt))
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Attempt:
-    """One attempt; changes as its answer comes in.
+    """One attempt, updated while its answer arrives.
 
     Attributes:
-        submit: What was asked.
-        arrived: When it came, in seconds.
-        waited_s: From then to its hand-over to the upstream.
-        events: All answer events so far, from `submit.first_event`.
+        submit: The entry's submit message.
+        arrived: When the submit arrived, in seconds.
+        waited_s: Time from then until it was sent to the upstream.
+        events: All answer events so far, from `submit.first_event` on.
         end: The message that ended it, or None while it runs.
         ended: When it ended, in seconds.
         confirmed: Whether the entry has the whole answer.
-        prompt_tokens: As the upstream counted.
-        completion_tokens: As the upstream counted.
+        prompt_tokens: Prompt tokens reported by the upstream.
+        completion_tokens: Completion tokens reported by the upstream.
     """
 
     submit: path_messages.Submit
@@ -66,12 +67,12 @@
 
     @property
     def id(self) -> AttemptId:
-        """The attempt's name."""
+        """The attempt's id."""
         return AttemptId(self.submit.request_id, self.submit.attempt)
 
     @property
     def end_event(self) -> int:
-        """Number after the last event so far."""
+        """The number that the next answer event will have."""
         return self.submit.first_event + len(self.events)
 
 
@@ -79,9 +80,9 @@
     """All attempts of one sidecar, bounded in number.
 
     Attributes:
-        waiting: Attempts that were admitted and not handed over.
-        running: Attempts at the upstream.
-        finished: Ended attempts whose entry hasn't confirmed, oldest first.
+        waiting: Admitted attempts that haven't been sent to the upstream.
+        running: Attempts in progress at the upstream.
+        finished: Ended attempts that haven't expired, oldest first.
     """
 
     def __init__(self) -> None:
@@ -92,7 +93,7 @@
         )
 
     def find(self, attempt_id: AttemptId) -> Attempt | None:
-        """Returns the attempt in whatever state it is, or None."""
+        """Returns the attempt in any state, or None if it is unknown."""
         return (
             self.running.get(attempt_id)
             or self.waiting.get(attempt_id)
@@ -100,7 +101,7 @@
         )
 
     def find_busy(self) -> frozenset[table.VersionKey]:
-        """Returns the versions of which something waits or runs."""
+        """Returns the versions with waiting or running attempts."""
         return frozenset(
             table.VersionKey(each.submit.model, each.submit.version)
             for group in (self.waiting, self.running)
@@ -108,18 +109,18 @@
         )
 
     def wait(self, attempt: Attempt) -> None:
-        """Takes in an attempt that was admitted."""
+        """Adds an admitted attempt to the waiting ones."""
         self.waiting[attempt.id] = attempt
 
     def start(self, attempt: Attempt) -> None:
-        """Moves an attempt to those that are handed to the upstream."""
+        """Moves an attempt from the waiting to the running ones."""
         self.waiting.pop(attempt.id, None)
         self.running[attempt.id] = attempt
 
     def end(
         self, attempt: Attempt, *, message: effects.Message, now: float
     ) -> None:
-        """Moves an attempt to the finished ones, and drops what is over."""
+        """Moves an attempt to the finished ones, within their limit."""
         self.running.pop(attempt.id, None)
         self.waiting.pop(attempt.id, None)
         attempt.end = message
@@ -129,10 +130,10 @@
             self.finished.popitem(last=False)
 
     def confirm(self, attempt_id: AttemptId) -> None:
-        """Drops a finished attempt's events: its entry has the answer.
+        """Discards a finished attempt's events once its entry has them.
 
-        The attempt itself stays known until it lapses, so that a late
-        repeat of its submit doesn't run it again.
+        The attempt itself is kept until it expires, so that a late
+        duplicate of its submit isn't run again.
         """
         attempt = self.finished.get(attempt_id)
         if attempt is not None:
@@ -140,11 +141,11 @@
             attempt.events = []
 
     def count_unconfirmed(self) -> int:
-        """Returns how many finished attempts an entry may still ask for."""
+        """Counts the finished attempts whose answer isn't confirmed."""
         return sum(not x.confirmed for x in self.finished.values())
 
     def expire(self, *, now: float) -> None:
-        """Drops finished attempts that nobody has asked for in time."""
+        """Removes finished attempts whose retention time is over."""
         oldest = now - defaults.FINISHED_ATTEMPT_RETENTION_S
         while self.finished:
             attempt_id, attempt = next(iter(self.finished.items()))
--- a/packages/rhubarbbank-core/src/rhubarbbank_core/sidecar_control.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/sidecar_control.py
@@ -1,8 +1,8 @@
-"""The sidecar's coordination parts, joined: presence, table and freshness.
+"""The sidecar's coordination: presence, table and freshness.
 
-A sidecar never calls the object API. It answers the entries that greet it,
-takes the table from them, and judges by their word whether its table is
-fresh enough for new work.
+A sidecar never calls the object API. It answers the hellos of entries,
+receives the table from them, and uses their confirmations to decide whether
+its table is fresh enough to accept new work.
 """
 
 import dataclasses
@@ -27,16 +27,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class SidecarIdentity:
-    """Who this process is.
+    """The identity of a sidecar process.
 
     Attributes:
         name: Unique among processes.
-        incarnation: Grows with each start of the process.
-        peer_address: Where other processes reach it, "ip:port".
-        data_centre: Where it stands.
-        upstream: The upstream beside it.
+        incarnation: Increases with each start of the process.
+        peer_address: Its address for other processes, as "ip:port".
+        data_centre: The data centre of its host.
+        upstream: The name of the upstream that it serves.
         kind: Model engine or plain service.
-        places: How many versions the engine can hold.
+        places: How many versions the engine can have loaded at once.
     """
 
     name: str
@@ -49,7 +49,7 @@
 
 
 class SidecarControl:
-    """The coordination parts of one sidecar.
+    """The coordination of one sidecar with the entries.
 
     Attributes:
         fleet: Presence, the table and its freshness.
@@ -90,11 +90,11 @@
     def message(
         self, *, now: float, message: wire.AnyMessage
     ) -> table_sync_events.SyncStep:
-        """Takes a message of an entry."""
+        """Handles a coordination message from an entry."""
         return self.fleet.on_message(message, now=now)
 
     def check_fresh(self, *, now: float) -> errors.Problem | None:
-        """Returns why the table may not be relied on, or None."""
+        """Returns the problem if the table is too old for new work."""
         return self.fleet.freshness.verdict(now=now).problem
 
     def observe(
@@ -105,7 +105,7 @@
         load: path_messages.Load,
         orders: sidecar_orders.OrderReport,
     ) -> list[effects.Send]:
-        """Takes what the upstream says, and tells entries what changed."""
+        """Stores the upstream's health and load, and reports changes."""
         shown = self.fleet.presence
         changed = healthy != shown.healthy
         shown.healthy = healthy
@@ -123,7 +123,7 @@
     def tell_orders(
         self, *, now: float, orders: sidecar_orders.OrderReport
     ) -> list[effects.Send]:
-        """Puts what came of orders into the row, and tells a change."""
+        """Updates the sidecar's row, and announces it if it changed."""
         shown = self.fleet.presence
         row = msgspec.structs.replace(
             shown.row,
@@ -138,17 +138,17 @@
         return shown.announce(now=now, report=self.fleet.report())
 
     def answer_order(self, address: str) -> effects.Send:
-        """Returns the row for the entry that gave an order."""
+        """Returns a message with the row for the sender of an order."""
         row = self.fleet.presence.row
         update = membership_messages.DirectoryUpdate(row.name, sidecars=(row,))
         return effects.Send(address, update)
 
     def leave(self, *, now: float) -> list[effects.Send]:
-        """Says at once that this upstream takes no new work."""
+        """Announces that this upstream takes no new work."""
         return self.fleet.presence.announce(
             now=now, report=self.fleet.report(), leaving=True
         )
 
     def list_entries(self) -> list[str]:
-        """Returns the peer addresses of the entries heard lately."""
+        """Returns the peer addresses of the entries heard recently."""
         return [address for _, address in self.fleet.presence.greeted.values()]
--- a/packages/rhubarbbank-core/src/rhubarbbank_core/sidecar_ends.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/sidecar_ends.py
@@ -1,4 +1,4 @@
-"""How attempts end at a sidecar: what is said of them, and of crashes."""
+"""Messages that end attempts at a sidecar, and crash identification."""
 
 import msgspec
 
@@ -9,21 +9,21 @@
 from rhubarbbank_core import sidecar_attempts
 
 USAGE_MARK = b'"usage"'
-# The token counts come last, or just before the end mark.
+# The token counts are in the last event, or in the one before "[DONE]".
 USAGE_EVENTS = 2
-# Connections that break off within this time are one crash's.
+# Connections that break within this time of one another count as one crash.
 INCIDENT_S = 0.5
 
 
 class Usage(msgspec.Struct, frozen=True):
-    """Token counts as the engine reports them."""
+    """Token counts reported by the engine."""
 
     prompt_tokens: int = 0
     completion_tokens: int = 0
 
 
 class UsageEvent(msgspec.Struct, frozen=True):
-    """The part of an answer event that matters for billing."""
+    """The part of an answer event that billing uses."""
 
     usage: Usage | None = None
 
@@ -32,12 +32,12 @@
 
 
 class CrashCounter:
-    """Names crashes, so that all requests broken off by one are known.
+    """Assigns an id to each crash, shared by all requests it broke off.
 
     Attributes:
-        name: The sidecar.
+        name: The sidecar's name, which the ids start with.
         count: Crashes seen so far.
-        broken_at: When a connection last broke off, in seconds.
+        broken_at: When a connection last broke, in seconds.
     """
 
     def __init__(self, *, name: str) -> None:
@@ -46,7 +46,7 @@
         self.broken_at = float("-inf")
 
     def name_incident(self, end: events.UpstreamEnd, *, now: float) -> str:
-        """Returns the crash's name; empty when the upstream didn't crash."""
+        """Returns the crash's id, or "" if the upstream didn't crash."""
         if end is not events.UpstreamEnd.BROKEN:
             return ""
         if now - self.broken_at > INCIDENT_S:
@@ -56,7 +56,7 @@
 
 
 def read_usage(attempt: sidecar_attempts.Attempt, stream: list[bytes]) -> None:
-    """Takes the token counts from answer events, if they have any."""
+    """Updates the attempt's token counts if the events contain any."""
     for event in stream[-USAGE_EVENTS:]:
         if USAGE_MARK not in event:
             continue
@@ -70,7 +70,7 @@
 
 
 def judge_run_state(end: events.UpstreamEnd) -> errors.RunState:
-    """Returns what can be said of a call that ended without an answer."""
+    """Returns whether a call that ended without an answer may have run."""
     if end is events.UpstreamEnd.UNREACHED:
         return errors.RunState.NOT_RUN
     return errors.RunState.UNKNOWN
@@ -82,7 +82,7 @@
     *,
     load: path_messages.Load,
 ) -> path_messages.Failed:
-    """Returns the refusal of an attempt that was not handed over."""
+    """Returns the refusal of an attempt not sent to the upstream."""
     return path_messages.Failed(
         request_id=submit.request_id,
         attempt=submit.attempt,
@@ -99,7 +99,7 @@
 def build_cancelled(
     attempt: sidecar_attempts.Attempt, *, load: path_messages.Load
 ) -> path_messages.Failed:
-    """Returns what a late repeat of a cancelled attempt's submit gets."""
+    """Returns the reply to late duplicates of a cancelled submit."""
     return path_messages.Failed(
         request_id=attempt.submit.request_id,
         attempt=attempt.submit.attempt,
@@ -121,14 +121,14 @@
     running: list[sidecar_attempts.Attempt],
     incident: str,
 ) -> effects.Message:
-    """Returns the message that ends an attempt at the upstream.
+    """Returns the message that tells the entry how an attempt ended.
 
     Args:
         attempt: The attempt.
-        event: How its call ended.
+        event: How the upstream call ended.
         load: The upstream's load.
-        running: All attempts at the upstream, this one included.
-        incident: The crash's name, or empty.
+        running: All running attempts, including this one.
+        incident: The crash's id, or "" if there was none.
     """
     if event.end is events.UpstreamEnd.COMPLETE:
         return path_messages.Done(
--- a/packages/rhubarbbank-core/src/rhubarbbank_core/sidecar_orders.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/sidecar_orders.py
@@ -1,15 +1,15 @@
-"""Roll-out orders at a sidecar: fenced, carried out, and shown in its row.
-
-Some engines obey any order, so the sidecar itself refuses one with a lower
-fencing number than the highest that it knows. It keeps nothing on disk: after
-its own restart it takes no order until the engine or an announcement has told
-it a number.
-
-A load goes to the engine at once. An unload waits until nothing of its
-version waits or runs here, and new work of that version is refused meanwhile
-as not run; a higher number lapses unloads that still wait, since the new
-owner decides from what is. An order counts as under way until an observation
-of the engine begun later shows its effect.
+"""Roll-out orders at a sidecar: fencing, execution and reporting.
+
+Some engines execute any order, so the sidecar itself refuses orders whose
+fencing number is lower than the highest that it knows. It stores nothing on
+disk: after a restart it accepts no order until it has received a fencing
+number from the engine or from an announcement.
+
+A load is sent to the engine at once. An unload is held back until no request
+for its version is waiting or running; meanwhile new requests for that version
+are refused as not run. A higher fencing number discards the unloads held
+back, since the new owner decides from the current state. An order stays open
+until a later observation of the engine shows its effect.
 """
 
 from collections.abc import Collection
@@ -22,22 +22,21 @@
 from rhubarbbank_core import rollout_duty
 from rhubarbbank_core import table
 
-# How long an order that the engine has done may take to show.
+# How long a completed order may take to appear in observations.
 SHOWN_WITHIN_S = 3.0
 FIRST_ERROR_STATUS = 400
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class OpenOrder:
-    """An order that the sidecar accepted.
+    """An accepted order that is still in progress.
 
     Attributes:
         fence: Its fencing number.
         action: Load or unload.
-        key: Of which version.
-        id: What the engine's answer will carry; 0 while it waits here.
-        done_at: When the engine said that it is done, in seconds; None
-            before.
+        key: The version to load or unload.
+        id: The id that matches the engine's answer; 0 until it is sent.
+        done_at: When the engine reported success, in seconds, or None.
     """
 
     fence: int
@@ -49,13 +48,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class OrderReport:
-    """What the sidecar's row says of orders.
+    """The fields of the sidecar's row that depend on orders.
 
     Attributes:
         fence: The highest fencing number known; 0 for none.
-        versions: Versions that take work, as `model@version`, sorted.
-        loading: Versions being loaded, likewise.
-        unloading: Versions being given up, likewise.
+        versions: Versions that accept work, as `model@version`, sorted.
+        loading: Versions being loaded, in the same form.
+        unloading: Versions being unloaded, in the same form.
     """
 
     fence: int
@@ -65,14 +64,14 @@
 
 
 class SidecarOrders:
-    """The orders at one sidecar.
+    """The roll-out orders of one sidecar.
 
     Attributes:
         upstream: The engine's name, for the log.
         fence: The highest fencing number known; 0 for none.
-        loaded: What the engine last said that it holds.
-        loading: What the engine last said that it is loading.
-        open: Orders under way, by version.
+        loaded: Versions that the engine last reported as loaded.
+        loading: Versions that the engine last reported as loading.
+        open: Orders in progress, by version.
     """
 
     def __init__(self, *, upstream: str) -> None:
@@ -84,7 +83,7 @@
         self.last_id = 0
 
     def raise_fence(self, fence: int) -> None:
-        """Takes a fencing number; unloads under lower ones lapse."""
+        """Adopts a higher number, and discards the unloads held back."""
         if fence <= self.fence:
             return
         self.fence = fence
@@ -98,11 +97,11 @@
         *,
         busy: Collection[table.VersionKey],
     ) -> list[fx.Effect]:
-        """Takes or refuses an order.
+        """Accepts or refuses an order.
 
         Args:
             message: The order.
-            busy: Versions of which something waits or runs here.
+            busy: Versions with waiting or running attempts.
         """
         key = table.VersionKey(message.model, message.version)
         if not self.fence or message.fence < self.fence:
@@ -120,7 +119,7 @@
         return self.start(busy=busy)
 
     def start(self, *, busy: Collection[table.VersionKey]) -> list[fx.Effect]:
-        """Hands the engine the orders that nothing holds back."""
+        """Sends the engine all unsent orders except unloads in use."""
         out: list[fx.Effect] = []
         for order in self.open.values():
             waits = order.action is rollout.Action.UNLOAD and order.key in busy
@@ -141,7 +140,7 @@
         return out
 
     def end(self, *, now: float, order_id: int, status: int) -> list[fx.Effect]:
-        """Takes the engine's answer; what failed is left to the next round."""
+        """Handles the engine's answer; a failed order isn't retried here."""
         for key, order in self.open.items():
             if order.id != order_id:
                 continue
@@ -160,7 +159,7 @@
         loading: Iterable[str],
         last_fence: int,
     ) -> None:
-        """Takes what the engine says of itself."""
+        """Updates the engine's state, and closes orders that took effect."""
         self.loaded = rollout_duty.read_keys(loaded)
         self.loading = rollout_duty.read_keys(loading)
         self.raise_fence(last_fence)
@@ -174,12 +173,12 @@
                 del self.open[key]
 
     def is_unloading(self, key: table.VersionKey) -> bool:
-        """Returns whether a version is being given up."""
+        """Returns whether a version is being unloaded."""
         order = self.open.get(key)
         return order is not None and order.action is rollout.Action.UNLOAD
 
     def report(self) -> OrderReport:
-        """Returns what the sidecar's row says."""
+        """Returns the state of versions for the sidecar's row."""
         unloading = {key for key in self.open if self.is_unloading(key)}
         loading = (self.open.keys() | self.loading) - unloading - self.loaded
         return OrderReport(
@@ -192,7 +191,7 @@
     def log(
         self, key: table.VersionKey, decision: str, reason: str
     ) -> fx.LogDecision:
-        """Returns the log line of a decision on an order."""
+        """Returns the log entry of a decision on an order."""
         return fx.LogDecision(
             decision=decision,
             model=key.model,
@@ -203,5 +202,5 @@
 
 
 def write_keys(keys: Iterable[table.VersionKey]) -> tuple[str, ...]:
-    """Returns versions as `model@version`, sorted."""
+    """Formats versions as `model@version`, sorted."""
     return tuple(sorted(map(str, keys)))
