--- a/experiments/src/rhubarbbank_experiments/slopes_memory.py
+++ b/experiments/src/rhubarbbank_experiments/slopes_memory.py
@@ -113,9 +113,9 @@
     )
     for x in range(count):
         submit = build_submit(x)
-        attempt = sidecar_attempts.Attempt(submit=submit, arrived=0.0)
-        reducer.attempts.wait(attempt)
-        reducer.attempts.start(attempt)
+        attempt = sidecar_attempts.Attempt(submit=submit, arrived_at=0.0)
+        reducer.attempts.add_waiting(attempt)
+        reducer.attempts.mark_running(attempt)
         for number in range(ANSWER_EVENTS):
             event = bytes(EVENT_BYTES - 4) + number.to_bytes(4, "big")
             reducer.forward(events.UpstreamData(submit.request_id, 1, [event]))
--- a/packages/rhubarbbank-core/src/rhubarbbank_core/sidecar.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/sidecar.py
@@ -184,7 +184,7 @@
     ) -> list[fx.Effect]:
         """Checks and queues an attempt, or refuses it as not run."""
         accepted = path_messages.Accepted(submit.request_id, submit.attempt)
-        attempt = sidecar_attempts.Attempt(submit=submit, arrived=now)
+        attempt = sidecar_attempts.Attempt(submit=submit, arrived_at=now)
         known = self.attempts.find(attempt.id)
         if known is not None:
             return [effects.Send(submit.reply_to, known.end or accepted)]
@@ -196,7 +196,7 @@
             return self.refuse(now, attempt, problem)
         if submit.alone:
             self.isolated.append(attempt)
-            self.attempts.wait(attempt)
+            self.attempts.add_waiting(attempt)
             return [
                 effects.Send(submit.reply_to, accepted),
                 *self.start_waiting(now),
@@ -204,7 +204,7 @@
         decision = self.admission.admit(build_ticket(attempt), now=now)
         if isinstance(decision, admission.Shed):
             return self.refuse(now, attempt, build_shed_problem(decision))
-        self.attempts.wait(attempt)
+        self.attempts.add_waiting(attempt)
         return [
             effects.Send(submit.reply_to, accepted),
             *self.start_waiting(now),
@@ -287,8 +287,8 @@
         if problem is not None:
             self.admission.finish(str(attempt.id), now=now)
             return self.refuse_waiting(now, attempt.id, problem)
-        attempt.waited_s = now - attempt.arrived
-        self.attempts.start(attempt)
+        attempt.waited_s = now - attempt.arrived_at
+        self.attempts.mark_running(attempt)
         return [
             build_call(attempt, now=now),
             self.log(attempt.submit, decision="handed_over"),
@@ -511,7 +511,7 @@
         request_id=str(attempt.id),
         organisation=submit.organisation,
         priority=submit.priority,
-        deadline=attempt.arrived + submit.deadline_s,
+        deadline=attempt.arrived_at + submit.deadline_s,
     )
 
 
@@ -535,5 +535,5 @@
         streamed=chat,
         priority=submit.priority,
         idempotency_key=submit.idempotency_key,
-        timeout_s=attempt.arrived + submit.deadline_s - now,
+        timeout_s=attempt.arrived_at + submit.deadline_s - now,
     )
--- a/packages/rhubarbbank-core/src/rhubarbbank_core/sidecar_attempts.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/sidecar_attempts.py
@@ -45,7 +45,7 @@
 
     Attributes:
         submit: The entry's submit message.
-        arrived: When the submit arrived, in seconds.
+        arrived_at: When the submit arrived, in seconds.
         waited_s: Time from then until it was sent to the upstream.
         events: All answer events so far, from `submit.first_event` on.
         end: The message that ended it, or None while it runs.
@@ -56,7 +56,7 @@
     """
 
     submit: path_messages.Submit
-    arrived: float
+    arrived_at: float
     waited_s: float = 0.0
     events: list[bytes] = dataclasses.field(default_factory=list)
     end: effects.Message | None = None
@@ -108,11 +108,11 @@
             for each in group.values()
         )
 
-    def wait(self, attempt: Attempt) -> None:
+    def add_waiting(self, attempt: Attempt) -> None:
         """Adds an admitted attempt to the waiting ones."""
         self.waiting[attempt.id] = attempt
 
-    def start(self, attempt: Attempt) -> None:
+    def mark_running(self, attempt: Attempt) -> None:
         """Moves an attempt from the waiting to the running ones."""
         self.waiting.pop(attempt.id, None)
         self.running[attempt.id] = attempt
