--- a/features/steps/rollout_orders_steps.py
+++ b/features/steps/rollout_orders_steps.py
@@ -137,7 +137,10 @@
             )
             engine = self.engines[order.upstream]
             self.carry_out(
-                engine, engine.orders.take(message, busy=engine.busy)
+                engine,
+                engine.orders.handle_order(
+                    message, active_versions=engine.busy
+                ),
             )
 
     def carry_out(self, engine, found):
@@ -157,7 +160,7 @@
             else:
                 assert key not in engine.busy, f"{engine.name} dropped {key}"
                 engine.loaded.discard(key)
-            engine.orders.end(
+            engine.orders.finish(
                 now=self.now, order_id=effect.order_id, status=status
             )
 
@@ -166,9 +169,11 @@
             if self.now >= end:
                 del engine.loads[key]
                 engine.loaded.add(key)
-                engine.orders.end(now=self.now, order_id=order_id, status=OK)
+                engine.orders.finish(now=self.now, order_id=order_id, status=OK)
         self.observe(engine)
-        self.carry_out(engine, engine.orders.start(busy=engine.busy))
+        self.carry_out(
+            engine, engine.orders.send_ready(active_versions=engine.busy)
+        )
 
     def observe(self, engine):
         engine.orders.observe(
--- a/packages/rhubarbbank-core/src/rhubarbbank_core/sidecar.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/sidecar.py
@@ -99,7 +99,9 @@
             case events.UpstreamObserved():
                 return self.observe(now, event)
             case events.OrderEnded(order_id, status):
-                out = self.orders.end(now=now, order_id=order_id, status=status)
+                out = self.orders.finish(
+                    now=now, order_id=order_id, status=status
+                )
                 return out + self.tell_orders(now)
             case events.StopRequested():
                 return self.stop(now)
@@ -168,7 +170,9 @@
         if self.identity.kind is requests.WorkKind.SERVICE or self.stopping:
             return []
         return [
-            *self.orders.take(message, busy=self.attempts.find_busy()),
+            *self.orders.handle_order(
+                message, active_versions=self.attempts.find_busy()
+            ),
             *self.tell_orders(now),
             self.control.answer_order(message.reply_to),
         ]
@@ -458,7 +462,7 @@
                 reply_to=self.identity.peer_address,
             ),
             *self.start_waiting(now),
-            *self.orders.start(busy=self.attempts.find_busy()),
+            *self.orders.send_ready(active_versions=self.attempts.find_busy()),
         ]
         if now >= self.gauges_at:
             self.gauges_at = now + GAUGE_PERIOD_S
--- a/packages/rhubarbbank-core/src/rhubarbbank_core/sidecar_orders.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/sidecar_orders.py
@@ -23,7 +23,7 @@
 from rhubarbbank_core import table
 
 # How long a completed order may take to appear in observations.
-SHOWN_WITHIN_S = 3.0
+EFFECT_TIMEOUT_S = 3.0
 FIRST_ERROR_STATUS = 400
 
 
@@ -91,39 +91,46 @@
             if order.action is rollout.Action.UNLOAD and not order.id:
                 del self.open[key]
 
-    def take(
+    def handle_order(
         self,
         message: order_messages.RolloutOrder,
         *,
-        busy: Collection[table.VersionKey],
+        active_versions: Collection[table.VersionKey],
     ) -> list[fx.Effect]:
         """Accepts or refuses an order.
 
         Args:
             message: The order.
-            busy: Versions with waiting or running attempts.
+            active_versions: Versions with waiting or running attempts.
         """
         key = table.VersionKey(message.model, message.version)
         if not self.fence or message.fence < self.fence:
             return [self.log(key, "order_refused", "stale_order")]
         self.raise_fence(message.fence)
         action = rollout.Action(message.action)
-        known = self.open.get(key)
-        if known is not None and (known.id or known.action is action):
+        open_order = self.open.get(key)
+        if open_order is not None and (
+            open_order.id or open_order.action is action
+        ):
             return []
         self.open.pop(key, None)
-        holds = key in self.loaded or key in self.loading
-        if holds is (action is rollout.Action.LOAD):
+        is_held = key in self.loaded or key in self.loading
+        if is_held is (action is rollout.Action.LOAD):
             return []
         self.open[key] = OpenOrder(fence=message.fence, action=action, key=key)
-        return self.start(busy=busy)
+        return self.send_ready(active_versions=active_versions)
 
-    def start(self, *, busy: Collection[table.VersionKey]) -> list[fx.Effect]:
+    def send_ready(
+        self, *, active_versions: Collection[table.VersionKey]
+    ) -> list[fx.Effect]:
         """Sends the engine all unsent orders except unloads in use."""
         out: list[fx.Effect] = []
         for order in self.open.values():
-            waits = order.action is rollout.Action.UNLOAD and order.key in busy
-            if order.id or waits:
+            is_blocked = (
+                order.action is rollout.Action.UNLOAD
+                and order.key in active_versions
+            )
+            if order.id or is_blocked:
                 continue
             self.last_id += 1
             order.id = self.last_id
@@ -139,7 +146,9 @@
             ]
         return out
 
-    def end(self, *, now: float, order_id: int, status: int) -> list[fx.Effect]:
+    def finish(
+        self, *, now: float, order_id: int, status: int
+    ) -> list[fx.Effect]:
         """Handles the engine's answer; a failed order isn't retried here."""
         for key, order in self.open.items():
             if order.id != order_id:
@@ -166,10 +175,10 @@
         for key, order in list(self.open.items()):
             if order.done_at is None:
                 continue
-            shown = (key in self.loaded) is (
+            is_visible = (key in self.loaded) is (
                 order.action is rollout.Action.LOAD
             )
-            if shown or now - order.done_at >= SHOWN_WITHIN_S:
+            if is_visible or now - order.done_at >= EFFECT_TIMEOUT_S:
                 del self.open[key]
 
     def is_unloading(self, key: table.VersionKey) -> bool:
@@ -183,9 +192,9 @@
         loading = (self.open.keys() | self.loading) - unloading - self.loaded
         return OrderReport(
             fence=self.fence,
-            versions=write_keys(self.loaded - unloading),
-            loading=write_keys(loading),
-            unloading=write_keys(unloading),
+            versions=format_versions(self.loaded - unloading),
+            loading=format_versions(loading),
+            unloading=format_versions(unloading),
         )
 
     def log(
@@ -201,6 +210,6 @@
         )
 
 
-def write_keys(keys: Iterable[table.VersionKey]) -> tuple[str, ...]:
+def format_versions(keys: Iterable[table.VersionKey]) -> tuple[str, ...]:
     """Formats versions as `model@version`, sorted."""
     return tuple(sorted(map(str, keys)))
