--- a/features/steps/rollout_orders_steps.py
+++ b/features/steps/rollout_orders_steps.py
@@ -438,7 +438,7 @@
         call_ids=effects.CallIds(),
         rng=random.Random(1),
     )
-    context.reducer.control.check_fresh = lambda now: None
+    context.reducer.control.check_freshness = lambda now: None
     key = parse_key(version)
     row = table.Row(
         organisation="tc-hall", model=key.model, version=key.version
--- a/packages/rhubarbbank-core/src/rhubarbbank_core/sidecar.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/sidecar.py
@@ -225,7 +225,7 @@
             )
         if submit.deadline_s <= 0:
             return errors.Problem(code=errors.ErrorCode.DEADLINE_EXCEEDED)
-        stale = self.control.check_fresh(now=now)
+        stale = self.control.check_freshness(now=now)
         return stale or gate.check(
             rows=self.rows,
             organisation=submit.organisation,
--- a/packages/rhubarbbank-core/src/rhubarbbank_core/sidecar_control.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/sidecar_control.py
@@ -93,7 +93,7 @@
         """Handles a coordination message from an entry."""
         return self.fleet.on_message(message, now=now)
 
-    def check_fresh(self, *, now: float) -> errors.Problem | None:
+    def check_freshness(self, *, now: float) -> errors.Problem | None:
         """Returns the problem if the table is too old for new work."""
         return self.fleet.freshness.verdict(now=now).problem
 
