--- a/packages/rhubarbbank-core/src/rhubarbbank_core/sidecar.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/sidecar.py
@@ -32,7 +32,7 @@
 from rhubarbbank_core import wire
 
 CHAT_PATH = "/v1/chat/completions"
-FIRST_SLOTS = 8
+INITIAL_SLOTS = 8
 GAUGE_PERIOD_S = 1.0
 
 
@@ -72,7 +72,9 @@
             serve_unconfirmed=serve_unconfirmed,
         )
         self.attempts = sidecar_attempts.AttemptStore()
-        self.admission = admission.DeadlineAdmission(slots=FIRST_SLOTS, rng=rng)
+        self.admission = admission.DeadlineAdmission(
+            slots=INITIAL_SLOTS, rng=rng
+        )
         self.held = held_records.HeldRecords()
         self.rows = table.EMPTY_TABLE
         self.load = path_messages.Load()
@@ -83,13 +85,13 @@
         )
         self.stopping = False
         self.stop_at = 0.0
-        self.gauges_at = 0.0
+        self.next_gauges_at = 0.0
 
     def step(self, *, now: float, event: events.AnyEvent) -> list[fx.Effect]:
         """Applies one event at time `now` (seconds); returns the effects."""
         match event:
             case events.MessageReceived(message):
-                return self.receive(now, message)
+                return self.handle_message(now, message)
             case events.UpstreamData():
                 return self.forward(event)
             case events.UpstreamEnded():
@@ -102,13 +104,15 @@
                 out = self.orders.finish(
                     now=now, order_id=order_id, status=status
                 )
-                return out + self.tell_orders(now)
+                return out + self.announce_orders(now)
             case events.StopRequested():
                 return self.stop(now)
             case _:
                 return []
 
-    def receive(self, now: float, message: wire.AnyMessage) -> list[fx.Effect]:
+    def handle_message(
+        self, now: float, message: wire.AnyMessage
+    ) -> list[fx.Effect]:
         """Handles a message from another process."""
         match message:
             case path_messages.Submit():
@@ -132,19 +136,19 @@
             case order_messages.FenceAnnounce(fence, reply_to):
                 self.orders.raise_fence(fence)
                 return [
-                    *self.tell_orders(now),
-                    self.control.answer_order(reply_to),
+                    *self.announce_orders(now),
+                    self.control.build_row_update(reply_to),
                 ]
             case order_messages.RolloutOrder():
-                return self.take_order(now, message)
+                return self.handle_order(now, message)
             case _:
-                return self.receive_control(now, message)
+                return self.handle_control_message(now, message)
 
-    def receive_control(
+    def handle_control_message(
         self, now: float, message: wire.AnyMessage
     ) -> list[fx.Effect]:
         """Handles a coordination message, and adopts a new table."""
-        step = self.control.message(now=now, message=message)
+        step = self.control.handle_message(now=now, message=message)
         out: list[fx.Effect] = [
             effect
             for effect in step.effects
@@ -163,7 +167,7 @@
 
     # Orders.
 
-    def take_order(
+    def handle_order(
         self, now: float, message: order_messages.RolloutOrder
     ) -> list[fx.Effect]:
         """Handles a roll-out order unless plain service or stopping."""
@@ -171,15 +175,17 @@
             return []
         return [
             *self.orders.handle_order(
-                message, active_versions=self.attempts.find_busy()
+                message, active_versions=self.attempts.list_active_versions()
             ),
-            *self.tell_orders(now),
-            self.control.answer_order(message.reply_to),
+            *self.announce_orders(now),
+            self.control.build_row_update(message.reply_to),
         ]
 
-    def tell_orders(self, now: float) -> list[effects.Send]:
+    def announce_orders(self, now: float) -> list[effects.Send]:
         """Announces the state of versions to entries if it changed."""
-        return self.control.tell_orders(now=now, orders=self.orders.report())
+        return self.control.announce_orders(
+            now=now, orders=self.orders.report()
+        )
 
     # Submits.
 
@@ -193,9 +199,9 @@
         if known is not None:
             return [effects.Send(submit.reply_to, known.end or accepted)]
         if submit.incarnation != self.identity.incarnation:
-            unknown = path_messages.AttemptUnknown(*attempt.id.parts)
+            unknown = path_messages.AttemptUnknown(*attempt.id.as_tuple)
             return [effects.Send(submit.reply_to, unknown)]
-        problem = self.check(now, submit) or self.check_unloading(submit)
+        problem = self.check_submit(now, submit) or self.check_unloading(submit)
         if problem is not None:
             return self.refuse(now, attempt, problem)
         if submit.alone:
@@ -214,7 +220,7 @@
             *self.start_waiting(now),
         ]
 
-    def check(
+    def check_submit(
         self, now: float, submit: path_messages.Submit
     ) -> errors.Problem | None:
         """Returns why the attempt must not run here, or None."""
@@ -225,8 +231,8 @@
             )
         if submit.deadline_s <= 0:
             return errors.Problem(code=errors.ErrorCode.DEADLINE_EXCEEDED)
-        stale = self.control.check_freshness(now=now)
-        return stale or gate.check(
+        problem = self.control.check_freshness(now=now)
+        return problem or gate.check(
             rows=self.rows,
             organisation=submit.organisation,
             key=table.VersionKey(submit.model, submit.version),
@@ -250,11 +256,11 @@
         out = self.start_isolated(now)
         if not self.isolated:
             for ticket in self.admission.start(now=now):
-                out += self.start(now, ticket)
+                out += self.start_admitted(now, ticket)
         for shed in self.admission.shed(now=now):
             out += self.refuse_waiting(
                 now,
-                sidecar_attempts.parse_id(shed.request_id),
+                sidecar_attempts.parse_attempt_id(shed.request_id),
                 build_shed_problem(shed),
             )
         return out
@@ -269,32 +275,34 @@
         while self.isolated and not self.attempts.running:
             attempt = self.isolated[0]
             if attempt.id in self.attempts.waiting:
-                out += self.hand_over(now, attempt)
+                out += self.start_attempt(now, attempt)
             if not self.attempts.running and self.isolated:
                 self.isolated.popleft()
         return out
 
-    def start(self, now: float, ticket: admission.Ticket) -> list[fx.Effect]:
+    def start_admitted(
+        self, now: float, ticket: admission.Ticket
+    ) -> list[fx.Effect]:
         """Starts an attempt that the admission control selected."""
-        attempt_id = sidecar_attempts.parse_id(ticket.request_id)
+        attempt_id = sidecar_attempts.parse_attempt_id(ticket.request_id)
         attempt = self.attempts.waiting.get(attempt_id)
         if attempt is None:
             self.admission.finish(ticket.request_id, now=now)
             return []
-        return self.hand_over(now, attempt)
+        return self.start_attempt(now, attempt)
 
-    def hand_over(
+    def start_attempt(
         self, now: float, attempt: sidecar_attempts.Attempt
     ) -> list[fx.Effect]:
         """Sends an attempt to the upstream if it still passes checks."""
-        problem = self.check(now, attempt.submit)
+        problem = self.check_submit(now, attempt.submit)
         if problem is not None:
             self.admission.finish(str(attempt.id), now=now)
             return self.refuse_waiting(now, attempt.id, problem)
         attempt.waited_s = now - attempt.arrived_at
         self.attempts.mark_running(attempt)
         return [
-            build_call(attempt, now=now),
+            build_upstream_call(attempt, now=now),
             self.log(attempt.submit, decision="handed_over"),
         ]
 
@@ -323,7 +331,7 @@
         """
         submit = attempt.submit
         failed = sidecar_ends.build_refusal(submit, problem, load=self.load)
-        self.attempts.end(attempt, message=failed, now=now)
+        self.attempts.mark_finished(attempt, message=failed, now=now)
         return [
             effects.Send(submit.reply_to, failed),
             self.log(submit, decision="refused", reason=problem.code),
@@ -356,7 +364,7 @@
             return []
         first = attempt.end_event
         attempt.events += event.events
-        sidecar_ends.read_usage(attempt, event.events)
+        sidecar_ends.update_usage(attempt, event.events)
         chunk = path_messages.Chunk(
             event.request_id, event.attempt, first, event.events
         )
@@ -370,21 +378,21 @@
         attempt = self.attempts.running.get(attempt_id)
         if attempt is None:
             return []
-        message = sidecar_ends.build_end(
+        message = sidecar_ends.build_end_message(
             attempt,
             event,
             load=self.load,
             running=list(self.attempts.running.values()),
-            incident=self.crashes.name_incident(event.end, now=now),
+            incident=self.crashes.assign_incident(event.end, now=now),
         )
-        self.release(now, attempt_id)
-        self.attempts.end(attempt, message=message, now=now)
+        self.free_slot(now, attempt_id)
+        self.attempts.mark_finished(attempt, message=message, now=now)
         return [
             effects.Send(attempt.submit.reply_to, message),
             *self.start_waiting(now),
         ]
 
-    def release(
+    def free_slot(
         self, now: float, attempt_id: sidecar_attempts.AttemptId
     ) -> None:
         """Frees the slot of an attempt."""
@@ -398,34 +406,38 @@
         """Cancels an attempt that the entry no longer needs."""
         out: list[fx.Effect] = []
         if attempt_id in self.attempts.running:
-            out.append(fx.CancelUpstream(*attempt_id.parts))
+            out.append(fx.CancelUpstream(*attempt_id.as_tuple))
         attempt = self.attempts.find(attempt_id)
         if attempt is None or attempt.end is not None:
             self.attempts.confirm(attempt_id)
             return []
-        self.release(now, attempt_id)
+        self.free_slot(now, attempt_id)
         # The attempt is kept until it expires, so that a late duplicate of
         # the submit doesn't run it again.
-        message = sidecar_ends.build_cancelled(attempt, load=self.load)
-        self.attempts.end(attempt, message=message, now=now)
+        message = sidecar_ends.build_cancellation(attempt, load=self.load)
+        self.attempts.mark_finished(attempt, message=message, now=now)
         self.attempts.confirm(attempt_id)
         return out + self.start_waiting(now)
 
-    def resend(self, ask: path_messages.Resend) -> list[fx.Effect]:
+    def resend(self, message: path_messages.Resend) -> list[fx.Effect]:
         """Resends the events and the end that the entry is missing."""
         attempt = self.attempts.find(
-            sidecar_attempts.AttemptId(ask.request_id, ask.attempt)
+            sidecar_attempts.AttemptId(message.request_id, message.attempt)
         )
         if attempt is None:
-            unknown = path_messages.AttemptUnknown(ask.request_id, ask.attempt)
-            return [effects.Send(ask.reply_to, unknown)]
-        missing = attempt.events[ask.first_event - attempt.submit.first_event :]
+            unknown = path_messages.AttemptUnknown(
+                message.request_id, message.attempt
+            )
+            return [effects.Send(message.reply_to, unknown)]
+        missing = attempt.events[
+            message.first_event - attempt.submit.first_event :
+        ]
         chunk = path_messages.Chunk(
-            ask.request_id, ask.attempt, ask.first_event, missing
+            message.request_id, message.attempt, message.first_event, missing
         )
-        sends: list[fx.Effect] = [effects.Send(ask.reply_to, chunk)]
+        sends: list[fx.Effect] = [effects.Send(message.reply_to, chunk)]
         if attempt.end is not None:
-            sends.append(effects.Send(ask.reply_to, attempt.end))
+            sends.append(effects.Send(message.reply_to, attempt.end))
         return sends
 
     # Time and the upstream.
@@ -458,20 +470,22 @@
         out: list[fx.Effect] = [
             *self.held.hand_in(
                 now=now,
-                entries=self.control.list_entries(),
+                entries=self.control.list_entry_addresses(),
                 reply_to=self.identity.peer_address,
             ),
             *self.start_waiting(now),
-            *self.orders.send_ready(active_versions=self.attempts.find_busy()),
+            *self.orders.send_ready(
+                active_versions=self.attempts.list_active_versions()
+            ),
         ]
-        if now >= self.gauges_at:
-            self.gauges_at = now + GAUGE_PERIOD_S
-            out += self.measure()
+        if now >= self.next_gauges_at:
+            self.next_gauges_at = now + GAUGE_PERIOD_S
+            out += self.build_gauges()
         if self.stopping:
             out += self.exit_if_idle(now)
         return out
 
-    def measure(self) -> list[fx.Effect]:
+    def build_gauges(self) -> list[fx.Effect]:
         """Returns the gauges that are reported periodically."""
         name = self.identity.name
         return [
@@ -486,13 +500,13 @@
             return []
         self.stopping = True
         self.stop_at = now + self.stop_grace_s
-        out: list[fx.Effect] = [*self.control.leave(now=now)]
+        out: list[fx.Effect] = [*self.control.announce_leaving(now=now)]
         problem = errors.Problem(
             code=errors.ErrorCode.UPSTREAM_LEAVING,
             retry_after_s=defaults.RETRY_AFTER_S,
         )
         for attempt_id in list(self.attempts.waiting):
-            self.release(now, attempt_id)
+            self.free_slot(now, attempt_id)
             out += self.refuse_waiting(now, attempt_id, problem)
         return out
 
@@ -524,7 +538,7 @@
     return errors.Problem(code=shed.code, retry_after_s=shed.retry_after_s)
 
 
-def build_call(
+def build_upstream_call(
     attempt: sidecar_attempts.Attempt, *, now: float
 ) -> fx.CallUpstream:
     """Returns the effect that sends the attempt to the upstream."""
--- a/packages/rhubarbbank-core/src/rhubarbbank_core/sidecar_attempts.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/sidecar_attempts.py
@@ -28,12 +28,12 @@
         return f"{self.request_id}/{self.attempt}"
 
     @property
-    def parts(self) -> tuple[str, int]:
+    def as_tuple(self) -> tuple[str, int]:
         """The request id and the attempt number."""
         return self.request_id, self.attempt
 
 
-def parse_id(text: str) -> AttemptId:
+def parse_attempt_id(text: str) -> AttemptId:
     """Parses an attempt id such as "a1-7/2"."""
     request_id, _, attempt = text.rpartition("/")
     return AttemptId(request_id, int(attempt))
@@ -49,7 +49,7 @@
         waited_s: Time from then until it was sent to the upstream.
         events: All answer events so far, from `submit.first_event` on.
         end: The message that ended it, or None while it runs.
-        ended: When it ended, in seconds.
+        ended_at: When it ended, in seconds.
         confirmed: Whether the entry has the whole answer.
         prompt_tokens: Prompt tokens reported by the upstream.
         completion_tokens: Completion tokens reported by the upstream.
@@ -60,7 +60,7 @@
     waited_s: float = 0.0
     events: list[bytes] = dataclasses.field(default_factory=list)
     end: effects.Message | None = None
-    ended: float = 0.0
+    ended_at: float = 0.0
     confirmed: bool = False
     prompt_tokens: int = 0
     completion_tokens: int = 0
@@ -100,7 +100,7 @@
             or self.finished.get(attempt_id)
         )
 
-    def find_busy(self) -> frozenset[table.VersionKey]:
+    def list_active_versions(self) -> frozenset[table.VersionKey]:
         """Returns the versions with waiting or running attempts."""
         return frozenset(
             table.VersionKey(each.submit.model, each.submit.version)
@@ -117,14 +117,14 @@
         self.waiting.pop(attempt.id, None)
         self.running[attempt.id] = attempt
 
-    def end(
+    def mark_finished(
         self, attempt: Attempt, *, message: effects.Message, now: float
     ) -> None:
         """Moves an attempt to the finished ones, within their limit."""
         self.running.pop(attempt.id, None)
         self.waiting.pop(attempt.id, None)
         attempt.end = message
-        attempt.ended = now
+        attempt.ended_at = now
         self.finished[attempt.id] = attempt
         while len(self.finished) > defaults.MAX_RETAINED_ATTEMPTS:
             self.finished.popitem(last=False)
@@ -142,13 +142,13 @@
 
     def count_unconfirmed(self) -> int:
         """Counts the finished attempts whose answer isn't confirmed."""
-        return sum(not x.confirmed for x in self.finished.values())
+        return sum(not each.confirmed for each in self.finished.values())
 
     def expire(self, *, now: float) -> None:
         """Removes finished attempts whose retention time is over."""
-        oldest = now - defaults.FINISHED_ATTEMPT_RETENTION_S
+        expired_before = now - defaults.FINISHED_ATTEMPT_RETENTION_S
         while self.finished:
             attempt_id, attempt = next(iter(self.finished.items()))
-            if attempt.ended > oldest:
+            if attempt.ended_at > expired_before:
                 return
             del self.finished[attempt_id]
--- a/packages/rhubarbbank-core/src/rhubarbbank_core/sidecar_control.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/sidecar_control.py
@@ -87,7 +87,7 @@
         )
         self.fleet.presence.healthy = False
 
-    def message(
+    def handle_message(
         self, *, now: float, message: wire.AnyMessage
     ) -> table_sync_events.SyncStep:
         """Handles a coordination message from an entry."""
@@ -106,49 +106,49 @@
         orders: sidecar_orders.OrderReport,
     ) -> list[effects.Send]:
         """Stores the upstream's health and load, and reports changes."""
-        shown = self.fleet.presence
-        changed = healthy != shown.healthy
-        shown.healthy = healthy
-        shown.load = presence.SidecarLoad(
+        own_presence = self.fleet.presence
+        changed = healthy != own_presence.healthy
+        own_presence.healthy = healthy
+        own_presence.load = presence.SidecarLoad(
             running=load.running,
             waiting=load.waiting,
             max_batch=load.max_batch,
             reported_at=now - load.age_s,
         )
-        told = self.tell_orders(now=now, orders=orders) if healthy else []
-        if changed and not told:
-            return shown.broadcast(now=now, report=self.fleet.report())
-        return told
+        sends = self.announce_orders(now=now, orders=orders) if healthy else []
+        if changed and not sends:
+            return own_presence.broadcast(now=now, report=self.fleet.report())
+        return sends
 
-    def tell_orders(
+    def announce_orders(
         self, *, now: float, orders: sidecar_orders.OrderReport
     ) -> list[effects.Send]:
         """Updates the sidecar's row, and announces it if it changed."""
-        shown = self.fleet.presence
+        own_presence = self.fleet.presence
         row = msgspec.structs.replace(
-            shown.row,
+            own_presence.row,
             fence=orders.fence,
             versions=orders.versions,
             loading=orders.loading,
             unloading=orders.unloading,
         )
-        if row == shown.row:
+        if row == own_presence.row:
             return []
-        shown.row = row
-        return shown.announce(now=now, report=self.fleet.report())
+        own_presence.row = row
+        return own_presence.announce(now=now, report=self.fleet.report())
 
-    def answer_order(self, address: str) -> effects.Send:
+    def build_row_update(self, address: str) -> effects.Send:
         """Returns a message with the row for the sender of an order."""
         row = self.fleet.presence.row
         update = membership_messages.DirectoryUpdate(row.name, sidecars=(row,))
         return effects.Send(address, update)
 
-    def leave(self, *, now: float) -> list[effects.Send]:
+    def announce_leaving(self, *, now: float) -> list[effects.Send]:
         """Announces that this upstream takes no new work."""
         return self.fleet.presence.announce(
             now=now, report=self.fleet.report(), leaving=True
         )
 
-    def list_entries(self) -> list[str]:
+    def list_entry_addresses(self) -> list[str]:
         """Returns the peer addresses of the entries heard recently."""
         return [address for _, address in self.fleet.presence.greeted.values()]
--- a/packages/rhubarbbank-core/src/rhubarbbank_core/sidecar_ends.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/sidecar_ends.py
@@ -8,11 +8,11 @@
 from rhubarbbank_core import path_messages
 from rhubarbbank_core import sidecar_attempts
 
-USAGE_MARK = b'"usage"'
+USAGE_FIELD = b'"usage"'
 # The token counts are in the last event, or in the one before "[DONE]".
-USAGE_EVENTS = 2
+USAGE_TAIL_EVENTS = 2
 # Connections that break within this time of one another count as one crash.
-INCIDENT_S = 0.5
+CRASH_WINDOW_S = 0.5
 
 
 class Usage(msgspec.Struct, frozen=True):
@@ -37,28 +37,30 @@
     Attributes:
         name: The sidecar's name, which the ids start with.
         count: Crashes seen so far.
-        broken_at: When a connection last broke, in seconds.
+        last_broken_at: When a connection last broke, in seconds.
     """
 
     def __init__(self, *, name: str) -> None:
         self.name = name
         self.count = 0
-        self.broken_at = float("-inf")
+        self.last_broken_at = float("-inf")
 
-    def name_incident(self, end: events.UpstreamEnd, *, now: float) -> str:
+    def assign_incident(self, end: events.UpstreamEnd, *, now: float) -> str:
         """Returns the crash's id, or "" if the upstream didn't crash."""
         if end is not events.UpstreamEnd.BROKEN:
             return ""
-        if now - self.broken_at > INCIDENT_S:
+        if now - self.last_broken_at > CRASH_WINDOW_S:
             self.count += 1
-        self.broken_at = now
+        self.last_broken_at = now
         return f"{self.name}/{self.count}"
 
 
-def read_usage(attempt: sidecar_attempts.Attempt, stream: list[bytes]) -> None:
+def update_usage(
+    attempt: sidecar_attempts.Attempt, answer_events: list[bytes]
+) -> None:
     """Updates the attempt's token counts if the events contain any."""
-    for event in stream[-USAGE_EVENTS:]:
-        if USAGE_MARK not in event:
+    for event in answer_events[-USAGE_TAIL_EVENTS:]:
+        if USAGE_FIELD not in event:
             continue
         try:
             usage = USAGE_DECODER.decode(event).usage
@@ -69,7 +71,7 @@
             attempt.completion_tokens = usage.completion_tokens
 
 
-def judge_run_state(end: events.UpstreamEnd) -> errors.RunState:
+def get_run_state(end: events.UpstreamEnd) -> errors.RunState:
     """Returns whether a call that ended without an answer may have run."""
     if end is events.UpstreamEnd.UNREACHED:
         return errors.RunState.NOT_RUN
@@ -96,7 +98,7 @@
     )
 
 
-def build_cancelled(
+def build_cancellation(
     attempt: sidecar_attempts.Attempt, *, load: path_messages.Load
 ) -> path_messages.Failed:
     """Returns the reply to late duplicates of a cancelled submit."""
@@ -113,7 +115,7 @@
     )
 
 
-def build_end(
+def build_end_message(
     attempt: sidecar_attempts.Attempt,
     event: events.UpstreamEnded,
     *,
@@ -147,7 +149,7 @@
         request_id=event.request_id,
         attempt=event.attempt,
         code=errors.ErrorCode.UPSTREAM_FAILED,
-        run_state=judge_run_state(event.end),
+        run_state=get_run_state(event.end),
         retry_after_s=event.retry_after_s,
         crashed=crashed,
         incident=incident,
