--- a/packages/rhubarbbank-core/src/rhubarbbank_core/admission.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/admission.py
@@ -1,18 +1,19 @@
-"""Admits, orders and sheds requests at the sidecar.
-
-The sidecar offers each request to `admit`, hands over to its upstream what
-`start` returns, and reports each end to `finish`. The queue is ordered by
-priority (0 first); within a priority by start-time fair queueing over
-organisations, so that one organisation's flood waits behind itself.
-
-A request is admitted only if it can be in time: the work that would be
-served before it, over the rate at which the upstream finishes work, plus its
-own service time and a margin for how much those vary, must fit its deadline.
-Work that others have since overtaken, so that it can no longer be in time, is
-handed back by `shed` at once instead of being held. Since nothing late is
-ever started, all capacity goes into answers that count, and goodput stays up
-however many callers retry. `retry_after_s` is spread by jitter, so that
-refused callers do not come back together.
+"""Admission control, queueing and load shedding at the sidecar.
+
+The sidecar passes each request to `admit`, sends the requests that `start`
+returns to its upstream, and reports each end to `finish`. The queue is
+ordered by priority (0 first) and, within a priority, by start-time fair
+queueing over organisations, so that a burst of one organisation delays mainly
+its own requests.
+
+A request is admitted only if it is expected to meet its deadline. The
+estimate is the work ahead of it, divided by the upstream's service rate, plus
+its own service time and a margin for the variation of service times. `shed`
+refuses queued requests as soon as they can no longer meet their deadlines, for
+example because requests of a higher priority arrived later. Since no request
+is started that is expected to miss its deadline, capacity is not spent on late
+answers, and goodput stays high however many callers retry. `retry_after_s` has
+jitter, so that refused callers do not retry simultaneously.
 """
 
 import collections.abc
@@ -23,23 +24,23 @@
 from rhubarbbank_core import errors
 
 PRIORITY_COUNT = 10
-SERVICE_SMOOTHING = 0.05
-MARGIN_DEVIATIONS = 2.0
-RETRY_JITTER_LOW = 0.5
-RETRY_JITTER_HIGH = 1.5
+SERVICE_SMOOTHING_FACTOR = 0.05
+SERVICE_MARGIN_DEVIATIONS = 2.0
+MINIMUM_RETRY_JITTER = 0.5
+MAXIMUM_RETRY_JITTER = 1.5
 MINIMUM_RETRY_AFTER_S = 0.5
 MAXIMUM_RETRY_AFTER_S = 30.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Ticket:
-    """One request as admission sees it.
+    """The properties of a request that admission control uses.
 
     Attributes:
-        request_id: Unique among those in the queue and running.
-        organisation: The customer.
+        request_id: Unique among queued and running requests.
+        organisation: The customer that sent the request.
         priority: 0 is served first, 9 last.
-        deadline: When the answer must be complete, on the clock of `now`.
+        deadline: When the answer must be complete, in the time of `now`.
         work: Size relative to a mean request; 1 is the mean.
         weight: The organisation's share relative to others.
     """
@@ -54,7 +55,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Admitted:
-    """The request was queued; the wait before its start is an estimate."""
+    """The request was queued, with an estimate of its queueing time."""
 
     expected_wait_s: float
 
@@ -64,9 +65,9 @@
     """The request was refused and has not run.
 
     Attributes:
-        request_id: The request.
+        request_id: The ID of the request.
         code: OVERLOADED or DEADLINE_UNREACHABLE.
-        retry_after_s: When the caller should come back, with jitter.
+        retry_after_s: The delay before the caller should retry, with jitter.
     """
 
     request_id: str
@@ -78,19 +79,19 @@
 
 
 class Admission(Protocol):
-    """Decides what a sidecar's upstream runs, and in which order."""
+    """Decides which requests a sidecar's upstream runs, in which order."""
 
     def admit(self, ticket: Ticket, *, now: float) -> AdmissionDecision:
         """Queues one request or refuses it."""
 
     def start(self, *, now: float) -> list[Ticket]:
-        """Returns the requests to hand over now, in order."""
+        """Returns the requests to send to the upstream now, in order."""
 
     def shed(self, *, now: float) -> list[Shed]:
-        """Returns queued requests that can no longer be in time."""
+        """Removes queued requests to shed and returns their refusals."""
 
     def finish(self, request_id: str, *, now: float) -> None:
-        """Notes that a request ended or was cancelled, queued or running."""
+        """Removes a queued or running request that ended or was cancelled."""
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -103,19 +104,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Running:
-    """A ticket that was handed over at `started_at`."""
+    """A ticket that was sent to the upstream at `started_at`."""
 
     ticket: Ticket
     started_at: float
 
 
 class PriorityQueue:
-    """The queue of one priority, fair between organisations.
+    """The queue of one priority, with fair queueing over organisations.
 
     Attributes:
         waiting: Each organisation's tickets, oldest first.
-        work: Each organisation's queued work.
-        virtual_time: The tag of what was started last.
+        virtual_time: The highest tag of the tickets taken so far.
         finish_tags: Each organisation's last virtual finish time.
     """
 
@@ -125,7 +125,7 @@
         self.finish_tags: dict[str, float] = {}
 
     def put(self, ticket: Ticket) -> None:
-        """Adds a ticket behind its organisation's others."""
+        """Appends a ticket to its organisation's queue."""
         tag = self.next_tag(ticket.organisation)
         self.finish_tags[ticket.organisation] = tag + (
             ticket.work / ticket.weight
@@ -140,7 +140,7 @@
         return max(last, self.virtual_time)
 
     def take(self) -> Ticket | None:
-        """Removes and returns the ticket with the least tag, if any."""
+        """Removes and returns the ticket with the lowest tag, if any."""
         heads = [queue[0] for queue in self.waiting.values()]
         if not heads:
             return None
@@ -154,18 +154,18 @@
         organisation = ticket.organisation
         queue = self.waiting[organisation]
         index = next(
-            place
-            for place, each in enumerate(queue)
+            position
+            for position, each in enumerate(queue)
             if each.ticket.request_id == ticket.request_id
         )
         del queue[index]
         if not queue:
             del self.waiting[organisation]
         if len(self.finish_tags) > len(self.waiting):
-            self.forget_idle()
+            self.drop_stale_tags()
 
-    def forget_idle(self) -> None:
-        """Drops the tags of organisations that would start afresh anyway."""
+    def drop_stale_tags(self) -> None:
+        """Drops finish tags that no longer affect the tag of a new ticket."""
         self.finish_tags = {
             organisation: tag
             for organisation, tag in self.finish_tags.items()
@@ -173,12 +173,12 @@
         }
 
     def sorted_items(self) -> list[Queued]:
-        """Returns everything queued in the order of service."""
+        """Returns all queued tickets in the order of service."""
         items = [each for queue in self.waiting.values() for each in queue]
         return sorted(items, key=lambda each: each.tag)
 
-    def measure_before(self, tag: float) -> float:
-        """Returns the queued work that would be served before `tag`."""
+    def sum_work_until(self, tag: float) -> float:
+        """Returns the queued work with a tag of at most `tag`."""
         return sum(
             each.ticket.work
             for queue in self.waiting.values()
@@ -188,14 +188,14 @@
 
 
 class DeadlineAdmission:
-    """Sheds by predicted wait; see the module's docstring.
+    """Sheds requests that are predicted to miss their deadlines.
 
     Attributes:
-        slots: How many requests the upstream runs side by side.
-        service_s: Estimated time that a mean request runs.
-        deviation_s: Mean absolute deviation from it.
-        safety: Factor on the estimated time for its error.
-        limit: Most requests queued.
+        slots: The number of requests that the upstream runs concurrently.
+        service_s: The estimated service time of a request of mean size.
+        deviation_s: The mean absolute deviation from `service_s`.
+        safety: A factor on the estimated wait that allows for its error.
+        limit: The maximum number of queued requests.
     """
 
     def __init__(
@@ -219,46 +219,54 @@
         self.evicted: list[Shed] = []
 
     def admit(self, ticket: Ticket, *, now: float) -> AdmissionDecision:
-        """Queues one request, or refuses it if it cannot be in time."""
+        """Queues a request unless it would be late or the queue is full."""
         wait_s = self.predict_wait_s(ticket, now=now)
         late_s = now + wait_s + self.predict_service_s(ticket) - ticket.deadline
         if late_s > 0.0:
             return self.refuse(
                 ticket, errors.ErrorCode.DEADLINE_UNREACHABLE, late_s
             )
-        if len(self.queued) >= self.limit and not self.make_room(ticket):
+        if len(self.queued) >= self.limit and not self.evict_lower_priority(
+            ticket
+        ):
             return self.refuse(ticket, errors.ErrorCode.OVERLOADED, wait_s)
         self.queues[ticket.priority].put(ticket)
         self.queued[ticket.request_id] = ticket
         return Admitted(expected_wait_s=wait_s)
 
     def predict_wait_s(self, ticket: Ticket, *, now: float) -> float:
-        """Returns the estimated time before a new ticket would start."""
+        """Returns the estimated time until a new ticket would start."""
         before = sum(
-            queue.measure_before(float("inf"))
+            queue.sum_work_until(float("inf"))
             for queue in self.queues[: ticket.priority]
         )
         own_queue = self.queues[ticket.priority]
-        before += own_queue.measure_before(
+        before += own_queue.sum_work_until(
             own_queue.next_tag(ticket.organisation)
         )
         free = self.slots - len(self.running)
         if before < free:
             return 0.0
-        # The slot that frees next but for those that earlier work takes.
-        return self.convert_work_s(before - free + 1.0)
+        # Work ahead takes the free slots and the next `before - free` slots
+        # that become free; the ticket takes the one after these.
+        return self.estimate_drain_s(before - free + 1.0)
 
-    def convert_work_s(self, work: float) -> float:
-        """Returns how long all slots together take for this much work."""
+    def estimate_drain_s(self, work: float) -> float:
+        """Returns the estimated time for all slots to finish `work`."""
         return self.safety * work * self.service_s / self.slots
 
     def predict_service_s(self, ticket: Ticket) -> float:
-        """Returns how long a ticket will run at most, but for a few."""
-        longest_s = self.service_s + MARGIN_DEVIATIONS * self.deviation_s
+        """Returns a service time that few requests of this size exceed."""
+        longest_s = (
+            self.service_s + SERVICE_MARGIN_DEVIATIONS * self.deviation_s
+        )
         return ticket.work * longest_s
 
-    def make_room(self, ticket: Ticket) -> bool:
-        """Evicts the last ticket of the lowest priority below this one's."""
+    def evict_lower_priority(self, ticket: Ticket) -> bool:
+        """Evicts the last ticket of the lowest priority below `ticket`'s.
+
+        Returns False if no lower priority has a queued ticket.
+        """
         for priority in range(PRIORITY_COUNT - 1, ticket.priority, -1):
             items = self.queues[priority].sorted_items()
             if items:
@@ -277,7 +285,7 @@
     ) -> Shed:
         """Returns a refusal whose `retry_after_s` has jitter."""
         base_s = min(MAXIMUM_RETRY_AFTER_S, max(MINIMUM_RETRY_AFTER_S, wait_s))
-        jitter = self.rng.uniform(RETRY_JITTER_LOW, RETRY_JITTER_HIGH)
+        jitter = self.rng.uniform(MINIMUM_RETRY_JITTER, MAXIMUM_RETRY_JITTER)
         return Shed(
             request_id=ticket.request_id,
             code=code,
@@ -290,7 +298,7 @@
         del self.queued[ticket.request_id]
 
     def start(self, *, now: float) -> list[Ticket]:
-        """Returns the requests to hand over now; none that is too late."""
+        """Starts requests in free slots, after dropping late ones."""
         self.evicted.extend(self.drop_late(now=now))
         started: list[Ticket] = []
         while len(self.running) < self.slots:
@@ -304,7 +312,7 @@
         return started
 
     def take(self) -> Ticket | None:
-        """Removes and returns the ticket that is next, if any."""
+        """Removes and returns the next ticket in the order of service."""
         for queue in self.queues:
             ticket = queue.take()
             if ticket is not None:
@@ -313,20 +321,20 @@
         return None
 
     def shed(self, *, now: float) -> list[Shed]:
-        """Returns queued requests that can no longer be in time."""
+        """Drops late requests; returns all drops since the last call."""
         late = self.evicted + self.drop_late(now=now)
         self.evicted = []
         return late
 
     def drop_late(self, *, now: float) -> list[Shed]:
-        """Removes what cannot be in time even in the order of service."""
+        """Removes and refuses tickets that would miss their deadlines."""
         late: list[Shed] = []
         before = 0.0
         free = self.slots - len(self.running)
-        for ticket in self.list_in_order():
+        for ticket in self.iterate_in_order():
             wait_s = 0.0
             if before >= free:
-                wait_s = self.convert_work_s(before - max(0, free))
+                wait_s = self.estimate_drain_s(before - max(0, free))
             end = now + wait_s + self.predict_service_s(ticket)
             if end > ticket.deadline:
                 self.drop(ticket)
@@ -341,14 +349,14 @@
             before += ticket.work
         return late
 
-    def list_in_order(self) -> collections.abc.Iterator[Ticket]:
+    def iterate_in_order(self) -> collections.abc.Iterator[Ticket]:
         """Yields queued tickets in the order of service."""
         for queue in self.queues:
             for each in queue.sorted_items():
                 yield each.ticket
 
     def finish(self, request_id: str, *, now: float) -> None:
-        """Notes an end; learns the service time from what ran."""
+        """Removes a request and updates the service time if it was running."""
         queued = self.queued.get(request_id)
         if queued is not None:
             self.drop(queued)
@@ -356,9 +364,9 @@
         ended = self.running.pop(request_id, None)
         if ended is None:
             return
-        took_s = (now - ended.started_at) / ended.ticket.work
-        error_s = took_s - self.service_s
-        self.service_s += SERVICE_SMOOTHING * error_s
-        self.deviation_s += SERVICE_SMOOTHING * (
+        measured_s = (now - ended.started_at) / ended.ticket.work
+        error_s = measured_s - self.service_s
+        self.service_s += SERVICE_SMOOTHING_FACTOR * error_s
+        self.deviation_s += SERVICE_SMOOTHING_FACTOR * (
             abs(error_s) - self.deviation_s
         )
--- a/packages/rhubarbbank-core/src/rhubarbbank_core/admission_baselines.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/admission_baselines.py
@@ -1,4 +1,4 @@
-"""Naive admissions that `admission.DeadlineAdmission` is measured against.
+"""Baseline policies to compare `admission.DeadlineAdmission` with.
 
 Used by experiments and tests only.
 """
@@ -28,7 +28,7 @@
         return admission.Admitted(expected_wait_s=0.0)
 
     def start(self, *, now: float) -> list[admission.Ticket]:
-        """Returns the oldest requests that fit into the slots."""
+        """Returns the oldest requests, one for each free slot."""
         del now
         started: list[admission.Ticket] = []
         while self.queue and len(self.running) < self.slots:
@@ -38,18 +38,18 @@
         return started
 
     def shed(self, *, now: float) -> list[admission.Shed]:
-        """Returns nothing: what was admitted stays."""
+        """Returns an empty list: admitted requests are never shed."""
         del now
         return []
 
     def finish(self, request_id: str, *, now: float) -> None:
-        """Frees the slot; a queued request stays queued."""
+        """Frees the slot of a running request; does not dequeue requests."""
         del now
         self.running.discard(request_id)
 
 
 class FixedConcurrency(UnlimitedFifo):
-    """Refuses when a fixed number of requests is running or queued."""
+    """Limits the number of running and queued requests."""
 
     def __init__(self, *, slots: int, limit: int) -> None:
         super().__init__(slots=slots)
@@ -58,7 +58,7 @@
     def admit(
         self, ticket: admission.Ticket, *, now: float
     ) -> admission.AdmissionDecision:
-        """Queues the request while there is room."""
+        """Queues the request, or refuses it at the limit."""
         if len(self.queue) + len(self.running) >= self.limit:
             return admission.Shed(
                 request_id=ticket.request_id,
