--- a/features/policy_decisions.feature
+++ b/features/policy_decisions.feature
@@ -35,47 +35,47 @@
   Scenario: Placement never picks a leaving or excluded upstream
     Then placement chooses only usable upstreams in 200 random fleets
 
-  Scenario: Admission refuses what cannot be in time
-    Given an admission of 2 slots and 1 s service with 8 queued requests
-    When a request with 2 s to its deadline is offered
-    Then admission sheds it as "deadline_unreachable" with a time to return
+  Scenario: Admission refuses a request that would miss its deadline
+    Given an admission queue with 2 slots, a service time of 1 s and 8 requests
+    When a request with a deadline in 2 s arrives
+    Then admission sheds it as "deadline_unreachable" with a retry delay
 
   Scenario: Admission serves the highest priority first
-    Given an admission of 1 slot with these requests queued
+    Given an admission queue with 1 slot and these requests
       | request | organisation | priority |
       | low     | x            | 9        |
       | mid     | x            | 5        |
       | high    | x            | 0        |
     Then admission starts "high, mid, low"
 
-  Scenario: Admission lets no organisation's flood slow another's request
-    Given an admission of 1 slot with these requests queued
+  Scenario: Admission queues fairly between organisations
+    Given an admission queue with 1 slot and these requests
       | request | organisation | priority |
-      | f1      | flood        | 5        |
-      | f2      | flood        | 5        |
-      | f3      | flood        | 5        |
-      | c1      | calm         | 5        |
+      | f1      | burst        | 5        |
+      | f2      | burst        | 5        |
+      | f3      | burst        | 5        |
+      | c1      | other        | 5        |
     Then admission starts "f1, c1, f2, f3"
 
   Scenario: Admission drops the lowest priority when its queue is full
-    Given an admission of 1 slot and a limit of 2 with these requests queued
+    Given an admission queue with 1 slot, a limit of 2 and these requests
       | request | organisation | priority |
       | low     | x            | 9        |
       | mid     | x            | 5        |
       | high    | x            | 0        |
     Then admission has shed "low" as "overloaded"
 
-  Scenario: Admission hands back at once what others have overtaken
-    Given an admission of 1 slot with a request that has 4.0 s queued
-    When 5 requests of priority 0 overtake in admission and 0.5 s pass
+  Scenario: Admission sheds a request delayed past its deadline by higher priorities
+    Given an admission queue with 1 slot and a request due in 4.0 s
+    When 5 requests of priority 0 are admitted and 0.5 s pass
     Then admission has shed "low" as "deadline_unreachable"
 
-  Scenario: Admission spreads the times to return
-    Given an admission of 2 slots and 1 s service with 8 queued requests
-    Then 20 refusals of admission name as many times to return
+  Scenario: Admission adds jitter to retry delays
+    Given an admission queue with 2 slots, a service time of 1 s and 8 requests
+    Then 20 refusals by admission have distinct retry delays
 
-  Scenario: Admission never starts what its own estimate calls late
-    Then admission keeps its word over 100 random sequences
+  Scenario: Admission starts no request that it expects to miss its deadline
+    Then admission meets its guarantees in 100 random sequences
 
   Scenario: Cascade starts with the strongest version
     Given a cascade that knows nothing
