--- a/packages/rhubarbbank-core/src/rhubarbbank_core/admission.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/admission.py
@@ -194,7 +194,7 @@
         slots: The number of requests that the upstream runs concurrently.
         service_s: The estimated service time of a request of mean size.
         deviation_s: The mean absolute deviation from `service_s`.
-        safety: A factor on the estimated wait that allows for its error.
+        safety_factor: A factor on the estimated wait, against its error.
         limit: The maximum number of queued requests.
     """
 
@@ -204,14 +204,14 @@
         slots: int,
         rng: random.Random,
         service_s: float = 1.0,
-        safety: float = 1.1,
+        safety_factor: float = 1.1,
         limit: int = 1000,
     ) -> None:
         self.slots = slots
         self.rng = rng
         self.service_s = service_s
         self.deviation_s = 0.0
-        self.safety = safety
+        self.safety_factor = safety_factor
         self.limit = limit
         self.queues = [PriorityQueue() for _ in range(PRIORITY_COUNT)]
         self.queued: dict[str, Ticket] = {}
@@ -253,7 +253,7 @@
 
     def estimate_drain_s(self, work: float) -> float:
         """Returns the estimated time for all slots to finish `work`."""
-        return self.safety * work * self.service_s / self.slots
+        return self.safety_factor * work * self.service_s / self.slots
 
     def predict_service_s(self, ticket: Ticket) -> float:
         """Returns a service time that few requests of this size exceed."""
