--- a/packages/rhubarbbank-core/src/rhubarbbank_core/exposure.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/exposure.py
@@ -1,17 +1,18 @@
 """Decides how much new work a new version of a model gets.
 
-A shard owner folds batches of evidence, summed over the fleet, into one judge
-for each new version and its incumbent, and writes the verdict to the row's
-status. Entries then assign sessions by hash, so that all agree.
-
-The share grows stage by stage, each only with evidence that the version is
-not worse than the incumbent by more than that stage's margin. Evidence of a
-loss in rating, errors or slow answers holds the version at once and for good;
-an operator starts again by a new judge. After the last stage a change
-detector watches for a version that turns bad later. All tests are
-anytime-valid (`sequential_test`), so judging after every batch is sound. The
-judge has no clock and no randomness: the same batches in the same order give
-the same state.
+Each new version has one judge, which compares it with its incumbent. The
+shard owner passes it batches of evidence aggregated over all entries and
+writes the verdict to the status of the version's row. Entries assign sessions
+by hash, so that all of them make the same choice.
+
+The share increases in stages. Leaving a stage requires evidence that the
+version is not worse than the incumbent by more than the stage's margin.
+Evidence of worse ratings, more errors or more slow answers holds the version
+immediately and permanently; an operator restarts it with a new judge. From
+the last stage on, change detectors look for a later regression. All tests are
+anytime-valid (see `sequential_test`), so testing after every batch does not
+increase the error probability. The judge uses neither a clock nor random numbers: the same
+batches in the same order produce the same state.
 """
 
 import dataclasses
@@ -24,15 +25,15 @@
 
 PER_CENT = 100
 HASH_BUCKETS = 10_000
-# Odd 64-bit multiplier (2**64 over the golden ratio): spreads any hash
-# before its upper bits choose the bucket.
+# Fibonacci hashing: an odd multiplier of 2**64 divided by the golden ratio
+# mixes the hash before its upper bits select the bucket.
 HASH_MULTIPLIER = 0x9E3779B97F4A7C15
 HASH_MASK = 2**64 - 1
 HASH_SHIFT = 32
 
 
 class HoldReason(enum.StrEnum):
-    """What a version was held for."""
+    """Why a version is held."""
 
     RATING = "rating"
     ERRORS = "errors"
@@ -51,7 +52,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class EvidenceBatch:
-    """Sums over the requests of one version since the batch before.
+    """Sums over the requests of one version since the previous batch.
 
     Attributes:
         key: The version.
@@ -59,8 +60,8 @@
         rating_sum: Sum of their ratings, each in [0, 1].
         rating_square_sum: Sum of the squares of their ratings.
         requests: Requests that ended.
-        errors: How many of them failed.
-        slow: How many of them exceeded the latency limit.
+        errors: Requests that failed.
+        slow: Requests that exceeded the latency limit.
     """
 
     key: table.VersionKey
@@ -74,7 +75,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Stage:
-    """The version gets this share of new work, in per cent."""
+    """The version gets `share_per_cent` of new work."""
 
     share_per_cent: int
 
@@ -91,19 +92,25 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ExposureSettings:
-    """What counts as worse, and how sure the judge must be.
+    """Tolerances and error probabilities of the judge's tests.
 
     Attributes:
-        shares_per_cent: The stages, in order; the last is 100.
-        margins: Rating loss to be ruled out before leaving each stage.
-        rating_tolerance: Rating loss that is no reason to hold.
-        error_tolerance: Rise of the error rate that is none.
-        slow_tolerance: Rise of the share of slow answers that is none.
-        false_hold: Chance of a false hold in a whole roll-out.
-        false_growth: Chance of leaving a stage on false evidence.
-        change_tolerance: Fall below the established mean that the change
-            detectors let pass.
-        change_log_threshold: Log of the batches between false alarms.
+        shares_per_cent: Share of new work in each stage; the last is 100.
+        margins: Decrease in the mean rating that must be ruled out before
+            leaving each stage but the last.
+        rating_tolerance: Decrease in the mean rating that does not cause a
+            hold.
+        error_tolerance: Increase in the error rate that does not cause a
+            hold.
+        slow_tolerance: Increase in the share of slow answers that does not
+            cause a hold.
+        false_hold: Maximum probability of a false hold in a whole rollout.
+        false_growth: Maximum probability of leaving a stage although the
+            version is worse by the stage's margin.
+        change_tolerance: Decrease below the established mean that the change
+            detectors tolerate.
+        change_log_threshold: Natural logarithm of the alarm threshold, which
+            bounds the mean number of batches between false alarms from below.
     """
 
     shares_per_cent: tuple[int, ...] = (1, 5, 20, 50, 100)
@@ -122,12 +129,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Measures:
-    """Tallies of one version; successes and timely answers count as 1.
+    """Tallies of one version; a success or a timely answer counts as 1.
 
     Attributes:
-        ratings: Of the answers' ratings.
-        successes: Of requests without error.
-        timely: Of requests within the latency limit.
+        ratings: Tally of the ratings.
+        successes: Tally of requests, 1 for each without an error.
+        timely: Tally of requests, 1 for each within the latency limit.
     """
 
     ratings: sequential_test.Tally = sequential_test.EMPTY_TALLY
@@ -135,7 +142,7 @@
     timely: sequential_test.Tally = sequential_test.EMPTY_TALLY
 
     def add(self, batch: EvidenceBatch) -> "Measures":
-        """Returns the measures with one more batch."""
+        """Returns the measures including one more batch."""
         good = batch.requests - batch.errors
         timely = batch.requests - batch.slow
         return Measures(
@@ -158,13 +165,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Watch:
-    """The change detectors of a version that has been rolled out.
+    """The change detectors of a version in the last stage.
 
     Attributes:
-        rated: Rated answers known when the levels were last set.
-        ratings: Watches the ratings.
-        successes: Watches requests without error.
-        timely: Watches requests within the latency limit.
+        rated: Number of rated answers when the levels were last set.
+        ratings: Detects a decrease in the mean rating.
+        successes: Detects a decrease in the share of successful requests.
+        timely: Detects a decrease in the share of requests within the
+            latency limit.
     """
 
     rated: int
@@ -173,7 +181,7 @@
     timely: sequential_test.ChangeDetector
 
     def add(self, batch: EvidenceBatch) -> "Watch":
-        """Returns the detectors after one more batch."""
+        """Returns the detectors including one more batch."""
         good = batch.requests - batch.errors
         timely = batch.requests - batch.slow
         return Watch(
@@ -192,9 +200,10 @@
         )
 
     def raise_levels(self, other: "Watch") -> "Watch":
-        """Returns the detectors with the higher of both levels each.
+        """Returns these detectors, each with the higher of the two levels.
 
-        What was summed against a lower level stays true of a higher one.
+        Sums accumulated against a lower level remain valid evidence against
+        a higher one.
         """
         return Watch(
             rated=other.rated,
@@ -204,7 +213,7 @@
         )
 
     def find_change(self) -> HoldReason | None:
-        """Returns what has changed for the worse, or None."""
+        """Returns the measure that has become worse, or None."""
         if self.ratings.alarmed:
             return HoldReason.RATING_CHANGED
         if self.successes.alarmed:
@@ -216,11 +225,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ExposureState:
-    """Everything that a judge has folded; a checkpoint keeps it.
+    """The state of a judge; checkpoints contain it.
 
     Attributes:
         stage: Index of the stage.
-        held: Why the version is held; None while it is not.
+        held: Why the version is held, or None if it is not.
         new: Measures of the new version.
         incumbent: Measures of the incumbent.
         watch: Change detectors, from the last stage on.
@@ -240,19 +249,20 @@
     """Judges one new version."""
 
     def fold(self, batch: EvidenceBatch) -> None:
-        """Takes in one batch of either version."""
+        """Adds one batch of the new version or the incumbent."""
 
     def verdict(self) -> Verdict:
-        """Returns the share that the version gets, or that it is held."""
+        """Returns the version's current stage, or its hold."""
 
 
 class ExposureJudge:
-    """Stages by anytime-valid evidence; see the module's docstring.
+    """Advances or holds a version by anytime-valid tests.
 
     Attributes:
         key: The new version.
-        incumbent: The version that it would replace.
-        state: Everything folded so far.
+        incumbent: The version that it replaces.
+        settings: Stages, tolerances and error probabilities.
+        state: The result of all batches so far.
     """
 
     def __init__(
@@ -269,9 +279,9 @@
         self.state = state
 
     def fold(self, batch: EvidenceBatch) -> None:
-        """Takes in one batch; those of other versions are ignored."""
+        """Adds one batch; a batch of any other version is ignored."""
         if batch.key == self.incumbent:
-            # What it shows counts at the new version's next batch.
+            # It takes effect with the next batch of the new version.
             self.state = dataclasses.replace(
                 self.state, incumbent=self.state.incumbent.add(batch)
             )
@@ -280,27 +290,27 @@
             self.judge()
 
     def verdict(self) -> Verdict:
-        """Returns the share that the version gets, or that it is held."""
+        """Returns the version's current stage, or its hold."""
         if self.state.held is not None:
             return Hold(reason=self.state.held)
         shares = self.settings.shares_per_cent
         return Stage(share_per_cent=shares[self.state.stage])
 
     def add_new(self, batch: EvidenceBatch) -> None:
-        """Takes in one batch of the new version."""
+        """Adds one batch of the new version."""
         state = self.state
         watch = state.watch.add(batch) if state.watch else None
         self.state = dataclasses.replace(
             state, new=state.new.add(batch), watch=watch
         )
-        # Levels are set anew whenever the evidence for them has doubled.
+        # The levels are recomputed each time the number of ratings doubles.
         if watch and self.state.new.ratings.count >= 2 * watch.rated:
             self.state = dataclasses.replace(
                 self.state, watch=watch.raise_levels(self.start_watch())
             )
 
     def judge(self) -> None:
-        """Holds the version or moves it on, if the evidence says so."""
+        """Holds the version or advances its stage, if a test allows it."""
         if self.state.held is not None:
             return
         reason = self.find_loss()
@@ -313,7 +323,7 @@
             self.grow()
 
     def find_loss(self) -> HoldReason | None:
-        """Returns in what the new version is worse, or None."""
+        """Returns the measure in which the new version is worse, or None."""
         settings = self.settings
         new, old = self.state.new, self.state.incumbent
         comparisons = (
@@ -341,7 +351,7 @@
         return None
 
     def may_grow(self) -> bool:
-        """Returns whether this stage's margin has been ruled out."""
+        """Returns whether a loss of this stage's margin is ruled out."""
         stage = self.state.stage
         if stage >= len(self.settings.margins):
             return False
@@ -353,7 +363,7 @@
         return log_e >= -math.log(self.settings.false_growth)
 
     def grow(self) -> None:
-        """Moves on to the next stage."""
+        """Advances to the next stage; the last one starts the detectors."""
         stage = self.state.stage + 1
         watch = self.state.watch
         if stage == len(self.settings.shares_per_cent) - 1:
@@ -361,7 +371,7 @@
         self.state = dataclasses.replace(self.state, stage=stage, watch=watch)
 
     def start_watch(self) -> Watch:
-        """Returns detectors set at the means that were established."""
+        """Returns new detectors with levels from the current tallies."""
         new = self.state.new
         return Watch(
             rated=new.ratings.count,
@@ -373,7 +383,10 @@
     def start_detector(
         self, tally: sequential_test.Tally
     ) -> sequential_test.ChangeDetector:
-        """Returns a detector set a little below what the tally proves."""
+        """Returns a detector set below the mean's lower confidence bound.
+
+        The difference is `change_tolerance`.
+        """
         proven = sequential_test.lower_bound(
             tally, alpha=self.settings.false_hold
         )
@@ -386,12 +399,12 @@
 def assign(*, request_hash: int, share_per_cent: float) -> bool:
     """Returns whether a session or request goes to the new version.
 
-    Every entry gives the same answer, and what a small share took in stays
-    in as the share grows.
+    The result is the same on every entry. A session that is assigned at one
+    share stays assigned at every larger share.
 
     Args:
         request_hash: A 64-bit hash of the session or the request.
-        share_per_cent: The verdict's share, 0 to 100.
+        share_per_cent: The share from the verdict, 0 to 100.
     """
     spread = (request_hash * HASH_MULTIPLIER) & HASH_MASK
     bucket = ((spread >> HASH_SHIFT) * HASH_BUCKETS) >> HASH_SHIFT
