--- a/packages/rhubarbbank-core/src/rhubarbbank_core/exposure_baselines.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/exposure_baselines.py
@@ -1,7 +1,8 @@
-"""The naive exposure that `exposure.ExposureJudge` is measured against.
+"""A baseline for the evaluation of `exposure.ExposureJudge`.
 
-A fixed canary share and a z-test on the mean rating, looked at after every
-batch as if each look were the only one. Used by experiments and tests only.
+It uses a fixed canary share and repeats a z-test on the mean rating after
+every batch without correction for multiple testing. Only experiments and
+tests use it.
 """
 
 import math
@@ -9,13 +10,13 @@
 from rhubarbbank_core import exposure
 from rhubarbbank_core import table
 
-# One-sided 1 per cent.
+# Critical value of a one-sided test at the 1 per cent level.
 Z_LIMIT = 2.326
 MINIMUM_RATED = 30
 
 
 class PeekedZTestExposure:
-    """A fixed share until a z-test on ratings says it is worse."""
+    """Gives a fixed share until a z-test on the ratings rejects it."""
 
     def __init__(
         self,
@@ -33,7 +34,7 @@
         self.sums: dict[table.VersionKey, tuple[int, float, float]] = {}
 
     def fold(self, batch: exposure.EvidenceBatch) -> None:
-        """Takes in one batch and repeats the test."""
+        """Adds one batch and repeats the test."""
         count, total, squares = self.sums.get(batch.key, (0, 0.0, 0.0))
         self.sums[batch.key] = (
             count + batch.rated,
@@ -43,7 +44,7 @@
         self.held = self.held or self.compute_z() < -Z_LIMIT
 
     def verdict(self) -> exposure.Verdict:
-        """Returns the fixed share, all after enough ratings, or a hold."""
+        """Returns a hold, the fixed share, or 100 after enough ratings."""
         if self.held:
             return exposure.Hold(reason=exposure.HoldReason.RATING)
         count = self.sums.get(self.key, (0, 0.0, 0.0))[0]
@@ -52,7 +53,11 @@
         return exposure.Stage(share_per_cent=self.share_per_cent)
 
     def compute_z(self) -> float:
-        """Returns the z statistic of new minus incumbent."""
+        """Returns the z statistic of the new mean minus the incumbent's.
+
+        It is 0 if either version has fewer than `MINIMUM_RATED` ratings or
+        the variance is 0.
+        """
         new = self.sums.get(self.key, (0, 0.0, 0.0))
         old = self.sums.get(self.incumbent, (0, 0.0, 0.0))
         if min(new[0], old[0]) < MINIMUM_RATED:
