--- a/packages/rhubarbbank-core/src/rhubarbbank_core/evidence.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/evidence.py
@@ -1,8 +1,9 @@
-"""What an entry has seen of each version, told to the version's judge.
+"""Counts the outcomes of each version on an entry and reports them.
 
-The judge of a model is the entry that rendezvous hashing prefers for it. The
-totals since this entry's start go to it whenever they have changed, and now
-and then in any case, so that a judge that takes over learns all of it.
+The reports for a model go to its judge, the entry that rendezvous hashing
+selects. They contain totals since this entry's start. Changed totals are sent
+every `REPORT_S`, and all totals every `REPEAT_S`, so that an entry that takes
+over as judge receives the whole history.
 """
 
 from collections.abc import Iterable
@@ -16,23 +17,23 @@
 
 REPORT_S = 1.0
 REPEAT_S = 5.0
-# The letter's bound on the time to the first token.
+# Required upper limit on the time to the first token.
 SLOW_FIRST_TOKEN_S = 0.54
 
 
 def find_judge(model: str, entries: Iterable[str]) -> str | None:
-    """Returns the peer address of the entry that judges a model."""
+    """Returns the peer address of a model's judge; None without entries."""
     return rendezvous.select(f"exposure/{model}", entries)
 
 
 class Evidence:
-    """Totals by version.
+    """Totals of requests and ratings by version, and when to report them.
 
     Attributes:
-        totals: By version, since the start.
-        changed: Models whose totals changed since they were reported.
-        report_at: When changes are reported next, in seconds.
-        repeat_at: When everything is reported next, in seconds.
+        totals: Totals by version, since this entry started.
+        changed: Models whose totals changed since the last report.
+        report_at: When changed totals are reported next, in seconds.
+        repeat_at: When all totals are reported next, in seconds.
     """
 
     def __init__(self) -> None:
@@ -44,7 +45,7 @@
         self.repeat_at = 0.0
 
     def find(self, key: table.VersionKey) -> evidence_messages.EvidenceTally:
-        """Returns the totals of a version."""
+        """Returns the totals of a version, zero if it has none yet."""
         return self.totals.get(key) or evidence_messages.EvidenceTally(
             key.model, key.version
         )
@@ -52,7 +53,7 @@
     def note_end(
         self, key: table.VersionKey, *, failed: bool, slow: bool
     ) -> None:
-        """Takes the end of one attempt on a version."""
+        """Counts one attempt on a version that ended."""
         found = self.find(key)
         self.totals[key] = msgspec.structs.replace(
             found,
@@ -63,7 +64,7 @@
         self.changed.add(key.model)
 
     def note_rating(self, key: table.VersionKey, rating: float) -> None:
-        """Takes the rating of one answer, in [0, 1]."""
+        """Adds the rating of one answer, in [0, 1]."""
         found = self.find(key)
         self.totals[key] = msgspec.structs.replace(
             found,
@@ -84,9 +85,9 @@
         """Returns the reports that are due.
 
         Args:
-            now: Seconds.
+            now: The current time in seconds.
             entry: This entry's name.
-            incarnation: This entry's.
+            incarnation: This entry's incarnation.
             entries: Peer addresses of the live entries.
         """
         if now < self.report_at:
