--- a/packages/rhubarbbank-core/src/rhubarbbank_core/evidence_messages.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/evidence_messages.py
@@ -1,4 +1,4 @@
-"""Messages that carry evidence on versions, and holds, between entries."""
+"""Messages between entries about evidence on versions and holds."""
 
 import msgspec
 
@@ -6,17 +6,17 @@
 
 
 class EvidenceTally(msgspec.Struct, frozen=True, array_like=True):
-    """What one entry has seen of one version since it started.
+    """Totals of one version on one entry since the entry started.
 
     Attributes:
-        model: Of the version.
-        version: The version.
+        model: The model's name.
+        version: The version's name.
         rated: Answers that were rated.
         rating_sum: Sum of their ratings, each in [0, 1].
         rating_square_sum: Sum of the squares of their ratings.
         requests: Requests that ended.
-        errors: How many of them failed.
-        slow: How many of them had a late first token.
+        errors: Requests that failed.
+        slow: Requests whose first token was late.
     """
 
     model: str
@@ -30,15 +30,15 @@
 
 
 class EvidenceReport(effects.Message, frozen=True, array_like=True, tag="er"):
-    """Tells the judge of a model what an entry has seen of its versions.
+    """Reports an entry's totals for the versions of a model to its judge.
 
-    Tallies are totals since the entry's start, so that a report may be lost,
-    late or repeated.
+    The tallies are totals since the entry's start, not increments, so lost,
+    late or repeated reports do no harm.
 
     Attributes:
         entry: The entry's name.
-        incarnation: The entry's.
-        tallies: One for each version of the model.
+        incarnation: The entry's incarnation.
+        tallies: One for each version that the entry has evidence on.
     """
 
     entry: str
@@ -47,7 +47,7 @@
 
 
 class HoldNotice(effects.Message, frozen=True, array_like=True, tag="hn"):
-    """Says that a version is held, before or without the table saying so."""
+    """Announces a hold that the table may not record, or not yet."""
 
     model: str
     version: str
