--- a/packages/rhubarbbank-core/src/rhubarbbank_core/sequential_test.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/sequential_test.py
@@ -1,22 +1,24 @@
-"""Anytime-valid tests on means of values in [0, 1], from sums alone.
+"""Anytime-valid tests on means of values in [0, 1], computed from sums.
 
-`exposure` asks these tests after every batch of evidence; peeking any number
-of times does not raise the chance of a false verdict. Values are ratings, or
-successes counted as 1 and failures as 0.
+`exposure` evaluates these tests after every batch of evidence; repeated
+evaluation does not increase the probability of a false rejection. Values are
+ratings, or 1 for a success and 0 for a failure.
 
-The idea: an e-process is a non-negative process whose expectation is at most
-1 while the null hypothesis holds, so it exceeds 1/alpha with probability at
-most alpha, ever. For one mean, "the mean is at least m" is tested by a mixture
-over bets b of two such processes:
+An e-process is a non-negative process whose expectation is at most 1 under
+the null hypothesis at any stopping time. The probability that it ever exceeds
+1/alpha is therefore at most alpha. The hypothesis "the mean is at least m" is
+tested by a mixture, over bets b, of two such processes:
 
-* the betting product of (1 + b (m - x)), bounded below by its chord between
-  x = 0 and x = 1, which needs only the count and the sum;
+* the betting product of (1 + b (m - x)), where the logarithm of each factor
+  is bounded below by its chord between x = 0 and x = 1, so that only the
+  count and the sum are needed;
 * the empirical Bernstein process exp(b S - psi(b) V), with S the sum of
   m - x and V the sum of squared distances to the mean of earlier batches.
 
-Two means are compared by the least, over a grid of levels m, of the product
-of one process against "the new mean is at least m" and one against "the
-incumbent's is at most m": under the null one level makes both hold.
+Two means are compared by the minimum, over a grid of levels m, of the product
+of a process against "the new mean is at least m" and a process against "the
+incumbent's mean is at most m". Under the null hypothesis both statements hold
+for some level m.
 """
 
 import dataclasses
@@ -28,25 +30,25 @@
 FloatArray = npt.NDArray[np.float64]
 
 LEVEL_COUNT = 101
-# Bets as shares of the largest one that keeps the product positive.
+# Bets as fractions of the largest bet that keeps every factor positive.
 BETS = np.array([0.02, 0.05, 0.1, 0.2, 0.35, 0.5, 0.7, 0.9])
 BERNSTEIN_COSTS = -np.log1p(-BETS) - BETS
 LOG_WEIGHT = -float(np.log(2 * len(BETS)))
 LOG_TWO = float(np.log(2.0))
 INITIAL_MEAN = 0.5
-# Values that a change detector's recent mean remembers.
+# Weight of the previous mean, in values, in a change detector's recent mean.
 RECENT_VALUES = 30.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Tally:
-    """Sums over values in [0, 1] seen so far.
+    """Sums over all values in [0, 1] so far.
 
     Attributes:
-        count: How many values.
-        total: Their sum.
-        spread: Sum of squared distances, each to the mean of all values in
-            the batches before its own.
+        count: Number of values.
+        total: Sum of the values.
+        spread: Sum of the squared distance of each value to the mean of all
+            earlier batches.
     """
 
     count: int = 0
@@ -55,16 +57,16 @@
 
     @property
     def mean(self) -> float:
-        """The mean, or one half without values."""
+        """The mean, or `INITIAL_MEAN` if there are no values."""
         return self.total / self.count if self.count else INITIAL_MEAN
 
     def add(self, *, count: int, total: float, square_total: float) -> "Tally":
-        """Returns the tally with one more batch.
+        """Returns the tally including one more batch.
 
         Args:
-            count: Values in the batch.
-            total: Their sum.
-            square_total: The sum of their squares.
+            count: Number of values in the batch.
+            total: Sum of the values.
+            square_total: Sum of the squares of the values.
         """
         spread = measure_spread(
             self.mean, count=count, total=total, square_total=square_total
@@ -76,7 +78,7 @@
         )
 
     def flip(self) -> "Tally":
-        """Returns the tally of one minus each value."""
+        """Returns the tally of the values 1 - x."""
         return Tally(
             count=self.count,
             total=self.count - self.total,
@@ -96,12 +98,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LevelGrid:
-    """Levels to test against, with what the tests need of each.
+    """Levels to test against, with precomputed log factors for each.
 
     Attributes:
         levels: Shape (n, 1), between 0 and 1.
-        low_gains: Shape (n, bets), log of the bet's factor at x = 0.
-        high_gains: Shape (n, bets), log of the bet's factor at x = 1.
+        low_gains: Shape (n, bets), log of each bet's factor at x = 0.
+        high_gains: Shape (n, bets), log of each bet's factor at x = 1.
     """
 
     levels: FloatArray
@@ -110,7 +112,7 @@
 
 
 def make_grid(levels: FloatArray) -> LevelGrid:
-    """Returns the grid of these levels, clipped to [0, 1]; shape (n,)."""
+    """Returns the grid for levels of shape (n,), clipped to [0, 1]."""
     bounded = np.clip(levels, 0.0, 1.0)[:, np.newaxis]
     return LevelGrid(
         bounded, np.log1p(BETS * bounded), np.log1p(-BETS * (1.0 - bounded))
@@ -119,21 +121,22 @@
 
 @functools.lru_cache(maxsize=64)
 def list_levels(shift: float) -> LevelGrid:
-    """Returns the rising levels between 0 and 1, each less `shift`."""
+    """Returns ascending levels from 0 to 1, each reduced by `shift`."""
     return make_grid(np.linspace(0.0, 1.0, LEVEL_COUNT) - shift)
 
 
 @functools.lru_cache(maxsize=64)
 def list_mirrored_levels() -> LevelGrid:
-    """Returns one minus each of the rising levels."""
+    """Returns the descending levels from 1 to 0."""
     return make_grid(1.0 - np.linspace(0.0, 1.0, LEVEL_COUNT))
 
 
 def compute_log_bets(tally: Tally, grid: LevelGrid) -> FloatArray:
-    """Returns log e-values against "mean at least level", for each bet.
+    """Returns the log e-values against "the mean is at least the level".
 
     Returns:
-        Shape (n, 2 * bets): chord bets, then empirical Bernstein bets.
+        Shape (n, 2 * bets): for each bet, first the chord process, then the
+        empirical Bernstein process.
     """
     failures = tally.count - tally.total
     chord = failures * grid.low_gains + tally.total * grid.high_gains
@@ -143,7 +146,7 @@
 
 
 def mix(log_bets: FloatArray) -> FloatArray:
-    """Returns the log of the mean over bets, shape (n,)."""
+    """Returns the log of the mean e-value over all bets, shape (n,)."""
     highest = log_bets.max(axis=1)
     scaled = np.exp(log_bets - highest[:, np.newaxis])
     mixed: FloatArray = highest + np.log(scaled.sum(axis=1)) + LOG_WEIGHT
@@ -151,10 +154,11 @@
 
 
 def hedge(log_e: FloatArray) -> FloatArray:
-    """Returns log e-values of betting one half only, so at least log(1/2).
+    """Returns the log of the average of each e-value and 1.
 
-    In a product of two processes, one with a long history against a level
-    that holds would otherwise outweigh any evidence of the other.
+    The result is at least log(1/2). Without this bound, a process with many
+    values against a level that holds would get so small that the other
+    process in a product could never compensate for it.
     """
     hedged: FloatArray = np.logaddexp(log_e, 0.0) - LOG_TWO
     return hedged
@@ -169,20 +173,21 @@
 def log_e_worse(*, new: Tally, incumbent: Tally, tolerance: float) -> float:
     """Returns the log e-value against "new is at most `tolerance` worse".
 
-    The null is: mean(new) >= mean(incumbent) - tolerance. A negative
-    tolerance asks for new to be better by that much.
+    The null hypothesis is mean(new) >= mean(incumbent) - tolerance. With a
+    negative tolerance it is that the new mean is better by that amount.
 
     Args:
         new: Values of the new version.
-        incumbent: Values of the version that it is compared with.
-        tolerance: In rating points between -1 and 1.
+        incumbent: Values of the version to compare with.
+        tolerance: Difference of the means, between -1 and 1.
     """
     against_new = hedge(mix(compute_log_bets(new, list_levels(tolerance))))
     against_incumbent = hedge(
         mix(compute_log_bets(incumbent.flip(), list_mirrored_levels()))
     )
-    # Between two grid levels the first process is least at the lower level
-    # and the second at the upper one. The ends are kept by their neighbours.
+    # Between two adjacent grid levels, the first process is smallest at the
+    # lower level and the second at the upper level, so this sum is a lower
+    # bound for the whole interval.
     within = against_new[:-1] + against_incumbent[1:]
     return float(within.min())
 
@@ -195,7 +200,7 @@
 
 
 def lower_bound(tally: Tally, *, alpha: float) -> float:
-    """Returns a level that the mean exceeds, at all times, but for alpha."""
+    """Returns an anytime-valid lower bound of the mean at error `alpha`."""
     log_e = mix(compute_log_bets(tally.flip(), list_mirrored_levels()))
     rejected = list_levels(0.0).levels[log_e >= -np.log(alpha)]
     return float(rejected.max()) if rejected.size else 0.0
@@ -203,19 +208,20 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ChangeDetector:
-    """Notices that a mean has fallen below a level, however late.
+    """Detects that a mean has fallen below a level at any time.
 
-    A sum of e-processes, one started before each batch (Shiryaev and
-    Roberts' scheme). Without a change its expectation after t batches is at
-    most t, so the chance of an alarm within t batches is at most
-    t / exp(log_threshold).
+    It uses the Shiryaev-Roberts procedure: a sum of e-processes, one started
+    before each batch. Without a change, the expectation of the sum after t
+    batches is at most t, so the probability of an alarm within t batches is
+    at most t / exp(log_threshold).
 
     Attributes:
-        level: The mean is expected to be at least this.
-        log_threshold: The alarm goes off at this log value.
-        log_sums: One log sum for each bet; empty before the first batch.
-        recent_mean: Discounted mean of the batches so far, about which the
-            next one's spread is measured; None before the first batch.
+        level: Lower limit of the expected mean.
+        log_threshold: Logarithm of the sum at which the alarm is raised.
+        log_sums: The log of the sum for each bet; empty before the first
+            batch.
+        recent_mean: Discounted mean of the batches so far, from which the
+            spread of the next batch is computed; None before the first batch.
     """
 
     level: float
@@ -226,12 +232,12 @@
     def add(
         self, *, count: int, total: float, square_total: float
     ) -> "ChangeDetector":
-        """Returns the detector after one more batch.
+        """Returns the detector including one more batch.
 
         Args:
-            count: Values in the batch.
-            total: Their sum.
-            square_total: The sum of their squares.
+            count: Number of values in the batch.
+            total: Sum of the values.
+            square_total: Sum of the squares of the values.
         """
         mean = self.level if self.recent_mean is None else self.recent_mean
         spread = measure_spread(
@@ -249,12 +255,12 @@
         )
 
     def raise_level(self, level: float) -> "ChangeDetector":
-        """Returns the detector with a level that is not lower."""
+        """Returns the detector with the higher of its level and `level`."""
         return dataclasses.replace(self, level=max(self.level, level))
 
     @property
     def alarmed(self) -> bool:
-        """Whether the mean has fallen below the level."""
+        """Whether the sum, averaged over the bets, reached the threshold."""
         if not self.log_sums:
             return False
         mixed = mix(np.array([self.log_sums]))[0]
