--- a/packages/rhubarbbank-core/src/rhubarbbank_core/exposure.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/exposure.py
@@ -1,9 +1,9 @@
 """Decides how much new work a new version of a model gets.
 
-Each new version has one judge, which compares it with its incumbent. The
-shard owner passes it batches of evidence aggregated over all entries and
-writes the verdict to the status of the version's row. Entries assign sessions
-by hash, so that all of them make the same choice.
+Each new version has one judge, which compares it with its incumbent in
+batches of evidence aggregated over all entries. `exposure_duty` passes it the
+batches and writes the verdict to the status of the version's row. Entries
+assign sessions by hash, so that all of them make the same choice.
 
 The share increases in stages. Leaving a stage requires evidence that the
 version is not worse than the incumbent by more than the stage's margin.
@@ -11,8 +11,8 @@
 immediately and permanently; an operator restarts it with a new judge. From
 the last stage on, change detectors look for a later regression. All tests are
 anytime-valid (see `sequential_test`), so testing after every batch does not
-increase the error probability. The judge uses neither a clock nor random numbers: the same
-batches in the same order produce the same state.
+increase the error probability. The judge uses neither a clock nor random
+numbers: the same batches in the same order produce the same state.
 """
 
 import dataclasses
@@ -225,7 +225,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ExposureState:
-    """The state of a judge; checkpoints contain it.
+    """The state of a judge, from which a new judge can continue.
 
     Attributes:
         stage: Index of the stage.
