--- a/packages/rhubarbbank-core/src/rhubarbbank_core/cascade.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/cascade.py
@@ -1,19 +1,22 @@
 """Chooses the cheapest plan that meets a quality target.
 
 For each request the entry asks for a plan: run one version, or run a cheap
-one first and a stronger one when the cheap answer's rating is low. Ratings of
-answers come back late, noisily or never, by `observe`.
-
-For each (request class, version) a discounted histogram of ratings is kept
-for every organisation, and one pooled over all. An organisation's estimate is
-its own histogram plus the pooled one at a weight that fits how much
-organisations differ, so that a small one starts from what others saw. A plan
-is used only when the lower confidence bound of its quality reaches the
-target; until one does, the strongest (the dearest) version answers
-everything, but for a bounded share of requests that try a cheaper version
-first. Those tries are rated, and answered by the strongest when rated low, so
-trying costs money and not quality. When the latest ratings of a version jump,
-older ones are dropped, in all organisations if the pooled ones jump.
+version first and a stronger one if the cheap answer's rating is low. `observe`
+receives the ratings, which may be late, noisy or missing.
+
+For each request class and version there is an exponentially decayed histogram
+of ratings for every organisation, and one pooled over all organisations. An
+organisation's estimate combines its own histogram with the pooled one as a
+prior. The prior weighs more the more similar organisations are, so that an
+organisation with few ratings benefits from those of others.
+
+A plan is used only if the lower confidence bound of its quality reaches the
+target. Until one does, the strongest (most expensive) version answers all
+requests but a bounded share of trials, which run a cheaper version first.
+Trials are rated, and the strongest version answers if the rating is low, so a
+trial costs money but not quality. When the latest ratings of a version shift
+abruptly, the older ones are discarded, for all organisations if the pooled
+ratings shift.
 """
 
 import collections.abc
@@ -28,7 +31,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class PricedVersion:
-    """A candidate: a version and the estimated price of one request."""
+    """A candidate version and the estimated price of one request."""
 
     key: table.VersionKey
     price: float
@@ -42,9 +45,10 @@
         first: The version that answers first.
         then: The stronger version that answers when `first` is rated below
             `threshold`; None when the first answer is final.
-        threshold: Least rating, in [0, 1], at which `first` is kept.
-        wants_rating: Whether the final answer should be rated, too.
-        is_trial: Whether this plan is one of the bounded trials.
+        threshold: Lowest rating, in [0, 1], at which the answer of `first`
+            is kept.
+        wants_rating: Whether the final answer should be rated as well.
+        is_trial: Whether the plan tries a cheaper version to learn about it.
         expected_price: Estimated price of the request.
     """
 
@@ -57,7 +61,7 @@
 
 
 class Cascade(Protocol):
-    """Chooses plans and learns from ratings."""
+    """A policy that chooses plans and may learn from ratings."""
 
     def choose(
         self,
@@ -68,7 +72,7 @@
         target: float,
         now: float,
     ) -> Plan:
-        """Returns the plan for one request; `candidates` isn't empty."""
+        """Returns the plan for one request; `candidates` must not be empty."""
 
     def observe(
         self,
@@ -80,28 +84,32 @@
         now: float,
         after: table.VersionKey | None = None,
     ) -> None:
-        """Takes in the rating of one answer, in [0, 1].
+        """Records the rating of one answer, in [0, 1].
 
-        `after` is the version whose answer was rated low before, for the
-        second answer of a cascade; those requests are harder than most.
+        For the second answer of a cascade, `after` is the version whose answer
+        was rejected. Such requests are harder than average, so their ratings
+        are kept apart.
         """
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class CascadeSettings:
-    """How carefully the cascade learns.
+    """Parameters of `LearningCascade`.
 
     Attributes:
-        errors: Standard errors between an estimate and its lower bound.
-        trial_share: Share of requests that try a little-known version.
-        known_trial_share: The same, once all versions are known.
-        known_size: Ratings after which a version counts as known.
+        errors: Standard errors between an estimate and its lower confidence
+            bound.
+        trial_share: Share of requests that run a trial while some version has
+            too few ratings.
+        known_trial_share: Share of requests that run a trial once all versions
+            have enough ratings.
+        known_size: Effective number of ratings at which a version has enough.
         rated_share: Share of final answers that should be rated.
-        rating_noise: Standard deviation of a rating about an answer's true
-            quality; an answer picked for a high rating is discounted for it.
-        refresh_s: How long a computed plan is reused.
-        refresh_ratings: Ratings after which it is computed anew.
-        cells_kept: Most (organisation, class, version) histograms held.
+        rating_noise: Standard deviation of ratings about the true quality.
+            Answers selected for a high rating are discounted by it.
+        refresh_s: Time in seconds after which a cached plan is recomputed.
+        refresh_ratings: Number of ratings after which it is recomputed.
+        cells_kept: Maximum number of histograms, pooled ones included.
     """
 
     errors: float = 1.3
@@ -120,7 +128,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CellKey:
-    """Names one histogram; organisation is empty for the pooled one."""
+    """Identifies a histogram; `organisation` is empty for a pooled one."""
 
     organisation: str
     request_class: str
@@ -130,7 +138,7 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class CachedPlan:
-    """The plan last computed for an organisation and class."""
+    """The plan last computed for an organisation and request class."""
 
     plan: Plan
     trials: tuple[Plan, ...]
@@ -142,7 +150,7 @@
 
 
 class LearningCascade:
-    """Learns plans from ratings; see the module's docstring."""
+    """Chooses plans by rating estimates; see the module docstring."""
 
     def __init__(
         self,
@@ -166,7 +174,7 @@
         now: float,
         after: table.VersionKey | None = None,
     ) -> None:
-        """Takes in the rating of one answer; see `Cascade.observe`."""
+        """Records the rating of one answer; see `Cascade.observe`."""
         del now
         bounded = min(1.0, max(0.0, rating))
         own = CellKey(organisation, request_class, key, after)
@@ -180,12 +188,12 @@
             cached.ratings_left -= 1
 
     def open_cell(self, cell_key: CellKey) -> cascade_ratings.Ratings:
-        """Returns a histogram, made anew if there is none."""
+        """Returns a histogram, creating it if it doesn't exist."""
         cell = self.cells.get(cell_key)
         if cell is not None:
             return cell
         if len(self.cells) >= self.settings.cells_kept:
-            # The oldest one goes; what it knew stays in the pooled one.
+            # The pooled histogram still has the ratings of the evicted one.
             self.forget(next(iter(self.cells)))
         cell = cascade_ratings.Ratings()
         self.cells[cell_key] = cell
@@ -195,7 +203,7 @@
         return cell
 
     def forget(self, cell_key: CellKey) -> None:
-        """Drops one histogram."""
+        """Removes a histogram."""
         del self.cells[cell_key]
         pool = dataclasses.replace(cell_key, organisation="")
         self.members.get(pool, {}).pop(cell_key.organisation, None)
@@ -243,7 +251,7 @@
         target: float,
         now: float,
     ) -> CachedPlan:
-        """Returns the cheapest plan that is proven, and what to try."""
+        """Returns the plan to use and the trials, to be cached."""
         planner = Planner(
             cascade=self,
             organisation=organisation,
@@ -265,7 +273,7 @@
 
 
 class Planner:
-    """Weighs the plans of one organisation and class at one moment."""
+    """Finds the plan for an organisation and request class from estimates."""
 
     def __init__(
         self,
@@ -284,7 +292,10 @@
         self.estimates: dict[table.VersionKey, cascade_ratings.Estimate] = {}
 
     def find_cheapest(self, ranked: list[PricedVersion]) -> Plan:
-        """Returns the cheapest proven plan, else the safest version.
+        """Returns the cheapest plan whose lower bound meets the target.
+
+        If there is none, returns the strongest version, or the version with
+        the highest lower bound once the strongest has enough ratings.
 
         Args:
             ranked: The candidates, cheapest first.
@@ -307,7 +318,10 @@
     def list_cascades(
         self, cheap: PricedVersion, stronger: PricedVersion
     ) -> list[Plan]:
-        """Returns the proven cascade with the lowest threshold, if any."""
+        """Returns the cascade with the lowest threshold that meets the target.
+
+        The list is empty if no threshold does.
+        """
         first = self.estimate(cheap.key)
         if first.size <= 1.0:
             return []
@@ -330,7 +344,11 @@
         strongest: PricedVersion,
         plan: Plan,
     ) -> tuple[Plan, ...]:
-        """Returns trials of cheaper versions that the plan does not rate."""
+        """Returns a trial for each cheaper version that needs ratings.
+
+        These are the versions with too few ratings, or else all versions that
+        the plan doesn't run first.
+        """
         unknown = [each for each in cheaper if not self.is_known(each)]
         untried = [each for each in cheaper if each.key != plan.first]
         return tuple(
@@ -348,11 +366,11 @@
         )
 
     def is_known(self, version: PricedVersion) -> bool:
-        """Returns whether enough ratings speak for or against a version."""
+        """Returns whether a version has enough ratings."""
         return self.estimate(version.key).size >= self.settings.known_size
 
     def bound_direct(self, key: table.VersionKey) -> float:
-        """Returns the lower bound of the mean rating of one version."""
+        """Returns the lower confidence bound of a version's mean rating."""
         estimate = self.estimate(key)
         error = cascade_ratings.compute_error(estimate.variance, estimate.size)
         return estimate.mean - self.settings.errors * error
@@ -360,10 +378,11 @@
     def estimate_second(
         self, key: table.VersionKey, *, after: table.VersionKey
     ) -> tuple[float, float]:
-        """Returns mean and standard error of `key` where `after` did badly.
+        """Returns the mean and standard error of `key` after `after` fails.
 
-        Until such answers have been rated, the version's rating on all
-        requests stands in for it.
+        This covers requests where the answer of `after` was rejected. While
+        few such answers are rated, the mean stays close to the version's mean
+        on all requests.
         """
         direct = self.estimate(key)
         seen = self.blend(key, after)
@@ -375,7 +394,7 @@
         return mean, cascade_ratings.compute_error(direct.variance, size)
 
     def estimate(self, key: table.VersionKey) -> cascade_ratings.Estimate:
-        """Returns what is known of a version on all requests."""
+        """Returns the cached estimate for a version on all requests."""
         found = self.estimates.get(key)
         if found is None:
             found = self.blend(key, None)
@@ -385,7 +404,11 @@
     def blend(
         self, key: table.VersionKey, after: table.VersionKey | None
     ) -> cascade_ratings.Estimate:
-        """Returns the organisation's ratings with others' as a prior."""
+        """Returns the estimate with the pooled ratings as a prior.
+
+        An organisation that differs significantly from the pool uses only its
+        own ratings.
+        """
         pool = CellKey("", self.request_class, key, after)
         own_key = dataclasses.replace(pool, organisation=self.organisation)
         own = self.cells.get(own_key, cascade_ratings.NOTHING)
@@ -400,7 +423,7 @@
 
 
 def plan_direct(version: PricedVersion) -> Plan:
-    """Returns the plan that runs one version."""
+    """Returns the plan that runs a single version."""
     return Plan(first=version.key, expected_price=version.price)
 
 
--- a/packages/rhubarbbank-core/src/rhubarbbank_core/cascade_baselines.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/cascade_baselines.py
@@ -1,7 +1,7 @@
-"""Naive cascades that `cascade.LearningCascade` is measured against.
+"""Baseline policies that `cascade.LearningCascade` is compared with.
 
-Entries use them in experiments and tests only, by their setting. The oracle
-knows what no policy can, and can't be chosen there.
+The `cascade` setting of an entry selects a baseline in experiments and tests.
+The oracle needs the true quality, so the setting doesn't offer it.
 """
 
 import collections.abc
@@ -13,7 +13,7 @@
 
 
 class AlwaysOne:
-    """Runs one version for everything, by price alone."""
+    """Runs one version for every request, chosen by price alone."""
 
     def __init__(
         self,
@@ -34,7 +34,7 @@
         target: float,
         now: float,
     ) -> cascade.Plan:
-        """Returns the plan that runs the picked candidate."""
+        """Returns the plan that runs the selected candidate."""
         del organisation, request_class, target, now
         return cascade.plan_direct(self.pick(candidates))
 
@@ -48,11 +48,11 @@
         now: float,
         after: table.VersionKey | None = None,
     ) -> None:
-        """Learns nothing."""
+        """Ignores the rating."""
 
 
 class AlwaysStrong(AlwaysOne):
-    """Runs the dearest version for everything."""
+    """Runs the most expensive version for every request."""
 
     def __init__(self) -> None:
         super().__init__(
@@ -61,7 +61,7 @@
 
 
 class AlwaysCheap(AlwaysOne):
-    """Runs the cheapest version for everything."""
+    """Runs the cheapest version for every request."""
 
     def __init__(self) -> None:
         super().__init__(
@@ -70,16 +70,16 @@
 
 
 class TrueQuality(Protocol):
-    """Knows what a plan is really worth."""
+    """Provides the true quality and price of plans."""
 
     def measure(
         self, *, organisation: str, request_class: str, plan: cascade.Plan
     ) -> tuple[float, float]:
-        """Returns the plan's true mean quality and its true mean price."""
+        """Returns the plan's true mean quality and true mean price."""
 
 
 class OracleCascade(AlwaysStrong):
-    """Runs the plan that is truly the cheapest to meet the target."""
+    """Runs the cheapest plan whose true quality meets the target."""
 
     def __init__(self, *, truth: TrueQuality) -> None:
         super().__init__()
@@ -95,7 +95,7 @@
         target: float,
         now: float,
     ) -> cascade.Plan:
-        """Returns the best plan, computed once for each class."""
+        """Returns the best plan, cached by organisation and request class."""
         del now
         key = (organisation, request_class)
         if key not in self.plans:
@@ -111,7 +111,11 @@
         candidates: collections.abc.Sequence[cascade.PricedVersion],
         target: float,
     ) -> cascade.Plan:
-        """Returns the cheapest of all plans that truly meets the target."""
+        """Returns the cheapest plan that meets the target.
+
+        The search covers each single version and each cascade threshold. If
+        no plan meets the target, the most expensive version runs directly.
+        """
         ranked = sorted(candidates, key=lambda each: each.price)
         plans = [cascade.plan_direct(each) for each in ranked]
         for index, stronger in enumerate(ranked):
--- a/packages/rhubarbbank-core/src/rhubarbbank_core/cascade_ratings.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/cascade_ratings.py
@@ -1,9 +1,9 @@
-"""Discounted rating histograms, the estimates and bounds drawn from them.
+"""Exponentially decayed rating histograms and the estimates made from them.
 
-`cascade` keeps one histogram for each organisation, class and version, and
-one pooled over organisations, and weighs plans by the estimates made here.
-Newer ratings weigh more, and a jump in the latest ratings drops the older
-ones, so that drift is noticed.
+`cascade` keeps one histogram for each organisation, request class and version,
+and one pooled over all organisations, and compares plans by these estimates.
+To follow drift, newer ratings weigh more, and an abrupt shift in the latest
+ratings discards the older ones.
 """
 
 import collections
@@ -14,18 +14,18 @@
 import statistics
 
 BIN_COUNT = 40
-# An observation's weight falls by 1/e after this many newer ones.
+# A rating's weight falls to 1/e after this many newer ratings.
 MEMORY_RATINGS = 4000.0
 RECENT_RATINGS = 60
-# Standard errors between recent and all ratings that count as a jump.
+# A difference in means of more standard errors than this is significant.
 JUMP_ERRORS = 4.0
 MINIMUM_VARIANCE = 0.0025
 TYPICAL_VARIANCE = 0.04
-# Organisations need this many ratings to speak for the spread between them,
-# and this many of them must speak.
+# The variance between organisations is estimated only from organisations with
+# this many ratings, and only if there are enough such organisations.
 SPREAD_RATINGS = 60.0
 SPREAD_ORGANISATIONS = 4
-# The spread is estimated from this many organisations at most.
+# Bounds the cost of estimating the variance between organisations.
 SAMPLED_ORGANISATIONS = 30
 DEFAULT_POOLED_WEIGHT = 100.0
 LEAST_POOLED_WEIGHT = 20.0
@@ -33,17 +33,17 @@
 
 
 class Ratings:
-    """A discounted histogram of ratings in [0, 1].
+    """An exponentially decayed histogram of ratings in [0, 1].
 
     Attributes:
-        counts: Weight of each bin.
+        counts: Total weight of the ratings in each bin.
         sums: Weighted sum of the ratings in each bin.
-        weight: Sum of the counts.
-        total: Sum of the sums.
-        unit: Weight of the next rating. Old weights are left as they are
-            and new ones grow instead, so that a rating touches one bin.
-        recent: The latest ratings.
-        recent_total: Their sum.
+        weight: Sum of `counts`.
+        total: Sum of `sums`.
+        unit: Weight of the latest rating. It grows with each rating instead
+            of the older weights being reduced, so that only one bin changes.
+        recent: The latest ratings, oldest first.
+        recent_total: Sum of `recent`.
     """
 
     def __init__(self) -> None:
@@ -52,7 +52,7 @@
         self.clear()
 
     def clear(self) -> None:
-        """Empties the histogram."""
+        """Removes all ratings but the recent ones kept in `recent`."""
         self.counts = [0.0] * BIN_COUNT
         self.sums = [0.0] * BIN_COUNT
         self.weight = 0.0
@@ -60,7 +60,7 @@
         self.unit = 1.0
 
     def add(self, rating: float) -> bool:
-        """Takes in one rating; returns whether older ones were dropped."""
+        """Adds a rating; returns whether a shift discarded the older ones."""
         self.put(rating)
         self.recent.append(rating)
         self.recent_total += rating
@@ -76,7 +76,7 @@
         return True
 
     def put(self, rating: float) -> None:
-        """Adds one rating to its bin."""
+        """Adds a rating to its bin, without checking for a shift."""
         index = min(BIN_COUNT - 1, int(rating * BIN_COUNT))
         self.unit *= 1.0 + 1.0 / MEMORY_RATINGS
         self.counts[index] += self.unit
@@ -85,7 +85,7 @@
         self.total += self.unit * rating
 
     def rescale(self, factor: float) -> None:
-        """Multiplies every weight by the same factor."""
+        """Scales all weights, so that they don't grow without limit."""
         self.counts = [each * factor for each in self.counts]
         self.sums = [each * factor for each in self.sums]
         self.weight *= factor
@@ -93,7 +93,7 @@
         self.unit *= factor
 
     def has_jumped(self) -> bool:
-        """Returns whether the latest ratings disagree with all the rest."""
+        """Returns whether the recent ratings differ significantly from all."""
         if self.size < 2 * RECENT_RATINGS:
             return False
         gap = abs(self.recent_total / RECENT_RATINGS - self.mean)
@@ -103,7 +103,7 @@
         return gap > JUMP_ERRORS * error
 
     def measure_variance(self) -> float:
-        """Returns the variance of the ratings, never quite 0."""
+        """Returns the variance of the ratings, at least the minimum."""
         square = sum(
             count * ((index + 0.5) / BIN_COUNT) ** 2
             for index, count in enumerate(self.counts)
@@ -113,25 +113,27 @@
 
     @property
     def mean(self) -> float:
-        """The mean rating; one half without ratings."""
+        """The weighted mean rating, or 0.5 without ratings."""
         return self.total / self.weight if self.weight > 0.0 else 0.5
 
     @property
     def size(self) -> float:
-        """The number of recent ratings that the histogram is worth."""
+        """The effective number of ratings, in units of the latest one."""
         return self.weight / self.unit
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Estimate:
-    """What is known of a version for one organisation and class.
+    """The estimated rating distribution of a version.
+
+    It applies to one organisation and request class.
 
     Attributes:
         shares: Probability of each rating bin.
-        means: Mean rating in each bin.
+        means: Mean rating in each bin; 0 for an empty bin.
         mean: Mean rating.
         variance: Variance of the ratings.
-        size: How many ratings this is worth.
+        size: Effective number of ratings behind the estimate.
     """
 
     shares: tuple[float, ...]
@@ -142,11 +144,11 @@
 
 
 def weigh_pool(cells: collections.abc.Collection[Ratings]) -> float:
-    """Returns how many ratings the pool is worth to one organisation.
+    """Returns the weight of the pooled prior, in ratings.
 
-    By empirical Bayes: the variance of ratings over the variance of true
-    means between organisations, the latter estimated by moments. The more
-    alike organisations are, the more each learns from the others.
+    This is an empirical Bayes estimate: the variance of ratings divided by the
+    variance of true means between organisations, which is estimated by the
+    method of moments. The more similar the organisations, the larger it is.
 
     Args:
         cells: One histogram for each organisation.
@@ -162,14 +164,14 @@
         for variance, each in zip(variances, spoken, strict=True)
     ) / len(spoken)
     spread = max(0.0, statistics.variance(means) - noise)
-    # The estimate of the spread is itself uncertain by about its noise.
+    # Adds about one standard error, as the spread is itself an estimate.
     spread += noise * math.sqrt(2.0 / len(spoken))
     weight = sum(variances) / len(variances) / spread
     return min(MOST_POOLED_WEIGHT, max(LEAST_POOLED_WEIGHT, weight))
 
 
 def disagree(own: Ratings, pooled: Ratings) -> bool:
-    """Returns whether an organisation clearly differs from the others."""
+    """Returns whether an organisation's mean differs from the pooled mean."""
     if own.size < RECENT_RATINGS / 2 or pooled.weight <= 0.0:
         return False
     error = math.sqrt(TYPICAL_VARIANCE / own.size)
@@ -177,7 +179,13 @@
 
 
 def summarise(own: Ratings, pooled: Ratings, others: float) -> Estimate:
-    """Returns the estimate from `own` and `others` ratings' worth of pool."""
+    """Returns the estimate from `own` and the pool, weighted as a prior.
+
+    Args:
+        own: The organisation's histogram.
+        pooled: The histogram pooled over all organisations.
+        others: Weight of the pooled histogram, in ratings.
+    """
     own_scale = 1.0 / own.unit
     pool_scale = others / pooled.weight if pooled.weight > 0.0 else 0.0
     counts = [
@@ -209,7 +217,7 @@
     shares: collections.abc.Sequence[float],
     values: collections.abc.Sequence[float],
 ) -> tuple[float, float]:
-    """Returns mean and variance of values with these probabilities."""
+    """Returns the mean and variance of a discrete distribution."""
     pairs = list(zip(shares, values, strict=True))
     mean = sum(share * value for share, value in pairs)
     square = sum(share * value * value for share, value in pairs)
@@ -217,7 +225,10 @@
 
 
 def compute_error(variance: float, size: float) -> float:
-    """Returns the standard error of a mean, wide while little is known."""
+    """Returns the standard error of a mean.
+
+    The variance is increased by 1 / size, since few ratings may understate it.
+    """
     if size <= 1.0:
         return 1.0
     return math.sqrt((variance + 1.0 / size) / size)
@@ -225,13 +236,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ThresholdOption:
-    """A cascade's estimate at one threshold.
+    """The estimated outcome of a cascade at one threshold.
 
     Attributes:
-        threshold: Least rating at which the first answer is kept.
-        rejected: Share of first answers below it.
-        mean: Estimated quality of what is delivered.
-        error: Standard error of that, the second version's apart.
+        threshold: Lowest rating at which the first answer is kept.
+        rejected: Share of first answers rated below the threshold.
+        mean: Estimated mean quality of the delivered answers.
+        error: Standard error of `mean`, without the error in the second
+            version's quality.
     """
 
     threshold: float
@@ -243,15 +255,15 @@
 def scan_thresholds(
     first: Estimate, second: float, rating_noise: float
 ) -> collections.abc.Iterator[ThresholdOption]:
-    """Yields a cascade's estimates, from the lowest threshold up.
+    """Yields the estimated outcome at each threshold, lowest first.
 
-    Answers kept for a high rating are worse than their ratings say, since
-    the rating's error is in the choice (regression to the mean); their
-    ratings are drawn towards the mean by the share that is noise.
+    Answers selected for a high rating are worse on average than their ratings
+    (regression to the mean), so each rating is shrunk towards the mean by the
+    share of the variance that is rating noise.
 
     Args:
-        first: Of the version that answers first.
-        second: The stronger version's quality on what is rejected.
+        first: Estimate for the version that answers first.
+        second: The second version's mean quality on rejected requests.
         rating_noise: Standard deviation of a rating about the true quality.
     """
     noise = rating_noise**2
@@ -263,7 +275,7 @@
     mean, variance = compute_moments(first.shares, values)
     square = variance + mean * mean
     for index in range(BIN_COUNT - 1):
-        # One more bin moves from the first version to the second.
+        # Raising the threshold moves this bin to the second version.
         share = first.shares[index]
         rejected += share
         mean += share * (second - values[index])
