Rename the histograms and estimates of the cascade

Identifiers inside the three cascade modules use statistical terms, such as RatingHistogram, effective_size and prior_weight.

--- a/packages/rhubarbbank-core/src/rhubarbbank_core/cascade.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/cascade.py
@@ -97,37 +97,37 @@
     """Parameters of `LearningCascade`.
 
     Attributes:
-        errors: Standard errors between an estimate and its lower confidence
-            bound.
+        confidence_errors: Standard errors between an estimate and its lower
+            confidence bound.
         trial_share: Share of requests that run a trial while some version has
             too few ratings.
-        known_trial_share: Share of requests that run a trial once all versions
+        steady_trial_share: Share of requests that run a trial once all versions
             have enough ratings.
-        known_size: Effective number of ratings at which a version has enough.
+        min_ratings: Effective number of ratings at which a version has enough.
         rated_share: Share of final answers that should be rated.
         rating_noise: Standard deviation of ratings about the true quality.
             Answers selected for a high rating are discounted by it.
         refresh_s: Time in seconds after which a cached plan is recomputed.
         refresh_ratings: Number of ratings after which it is recomputed.
-        cells_kept: Maximum number of histograms, pooled ones included.
+        max_histograms: Maximum number of histograms, pooled ones included.
     """
 
-    errors: float = 1.3
+    confidence_errors: float = 1.3
     trial_share: float = 0.1
-    known_trial_share: float = 0.01
-    known_size: float = 300.0
+    steady_trial_share: float = 0.01
+    min_ratings: float = 300.0
     rated_share: float = 0.2
     rating_noise: float = 0.1
     refresh_s: float = 5.0
     refresh_ratings: int = 20
-    cells_kept: int = 20_000
+    max_histograms: int = 20_000
 
 
 DEFAULT_SETTINGS = CascadeSettings()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class CellKey:
+class HistogramKey:
     """Identifies a histogram; `organisation` is empty for a pooled one."""
 
     organisation: str
@@ -138,14 +138,24 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class CachedPlan:
-    """The plan last computed for an organisation and request class."""
+    """The plan last computed for an organisation and request class.
+
+    Attributes:
+        plan: The plan for all requests but trials.
+        trials: The plans from which trials are chosen.
+        has_enough_ratings: Whether all candidates have enough ratings.
+        candidates: The candidates for which the plan was computed.
+        target: The quality target for which the plan was computed.
+        expires_at: Time at which the plan is recomputed.
+        ratings_left: Number of ratings until the plan is recomputed.
+    """
 
     plan: Plan
     trials: tuple[Plan, ...]
-    all_known: bool
+    has_enough_ratings: bool
     candidates: tuple[PricedVersion, ...]
     target: float
-    expires: float
+    expires_at: float
     ratings_left: int
 
 
@@ -160,8 +170,12 @@
     ) -> None:
         self.rng = rng
         self.settings = settings
-        self.cells: dict[CellKey, cascade_ratings.Ratings] = {}
-        self.members: dict[CellKey, dict[str, cascade_ratings.Ratings]] = {}
+        self.histograms: dict[
+            HistogramKey, cascade_ratings.RatingHistogram
+        ] = {}
+        self.organisation_histograms: dict[
+            HistogramKey, dict[str, cascade_ratings.RatingHistogram]
+        ] = {}
         self.plans: dict[tuple[str, str], CachedPlan] = {}
 
     def observe(
@@ -176,37 +190,45 @@
     ) -> None:
         """Records the rating of one answer; see `Cascade.observe`."""
         del now
-        bounded = min(1.0, max(0.0, rating))
-        own = CellKey(organisation, request_class, key, after)
-        self.open_cell(own).add(bounded)
-        pool = dataclasses.replace(own, organisation="")
-        if self.open_cell(pool).add(bounded):
-            for cell in self.members.get(pool, {}).values():
-                cell.clear()
+        clamped = min(1.0, max(0.0, rating))
+        own = HistogramKey(organisation, request_class, key, after)
+        self.get_or_create_histogram(own).add(clamped)
+        pooled_key = dataclasses.replace(own, organisation="")
+        if self.get_or_create_histogram(pooled_key).add(clamped):
+            for histogram in self.organisation_histograms.get(
+                pooled_key, {}
+            ).values():
+                histogram.clear()
         cached = self.plans.get((organisation, request_class))
         if cached is not None:
             cached.ratings_left -= 1
 
-    def open_cell(self, cell_key: CellKey) -> cascade_ratings.Ratings:
+    def get_or_create_histogram(
+        self, histogram_key: HistogramKey
+    ) -> cascade_ratings.RatingHistogram:
         """Returns a histogram, creating it if it doesn't exist."""
-        cell = self.cells.get(cell_key)
-        if cell is not None:
-            return cell
-        if len(self.cells) >= self.settings.cells_kept:
+        histogram = self.histograms.get(histogram_key)
+        if histogram is not None:
+            return histogram
+        if len(self.histograms) >= self.settings.max_histograms:
             # The pooled histogram still has the ratings of the evicted one.
-            self.forget(next(iter(self.cells)))
-        cell = cascade_ratings.Ratings()
-        self.cells[cell_key] = cell
-        if cell_key.organisation:
-            pool = dataclasses.replace(cell_key, organisation="")
-            self.members.setdefault(pool, {})[cell_key.organisation] = cell
-        return cell
-
-    def forget(self, cell_key: CellKey) -> None:
+            self.remove_histogram(next(iter(self.histograms)))
+        histogram = cascade_ratings.RatingHistogram()
+        self.histograms[histogram_key] = histogram
+        if histogram_key.organisation:
+            pooled_key = dataclasses.replace(histogram_key, organisation="")
+            self.organisation_histograms.setdefault(pooled_key, {})[
+                histogram_key.organisation
+            ] = histogram
+        return histogram
+
+    def remove_histogram(self, histogram_key: HistogramKey) -> None:
         """Removes a histogram."""
-        del self.cells[cell_key]
-        pool = dataclasses.replace(cell_key, organisation="")
-        self.members.get(pool, {}).pop(cell_key.organisation, None)
+        del self.histograms[histogram_key]
+        pooled_key = dataclasses.replace(histogram_key, organisation="")
+        self.organisation_histograms.get(pooled_key, {}).pop(
+            histogram_key.organisation, None
+        )
 
     def choose(
         self,
@@ -224,17 +246,17 @@
         if (
             cached is None
             or cached.ratings_left <= 0
-            or now >= cached.expires
+            or now >= cached.expires_at
             or cached.target != target
             or cached.candidates != offered
         ):
-            cached = self.compute(
+            cached = self.compute_plan(
                 organisation, request_class, offered, target, now
             )
             self.plans[key] = cached
         share = self.settings.trial_share
-        if cached.all_known:
-            share = self.settings.known_trial_share
+        if cached.has_enough_ratings:
+            share = self.settings.steady_trial_share
         if cached.trials and self.rng.random() < share:
             return self.rng.choice(cached.trials)
         wants_rating = (
@@ -243,7 +265,7 @@
         )
         return dataclasses.replace(cached.plan, wants_rating=wants_rating)
 
-    def compute(
+    def compute_plan(
         self,
         organisation: str,
         request_class: str,
@@ -260,14 +282,14 @@
         )
         ranked = sorted(candidates, key=lambda each: each.price)
         strongest = ranked[-1]
-        plan = planner.find_cheapest(ranked)
+        plan = planner.find_plan(ranked)
         return CachedPlan(
             plan=plan,
-            trials=planner.list_trials(ranked[:-1], strongest, plan),
-            all_known=all(map(planner.is_known, ranked)),
+            trials=planner.build_trials(ranked[:-1], strongest, plan),
+            has_enough_ratings=all(map(planner.has_enough_ratings, ranked)),
             candidates=candidates,
             target=target,
-            expires=now + self.settings.refresh_s,
+            expires_at=now + self.settings.refresh_s,
             ratings_left=self.settings.refresh_ratings,
         )
 
@@ -283,15 +305,15 @@
         request_class: str,
         target: float,
     ) -> None:
-        self.cells = cascade.cells
-        self.members = cascade.members
+        self.histograms = cascade.histograms
+        self.organisation_histograms = cascade.organisation_histograms
         self.settings = cascade.settings
         self.organisation = organisation
         self.request_class = request_class
         self.target = target
         self.estimates: dict[table.VersionKey, cascade_ratings.Estimate] = {}
 
-    def find_cheapest(self, ranked: list[PricedVersion]) -> Plan:
+    def find_plan(self, ranked: list[PricedVersion]) -> Plan:
         """Returns the cheapest plan whose lower bound meets the target.
 
         If there is none, returns the strongest version, or the version with
@@ -300,19 +322,21 @@
         Args:
             ranked: The candidates, cheapest first.
         """
-        proven = [
+        eligible = [
             plan_direct(each)
             for each in ranked
-            if self.bound_direct(each.key) >= self.target
+            if self.compute_lower_bound(each.key) >= self.target
         ]
         for index, stronger in enumerate(ranked):
             for cheap in ranked[:index]:
-                proven.extend(self.list_cascades(cheap, stronger))
-        if proven:
-            return min(proven, key=lambda plan: plan.expected_price)
+                eligible.extend(self.list_cascades(cheap, stronger))
+        if eligible:
+            return min(eligible, key=lambda plan: plan.expected_price)
         safest = ranked[-1]
-        if self.is_known(safest):
-            safest = max(ranked, key=lambda each: self.bound_direct(each.key))
+        if self.has_enough_ratings(safest):
+            safest = max(
+                ranked, key=lambda each: self.compute_lower_bound(each.key)
+            )
         return dataclasses.replace(plan_direct(safest), wants_rating=True)
 
     def list_cascades(
@@ -323,7 +347,7 @@
         The list is empty if no threshold does.
         """
         first = self.estimate(cheap.key)
-        if first.size <= 1.0:
+        if first.effective_size <= 1.0:
             return []
         second, second_error = self.estimate_second(
             stronger.key, after=cheap.key
@@ -332,13 +356,16 @@
             first, second, self.settings.rating_noise
         ):
             error = math.hypot(option.error, option.rejected * second_error)
-            if option.mean - self.settings.errors * error < self.target:
+            if (
+                option.mean - self.settings.confidence_errors * error
+                < self.target
+            ):
                 continue
             price = cheap.price + option.rejected * stronger.price
             return [plan_cascade(cheap, stronger, option.threshold, price)]
         return []
 
-    def list_trials(
+    def build_trials(
         self,
         cheaper: list[PricedVersion],
         strongest: PricedVersion,
@@ -349,8 +376,10 @@
         These are the versions with too few ratings, or else all versions that
         the plan doesn't run first.
         """
-        unknown = [each for each in cheaper if not self.is_known(each)]
-        untried = [each for each in cheaper if each.key != plan.first]
+        undersampled = [
+            each for each in cheaper if not self.has_enough_ratings(each)
+        ]
+        not_first = [each for each in cheaper if each.key != plan.first]
         return tuple(
             dataclasses.replace(
                 plan_cascade(
@@ -362,18 +391,23 @@
                 wants_rating=True,
                 is_trial=True,
             )
-            for each in unknown or untried
+            for each in undersampled or not_first
         )
 
-    def is_known(self, version: PricedVersion) -> bool:
+    def has_enough_ratings(self, version: PricedVersion) -> bool:
         """Returns whether a version has enough ratings."""
-        return self.estimate(version.key).size >= self.settings.known_size
+        return (
+            self.estimate(version.key).effective_size
+            >= self.settings.min_ratings
+        )
 
-    def bound_direct(self, key: table.VersionKey) -> float:
+    def compute_lower_bound(self, key: table.VersionKey) -> float:
         """Returns the lower confidence bound of a version's mean rating."""
         estimate = self.estimate(key)
-        error = cascade_ratings.compute_error(estimate.variance, estimate.size)
-        return estimate.mean - self.settings.errors * error
+        error = cascade_ratings.compute_error(
+            estimate.variance, estimate.effective_size
+        )
+        return estimate.mean - self.settings.confidence_errors * error
 
     def estimate_second(
         self, key: table.VersionKey, *, after: table.VersionKey
@@ -385,23 +419,29 @@
         on all requests.
         """
         direct = self.estimate(key)
-        seen = self.blend(key, after)
-        size = seen.size + min(direct.size, cascade_ratings.RECENT_RATINGS)
+        after_estimate = self.combine_ratings(key, after)
+        size = after_estimate.effective_size + min(
+            direct.effective_size, cascade_ratings.RECENT_RATINGS
+        )
         mean = direct.mean
         if size > 0.0:
-            mean += seen.size / size * (seen.mean - direct.mean)
-        size = max(size, direct.size)
+            mean += (
+                after_estimate.effective_size
+                / size
+                * (after_estimate.mean - direct.mean)
+            )
+        size = max(size, direct.effective_size)
         return mean, cascade_ratings.compute_error(direct.variance, size)
 
     def estimate(self, key: table.VersionKey) -> cascade_ratings.Estimate:
         """Returns the cached estimate for a version on all requests."""
         found = self.estimates.get(key)
         if found is None:
-            found = self.blend(key, None)
+            found = self.combine_ratings(key, None)
             self.estimates[key] = found
         return found
 
-    def blend(
+    def combine_ratings(
         self, key: table.VersionKey, after: table.VersionKey | None
     ) -> cascade_ratings.Estimate:
         """Returns the estimate with the pooled ratings as a prior.
@@ -409,17 +449,23 @@
         An organisation that differs significantly from the pool uses only its
         own ratings.
         """
-        pool = CellKey("", self.request_class, key, after)
-        own_key = dataclasses.replace(pool, organisation=self.organisation)
-        own = self.cells.get(own_key, cascade_ratings.NOTHING)
-        pooled = self.cells.get(pool, cascade_ratings.NOTHING)
-        others = min(
-            cascade_ratings.weigh_pool(self.members.get(pool, {}).values()),
-            max(0.0, pooled.size - own.size),
+        pooled_key = HistogramKey("", self.request_class, key, after)
+        own_key = dataclasses.replace(
+            pooled_key, organisation=self.organisation
+        )
+        own = self.histograms.get(own_key, cascade_ratings.EMPTY_HISTOGRAM)
+        pooled = self.histograms.get(
+            pooled_key, cascade_ratings.EMPTY_HISTOGRAM
+        )
+        prior_weight = min(
+            cascade_ratings.compute_prior_weight(
+                self.organisation_histograms.get(pooled_key, {}).values()
+            ),
+            max(0.0, pooled.effective_size - own.effective_size),
         )
-        if cascade_ratings.disagree(own, pooled):
-            others = 0.0
-        return cascade_ratings.summarise(own, pooled, others)
+        if cascade_ratings.differs_significantly(own, pooled):
+            prior_weight = 0.0
+        return cascade_ratings.build_estimate(own, pooled, prior_weight)
 
 
 def plan_direct(version: PricedVersion) -> Plan:
--- a/packages/rhubarbbank-core/src/rhubarbbank_core/cascade_baselines.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/cascade_baselines.py
@@ -12,18 +12,18 @@
 from rhubarbbank_core import table
 
 
-class AlwaysOne:
+class SingleVersionPolicy:
     """Runs one version for every request, chosen by price alone."""
 
     def __init__(
         self,
         *,
-        pick: collections.abc.Callable[
+        select: collections.abc.Callable[
             [collections.abc.Sequence[cascade.PricedVersion]],
             cascade.PricedVersion,
         ],
     ) -> None:
-        self.pick = pick
+        self.select = select
 
     def choose(
         self,
@@ -36,7 +36,7 @@
     ) -> cascade.Plan:
         """Returns the plan that runs the selected candidate."""
         del organisation, request_class, target, now
-        return cascade.plan_direct(self.pick(candidates))
+        return cascade.plan_direct(self.select(candidates))
 
     def observe(
         self,
@@ -51,21 +51,25 @@
         """Ignores the rating."""
 
 
-class AlwaysStrong(AlwaysOne):
+class AlwaysStrong(SingleVersionPolicy):
     """Runs the most expensive version for every request."""
 
     def __init__(self) -> None:
         super().__init__(
-            pick=lambda found: max(found, key=lambda each: each.price)
+            select=lambda candidates: max(
+                candidates, key=lambda each: each.price
+            )
         )
 
 
-class AlwaysCheap(AlwaysOne):
+class AlwaysCheap(SingleVersionPolicy):
     """Runs the cheapest version for every request."""
 
     def __init__(self) -> None:
         super().__init__(
-            pick=lambda found: min(found, key=lambda each: each.price)
+            select=lambda candidates: min(
+                candidates, key=lambda each: each.price
+            )
         )
 
 
@@ -126,13 +130,13 @@
                         cascade.plan_cascade(cheap, stronger, threshold, 0.0)
                     )
         best: cascade.Plan | None = None
-        least = float("inf")
+        lowest_price = float("inf")
         for plan in plans:
             quality, price = self.truth.measure(
                 organisation=organisation,
                 request_class=request_class,
                 plan=plan,
             )
-            if quality >= target and price < least:
-                best, least = plan, price
+            if quality >= target and price < lowest_price:
+                best, lowest_price = plan, price
         return best or cascade.plan_direct(ranked[-1])
--- a/packages/rhubarbbank-core/src/rhubarbbank_core/cascade_ratings.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/cascade_ratings.py
@@ -15,24 +15,24 @@
 
 BIN_COUNT = 40
 # A rating's weight falls to 1/e after this many newer ratings.
-MEMORY_RATINGS = 4000.0
+DECAY_RATINGS = 4000.0
 RECENT_RATINGS = 60
 # A difference in means of more standard errors than this is significant.
-JUMP_ERRORS = 4.0
-MINIMUM_VARIANCE = 0.0025
+SIGNIFICANT_ERRORS = 4.0
+MIN_VARIANCE = 0.0025
 TYPICAL_VARIANCE = 0.04
 # The variance between organisations is estimated only from organisations with
 # this many ratings, and only if there are enough such organisations.
-SPREAD_RATINGS = 60.0
-SPREAD_ORGANISATIONS = 4
+MIN_SPREAD_RATINGS = 60.0
+MIN_SPREAD_ORGANISATIONS = 4
 # Bounds the cost of estimating the variance between organisations.
-SAMPLED_ORGANISATIONS = 30
-DEFAULT_POOLED_WEIGHT = 100.0
-LEAST_POOLED_WEIGHT = 20.0
-MOST_POOLED_WEIGHT = 2000.0
+MAX_SPREAD_ORGANISATIONS = 30
+DEFAULT_PRIOR_WEIGHT = 100.0
+MIN_PRIOR_WEIGHT = 20.0
+MAX_PRIOR_WEIGHT = 2000.0
 
 
-class Ratings:
+class RatingHistogram:
     """An exponentially decayed histogram of ratings in [0, 1].
 
     Attributes:
@@ -40,8 +40,9 @@
         sums: Weighted sum of the ratings in each bin.
         weight: Sum of `counts`.
         total: Sum of `sums`.
-        unit: Weight of the latest rating. It grows with each rating instead
-            of the older weights being reduced, so that only one bin changes.
+        latest_weight: Weight of the latest rating. It grows with each rating
+            instead of the older weights being reduced, so that only one bin
+            changes.
         recent: The latest ratings, oldest first.
         recent_total: Sum of `recent`.
     """
@@ -57,32 +58,32 @@
         self.sums = [0.0] * BIN_COUNT
         self.weight = 0.0
         self.total = 0.0
-        self.unit = 1.0
+        self.latest_weight = 1.0
 
     def add(self, rating: float) -> bool:
         """Adds a rating; returns whether a shift discarded the older ones."""
-        self.put(rating)
+        self.add_to_bin(rating)
         self.recent.append(rating)
         self.recent_total += rating
         if len(self.recent) > RECENT_RATINGS:
             self.recent_total -= self.recent.popleft()
-        if self.unit > MEMORY_RATINGS:
-            self.rescale(1.0 / self.unit)
-        if not self.has_jumped():
+        if self.latest_weight > DECAY_RATINGS:
+            self.rescale(1.0 / self.latest_weight)
+        if not self.has_shifted():
             return False
         self.clear()
         for each in self.recent:
-            self.put(each)
+            self.add_to_bin(each)
         return True
 
-    def put(self, rating: float) -> None:
+    def add_to_bin(self, rating: float) -> None:
         """Adds a rating to its bin, without checking for a shift."""
         index = min(BIN_COUNT - 1, int(rating * BIN_COUNT))
-        self.unit *= 1.0 + 1.0 / MEMORY_RATINGS
-        self.counts[index] += self.unit
-        self.sums[index] += self.unit * rating
-        self.weight += self.unit
-        self.total += self.unit * rating
+        self.latest_weight *= 1.0 + 1.0 / DECAY_RATINGS
+        self.counts[index] += self.latest_weight
+        self.sums[index] += self.latest_weight * rating
+        self.weight += self.latest_weight
+        self.total += self.latest_weight * rating
 
     def rescale(self, factor: float) -> None:
         """Scales all weights, so that they don't grow without limit."""
@@ -90,17 +91,20 @@
         self.sums = [each * factor for each in self.sums]
         self.weight *= factor
         self.total *= factor
-        self.unit *= factor
+        self.latest_weight *= factor
 
-    def has_jumped(self) -> bool:
+    def has_shifted(self) -> bool:
         """Returns whether the recent ratings differ significantly from all."""
-        if self.size < 2 * RECENT_RATINGS:
+        if self.effective_size < 2 * RECENT_RATINGS:
             return False
-        gap = abs(self.recent_total / RECENT_RATINGS - self.mean)
-        if gap * gap < JUMP_ERRORS**2 * MINIMUM_VARIANCE / RECENT_RATINGS:
+        difference = abs(self.recent_total / RECENT_RATINGS - self.mean)
+        if (
+            difference * difference
+            < SIGNIFICANT_ERRORS**2 * MIN_VARIANCE / RECENT_RATINGS
+        ):
             return False
         error = math.sqrt(self.measure_variance() / RECENT_RATINGS)
-        return gap > JUMP_ERRORS * error
+        return difference > SIGNIFICANT_ERRORS * error
 
     def measure_variance(self) -> float:
         """Returns the variance of the ratings, at least the minimum."""
@@ -109,7 +113,7 @@
             for index, count in enumerate(self.counts)
         )
         variance = square / self.weight - self.mean * self.mean
-        return max(variance, MINIMUM_VARIANCE)
+        return max(variance, MIN_VARIANCE)
 
     @property
     def mean(self) -> float:
@@ -117,9 +121,9 @@
         return self.total / self.weight if self.weight > 0.0 else 0.5
 
     @property
-    def size(self) -> float:
+    def effective_size(self) -> float:
         """The effective number of ratings, in units of the latest one."""
-        return self.weight / self.unit
+        return self.weight / self.latest_weight
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -133,17 +137,19 @@
         means: Mean rating in each bin; 0 for an empty bin.
         mean: Mean rating.
         variance: Variance of the ratings.
-        size: Effective number of ratings behind the estimate.
+        effective_size: Effective number of ratings behind the estimate.
     """
 
     shares: tuple[float, ...]
     means: tuple[float, ...]
     mean: float
     variance: float
-    size: float
+    effective_size: float
 
 
-def weigh_pool(cells: collections.abc.Collection[Ratings]) -> float:
+def compute_prior_weight(
+    histograms: collections.abc.Collection[RatingHistogram],
+) -> float:
     """Returns the weight of the pooled prior, in ratings.
 
     This is an empirical Bayes estimate: the variance of ratings divided by the
@@ -151,56 +157,68 @@
     method of moments. The more similar the organisations, the larger it is.
 
     Args:
-        cells: One histogram for each organisation.
+        histograms: One histogram for each organisation.
     """
-    sampled = itertools.islice(cells, SAMPLED_ORGANISATIONS)
-    spoken = [each for each in sampled if each.size >= SPREAD_RATINGS]
-    if len(spoken) < SPREAD_ORGANISATIONS:
-        return DEFAULT_POOLED_WEIGHT
-    means = [each.mean for each in spoken]
-    variances = [each.measure_variance() for each in spoken]
+    sampled = itertools.islice(histograms, MAX_SPREAD_ORGANISATIONS)
+    eligible = [
+        each for each in sampled if each.effective_size >= MIN_SPREAD_RATINGS
+    ]
+    if len(eligible) < MIN_SPREAD_ORGANISATIONS:
+        return DEFAULT_PRIOR_WEIGHT
+    means = [each.mean for each in eligible]
+    variances = [each.measure_variance() for each in eligible]
     noise = sum(
-        variance / each.size
-        for variance, each in zip(variances, spoken, strict=True)
-    ) / len(spoken)
+        variance / each.effective_size
+        for variance, each in zip(variances, eligible, strict=True)
+    ) / len(eligible)
     spread = max(0.0, statistics.variance(means) - noise)
     # Adds about one standard error, as the spread is itself an estimate.
-    spread += noise * math.sqrt(2.0 / len(spoken))
+    spread += noise * math.sqrt(2.0 / len(eligible))
     weight = sum(variances) / len(variances) / spread
-    return min(MOST_POOLED_WEIGHT, max(LEAST_POOLED_WEIGHT, weight))
+    return min(MAX_PRIOR_WEIGHT, max(MIN_PRIOR_WEIGHT, weight))
 
 
-def disagree(own: Ratings, pooled: Ratings) -> bool:
+def differs_significantly(
+    own: RatingHistogram, pooled: RatingHistogram
+) -> bool:
     """Returns whether an organisation's mean differs from the pooled mean."""
-    if own.size < RECENT_RATINGS / 2 or pooled.weight <= 0.0:
+    if own.effective_size < RECENT_RATINGS / 2 or pooled.weight <= 0.0:
         return False
-    error = math.sqrt(TYPICAL_VARIANCE / own.size)
-    return abs(own.mean - pooled.mean) > JUMP_ERRORS * error
+    error = math.sqrt(TYPICAL_VARIANCE / own.effective_size)
+    return abs(own.mean - pooled.mean) > SIGNIFICANT_ERRORS * error
 
 
-def summarise(own: Ratings, pooled: Ratings, others: float) -> Estimate:
+def build_estimate(
+    own: RatingHistogram, pooled: RatingHistogram, prior_weight: float
+) -> Estimate:
     """Returns the estimate from `own` and the pool, weighted as a prior.
 
     Args:
         own: The organisation's histogram.
         pooled: The histogram pooled over all organisations.
-        others: Weight of the pooled histogram, in ratings.
+        prior_weight: Weight of the pooled histogram, in ratings.
     """
-    own_scale = 1.0 / own.unit
-    pool_scale = others / pooled.weight if pooled.weight > 0.0 else 0.0
+    own_scale = 1.0 / own.latest_weight
+    pooled_scale = prior_weight / pooled.weight if pooled.weight > 0.0 else 0.0
     counts = [
-        own_scale * mine + pool_scale * theirs
-        for mine, theirs in zip(own.counts, pooled.counts, strict=True)
+        own_scale * own_value + pooled_scale * pooled_value
+        for own_value, pooled_value in zip(
+            own.counts, pooled.counts, strict=True
+        )
     ]
     sums = [
-        own_scale * mine + pool_scale * theirs
-        for mine, theirs in zip(own.sums, pooled.sums, strict=True)
+        own_scale * own_value + pooled_scale * pooled_value
+        for own_value, pooled_value in zip(own.sums, pooled.sums, strict=True)
     ]
     size = sum(counts)
     if size <= 0.0:
         empty = (0.0,) * BIN_COUNT
         return Estimate(
-            shares=empty, means=empty, mean=0.0, variance=0.25, size=0.0
+            shares=empty,
+            means=empty,
+            mean=0.0,
+            variance=0.25,
+            effective_size=0.0,
         )
     shares = tuple(count / size for count in counts)
     means = tuple(
@@ -209,7 +227,11 @@
     )
     mean, variance = compute_moments(shares, means)
     return Estimate(
-        shares=shares, means=means, mean=mean, variance=variance, size=size
+        shares=shares,
+        means=means,
+        mean=mean,
+        variance=variance,
+        effective_size=size,
     )
 
 
@@ -253,7 +275,7 @@
 
 
 def scan_thresholds(
-    first: Estimate, second: float, rating_noise: float
+    first: Estimate, second_mean: float, rating_noise: float
 ) -> collections.abc.Iterator[ThresholdOption]:
     """Yields the estimated outcome at each threshold, lowest first.
 
@@ -263,7 +285,7 @@
 
     Args:
         first: Estimate for the version that answers first.
-        second: The second version's mean quality on rejected requests.
+        second_mean: The second version's mean quality on rejected requests.
         rating_noise: Standard deviation of a rating about the true quality.
     """
     noise = rating_noise**2
@@ -278,15 +300,15 @@
         # Raising the threshold moves this bin to the second version.
         share = first.shares[index]
         rejected += share
-        mean += share * (second - values[index])
-        square += share * (second * second - values[index] ** 2)
+        mean += share * (second_mean - values[index])
+        square += share * (second_mean * second_mean - values[index] ** 2)
         variance = max(0.0, square - mean * mean)
         yield ThresholdOption(
             (index + 1) / BIN_COUNT,
             rejected,
             mean,
-            compute_error(variance, first.size),
+            compute_error(variance, first.effective_size),
         )
 
 
-NOTHING = Ratings()
+EMPTY_HISTOGRAM = RatingHistogram()
