--- a/packages/rhubarbbank-core/src/rhubarbbank_core/admission.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/admission.py
@@ -216,7 +216,7 @@
         self.queues = [PriorityQueue() for _ in range(PRIORITY_COUNT)]
         self.queued: dict[str, Ticket] = {}
         self.running: dict[str, Running] = {}
-        self.evicted: list[Shed] = []
+        self.pending_refusals: list[Shed] = []
 
     def admit(self, ticket: Ticket, *, now: float) -> AdmissionDecision:
         """Queues a request unless it would be late or the queue is full."""
@@ -236,20 +236,20 @@
 
     def predict_wait_s(self, ticket: Ticket, *, now: float) -> float:
         """Returns the estimated time until a new ticket would start."""
-        before = sum(
+        work_ahead = sum(
             queue.sum_work_until(float("inf"))
             for queue in self.queues[: ticket.priority]
         )
         own_queue = self.queues[ticket.priority]
-        before += own_queue.sum_work_until(
+        work_ahead += own_queue.sum_work_until(
             own_queue.next_tag(ticket.organisation)
         )
-        free = self.slots - len(self.running)
-        if before < free:
+        free_slots = self.slots - len(self.running)
+        if work_ahead < free_slots:
             return 0.0
-        # Work ahead takes the free slots and the next `before - free` slots
-        # that become free; the ticket takes the one after these.
-        return self.estimate_drain_s(before - free + 1.0)
+        # Work ahead takes the free slots and the next `work_ahead - free_slots`
+        # slots that become free; the ticket takes the one after these.
+        return self.estimate_drain_s(work_ahead - free_slots + 1.0)
 
     def estimate_drain_s(self, work: float) -> float:
         """Returns the estimated time for all slots to finish `work`."""
@@ -272,7 +272,7 @@
             if items:
                 last = items[-1].ticket
                 self.drop(last)
-                self.evicted.append(
+                self.pending_refusals.append(
                     self.refuse(
                         last, errors.ErrorCode.OVERLOADED, self.service_s
                     )
@@ -299,7 +299,7 @@
 
     def start(self, *, now: float) -> list[Ticket]:
         """Starts requests in free slots, after dropping late ones."""
-        self.evicted.extend(self.drop_late(now=now))
+        self.pending_refusals.extend(self.drop_late(now=now))
         started: list[Ticket] = []
         while len(self.running) < self.slots:
             ticket = self.take()
@@ -322,19 +322,19 @@
 
     def shed(self, *, now: float) -> list[Shed]:
         """Drops late requests; returns all drops since the last call."""
-        late = self.evicted + self.drop_late(now=now)
-        self.evicted = []
+        late = self.pending_refusals + self.drop_late(now=now)
+        self.pending_refusals = []
         return late
 
     def drop_late(self, *, now: float) -> list[Shed]:
         """Removes and refuses tickets that would miss their deadlines."""
         late: list[Shed] = []
-        before = 0.0
-        free = self.slots - len(self.running)
+        work_ahead = 0.0
+        free_slots = self.slots - len(self.running)
         for ticket in self.iterate_in_order():
             wait_s = 0.0
-            if before >= free:
-                wait_s = self.estimate_drain_s(before - max(0, free))
+            if work_ahead >= free_slots:
+                wait_s = self.estimate_drain_s(work_ahead - max(0, free_slots))
             end = now + wait_s + self.predict_service_s(ticket)
             if end > ticket.deadline:
                 self.drop(ticket)
@@ -346,7 +346,7 @@
                     )
                 )
                 continue
-            before += ticket.work
+            work_ahead += ticket.work
         return late
 
     def iterate_in_order(self) -> collections.abc.Iterator[Ticket]:
