--- a/packages/rhubarbbank-core/src/rhubarbbank_core/cascade.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/cascade.py
@@ -211,7 +211,7 @@
         if histogram is not None:
             return histogram
         if len(self.histograms) >= self.settings.max_histograms:
-            # The pooled histogram still has the ratings of the evicted one.
+            # Evicts the oldest; the pooled histogram still has its ratings.
             self.remove_histogram(next(iter(self.histograms)))
         histogram = cascade_ratings.RatingHistogram()
         self.histograms[histogram_key] = histogram
--- a/packages/rhubarbbank-core/src/rhubarbbank_core/cascade_ratings.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/cascade_ratings.py
@@ -25,7 +25,7 @@
 # this many ratings, and only if there are enough such organisations.
 MIN_SPREAD_RATINGS = 60.0
 MIN_SPREAD_ORGANISATIONS = 4
-# Bounds the cost of estimating the variance between organisations.
+# At most this many organisations are sampled to estimate that variance.
 MAX_SPREAD_ORGANISATIONS = 30
 DEFAULT_PRIOR_WEIGHT = 100.0
 MIN_PRIOR_WEIGHT = 20.0
@@ -249,7 +249,7 @@
 def compute_error(variance: float, size: float) -> float:
     """Returns the standard error of a mean.
 
-    The variance is increased by 1 / size, since few ratings may understate it.
+    The variance is increased by 1 / size, to widen the error for few ratings.
     """
     if size <= 1.0:
         return 1.0
