--- a/features/policy_decisions.feature
+++ b/features/policy_decisions.feature
@@ -77,36 +77,36 @@
   Scenario: Admission starts no request that it expects to miss its deadline
     Then admission meets its guarantees in 100 random sequences
 
-  Scenario: Cascade starts with the strongest version
-    Given a cascade that knows nothing
-    Then at least 80 per cent of 500 cascade plans run "strong" directly
-    And every other cascade plan tries "cheap" and may run "strong" after
-
-  Scenario: Cascade runs the cheap version alone once it is proven
-    Given a cascade with 400 ratings of "cheap" about 0.95
-    And the cascade has 400 ratings of "strong" about 0.97
-    Then the cascade's usual plan for target 0.9 is "cheap"
-
-  Scenario: Cascade escalates when the cheap version alone is not enough
-    Given a cascade with 400 ratings of "cheap" about 0.8
-    And the cascade has 400 ratings of "strong" about 0.93
-    Then the cascade's usual plan for target 0.85 is "cheap then strong"
-
-  Scenario: Cascade runs the strong version where the cheap one is hopeless
-    Given a cascade with 400 ratings of "cheap" about 0.3
-    And the cascade has 400 ratings of "strong" about 0.92
-    Then the cascade's usual plan for target 0.9 is "strong"
-
-  Scenario: Cascade notices that a cheap version has turned bad
-    Given a cascade with 2000 ratings of "cheap" about 0.95
-    And the cascade has 400 ratings of "strong" about 0.97
-    When the cascade gets 150 more ratings of "cheap" about 0.6
-    Then the cascade's usual plan for target 0.9 is not "cheap"
-
-  Scenario: Cascade lets a new organisation learn from the others
-    Given a cascade with 400 ratings of "cheap" about 0.95
-    And the cascade has 400 ratings of "strong" about 0.97
-    Then the cascade's usual plan for a new organisation is "cheap"
+  Scenario: Cascade mostly runs the strongest version while it has no ratings
+    Given a cascade without ratings
+    Then at least 80% of 500 cascade plans run "strong" directly, all to be rated
+    And every other cascade plan runs "cheap" first and may escalate to "strong"
+
+  Scenario: Cascade runs the cheap version alone when it meets the target
+    Given a cascade with 400 ratings of "cheap" with mean 0.95
+    And the cascade has 400 ratings of "strong" with mean 0.97
+    Then the cascade's regular plan for target 0.9 is "cheap"
+
+  Scenario: Cascade escalates when the cheap version alone misses the target
+    Given a cascade with 400 ratings of "cheap" with mean 0.8
+    And the cascade has 400 ratings of "strong" with mean 0.93
+    Then the cascade's regular plan for target 0.85 is "cheap then strong"
+
+  Scenario: Cascade runs the strong version when the cheap one is rated very low
+    Given a cascade with 400 ratings of "cheap" with mean 0.3
+    And the cascade has 400 ratings of "strong" with mean 0.92
+    Then the cascade's regular plan for target 0.9 is "strong"
+
+  Scenario: Cascade stops running a cheap version alone after its ratings drop
+    Given a cascade with 2000 ratings of "cheap" with mean 0.95
+    And the cascade has 400 ratings of "strong" with mean 0.97
+    When the cascade observes 150 more ratings of "cheap" with mean 0.6
+    Then the cascade's regular plan for target 0.9 is not "cheap"
+
+  Scenario: Cascade uses the ratings of other organisations for a new one
+    Given a cascade with 400 ratings of "cheap" with mean 0.95
+    And the cascade has 400 ratings of "strong" with mean 0.97
+    Then the cascade's regular plan for a new organisation is "cheap"
 
   Scenario: Retry budget lets only a share of successes be retried
     Then the retry budget stays within its limit in 200 random sequences
--- a/features/steps/cascade_steps.py
+++ b/features/steps/cascade_steps.py
@@ -1,4 +1,4 @@
-"""Steps for the cascade that learns from ratings."""
+"""Steps for `cascade.LearningCascade`."""
 
 import random
 
@@ -18,23 +18,27 @@
 )
 
 
-@given("a cascade that knows nothing")
-def step_cascade(context: runner.Context) -> None:
+@given("a cascade without ratings")
+def step_empty_cascade(context: runner.Context) -> None:
     context.cascade = cascade.LearningCascade(rng=random.Random(1))
     context.rating_rng = random.Random(2)
 
 
-@given('a cascade with {count:d} ratings of "{name}" about {mean:f}')
+@given('a cascade with {count:d} ratings of "{name}" with mean {mean:f}')
 def step_cascade_ratings(
     context: runner.Context, count: int, name: str, mean: float
 ) -> None:
-    step_cascade(context)
-    rate(context, count, name, mean)
+    step_empty_cascade(context)
+    observe_ratings(context, count, name, mean)
 
 
-@given('the cascade has {count:d} ratings of "{name}" about {mean:f}')
-@when('the cascade gets {count:d} more ratings of "{name}" about {mean:f}')
-def rate(context: runner.Context, count: int, name: str, mean: float) -> None:
+@given('the cascade has {count:d} ratings of "{name}" with mean {mean:f}')
+@when(
+    'the cascade observes {count:d} more ratings of "{name}" with mean {mean:f}'
+)
+def observe_ratings(
+    context: runner.Context, count: int, name: str, mean: float
+) -> None:
     for _ in range(count):
         context.cascade.observe(
             organisation="o",
@@ -60,16 +64,20 @@
     ]
 
 
-@then('at least 80 per cent of 500 cascade plans run "strong" directly')
-def step_mostly_strong(context: runner.Context) -> None:
+@then(
+    'at least 80% of 500 cascade plans run "strong" directly, all to be rated'
+)
+def step_strong_share(context: runner.Context) -> None:
     context.plans = choose_plans(context, 500, 0.9)
     direct = [each for each in context.plans if each.first == STRONG]
     assert len(direct) >= 400, len(direct)
     assert all(each.wants_rating for each in context.plans)
 
 
-@then('every other cascade plan tries "cheap" and may run "strong" after')
-def step_trials(context: runner.Context) -> None:
+@then(
+    'every other cascade plan runs "cheap" first and may escalate to "strong"'
+)
+def step_other_plans_are_trials(context: runner.Context) -> None:
     trials = [each for each in context.plans if each.first != STRONG]
     assert trials
     assert all(
@@ -78,25 +86,31 @@
     )
 
 
-def find_usual(plans: list[cascade.Plan]) -> str:
+def describe_regular_plan(plans: list[cascade.Plan]) -> str:
     plan = next(each for each in plans if not each.is_trial)
     then_name = f" then {plan.then.model}" if plan.then else ""
     return plan.first.model + then_name
 
 
-@then('the cascade\'s usual plan for target {target:f} is "{name}"')
-def step_usual(context: runner.Context, target: float, name: str) -> None:
-    found = find_usual(choose_plans(context, 20, target))
+@then('the cascade\'s regular plan for target {target:f} is "{name}"')
+def step_regular_plan(
+    context: runner.Context, target: float, name: str
+) -> None:
+    found = describe_regular_plan(choose_plans(context, 20, target))
     assert found == name, found
 
 
-@then('the cascade\'s usual plan for target {target:f} is not "{name}"')
-def step_unusual(context: runner.Context, target: float, name: str) -> None:
-    found = find_usual(choose_plans(context, 20, target))
+@then('the cascade\'s regular plan for target {target:f} is not "{name}"')
+def step_not_regular_plan(
+    context: runner.Context, target: float, name: str
+) -> None:
+    found = describe_regular_plan(choose_plans(context, 20, target))
     assert found != name, found
 
 
-@then('the cascade\'s usual plan for a new organisation is "{name}"')
+@then('the cascade\'s regular plan for a new organisation is "{name}"')
 def step_new_organisation(context: runner.Context, name: str) -> None:
-    found = find_usual(choose_plans(context, 20, 0.9, organisation="new"))
+    found = describe_regular_plan(
+        choose_plans(context, 20, 0.9, organisation="new")
+    )
     assert found == name, found
