--- a/packages/rhubarbbank-core/src/rhubarbbank_core/exposure.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/exposure.py
@@ -104,9 +104,10 @@
             hold.
         slow_tolerance: Increase in the share of slow answers that does not
             cause a hold.
-        false_hold: Maximum probability of a false hold in a whole rollout.
-        false_growth: Maximum probability of leaving a stage although the
-            version is worse by the stage's margin.
+        false_hold_probability: Maximum probability of a false hold in a whole
+            rollout.
+        false_advance_probability: Maximum probability of leaving a stage
+            although the version is worse by the stage's margin.
         change_tolerance: Decrease below the established mean that the change
             detectors tolerate.
         change_log_threshold: Natural logarithm of the alarm threshold, which
@@ -118,8 +119,8 @@
     rating_tolerance: float = 0.02
     error_tolerance: float = 0.01
     slow_tolerance: float = 0.03
-    false_hold: float = 0.01
-    false_growth: float = 0.05
+    false_hold_probability: float = 0.01
+    false_advance_probability: float = 0.05
     change_tolerance: float = 0.02
     change_log_threshold: float = math.log(1e6)
 
@@ -143,7 +144,7 @@
 
     def add(self, batch: EvidenceBatch) -> "Measures":
         """Returns the measures including one more batch."""
-        good = batch.requests - batch.errors
+        successes = batch.requests - batch.errors
         timely = batch.requests - batch.slow
         return Measures(
             ratings=self.ratings.add(
@@ -152,7 +153,7 @@
                 square_total=batch.rating_square_sum,
             ),
             successes=self.successes.add(
-                count=batch.requests, total=good, square_total=good
+                count=batch.requests, total=successes, square_total=successes
             ),
             timely=self.timely.add(
                 count=batch.requests, total=timely, square_total=timely
@@ -182,7 +183,7 @@
 
     def add(self, batch: EvidenceBatch) -> "Watch":
         """Returns the detectors including one more batch."""
-        good = batch.requests - batch.errors
+        successes = batch.requests - batch.errors
         timely = batch.requests - batch.slow
         return Watch(
             rated=self.rated,
@@ -192,7 +193,7 @@
                 square_total=batch.rating_square_sum,
             ),
             successes=self.successes.add(
-                count=batch.requests, total=good, square_total=good
+                count=batch.requests, total=successes, square_total=successes
             ),
             timely=self.timely.add(
                 count=batch.requests, total=timely, square_total=timely
@@ -286,8 +287,8 @@
                 self.state, incumbent=self.state.incumbent.add(batch)
             )
         elif batch.key == self.key:
-            self.add_new(batch)
-            self.judge()
+            self.add_new_batch(batch)
+            self.evaluate()
 
     def verdict(self) -> Verdict:
         """Returns the version's current stage, or its hold."""
@@ -296,7 +297,7 @@
         shares = self.settings.shares_per_cent
         return Stage(share_per_cent=shares[self.state.stage])
 
-    def add_new(self, batch: EvidenceBatch) -> None:
+    def add_new_batch(self, batch: EvidenceBatch) -> None:
         """Adds one batch of the new version."""
         state = self.state
         watch = state.watch.add(batch) if state.watch else None
@@ -309,20 +310,20 @@
                 self.state, watch=watch.raise_levels(self.start_watch())
             )
 
-    def judge(self) -> None:
+    def evaluate(self) -> None:
         """Holds the version or advances its stage, if a test allows it."""
         if self.state.held is not None:
             return
-        reason = self.find_loss()
+        reason = self.find_regression()
         if reason is None and self.state.watch is not None:
             reason = self.state.watch.find_change()
         if reason is not None:
             self.state = dataclasses.replace(self.state, held=reason)
             return
-        if self.may_grow():
-            self.grow()
+        if self.is_margin_ruled_out():
+            self.advance_stage()
 
-    def find_loss(self) -> HoldReason | None:
+    def find_regression(self) -> HoldReason | None:
         """Returns the measure in which the new version is worse, or None."""
         settings = self.settings
         new, old = self.state.new, self.state.incumbent
@@ -341,16 +342,16 @@
             ),
             (HoldReason.SLOW, new.timely, old.timely, settings.slow_tolerance),
         )
-        limit = math.log(len(comparisons) / settings.false_hold)
-        for reason, fresh, known, tolerance in comparisons:
+        limit = math.log(len(comparisons) / settings.false_hold_probability)
+        for reason, new_tally, incumbent_tally, tolerance in comparisons:
             log_e = sequential_test.log_e_worse(
-                new=fresh, incumbent=known, tolerance=tolerance
+                new=new_tally, incumbent=incumbent_tally, tolerance=tolerance
             )
             if log_e >= limit:
                 return reason
         return None
 
-    def may_grow(self) -> bool:
+    def is_margin_ruled_out(self) -> bool:
         """Returns whether a loss of this stage's margin is ruled out."""
         stage = self.state.stage
         if stage >= len(self.settings.margins):
@@ -360,9 +361,9 @@
             incumbent=self.state.incumbent.ratings,
             margin=self.settings.margins[stage],
         )
-        return log_e >= -math.log(self.settings.false_growth)
+        return log_e >= -math.log(self.settings.false_advance_probability)
 
-    def grow(self) -> None:
+    def advance_stage(self) -> None:
         """Advances to the next stage; the last one starts the detectors."""
         stage = self.state.stage + 1
         watch = self.state.watch
@@ -387,11 +388,11 @@
 
         The difference is `change_tolerance`.
         """
-        proven = sequential_test.lower_bound(
-            tally, alpha=self.settings.false_hold
+        bound = sequential_test.lower_bound(
+            tally, alpha=self.settings.false_hold_probability
         )
         return sequential_test.ChangeDetector(
-            level=max(0.0, proven - self.settings.change_tolerance),
+            level=max(0.0, bound - self.settings.change_tolerance),
             log_threshold=self.settings.change_log_threshold,
         )
 
@@ -406,6 +407,6 @@
         request_hash: A 64-bit hash of the session or the request.
         share_per_cent: The share from the verdict, 0 to 100.
     """
-    spread = (request_hash * HASH_MULTIPLIER) & HASH_MASK
-    bucket = ((spread >> HASH_SHIFT) * HASH_BUCKETS) >> HASH_SHIFT
+    mixed_hash = (request_hash * HASH_MULTIPLIER) & HASH_MASK
+    bucket = ((mixed_hash >> HASH_SHIFT) * HASH_BUCKETS) >> HASH_SHIFT
     return bucket < share_per_cent * (HASH_BUCKETS / PER_CENT)
