--- a/packages/rhubarbbank-core/src/rhubarbbank_core/evidence.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/evidence.py
@@ -2,8 +2,8 @@
 
 The reports for a model go to its judge, the entry that rendezvous hashing
 selects. They contain totals since this entry's start. Changed totals are sent
-every `REPORT_S`, and all totals every `REPEAT_S`, so that an entry that takes
-over as judge receives the whole history.
+every `REPORT_INTERVAL_S`, and all totals every `FULL_REPORT_INTERVAL_S`, so
+that an entry that takes over as judge receives the whole history.
 """
 
 from collections.abc import Iterable
@@ -15,8 +15,8 @@
 from rhubarbbank_core import rendezvous
 from rhubarbbank_core import table
 
-REPORT_S = 1.0
-REPEAT_S = 5.0
+REPORT_INTERVAL_S = 1.0
+FULL_REPORT_INTERVAL_S = 5.0
 # Required upper limit on the time to the first token.
 SLOW_FIRST_TOKEN_S = 0.54
 
@@ -33,7 +33,7 @@
         totals: Totals by version, since this entry started.
         changed: Models whose totals changed since the last report.
         report_at: When changed totals are reported next, in seconds.
-        repeat_at: When all totals are reported next, in seconds.
+        full_report_at: When all totals are reported next, in seconds.
     """
 
     def __init__(self) -> None:
@@ -42,7 +42,7 @@
         ] = {}
         self.changed: set[str] = set()
         self.report_at = 0.0
-        self.repeat_at = 0.0
+        self.full_report_at = 0.0
 
     def find(self, key: table.VersionKey) -> evidence_messages.EvidenceTally:
         """Returns the totals of a version, zero if it has none yet."""
@@ -92,10 +92,10 @@
         """
         if now < self.report_at:
             return []
-        self.report_at = now + REPORT_S
+        self.report_at = now + REPORT_INTERVAL_S
         models = self.changed
-        if now >= self.repeat_at:
-            self.repeat_at = now + REPEAT_S
+        if now >= self.full_report_at:
+            self.full_report_at = now + FULL_REPORT_INTERVAL_S
             models = {key.model for key in self.totals}
         self.changed = set()
         sends: list[effects.Send] = []
