--- a/packages/rhubarbbank-core/src/rhubarbbank_core/sequential_test.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/sequential_test.py
@@ -33,7 +33,7 @@
 # Bets as fractions of the largest bet that keeps every factor positive.
 BETS = np.array([0.02, 0.05, 0.1, 0.2, 0.35, 0.5, 0.7, 0.9])
 BERNSTEIN_COSTS = -np.log1p(-BETS) - BETS
-LOG_WEIGHT = -float(np.log(2 * len(BETS)))
+LOG_BET_WEIGHT = -float(np.log(2 * len(BETS)))
 LOG_TWO = float(np.log(2.0))
 INITIAL_MEAN = 0.5
 # Weight of the previous mean, in values, in a change detector's recent mean.
@@ -68,7 +68,7 @@
             total: Sum of the values.
             square_total: Sum of the squares of the values.
         """
-        spread = measure_spread(
+        spread = compute_spread(
             self.mean, count=count, total=total, square_total=square_total
         )
         return Tally(
@@ -89,7 +89,7 @@
 EMPTY_TALLY = Tally()
 
 
-def measure_spread(
+def compute_spread(
     mean: float, *, count: int, total: float, square_total: float
 ) -> float:
     """Returns the sum of a batch's squared distances to `mean`."""
@@ -120,13 +120,13 @@
 
 
 @functools.lru_cache(maxsize=64)
-def list_levels(shift: float) -> LevelGrid:
+def make_ascending_grid(shift: float) -> LevelGrid:
     """Returns ascending levels from 0 to 1, each reduced by `shift`."""
     return make_grid(np.linspace(0.0, 1.0, LEVEL_COUNT) - shift)
 
 
 @functools.lru_cache(maxsize=64)
-def list_mirrored_levels() -> LevelGrid:
+def make_descending_grid() -> LevelGrid:
     """Returns the descending levels from 1 to 0."""
     return make_grid(1.0 - np.linspace(0.0, 1.0, LEVEL_COUNT))
 
@@ -145,29 +145,29 @@
     return np.concatenate((chord, bernstein), axis=1)
 
 
-def mix(log_bets: FloatArray) -> FloatArray:
+def mix_bets(log_bets: FloatArray) -> FloatArray:
     """Returns the log of the mean e-value over all bets, shape (n,)."""
     highest = log_bets.max(axis=1)
     scaled = np.exp(log_bets - highest[:, np.newaxis])
-    mixed: FloatArray = highest + np.log(scaled.sum(axis=1)) + LOG_WEIGHT
+    mixed: FloatArray = highest + np.log(scaled.sum(axis=1)) + LOG_BET_WEIGHT
     return mixed
 
 
-def hedge(log_e: FloatArray) -> FloatArray:
+def average_with_one(log_e: FloatArray) -> FloatArray:
     """Returns the log of the average of each e-value and 1.
 
     The result is at least log(1/2). Without this bound, a process with many
     values against a level that holds would get so small that the other
     process in a product could never compensate for it.
     """
-    hedged: FloatArray = np.logaddexp(log_e, 0.0) - LOG_TWO
-    return hedged
+    averaged: FloatArray = np.logaddexp(log_e, 0.0) - LOG_TWO
+    return averaged
 
 
 def log_e_below(tally: Tally, level: float) -> float:
     """Returns the log e-value against "the mean is at least `level`"."""
     grid = make_grid(np.array([level]))
-    return float(mix(compute_log_bets(tally, grid))[0])
+    return float(mix_bets(compute_log_bets(tally, grid))[0])
 
 
 def log_e_worse(*, new: Tally, incumbent: Tally, tolerance: float) -> float:
@@ -181,15 +181,17 @@
         incumbent: Values of the version to compare with.
         tolerance: Difference of the means, between -1 and 1.
     """
-    against_new = hedge(mix(compute_log_bets(new, list_levels(tolerance))))
-    against_incumbent = hedge(
-        mix(compute_log_bets(incumbent.flip(), list_mirrored_levels()))
+    against_new = average_with_one(
+        mix_bets(compute_log_bets(new, make_ascending_grid(tolerance)))
+    )
+    against_incumbent = average_with_one(
+        mix_bets(compute_log_bets(incumbent.flip(), make_descending_grid()))
     )
     # Between two adjacent grid levels, the first process is smallest at the
     # lower level and the second at the upper level, so this sum is a lower
     # bound for the whole interval.
-    within = against_new[:-1] + against_incumbent[1:]
-    return float(within.min())
+    lower_bounds = against_new[:-1] + against_incumbent[1:]
+    return float(lower_bounds.min())
 
 
 def log_e_not_worse(*, new: Tally, incumbent: Tally, margin: float) -> float:
@@ -201,8 +203,8 @@
 
 def lower_bound(tally: Tally, *, alpha: float) -> float:
     """Returns an anytime-valid lower bound of the mean at error `alpha`."""
-    log_e = mix(compute_log_bets(tally.flip(), list_mirrored_levels()))
-    rejected = list_levels(0.0).levels[log_e >= -np.log(alpha)]
+    log_e = mix_bets(compute_log_bets(tally.flip(), make_descending_grid()))
+    rejected = make_ascending_grid(0.0).levels[log_e >= -np.log(alpha)]
     return float(rejected.max()) if rejected.size else 0.0
 
 
@@ -240,16 +242,16 @@
             square_total: Sum of the squares of the values.
         """
         mean = self.level if self.recent_mean is None else self.recent_mean
-        spread = measure_spread(
+        spread = compute_spread(
             mean, count=count, total=total, square_total=square_total
         )
         batch = Tally(count=count, total=total, spread=spread)
         step = compute_log_bets(batch, make_grid(np.array([self.level])))[0]
         sums = np.array(self.log_sums or (-np.inf,) * len(step))
-        grown = np.logaddexp(sums, 0.0) + step
+        log_sums = np.logaddexp(sums, 0.0) + step
         return dataclasses.replace(
             self,
-            log_sums=tuple(float(each) for each in grown),
+            log_sums=tuple(float(each) for each in log_sums),
             recent_mean=(mean * RECENT_VALUES + total)
             / (RECENT_VALUES + count),
         )
@@ -263,5 +265,5 @@
         """Whether the sum, averaged over the bets, reached the threshold."""
         if not self.log_sums:
             return False
-        mixed = mix(np.array([self.log_sums]))[0]
+        mixed = mix_bets(np.array([self.log_sums]))[0]
         return bool(mixed >= self.log_threshold)
