--- a/experiments/src/rhubarbbank_experiments/policy_exposure.py
+++ b/experiments/src/rhubarbbank_experiments/policy_exposure.py
@@ -113,7 +113,7 @@
 
 def make_baseline() -> exposure.Exposure:
     """Returns the z-test that is peeked at."""
-    return exposure_baselines.PeekedZTestExposure(key=NEW, incumbent=OLD)
+    return exposure_baselines.RepeatedZTestExposure(key=NEW, incumbent=OLD)
 
 
 Maker = collections.abc.Callable[[], exposure.Exposure]
--- a/packages/rhubarbbank-core/src/rhubarbbank_core/exposure_baselines.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/exposure_baselines.py
@@ -15,7 +15,7 @@
 MINIMUM_RATED = 30
 
 
-class PeekedZTestExposure:
+class RepeatedZTestExposure:
     """Gives a fixed share until a z-test on the ratings rejects it."""
 
     def __init__(
