--- a/packages/rhubarbbank-core/src/rhubarbbank_core/exposure.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/exposure.py
@@ -165,7 +165,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Watch:
+class ChangeDetectors:
     """The change detectors of a version in the last stage.
 
     Attributes:
@@ -181,11 +181,11 @@
     successes: sequential_test.ChangeDetector
     timely: sequential_test.ChangeDetector
 
-    def add(self, batch: EvidenceBatch) -> "Watch":
+    def add(self, batch: EvidenceBatch) -> "ChangeDetectors":
         """Returns the detectors including one more batch."""
         successes = batch.requests - batch.errors
         timely = batch.requests - batch.slow
-        return Watch(
+        return ChangeDetectors(
             rated=self.rated,
             ratings=self.ratings.add(
                 count=batch.rated,
@@ -200,13 +200,13 @@
             ),
         )
 
-    def raise_levels(self, other: "Watch") -> "Watch":
+    def raise_levels(self, other: "ChangeDetectors") -> "ChangeDetectors":
         """Returns these detectors, each with the higher of the two levels.
 
         Sums accumulated against a lower level remain valid evidence against
         a higher one.
         """
-        return Watch(
+        return ChangeDetectors(
             rated=other.rated,
             ratings=self.ratings.raise_level(other.ratings.level),
             successes=self.successes.raise_level(other.successes.level),
@@ -233,14 +233,14 @@
         held: Why the version is held, or None if it is not.
         new: Measures of the new version.
         incumbent: Measures of the incumbent.
-        watch: Change detectors, from the last stage on.
+        detectors: Change detectors; None until they are started.
     """
 
     stage: int = 0
     held: HoldReason | None = None
     new: Measures = EMPTY_MEASURES
     incumbent: Measures = EMPTY_MEASURES
-    watch: Watch | None = None
+    detectors: ChangeDetectors | None = None
 
 
 EMPTY_STATE = ExposureState()
@@ -300,14 +300,15 @@
     def add_new_batch(self, batch: EvidenceBatch) -> None:
         """Adds one batch of the new version."""
         state = self.state
-        watch = state.watch.add(batch) if state.watch else None
+        detectors = state.detectors.add(batch) if state.detectors else None
         self.state = dataclasses.replace(
-            state, new=state.new.add(batch), watch=watch
+            state, new=state.new.add(batch), detectors=detectors
         )
         # The levels are recomputed each time the number of ratings doubles.
-        if watch and self.state.new.ratings.count >= 2 * watch.rated:
+        if detectors and self.state.new.ratings.count >= 2 * detectors.rated:
             self.state = dataclasses.replace(
-                self.state, watch=watch.raise_levels(self.start_watch())
+                self.state,
+                detectors=detectors.raise_levels(self.start_detectors()),
             )
 
     def evaluate(self) -> None:
@@ -315,8 +316,8 @@
         if self.state.held is not None:
             return
         reason = self.find_regression()
-        if reason is None and self.state.watch is not None:
-            reason = self.state.watch.find_change()
+        if reason is None and self.state.detectors is not None:
+            reason = self.state.detectors.find_change()
         if reason is not None:
             self.state = dataclasses.replace(self.state, held=reason)
             return
@@ -366,15 +367,17 @@
     def advance_stage(self) -> None:
         """Advances to the next stage; the last one starts the detectors."""
         stage = self.state.stage + 1
-        watch = self.state.watch
+        detectors = self.state.detectors
         if stage == len(self.settings.shares_per_cent) - 1:
-            watch = self.start_watch()
-        self.state = dataclasses.replace(self.state, stage=stage, watch=watch)
+            detectors = self.start_detectors()
+        self.state = dataclasses.replace(
+            self.state, stage=stage, detectors=detectors
+        )
 
-    def start_watch(self) -> Watch:
+    def start_detectors(self) -> ChangeDetectors:
         """Returns new detectors with levels from the current tallies."""
         new = self.state.new
-        return Watch(
+        return ChangeDetectors(
             rated=new.ratings.count,
             ratings=self.start_detector(new.ratings),
             successes=self.start_detector(new.successes),
--- a/packages/rhubarbbank-core/src/rhubarbbank_core/exposure_duty.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/exposure_duty.py
@@ -185,10 +185,12 @@
 def start_watch(judge: exposure.ExposureJudge, own: list[table.Row]) -> None:
     """Starts to watch a settled version once enough is known of it."""
     state = judge.state
-    if is_staged(own) or state.watch is not None:
+    if is_staged(own) or state.detectors is not None:
         return
     if state.new.ratings.count >= WATCH_AFTER_RATED:
-        judge.state = dataclasses.replace(state, watch=judge.start_watch())
+        judge.state = dataclasses.replace(
+            state, detectors=judge.start_detectors()
+        )
 
 
 def advance(
