--- a/packages/rhubarbbank-core/src/rhubarbbank_core/cascade.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/cascade.py
@@ -332,12 +332,12 @@
                 eligible.extend(self.list_cascades(cheap, stronger))
         if eligible:
             return min(eligible, key=lambda plan: plan.expected_price)
-        safest = ranked[-1]
-        if self.has_enough_ratings(safest):
-            safest = max(
+        fallback = ranked[-1]
+        if self.has_enough_ratings(fallback):
+            fallback = max(
                 ranked, key=lambda each: self.compute_lower_bound(each.key)
             )
-        return dataclasses.replace(plan_direct(safest), wants_rating=True)
+        return dataclasses.replace(plan_direct(fallback), wants_rating=True)
 
     def list_cascades(
         self, cheap: PricedVersion, stronger: PricedVersion
@@ -355,13 +355,15 @@
         for option in cascade_ratings.scan_thresholds(
             first, second, self.settings.rating_noise
         ):
-            error = math.hypot(option.error, option.rejected * second_error)
+            error = math.hypot(
+                option.error, option.rejected_share * second_error
+            )
             if (
                 option.mean - self.settings.confidence_errors * error
                 < self.target
             ):
                 continue
-            price = cheap.price + option.rejected * stronger.price
+            price = cheap.price + option.rejected_share * stronger.price
             return [plan_cascade(cheap, stronger, option.threshold, price)]
         return []
 
@@ -404,7 +406,7 @@
     def compute_lower_bound(self, key: table.VersionKey) -> float:
         """Returns the lower confidence bound of a version's mean rating."""
         estimate = self.estimate(key)
-        error = cascade_ratings.compute_error(
+        error = cascade_ratings.compute_standard_error(
             estimate.variance, estimate.effective_size
         )
         return estimate.mean - self.settings.confidence_errors * error
@@ -412,9 +414,9 @@
     def estimate_second(
         self, key: table.VersionKey, *, after: table.VersionKey
     ) -> tuple[float, float]:
-        """Returns the mean and standard error of `key` after `after` fails.
+        """Returns the mean and standard error of `key` as second version.
 
-        This covers requests where the answer of `after` was rejected. While
+        It answers requests for which the answer of `after` was rejected. While
         few such answers are rated, the mean stays close to the version's mean
         on all requests.
         """
@@ -431,7 +433,9 @@
                 * (after_estimate.mean - direct.mean)
             )
         size = max(size, direct.effective_size)
-        return mean, cascade_ratings.compute_error(direct.variance, size)
+        return mean, cascade_ratings.compute_standard_error(
+            direct.variance, size
+        )
 
     def estimate(self, key: table.VersionKey) -> cascade_ratings.Estimate:
         """Returns the cached estimate for a version on all requests."""
--- a/packages/rhubarbbank-core/src/rhubarbbank_core/cascade_ratings.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/cascade_ratings.py
@@ -108,11 +108,11 @@
 
     def measure_variance(self) -> float:
         """Returns the variance of the ratings, at least the minimum."""
-        square = sum(
+        second_moment = sum(
             count * ((index + 0.5) / BIN_COUNT) ** 2
             for index, count in enumerate(self.counts)
         )
-        variance = square / self.weight - self.mean * self.mean
+        variance = second_moment / self.weight - self.mean * self.mean
         return max(variance, MIN_VARIANCE)
 
     @property
@@ -133,14 +133,14 @@
     It applies to one organisation and request class.
 
     Attributes:
-        shares: Probability of each rating bin.
+        probabilities: Probability of each rating bin.
         means: Mean rating in each bin; 0 for an empty bin.
         mean: Mean rating.
         variance: Variance of the ratings.
         effective_size: Effective number of ratings behind the estimate.
     """
 
-    shares: tuple[float, ...]
+    probabilities: tuple[float, ...]
     means: tuple[float, ...]
     mean: float
     variance: float
@@ -214,20 +214,20 @@
     if size <= 0.0:
         empty = (0.0,) * BIN_COUNT
         return Estimate(
-            shares=empty,
+            probabilities=empty,
             means=empty,
             mean=0.0,
             variance=0.25,
             effective_size=0.0,
         )
-    shares = tuple(count / size for count in counts)
+    probabilities = tuple(count / size for count in counts)
     means = tuple(
         total / count if count > 0.0 else 0.0
         for total, count in zip(sums, counts, strict=True)
     )
-    mean, variance = compute_moments(shares, means)
+    mean, variance = compute_moments(probabilities, means)
     return Estimate(
-        shares=shares,
+        probabilities=probabilities,
         means=means,
         mean=mean,
         variance=variance,
@@ -236,17 +236,19 @@
 
 
 def compute_moments(
-    shares: collections.abc.Sequence[float],
+    probabilities: collections.abc.Sequence[float],
     values: collections.abc.Sequence[float],
 ) -> tuple[float, float]:
     """Returns the mean and variance of a discrete distribution."""
-    pairs = list(zip(shares, values, strict=True))
-    mean = sum(share * value for share, value in pairs)
-    square = sum(share * value * value for share, value in pairs)
-    return mean, max(0.0, square - mean * mean)
+    pairs = list(zip(probabilities, values, strict=True))
+    mean = sum(probability * value for probability, value in pairs)
+    second_moment = sum(
+        probability * value * value for probability, value in pairs
+    )
+    return mean, max(0.0, second_moment - mean * mean)
 
 
-def compute_error(variance: float, size: float) -> float:
+def compute_standard_error(variance: float, size: float) -> float:
     """Returns the standard error of a mean.
 
     The variance is increased by 1 / size, to widen the error for few ratings.
@@ -262,14 +264,14 @@
 
     Attributes:
         threshold: Lowest rating at which the first answer is kept.
-        rejected: Share of first answers rated below the threshold.
+        rejected_share: Share of first answers rated below the threshold.
         mean: Estimated mean quality of the delivered answers.
         error: Standard error of `mean`, without the error in the second
             version's quality.
     """
 
     threshold: float
-    rejected: float
+    rejected_share: float
     mean: float
     error: float
 
@@ -289,25 +291,29 @@
         rating_noise: Standard deviation of a rating about the true quality.
     """
     noise = rating_noise**2
-    signal = 0.0
+    signal_share = 0.0
     if first.variance > noise:
-        signal = 1.0 - noise / first.variance
-    values = [first.mean + signal * (each - first.mean) for each in first.means]
-    rejected = 0.0
-    mean, variance = compute_moments(first.shares, values)
-    square = variance + mean * mean
+        signal_share = 1.0 - noise / first.variance
+    values = [
+        first.mean + signal_share * (each - first.mean) for each in first.means
+    ]
+    rejected_share = 0.0
+    mean, variance = compute_moments(first.probabilities, values)
+    second_moment = variance + mean * mean
     for index in range(BIN_COUNT - 1):
         # Raising the threshold moves this bin to the second version.
-        share = first.shares[index]
-        rejected += share
-        mean += share * (second_mean - values[index])
-        square += share * (second_mean * second_mean - values[index] ** 2)
-        variance = max(0.0, square - mean * mean)
+        probability = first.probabilities[index]
+        rejected_share += probability
+        mean += probability * (second_mean - values[index])
+        second_moment += probability * (
+            second_mean * second_mean - values[index] ** 2
+        )
+        variance = max(0.0, second_moment - mean * mean)
         yield ThresholdOption(
             (index + 1) / BIN_COUNT,
-            rejected,
+            rejected_share,
             mean,
-            compute_error(variance, first.effective_size),
+            compute_standard_error(variance, first.effective_size),
         )
 
 
