--- a/packages/rhubarbbank-core/src/rhubarbbank_core/entry_exposure.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/entry_exposure.py
@@ -35,7 +35,7 @@
     waited_s = current.end.waited_s if current.end else 0.0
     late_s = current.first_event_at - current.placed_at - waited_s
     slow = not failed and late_s > evidence.SLOW_FIRST_TOKEN_S
-    state.evidence.note_end(opened.row.key, failed=failed, slow=slow)
+    state.evidence.record_attempt(opened.row.key, failed=failed, slow=slow)
 
 
 def tick(state: entry_state.EntryState, *, now: float) -> list[fx.Effect]:
--- a/packages/rhubarbbank-core/src/rhubarbbank_core/entry_ratings.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/entry_ratings.py
@@ -75,7 +75,7 @@
     name = name_answer(received.request_id, received.attempt)
     pending = state.ratings.pop(name, None)
     if pending is not None and rating is not None:
-        state.evidence.note_rating(pending.key, rating)
+        state.evidence.record_rating(pending.key, rating)
         state.cascade.observe(
             organisation=pending.organisation,
             request_class=pending.request_class,
--- a/packages/rhubarbbank-core/src/rhubarbbank_core/evidence.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/evidence.py
@@ -50,7 +50,7 @@
             key.model, key.version
         )
 
-    def note_end(
+    def record_attempt(
         self, key: table.VersionKey, *, failed: bool, slow: bool
     ) -> None:
         """Counts one attempt on a version that ended."""
@@ -63,7 +63,7 @@
         )
         self.changed.add(key.model)
 
-    def note_rating(self, key: table.VersionKey, rating: float) -> None:
+    def record_rating(self, key: table.VersionKey, rating: float) -> None:
         """Adds the rating of one answer, in [0, 1]."""
         found = self.find(key)
         self.totals[key] = msgspec.structs.replace(
