Log the shared parts of interrupted prompts, and how answers ended

A failed attempt now names the shared parts of its prompt and how many events had come; an answer names its events, and whether only the close of its connection ended it, since such an end proves no whole answer.

--- a/features/router_crashes.feature
+++ b/features/router_crashes.feature
@@ -11,6 +11,11 @@
     And log lines say what other entries reported of it
     And the log line on its refusal names its known crashes
 
+  Scenario: The shared parts of an interrupted prompt are logged
+    Given 1 entry in 1 data centre, and a "chat" request that crashes upstreams
+    When its caller sends it 2 times, every 4 s
+    Then each log line on a failed attempt names the shared parts of its prompt
+
   Scenario Outline: A request that is sent to each entry in turn crashes few upstreams
     Given <entries> entries in <places> data centres, and a "<route>" request that crashes upstreams
     When its caller sends it <times> times, every <pause> s
--- a/features/steps/router_crash_steps.py
+++ b/features/steps/router_crash_steps.py
@@ -207,6 +207,17 @@
         inputs = dict(line.inputs)
         assert inputs.keys() >= SUSPECT_INPUTS, line
         assert inputs["crashes"] >= inputs["seen_here"] > 0, line
+        assert inputs["events"] == 0, line
+
+
+@then("each log line on a failed attempt names the shared parts of its prompt")
+def check_part_lines(context):
+    lines = context.crash_fleet.list_log_lines("failed_attempt")
+    assert lines
+    for line in lines:
+        parts = dict(line.inputs)["shared_parts"].split(",")
+        assert parts[0] == "all", line
+        assert len(parts) == 2, line
 
 
 @then("log lines say what other entries reported of it")
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
@@ -173,7 +173,13 @@
                 state, opened, attempt, ended.detail, now=now
             )
         case events.AttemptEnd.COMPLETE:
-            return handle_complete(state, opened, attempt, now=now)
+            return handle_complete(
+                state,
+                opened,
+                attempt,
+                now=now,
+                ended_by_close=ended.ended_by_close,
+            )
 
 
 def handle_unreached(
@@ -212,6 +218,7 @@
     attempt: attempt_states.Attempt,
     *,
     now: float,
+    ended_by_close: bool,
 ) -> list[effects.Effect]:
     """Handles an exchange that ended with a complete HTTP response."""
     if attempt.splitter.partial:
@@ -247,6 +254,8 @@
         inputs=(
             ("status", attempt.status),
             ("age_s", round(now - opened.arrived_at, 3)),
+            ("events", attempt.events),
+            ("ended_by_close", ended_by_close),
             *build_timing_inputs(opened),
         ),
     )
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_ends.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_ends.py
@@ -73,6 +73,8 @@
             reason=detail,
             inputs=(
                 ("age_s", round(now - attempt.sent_at, 3)),
+                ("events", attempt.events),
+                ("shared_parts", attempt_log.list_shared_parts(opened)),
                 *state.suspects.build_log_inputs(opened.fingerprint),
             ),
         ),
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_log.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_log.py
@@ -9,6 +9,14 @@
 from rhubarbbank_router import state as states
 
 
+def list_shared_parts(opened: states.OpenRequest) -> str:
+    """Returns the ids of a prompt's shared parts, separated by commas."""
+    generation = opened.request.generation
+    if generation is None:
+        return ""
+    return ",".join(each.part_id for each in generation.prompt[:-1])
+
+
 def build_attempt_line(
     opened: states.OpenRequest,
     attempt: attempt_states.Attempt,
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/events.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/events.py
@@ -101,12 +101,15 @@
         attempt: Number of the attempt.
         end: How it ended.
         detail: Details for the log.
+        ended_by_close: Whether the answer named no length, so that only the
+            close of its connection ended it.
     """
 
     request_id: str
     attempt: int
     end: AttemptEnd
     detail: str = ""
+    ended_by_close: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
