--- /dev/null
+++ b/features/steps/prompt_part_steps.py
@@ -0,0 +1,59 @@
+"""Steps for parts of prompts that crash the upstreams that run them."""
+
+import random
+
+from behave import given
+from behave import then
+from behave import when
+from support import part_fleet
+
+# By then all entries have exchanged heartbeats.
+SETTLE_S = 3.0
+
+
+@given(
+    '{entries:d} entries in {places:d} data centres, and a part of "{route}" '
+    "prompts that crashes upstreams"
+)
+def build_fleet(context, entries, places, route):
+    context.part_fleet = part_fleet.PartFleet(
+        rng=random.Random(entries),
+        data_centres=places,
+        entries=entries // places,
+        route=route,
+    )
+    context.part_fleet.run(SETTLE_S)
+
+
+@when("requests with and without that part come for {duration:g} s")
+def play(context, duration):
+    context.part_fleet.play(duration)
+
+
+@when(
+    'requests with that part and first part "{first}" come for {duration:g} s, '
+    'and sound ones with first part "{first_again}" every {gap:g} s'
+)
+def play_with_rare_part(context, first, duration, first_again, gap):
+    assert first == first_again
+    context.part_fleet.play(duration, bad_first=first, rare_gap_s=gap)
+
+
+@then(
+    "at most {most:d} attempts with that part are sent later than {after:g} s "
+    "after the fifth crash"
+)
+def check_late(context, most, after):
+    fleet = context.part_fleet
+    assert after == part_fleet.STABLE_S
+    assert fleet.crashes
+    late = fleet.count_late()
+    assert late <= most, (late, len(fleet.crashes))
+
+
+@then('at least half of the sound requests with first part "{first}" begin')
+def check_begun(context, first):
+    fleet = context.part_fleet
+    came, begun = fleet.count_begun(first)
+    assert came >= part_fleet.MIN_SOUND, came
+    assert begun * 2 >= came, (came, begun)
