Attribute crashes of upstreams to parts of prompts, not only to whole requests

Cause: a request was known by a hash of organisation, target and body. Each request with the part was a new one with its first crash. The bound was on what does the harm, but kept by one name of it that callers change.

Now a crash is attributed to each trait of the requests that it interrupted: the fingerprint and the shared parts of the prompt. One crash has one cause, so most traits are innocent. Traits with the same crashes are one hypothesis; weights of hypotheses, less those that good answers have cleared, give the probability that a request crashes its upstream. A request that holds a whole likely hypothesis is refused; one that holds a part of it is tried, one at a time, which tells its traits apart. A trait that was sound before is tried again now and then, as it may be suspected by mistake. A stream that lasts for a second clears its traits before it ends. Each retry asks again.

--- a/features/router_prompt_parts.feature
+++ b/features/router_prompt_parts.feature
@@ -22,7 +22,7 @@
 
   Scenario Outline: A rare first part that crashing requests bring isn't taken for the cause
     Given <entries> entries in <places> data centres, and a part of "chat" prompts that crashes upstreams
-    When requests with that part and first part "rare" come for 63 s, and sound ones with first part "rare" every <gap> s
+    When requests with that part and first part "rare" come for 72 s, and sound ones with first part "rare" every <gap> s
     Then at most 3 attempts with that part are sent later than 3 s after the fifth crash
     And at least half of the sound requests with first part "all" begin
     And at least half of the sound requests with first part "rare" begin
--- a/features/steps/router_crash_steps.py
+++ b/features/steps/router_crash_steps.py
@@ -107,7 +107,7 @@
     fleet = context.crash_fleet
     reported = tuple(
         messages.SuspectReport(
-            fingerprint=f"{number:016x}",
+            trait=f"{number:016x}",
             crashes=1,
             ends=(messages.CrashReport(upstream=number, age_ms=0),),
         )
--- a/features/support/part_fleet.py
+++ b/features/support/part_fleet.py
@@ -360,11 +360,12 @@
             bad_first: First part of their prompts.
             sound_per_s: Rate of sound requests with the usual first part.
             rare_gap_s: Time between sound requests with `bad_first`, in
-                seconds, once five upstreams have crashed; None for none.
+                seconds; None for none. The first comes after the crashes.
         """
         end = self.now + duration_s
         next_bad = self.now + STABLE_S
-        next_sound = next_rare = self.now
+        next_sound = self.now
+        next_rare = next_bad + 2 * STABLE_S
         while self.now < end:
             if self.now >= next_bad:
                 self.ask_bad(bad_first)
@@ -372,8 +373,7 @@
             while self.now >= next_sound:
                 self.ask_sound()
                 next_sound += self.rng.expovariate(sound_per_s)
-            has_crashed = len(self.crashes) >= FREE_CRASHES
-            if rare_gap_s and has_crashed and self.now >= next_rare:
+            if rare_gap_s and self.now >= next_rare:
                 self.ask_sound(bad_first)
                 next_rare = self.now + self.rng.uniform(0.7, 1.3) * rare_gap_s
             self.on_step()
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
@@ -14,6 +14,7 @@
 from rhubarbbank_router import attempt_evidence
 from rhubarbbank_router import attempt_log
 from rhubarbbank_router import attempt_states
+from rhubarbbank_router import crash_evidence
 from rhubarbbank_router import defaults
 from rhubarbbank_router import dispatch
 from rhubarbbank_router import effects
@@ -43,7 +44,7 @@
         attempt.body += data.data
         if len(attempt.body) > answer_bounds.MAX_ANSWER_BYTES:
             return abort_oversized(state, opened, attempt, now=now)
-        return []
+        return crash_evidence.record_progress(state, opened, attempt, now=now)
     attempt.idle_bytes += len(data.data)
     attempt.stream_bytes += len(data.data)
     out: list[effects.Effect] = []
@@ -52,6 +53,9 @@
             attempt_evidence.record_progress(state, attempt, now=now)
             attempt.last_event_id = event.event_id
             attempt.idle_bytes = len(attempt.splitter.partial)
+            out += crash_evidence.record_progress(
+                state, opened, attempt, now=now
+            )
         out += forward_event(state, opened, attempt, event, now=now)
     if exceeds_size_limits(attempt):
         out += abort_oversized(state, opened, attempt, now=now)
@@ -241,7 +245,9 @@
         return dispatch.give_up(state, opened, code, now=now)
     request_id = opened.request.request_id
     del state.open_requests[request_id]
-    cleared = clear_suspect(state, opened, attempt, now=now)
+    cleared = crash_evidence.record_whole_answer(
+        state, opened, attempt, now=now
+    )
     log = fx.LogDecision(
         decision="answered",
         request_id=opened.request.attempt_id,
@@ -275,38 +281,6 @@
     ]
 
 
-def clear_suspect(
-    state: states.RouterState,
-    opened: states.OpenRequest,
-    attempt: attempt_states.Attempt,
-    *,
-    now: float,
-) -> list[effects.Effect]:
-    """Clears a request of the suspicion that it crashes its upstreams.
-
-    A response with a 5xx status doesn't clear it: the upstream may not have
-    finished running the request.
-    """
-    if attempt.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR:
-        return []
-    suspect_inputs = state.suspects.build_log_inputs(opened.fingerprint)
-    if not state.suspects.clear(opened.fingerprint, now=now):
-        return []
-    return [
-        fx.LogDecision(
-            decision="suspect_cleared",
-            upstream=attempt.upstream,
-            reason="good answer",
-            inputs=(
-                ("status", attempt.status),
-                ("answered", opened.request.attempt_id),
-                *suspect_inputs,
-            ),
-        ),
-        fx.Count("suspects_cleared"),
-    ]
-
-
 def build_timing_inputs(opened: states.OpenRequest) -> tuple[fx.LogInput, ...]:
     """Returns log inputs on when a stream's events were forwarded."""
     if opened.first_event_at is None:
@@ -337,5 +311,5 @@
     attempt = opened.current_attempt
     if attempt is not None:
         out += attempt_ends.cancel_attempt(state, opened, attempt, now=now)
-        attempt_ends.record_unanswered(state, opened, attempt, now=now)
+        crash_evidence.record_unanswered(state, opened, attempt, now=now)
     return out
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_ends.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_ends.py
@@ -11,8 +11,7 @@
 from rhubarbbank_router import attempt_evidence
 from rhubarbbank_router import attempt_log
 from rhubarbbank_router import attempt_states
-from rhubarbbank_router import crash_suspects
-from rhubarbbank_router import defaults
+from rhubarbbank_router import crash_evidence
 from rhubarbbank_router import dispatch
 from rhubarbbank_router import effects
 from rhubarbbank_router import state as states
@@ -64,7 +63,7 @@
         state, opened, attempt, now=now, failed=True
     )
     opened.excluded.add(attempt.upstream)
-    record_upstream_crash(state, opened, attempt, now=now)
+    crash_evidence.record_upstream_crash(state, opened, attempt, now=now)
     out: list[effects.Effect] = [
         attempt_log.build_attempt_line(
             opened,
@@ -87,50 +86,6 @@
     return [*out, *dispatch.give_up(state, opened, code, now=now)]
 
 
-def record_upstream_crash(
-    state: states.RouterState,
-    opened: states.OpenRequest,
-    attempt: attempt_states.Attempt,
-    *,
-    now: float,
-) -> None:
-    """Counts a failed attempt as a crash of its upstream by the request.
-
-    Other entries are told soon once the request has several crashes.
-    """
-    fingerprint = opened.fingerprint
-    crash = crash_suspects.hash_incarnation(
-        attempt.upstream, attempt.upstream_started_ms
-    )
-    state.suspects.record_crash(fingerprint, crash, now=now)
-    if state.suspects.count_crashes(fingerprint) >= defaults.CRASHES_TO_SHARE:
-        state.expedite_heartbeat(now=now)
-
-
-def record_unanswered(
-    state: states.RouterState,
-    opened: states.OpenRequest,
-    attempt: attempt_states.Attempt,
-    *,
-    now: float,
-) -> None:
-    """Records that an attempt was cancelled before its upstream answered.
-
-    If the upstream is no longer listed, or has restarted, that counts as a
-    crash. Otherwise it may be slow or have crashed, which the list of
-    upstreams will show.
-    """
-    if attempt.status:
-        return
-    tracked = state.view.tracked.get(attempt.upstream)
-    started_ms = attempt.upstream_started_ms
-    if tracked is None or tracked.listed.started_ms != started_ms:
-        record_upstream_crash(state, opened, attempt, now=now)
-        return
-    crash = crash_suspects.hash_incarnation(attempt.upstream, started_ms)
-    state.suspects.record_no_answer(opened.fingerprint, crash, now=now)
-
-
 def record_upstream_failure(
     state: states.RouterState, upstream: str, *, now: float, weight: int
 ) -> list[effects.Effect]:
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_log.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_log.py
@@ -14,7 +14,7 @@
     generation = opened.request.generation
     if generation is None:
         return ""
-    return ",".join(each.part_id for each in generation.prompt[:-1])
+    return ",".join(generation.shared_part_ids)
 
 
 def build_attempt_line(
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_states.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_states.py
@@ -66,6 +66,10 @@
             cached.
         prefill_s: Expected prefill time of those tokens, in seconds. For that
             time it delays the other requests of the same upstream.
+        is_sound: Whether it has lasted long enough to show that it doesn't
+            crash its upstream.
+        tried_traits: Traits that it was sent with although they are suspected
+            of crashing upstreams.
         backlog_s: Expected work queued at the upstream before it, as far as
             this entry knows, in seconds.
     """
@@ -96,6 +100,8 @@
     uncached_tokens: int = 0
     prefill_s: float = 0.0
     backlog_s: float = 0.0
+    is_sound: bool = False
+    tried_traits: frozenset[str] = frozenset()
 
 
 def has_not_run(attempts: list[Attempt]) -> bool:
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/callers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/callers.py
@@ -41,6 +41,11 @@
         """Length in tokens of the parts that other requests may share."""
         return sum(part.tokens for part in self.prompt[:-1])
 
+    @property
+    def shared_part_ids(self) -> tuple[str, ...]:
+        """Ids of the parts that other requests may share."""
+        return tuple(part.part_id for part in self.prompt[:-1])
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class IncomingRequest:
--- /dev/null
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/crash_evidence.py
@@ -0,0 +1,133 @@
+"""Collects evidence on which traits of requests crash upstreams.
+
+An interrupted attempt is evidence against its request's traits, a good answer
+is evidence for them.
+"""
+
+import http
+
+from rhubarbbank_core import program_effects as fx
+from rhubarbbank_router import attempt_states
+from rhubarbbank_router import crash_suspects
+from rhubarbbank_router import defaults
+from rhubarbbank_router import effects
+from rhubarbbank_router import name_hashes
+from rhubarbbank_router import state as states
+
+
+def record_upstream_crash(
+    state: states.RouterState,
+    opened: states.OpenRequest,
+    attempt: attempt_states.Attempt,
+    *,
+    now: float,
+) -> None:
+    """Attributes the crash of an attempt's upstream to its request's traits.
+
+    The parts of the prompt of a stream that had long begun are innocent. Other
+    entries are told soon once a trait has several crashes.
+    """
+    crash = hash_upstream(attempt)
+    traits = opened.traits[:1] if attempt.is_sound else opened.traits
+    state.suspects.record_crashes([traits], crash, now=now)
+    if any(
+        state.suspects.count_crashes(x) >= defaults.CRASHES_TO_SHARE
+        for x in traits
+    ):
+        state.expedite_heartbeat(now=now)
+
+
+def record_unanswered(
+    state: states.RouterState,
+    opened: states.OpenRequest,
+    attempt: attempt_states.Attempt,
+    *,
+    now: float,
+) -> None:
+    """Records that an attempt was cancelled before its upstream answered.
+
+    If the upstream is no longer listed, or has restarted, that counts as a
+    crash. Otherwise it may be slow or have crashed, which the list of
+    upstreams will show.
+    """
+    if attempt.status:
+        return
+    tracked = state.view.tracked.get(attempt.upstream)
+    started_ms = attempt.upstream_started_ms
+    if tracked is None or tracked.listed.started_ms != started_ms:
+        record_upstream_crash(state, opened, attempt, now=now)
+        return
+    state.suspects.record_no_answer(
+        opened.traits, hash_upstream(attempt), now=now
+    )
+
+
+def record_whole_answer(
+    state: states.RouterState,
+    opened: states.OpenRequest,
+    attempt: attempt_states.Attempt,
+    *,
+    now: float,
+) -> list[effects.Effect]:
+    """Records an answer that looks whole.
+
+    Only a success is evidence: after another status, the upstream may not have
+    finished running the request, or may not have begun.
+    """
+    is_success = attempt.status // 100 * 100 == http.HTTPStatus.OK
+    if not is_success or attempt.is_sound:
+        return []
+    return record_good_answer(
+        state, opened.traits, now=now, upstream=attempt.upstream
+    )
+
+
+def record_progress(
+    state: states.RouterState,
+    opened: states.OpenRequest,
+    attempt: attempt_states.Attempt,
+    *,
+    now: float,
+) -> list[effects.Effect]:
+    """Records that an attempt has received an event or a part of an answer."""
+    if attempt.is_sound or attempt.first_event_at is None:
+        return []
+    if now - attempt.first_event_at < defaults.SOUND_STREAM_S:
+        return []
+    attempt.is_sound = True
+    return record_good_answer(
+        state, opened.traits, now=now, upstream=attempt.upstream
+    )
+
+
+def record_good_answer(
+    state: states.RouterState,
+    traits: tuple[str, ...],
+    *,
+    now: float,
+    upstream: str,
+) -> list[effects.Effect]:
+    """Clears a request's traits of the suspicion that they crash upstreams."""
+    known = {x: state.suspects.build_log_inputs(x) for x in traits}
+    cleared = state.suspects.record_good_answer(traits, now=now)
+    if not cleared:
+        return []
+    return [
+        *(
+            fx.LogDecision(
+                decision="suspect_cleared",
+                upstream=upstream,
+                reason="good answer",
+                inputs=known[trait],
+            )
+            for trait in cleared
+        ),
+        fx.Count("suspects_cleared", len(cleared)),
+    ]
+
+
+def hash_upstream(attempt: attempt_states.Attempt) -> name_hashes.NameHash:
+    """Returns the hash by which a crash of an attempt's upstream is known."""
+    return crash_suspects.hash_incarnation(
+        attempt.upstream, attempt.upstream_started_ms
+    )
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/crash_suspects.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/crash_suspects.py
@@ -1,25 +1,25 @@
-"""Detects requests that crash the upstreams that run them.
+"""Records which traits of requests upstreams have crashed under.
 
-A request that crashes several upstreams, without a good answer in between, is
-refused before it reaches another one. The crashes needn't happen at the same
-entry: for each request an entry keeps the set of upstreams that crashed while
-running it, and sends it to the other entries with its heartbeats. A received
-set is merged by union, so that messages may be lost, repeated or reordered,
-and what an entry has sent survives its process. A good answer clears the
-request of all earlier crashes.
+The crashes of a trait needn't happen at the same entry: for each one an entry
+keeps the set of upstreams that crashed while they ran a request with it, and
+sends it to the other entries with its heartbeats. A received set is merged by
+union, so that messages may be lost, repeated or reordered, and what an entry
+has sent survives its process. A good answer to a request clears its traits of
+all earlier crashes.
 
     caller --> entry 1 --> upstream a crashes    {a}
            --> entry 2 --> upstream b crashes    {a, b}
            --> entry 3 --> upstream c crashes    {a, b, c}, refused everywhere
+
+`crash_causes` estimates from these sets which trait is the cause.
 """
 
 import collections
+from collections.abc import Iterable
 import dataclasses
-
-import xxhash
+import math
 
 from rhubarbbank_core import program_effects as fx
-from rhubarbbank_router import callers
 from rhubarbbank_router import defaults
 from rhubarbbank_router import messages
 from rhubarbbank_router import name_hashes
@@ -27,23 +27,6 @@
 MS_PER_S = 1000.0
 
 
-def compute_fingerprint(
-    request: callers.IncomingRequest, *, organisation: str
-) -> str:
-    """Returns a hash that is the same each time a caller sends a request.
-
-    Args:
-        request: The request.
-        organisation: Its organisation, which may have several API keys.
-    """
-    digest = xxhash.xxh64()
-    for part in (organisation, request.method, request.target):
-        digest.update(part.encode())
-        digest.update(b"\x00")
-    digest.update(request.body)
-    return digest.hexdigest()
-
-
 def hash_incarnation(upstream_id: str, started_ms: int) -> name_hashes.NameHash:
     """Returns the hash by which a crash of an upstream's process is known."""
     return name_hashes.hash_name(f"{upstream_id}/{started_ms}")
@@ -54,23 +37,27 @@
     """An attempt that was cancelled before its upstream answered.
 
     Attributes:
-        fingerprint: Fingerprint of the request.
-        cancelled_at: When it was cancelled, in seconds.
+        traits: Traits of the request.
+        ended_at: When it was cancelled, in seconds.
     """
 
-    fingerprint: str
-    cancelled_at: float
+    traits: tuple[str, ...]
+    ended_at: float
 
 
 @dataclasses.dataclass(slots=True)
 class Suspect:
-    """The crashes that one request is suspected of.
+    """The crashes that one trait is suspected of.
 
     Attributes:
-        seen_at: When it last crashed an upstream or was refused, in seconds.
+        seen_at: When a request with it last crashed an upstream or was
+            refused, in seconds.
         crashes: Time of each crash, by hash of the upstream's incarnation.
         seen_locally: Those of them that this entry observed itself.
-        cleared_at: When it last had a good answer; None if it had none.
+        cleared_at: When a request with it last had a good answer; None if
+            none had.
+        tried_at: When this entry last sent a request with it nevertheless, in
+            seconds.
         share_until: Until then heartbeats carry it even if it has fewer
             crashes than CRASHES_TO_SHARE.
     """
@@ -78,6 +65,7 @@
     seen_at: float
     cleared_at: float | None = None
     share_until: float = 0.0
+    tried_at: float = -math.inf
     crashes: dict[name_hashes.NameHash, float] = dataclasses.field(
         default_factory=dict
     )
@@ -96,7 +84,7 @@
         self.seen_at = max(self.seen_at, at)
 
     def clear(self, *, at: float) -> None:
-        """Clears the request of all crashes up to a time."""
+        """Clears the trait of all crashes up to a time."""
         self.cleared_at = max(at, self.cleared_at or at)
         self.crashes = {
             crash: crashed_at
@@ -107,12 +95,15 @@
 
 
 class CrashSuspects:
-    """Requests that may crash upstreams, as far as all entries know.
+    """Traits that may crash upstreams, as far as all entries know.
 
     Attributes:
-        suspects: By fingerprint, the most recently changed last.
-        unanswered: Attempts without an answer, by the hash of the incarnation
-            of the upstream that may have crashed.
+        suspects: By trait, the most recently changed last.
+        unanswered: Attempts without an answer, by the hash of the
+            incarnation of the upstream that may have crashed.
+        good_at: When a request with a part last had a good answer, in
+            seconds, by trait; the most recent last.
+        traits_by_crash: Traits by crash; None if it must be computed anew.
     """
 
     def __init__(self) -> None:
@@ -122,19 +113,29 @@
         self.unanswered: dict[
             name_hashes.NameHash, list[UnansweredAttempt]
         ] = {}
+        self.good_at: collections.OrderedDict[str, float] = (
+            collections.OrderedDict()
+        )
+        self.traits_by_crash: dict[name_hashes.NameHash, list[str]] | None = (
+            None
+        )
 
     def record_no_answer(
-        self, fingerprint: str, crash: name_hashes.NameHash, *, now: float
+        self,
+        traits: tuple[str, ...],
+        crash: name_hashes.NameHash,
+        *,
+        now: float,
     ) -> None:
-        """Records an attempt without an answer; its upstream may have crashed.
+        """Records an attempt whose upstream may have crashed.
 
         Args:
-            fingerprint: Fingerprint of the request.
+            traits: Traits of the request.
             crash: Hash of the upstream's incarnation.
             now: In seconds.
         """
         attempts = self.unanswered.setdefault(crash, [])
-        attempts.append(UnansweredAttempt(fingerprint, now))
+        attempts.append(UnansweredAttempt(traits, now))
 
     def confirm_crash(
         self, crash: name_hashes.NameHash, *, now: float
@@ -144,33 +145,45 @@
         Called when the list of upstreams no longer has this incarnation.
 
         Returns:
-            Fingerprints of the requests whose attempts there were cancelled
-            less than UNANSWERED_CRASH_WINDOW_S ago.
+            Traits of the requests whose attempts there ended less than
+            UNANSWERED_CRASH_WINDOW_S ago.
         """
         found = [
-            each.fingerprint
+            each.traits
             for each in self.unanswered.pop(crash, [])
-            if now - each.cancelled_at <= defaults.UNANSWERED_CRASH_WINDOW_S
+            if now - each.ended_at <= defaults.UNANSWERED_CRASH_WINDOW_S
         ]
-        for fingerprint in found:
-            self.record_crash(fingerprint, crash, now=now)
-        return found
+        return self.record_crashes(found, crash, now=now)
+
+    def record_crashes(
+        self,
+        found: list[tuple[str, ...]],
+        crash: name_hashes.NameHash,
+        *,
+        now: float,
+    ) -> list[str]:
+        """Records a crash for several requests; returns their traits."""
+        traits = list(dict.fromkeys(x for each in found for x in each))
+        for trait in traits:
+            self.record_crash(trait, crash, now=now)
+        return traits
 
     def record_crash(
-        self, fingerprint: str, crash: name_hashes.NameHash, *, now: float
+        self, trait: str, crash: name_hashes.NameHash, *, now: float
     ) -> None:
         """Records a crash that this entry observed.
 
         Args:
-            fingerprint: Fingerprint of the request.
-            crash: Hash of the incarnation of the upstream that ran it.
+            trait: A trait of a request that the upstream was running.
+            crash: Hash of the upstream's incarnation.
             now: In seconds.
         """
-        suspect = self.find_or_create(fingerprint, now=now)
-        already_seen = crash in suspect.seen_locally
+        suspect = self.find_or_create(trait, now=now)
+        last_at = suspect.crashes.get(crash)
         if (
-            already_seen
-            and now - suspect.crashes[crash] > defaults.MIN_RESTART_S
+            crash in suspect.seen_locally
+            and last_at is not None
+            and now - last_at > defaults.MIN_RESTART_S
         ):
             # The upstream has restarted and crashed again before its restart
             # was listed, so that the hash is still that of the first crash.
@@ -183,15 +196,20 @@
             crash,
         } & suspect.crashes.keys()
         suspect.share_until = now + defaults.SUSPECT_REPORT_S
-
-    def record_refusal(self, fingerprint: str, *, now: float) -> None:
-        """Records that a suspect was refused, which postpones its expiry."""
-        self.find_or_create(fingerprint, now=now).seen_at = now
-
-    def find_or_create(self, fingerprint: str, *, now: float) -> Suspect:
-        """Returns a request's record, and makes it the most recent one."""
-        suspect = self.suspects.setdefault(fingerprint, Suspect(seen_at=now))
-        self.suspects.move_to_end(fingerprint)
+        self.traits_by_crash = None
+
+    def record_refusal(self, traits: Iterable[str], *, now: float) -> None:
+        """Records that suspects were refused, which postpones their expiry."""
+        for trait in traits:
+            self.find_or_create(trait, now=now).seen_at = now
+
+    def find_or_create(self, trait: str, *, now: float) -> Suspect:
+        """Returns a trait's record, and makes it the most recent one."""
+        suspect = self.suspects.get(trait)
+        if suspect is None:
+            suspect = Suspect(seen_at=now, cleared_at=self.good_at.get(trait))
+            self.suspects[trait] = suspect
+        self.suspects.move_to_end(trait)
         return suspect
 
     def evict_excess(self) -> list[str]:
@@ -205,34 +223,55 @@
         sent when that entry hears of a second one.
 
         Returns:
-            The fingerprints that were removed.
+            The traits that were removed.
         """
         if len(self.suspects) <= defaults.MAX_SUSPECTS:
             return []
         by_evidence = sorted(
             self.suspects,
-            key=lambda fingerprint: (
-                len(self.suspects[fingerprint].crashes),
-                len(self.suspects[fingerprint].seen_locally),
+            key=lambda trait: (
+                len(self.suspects[trait].crashes),
+                len(self.suspects[trait].seen_locally),
             ),
         )
         forgotten = by_evidence[: -defaults.SUSPECTS_KEPT]
-        for fingerprint in forgotten:
-            del self.suspects[fingerprint]
+        for trait in forgotten:
+            del self.suspects[trait]
+        self.traits_by_crash = None
         return forgotten
 
-    def clear(self, fingerprint: str, *, now: float) -> bool:
-        """Records a good answer, which shows that the request is harmless.
+    def record_good_answer(
+        self, traits: tuple[str, ...], *, now: float
+    ) -> list[str]:
+        """Records a good answer, which shows that a request is harmless.
+
+        Args:
+            traits: Its traits, the fingerprint first.
+            now: In seconds.
 
         Returns:
-            Whether any crashes were known.
+            Those of its traits for which crashes were known.
         """
-        if not self.count_crashes(fingerprint):
+        _, *parts = traits
+        for trait in parts:
+            self.good_at[trait] = now
+            self.good_at.move_to_end(trait)
+        while len(self.good_at) > defaults.MAX_SUSPECTS:
+            self.good_at.popitem(last=False)
+        return [x for x in traits if self.clear(x, now=now)]
+
+    def clear(self, trait: str, *, now: float) -> bool:
+        """Clears a trait of its crashes; returns whether there were any."""
+        suspect = self.suspects.get(trait)
+        if suspect is None:
             return False
-        suspect = self.find_or_create(fingerprint, now=now)
+        had_crashes = bool(suspect.crashes)
         suspect.clear(at=now)
-        suspect.share_until = now + defaults.SUSPECT_REPORT_S
-        return True
+        if had_crashes:
+            self.suspects.move_to_end(trait)
+            suspect.share_until = now + defaults.SUSPECT_REPORT_S
+            self.traits_by_crash = None
+        return had_crashes
 
     def merge(
         self, received: tuple[messages.SuspectReport, ...], *, now: float
@@ -244,12 +283,13 @@
             now: When they were received, in seconds.
 
         Returns:
-            Fingerprints of the requests whose known crashes have changed.
+            The traits whose known crashes have changed.
         """
-        changed: list[str] = []
-        for each in received:
-            if self.merge_suspect(each, now=now):
-                changed.append(each.fingerprint)
+        changed = [
+            each.trait for each in received if self.merge_suspect(each, now=now)
+        ]
+        if changed:
+            self.traits_by_crash = None
         return changed
 
     def merge_suspect(
@@ -262,7 +302,7 @@
         if not received.ends and received.cleared_ms is None:
             return False
         seen_at = now - convert_to_s(received.age_ms)
-        suspect = self.find_or_create(received.fingerprint, now=seen_at)
+        suspect = self.find_or_create(received.trait, now=seen_at)
         before = set(suspect.crashes)
         if received.cleared_ms is not None:
             suspect.clear(at=now - convert_to_s(received.cleared_ms))
@@ -274,38 +314,82 @@
         suspect.seen_at = max(suspect.seen_at, seen_at)
         return before != suspect.crashes.keys()
 
-    def count_crashes(self, fingerprint: str) -> int:
-        """Returns how many crashes of upstreams the request is known for."""
-        suspect = self.suspects.get(fingerprint)
+    def count_crashes(self, trait: str) -> int:
+        """Returns how many crashes of upstreams a trait is known for."""
+        suspect = self.suspects.get(trait)
         return len(suspect.crashes) if suspect else 0
 
-    def is_suspect(self, fingerprint: str) -> bool:
-        """Returns whether the request must be refused."""
-        return self.count_crashes(fingerprint) >= defaults.CRASHES_TO_REFUSE
+    def count_independent_crashes(self, trait: str) -> int:
+        """Returns the number of a trait's crashes that had separate causes.
 
-    def build_log_inputs(self, fingerprint: str) -> tuple[fx.LogInput, ...]:
-        """Returns the log inputs that describe a request's crashes."""
-        suspect = self.suspects.get(fingerprint)
+        If requests with the trait have had good answers before, crashes within
+        MIN_RESTART_S of each other count as one.
+        """
+        suspect = self.suspects[trait]
+        if suspect.cleared_at is None:
+            return len(suspect.crashes)
+        count, last_at = 0, -math.inf
+        for at in sorted(suspect.crashes.values()):
+            if at - last_at > defaults.MIN_RESTART_S:
+                count, last_at = count + 1, at
+        return count
+
+    def had_good_answer(self, trait: str) -> bool:
+        """Returns whether a request with the trait has had a good answer."""
+        suspect = self.suspects.get(trait)
+        return suspect is not None and suspect.cleared_at is not None
+
+    def is_suspect(self, trait: str) -> bool:
+        """Returns whether a request with this fingerprint must be refused."""
+        return self.count_crashes(trait) >= defaults.CRASHES_TO_REFUSE
+
+    def record_trial(self, traits: Iterable[str], *, now: float) -> None:
+        """Records that a request with suspected traits is sent."""
+        for trait in traits:
+            self.suspects[trait].tried_at = now
+
+    def get_tried_at(self, trait: str) -> float:
+        """Returns when a suspect was last tried at this entry, in seconds.
+
+        A trait that was never tried counts as tried when it last crashed.
+        """
+        suspect = self.suspects[trait]
+        return max(suspect.tried_at, *suspect.crashes.values())
+
+    def list_traits_of(self, crash: name_hashes.NameHash) -> list[str]:
+        """Returns the traits that a crash is attributed to."""
+        if self.traits_by_crash is None:
+            self.traits_by_crash = {}
+            for trait, suspect in self.suspects.items():
+                for each in suspect.crashes:
+                    self.traits_by_crash.setdefault(each, []).append(trait)
+        return self.traits_by_crash[crash]
+
+    def build_log_inputs(self, trait: str) -> tuple[fx.LogInput, ...]:
+        """Returns the log inputs that describe a trait's crashes."""
+        suspect = self.suspects.get(trait)
+        name = "part" if trait.startswith("part:") else "fingerprint"
         return (
-            ("fingerprint", fingerprint),
-            ("crashes", self.count_crashes(fingerprint)),
+            (name, trait),
+            ("crashes", self.count_crashes(trait)),
             ("seen_here", len(suspect.seen_locally) if suspect else 0),
         )
 
     def remove_expired(self, *, now: float) -> list[str]:
-        """Removes suspects not seen recently; returns their fingerprints."""
+        """Removes suspects not seen recently; returns their traits."""
         old = [
-            fingerprint
-            for fingerprint, suspect in self.suspects.items()
+            trait
+            for trait, suspect in self.suspects.items()
             if now - suspect.seen_at > defaults.SUSPECT_EXPIRY_S
         ]
-        for fingerprint in old:
-            del self.suspects[fingerprint]
+        for trait in old:
+            del self.suspects[trait]
+        if old:
+            self.traits_by_crash = None
         self.unanswered = {
             crash: attempts
             for crash, attempts in self.unanswered.items()
-            if now - attempts[-1].cancelled_at
-            <= defaults.UNANSWERED_CRASH_WINDOW_S
+            if now - attempts[-1].ended_at <= defaults.UNANSWERED_CRASH_WINDOW_S
         }
         return old
 
@@ -315,32 +399,32 @@
         """Returns the suspects for a heartbeat, those with most crashes first.
 
         A crash observed here is sent until every live entry should have
-        received it. A request with several crashes is sent by all entries for
+        received it. A trait with several crashes is sent by all entries for
         as long as they keep it, so that entries that were disconnected learn
         of it.
         """
         shared = [
-            (fingerprint, suspect)
-            for fingerprint, suspect in self.suspects.items()
+            (trait, suspect)
+            for trait, suspect in self.suspects.items()
             if len(suspect.crashes) >= defaults.CRASHES_TO_SHARE
             or now < suspect.share_until
         ]
         shared.sort(key=lambda each: (-len(each[1].crashes), -each[1].seen_at))
         return tuple(
-            build_report(fingerprint, suspect, now=now)
-            for fingerprint, suspect in shared[: defaults.MAX_REPORTED_SUSPECTS]
+            build_report(trait, suspect, now=now)
+            for trait, suspect in shared[: defaults.MAX_REPORTED_SUSPECTS]
         )
 
 
 def build_report(
-    fingerprint: str, suspect: Suspect, *, now: float
+    trait: str, suspect: Suspect, *, now: float
 ) -> messages.SuspectReport:
     """Returns the report of one suspect in a heartbeat."""
     cleared_ms = None
     if suspect.cleared_at is not None:
         cleared_ms = compute_age_ms(suspect.cleared_at, now=now)
     return messages.SuspectReport(
-        fingerprint=fingerprint,
+        trait=trait,
         crashes=len(suspect.seen_locally),
         age_ms=compute_age_ms(suspect.seen_at, now=now),
         ends=tuple(
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -276,7 +276,21 @@
 # A request is refused after this many upstreams have crashed while they ran it
 # (deployment bound).
 CRASHES_TO_REFUSE = 3
-# From this many crashes on, every entry shares what it knows of a request, not
+# Each further crash makes a trait this many times as likely to be the cause as
+# one without it. A crash that no request caused has the likelihood of a trait
+# with two crashes.
+CRASH_LIKELIHOOD_RATIO = 8.0
+CHANCE_CRASH_WEIGHT = 64.0
+# A request is refused above this probability that it crashes its upstream; a
+# less probable one is tried while no other with the same traits is.
+REFUSE_CRASH_PROBABILITY = 0.85
+TRY_ALONE_CRASH_PROBABILITY = 0.25
+# A stream that has lasted this long after its first event hasn't crashed its
+# upstream: that happens as the upstream begins to write.
+SOUND_STREAM_S = 1.0
+# A trait that had good answers before is tried again this often, by one entry.
+SUSPECT_PROBE_PERIOD_S = 30.0
+# From this many crashes on, every entry shares what it knows of a trait, not
 # only those that saw a crash.
 CRASHES_TO_SHARE = 2
 # If the list drops an upstream within this time after an attempt there timed
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
@@ -13,6 +13,7 @@
 from rhubarbbank_core import rendezvous
 from rhubarbbank_router import attempt_states
 from rhubarbbank_router import configuration
+from rhubarbbank_router import crash_guard
 from rhubarbbank_router import defaults
 from rhubarbbank_router import effects
 from rhubarbbank_router import engine_load
@@ -150,6 +151,7 @@
             tracked, state.peer_workload, now=now
         ),
     )
+    crash_guard.begin_attempt(state, opened.traits, attempt, now=now)
     opened.attempts.append(attempt)
     state.view.start_attempt(opened.request.request_id, attempt)
     state.view.limits.take(upstream.upstream_id, upstream.started_ms, now=now)
@@ -355,7 +357,7 @@
         return False
     if opened.deadline - now < defaults.MIN_ATTEMPT_S:
         return False
-    if state.suspects.is_suspect(opened.fingerprint):
+    if not crash_guard.check(state, opened.traits, now=now).is_granted:
         return False
     if not has_usable_upstream(state, opened, now=now):
         return False
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
@@ -22,8 +22,8 @@
 from rhubarbbank_router import upstream_list
 
 MS_PER_S = 1000.0
-# Maximum number of fingerprints in one log line.
-MAX_LOGGED_FINGERPRINTS = 8
+# Maximum number of traits in one log line.
+MAX_LOGGED_TRAITS = 8
 
 
 def handle_message(
@@ -94,9 +94,9 @@
     state.peer_workload.update(message.name, message.loads, now=now)
     rollouts.merge_trial_reports(state, message, now=now)
     out = [
-        log_reported_suspect(state, message.name, fingerprint)
-        for fingerprint in reported
-        if state.suspects.count_crashes(fingerprint) != 1
+        log_reported_suspect(state, message.name, trait)
+        for trait in reported
+        if state.suspects.count_crashes(trait) != 1
     ]
     out += record_leaving_upstreams(state, message)
     out += limit_sharing.merge_reports(state, message, now=now)
@@ -127,13 +127,13 @@
 
 
 def log_reported_suspect(
-    state: states.RouterState, peer: str, fingerprint: str
+    state: states.RouterState, peer: str, trait: str
 ) -> effects.Effect:
     """Returns the log line for a crash suspect that a peer reported."""
     return fx.LogDecision(
         decision="suspect_told",
         reason=peer,
-        inputs=state.suspects.build_log_inputs(fingerprint),
+        inputs=state.suspects.build_log_inputs(trait),
     )
 
 
@@ -290,24 +290,24 @@
 
 
 def log_removed_suspects(
-    fingerprints: list[str], *, reason: str
+    traits: list[str], *, reason: str
 ) -> list[effects.Effect]:
     """Returns the log line and count of removed crash suspects, if any."""
-    if not fingerprints:
+    if not traits:
         return []
     return [
         fx.LogDecision(
             decision="suspects_forgotten",
             reason=reason,
             inputs=(
-                ("count", len(fingerprints)),
+                ("count", len(traits)),
                 (
-                    "fingerprints",
-                    ",".join(fingerprints[:MAX_LOGGED_FINGERPRINTS]),
+                    "traits",
+                    ",".join(traits[:MAX_LOGGED_TRAITS]),
                 ),
             ),
         ),
-        fx.Count("suspects_forgotten", len(fingerprints)),
+        fx.Count("suspects_forgotten", len(traits)),
     ]
 
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/intake.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/intake.py
@@ -12,10 +12,11 @@
 from rhubarbbank_core import program_effects as fx
 from rhubarbbank_router import callers
 from rhubarbbank_router import configuration
-from rhubarbbank_router import crash_suspects
+from rhubarbbank_router import crash_guard
 from rhubarbbank_router import defaults
 from rhubarbbank_router import dispatch
 from rhubarbbank_router import effects
+from rhubarbbank_router import request_traits
 from rhubarbbank_router import state as states
 
 
@@ -53,6 +54,11 @@
     code=errors.ErrorCode.CRASH_SUSPECT,
     retry_after_s=defaults.SUSPECT_EXPIRY_S,
 )
+# Another request with the same trait is being tried, which takes moments.
+CAUSE_UNDER_TEST = Refusal(
+    status=http.HTTPStatus.SERVICE_UNAVAILABLE,
+    code=errors.ErrorCode.CRASH_SUSPECT,
+)
 NO_ROUTE = Refusal(
     status=http.HTTPStatus.NOT_FOUND, code=errors.ErrorCode.NOT_FOUND
 )
@@ -165,15 +171,12 @@
 ) -> list[effects.Effect]:
     """Opens an admitted request, and sends its first attempt.
 
-    A request whose fingerprint is suspected of crashing upstreams is refused.
+    A request that probably crashes its upstream is refused.
     """
-    fingerprint = crash_suspects.compute_fingerprint(
-        request, organisation=organisation.name
-    )
-    if state.suspects.is_suspect(fingerprint):
-        state.suspects.record_refusal(fingerprint, now=now)
-        known = state.suspects.build_log_inputs(fingerprint)
-        return refuse(state, request, CRASH_SUSPECT, now=now, inputs=known)
+    traits = request_traits.list_traits(request, organisation=organisation.name)
+    permission = crash_guard.check(state, traits, now=now)
+    if not permission.is_granted:
+        return refuse_suspect(state, request, traits, permission, now=now)
     timeout_s = route.timeout_s
     if request.timeout_s is not None:
         timeout_s = min(timeout_s, request.timeout_s)
@@ -186,7 +189,7 @@
         service=choose_service(route, request, state),
         organisation=organisation.name,
         priority=priority,
-        fingerprint=fingerprint,
+        traits=traits,
         arrived_at=arrived_at,
         deadline=arrived_at + timeout_s,
     )
@@ -201,6 +204,29 @@
     ]
 
 
+def refuse_suspect(
+    state: states.RouterState,
+    request: callers.IncomingRequest,
+    traits: tuple[str, ...],
+    permission: crash_guard.Permission,
+    *,
+    now: float,
+) -> list[effects.Effect]:
+    """Refuses a request that may crash its upstream."""
+    blamed = permission.assessment.traits or {traits[0]}
+    state.suspects.record_refusal(blamed, now=now)
+    refusal = CRASH_SUSPECT if permission.is_final else CAUSE_UNDER_TEST
+    known = state.suspects.build_log_inputs(min(blamed, key=traits.index))
+    probability = round(permission.assessment.probability, 3)
+    return refuse(
+        state,
+        request,
+        refusal,
+        now=now,
+        inputs=(*known, ("probability", probability)),
+    )
+
+
 def may_outlast_stop(
     state: states.RouterState, route: configuration.Route, *, now: float
 ) -> bool:
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/messages.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/messages.py
@@ -79,19 +79,21 @@
 
 
 class SuspectReport(msgspec.Struct, frozen=True, array_like=True):
-    """A request that is suspected of crashing upstreams.
+    """A trait of requests that is suspected of crashing upstreams.
 
     Attributes:
-        fingerprint: The request's fingerprint.
+        trait: The trait (see `request_traits`).
         crashes: Number of the crashes that the sender observed itself.
-        age_ms: Time since any entry last saw the request, in milliseconds.
-        ends: Known crashes of upstreams that were running the request, as
+        age_ms: Time since any entry last saw a request with it, in
+            milliseconds.
+        ends: Known crashes of upstreams that were running such a request, as
             observed by any entry.
-        cleared_ms: Time since its last successful answer, which clears it of
-            all earlier crashes, in milliseconds; None if there was none.
+        cleared_ms: Time since the last good answer to such a request, which
+            clears the trait of all earlier crashes, in milliseconds; None if
+            there was none.
     """
 
-    fingerprint: str
+    trait: str
     crashes: int
     age_ms: int = 0
     ends: tuple[CrashReport, ...] = ()
@@ -154,7 +156,7 @@
         address: Address on which it listens for its peers, "ip:port".
         stopping: Whether it is shutting down.
         trials: State of its roll-outs.
-        suspects: Requests that it suspects of crashing upstreams.
+        suspects: Traits that it suspects of crashing upstreams.
         leaving: Id and start time of upstreams that announced a shutdown.
         loads: Its open work by upstream.
         data_centre: Its data centre; empty if unknown.
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
@@ -47,7 +47,8 @@
         service: The service of the route that was selected for it.
         organisation: The tenant that sent it; empty on a public route.
         priority: 0 is the most urgent.
-        fingerprint: Hash that is equal each time the same request is sent.
+        traits: What a crash of its upstream can be attributed to; its
+            fingerprint first.
         arrived_at: When the request was received.
         deadline: When the response must be complete.
         attempts: All attempts, oldest first.
@@ -67,7 +68,7 @@
     service: str
     organisation: str
     priority: int
-    fingerprint: str
+    traits: tuple[str, ...]
     arrived_at: float
     deadline: float
     attempts: list[attempt_states.Attempt] = dataclasses.field(
@@ -82,6 +83,11 @@
     longest_pause_s: float = 0.0
     excluded: set[str] = dataclasses.field(default_factory=set)
 
+    @property
+    def fingerprint(self) -> str:
+        """Hash that is equal each time the same request is sent."""
+        return self.traits[0]
+
     @property
     def current_attempt(self) -> attempt_states.Attempt | None:
         """The attempt in progress, or None."""
@@ -188,7 +194,7 @@
         rollout_recorded_at: When a call to record a service's roll-out was
             last begun, by service.
         entries: The other entries.
-        suspects: Requests that may have crashed upstreams.
+        suspects: Traits of requests that may crash upstreams.
         relay: Shares reads of the store within the data centre.
         peer_workload: Open work of the other entries at each upstream.
         store_availability: Availability of the store, by subject.
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/timeouts.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/timeouts.py
@@ -9,6 +9,7 @@
 from rhubarbbank_router import attempt_evidence
 from rhubarbbank_router import attempt_log
 from rhubarbbank_router import attempt_states
+from rhubarbbank_router import crash_evidence
 from rhubarbbank_router import defaults
 from rhubarbbank_router import dispatch
 from rhubarbbank_router import effects
@@ -48,7 +49,7 @@
     attempt = opened.current_attempt
     if attempt is not None:
         out += attempt_ends.cancel_attempt(state, opened, attempt, now=now)
-        attempt_ends.record_unanswered(state, opened, attempt, now=now)
+        crash_evidence.record_unanswered(state, opened, attempt, now=now)
         if attempt.status == 0:
             attempt_evidence.record_outcome(
                 state, opened, attempt, now=now, failed=True
@@ -79,7 +80,7 @@
     attempt_evidence.record_outcome(
         state, opened, attempt, now=now, failed=True, silent=starts_silence
     )
-    attempt_ends.record_unanswered(state, opened, attempt, now=now)
+    crash_evidence.record_unanswered(state, opened, attempt, now=now)
     log = attempt_log.build_attempt_line(
         opened,
         attempt,
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/upstream_list.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/upstream_list.py
@@ -77,9 +77,9 @@
                 decision="silence_explained",
                 upstream=listed.upstream_id,
                 reason="the upstream has ended",
-                inputs=state.suspects.build_log_inputs(fingerprint),
+                inputs=state.suspects.build_log_inputs(trait),
             )
-            for fingerprint in found
+            for trait in found
         ]
     return out
 
