Don't take an answer that its upstream's crash ended for a good one

An answer may come without a length and end with its connection. If its upstream crashed between two events, it looks whole: it cleared the suspicion of the crash that it was itself a sign of, and wasn't counted as one.

Such an end is now neither. It counts as a good answer once the same process makes progress on an earlier attempt, and as a crash if another attempt there is interrupted at the same moment, or if the list drops the upstream soon.

--- a/features/router_prompt_parts.feature
+++ b/features/router_prompt_parts.feature
@@ -32,3 +32,16 @@
       | 1       | 1      | 2   |
       | 5       | 1      | 1.5 |
       | 24      | 3      | 2.7 |
+
+  Scenario Outline: The end of an answer without a length doesn't clear the part that crashed its upstream
+    Given <entries> entries in 1 data centre, and a part of "<route>" prompts that crashes upstreams
+    And crashed upstreams end their answers as if they were complete
+    When requests with that part and first part "rare" come for 63 s, and sound ones with first part "rare" every 1.5 s
+    Then at most 3 attempts with that part are sent later than 3 s after the fifth crash
+    And at least half of the sound requests with first part "all" begin
+    And at least half of the sound requests with first part "rare" begin
+
+    Examples:
+      | entries | route |
+      | 1       | chat  |
+      | 5       | note  |
--- a/features/steps/prompt_part_steps.py
+++ b/features/steps/prompt_part_steps.py
@@ -11,6 +11,10 @@
 SETTLE_S = 3.0
 
 
+@given(
+    '{entries:d} entries in {places:d} data centre, and a part of "{route}" '
+    "prompts that crashes upstreams"
+)
 @given(
     '{entries:d} entries in {places:d} data centres, and a part of "{route}" '
     "prompts that crashes upstreams"
@@ -25,6 +29,11 @@
     context.part_fleet.run(SETTLE_S)
 
 
+@given("crashed upstreams end their answers as if they were complete")
+def end_answers_by_close(context):
+    context.part_fleet.end_of_crash = "close"
+
+
 @when("requests with and without that part come for {duration:g} s")
 def play(context, duration):
     context.part_fleet.play(duration)
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
@@ -246,7 +246,7 @@
     request_id = opened.request.request_id
     del state.open_requests[request_id]
     cleared = crash_evidence.record_whole_answer(
-        state, opened, attempt, now=now
+        state, opened, attempt, now=now, ended_by_close=ended_by_close
     )
     log = fx.LogDecision(
         decision="answered",
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/crash_evidence.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/crash_evidence.py
@@ -1,7 +1,8 @@
 """Collects evidence on which traits of requests crash upstreams.
 
 An interrupted attempt is evidence against its request's traits, a good answer
-is evidence for them.
+is evidence for them. An answer that only the close of its connection ended is
+neither until it is known whether its upstream has crashed.
 """
 
 import http
@@ -30,6 +31,7 @@
     crash = hash_upstream(attempt)
     traits = opened.traits[:1] if attempt.is_sound else opened.traits
     state.suspects.record_crashes([traits], crash, now=now)
+    state.suspects.confirm_simultaneous(crash, now=now)
     if any(
         state.suspects.count_crashes(x) >= defaults.CRASHES_TO_SHARE
         for x in traits
@@ -68,6 +70,7 @@
     attempt: attempt_states.Attempt,
     *,
     now: float,
+    ended_by_close: bool,
 ) -> list[effects.Effect]:
     """Records an answer that looks whole.
 
@@ -77,9 +80,14 @@
     is_success = attempt.status // 100 * 100 == http.HTTPStatus.OK
     if not is_success or attempt.is_sound:
         return []
-    return record_good_answer(
-        state, opened.traits, now=now, upstream=attempt.upstream
+    if not ended_by_close:
+        return record_good_answer(
+            state, opened.traits, now=now, upstream=attempt.upstream
+        )
+    state.suspects.record_no_answer(
+        opened.traits, hash_upstream(attempt), now=now, may_be_whole=True
     )
+    return []
 
 
 def record_progress(
@@ -90,14 +98,25 @@
     now: float,
 ) -> list[effects.Effect]:
     """Records that an attempt has received an event or a part of an answer."""
+    out: list[effects.Effect] = []
+    if state.suspects.unanswered:
+        for traits in state.suspects.confirm_alive(
+            hash_upstream(attempt), sent_at=attempt.sent_at, now=now
+        ):
+            out += record_good_answer(
+                state, traits, now=now, upstream=attempt.upstream
+            )
     if attempt.is_sound or attempt.first_event_at is None:
-        return []
+        return out
     if now - attempt.first_event_at < defaults.SOUND_STREAM_S:
-        return []
+        return out
     attempt.is_sound = True
-    return record_good_answer(
-        state, opened.traits, now=now, upstream=attempt.upstream
-    )
+    return [
+        *out,
+        *record_good_answer(
+            state, opened.traits, now=now, upstream=attempt.upstream
+        ),
+    ]
 
 
 def record_good_answer(
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/crash_suspects.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/crash_suspects.py
@@ -34,15 +34,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class UnansweredAttempt:
-    """An attempt that was cancelled before its upstream answered.
+    """An attempt that ended without proof that its upstream answered.
 
     Attributes:
         traits: Traits of the request.
-        ended_at: When it was cancelled, in seconds.
+        ended_at: When it ended, in seconds.
+        may_be_whole: Whether the end of its connection may have completed its
+            answer; otherwise it was cancelled.
     """
 
     traits: tuple[str, ...]
     ended_at: float
+    may_be_whole: bool
 
 
 @dataclasses.dataclass(slots=True)
@@ -99,7 +102,7 @@
 
     Attributes:
         suspects: By trait, the most recently changed last.
-        unanswered: Attempts without an answer, by the hash of the
+        unanswered: Attempts without proof of an answer, by the hash of the
             incarnation of the upstream that may have crashed.
         good_at: When a request with a part last had a good answer, in
             seconds, by trait; the most recent last.
@@ -126,6 +129,7 @@
         crash: name_hashes.NameHash,
         *,
         now: float,
+        may_be_whole: bool = False,
     ) -> None:
         """Records an attempt whose upstream may have crashed.
 
@@ -133,9 +137,10 @@
             traits: Traits of the request.
             crash: Hash of the upstream's incarnation.
             now: In seconds.
+            may_be_whole: Whether its answer may be complete.
         """
         attempts = self.unanswered.setdefault(crash, [])
-        attempts.append(UnansweredAttempt(traits, now))
+        attempts.append(UnansweredAttempt(traits, now, may_be_whole))
 
     def confirm_crash(
         self, crash: name_hashes.NameHash, *, now: float
@@ -155,6 +160,51 @@
         ]
         return self.record_crashes(found, crash, now=now)
 
+    def confirm_simultaneous(
+        self, crash: name_hashes.NameHash, *, now: float
+    ) -> None:
+        """Attributes a crash to answers that ended with their connections.
+
+        Called when another attempt at the same upstream was interrupted.
+        """
+        attempts = self.unanswered.get(crash)
+        if not attempts:
+            return
+        ended = [
+            each
+            for each in attempts
+            if each.may_be_whole
+            and now - each.ended_at < defaults.MIN_RESTART_S
+        ]
+        self.unanswered[crash] = [x for x in attempts if x not in ended]
+        self.record_crashes([x.traits for x in ended], crash, now=now)
+
+    def confirm_alive(
+        self, crash: name_hashes.NameHash, *, sent_at: float, now: float
+    ) -> list[tuple[str, ...]]:
+        """Returns traits of requests whose answers are now known to be whole.
+
+        Called when another attempt at the same upstream makes progress: the
+        process that runs it hasn't ended.
+
+        Args:
+            crash: Hash of the upstream's incarnation.
+            sent_at: When that attempt was sent, in seconds; a later process
+                can't be running it if it was sent before one could restart.
+            now: In seconds.
+        """
+        attempts = self.unanswered.get(crash, [])
+        whole = [
+            each
+            for each in attempts
+            if each.may_be_whole
+            and sent_at < each.ended_at + defaults.MIN_RESTART_S
+            and now > each.ended_at + defaults.CRASH_DETECTION_S
+        ]
+        if whole:
+            self.unanswered[crash] = [x for x in attempts if x not in whole]
+        return [x.traits for x in whole]
+
     def record_crashes(
         self,
         found: list[tuple[str, ...]],
@@ -389,7 +439,9 @@
         self.unanswered = {
             crash: attempts
             for crash, attempts in self.unanswered.items()
-            if now - attempts[-1].ended_at <= defaults.UNANSWERED_CRASH_WINDOW_S
+            if attempts
+            and now - attempts[-1].ended_at
+            <= defaults.UNANSWERED_CRASH_WINDOW_S
         }
         return old
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -288,6 +288,8 @@
 # A stream that has lasted this long after its first event hasn't crashed its
 # upstream: that happens as the upstream begins to write.
 SOUND_STREAM_S = 1.0
+# The connections of a crashed upstream end within this time of each other.
+CRASH_DETECTION_S = 0.1
 # A trait that had good answers before is tried again this often, by one entry.
 SUSPECT_PROBE_PERIOD_S = 30.0
 # From this many crashes on, every entry shares what it knows of a trait, not
