Count silent crashes under streams that have begun or can't be repeated

An upstream that crashes without closing its connections was noticed only when an attempt was given up before its head came: a stream that had a head wasn't charged, and one that can't be repeated was still open when the list dropped the upstream, seconds before its time-out.

Now the list's word is applied to all open attempts there, if no entry has heard from the upstream for three seconds, and to given-up streams with a head.

--- a/features/router_prompt_parts.feature
+++ b/features/router_prompt_parts.feature
@@ -45,3 +45,18 @@
       | entries | route |
       | 1       | chat  |
       | 5       | note  |
+
+  Scenario Outline: A part is known by crashes that leave connections open
+    Given <entries> entries in 1 data centre, and a part of "<route>" prompts that crashes upstreams
+    And crashed upstreams leave their connections open
+    When requests with that part and first part "rare" come for 63 s, and sound ones with first part "rare" every 1.5 s
+    Then at most 3 attempts with that part are sent later than 3 s after the fifth crash
+    And at least half of the sound requests with first part "all" begin
+    And at least half of the sound requests with first part "rare" begin
+
+    Examples:
+      | entries | route |
+      | 1       | chat  |
+      | 5       | chat  |
+      | 1       | note  |
+      | 5       | note  |
--- a/features/steps/prompt_part_steps.py
+++ b/features/steps/prompt_part_steps.py
@@ -34,6 +34,11 @@
     context.part_fleet.end_of_crash = "close"
 
 
+@given("crashed upstreams leave their connections open")
+def leave_connections_open(context):
+    context.part_fleet.end_of_crash = "silent"
+
+
 @when("requests with and without that part come for {duration:g} s")
 def play(context, duration):
     context.part_fleet.play(duration)
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/crash_evidence.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/crash_evidence.py
@@ -14,6 +14,7 @@
 from rhubarbbank_router import effects
 from rhubarbbank_router import name_hashes
 from rhubarbbank_router import state as states
+from rhubarbbank_router import upstreams
 
 
 def record_upstream_crash(
@@ -46,13 +47,13 @@
     *,
     now: float,
 ) -> None:
-    """Records that an attempt was cancelled before its upstream answered.
+    """Records that an attempt was cancelled before its answer was complete.
 
     If the upstream is no longer listed, or has restarted, that counts as a
     crash. Otherwise it may be slow or have crashed, which the list of
     upstreams will show.
     """
-    if attempt.status:
+    if attempt.is_sound or (attempt.status and not opened.is_stream):
         return
     tracked = state.view.tracked.get(attempt.upstream)
     started_ms = attempt.upstream_started_ms
@@ -64,6 +65,33 @@
     )
 
 
+def record_silent_attempts(
+    state: states.RouterState, ended: upstreams.Upstream, *, now: float
+) -> None:
+    """Records the open attempts at an upstream that has ended in silence.
+
+    They get no answer any more, but time out later, or never if they can't be
+    repeated. An upstream that is no longer listed may still be serving, which
+    shows in what any entry receives from it.
+    """
+    open_attempts = [
+        (opened, attempt)
+        for opened in state.open_requests.values()
+        if (attempt := opened.current_attempt)
+        and attempt.upstream == ended.upstream_id
+        and attempt.upstream_started_ms == ended.started_ms
+    ]
+    heard_at = max(
+        state.peer_workload.find(ended.upstream_id).heard_at,
+        *(attempt.last_progress_at for _, attempt in open_attempts),
+        0.0,
+    )
+    if now - heard_at < defaults.SILENT_CRASH_S:
+        return
+    for opened, attempt in open_attempts:
+        record_unanswered(state, opened, attempt, now=now)
+
+
 def record_whole_answer(
     state: states.RouterState,
     opened: states.OpenRequest,
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -299,6 +299,9 @@
 # out, the request counts as the cause. The list drops an upstream after three
 # missed heartbeats of 1.2 s, and reports it about a second later.
 UNANSWERED_CRASH_WINDOW_S = 6.0
+# An upstream that the list drops has crashed if no entry has heard from it for
+# this long; the list itself waits a little longer.
+SILENT_CRASH_S = 3.0
 # Shortest time in which an upstream can crash, restart and crash again; the
 # connection errors of one crash come within milliseconds.
 MIN_RESTART_S = 1.0
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/upstream_list.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/upstream_list.py
@@ -6,6 +6,7 @@
 """
 
 from rhubarbbank_core import program_effects as fx
+from rhubarbbank_router import crash_evidence
 from rhubarbbank_router import crash_suspects
 from rhubarbbank_router import defaults
 from rhubarbbank_router import effects
@@ -54,7 +55,7 @@
     *,
     now: float,
 ) -> list[effects.Effect]:
-    """Attributes crashes of ended upstreams to requests that timed out there.
+    """Attributes crashes of ended upstreams to requests without answers there.
 
     Args:
         state: The router's state, after the event.
@@ -69,6 +70,7 @@
         incarnation = crash_suspects.hash_incarnation(
             listed.upstream_id, listed.started_ms
         )
+        crash_evidence.record_silent_attempts(state, listed, now=now)
         found = state.suspects.confirm_crash(incarnation, now=now)
         if found:
             state.expedite_heartbeat(now=now)
