Ask whether a request may crash its upstream before it steps up

A retry after a failure asked, a repetition on a larger model didn't: a part that had become known after the first attempt was sent once more. The answer of the smaller model is delivered instead. One scenario of router_prompt_parts, failed before.

--- a/features/router_prompt_parts.feature
+++ b/features/router_prompt_parts.feature
@@ -60,3 +60,9 @@
       | 5       | chat  |
       | 1       | note  |
       | 5       | note  |
+
+  Scenario: A request isn't repeated on a larger model once its part is known to crash upstreams
+    Given 1 entry in 1 data centre, and a part of "chat" prompts that crashes upstreams
+    When a request with that part is sent, and a peer then reports 5 crashes under the part
+    And an upstream answers that request with little confidence
+    Then that request is sent to no further upstream
--- a/features/steps/prompt_part_steps.py
+++ b/features/steps/prompt_part_steps.py
@@ -7,10 +7,18 @@
 from behave import when
 from support import part_fleet
 
+from rhubarbbank_core import events as core_events
+from rhubarbbank_router import messages
+from rhubarbbank_router import request_traits
+
 # By then all entries have exchanged heartbeats.
 SETTLE_S = 3.0
 
 
+@given(
+    '{entries:d} entry in {places:d} data centre, and a part of "{route}" '
+    "prompts that crashes upstreams"
+)
 @given(
     '{entries:d} entries in {places:d} data centre, and a part of "{route}" '
     "prompts that crashes upstreams"
@@ -53,6 +61,43 @@
     context.part_fleet.play(duration, bad_first=first, rare_gap_s=gap)
 
 
+@when(
+    "a request with that part is sent, and a peer then reports {count:d} "
+    "crashes under the part"
+)
+def send_before_report(context, count):
+    fleet = context.part_fleet
+    name, context.request_id = fleet.ask(None, ("all", part_fleet.BAD_PART))
+    context.world = fleet.worlds[name]
+    ends = tuple(
+        messages.CrashReport(upstream=number, age_ms=0)
+        for number in range(count)
+    )
+    report = messages.SuspectReport(
+        trait=request_traits.name_part(part_fleet.BAD_PART),
+        crashes=count,
+        ends=ends,
+    )
+    heartbeat = messages.Heartbeat(
+        name="entry-9",
+        incarnation=0,
+        address="none",
+        stopping=False,
+        suspects=(report,),
+    )
+    context.world.apply(core_events.MessageReceived(heartbeat))
+
+
+@when("an upstream answers that request with little confidence")
+def answer_with_little_confidence(context):
+    context.world.head(context.request_id, confidence=5)
+
+
+@then("that request is sent to no further upstream")
+def check_sent_once(context):
+    assert len(context.world.sent(context.request_id)) == 1
+
+
 @then(
     "at most {most:d} attempts with that part are sent later than {after:g} s "
     "after the fifth crash"
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/answer_heads.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/answer_heads.py
@@ -13,6 +13,7 @@
 from rhubarbbank_router import attempt_evidence
 from rhubarbbank_router import attempt_log
 from rhubarbbank_router import attempt_states
+from rhubarbbank_router import crash_guard
 from rhubarbbank_router import defaults
 from rhubarbbank_router import dispatch
 from rhubarbbank_router import effects
@@ -173,6 +174,8 @@
         return []
     if not dispatch.has_usable_upstream(state, opened, now=now):
         return []
+    if not crash_guard.check(state, opened.traits, now=now).is_granted:
+        return []
     share = defaults.STEP_UP_BUDGET_SHARE
     if not state.budget.take(opened.service, now=now, share=share):
         return []
