--- a/packages/rhubarbbank-router/src/rhubarbbank_router/callers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/callers.py
@@ -24,6 +24,8 @@
         model: Name of the model; empty if the caller accepts any.
         prompt: Parts of the prompt, in order. The last is unique to the
             request.
+        unread_part_ids: Ids of the parts that follow an unreadable one, in
+            order.
         prompt_tokens: Length of the prompt, in tokens.
         max_output_tokens: Maximum number of tokens to generate.
         expected_output_tokens: The caller's estimate of the output length; 0
@@ -32,6 +34,7 @@
 
     model: str = ""
     prompt: tuple[PromptPart, ...] = ()
+    unread_part_ids: tuple[str, ...] = ()
     prompt_tokens: int = 0
     max_output_tokens: int = 0
     expected_output_tokens: int = 0
@@ -44,7 +47,8 @@
     @property
     def shared_part_ids(self) -> tuple[str, ...]:
         """Ids of the parts that other requests may share."""
-        return tuple(part.part_id for part in self.prompt[:-1])
+        read = tuple(part.part_id for part in self.prompt)
+        return (*read, *self.unread_part_ids)[:-1]
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
