Don't count answers that the entry itself cuts off as crashes

An answer without a valid signature, or longer than allowed, was recorded as a crash of its upstream: three of them refused a harmless request for a minute, and since crashes are attributed to parts of prompts, others with it. The attempt still fails and counts against its upstream.

router_crashes, three scenarios, failed before (503 crash_suspect).

--- a/features/router_crashes.feature
+++ b/features/router_crashes.feature
@@ -97,6 +97,17 @@
       | book  |
       | chat  |
 
+  Scenario Outline: An answer that is refused or cut off here counts as no crash
+    Given a router that knows its configuration and 8 upstreams
+    When the same "<route>" request comes 6 times, and its upstreams answer with <answer>
+    Then the same "<route>" request is sent to an upstream again
+
+    Examples:
+      | route | answer               |
+      | note  | a missing signature  |
+      | book  | a missing signature  |
+      | book  | more than the limit  |
+
   Scenario: A slow upstream that keeps running counts as no crash
     Given 1 entry in 1 data centre, and a "look" request that crashes upstreams
     When it is sent 6 times to upstreams that are silent but alive, every 4 s
--- a/features/steps/router_crash_steps.py
+++ b/features/steps/router_crash_steps.py
@@ -8,6 +8,7 @@
 from support import crash_fleet
 from support import crash_history
 
+from rhubarbbank_core import answer_bounds
 from rhubarbbank_router import events
 from rhubarbbank_router import messages
 
@@ -124,6 +125,36 @@
     fleet.deliver(fleet.worlds[entry], heartbeat)
 
 
+ANSWERS = {
+    "a missing signature": lambda world, request_id: world.head(
+        request_id, 200, genuine=False
+    ),
+    "more than the limit": lambda world, request_id: (
+        world.head(request_id),
+        world.data(request_id, bytes(answer_bounds.MAX_ANSWER_BYTES + 1)),
+    ),
+}
+
+
+@when(
+    'the same "{route}" request comes {times:d} times, and its upstreams '
+    "answer with {answer}"
+)
+def answer_repeatedly(context, route, times, answer):
+    for _ in range(times):
+        request_id = context.world.ask(route, body=crash_fleet.BODY)
+        if context.world.sent(request_id):
+            ANSWERS[answer](context.world, request_id)
+        context.world.run(SETTLE_S)
+        context.world.configure()
+
+
+@then('the same "{route}" request is sent to an upstream again')
+def check_sent_again(context, route):
+    request_id = context.world.ask(route, body=crash_fleet.BODY)
+    assert context.world.sent(request_id), context.world.answers(request_id)
+
+
 @when("it is sent once to an upstream that survives it")
 def send_harmless(context):
     fleet = context.crash_fleet
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/answer_heads.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/answer_heads.py
@@ -40,7 +40,12 @@
     if not head.genuine:
         out += attempt_ends.cancel_attempt(state, opened, attempt, now=now)
         out += attempt_ends.handle_failure(
-            state, opened, attempt, "no genuine answer", now=now
+            state,
+            opened,
+            attempt,
+            "no genuine answer",
+            now=now,
+            may_be_crash=False,
         )
         return out
     attempt.status = head.status
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
@@ -98,7 +98,9 @@
     detail = "more bytes than an answer has"
     return [
         *cancelled,
-        *attempt_ends.handle_failure(state, opened, attempt, detail, now=now),
+        *attempt_ends.handle_failure(
+            state, opened, attempt, detail, now=now, may_be_crash=False
+        ),
     ]
 
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_ends.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_ends.py
@@ -54,16 +54,27 @@
     detail: str,
     *,
     now: float,
+    may_be_crash: bool = True,
 ) -> list[effects.Effect]:
     """Handles an attempt that failed after it had been sent.
 
     Another attempt is made if that is allowed; otherwise the request fails.
+
+    Args:
+        state: The router's state.
+        opened: The request.
+        attempt: The attempt.
+        detail: What failed, for the log.
+        now: In seconds.
+        may_be_crash: Whether its upstream may have crashed; False if this
+            entry itself ended the attempt.
     """
     attempt_evidence.record_outcome(
         state, opened, attempt, now=now, failed=True
     )
     opened.excluded.add(attempt.upstream)
-    crash_evidence.record_upstream_crash(state, opened, attempt, now=now)
+    if may_be_crash:
+        crash_evidence.record_upstream_crash(state, opened, attempt, now=now)
     out: list[effects.Effect] = [
         attempt_log.build_attempt_line(
             opened,
