Treat a stream that ends with its connection before any event as broken

Its upstream may have crashed after the head. The caller got an empty success; now the request is sent elsewhere, or gets a 502 if it can't be repeated.

router_streams, two scenarios, failed before.

--- a/features/router_streams.feature
+++ b/features/router_streams.feature
@@ -53,6 +53,16 @@
     And the stream ends in the middle of an event
     Then the caller's stream is cut off without a retry
 
+  Scenario Outline: A stream that ends with its connection before its first event isn't whole
+    When a caller asks "<route>"
+    And the upstream sends a head and closes the connection of an answer without a length
+    Then <tried> upstreams have got the request, and no answer was begun
+
+    Examples:
+      | route | tried |
+      | chat  | 2     |
+      | note  | 1     |
+
   Scenario: An answer of low confidence is replaced by the large model's
     When a caller asks "chat"
     Then the request is sent to model "small"
--- a/features/steps/router_steps.py
+++ b/features/steps/router_steps.py
@@ -243,6 +243,31 @@
     context.world.end(context.request, "broken")
 
 
+@when(
+    "the upstream sends a head and closes the connection of an answer without "
+    "a length"
+)
+def close_after_head(context):
+    context.world.head(context.request, confidence=90)
+    context.world.apply(
+        events.UpstreamEnded(
+            request_id=context.request,
+            attempt=1,
+            end=events.AttemptEnd.COMPLETE,
+            ended_by_close=True,
+        )
+    )
+
+
+@then("{count:d} upstreams have got the request, and no answer was begun")
+def check_sent_without_answer(context, count):
+    assert len(context.world.sent(context.request)) == count
+    assert not any(
+        isinstance(x, effects.BeginAnswer | effects.RelayAnswer)
+        for x in context.world.answers(context.request)
+    )
+
+
 @when("the stream ends in the middle of an event")
 def end_in_event(context):
     context.world.data(context.request, b"id: 4\ndata: ha")
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
@@ -231,6 +231,10 @@
         return attempt_ends.handle_failure(
             state, opened, attempt, "ended inside an event", now=now
         )
+    if ended_by_close and is_empty_stream(opened, attempt):
+        return attempt_ends.handle_failure(
+            state, opened, attempt, "ended before the first event", now=now
+        )
     failed = attempt.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR
     if failed:
         retry = attempt_ends.retry_after_error_status(
@@ -283,6 +287,14 @@
     ]
 
 
+def is_empty_stream(
+    opened: states.OpenRequest, attempt: attempt_states.Attempt
+) -> bool:
+    """Returns whether a successful stream has had no event."""
+    is_successful = attempt.status == http.HTTPStatus.OK
+    return opened.is_stream and is_successful and not attempt.events
+
+
 def build_timing_inputs(opened: states.OpenRequest) -> tuple[fx.LogInput, ...]:
     """Returns log inputs on when a stream's events were forwarded."""
     if opened.first_event_at is None:
