Probe suspected traits now and then, so that a mistake ends by itself

A trait that many requests hold can come to be suspected by mistake, for instance when upstreams fail one after the other before the first answers. All requests with it were then refused, and since refusals keep a suspect from expiring, for good: without a request there is no good answer.

One entry now sends a request with it 60 s after its last crash (30 s if it had good answers before), then at twice the interval each time.

Sound requests are now counted from 6 s after the fourth crash on, since the probe may cause the fifth at the end of a play: an earlier start, more requests.

--- a/features/router_prompt_parts.feature
+++ b/features/router_prompt_parts.feature
@@ -66,3 +66,14 @@
     When a request with that part is sent, and a peer then reports 5 crashes under the part
     And an upstream answers that request with little confidence
     Then that request is sent to no further upstream
+
+  Scenario Outline: A part that is suspected by mistake is served again
+    Given <entries> entries in 1 data centre, and a part of "chat" prompts that crashes upstreams
+    When a peer reports 5 crashes under the part "all", which no request caused
+    And requests without the crashing part come for 90 s
+    Then all of the sound requests of the last 20 s begin
+
+    Examples:
+      | entries |
+      | 1       |
+      | 5       |
--- a/features/steps/prompt_part_steps.py
+++ b/features/steps/prompt_part_steps.py
@@ -1,5 +1,6 @@
 """Steps for parts of prompts that crash the upstreams that run them."""
 
+import math
 import random
 
 from behave import given
@@ -69,14 +70,17 @@
     fleet = context.part_fleet
     name, context.request_id = fleet.ask(None, ("all", part_fleet.BAD_PART))
     context.world = fleet.worlds[name]
+    report_crashes(context.world, part_fleet.BAD_PART, count)
+
+
+def report_crashes(world, part_id, count):
+    """Has a peer report crashes under a part."""
     ends = tuple(
         messages.CrashReport(upstream=number, age_ms=0)
         for number in range(count)
     )
     report = messages.SuspectReport(
-        trait=request_traits.name_part(part_fleet.BAD_PART),
-        crashes=count,
-        ends=ends,
+        trait=request_traits.name_part(part_id), crashes=count, ends=ends
     )
     heartbeat = messages.Heartbeat(
         name="entry-9",
@@ -85,7 +89,31 @@
         stopping=False,
         suspects=(report,),
     )
-    context.world.apply(core_events.MessageReceived(heartbeat))
+    world.apply(core_events.MessageReceived(heartbeat))
+
+
+@when(
+    'a peer reports {count:d} crashes under the part "{part_id}", which no '
+    "request caused"
+)
+def report_mistake(context, count, part_id):
+    for world in context.part_fleet.worlds.values():
+        report_crashes(world, part_id, count)
+
+
+@when("requests without the crashing part come for {duration:g} s")
+def play_sound(context, duration):
+    context.part_fleet.play(duration, bad_gap_s=math.inf)
+
+
+@then("all of the sound requests of the last {period:g} s begin")
+def check_all_begun(context, period):
+    fleet = context.part_fleet
+    fleet.run(part_fleet.STABLE_S)
+    since = fleet.now - part_fleet.STABLE_S - period
+    recent = [x for x in fleet.sound.values() if x.arrived_at >= since]
+    assert len(recent) >= part_fleet.MIN_SOUND
+    assert all(x.has_begun for x in recent)
 
 
 @when("an upstream answers that request with little confidence")
--- a/features/support/part_fleet.py
+++ b/features/support/part_fleet.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import math
 
 from rhubarbbank_router import callers
 from rhubarbbank_router import effects
@@ -25,6 +26,9 @@
 EVENTS = (3, 12)
 # Crashes that the users allow before the part must be known.
 FREE_CRASHES = 5
+# Sound requests are counted from some time after this crash on; the users count
+# from the fifth, which a late probe may cause.
+SETTLING_CRASHES = 4
 # Sound requests with a first part that a check needs.
 MIN_SOUND = 20
 # Time for the entries to exchange what they know.
@@ -356,14 +360,15 @@
 
         Args:
             duration_s: How long, in seconds.
-            bad_gap_s: Time between requests with the part, in seconds.
+            bad_gap_s: Time between requests with the part, in seconds;
+                infinite for none.
             bad_first: First part of their prompts.
             sound_per_s: Rate of sound requests with the usual first part.
             rare_gap_s: Time between sound requests with `bad_first`, in
                 seconds; None for none. The first comes after the crashes.
         """
         end = self.now + duration_s
-        next_bad = self.now + STABLE_S
+        next_bad = math.inf if math.isinf(bad_gap_s) else self.now + STABLE_S
         next_sound = self.now
         next_rare = next_bad + 2 * STABLE_S
         while self.now < end:
@@ -393,7 +398,7 @@
 
     def count_begun(self, first_part):
         """Returns how many settled sound requests came, and how many began."""
-        settled_at = self.crashes[:FREE_CRASHES][-1] + 2 * STABLE_S
+        settled_at = self.crashes[:SETTLING_CRASHES][-1] + 2 * STABLE_S
         came = [
             each
             for each in self.sound.values()
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/crash_causes.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/crash_causes.py
@@ -49,14 +49,11 @@
         verdict: What may be done with it.
         probability: Estimated probability that it crashes its upstream.
         traits: Its traits that the probability is due to.
-        may_be_probed: Whether each of these traits has had good answers
-            before, so that it may have been suspected by mistake.
     """
 
     verdict: Verdict = Verdict.SEND
     probability: float = 0.0
     traits: frozenset[str] = frozenset()
-    may_be_probed: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -111,7 +108,6 @@
         verdict=decide(probability),
         probability=probability,
         traits=frozenset(blamed),
-        may_be_probed=all(suspects.had_good_answer(x) for x in blamed),
     )
 
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/crash_guard.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/crash_guard.py
@@ -5,7 +5,6 @@
 from rhubarbbank_core import rendezvous
 from rhubarbbank_router import attempt_states
 from rhubarbbank_router import crash_causes
-from rhubarbbank_router import defaults
 from rhubarbbank_router import state as states
 
 
@@ -41,9 +40,7 @@
             is_free = not is_being_tried(state, assessment.traits)
             return Permission(is_granted=is_free, assessment=assessment)
         case crash_causes.Verdict.REFUSE:
-            is_due = assessment.may_be_probed and is_probe_due(
-                state, assessment.traits, now=now
-            )
+            is_due = is_probe_due(state, assessment.traits, now=now)
             return Permission(
                 is_granted=is_due, is_final=True, assessment=assessment
             )
@@ -63,13 +60,10 @@
 ) -> bool:
     """Returns whether this entry may try suspected traits again.
 
-    Suspicions of traits that were sound before may be wrong, and without any
-    request there would be no good answer to show it. One entry tries.
+    A suspicion may be wrong, and without any request there would be no good
+    answer to show it. One entry tries, less and less often.
     """
-    if any(
-        now - state.suspects.get_tried_at(x) < defaults.SUSPECT_PROBE_PERIOD_S
-        for x in traits
-    ):
+    if any(now < state.suspects.get_probe_time(x) for x in traits):
         return False
     own_name = state.settings.name
     names = [own_name, *(x.name for x in state.entries.list_live(now=now))]
@@ -88,4 +82,8 @@
     if assessment.verdict is crash_causes.Verdict.SEND:
         return
     attempt.tried_traits = assessment.traits
-    state.suspects.record_trial(assessment.traits, now=now)
+    state.suspects.record_trial(
+        assessment.traits,
+        is_probe=assessment.verdict is crash_causes.Verdict.REFUSE,
+        now=now,
+    )
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/crash_suspects.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/crash_suspects.py
@@ -61,6 +61,7 @@
             none had.
         tried_at: When this entry last sent a request with it nevertheless, in
             seconds.
+        probes: How often it sent one that would otherwise have been refused.
         share_until: Until then heartbeats carry it even if it has fewer
             crashes than CRASHES_TO_SHARE.
     """
@@ -69,6 +70,7 @@
     cleared_at: float | None = None
     share_until: float = 0.0
     tried_at: float = -math.inf
+    probes: int = 0
     crashes: dict[name_hashes.NameHash, float] = dataclasses.field(
         default_factory=dict
     )
@@ -384,27 +386,32 @@
                 count, last_at = count + 1, at
         return count
 
-    def had_good_answer(self, trait: str) -> bool:
-        """Returns whether a request with the trait has had a good answer."""
-        suspect = self.suspects.get(trait)
-        return suspect is not None and suspect.cleared_at is not None
-
     def is_suspect(self, trait: str) -> bool:
         """Returns whether a request with this fingerprint must be refused."""
         return self.count_crashes(trait) >= defaults.CRASHES_TO_REFUSE
 
-    def record_trial(self, traits: Iterable[str], *, now: float) -> None:
-        """Records that a request with suspected traits is sent."""
+    def record_trial(
+        self, traits: Iterable[str], *, is_probe: bool, now: float
+    ) -> None:
+        """Records that a request with suspected traits is sent.
+
+        Args:
+            traits: The traits.
+            is_probe: Whether it would otherwise have been refused.
+            now: In seconds.
+        """
         for trait in traits:
             self.suspects[trait].tried_at = now
+            self.suspects[trait].probes += is_probe
 
-    def get_tried_at(self, trait: str) -> float:
-        """Returns when a suspect was last tried at this entry, in seconds.
-
-        A trait that was never tried counts as tried when it last crashed.
-        """
+    def get_probe_time(self, trait: str) -> float:
+        """Returns from when on a suspect may be probed, in seconds."""
         suspect = self.suspects[trait]
-        return max(suspect.tried_at, *suspect.crashes.values())
+        period_s = defaults.SUSPECT_PROBE_PERIOD_S
+        if suspect.cleared_at is not None:
+            period_s = defaults.SOUND_SUSPECT_PROBE_PERIOD_S
+        last_at = max(suspect.tried_at, *suspect.crashes.values())
+        return last_at + period_s * 2.0**suspect.probes
 
     def list_traits_of(self, crash: name_hashes.NameHash) -> list[str]:
         """Returns the traits that a crash is attributed to."""
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -290,8 +290,10 @@
 SOUND_STREAM_S = 1.0
 # The connections of a crashed upstream end within this time of each other.
 CRASH_DETECTION_S = 0.1
-# A trait that had good answers before is tried again this often, by one entry.
-SUSPECT_PROBE_PERIOD_S = 30.0
+# A suspect is probed by one entry this long after its last crash, sooner if it
+# had good answers before, and then at twice the interval each time.
+SUSPECT_PROBE_PERIOD_S = 60.0
+SOUND_SUSPECT_PROBE_PERIOD_S = 30.0
 # From this many crashes on, every entry shares what it knows of a trait, not
 # only those that saw a crash.
 CRASHES_TO_SHARE = 2
