Replace links between processes whose connections have gone silent

A connection that delivers nothing and isn't reset was kept by ZeroMQ for as long as the kernel retransmits, a quarter of an hour. Every message to that peer was lost meanwhile: heartbeats, crash suspects, evidence on versions, use of budgets, updates of relayed data.

A sender now replaces a connection whose bytes stay unacknowledged for 2 s, and gives up a connection attempt after 1 s; a receiver closes dead connections by keep-alive. This costs no messages; ZeroMQ's own heartbeats would cost a frame each way for each link and second.

peer_links, one scenario, failed before (nothing received for 8 s).

--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/peer_link.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/peer_link.py
@@ -4,7 +4,7 @@
 socket to each process that it sends to; replies go to the address that a
 message gives. All messages to one address that are sent in one iteration of
 the event loop are batched into one frame. Messages may be lost, so a sender
-that needs a reply has to retry.
+that needs a reply has to retry. A connection that goes silent is replaced.
 """
 
 import asyncio
@@ -22,6 +22,14 @@
 HIGH_WATER_FRAMES = 10_000
 RECONNECT_MS = 100
 RECONNECT_MAX_MS = 1_000
+# Without it, an attempt during a partition goes on for a while after its end.
+CONNECT_TIMEOUT_MS = 1_000
+# A sender replaces a connection on which bytes stay unacknowledged this long;
+# a receiver probes one that is idle, and closes it without an answer.
+UNACKNOWLEDGED_TIMEOUT_MS = 2_000
+KEEPALIVE_IDLE_S = 20
+KEEPALIVE_INTERVAL_S = 5
+KEEPALIVE_PROBES = 3
 MAX_FRAME_BYTES = 8_000_000
 MAX_FRAMES_PER_CALL = 64
 ENCODER = msgspec.msgpack.Encoder()
@@ -69,6 +77,10 @@
         self.receiver.setsockopt(zmq.LINGER, 0)
         self.receiver.setsockopt(zmq.RCVHWM, HIGH_WATER_FRAMES)
         self.receiver.setsockopt(zmq.MAXMSGSIZE, MAX_FRAME_BYTES)
+        self.receiver.setsockopt(zmq.TCP_KEEPALIVE, 1)
+        self.receiver.setsockopt(zmq.TCP_KEEPALIVE_IDLE, KEEPALIVE_IDLE_S)
+        self.receiver.setsockopt(zmq.TCP_KEEPALIVE_INTVL, KEEPALIVE_INTERVAL_S)
+        self.receiver.setsockopt(zmq.TCP_KEEPALIVE_CNT, KEEPALIVE_PROBES)
         self.receiver.bind(f"tcp://{self.address}")
         self.loop.add_reader(self.receiver.fileno(), self.receive_frames)
 
@@ -104,6 +116,8 @@
         sender = self.context.socket(zmq.DEALER)
         sender.setsockopt(zmq.LINGER, 0)
         sender.setsockopt(zmq.SNDHWM, HIGH_WATER_FRAMES)
+        sender.setsockopt(zmq.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS)
+        sender.setsockopt(zmq.TCP_MAXRT, UNACKNOWLEDGED_TIMEOUT_MS)
         sender.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
         sender.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
         sender.connect(f"tcp://{address}")
