Charge an answer at once whose connection ends just after another was cut

When an upstream crashes, some of its attempts are interrupted and answers without a length seem to complete, in any order. Those that completed after the first interruption were charged only when the list dropped the upstream, some seconds and crashes later.

Unanswered attempts move to a module of their own, which remembers when an attempt was last interrupted at each upstream.

--- a/packages/rhubarbbank-router/src/rhubarbbank_router/crash_evidence.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/crash_evidence.py
@@ -31,11 +31,11 @@
     """
     crash = hash_upstream(attempt)
     traits = opened.traits[:1] if attempt.is_sound else opened.traits
-    state.suspects.record_crashes([traits], crash, now=now)
-    state.suspects.confirm_simultaneous(crash, now=now)
+    also = state.unanswered.take_interrupted(crash, now=now)
+    recorded = state.suspects.record_crashes([traits, *also], crash, now=now)
     if any(
         state.suspects.count_crashes(x) >= defaults.CRASHES_TO_SHARE
-        for x in traits
+        for x in recorded
     ):
         state.expedite_heartbeat(now=now)
 
@@ -60,8 +60,8 @@
     if tracked is None or tracked.listed.started_ms != started_ms:
         record_upstream_crash(state, opened, attempt, now=now)
         return
-    state.suspects.record_no_answer(
-        opened.traits, hash_upstream(attempt), now=now
+    state.unanswered.add(
+        opened.traits, hash_upstream(attempt), may_be_whole=False, now=now
     )
 
 
@@ -112,9 +112,11 @@
         return record_good_answer(
             state, opened.traits, now=now, upstream=attempt.upstream
         )
-    state.suspects.record_no_answer(
-        opened.traits, hash_upstream(attempt), now=now, may_be_whole=True
-    )
+    crash = hash_upstream(attempt)
+    if state.unanswered.has_just_crashed(crash, now=now):
+        record_upstream_crash(state, opened, attempt, now=now)
+        return []
+    state.unanswered.add(opened.traits, crash, may_be_whole=True, now=now)
     return []
 
 
@@ -127,8 +129,8 @@
 ) -> list[effects.Effect]:
     """Records that an attempt has received an event or a part of an answer."""
     out: list[effects.Effect] = []
-    if state.suspects.unanswered:
-        for traits in state.suspects.confirm_alive(
+    if state.unanswered.attempts:
+        for traits in state.unanswered.take_whole(
             hash_upstream(attempt), sent_at=attempt.sent_at, now=now
         ):
             out += record_good_answer(
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/crash_suspects.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/crash_suspects.py
@@ -23,6 +23,7 @@
 from rhubarbbank_router import defaults
 from rhubarbbank_router import messages
 from rhubarbbank_router import name_hashes
+from rhubarbbank_router import request_traits
 
 MS_PER_S = 1000.0
 
@@ -32,22 +33,6 @@
     return name_hashes.hash_name(f"{upstream_id}/{started_ms}")
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class UnansweredAttempt:
-    """An attempt that ended without proof that its upstream answered.
-
-    Attributes:
-        traits: Traits of the request.
-        ended_at: When it ended, in seconds.
-        may_be_whole: Whether the end of its connection may have completed its
-            answer; otherwise it was cancelled.
-    """
-
-    traits: tuple[str, ...]
-    ended_at: float
-    may_be_whole: bool
-
-
 @dataclasses.dataclass(slots=True)
 class Suspect:
     """The crashes that one trait is suspected of.
@@ -118,8 +103,6 @@
 
     Attributes:
         suspects: By trait, the most recently changed last.
-        unanswered: Attempts without proof of an answer, by the hash of the
-            incarnation of the upstream that may have crashed.
         good_at: When a request with a part last had a good answer, in
             seconds, by trait; the most recent last.
         revision: Rises with each change of known crashes.
@@ -129,96 +112,11 @@
         self.suspects: collections.OrderedDict[str, Suspect] = (
             collections.OrderedDict()
         )
-        self.unanswered: dict[
-            name_hashes.NameHash, list[UnansweredAttempt]
-        ] = {}
         self.good_at: collections.OrderedDict[str, float] = (
             collections.OrderedDict()
         )
         self.revision = 0
 
-    def record_no_answer(
-        self,
-        traits: tuple[str, ...],
-        crash: name_hashes.NameHash,
-        *,
-        now: float,
-        may_be_whole: bool = False,
-    ) -> None:
-        """Records an attempt whose upstream may have crashed.
-
-        Args:
-            traits: Traits of the request.
-            crash: Hash of the upstream's incarnation.
-            now: In seconds.
-            may_be_whole: Whether its answer may be complete.
-        """
-        attempts = self.unanswered.setdefault(crash, [])
-        attempts.append(UnansweredAttempt(traits, now, may_be_whole))
-
-    def confirm_crash(
-        self, crash: name_hashes.NameHash, *, now: float
-    ) -> list[str]:
-        """Attributes a crash to the requests that had no answer there.
-
-        Called when the list of upstreams no longer has this incarnation.
-
-        Returns:
-            Traits of the requests whose attempts there ended less than
-            UNANSWERED_CRASH_WINDOW_S ago.
-        """
-        found = [
-            each.traits
-            for each in self.unanswered.pop(crash, [])
-            if now - each.ended_at <= defaults.UNANSWERED_CRASH_WINDOW_S
-        ]
-        return self.record_crashes(found, crash, now=now)
-
-    def confirm_simultaneous(
-        self, crash: name_hashes.NameHash, *, now: float
-    ) -> None:
-        """Attributes a crash to answers that ended with their connections.
-
-        Called when another attempt at the same upstream was interrupted.
-        """
-        attempts = self.unanswered.get(crash)
-        if not attempts:
-            return
-        ended = [
-            each
-            for each in attempts
-            if each.may_be_whole
-            and now - each.ended_at < defaults.MIN_RESTART_S
-        ]
-        self.unanswered[crash] = [x for x in attempts if x not in ended]
-        self.record_crashes([x.traits for x in ended], crash, now=now)
-
-    def confirm_alive(
-        self, crash: name_hashes.NameHash, *, sent_at: float, now: float
-    ) -> list[tuple[str, ...]]:
-        """Returns traits of requests whose answers are now known to be whole.
-
-        Called when another attempt at the same upstream makes progress: the
-        process that runs it hasn't ended.
-
-        Args:
-            crash: Hash of the upstream's incarnation.
-            sent_at: When that attempt was sent, in seconds; a later process
-                can't be running it if it was sent before one could restart.
-            now: In seconds.
-        """
-        attempts = self.unanswered.get(crash, [])
-        whole = [
-            each
-            for each in attempts
-            if each.may_be_whole
-            and sent_at < each.ended_at + defaults.MIN_RESTART_S
-            and now > each.ended_at + defaults.CRASH_DETECTION_S
-        ]
-        if whole:
-            self.unanswered[crash] = [x for x in attempts if x not in whole]
-        return [x.traits for x in whole]
-
     def record_crashes(
         self,
         found: list[tuple[str, ...]],
@@ -413,9 +311,9 @@
     def build_log_inputs(self, trait: str) -> tuple[fx.LogInput, ...]:
         """Returns the log inputs that describe a trait's crashes."""
         suspect = self.suspects.get(trait)
-        name = "part" if trait.startswith("part:") else "fingerprint"
+        is_part = trait.startswith(request_traits.PART_PREFIX)
         return (
-            (name, trait),
+            ("part" if is_part else "fingerprint", trait),
             ("crashes", self.count_crashes(trait)),
             ("seen_here", len(suspect.seen_locally) if suspect else 0),
         )
@@ -431,13 +329,6 @@
             del self.suspects[trait]
         if old:
             self.revision += 1
-        self.unanswered = {
-            crash: attempts
-            for crash, attempts in self.unanswered.items()
-            if attempts
-            and now - attempts[-1].ended_at
-            <= defaults.UNANSWERED_CRASH_WINDOW_S
-        }
         return old
 
     def build_reports(
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
@@ -275,6 +275,7 @@
     alive_s = state.settings.bounds.session_s + defaults.SESSION_MARGIN_S
     state.sessions.remove_expired(now=now, alive_s=alive_s)
     state.peer_workload.drop_expired(now=now)
+    state.unanswered.remove_expired(now=now)
     out = [
         *log_removed_suspects(
             state.suspects.remove_expired(now=now), reason="old"
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
@@ -29,6 +29,7 @@
 from rhubarbbank_router import session_pins
 from rhubarbbank_router import size_policy
 from rhubarbbank_router import store_relay
+from rhubarbbank_router import unanswered_attempts
 from rhubarbbank_router import upstreams
 from rhubarbbank_router import version_trial
 from rhubarbbank_router import window_budget
@@ -196,6 +197,7 @@
             last begun, by service.
         entries: The other entries.
         suspects: Traits of requests that may crash upstreams.
+        unanswered: Attempts whose upstreams may have crashed.
         causes: Estimates which of them are the causes of crashes.
         relay: Shares reads of the store within the data centre.
         peer_workload: Open work of the other entries at each upstream.
@@ -237,6 +239,9 @@
     relay: store_relay.StoreRelay
     suspects: crash_suspects.CrashSuspects
     causes: crash_causes.CrashCauses
+    unanswered: unanswered_attempts.UnansweredAttempts = dataclasses.field(
+        default_factory=unanswered_attempts.UnansweredAttempts
+    )
     active_configuration: configuration.Configuration | None = None
     configuration_active_from: float = 0.0
     peer_configuration: ReportedVersion | None = None
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/upstream_list.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/upstream_list.py
@@ -71,7 +71,11 @@
             listed.upstream_id, listed.started_ms
         )
         crash_evidence.record_silent_attempts(state, listed, now=now)
-        found = state.suspects.confirm_crash(incarnation, now=now)
+        found = state.suspects.record_crashes(
+            state.unanswered.take_ended(incarnation, now=now),
+            incarnation,
+            now=now,
+        )
         if found:
             state.expedite_heartbeat(now=now)
         out += [
