--- a/features/support/part_fleet.py
+++ b/features/support/part_fleet.py
@@ -88,14 +88,14 @@
             "close", as the end of an answer that names no length.
         addresses: Number of upstreams while none has crashed.
         listed: Upstreams that run, by id.
-        down: When each address is used again, with the id that it had.
+        down: When each crashed upstream restarts, by the id that it had.
         unlisted_at: When the list drops each crashed upstream, by id.
         running: Attempts at upstreams.
         crashes: When the part crashed an upstream, in seconds.
         bad_sent: When each attempt with the part was sent.
         sound: Sound requests, by entry's name and request id.
         refusals: Codes of refused requests, by whether they held the part.
-        write_part: Returns the id by which the next request names the part.
+        request_number: Number of requests that callers have sent.
     """
 
     def __init__(self, *, route="chat", addresses=8, **given):
@@ -114,7 +114,6 @@
         self.sound = {}
         self.refusals = []
         self.request_number = 0
-        self.write_part = lambda: BAD_PART
         super().__init__(**given)
 
     # Entries.
@@ -218,7 +217,7 @@
             events_left=self.rng.randrange(*EVENTS),
             next_event_at=begins_at + EVENT_S,
         )
-        if any(x.lower().lstrip("0") == BAD_PART for x in parts[:-1]):
+        if BAD_PART in parts[:-1]:
             attempt.crashes_at = begins_at + self.rng.uniform(*CRASH_AFTER_S)
             if effect.upstream_id in self.listed:
                 self.bad_sent.append(self.now)
@@ -317,7 +316,7 @@
     def ask_bad(self, first_part="all", entry=None):
         """Sends a new request that holds the part to an entry."""
         subject = f"subject-{self.rng.randrange(4)}"
-        self.ask(entry, (first_part, subject, self.write_part()))
+        self.ask(entry, (first_part, subject, BAD_PART))
 
     def ask_sound(self, first_part="all", *, entry=None, subject=None):
         """Sends a new request without the part to an entry."""
