Wait for the log line that a scenario on notices reads

The first found no notice in the entry's log; the second found the first one's (b-1) where b-2 had run. So the line is written after the answer on a busy machine, and the step read the log once, right after the answer. Traced by reading; not reproduced by a run.

--- a/features/steps/platform_notice_steps.py
+++ b/features/steps/platform_notice_steps.py
@@ -8,6 +8,9 @@
 
 from rhubarbbank_experiments import platform_fleet
 
+LOG_TIMEOUT_S = 5.0
+LOG_POLL_S = 0.05
+
 
 def count_new_runs(fleet, runner, path, count):
     """Sends a number of requests; returns how many of them a runner ran."""
@@ -17,6 +20,29 @@
     return len(fleet.runners[runner].runs) - before
 
 
+def list_notices(fleet):
+    """Returns the runners whose notices the first entry has logged."""
+    return [
+        line["upstream"]
+        for line in fleet.entries[0].read_log()
+        if line.get("decision") in ("upstream_leaving", "upstream_closed")
+    ]
+
+
+def wait_for_notices(fleet, known):
+    """Returns the notices logged after the first `known` ones.
+
+    The log is written beside the answers, on a busy machine after them.
+    """
+    deadline = time.monotonic() + LOG_TIMEOUT_S
+    while time.monotonic() < deadline:
+        notices = list_notices(fleet)[known:]
+        if notices:
+            return notices
+        time.sleep(LOG_POLL_S)
+    raise AssertionError("no notice was logged")
+
+
 @when('a runner answers a request for "{path}" with fault "{fault}"')
 def answer_with_fault(context, path, fault):
     platform_callers.prepare_fleet(context)
@@ -26,15 +52,12 @@
     fleet.misbehave(fault, service=service, count=1)
     faulty = {name: x for name, x in fleet.runners.items() if x.misdeeds}
     before = {name: len(x.runs) for name, x in faulty.items()}
+    known = len(list_notices(fleet))
     fleet.ask(path)
     runners_that_ran = [
         name for name, x in faulty.items() if len(x.runs) > before[name]
     ]
-    notices = [
-        line["upstream"]
-        for line in fleet.entries[0].read_log()
-        if line.get("decision") in ("upstream_leaving", "upstream_closed")
-    ]
+    notices = wait_for_notices(fleet, known)
     context.path = path
     context.runner = notices[-1]
     # A runner with the fault "close" refuses, so it has run nothing.
