--- a/packages/rhubarbbank-router/src/rhubarbbank_router/crash_suspects.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/crash_suspects.py
@@ -281,9 +281,9 @@
         suspect = self.suspects.get(trait)
         return len(suspect.crashes) if suspect else 0
 
-    def is_suspect(self, trait: str) -> bool:
+    def is_suspect(self, fingerprint: str) -> bool:
         """Returns whether a request with this fingerprint must be refused."""
-        return self.count_crashes(trait) >= defaults.CRASHES_TO_REFUSE
+        return self.count_crashes(fingerprint) >= defaults.CRASHES_TO_REFUSE
 
     def record_trial(
         self, traits: Iterable[str], *, is_probe: bool, now: float
