Withhold statuses that deny a run from callers whose request has run

What callers saw: a runner ran a booking and answered 503, signed and without X-Not-Executed. The entry relayed it.

Cause: handle_complete relays any complete signed answer with its status. The proof that a request hasn't run is kept for each attempt and asked for when the entry chooses a status of its own, but not when it relays one.

Evidence: each such request has the lines `placed` and `answered` with status 503, and neither a second `placed` nor `given_up`, which rules out a refusal of the entry's own and a retry by the entry.

Fix: answer_statuses.may_relay is asked where whole answers leave. If a request mustn't run twice and any attempt may have run, its caller gets the entry's own 502, unsigned and without Retry-After, which promises nothing. Requests that may be repeated still get the upstream's status unchanged, and a 503 with X-Not-Executed stays a promise.

Tests: 7 scenarios of router_requests failed before, with "RelayAnswer(... status=503 ...)"; 8 more hold that other statuses are relayed unchanged. platform_path has a runner that runs and answers 503, over real sockets.

--- a/features/platform_path.feature
+++ b/features/platform_path.feature
@@ -35,6 +35,8 @@
       | another        | 1     | /book/1    | the runner's 200 | 1    |
       | fail           | 1     | /look/1    | the runner's 200 | 2    |
       | fail           | 1     | /book/1    | the runner's 500 | 1    |
+      | deny           | 1     | /look/1    | the runner's 200 | 2    |
+      | deny           | 1     | /book/1    | its own 502      | 1    |
       | cut            | 1     | /look/1    | the runner's 200 | 2    |
       | cut            | 1     | /book/1    | its own 502      | 1    |
       | cut_midway     | 1     | /book/1    | its own 502      | 1    |
--- a/features/router_requests.feature
+++ b/features/router_requests.feature
@@ -39,6 +39,47 @@
     And its upstream drops the connection
     Then the caller has a 502 without Retry-After
 
+  # Guards against callers who book twice: a status that says "not run" was
+  # relayed for a request that its upstream had run.
+  Scenario Outline: A status that denies a run isn't relayed after a run
+    When a caller asks "<route>"
+    And its upstream runs the request and answers <status>
+    Then the caller has a 502 without Retry-After
+    And the request has been sent 1 times
+    And no request or attempt is open
+    And the logged decisions on the request are "placed, answer_withheld, given_up"
+
+    Examples:
+      | route | status |
+      | book  | 408    |
+      | book  | 429    |
+      | book  | 503    |
+      | note  | 408    |
+      | note  | 429    |
+      | note  | 503    |
+
+  Scenario: A run after a refusal isn't denied
+    When a caller asks "book"
+    And its upstream refuses the request as overloaded
+    And its upstream runs the request and answers 503
+    Then the caller has a 502 without Retry-After
+
+  Scenario Outline: Other statuses are relayed unchanged
+    When a caller asks "<route>"
+    And every upstream runs the request and answers <status>
+    Then the caller has the upstream's <status>
+
+    Examples:
+      | route | status |
+      | book  | 400    |
+      | book  | 409    |
+      | book  | 500    |
+      | book  | 502    |
+      | book  | 504    |
+      | look  | 408    |
+      | look  | 429    |
+      | look  | 503    |
+
   Scenario: A request gets a 504 at the route's timeout
     When a caller with a timeout of 20 s asks "book"
     And 10.1 s pass
--- a/features/steps/router_steps.py
+++ b/features/steps/router_steps.py
@@ -83,9 +83,20 @@
 
 @when("its upstream {outcome}")
 def apply_outcome(context, outcome):
+    _, ran, status = outcome.partition("runs the request and answers ")
+    if ran:
+        context.world.answer_whole(context.request, int(status))
+        return
     OUTCOMES[outcome](context.world, context.request)
 
 
+@when("every upstream runs the request and answers {status:d}")
+def fail_everywhere_after_run(context, status):
+    world = context.world
+    while not world.answers(context.request):
+        world.answer_whole(context.request, status)
+
+
 @when("every upstream refuses the request as overloaded")
 def refuse_all(context):
     world = context.world
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
@@ -10,6 +10,7 @@
 from rhubarbbank_core import answer_bounds
 from rhubarbbank_core import errors
 from rhubarbbank_core import program_effects as fx
+from rhubarbbank_router import answer_statuses
 from rhubarbbank_router import attempt_ends
 from rhubarbbank_router import attempt_evidence
 from rhubarbbank_router import attempt_log
@@ -249,6 +250,8 @@
         # The caller has a part of a stream, and this response can't resume it.
         code = errors.ErrorCode.UPSTREAM_FAILED
         return dispatch.give_up(state, opened, code, now=now)
+    if not answer_statuses.may_relay(opened, attempt.status):
+        return withhold_answer(state, opened, attempt, now=now)
     request_id = opened.request.request_id
     del state.open_requests[request_id]
     cleared = crash_evidence.record_whole_answer(
@@ -287,6 +290,26 @@
     ]
 
 
+def withhold_answer(
+    state: states.RouterState,
+    opened: states.OpenRequest,
+    attempt: attempt_states.Attempt,
+    *,
+    now: float,
+) -> list[effects.Effect]:
+    """Ends a request whose answer would invite its caller to repeat it."""
+    log = attempt_log.build_attempt_line(
+        opened,
+        attempt,
+        decision="answer_withheld",
+        reason="its status denies a run",
+        inputs=(("status", attempt.status),),
+    )
+    code = errors.ErrorCode.UPSTREAM_FAILED
+    given_up = dispatch.give_up(state, opened, code, now=now)
+    return [log, fx.Count("withheld_answers"), *given_up]
+
+
 def is_empty_stream(
     opened: states.OpenRequest, attempt: attempt_states.Attempt
 ) -> bool:
--- a/standins/src/rhubarbbank_standins/platform_runner.py
+++ b/standins/src/rhubarbbank_standins/platform_runner.py
@@ -30,8 +30,9 @@
     """What a runner does wrong with the next requests.
 
     SHED: refuses as not run. ANOTHER: is another runner. FAIL: runs and
-    answers 500. CUT: runs and closes before the answer. CUT_MIDWAY: closes in
-    the middle of the answer. RESET_UNFRAMED: sends part of an answer without
+    answers 500. DENY: runs and answers 503, without the header that says that
+    it hasn't run. CUT: runs and closes before the answer. CUT_MIDWAY: closes
+    in the middle of the answer. RESET_UNFRAMED: sends part of an answer without
     length and resets. UNFRAMED: sends a whole answer without length. EXTRA:
     sends a second answer after the first. FOREIGN: answers with another id.
     EARLY: answers before it has read the body. HANG: never answers. STALL:
@@ -43,6 +44,7 @@
     SHED = "shed"
     ANOTHER = "another"
     FAIL = "fail"
+    DENY = "deny"
     CUT = "cut"
     CUT_MIDWAY = "cut_midway"
     RESET_UNFRAMED = "reset_unframed"
@@ -183,6 +185,9 @@
         if misdeed is Misdeed.FAIL:
             writer.write(build_head(500, head, 6) + b"failed")
             return True
+        if misdeed is Misdeed.DENY:
+            writer.write(build_head(503, head, 6) + b"failed")
+            return True
         if self.streams:
             return await self.stream(run, misdeed, head, reader, writer)
         return self.send_plain(run, misdeed, head, writer)
