Doubt removals of upstreams only after outages in which they may lapse

The store had ended its waiting watches twice, which it may do at any time, and answered all other calls at once.

Cause: one call about the upstreams that ended without an answer was taken for an outage of the store, and any outage for one in which registrations lapse. A removal read next was in doubt for 2 s, and the doubt lasted while the last call had failed: until the next watch returned, which tells nothing before a change.

Evidence: the log has store_lost for the watches while the configuration is read as before, upstream_unlisted within milliseconds of the removal with reason "in doubt", and no upstream_dropped before the upstream's end. That rules out a missed removal. Without cuts it is "gone" at once.

Fix: the store drops a registration after three heartbeats of silence, so that only an outage of two of them can make a live upstream's lapse. store_outages bounds each outage by the answers around it, on any subject that is read from the store itself, and doubts removals from one and a half heartbeats on. The doubt ends two seconds after the first answer. Outages with less than a heartbeat between them count as one. After a watch without an answer the follower asks once without waiting, and only the failure of that counts as the store's. Readers pass on only such outages, and a reader's reply counts for the time at which it asked the store. upstream_unlisted names the outage's length; watches_cut counts the cuts.

Tests: router_store_outages, 25 scenarios.

--- a/features/steps/restored_store_steps.py
+++ b/features/steps/restored_store_steps.py
@@ -87,7 +87,7 @@
 
 @when("upstreams 3, 4 and 5 register")
 def register_upstreams(context):
-    def change():
+    async def change():
         context.watched.store.restore(context.backup)
         for number in (3, 4, 5):
             context.watched.register(number)
--- a/features/support/followed_store.py
+++ b/features/support/followed_store.py
@@ -10,6 +10,7 @@
 from rhubarbbank_platform import store_follower
 from rhubarbbank_platform import wire
 from rhubarbbank_router import events
+from rhubarbbank_runtime import http_once
 from rhubarbbank_standins import platform_store
 from support import router_world
 
@@ -24,7 +25,9 @@
     async with contextlib.AsyncExitStack() as stack:
         runner, ports = await platform_store.serve(store, 1)
         stack.push_async_callback(runner.cleanup)
-        session = await stack.enter_async_context(aiohttp.ClientSession())
+        session = await stack.enter_async_context(
+            aiohttp.ClientSession(middlewares=(http_once.send_once,))
+        )
         address = f"{platform_store.LOCAL}:{ports[0]}"
         yield store_follower.StoreFollower(
             api=store_api.StoreApi(address=address, session=session),
@@ -79,6 +82,7 @@
     Attributes:
         store: The stand-in.
         world: The router that the follower reports to.
+        port: The port at which it reaches the stand-in.
     """
 
     def __init__(self, count):
@@ -102,25 +106,30 @@
         known = {name for name, x in tracked.items() if not x.lapsed}
         return known == self.store.kinds[wire.UPSTREAM_KIND].keys()
 
+    def apply(self, event):
+        self.world.now = asyncio.get_running_loop().time()
+        self.world.apply(event)
+
     async def wait_until_known(self, timeout_s):
         async with asyncio.timeout(timeout_s):
             while not self.are_known:
                 await asyncio.sleep(POLL_S)
 
     async def run(self, change, timeout_s):
-        """Applies a change while the follower watches, and waits for it."""
+        """Makes a change while the follower watches, and waits for it."""
         async with follow(
             self.store,
             read_policy=self.world.router,
-            apply=self.world.apply,
+            apply=self.apply,
             clock=asyncio.get_running_loop().time,
         ) as follower:
+            self.port = int(follower.api.url.split(":")[2].split("/")[0])
             work = follower.follow_kind(store_follower.FOLLOWED_KINDS[0])
             task = asyncio.ensure_future(work)
             try:
                 await self.wait_until_known(timeout_s)
                 await asyncio.sleep(WATCH_BEGUN_S)
-                change()
+                await change()
                 await self.wait_until_known(timeout_s)
             finally:
                 task.cancel()
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -55,6 +55,12 @@
 MAX_CLOSED_S = 60.0
 # Number of upstreams whose notices are kept.
 MAX_NOTICES = 2_000
+# How often an upstream renews its registration; the store drops it after three
+# intervals of silence.
+UPSTREAM_HEARTBEAT_S = 1.2
+# The last heartbeat before an outage may have come an interval before it, and
+# the lease may be half an interval short.
+LAPSE_MIN_OUTAGE_S = 1.5 * UPSTREAM_HEARTBEAT_S
 # List entries of upstreams that expired while the store was unreachable are
 # renewed within two seconds of its return (deployment bound).
 LAPSE_GRACE_S = 2.0
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/events.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/events.py
@@ -147,6 +147,16 @@
     detail: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class WatchCut:
+    """A watch that waited for changes ended without an answer.
+
+    The store may do that at any time; the next call shows whether it is away.
+    """
+
+    subject: Subject
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoreAnswered:
     """The store answered a call about a subject."""
@@ -269,6 +279,7 @@
     | UpstreamEnded
     | ConfigurationRead
     | StoreFailed
+    | WatchCut
     | StoreAnswered
     | StoreEraRead
     | UpstreamsListed
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/messages.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/messages.py
@@ -248,8 +248,9 @@
         position: Store revision up to which the list of upstreams is complete.
         list_age_s: Time since the list was last known to be complete, in
             seconds.
-        regained_age_s: Time since the store became available again, in seconds;
-            None if it wasn't unavailable lately.
+        regained_age_s: Time since the list could be read again after an outage
+            in which registrations may have lapsed, in seconds; None if there
+            was none.
         changed: Upstreams added or changed since the requester's position.
         gone: Ids of upstreams removed since then.
         whole: All upstreams if the changes since then aren't known, else None.
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
@@ -39,6 +39,11 @@
 from rhubarbbank_router import work_placement
 
 MS_PER_S = 1000.0
+# Answers about the other subjects may come from an old copy of the store, also
+# while the store itself is away.
+CURRENT_SUBJECTS = frozenset(
+    (events.Subject.CONFIGURATION, events.Subject.UPSTREAMS)
+)
 
 
 class Router:
@@ -166,12 +171,14 @@
         match event:
             case events.ConfigurationRead(asked_at=asked_at, found=found):
                 return self.apply_configuration(now, asked_at, found)
-            case events.StoreAnswered(subject):
-                return self.record_store_answer(now, subject)
+            case (
+                events.StoreAnswered()
+                | events.StoreFailed()
+                | events.WatchCut()
+            ):
+                return self.record_call_end(now, event)
             case events.StoreEraRead(era):
                 return store_eras.record_era(state, era, now=now)
-            case events.StoreFailed(subject, detail):
-                return self.record_store_failure(now, subject, detail)
             case events.RolloutsListed(orders):
                 state.listed_subjects.add(events.Subject.ROLLOUTS)
                 return rollouts.apply_orders(state, orders, now=now)
@@ -241,6 +248,22 @@
             fx.Gauge("configuration_version", found.version),
         ]
 
+    def record_call_end(
+        self,
+        now: float,
+        event: events.StoreAnswered | events.StoreFailed | events.WatchCut,
+    ) -> list[effects.Effect]:
+        """Records how a call to the store ended."""
+        match event:
+            case events.StoreAnswered(subject):
+                return self.record_store_answer(now, subject)
+            case events.StoreFailed(subject, detail):
+                return self.record_store_failure(now, subject, detail)
+            case events.WatchCut(subject):
+                if subject is events.Subject.UPSTREAMS:
+                    self.state.outages.record_cut()
+                return [fx.Count("watches_cut")]
+
     def record_store_answer(
         self, now: float, subject: events.Subject
     ) -> list[effects.Effect]:
@@ -248,9 +271,12 @@
         availability = self.state.get_store_availability(subject)
         was_unavailable = availability.is_unavailable
         availability.answered_at = now
+        if subject in CURRENT_SUBJECTS:
+            self.state.outages.record_answer(
+                now=now, reads_upstreams=subject is events.Subject.UPSTREAMS
+            )
         if not was_unavailable:
             return []
-        availability.recovered_at = now
         return [
             fx.LogDecision(
                 decision="store_regained",
@@ -268,6 +294,8 @@
         availability = self.state.get_store_availability(subject)
         was_unavailable = availability.is_unavailable
         availability.failed_at = now
+        if subject is events.Subject.UPSTREAMS:
+            self.state.outages.record_failure(now=now)
         count = fx.Count("store_failures")
         if was_unavailable:
             return [count]
@@ -299,10 +327,7 @@
         out += intake.admit_held(state, now=now)
         out += rollouts.tick(state, now=now)
         out += store_reading.tick(state, now=now)
-        availability = state.get_store_availability(events.Subject.UPSTREAMS)
-        keep = availability.was_recently_unavailable(
-            defaults.LAPSE_GRACE_S, now=now
-        )
+        keep = state.outages.may_renew(now=now)
         for upstream_id in state.view.drop_lapsed(keep=keep, now=now):
             out.append(
                 fx.LogDecision(
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
@@ -28,6 +28,7 @@
 from rhubarbbank_router import route_match
 from rhubarbbank_router import session_pins
 from rhubarbbank_router import size_policy
+from rhubarbbank_router import store_outages
 from rhubarbbank_router import store_relay
 from rhubarbbank_router import unanswered_attempts
 from rhubarbbank_router import upstreams
@@ -140,12 +141,10 @@
     Attributes:
         answered_at: When a call last succeeded.
         failed_at: When a call last failed.
-        recovered_at: When a call last succeeded after a failed one.
     """
 
     answered_at: float | None = None
     failed_at: float | None = None
-    recovered_at: float | None = None
 
     @property
     def is_unavailable(self) -> bool:
@@ -154,14 +153,6 @@
             return False
         return self.answered_at is None or self.answered_at < self.failed_at
 
-    def was_recently_unavailable(self, period_s: float, *, now: float) -> bool:
-        """Returns whether it is unavailable or recovered within `period_s`."""
-        if self.is_unavailable:
-            return True
-        return (
-            self.recovered_at is not None and now - self.recovered_at < period_s
-        )
-
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class RouterState:
@@ -202,6 +193,7 @@
         relay: Shares reads of the store within the data centre.
         peer_workload: Open work of the other entries at each upstream.
         store_availability: Availability of the store, by subject.
+        outages: Outages of the store in which registrations may have lapsed.
         store_era: The store's newest known era; None before the first response
             that names one.
         restored_at: When a restore of the store was last noticed; None if it
@@ -281,6 +273,9 @@
     store_availability: dict[str, StoreAvailability] = dataclasses.field(
         default_factory=dict
     )
+    outages: store_outages.StoreOutages = dataclasses.field(
+        default_factory=store_outages.StoreOutages
+    )
     store_era: int | None = None
     restored_at: float | None = None
     ignored_configuration: tuple[int, int] | None = None
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/store_reading.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/store_reading.py
@@ -184,15 +184,11 @@
     now: float,
 ) -> list[effects.Effect]:
     """Returns the effect that sends a reply, or nothing without a reply."""
-    availability = state.get_store_availability(events.Subject.UPSTREAMS)
-    regained_age_s = None
-    if availability.recovered_at is not None:
-        regained_age_s = now - availability.recovered_at
     facts = store_relay.ReaderFacts(
         name=state.settings.name,
         configuration=get_active_precedence(state),
         proof_age_s=state.proof.age(now=now),
-        regained_age_s=regained_age_s,
+        regained_age_s=state.outages.compute_regained_age_s(now=now),
         listed=tuple(
             tracked.listed
             for tracked in state.view.tracked.values()
@@ -229,11 +225,13 @@
     kept for the same grace time as at the reader.
     """
     availability = state.get_store_availability(events.Subject.UPSTREAMS)
-    if availability.is_unavailable:
-        availability.recovered_at = now
-    elif reply.regained_age_s is not None:
-        availability.recovered_at = now - reply.regained_age_s
     availability.answered_at = now
+    age_s = min(reply.proof_age_s, reply.list_age_s)
+    state.outages.record_relayed_answer(
+        answered_at=reply.asked_at - age_s,
+        now=now,
+        regained_age_s=reply.regained_age_s,
+    )
 
 
 def build_upstream_events(
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/store_relay.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/store_relay.py
@@ -281,8 +281,8 @@
         name: The reader's name.
         configuration: Precedence of its active configuration.
         proof_age_s: Age of its freshness proof; None without a proof.
-        regained_age_s: Time since the store became available again; None if
-            it hasn't been unavailable.
+        regained_age_s: Time since the list could be read again after an outage
+            in which registrations may have lapsed; None if there was none.
         listed: The complete list of upstreams.
     """
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/upstream_list.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/upstream_list.py
@@ -8,7 +8,6 @@
 from rhubarbbank_core import program_effects as fx
 from rhubarbbank_router import crash_evidence
 from rhubarbbank_router import crash_suspects
-from rhubarbbank_router import defaults
 from rhubarbbank_router import effects
 from rhubarbbank_router import events
 from rhubarbbank_router import rollouts
@@ -94,22 +93,17 @@
     state: states.RouterState, event: events.AnyEvent, *, now: float
 ) -> list[effects.Effect]:
     """Applies an event to the view of upstreams, and logs it."""
-    availability = state.get_store_availability(events.Subject.UPSTREAMS)
-    store_unstable = availability.was_recently_unavailable(
-        defaults.LAPSE_REPORT_S, now=now
-    )
     begins_era = store_eras.begins_era(state, event)
     if begins_era:
-        # Registrations that the copy lacks are repeated after a while.
-        store_unstable = True
-        availability.recovered_at = now
+        state.outages.record_restore(now=now)
+    may_have_lapsed = state.outages.may_report_lapses(now=now)
     match event:
         case events.UpstreamsListed(listed, position=position, asked_at=at):
             state.listed_subjects.add(events.Subject.UPSTREAMS)
             state.relay.record_list(position, at=at)
             back = state.view.list_removed(listed) if begins_era else []
             gone = state.view.replace_list(
-                listed, store_unstable=store_unstable, now=now
+                listed, may_have_lapsed=may_have_lapsed, now=now
             )
             state.view.doubt(back, now=now)
             state.view.end_doubts(current_at=at)
@@ -121,7 +115,7 @@
                     inputs=(
                         ("listed", len(listed)),
                         ("gone", ",".join(gone)),
-                        ("doubtful", store_unstable),
+                        ("doubtful", may_have_lapsed),
                         ("back", ",".join(back)),
                         ("era", position.era),
                         ("position", position.revision),
@@ -145,7 +139,7 @@
             state.relay.record_change(upstream_id)
             known = upstream_id in state.view.tracked
             state.view.remove(
-                upstream_id, store_unstable=store_unstable, now=now
+                upstream_id, may_have_lapsed=may_have_lapsed, now=now
             )
             if not known:
                 return []
@@ -153,7 +147,13 @@
                 fx.LogDecision(
                     decision="upstream_unlisted",
                     upstream=upstream_id,
-                    reason="in doubt" if store_unstable else "gone",
+                    reason="in doubt" if may_have_lapsed else "gone",
+                    inputs=(
+                        ("away", state.outages.is_away),
+                        ("outage_s", round(state.outages.lapse_outage_s, 3)),
+                    )
+                    if may_have_lapsed
+                    else (),
                 )
             ]
         case events.UpstreamsConfirmed(position=position, current_at=at):
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
@@ -174,7 +174,7 @@
         self,
         listed: collections.abc.Iterable[Upstream],
         *,
-        store_unstable: bool,
+        may_have_lapsed: bool,
         now: float,
     ) -> list[str]:
         """Applies a complete list; returns the ids that it no longer has."""
@@ -187,7 +187,7 @@
             if upstream_id not in by_id
         ]
         for upstream_id in gone:
-            self.remove(upstream_id, store_unstable=store_unstable, now=now)
+            self.remove(upstream_id, may_have_lapsed=may_have_lapsed, now=now)
         return gone
 
     def put(self, listed: Upstream) -> Upstream:
@@ -249,21 +249,21 @@
             del self.removed_at[oldest]
 
     def remove(
-        self, upstream_id: str, *, store_unstable: bool, now: float
+        self, upstream_id: str, *, may_have_lapsed: bool, now: float
     ) -> None:
         """Removes an upstream that the list no longer has.
 
         Args:
             upstream_id: The upstream.
-            store_unstable: Whether the store was recently unreachable. The
-                upstream may then be running although its list entry expired,
-                so it is kept for a grace time.
+            may_have_lapsed: Whether the upstream may be running although its
+                list entry expired, in an outage of the store; it is then kept
+                for a grace time.
             now: In seconds.
         """
         tracked = self.tracked.get(upstream_id)
         if tracked is None:
             return
-        if store_unstable:
+        if may_have_lapsed:
             tracked.lapsed = True
             return
         self.drop(upstream_id, now=now)
--- a/standins/src/rhubarbbank_standins/platform_store.py
+++ b/standins/src/rhubarbbank_standins/platform_store.py
@@ -104,6 +104,7 @@
         calls: Number of calls by port.
         watches: Number of watches by kind and whether they allowed an old
             answer.
+        waiting: Connections of watches that wait for a change.
     """
 
     def __init__(self) -> None:
@@ -118,6 +119,7 @@
         self.watches: collections.Counter[tuple[str, bool]] = (
             collections.Counter()
         )
+        self.waiting: set[asyncio.Transport] = set()
 
     def build_app(self) -> web.Application:
         """Returns the HTTP application."""
@@ -229,8 +231,25 @@
             }
         )
 
+    def cut_watches(self) -> None:
+        """Closes the connections of all watches that wait."""
+        for transport in self.waiting:
+            transport.abort()
+
     async def watch(self, request: web.Request, kind: str) -> web.Response:
         """Answers as soon as something has changed."""
+        transport = request.transport
+        assert transport is not None
+        self.waiting.add(transport)
+        try:
+            return await self.wait_for_change(request, kind)
+        finally:
+            self.waiting.discard(transport)
+
+    async def wait_for_change(
+        self, request: web.Request, kind: str
+    ) -> web.Response:
+        """Returns the changes since a revision, once there are any."""
         since = int(request.query["watch"])
         self.watches[kind, is_cheap(request)] += 1
         loop = asyncio.get_running_loop()
