--- a/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
@@ -297,7 +297,7 @@
     *,
     now: float,
 ) -> list[effects.Effect]:
-    """Ends a request whose answer would invite its caller to repeat it."""
+    """Gives up on a request whose answer's status would deny that it ran."""
     log = attempt_log.build_attempt_line(
         opened,
         attempt,
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/store_outages.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/store_outages.py
@@ -144,7 +144,14 @@
         return now - self.lapses_until < defaults.LAPSE_GRACE_S
 
     def compute_regained_age_s(self, *, now: float) -> float | None:
-        """Returns what `record_relayed_answer` takes; None without lapses."""
+        """Returns for how long the list can be read again after an outage.
+
+        Entries that ask this one pass it to `record_relayed_answer`.
+
+        Returns:
+            The time in seconds; None if there was no outage in which
+            registrations may have lapsed.
+        """
         if self.lapses_until is None:
             return None
         regained_at = self.lapses_until
