Read the speed of the upstreams' hosts in load reports

Cause: parse_load took exactly three figures and dropped the whole report when there was a fourth, so that placement saw no load at all on such upstreams.

Change: three or more figures are read; the fourth goes into the expected time of placement, the time-outs of plain attempts and the judge of a roll-out, and loses its weight within a second. Reports that can't be read are counted. The bytes of open requests are counted for each upstream.

--- a/packages/rhubarbbank-core/src/rhubarbbank_core/placement.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/placement.py
@@ -64,6 +64,8 @@
         leaving: Whether it accepts no new requests.
         backlog_s: Remaining work of this entry's attempts there, in
             seconds.
+        slowdown: By which factor work is expected to take longer there than
+            usual.
     """
 
     name: str
@@ -79,6 +81,7 @@
     service_s: float = 1.0
     leaving: bool = False
     backlog_s: float = 0.0
+    slowdown: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -93,6 +96,8 @@
             placement policy.
         prompt_blocks: Length of the prompt in cache blocks.
         prefill_s_per_block: Prefill time of one uncached block, in seconds.
+        answer_s: Usual time of the whole answer, in seconds, if it is part of
+            what the caller waits for; 0 for streams.
         excluded: Upstreams at which an earlier attempt failed.
     """
 
@@ -100,6 +105,7 @@
     session_credit_s: float | None = None
     prompt_blocks: int = 0
     prefill_s_per_block: float = 0.002
+    answer_s: float = 0.0
     excluded: frozenset[str] = frozenset()
 
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/answer_heads.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/answer_heads.py
@@ -31,10 +31,15 @@
         return []
     opened, attempt = found
     attempt_evidence.record_progress(state, attempt, now=now)
+    out: list[effects.Effect] = []
     if head.load is not None:
         attempt.load_level = head.load.level
+        attempt.slowdown = head.load.slowdown
         state.view.record_load(attempt.upstream, head.load, now=now)
-    out = apply_upstream_notices(state, attempt, head, now=now)
+        out.append(fx.Count("load_reports"))
+    if head.has_invalid_load:
+        out.append(fx.Count("load_reports_invalid"))
+    out += apply_upstream_notices(state, attempt, head, now=now)
     if head.refused or head.misdirected:
         return [*out, *handle_refusal(state, opened, attempt, head, now=now)]
     if not head.genuine:
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
@@ -119,13 +119,14 @@
     if attempt.first_event_at is None:
         attempt.first_event_at = now
         out += record_first_event(state, opened, attempt, now=now)
-    elif attempt.events == defaults.MIN_EVENTS_FOR_PACE:
+    elif (
+        attempt.events == defaults.MIN_EVENTS_FOR_PACE
+        and attempt_evidence.is_slow(state, opened, attempt, now=now)
+    ):
         # Recorded now, since evidence of a slow stream at its end is too late.
-        times = state.view.get_service_times(attempt.service)
-        if attempt_evidence.is_slow(opened, attempt, times, now=now):
-            attempt_evidence.record_trial_evidence(
-                state, opened, attempt, failed=False, slow=True, now=now
-            )
+        attempt_evidence.record_trial_evidence(
+            state, opened, attempt, failed=False, slow=True, now=now
+        )
     last = opened.last_event_id
     if last and not event_stream.follows(event.event_id, last):
         return out
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_evidence.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_evidence.py
@@ -42,7 +42,7 @@
         is_server_error = (
             attempt.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR
         )
-        slow = silent or is_slow(opened, attempt, times, now=now)
+        slow = silent or is_slow(state, opened, attempt, now=now)
         record_trial_evidence(
             state, opened, attempt, failed=is_server_error, slow=slow, now=now
         )
@@ -104,19 +104,38 @@
     )
 
 
+def predict_excuse(
+    state: states.RouterState,
+    attempt: attempt_states.Attempt,
+    *,
+    duration_s: float,
+) -> float:
+    """Returns by which factor an attempt's host explains a longer time.
+
+    A slow host isn't evidence on the version that runs there.
+    """
+    mean = state.view.get_service_times(attempt.service).slowdown
+    slowdown = state.slowdowns.predict(
+        attempt.slowdown, mean=mean, age_s=0.0, duration_s=duration_s
+    )
+    return max(1.0, slowdown / mean)
+
+
 def is_slow(
+    state: states.RouterState,
     opened: states.OpenRequest,
     attempt: attempt_states.Attempt,
-    times: upstreams.ServiceTimes,
     *,
     now: float,
 ) -> bool:
     """Returns whether an attempt took several times the expected time."""
+    times = state.view.get_service_times(attempt.service)
     waited_s = (attempt.first_event_at or now) - attempt.sent_at
     expected_s = times.answer_s
     if opened.is_stream:
         work_s = attempt.backlog_s + attempt.prefill_s
         expected_s = max(times.first_event_s, work_s)
+    expected_s *= predict_excuse(state, attempt, duration_s=waited_s)
     # A wait past the route's objective is slow even below SLOW_FLOOR_S.
     floor_s = min(defaults.SLOW_FLOOR_S, opened.route.target_latency_s)
     limit_s = max(defaults.SLOW_FACTOR * expected_s, floor_s)
@@ -146,7 +165,9 @@
         usual_s = times.answer_s_by_route.get(opened.route.name)
         if usual_s is None or attempt.status != http.HTTPStatus.OK:
             return None
-        return now - attempt.sent_at > defaults.DRAG_PLAIN_FACTOR * usual_s
+        took_s = now - attempt.sent_at
+        usual_s *= predict_excuse(state, attempt, duration_s=took_s)
+        return took_s > defaults.DRAG_PLAIN_FACTOR * usual_s
     return exceeds_usual_pace(
         defaults.DRAG_PACE_FACTOR, attempt, times, now=now
     )
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_states.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_states.py
@@ -72,6 +72,9 @@
             of crashing upstreams.
         backlog_s: Expected work queued at the upstream before it, as far as
             this entry knows, in seconds.
+        slowdown: By which factor work took longer on the upstream's host than
+            usual, as reported with the answer.
+        request_bytes: Size of the request's target, headers and body.
     """
 
     number: int
@@ -102,6 +105,8 @@
     backlog_s: float = 0.0
     is_sound: bool = False
     tried_traits: frozenset[str] = frozenset()
+    slowdown: float = 1.0
+    request_bytes: int = 0
 
 
 def has_not_run(attempts: list[Attempt]) -> bool:
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/callers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/callers.py
@@ -88,6 +88,12 @@
     resume_after: str = ""
     generation: GenerationParameters | None = None
 
+    @property
+    def size_bytes(self) -> int:
+        """Size of the target, the headers and the body, in bytes."""
+        head = sum(len(name) + len(value) for name, value in self.headers)
+        return len(self.target) + head + len(self.body)
+
     @property
     def affinity_key(self) -> str:
         """Equal for requests that can use each other's prefix cache."""
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -95,6 +95,11 @@
 # While an attempt generates tokens it delays others by this share of its
 # prefill work.
 DECODE_WORK_SHARE = 0.15
+# Range of the factors by which work takes longer on an upstream's host that are
+# believed, and the time constant with which they decay.
+MIN_SLOWDOWN = 0.2
+MAX_SLOWDOWN = 10.0
+SLOWDOWN_DECAY_S = 0.3
 # Time constant of the exponential decay of a load report's weight.
 REPORT_DECAY_S = 1.0
 # Random candidates that placement compares at most.
@@ -102,6 +107,9 @@
 # Added to the expected time at upstreams in another data centre: traffic
 # between data centres costs money, and requests carry their prompt.
 OTHER_DATA_CENTRE_PENALTY_MS = 300.0
+# The same for plain requests, as a share of their route's target latency, where
+# upstreams report the speed of their hosts.
+DISTANCE_OBJECTIVE_SHARE = 0.25
 # How much longer the upstream that all entries prefer for a prompt may take.
 AFFINITY_CREDIT_S = 0.1
 # The credit is at least this share of the prefill time of the prompt's shared
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
@@ -24,6 +24,7 @@
 from rhubarbbank_router import upstreams
 
 MAX_PRIORITY = 9
+MS_PER_S = 1000.0
 
 
 def send(
@@ -59,6 +60,7 @@
             session_credit_s=compute_affinity_credit_s(state, opened),
             prompt_blocks=count_prompt_blocks(opened),
             prefill_s_per_block=compute_prefill_s_per_block(state, opened),
+            answer_s=find_answer_s(state, opened),
         ),
     )
     if decision is None:
@@ -84,6 +86,8 @@
                 ("wait_s", round(decision.expected_wait_s, 3)),
                 ("in_flight", tracked.in_flight),
                 ("load_age_s", describe_load_age(tracked, now=now)),
+                ("slowdown", tracked.slowdown),
+                ("held_bytes", tracked.held_bytes),
                 ("left_s", round(opened.deadline - now, 3)),
             ),
         ),
@@ -138,6 +142,7 @@
     speed = state.prefill_speeds.find(opened.service, find_model(opened))
     attempt = attempt_states.Attempt(
         number=len(opened.attempts) + 1,
+        request_bytes=opened.request.size_bytes,
         upstream=upstream.upstream_id,
         upstream_started_ms=upstream.started_ms,
         service=opened.service,
@@ -245,9 +250,9 @@
     """Returns an upstream's state and load in the form placement takes."""
     listed = tracked.listed
     times = state.view.get_service_times(opened.service)
-    is_remote = listed.data_centre != state.settings.data_centre
     cached_tokens = count_cached_tokens(state, opened, listed, now=now)
     load = tracked.load
+    backlog_s = engine_load.sum_backlog_s(tracked, state.peer_workload, now=now)
     return placement.Candidate(
         name=listed.upstream_id,
         own_in_flight=tracked.in_flight,
@@ -257,15 +262,81 @@
         waiting=load.waiting if load else 0,
         max_batch=max(1, load.slots if load else listed.slots),
         report_age_s=now - tracked.load_at if load else math.inf,
-        latency_ms=defaults.OTHER_DATA_CENTRE_PENALTY_MS if is_remote else 0.0,
+        latency_ms=compute_distance_ms(state, opened, tracked),
         cached_blocks=cached_tokens // defaults.TOKENS_PER_BLOCK,
         service_s=times.answer_s,
-        backlog_s=engine_load.sum_backlog_s(
-            tracked, state.peer_workload, now=now
+        backlog_s=backlog_s,
+        slowdown=predict_slowdown(
+            state, opened, tracked, backlog_s=backlog_s, now=now
         ),
     )
 
 
+def predict_slowdown(
+    state: states.RouterState,
+    opened: states.OpenRequest,
+    tracked: upstreams.TrackedUpstream,
+    *,
+    backlog_s: float,
+    now: float,
+) -> float:
+    """Returns by which factor a request would take longer at an upstream.
+
+    Args:
+        state: The router's state.
+        opened: The request.
+        tracked: The upstream.
+        backlog_s: Work queued there, in seconds.
+        now: Current time, in seconds.
+    """
+    mean = state.view.get_service_times(opened.service).slowdown
+    if tracked.slowdown == mean:
+        return mean
+    usual_s = find_answer_s(state, opened)
+    if usual_s == 0.0:
+        prompt_s = count_prompt_blocks(opened) * compute_prefill_s_per_block(
+            state, opened
+        )
+        usual_s = backlog_s + prompt_s
+    return state.slowdowns.predict(
+        tracked.slowdown,
+        mean=mean,
+        age_s=now - tracked.load_at,
+        duration_s=usual_s,
+    )
+
+
+def find_answer_s(
+    state: states.RouterState, opened: states.OpenRequest
+) -> float:
+    """Returns the usual time of a plain answer, in seconds; 0 for streams."""
+    if opened.is_stream:
+        return 0.0
+    times = state.view.get_service_times(opened.service)
+    return times.answer_s_by_route.get(opened.route.name, times.answer_s)
+
+
+def compute_distance_ms(
+    state: states.RouterState,
+    opened: states.OpenRequest,
+    tracked: upstreams.TrackedUpstream,
+) -> float:
+    """Returns how much longer an upstream elsewhere has to be worth, in ms.
+
+    Plain requests carry few bytes. Where hosts report their speed, the
+    difference between two of them decides whether the answer is in time, so
+    that the penalty doesn't exceed a share of the route's objective.
+    """
+    if tracked.listed.data_centre == state.settings.data_centre:
+        return 0.0
+    penalty_ms = defaults.OTHER_DATA_CENTRE_PENALTY_MS
+    load = tracked.load
+    if opened.is_stream or load is None or not load.states_slowdown:
+        return penalty_ms
+    objective_ms = opened.route.target_latency_s * MS_PER_S
+    return min(penalty_ms, defaults.DISTANCE_OBJECTIVE_SHARE * objective_ms)
+
+
 def count_prompt_blocks(opened: states.OpenRequest) -> int:
     """Returns the length of the request's prompt, in cache blocks."""
     generation = opened.request.generation
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/events.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/events.py
@@ -47,7 +47,10 @@
             this attempt.
         confidence: The model's confidence in its answer, 0 to 100; None if
             not reported.
-        load: Load report of the upstream; None if the head has none.
+        load: Load report of the upstream; None if the head has none that can
+            be read.
+        has_invalid_load: Whether the head has a load report, or a part of one,
+            that can't be read.
         leaving: Whether the upstream announces its shutdown.
         limit_per_s: How many requests a second the upstream accepts from all
             entries together; None if it names no limit.
@@ -64,6 +67,7 @@
     genuine: bool = True
     confidence: int | None = None
     load: upstreams.LoadReport | None = None
+    has_invalid_load: bool = False
     leaving: bool = False
     limit_per_s: float | None = None
     closed_for_s: float | None = None
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
@@ -178,6 +178,8 @@
     )
     out.append(fx.Gauge("open_requests", len(state.open_requests)))
     out.append(fx.Gauge("upstreams", len(state.view.tracked)))
+    held = [each.held_bytes for each in state.view.tracked.values()]
+    out.append(fx.Gauge("upstream_held_bytes_max", max(held, default=0)))
     return out
 
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
@@ -21,6 +21,7 @@
 from rhubarbbank_router import engine_work
 from rhubarbbank_router import events
 from rhubarbbank_router import freshness_proof
+from rhubarbbank_router import host_speed
 from rhubarbbank_router import options
 from rhubarbbank_router import peer_work
 from rhubarbbank_router import peers
@@ -178,6 +179,7 @@
         view: What is known about the upstreams.
         prefixes: Which upstream caches which prompt prefix.
         prefill_speeds: Estimates of how fast models process prompts.
+        slowdowns: Predicts the speed of the upstreams' hosts.
         open_requests: Open requests, by id.
         sessions: The version that served each session's last request.
         trials: Roll-outs by service.
@@ -252,6 +254,9 @@
     prefill_speeds: engine_work.PrefillSpeeds = dataclasses.field(
         default_factory=engine_work.PrefillSpeeds
     )
+    slowdowns: host_speed.SlowdownEstimate = dataclasses.field(
+        default_factory=host_speed.DecayingSlowdown
+    )
     open_requests: dict[str, OpenRequest] = dataclasses.field(
         default_factory=dict
     )
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/timeouts.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/timeouts.py
@@ -105,9 +105,19 @@
     """Returns how long an attempt may be silent, in seconds."""
     times = state.view.get_service_times(opened.service)
     route = opened.route
+    tracked = state.view.tracked.get(attempt.upstream)
     if not opened.is_stream:
         usual_s = defaults.PLAIN_TIMEOUT_MEANS * times.answer_s
-        return max(defaults.PLAIN_TIMEOUT_FLOOR_S, usual_s)
+        slowdown = 1.0
+        if tracked is not None:
+            slowdown = state.slowdowns.predict(
+                tracked.slowdown,
+                mean=times.slowdown,
+                age_s=now - tracked.load_at,
+                duration_s=times.answer_s,
+            )
+            slowdown /= times.slowdown
+        return max(defaults.PLAIN_TIMEOUT_FLOOR_S, usual_s * max(1.0, slowdown))
     timeout_s = max(
         defaults.STALL_TIMEOUT_GAPS * route.target_gap_s,
         defaults.STALL_EVENT_INTERVALS * compute_mean_pace_s(attempt),
@@ -117,7 +127,6 @@
             defaults.FIRST_EVENT_TIMEOUT_SHARE * route.target_latency_s,
             defaults.FIRST_EVENT_TIMEOUT_MEANS * times.first_event_s,
         )
-    tracked = state.view.tracked.get(attempt.upstream)
     if tracked is not None and engine_load.was_heard_within(
         tracked, state.peer_workload, defaults.UPSTREAM_ALIVE_S, now=now
     ):
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
@@ -46,11 +46,15 @@
         running: Number of requests in its slots.
         waiting: Number of requests in its queue.
         slots: Number of requests that it runs concurrently.
+        slowdown: By which factor work takes longer on its host than usual.
+        states_slowdown: Whether the report has that figure.
     """
 
     running: int
     waiting: int
     slots: int
+    slowdown: float = 1.0
+    states_slowdown: bool = False
 
     @property
     def level(self) -> int:
@@ -105,6 +109,16 @@
         """Number of this entry's open attempts there."""
         return len(self.attempts)
 
+    @property
+    def held_bytes(self) -> int:
+        """Size of the requests of these attempts, in bytes."""
+        return sum(each.request_bytes for each in self.attempts.values())
+
+    @property
+    def slowdown(self) -> float:
+        """The slowdown in the last load report; 1 without one."""
+        return self.load.slowdown if self.load else 1.0
+
 
 @dataclasses.dataclass(slots=True)
 class ServiceTimes:
@@ -115,6 +129,7 @@
         first_event_s: From sending to a stream's first event.
         pace_s: Between two events of a stream, by model and load level.
         answer_s_by_route: Like `answer_s`, by route.
+        slowdown: Of the hosts, in load reports; not in seconds.
     """
 
     answer_s: float = defaults.INITIAL_ANSWER_S
@@ -125,6 +140,7 @@
     answer_s_by_route: dict[str, float] = dataclasses.field(
         default_factory=dict
     )
+    slowdown: float = 1.0
 
     def find_pace_s(self, model: str, level: int) -> float | None:
         """Returns the usual time between events at a load level.
@@ -395,6 +411,8 @@
             tracked.load = load
             tracked.load_at = now
             tracked.own_at_report = tracked.in_flight
+            times = self.get_service_times(tracked.listed.service)
+            times.slowdown = smooth(times.slowdown, load.slowdown)
 
     def record_bytes_received(self, upstream_id: str, *, now: float) -> None:
         """Records that bytes of an answer were received."""
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/work_placement.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/work_placement.py
@@ -13,6 +13,9 @@
 all entries, and all would send their requests there. The upstream that all
 entries prefer for the same prompt gets a small credit, so that such requests
 go where parts of the prompt are cached.
+
+On hosts that report how long work takes at the moment (see `host_speed`), the
+estimate is longer or shorter by that factor.
 """
 
 import collections.abc
@@ -106,10 +109,14 @@
     excess = candidate.own_in_flight + others + 1.0 - candidate.max_batch
     queued = max(0.0, excess) / candidate.max_batch
     uncached = max(0, request.prompt_blocks - candidate.cached_blocks)
-    return (
+    delayed_s = (
         candidate.backlog_s
         + queued * candidate.service_s
         + uncached * request.prefill_s_per_block
+    )
+    return (
+        candidate.slowdown * delayed_s
+        + (candidate.slowdown - 1.0) * request.answer_s
         + candidate.latency_ms / MS_PER_S
     )
 
