Send nothing to an evacuated data centre

Change: bounds.evac_ms, where set, makes readers watch the kind and relay the whole set in their updates. list_accepting leaves out the upstreams of evacuated data centres; a set that is too old makes an entry read itself, and what a restored copy lacks stays in force until the loss would be repaired. Entries are ready only once the kind has been read. Without the setting nothing is read and no decision changes. Result: features/router_evacuations.feature, 25 scenarios passed; 17 fail without the predicate, 2 if updates' evacuations are dropped and staleness is ignored. 120 further histories of 6 entries: no violation.

--- a/experiments/src/rhubarbbank_experiments/platform_fleet.py
+++ b/experiments/src/rhubarbbank_experiments/platform_fleet.py
@@ -160,6 +160,7 @@
         store: The store's stand-in.
         runners: Runners by name.
         entries: The entries.
+        bounds: Bounds in the entries' settings.
         loop: The event loop of the stand-ins' thread.
     """
 
@@ -168,6 +169,7 @@
         self.store = platform_store.PlatformStore()
         self.runners: dict[str, platform_runner.PlatformRunner] = {}
         self.entries: list[EntryProcess] = []
+        self.bounds: dict[str, Any] = {"retry_ratio": 0.9, "retry_extra": 56.0}
         self.stack = contextlib.ExitStack()
         self.loop = asyncio.new_event_loop()
         self.thread = threading.Thread(target=self.loop.run_forever)
@@ -264,7 +266,7 @@
             "metrics_address": metrics,
             "peer_address": peer,
             "store_address": f"{LOCAL}:{self.store_ports[number]}",
-            "bounds": {"retry_ratio": 0.9, "retry_extra": 56.0},
+            "bounds": self.bounds,
         }
         path = self.folder / f"{name}.json"
         path.write_text(json.dumps(settings), encoding="utf-8")
--- a/features/support/relay_fleet.py
+++ b/features/support/relay_fleet.py
@@ -115,8 +115,11 @@
         listed_again_at: When a restored store has dropped the upstreams that
             have ended.
         violations: Descriptions of violated conditions.
+        bounds: Bounds in the entries' settings.
     """
 
+    bounds = BOUNDS
+
     def __init__(
         self, *, rng, entries, loss_rate=0.0, faults=True, restores=False
     ):
@@ -147,7 +150,7 @@
             self.start(f"entry-{number}")
 
     def start(self, name):
-        world = router_world.World(name=name, **BOUNDS)
+        world = router_world.World(name=name, **self.bounds)
         world.now = self.now
         node = Node(world, started_at=self.now, faulty_until=self.now)
         self.nodes[name] = node
--- a/features/support/router_world.py
+++ b/features/support/router_world.py
@@ -178,6 +178,7 @@
         """Answers the first reads of orders, upstreams and configuration."""
         self.apply(events.RolloutsListed(()))
         self.list_upstreams(*(build_upstream(n) for n in range(count)))
+        self.apply(events.EvacuationsListed(()))
         self.configure()
 
     def ask(self, route, *, key=KEY, timeout_s=20.0, **changes):
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -140,6 +140,9 @@
 # transfer of the request.
 CONFIGURATION_MARGIN_S = 1.0
 UPSTREAMS_MARGIN_S = 1.2
+EVACUATIONS_MARGIN_S = 1.0
+# How long the end of an evacuation is remembered.
+ENDED_EVACUATION_S = 60.0
 # How often an entry requests an update from a reader, and for how long a reader
 # sends changes to an entry after its last request. A reader that sent no fresh
 # data for as long counts as lost.
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
@@ -18,6 +18,7 @@
 from rhubarbbank_router import effects
 from rhubarbbank_router import engine_load
 from rhubarbbank_router import engine_work
+from rhubarbbank_router import evacuation_list
 from rhubarbbank_router import rollouts
 from rhubarbbank_router import size_policy
 from rhubarbbank_router import state as states
@@ -422,6 +423,9 @@
             ("status", 0 if opened.answer_started else int(status)),
             ("age_s", round(now - opened.arrived_at, 3)),
             ("states", ",".join(x.state.value for x in opened.attempts)),
+            *evacuation_list.build_refusal_inputs(
+                state, opened.service, now=now
+            ),
         ),
     )
     if opened.answer_started:
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/events.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/events.py
@@ -11,6 +11,7 @@
 from rhubarbbank_core import events
 from rhubarbbank_router import callers
 from rhubarbbank_router import configuration
+from rhubarbbank_router import evacuations
 from rhubarbbank_router import peers
 from rhubarbbank_router import store_position
 from rhubarbbank_router import upstreams
@@ -132,6 +133,7 @@
     UPSTREAMS = "upstreams"
     ROLLOUTS = "rollouts"
     ENTRIES = "entries"
+    EVACUATIONS = "evacuations"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -271,6 +273,48 @@
     name: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EvacuationsListed:
+    """The complete list of evacuated data centres was read.
+
+    Attributes:
+        listed: The evacuations.
+        position: Position of the store at which the list was read.
+        asked_at: When the read was sent.
+    """
+
+    listed: tuple[evacuations.Evacuation, ...]
+    position: store_position.StorePosition = store_position.START
+    asked_at: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EvacuationChanged:
+    """An evacuation was requested, or its record changed."""
+
+    evacuation: evacuations.Evacuation
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EvacuationRemoved:
+    """The evacuation of a data centre was taken back."""
+
+    data_centre: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EvacuationsConfirmed:
+    """All changes to the evacuations up to a position were delivered.
+
+    Attributes:
+        position: That position of the store.
+        current_at: A time at which the delivered set was current.
+    """
+
+    position: store_position.StorePosition
+    current_at: float
+
+
 AnyEvent = (
     RequestArrived
     | CallerLeft
@@ -293,6 +337,10 @@
     | EntriesListed
     | EntryListed
     | EntryUnlisted
+    | EvacuationsListed
+    | EvacuationChanged
+    | EvacuationRemoved
+    | EvacuationsConfirmed
     | events.Ticked
     | events.MessageReceived
     | events.StopRequested
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
@@ -12,6 +12,7 @@
 from rhubarbbank_router import defaults
 from rhubarbbank_router import effects
 from rhubarbbank_router import engine_load
+from rhubarbbank_router import evacuation_list
 from rhubarbbank_router import heartbeat_forwarding
 from rhubarbbank_router import limit_sharing
 from rhubarbbank_router import messages
@@ -58,6 +59,7 @@
     is_current = store_reading.apply_proof(state, update)
     for event in store_reading.build_upstream_events(state, update):
         out += upstream_list.handle_event(state, event, now=now)
+    out += evacuation_list.apply_update(state, update, now=now)
     if is_current:
         store_reading.record_reader_freshness(state, update, now=now)
     return out
@@ -178,6 +180,7 @@
     )
     out.append(fx.Gauge("open_requests", len(state.open_requests)))
     out.append(fx.Gauge("upstreams", len(state.view.tracked)))
+    out += evacuation_list.build_gauges(state, now=now)
     return out
 
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/messages.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/messages.py
@@ -237,6 +237,22 @@
         return store_position.StorePosition(self.list_era, self.position)
 
 
+class EvacuationReport(msgspec.Struct, frozen=True, array_like=True):
+    """An evacuation of a data centre that is in force at the sender.
+
+    Attributes:
+        data_centre: The data centre.
+        age_ms: For how long it has been in force there, in milliseconds.
+        position: Store revision of its last change.
+        era: The store's era in which that revision was given out.
+    """
+
+    data_centre: str
+    age_ms: int
+    position: int = 0
+    era: int = 0
+
+
 class StoreUpdate(effects.Message, frozen=True, tag="told"):
     """Changes in the store, from an entry that reads it.
 
@@ -257,6 +273,12 @@
         version: The operators' version of the confirmed configuration.
         era: The store's era in which it was read.
         list_era: The store's era in which `position` was given out.
+        evacuated: All evacuated data centres; None if the sender doesn't know
+            them.
+        evacuations_position: Store revision up to which these are complete.
+        evacuations_era: The store's era in which that revision was given out.
+        evacuations_age_s: Time since these were last known to be complete, in
+            seconds.
     """
 
     name: str
@@ -272,6 +294,10 @@
     version: int = 0
     era: int = 0
     list_era: int = 0
+    evacuated: tuple[EvacuationReport, ...] | None = None
+    evacuations_position: int = 0
+    evacuations_era: int = 0
+    evacuations_age_s: float = 0.0
 
     @property
     def list_position(self) -> store_position.StorePosition:
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/options.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/options.py
@@ -19,6 +19,9 @@
         drain_ms: Maximum time after which a leaving upstream receives no new
             requests.
         session_s: Maximum time between two requests of a session.
+        evac_ms: Maximum time after which the upstreams of an evacuated data
+            centre receive no new requests; None if evacuations aren't
+            followed. Setting or unsetting it requires a restart.
     """
 
     revoke_ms: float = 5_000.0
@@ -29,6 +32,7 @@
     config_apply_ms: float = 2_000.0
     drain_ms: float = 2_000.0
     session_s: float = 5.0
+    evac_ms: float | None = None
 
 
 class RouterSettings(
@@ -100,7 +104,7 @@
             remedy="Set it to the bound agreed with the users.",
         )
         for field in settings.bounds.__struct_fields__
-        if getattr(settings.bounds, field) <= 0
+        if (bound := getattr(settings.bounds, field)) is not None and bound <= 0
     ]
     if not settings.name:
         faults.append(
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
@@ -17,6 +17,7 @@
 from rhubarbbank_router import crash_suspects
 from rhubarbbank_router import defaults
 from rhubarbbank_router import effects
+from rhubarbbank_router import evacuation_list
 from rhubarbbank_router import events
 from rhubarbbank_router import freshness_proof
 from rhubarbbank_router import heartbeats
@@ -92,6 +93,7 @@
             suspects=suspects,
             causes=crash_causes.CrashCauses(suspects),
         )
+        self.state.evacuations.is_followed = bounds.evac_ms is not None
 
     def step(
         self, *, now: float, event: events.AnyEvent
@@ -143,6 +145,11 @@
         """The store's position up to which the list of upstreams is known."""
         return self.state.relay.change_log.position
 
+    @property
+    def evacuations_position(self) -> store_position.StorePosition:
+        """The store's position up to which the evacuations are known."""
+        return self.state.evacuations.position
+
     @property
     def store_era(self) -> int:
         """The store's newest known era; 0 if it has named none."""
@@ -189,6 +196,13 @@
                 return []
             case events.RolloutRecorded(service, done):
                 return self.log_record_ended(service, done)
+            case (
+                events.EvacuationsListed()
+                | events.EvacuationChanged()
+                | events.EvacuationRemoved()
+                | events.EvacuationsConfirmed()
+            ):
+                return evacuation_list.handle_event(state, event, now=now)
             case _:
                 self.apply_entry_event(now, event)
                 return upstream_list.handle_event(self.state, event, now=now)
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
@@ -19,6 +19,7 @@
 from rhubarbbank_router import crash_suspects
 from rhubarbbank_router import defaults
 from rhubarbbank_router import engine_work
+from rhubarbbank_router import evacuations
 from rhubarbbank_router import events
 from rhubarbbank_router import freshness_proof
 from rhubarbbank_router import options
@@ -299,8 +300,17 @@
         return (
             self.active_configuration is not None
             and self.listed_subjects >= REQUIRED_LISTS
+            and (
+                not self.evacuations.is_followed
+                or events.Subject.EVACUATIONS in self.listed_subjects
+            )
         )
 
+    @property
+    def evacuations(self) -> evacuations.Evacuations:
+        """Which data centres are evacuated."""
+        return self.view.evacuations
+
     def get_store_availability(self, subject: str) -> StoreAvailability:
         """Returns the store's availability for a subject."""
         return self.store_availability.setdefault(subject, StoreAvailability())
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/store_reading.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/store_reading.py
@@ -5,11 +5,14 @@
 applies the replies.
 """
 
+import math
+
 from rhubarbbank_core import effects as core_effects
 from rhubarbbank_core import program_effects as fx
 from rhubarbbank_router import configuration
 from rhubarbbank_router import defaults
 from rhubarbbank_router import effects
+from rhubarbbank_router import evacuation_relay
 from rhubarbbank_router import events
 from rhubarbbank_router import messages
 from rhubarbbank_router import options
@@ -26,12 +29,17 @@
         configuration_s=bounds.config_apply_ms / MS_PER_S
         - defaults.CONFIGURATION_MARGIN_S,
         upstreams_s=bounds.drain_ms / MS_PER_S - defaults.UPSTREAMS_MARGIN_S,
+        evacuations_s=math.inf
+        if bounds.evac_ms is None
+        else bounds.evac_ms / MS_PER_S - defaults.EVACUATIONS_MARGIN_S,
     )
 
 
 def should_read(state: states.RouterState, subject: events.Subject) -> bool:
     """Returns whether this entry should read a subject from the store now."""
     relay = state.relay
+    if subject is events.Subject.EVACUATIONS:
+        return relay.is_reader and state.evacuations.is_followed
     if relay.is_reader:
         return True
     if subject is events.Subject.CONFIGURATION:
@@ -140,7 +148,9 @@
         return True
     limits = relay.limits
     stale = (
-        proof_age_s > limits.configuration_s or list_age_s > limits.upstreams_s
+        proof_age_s > limits.configuration_s
+        or list_age_s > limits.upstreams_s
+        or evacuation_relay.is_stale(state, now=now)
     )
     return stale or (reader is None and is_first_in_data_centre(state, now=now))
 
@@ -196,7 +206,10 @@
         ),
     )
     reply = state.relay.build_reply(request, facts, now=now)
-    return [] if reply is None else [core_effects.Send(request.address, reply)]
+    if reply is None:
+        return []
+    reply = evacuation_relay.add_to_update(state, reply, now=now)
+    return [core_effects.Send(request.address, reply)]
 
 
 def apply_proof(state: states.RouterState, reply: messages.StoreUpdate) -> bool:
@@ -270,5 +283,6 @@
         and list_age_s is not None
         and now - reply.asked_at + reply.proof_age_s <= limits.configuration_s
         and now - reply.asked_at + reply.list_age_s <= limits.upstreams_s
+        and evacuation_relay.is_update_fresh(state, reply, now=now)
     )
     state.relay.record_reply(now=now, is_fresh=is_fresh)
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/store_relay.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/store_relay.py
@@ -22,6 +22,7 @@
 
 import collections
 import dataclasses
+import math
 
 from rhubarbbank_router import configuration
 from rhubarbbank_router import defaults
@@ -39,15 +40,19 @@
     Attributes:
         configuration_s: Maximum age of the configuration's freshness proof.
         upstreams_s: Maximum age of the list of upstreams.
+        evacuations_s: Maximum age of the evacuated data centres.
     """
 
     configuration_s: float
     upstreams_s: float
+    evacuations_s: float = math.inf
 
     @property
     def allow_relays(self) -> bool:
         """Whether the limits leave enough time for the relay by a reader."""
-        least_s = min(self.configuration_s, self.upstreams_s)
+        least_s = min(
+            self.configuration_s, self.upstreams_s, self.evacuations_s
+        )
         return least_s >= defaults.RELAY_MIN_MARGIN_S
 
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
@@ -9,6 +9,7 @@
 
 from rhubarbbank_router import attempt_states
 from rhubarbbank_router import defaults
+from rhubarbbank_router import evacuations
 from rhubarbbank_router import upstream_limits
 from rhubarbbank_router import upstream_notices
 
@@ -161,10 +162,12 @@
         limits: The rate limits that they named.
         removed_at: When the list dropped an upstream, by id and start time;
             oldest first.
+        evacuations: Which data centres get no new requests.
     """
 
     def __init__(self) -> None:
         self.removed_at: dict[tuple[str, int], float] = {}
+        self.evacuations = evacuations.Evacuations()
         self.limits = upstream_limits.UpstreamLimits()
         self.notices = upstream_notices.UpstreamNotices()
         self.tracked: dict[str, TrackedUpstream] = {}
@@ -308,6 +311,7 @@
             and not tracked.listed.leaving
             and not tracked.misdirected
             and tracked.doubtful_until is None
+            and not self.evacuations.is_evacuated(tracked.listed.data_centre)
             and not self.limits.is_exhausted(
                 tracked.listed.upstream_id, tracked.listed.started_ms, now=now
             )
@@ -329,6 +333,8 @@
             notice = self.notices.find(listed.upstream_id, listed.started_ms)
             if listed.service != service or listed.leaving or notice is None:
                 continue
+            if self.evacuations.is_evacuated(listed.data_centre):
+                continue
             if notice.closed_until > now and not notice.leaving:
                 times.append(notice.closed_until)
         return min(times, default=None)
@@ -343,6 +349,7 @@
                 listed.service != service
                 or listed.leaving
                 or limit is None
+                or self.evacuations.is_evacuated(listed.data_centre)
                 or self.notices.is_closed(
                     listed.upstream_id, listed.started_ms, now=now
                 )
