Accept no key from a copy of the store that may be new

Cause: an entry that starts took the first era that it saw for an old one, so that a read of a copy just restored was a proof of freshness until a peer's heartbeat, which may come a second later.

Change: the era must have been seen RESTORE_SETTLE_S before the read was sent, by this entry, by a peer (heartbeats carry the age of the era), or by an entry whose registration names the era as settled. Until then the entry isn't ready, holds requests for START_WAIT_S and then refuses those with keys.

--- a/features/router_restores.feature
+++ b/features/router_restores.feature
@@ -76,6 +76,59 @@
     And a caller asks "look"
     Then the request has been sent 1 times
 
+  Scenario Outline: An entry that starts trusts no copy that may be new
+    Given a router that starts and reads version 4, at revision 90 of era <era>
+    When 1 s pass
+    And a caller asks "look"
+    Then <outcome>
+
+    Examples:
+      | era | outcome                               |
+      | 2   | the caller has a 503 with Retry-After |
+      | 0   | the request has been sent 1 times     |
+
+  Scenario: An entry that starts alone waits until lost changes are written again
+    Given a router that starts and reads version 4, at revision 90 of era 2
+    When version 4, at revision 90 of era 2, is read for 2.5 s
+    And a caller asks "look"
+    Then the request has been sent 1 times
+    And era 2 is registered as settled 1 times
+
+  Scenario Outline: Another entry tells one that starts how old the era is
+    Given a router that starts and reads version 4, at revision 90 of era 2
+    When <news>
+    And 1 s pass
+    And a caller asks "look"
+    Then <outcome>
+
+    Examples:
+      | news                                                    | outcome                               |
+      | a peer that has seen era 2 for 9 s sends a heartbeat    | the request has been sent 1 times     |
+      | a peer that has seen era 2 for 0.5 s sends a heartbeat  | the caller has a 503 with Retry-After |
+      | a peer that has seen era 1 for 9 s sends a heartbeat    | the caller has a 503 with Retry-After |
+
+  Scenario Outline: A registration that survived all entries tells it as well
+    Given a router that starts and reads version 4, at revision 90 of era 2
+    When a registration that has era <era> as settled is <place>
+    And version 4, at revision 90 of era 2, is read
+    And 1 s pass
+    And a caller asks "look"
+    Then <outcome>
+
+    Examples:
+      | era | place   | outcome                               |
+      | 2   | listed  | the request has been sent 1 times     |
+      | 2   | changed | the request has been sent 1 times     |
+      | 1   | listed  | the caller has a 503 with Retry-After |
+
+  Scenario: A request is held until the era is known to have settled
+    Given a router that starts and reads version 4, at revision 90 of era 2
+    When a caller asks "look"
+    Then the caller has no answer yet
+    When a peer that has seen era 2 for 9 s sends a heartbeat
+    And 0.1 s pass
+    Then the request has been sent 1 times
+
   Scenario: A peer that is first to read a new version voids no proof
     Given a router that knows version 3, at revision 70 of era 2
     When a peer that has known version 4 for 0 s sends a heartbeat
--- a/features/steps/restored_configuration_steps.py
+++ b/features/steps/restored_configuration_steps.py
@@ -10,6 +10,8 @@
 
 from rhubarbbank_core import effects as core_effects
 from rhubarbbank_core import events as core_events
+from rhubarbbank_router import defaults
+from rhubarbbank_router import effects
 from rhubarbbank_router import events
 from rhubarbbank_router import messages
 from rhubarbbank_router import peers
@@ -34,8 +36,24 @@
     "a router that knows version {version:d}, at revision {revision:d} of era "
     "{era:d}"
 )
-def start_router(context, version, revision, era):
+def start_settled_router(context, version, revision, era):
+    """Starts a router that has seen the store in that era for long enough."""
+    context.world = router_world.World()
+    context.world.apply(events.StoreEraRead(era))
+    context.world.run(defaults.RESTORE_SETTLE_S + READ_PERIOD_S)
+    start_router(context, version, revision, era)
+
+
+@given(
+    "a router that starts and reads version {version:d}, at revision "
+    "{revision:d} of era {era:d}"
+)
+def start_new_router(context, version, revision, era):
     context.world = router_world.World()
+    start_router(context, version, revision, era)
+
+
+def start_router(context, version, revision, era):
     context.active_versions = []
     context.world.apply(events.StoreEraRead(era))
     context.world.start()
@@ -112,6 +130,30 @@
     deliver_heartbeat(context, peer)
 
 
+@when("a peer that has seen era {era:d} for {age:g} s sends a heartbeat")
+def send_era(context, era, age):
+    peer = start_peer(context, age)
+    peer.apply(events.StoreEraRead(era))
+    deliver_heartbeat(context, peer)
+
+
+@when("a registration that has era {era:d} as settled is {place}")
+def register_peer(context, era, place):
+    peer = peers.PeerAddress(
+        name="entry-1", address="10.0.0.9:1", settled_era=era
+    )
+    event = events.EntryListed(peer)
+    if place == "listed":
+        event = events.EntriesListed((peer,))
+    context.world.apply(event)
+
+
+@then("era {era:d} is registered as settled {count:d} times")
+def check_registered(context, era, count):
+    wanted = effects.RegisterEntry(settled_era=era)
+    assert context.world.effects.count(wanted) == count
+
+
 def start_peer(context, age):
     """Starts another entry, some seconds ago."""
     peer = router_world.World(name="entry-1")
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/effects.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/effects.py
@@ -133,7 +133,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RegisterEntry:
-    """Publishes this entry in the store, if it isn't registered there."""
+    """Publishes this entry in the store, if it isn't registered there.
+
+    Attributes:
+        settled_era: An era of the store that is known to have settled; None
+            to leave what is registered.
+    """
+
+    settled_era: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
@@ -102,6 +102,13 @@
     out += limit_sharing.merge_reports(state, message, now=now)
     out += store_eras.record_peer_version(state, message, now=now)
     out += store_eras.record_peer_restore(state, message, now=now)
+    if message.era_age_ms is not None:
+        out += store_eras.record_era_age(
+            state,
+            message.store_era,
+            seen_at=now - message.era_age_ms / MS_PER_S,
+            source=message.name,
+        )
     if not is_new_incarnation:
         return out
     return [
@@ -212,6 +219,9 @@
         if state.restored_at is None
         else round((now - state.restored_at) * MS_PER_S),
         limits=limit_sharing.build_reports(state, now=now),
+        era_age_ms=None
+        if state.era_seen_at is None
+        else int((now - state.era_seen_at) * MS_PER_S),
     )
 
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/intake.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/intake.py
@@ -72,7 +72,7 @@
     state: states.RouterState, request: callers.IncomingRequest, *, now: float
 ) -> list[effects.Effect]:
     """Admits a new request, or holds it while the entry is starting."""
-    if not state.is_initialised and is_starting(state, now=now):
+    if is_starting(state, now=now):
         state.held_requests[request.request_id] = states.HeldRequest(
             request, now
         )
@@ -89,6 +89,8 @@
 
 def is_starting(state: states.RouterState, *, now: float) -> bool:
     """Returns whether the first reads of the store may still be pending."""
+    if state.is_initialised and state.unproven_read_at is None:
+        return False
     started_at = now if state.started_at is None else state.started_at
     return now - started_at < defaults.START_WAIT_S
 
@@ -99,7 +101,7 @@
     """Admits the requests that were held while the entry was starting."""
     if not state.held_requests:
         return []
-    if not state.is_initialised and is_starting(state, now=now):
+    if is_starting(state, now=now):
         return []
     held = list(state.held_requests.values())
     state.held_requests.clear()
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/messages.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/messages.py
@@ -169,6 +169,8 @@
         restored_age_ms: Time since it noticed that the store was restored, in
             milliseconds; None if it hasn't.
         limits: Rate limits that upstreams have named.
+        era_age_ms: Time since any entry is known to have seen the store in
+            that era, in milliseconds; None if it knows none.
     """
 
     name: str
@@ -186,6 +188,7 @@
     store_era: int | None = None
     restored_age_ms: int | None = None
     limits: tuple[LimitReport, ...] = ()
+    era_age_ms: int | None = None
 
 
 class ForwardedHeartbeat(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/peers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/peers.py
@@ -21,10 +21,14 @@
     Attributes:
         name: The entry's name.
         address: Address on which it listens for its peers, "ip:port".
+        settled_era: The era of the store that it recorded as settled: one that
+            had begun long enough before for all lost changes to be written
+            again. None if it recorded none.
     """
 
     name: str
     address: str
+    settled_era: int | None = None
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
@@ -138,6 +138,11 @@
         """Whether entries of the data centre share reads of the store."""
         return self.state.relay.limits.allow_relays
 
+    @property
+    def awaits_proof(self) -> bool:
+        """Whether the last read doesn't prove the configuration's freshness."""
+        return self.state.unproven_read_at is not None
+
     @property
     def list_position(self) -> store_position.StorePosition:
         """The store's position up to which the list of upstreams is known."""
@@ -190,12 +195,17 @@
             case events.RolloutRecorded(service, done):
                 return self.log_record_ended(service, done)
             case _:
-                self.apply_entry_event(now, event)
-                return upstream_list.handle_event(self.state, event, now=now)
+                out = self.apply_entry_event(now, event)
+                return out + upstream_list.handle_event(
+                    self.state, event, now=now
+                )
 
-    def apply_entry_event(self, now: float, event: events.AnyEvent) -> None:
+    def apply_entry_event(
+        self, now: float, event: events.AnyEvent
+    ) -> list[effects.Effect]:
         """Applies a change of the entries registered in the store."""
-        entries = self.state.entries
+        state = self.state
+        entries = state.entries
         match event:
             case events.EntriesListed(listed):
                 entries.replace_registered(listed)
@@ -203,10 +213,13 @@
                     # Peers reply with what this entry should know.
                     self.state.next_heartbeat_at = now
                 self.state.listed_subjects.add(events.Subject.ENTRIES)
+                return store_eras.record_registrations(state, listed, now=now)
             case events.EntryListed(peer):
                 entries.put_registered(peer)
+                return store_eras.record_registrations(state, (peer,), now=now)
             case events.EntryUnlisted(name):
                 entries.remove_registered(name)
+        return []
 
     def apply_configuration(
         self,
@@ -327,6 +340,7 @@
         out += intake.admit_held(state, now=now)
         out += rollouts.tick(state, now=now)
         out += store_reading.tick(state, now=now)
+        out += store_eras.record_settled_era(state, now=now)
         keep = state.outages.may_renew(now=now)
         for upstream_id in state.view.drop_lapsed(keep=keep, now=now):
             out.append(
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
@@ -198,6 +198,13 @@
             that names one.
         restored_at: When a restore of the store was last noticed; None if it
             never was.
+        era_seen_at: The earliest known time at which the store was in its
+            newest known era; None if it has named none.
+        settled_era: The era that this entry has recorded as settled in its
+            registration.
+        unproven_read_at: When the last read that confirmed the active
+            configuration was sent, if it proves no freshness until the era is
+            known to have settled.
         ignored_configuration: Era and revision of the last configuration that
             was read and not activated.
         started_at: When the first event was processed; None before.
@@ -278,6 +285,9 @@
     )
     store_era: int | None = None
     restored_at: float | None = None
+    era_seen_at: float | None = None
+    settled_era: int | None = None
+    unproven_read_at: float | None = None
     ignored_configuration: tuple[int, int] | None = None
     started_at: float | None = None
     held_requests: dict[str, HeldRequest] = dataclasses.field(
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/store_eras.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/store_eras.py
@@ -4,12 +4,15 @@
 again. Its responses name the era, a number that grows with each restore.
 """
 
+from collections.abc import Iterable
+
 from rhubarbbank_core import program_effects as fx
 from rhubarbbank_router import configuration
 from rhubarbbank_router import defaults
 from rhubarbbank_router import effects
 from rhubarbbank_router import events
 from rhubarbbank_router import messages
+from rhubarbbank_router import peers
 from rhubarbbank_router import state as states
 from rhubarbbank_router import store_position
 
@@ -24,6 +27,7 @@
     if known is not None and era <= known:
         return []
     state.store_era = era
+    state.era_seen_at = now if era else None
     if known is None:
         return []
     state.restored_at = now
@@ -66,10 +70,85 @@
         asked_at: When the read that returned the active configuration was
             sent, by this entry or by one that reads for it, in seconds.
     """
-    if has_settled(state, asked_at) and not is_behind_peer(state, asked_at):
+    settled = has_settled(state, asked_at) and is_era_settled(state, asked_at)
+    state.unproven_read_at = None if settled else asked_at
+    if settled and not is_behind_peer(state, asked_at):
         state.proof.confirm(sent_at=asked_at)
 
 
+def is_era_settled(state: states.RouterState, asked_at: float) -> bool:
+    """Returns whether the era of a read had begun long enough before it.
+
+    An entry that starts doesn't know when that was: the store may just have
+    been restored.
+    """
+    if state.era_seen_at is None:
+        return True
+    return asked_at - state.era_seen_at >= defaults.RESTORE_SETTLE_S
+
+
+def record_era_age(
+    state: states.RouterState, era: int | None, *, seen_at: float, source: str
+) -> list[effects.Effect]:
+    """Records when another entry saw the store in an era.
+
+    Args:
+        state: The router's state.
+        era: The era; None if the entry knows none.
+        seen_at: A time at which the store was in that era, in seconds.
+        source: The entry's name.
+    """
+    known = state.era_seen_at
+    if known is None or era != state.store_era or seen_at >= known:
+        return []
+    state.era_seen_at = seen_at
+    read_at = state.unproven_read_at
+    if read_at is None:
+        return []
+    confirm_configuration(state, asked_at=read_at)
+    if state.unproven_read_at is not None:
+        return []
+    return [
+        fx.LogDecision(
+            decision="era_settled",
+            reason=source,
+            inputs=(
+                ("era", era),
+                ("read_after_s", round(read_at - seen_at, 3)),
+            ),
+        )
+    ]
+
+
+def record_registrations(
+    state: states.RouterState,
+    listed: Iterable[peers.PeerAddress],
+    *,
+    now: float,
+) -> list[effects.Effect]:
+    """Records which eras other entries, also ended ones, knew as settled."""
+    seen_at = now - defaults.RESTORE_SETTLE_S
+    return [
+        effect
+        for each in listed
+        for effect in record_era_age(
+            state, each.settled_era, seen_at=seen_at, source=each.name
+        )
+    ]
+
+
+def record_settled_era(
+    state: states.RouterState, *, now: float
+) -> list[effects.Effect]:
+    """Publishes once that the era has settled, for entries that start."""
+    era = state.store_era
+    is_known = not era or state.settled_era == era or state.stopping
+    if is_known or not is_era_settled(state, now):
+        return []
+    state.settled_era = era
+    return [effects.RegisterEntry(settled_era=era)]
+
+
 def has_settled(state: states.RouterState, asked_at: float) -> bool:
     """Returns whether a read shows all that the store has ever accepted.
 
