Let a stop wait for requests that are being received

Cause: exit_if_idle counted open requests only, which a request becomes with its last byte. Those that ended within 0.2 s after the decision to exit were sent to an upstream and cut off.

Change: while the entry is stopping, it counts the connections on which a request is being received or served, and isn't idle while there are any, up to the end of the grace time. What arrives after the decision to exit is refused with a 503 and not sent.

The scenario 'Short requests are still accepted late in the grace time' asked 5 s after the stop of an idle router, which had exited at 2.5 s: such a request is what was cut off. It now has a caller that keeps the process running, and another scenario asserts the 503 after the exit.

--- a/features/router_stop.feature
+++ b/features/router_stop.feature
@@ -18,7 +18,8 @@
     And the request has been sent 0 times
 
   Scenario: Short requests are still accepted late in the grace time
-    When the router is asked to stop
+    When 1 caller is still sending a request
+    And the router is asked to stop
     And 5 s pass
     And a caller asks "look"
     Then the request has been sent 1 times
@@ -40,3 +41,31 @@
     Then the process keeps running
     When the upstream sends events for 0.3 s
     Then the process exits
+
+  Scenario: The process waits for a caller that is still sending its request
+    When 1 caller is still sending a request
+    And the router is asked to stop
+    And 3 s pass
+    Then the process keeps running
+    When a caller asks "look"
+    Then the request has been sent 1 times
+    When its upstream answers 200
+    And 0 callers are still sending a request
+    And 0.1 s pass
+    Then the process exits
+
+  Scenario: A caller that never ends its request doesn't delay the end
+    When 1 caller is still sending a request
+    And the router is asked to stop
+    And 6.5 s pass
+    Then the process keeps running
+    When 0.5 s pass
+    Then the process exits
+
+  Scenario: A request that comes after the decision to exit doesn't run
+    When the router is asked to stop
+    And 3 s pass
+    Then the process exits
+    When a caller asks "look"
+    Then the caller has a 503 with Retry-After
+    And the request has been sent 0 times
--- a/features/steps/platform_stop_steps.py
+++ b/features/steps/platform_stop_steps.py
@@ -142,6 +142,28 @@
     uvloop.run(run_stop())
 
 
+@then("{count:d} connection counts as busy")
+def check_busy(context, count):
+    async def count_busy():
+        server = caller_connection.CallerServer(
+            answer, get_timeouts=lambda: TIMEOUTS
+        )
+        async with contextlib.AsyncExitStack() as stack:
+            runner = web.ServerRunner(server, shutdown_timeout=0.1)
+            await runner.setup()
+            stack.push_async_callback(runner.cleanup)
+            await web.TCPSite(runner, raw_servers.LOCALHOST, 0).start()
+            for caller in (context.idle, context.new, context.sending):
+                await caller.connect(runner.addresses[0][1])
+            await context.idle.complete_request()
+            context.sending.writer.write(HEAD)
+            await asyncio.sleep(0.1)
+            return server.count_busy()
+
+    found = uvloop.run(count_busy())
+    assert found == count, found
+
+
 @then("no request that started is aborted")
 def check_none_aborted(context):
     for caller in (context.idle, context.new):
--- a/features/steps/router_steps.py
+++ b/features/steps/router_steps.py
@@ -454,6 +454,12 @@
     context.world.apply(core_events.StopRequested())
 
 
+@when("{count:d} caller is still sending a request")
+@when("{count:d} callers are still sending a request")
+def count_callers(context, count):
+    context.world.apply(events.CallersCounted(count))
+
+
 @then("the router isn't ready")
 def check_not_ready(context):
     assert not context.world.router.is_ready(now=context.world.now)
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/events.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/events.py
@@ -24,6 +24,18 @@
     request: callers.IncomingRequest
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallersCounted:
+    """While the entry is stopping, callers' connections were counted.
+
+    Attributes:
+        busy: Connections on which a head or a body is being received, or a
+            request is being served.
+    """
+
+    busy: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallerLeft:
     """The caller closed its connection, or reads too slowly."""
@@ -273,6 +285,7 @@
 
 AnyEvent = (
     RequestArrived
+    | CallersCounted
     | CallerLeft
     | UpstreamHead
     | UpstreamData
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/intake.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/intake.py
@@ -145,6 +145,9 @@
     gets a retryable 503 rather than a 401 or 404: its route or key may be
     newer than the configuration in force.
     """
+    if state.is_exiting:
+        # Nothing waits for an answer to this request any more.
+        return STOPPING
     current = state.active_configuration
     if current is None:
         return NO_CONFIGURATION
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
@@ -192,6 +192,9 @@
             case events.RolloutRemoved(service):
                 rollouts.remove_order(state, service)
                 return []
+            case events.CallersCounted(busy):
+                state.busy_callers = busy
+                return []
             case events.RolloutRecorded(service, done):
                 return self.log_record_ended(service, done)
             case _:
@@ -384,7 +387,8 @@
             return []
         elapsed_s = now - state.stop_at
         max_elapsed_s = state.settings.bounds.grace_s - defaults.STOP_MARGIN_S
-        idle = not state.open_requests and elapsed_s >= defaults.STOP_MIN_S
+        is_busy = state.open_requests or state.busy_callers
+        idle = not is_busy and elapsed_s >= defaults.STOP_MIN_S
         if not idle and elapsed_s < max_elapsed_s:
             return []
         state.is_exiting = True
@@ -397,7 +401,10 @@
             fx.LogDecision(
                 decision="stopped",
                 reason="all answered" if idle else "grace time is over",
-                inputs=(("after_s", round(elapsed_s, 3)),),
+                inputs=(
+                    ("after_s", round(elapsed_s, 3)),
+                    ("busy_callers", state.busy_callers),
+                ),
             ),
             effects.StopAccepting(),
             effects.DeregisterEntry(state.settings.name),
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
@@ -213,6 +213,8 @@
         listed_subjects: Subjects whose complete list has been read.
         stop_at: When the process was asked to stop; None if it wasn't.
         is_exiting: Whether the effect that ends the process has been returned.
+        busy_callers: Number of callers' connections, when last counted, on
+            which a request is being received or served; 0 before a stop.
         next_heartbeat_at: When the next heartbeat is due.
         next_remote_heartbeat_at: When the next heartbeat to other data
             centres is due.
@@ -296,6 +298,7 @@
     listed_subjects: set[str] = dataclasses.field(default_factory=set)
     stop_at: float | None = None
     is_exiting: bool = False
+    busy_callers: int = 0
     next_heartbeat_at: float = 0.0
     next_remote_heartbeat_at: float = 0.0
     may_forward_from: float = 0.0
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/store_eras.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/store_eras.py
@@ -113,7 +113,7 @@
             decision="era_settled",
             reason=source,
             inputs=(
-                ("era", era),
+                ("era", state.store_era or 0),
                 ("read_after_s", round(read_at - seen_at, 3)),
             ),
         )
