--- a/packages/rhubarbbank-router/src/rhubarbbank_router/store_eras.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/store_eras.py
@@ -106,15 +106,14 @@
     if read_at is None:
         return []
     confirm_configuration(state, asked_at=read_at)
-    if state.unproven_read_at is not None:
-        return []
     return [
         fx.LogDecision(
-            decision="era_settled",
+            decision="era_dated",
             reason=source,
             inputs=(
                 ("era", state.store_era or 0),
                 ("read_after_s", round(read_at - seen_at, 3)),
+                ("proven", int(state.unproven_read_at is None)),
             ),
         )
     ]
