--- a/packages/rhubarbbank-router/src/rhubarbbank_router/events.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/events.py
@@ -25,6 +25,18 @@
     request: callers.IncomingRequest
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallersCounted:
+    """While the entry is stopping, callers' connections were counted.
+
+    Attributes:
+        busy: Connections on which a head or a body is being received, or a
+            request is being served.
+    """
+
+    busy: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallerLeft:
     """The caller closed its connection, or reads too slowly."""
@@ -321,6 +333,7 @@
 
 AnyEvent = (
     RequestArrived
+    | CallersCounted
     | CallerLeft
     | UpstreamHead
     | UpstreamData
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
@@ -140,6 +140,11 @@
         """Whether entries of the data centre share reads of the store."""
         return self.state.relay.limits.allow_relays
 
+    @property
+    def awaits_proof(self) -> bool:
+        """Whether the last read doesn't prove the configuration's freshness."""
+        return self.state.unproven_read_at is not None
+
     @property
     def list_position(self) -> store_position.StorePosition:
         """The store's position up to which the list of upstreams is known."""
@@ -194,6 +199,9 @@
             case events.RolloutRemoved(service):
                 rollouts.remove_order(state, service)
                 return []
+            case events.CallersCounted(busy):
+                state.busy_callers = busy
+                return []
             case events.RolloutRecorded(service, done):
                 return self.log_record_ended(service, done)
             case (
@@ -204,12 +212,17 @@
             ):
                 return evacuation_list.handle_event(state, event, now=now)
             case _:
-                self.apply_entry_event(now, event)
-                return upstream_list.handle_event(self.state, event, now=now)
+                out = self.apply_entry_event(now, event)
+                return out + upstream_list.handle_event(
+                    self.state, event, now=now
+                )
 
-    def apply_entry_event(self, now: float, event: events.AnyEvent) -> None:
+    def apply_entry_event(
+        self, now: float, event: events.AnyEvent
+    ) -> list[effects.Effect]:
         """Applies a change of the entries registered in the store."""
-        entries = self.state.entries
+        state = self.state
+        entries = state.entries
         match event:
             case events.EntriesListed(listed):
                 entries.replace_registered(listed)
@@ -217,10 +230,13 @@
                     # Peers reply with what this entry should know.
                     self.state.next_heartbeat_at = now
                 self.state.listed_subjects.add(events.Subject.ENTRIES)
+                return store_eras.record_registrations(state, listed, now=now)
             case events.EntryListed(peer):
                 entries.put_registered(peer)
+                return store_eras.record_registrations(state, (peer,), now=now)
             case events.EntryUnlisted(name):
                 entries.remove_registered(name)
+        return []
 
     def apply_configuration(
         self,
@@ -341,6 +357,7 @@
         out += intake.admit_held(state, now=now)
         out += rollouts.tick(state, now=now)
         out += store_reading.tick(state, now=now)
+        out += store_eras.record_settled_era(state, now=now)
         keep = state.outages.may_renew(now=now)
         for upstream_id in state.view.drop_lapsed(keep=keep, now=now):
             out.append(
@@ -384,7 +401,8 @@
             return []
         elapsed_s = now - state.stop_at
         max_elapsed_s = state.settings.bounds.grace_s - defaults.STOP_MARGIN_S
-        idle = not state.open_requests and elapsed_s >= defaults.STOP_MIN_S
+        is_busy = state.open_requests or state.busy_callers
+        idle = not is_busy and elapsed_s >= defaults.STOP_MIN_S
         if not idle and elapsed_s < max_elapsed_s:
             return []
         state.is_exiting = True
@@ -397,7 +415,10 @@
             fx.LogDecision(
                 decision="stopped",
                 reason="all answered" if idle else "grace time is over",
-                inputs=(("after_s", round(elapsed_s, 3)),),
+                inputs=(
+                    ("after_s", round(elapsed_s, 3)),
+                    ("busy_callers", state.busy_callers),
+                ),
             ),
             effects.StopAccepting(),
             effects.DeregisterEntry(state.settings.name),
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
@@ -201,6 +201,13 @@
             that names one.
         restored_at: When a restore of the store was last noticed; None if it
             never was.
+        era_seen_at: The earliest known time at which the store was in its
+            newest known era; None if it has named none.
+        settled_era: The era that this entry has recorded as settled in its
+            registration.
+        unproven_read_at: When the last read that confirmed the active
+            configuration was sent, if it proves no freshness until the era is
+            known to have settled.
         ignored_configuration: Era and revision of the last configuration that
             was read and not activated.
         started_at: When the first event was processed; None before.
@@ -209,6 +216,8 @@
         listed_subjects: Subjects whose complete list has been read.
         stop_at: When the process was asked to stop; None if it wasn't.
         is_exiting: Whether the effect that ends the process has been returned.
+        busy_callers: Number of callers' connections, when last counted, on
+            which a request is being received or served; 0 before a stop.
         next_heartbeat_at: When the next heartbeat is due.
         next_remote_heartbeat_at: When the next heartbeat to other data
             centres is due.
@@ -284,6 +293,9 @@
     )
     store_era: int | None = None
     restored_at: float | None = None
+    era_seen_at: float | None = None
+    settled_era: int | None = None
+    unproven_read_at: float | None = None
     ignored_configuration: tuple[int, int] | None = None
     started_at: float | None = None
     held_requests: dict[str, HeldRequest] = dataclasses.field(
@@ -292,6 +304,7 @@
     listed_subjects: set[str] = dataclasses.field(default_factory=set)
     stop_at: float | None = None
     is_exiting: bool = False
+    busy_callers: int = 0
     next_heartbeat_at: float = 0.0
     next_remote_heartbeat_at: float = 0.0
     may_forward_from: float = 0.0
