Limit what cold upstreams get from all entries together

Upstreams that start during traffic tolerate few requests a second and crash beyond. They look idle, so that every entry chose them first: with 27 entries and 180 requests a second at 6 upstreams, the two of a data centre that came back after half a second in the dark got 66 and 91 requests in one second (20 are allowed).

Each entry may send a cold upstream its permits in any second. These are divided in advance by reported demands; a gain counts after 3 s, a loss at once. What is cold follows from the list's figure, a new start, connections that fail, the end of an evacuation, and what other entries have seen. Only settings with both bounds and services with a rate switch it on.

--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -168,6 +168,25 @@
 MAX_REPORTED_LIMITS = 64
 # Longer than a heartbeat takes to arrive.
 LIMIT_RELAY_AGE_S = 0.1
+# Time constant of the moving average of an entry's demand for a service, the
+# factor by which it changes before the others are told, and its least value,
+# so that an entry without callers can get permits.
+COLD_DEMAND_S = 5.0
+COLD_DEMAND_FACTOR = 2.0
+MIN_COLD_DEMAND_PER_S = 1.0 / 16.0
+# How long a gain of permits for cold upstreams is delayed: an entry that is
+# heard later counts as silent (see PEER_TIMEOUT_S).
+COLD_HOLD_S = 3.0
+# Number of views of the entries' demands that are kept, each in force for a
+# heartbeat interval or longer.
+MAX_COLD_VIEWS = 64
+# An upstream that is still registered this long after it didn't answer has
+# renewed its registration since.
+UNANSWERED_START_S = 6.0
+# Longest time for which an upstream counts as cold after the last news.
+MAX_COLD_S = 60.0
+# Number of cold upstreams that a heartbeat reports at most.
+MAX_REPORTED_COLD = 128
 
 # Range of the random Retry-After of refused requests, which spreads their
 # retries.
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
@@ -43,6 +43,7 @@
         now: Current time, in seconds.
         cause: Why an attempt is made, for the log.
     """
+    state.view.cold.record_demand(opened.service, now=now)
     usable = state.view.list_usable(
         opened.service, now=now, excluded=opened.excluded
     )
@@ -155,6 +156,9 @@
     opened.attempts.append(attempt)
     state.view.start_attempt(opened.request.request_id, attempt)
     state.view.limits.take(upstream.upstream_id, upstream.started_ms, now=now)
+    state.view.cold.record_send(
+        opened.service, upstream.upstream_id, upstream.started_ms, now=now
+    )
     if generation is not None:
         state.prefixes.record(
             upstream=upstream.upstream_id,
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
@@ -9,6 +9,7 @@
 
 from rhubarbbank_core import effects as core_effects
 from rhubarbbank_core import program_effects as fx
+from rhubarbbank_router import cold_sharing
 from rhubarbbank_router import defaults
 from rhubarbbank_router import effects
 from rhubarbbank_router import engine_load
@@ -100,6 +101,7 @@
     ]
     out += record_leaving_upstreams(state, message)
     out += limit_sharing.merge_reports(state, message, now=now)
+    cold_sharing.merge_reports(state, message, now=now)
     out += store_eras.record_peer_version(state, message, now=now)
     out += store_eras.record_peer_restore(state, message, now=now)
     if not is_new_incarnation:
@@ -170,6 +172,7 @@
     if known:
         state.budget.record_entry_count(known + 1, now=now)
     limit_sharing.update_shares(state, now=now)
+    cold_sharing.update_views(state, now=now)
     heartbeat = build_heartbeat(state, now=now)
     nearby = state.entries.list_addresses_in(state.settings.data_centre)
     out += [core_effects.Send(address, heartbeat) for address in nearby]
@@ -178,6 +181,7 @@
     )
     out.append(fx.Gauge("open_requests", len(state.open_requests)))
     out.append(fx.Gauge("upstreams", len(state.view.tracked)))
+    out += cold_sharing.build_gauges(state, now=now)
     return out
 
 
@@ -212,6 +216,8 @@
         if state.restored_at is None
         else round((now - state.restored_at) * MS_PER_S),
         limits=limit_sharing.build_reports(state, now=now),
+        cold=cold_sharing.build_reports(state, now=now),
+        demands=cold_sharing.build_demand_reports(state, now=now),
     )
 
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/messages.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/messages.py
@@ -117,6 +117,32 @@
     age_ms: int
 
 
+class ColdReport(msgspec.Struct, frozen=True, array_like=True):
+    """An upstream that the sender has seen to be cold.
+
+    Attributes:
+        upstream: Hash of the upstream's id.
+        started_ms: Unix time of its start, in milliseconds.
+        left_ms: How much longer it may be cold, in milliseconds.
+    """
+
+    upstream: int
+    started_ms: int
+    left_ms: int
+
+
+class DemandReport(msgspec.Struct, frozen=True, array_like=True):
+    """An entry's demand for a service whose upstreams may be cold.
+
+    Attributes:
+        service: Hash of the service's name.
+        rate_per_s: Requests a second.
+    """
+
+    service: int
+    rate_per_s: float
+
+
 class WorkReport(msgspec.Struct, frozen=True, array_like=True):
     """An entry's open work on one upstream.
 
@@ -169,6 +195,8 @@
         restored_age_ms: Time since it noticed that the store was restored, in
             milliseconds; None if it hasn't.
         limits: Rate limits that upstreams have named.
+        cold: Upstreams that it has seen to be cold.
+        demands: Its demands for services whose upstreams may be cold.
     """
 
     name: str
@@ -186,6 +214,8 @@
     store_era: int | None = None
     restored_age_ms: int | None = None
     limits: tuple[LimitReport, ...] = ()
+    cold: tuple[ColdReport, ...] = ()
+    demands: tuple[DemandReport, ...] = ()
 
 
 class ForwardedHeartbeat(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/options.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/options.py
@@ -19,6 +19,9 @@
         drain_ms: Maximum time after which a leaving upstream receives no new
             requests.
         session_s: Maximum time between two requests of a session.
+        cold_overshoot: Factor by which the rate that a cold upstream tolerates
+            may be exceeded in one second; None if upstreams are never cold.
+        cold_slack: Requests allowed beyond that; None likewise.
     """
 
     revoke_ms: float = 5_000.0
@@ -29,6 +32,8 @@
     config_apply_ms: float = 2_000.0
     drain_ms: float = 2_000.0
     session_s: float = 5.0
+    cold_overshoot: float | None = None
+    cold_slack: float | None = None
 
 
 class RouterSettings(
@@ -74,6 +79,13 @@
 )
 
 
+def is_too_low(field: str, value: float | None) -> bool:
+    """Returns whether a bound is too low; None means that there is none."""
+    if value is None:
+        return False
+    return value < 0 if field == "cold_slack" else value <= 0
+
+
 def parse_settings(
     text: bytes,
 ) -> RouterSettings | list[options.SettingsFault]:
@@ -100,7 +112,7 @@
             remedy="Set it to the bound agreed with the users.",
         )
         for field in settings.bounds.__struct_fields__
-        if getattr(settings.bounds, field) <= 0
+        if is_too_low(field, getattr(settings.bounds, field))
     ]
     if not settings.name:
         faults.append(
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
@@ -12,6 +12,7 @@
 from rhubarbbank_core import program_effects as fx
 from rhubarbbank_router import answer_heads
 from rhubarbbank_router import answers
+from rhubarbbank_router import cold_sharing
 from rhubarbbank_router import configuration
 from rhubarbbank_router import crash_causes
 from rhubarbbank_router import crash_suspects
@@ -92,6 +93,7 @@
             suspects=suspects,
             causes=crash_causes.CrashCauses(suspects),
         )
+        self.state.view.cold.name = settings.name
 
     def step(
         self, *, now: float, event: events.AnyEvent
@@ -104,8 +106,10 @@
             case events.UpstreamData():
                 return answers.handle_data(state, event, now=now)
             case events.UpstreamHead():
+                cold_sharing.record_head(state, event, now=now)
                 return answer_heads.handle_head(state, event, now=now)
             case events.UpstreamEnded():
+                cold_sharing.record_end(state, event, now=now)
                 return answers.handle_end(state, event, now=now)
             case events.RequestArrived(request):
                 return intake.handle_request(state, request, now=now)
@@ -162,6 +166,7 @@
             extra=bounds.retry_extra,
             window_s=bounds.retry_window_s,
         )
+        cold_sharing.update_terms(state)
 
     def apply_store_event(
         self, now: float, event: events.AnyEvent
@@ -232,6 +237,7 @@
         if current is not None and found.precedence == current.precedence:
             return []
         state.routes = route_match.RouteIndex(routes=found.routes)
+        cold_sharing.update_terms(state)
         return [
             *store_reading.send_updates(state, now=now),
             fx.LogDecision(
@@ -327,6 +333,7 @@
         out += intake.admit_held(state, now=now)
         out += rollouts.tick(state, now=now)
         out += store_reading.tick(state, now=now)
+        out += cold_sharing.log_changes(state, now=now)
         keep = state.outages.may_renew(now=now)
         for upstream_id in state.view.drop_lapsed(keep=keep, now=now):
             out.append(
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/timeouts.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/timeouts.py
@@ -9,6 +9,7 @@
 from rhubarbbank_router import attempt_evidence
 from rhubarbbank_router import attempt_log
 from rhubarbbank_router import attempt_states
+from rhubarbbank_router import cold_sharing
 from rhubarbbank_router import crash_evidence
 from rhubarbbank_router import defaults
 from rhubarbbank_router import dispatch
@@ -81,6 +82,7 @@
         state, opened, attempt, now=now, failed=True, silent=starts_silence
     )
     crash_evidence.record_unanswered(state, opened, attempt, now=now)
+    cold_sharing.record_unanswered(state, attempt, now=now)
     log = attempt_log.build_attempt_line(
         opened,
         attempt,
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/upstream_list.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/upstream_list.py
@@ -6,6 +6,7 @@
 """
 
 from rhubarbbank_core import program_effects as fx
+from rhubarbbank_router import cold_sharing
 from rhubarbbank_router import crash_evidence
 from rhubarbbank_router import crash_suspects
 from rhubarbbank_router import effects
@@ -22,6 +23,7 @@
 ) -> list[effects.Effect]:
     """Applies an event, and confirms crashes of upstreams that it removes."""
     previous = list_running_upstreams(state, event)
+    cold_sharing.record_listing(state, event, now=now)
     out = apply_event(state, event, now=now)
     return [*out, *confirm_crashes(state, previous, now=now)]
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
@@ -8,6 +8,7 @@
 import dataclasses
 
 from rhubarbbank_router import attempt_states
+from rhubarbbank_router import cold_upstreams
 from rhubarbbank_router import defaults
 from rhubarbbank_router import upstream_limits
 from rhubarbbank_router import upstream_notices
@@ -26,6 +27,8 @@
         slots: Number of requests that it runs concurrently.
         leaving: Whether it accepts no new requests.
         started_ms: Unix time of its start; 0 if unknown.
+        cold_left_s: How much longer it was cold when it wrote that, in
+            seconds; it doesn't tell when.
     """
 
     upstream_id: str
@@ -36,6 +39,11 @@
     slots: int
     leaving: bool = False
     started_ms: int = 0
+    cold_left_s: float = 0.0
+
+    def is_same(self, other: "Upstream") -> bool:
+        """Returns whether all but the coldness is equal."""
+        return self == dataclasses.replace(other, cold_left_s=self.cold_left_s)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -159,6 +167,7 @@
         times: Moving averages of answer times, by service.
         notices: What upstreams announced in their answers.
         limits: The rate limits that they named.
+        cold: Which of them are cold, and the limits for these.
         removed_at: When the list dropped an upstream, by id and start time;
             oldest first.
     """
@@ -166,6 +175,7 @@
     def __init__(self) -> None:
         self.removed_at: dict[tuple[str, int], float] = {}
         self.limits = upstream_limits.UpstreamLimits()
+        self.cold = cold_upstreams.ColdUpstreams()
         self.notices = upstream_notices.UpstreamNotices()
         self.tracked: dict[str, TrackedUpstream] = {}
         self.times: dict[str, ServiceTimes] = {}
@@ -205,7 +215,7 @@
             listed = dataclasses.replace(listed, leaving=True)
         if tracked.listed.address != listed.address:
             tracked.misdirected = False
-        if tracked.listed != listed:
+        if not tracked.listed.is_same(listed):
             tracked.doubtful_until = None
         tracked.listed = listed
         tracked.lapsed = False
@@ -311,6 +321,12 @@
             and not self.limits.is_exhausted(
                 tracked.listed.upstream_id, tracked.listed.started_ms, now=now
             )
+            and not self.cold.is_exhausted(
+                service,
+                tracked.listed.upstream_id,
+                tracked.listed.started_ms,
+                now=now,
+            )
             and not self.notices.is_closed(
                 tracked.listed.upstream_id, tracked.listed.started_ms, now=now
             )
@@ -334,21 +350,31 @@
         return min(times, default=None)
 
     def sum_limits_per_s(self, service: str, *, now: float) -> float:
-        """Returns what a service's limited upstreams accept, in requests/s."""
+        """Returns what a service's limited upstreams accept, in requests/s.
+
+        Cold ones are limited, too.
+        """
         total = 0.0
         for tracked in self.tracked.values():
             listed = tracked.listed
             limit = self.limits.find(listed.upstream_id, listed.started_ms)
+            cold = self.cold.find_terms(
+                service, listed.upstream_id, listed.started_ms, now=now
+            )
             if (
                 listed.service != service
                 or listed.leaving
-                or limit is None
+                or (limit is None and cold is None)
                 or self.notices.is_closed(
                     listed.upstream_id, listed.started_ms, now=now
                 )
             ):
                 continue
-            total += limit.rate_per_s or 0.0
+            rates = [
+                *([limit.rate_per_s or 0.0] if limit else []),
+                *([cold.rate_per_s] if cold else []),
+            ]
+            total += min(rates)
         return total
 
     def list_usable(
