Render sections of the settings' template in the review harness

deploy/entry.json has sections for bounds that some deployments lack; the harness left them in, which isn't JSON. Rendered with and without the bounds: both parse.

--- a/review/harness/platform_harness.py
+++ b/review/harness/platform_harness.py
@@ -505,6 +505,14 @@
             value = value[int(name)] if name.isdecimal() else value[name]
         return json.dumps(value) if match[2] else str(value)
 
+    def find_section(match: re.Match[str]) -> str:
+        value = fields
+        for name in match[1].split("."):
+            value = value.get(name)
+        return match[2] if value is not None else ""
+
+    section = r"\{\{#([a-z_0-9.]+)\}\}(.*?)\{\{/\1\}\}"
+    template = re.sub(section, find_section, template, flags=re.DOTALL)
     return re.sub(r"\{\{([a-z_0-9.]+)(\|json)?\}\}", find, template)
 
 
