--- a/packages/rhubarbbank-router/src/rhubarbbank_router/evacuation_list.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/evacuation_list.py
@@ -6,6 +6,7 @@
 import re
 
 from rhubarbbank_core import program_effects as fx
+from rhubarbbank_router import cold_sharing
 from rhubarbbank_router import effects
 from rhubarbbank_router import evacuation_relay
 from rhubarbbank_router import evacuations
@@ -36,6 +37,10 @@
         return []
     age_s = known.age(now=now)
     changes = apply_event(state, event, now=now)
+    for each in changes.ended:
+        cold_sharing.record_evacuation_end(
+            state, each.evacuation.data_centre, now=now
+        )
     out: list[effects.Effect] = [
         *(
             build_log(state, "evacuation_begun", each, age_s, now=now)
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
@@ -9,6 +9,7 @@
 
 from rhubarbbank_core import effects as core_effects
 from rhubarbbank_core import program_effects as fx
+from rhubarbbank_router import cold_sharing
 from rhubarbbank_router import defaults
 from rhubarbbank_router import effects
 from rhubarbbank_router import engine_load
@@ -102,6 +103,7 @@
     ]
     out += record_leaving_upstreams(state, message)
     out += limit_sharing.merge_reports(state, message, now=now)
+    cold_sharing.merge_reports(state, message, now=now)
     out += store_eras.record_peer_version(state, message, now=now)
     out += store_eras.record_peer_restore(state, message, now=now)
     if message.era_age_ms is not None:
@@ -179,6 +181,7 @@
     if known:
         state.budget.record_entry_count(known + 1, now=now)
     limit_sharing.update_shares(state, now=now)
+    cold_sharing.update_views(state, now=now)
     heartbeat = build_heartbeat(state, now=now)
     nearby = state.entries.list_addresses_in(state.settings.data_centre)
     out += [core_effects.Send(address, heartbeat) for address in nearby]
@@ -190,6 +193,7 @@
     held = [each.held_bytes for each in state.view.tracked.values()]
     out.append(fx.Gauge("upstream_held_bytes_max", max(held, default=0)))
     out += evacuation_list.build_gauges(state, now=now)
+    out += cold_sharing.build_gauges(state, now=now)
     return out
 
 
@@ -227,6 +231,8 @@
         era_age_ms=None
         if state.era_seen_at is None
         else int((now - state.era_seen_at) * MS_PER_S),
+        cold=cold_sharing.build_reports(state, now=now),
+        demands=cold_sharing.build_demand_reports(state, now=now),
     )
 
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/options.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/options.py
@@ -22,6 +22,9 @@
         evac_ms: Maximum time after which the upstreams of an evacuated data
             centre receive no new requests; None if evacuations aren't
             followed. Setting or unsetting it requires a restart.
+        cold_overshoot: Factor by which the rate that a cold upstream tolerates
+            may be exceeded in one second; None if upstreams are never cold.
+        cold_slack: Requests allowed beyond that; None likewise.
     """
 
     revoke_ms: float = 5_000.0
@@ -33,6 +36,8 @@
     drain_ms: float = 2_000.0
     session_s: float = 5.0
     evac_ms: float | None = None
+    cold_overshoot: float | None = None
+    cold_slack: float | None = None
 
 
 class RouterSettings(
@@ -78,6 +83,13 @@
 )
 
 
+def is_too_low(field: str, value: float | None) -> bool:
+    """Returns whether a bound is too low; None means that there is none."""
+    if value is None:
+        return False
+    return value < 0 if field == "cold_slack" else value <= 0
+
+
 def parse_settings(
     text: bytes,
 ) -> RouterSettings | list[options.SettingsFault]:
@@ -104,7 +116,7 @@
             remedy="Set it to the bound agreed with the users.",
         )
         for field in settings.bounds.__struct_fields__
-        if (bound := getattr(settings.bounds, field)) is not None and bound <= 0
+        if is_too_low(field, getattr(settings.bounds, field))
     ]
     if not settings.name:
         faults.append(
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
@@ -12,6 +12,7 @@
 from rhubarbbank_core import program_effects as fx
 from rhubarbbank_router import answer_heads
 from rhubarbbank_router import answers
+from rhubarbbank_router import cold_sharing
 from rhubarbbank_router import configuration
 from rhubarbbank_router import crash_causes
 from rhubarbbank_router import crash_suspects
@@ -94,6 +95,7 @@
             causes=crash_causes.CrashCauses(suspects),
         )
         self.state.evacuations.is_followed = bounds.evac_ms is not None
+        self.state.view.cold.name = settings.name
 
     def step(
         self, *, now: float, event: events.AnyEvent
@@ -106,8 +108,10 @@
             case events.UpstreamData():
                 return answers.handle_data(state, event, now=now)
             case events.UpstreamHead():
+                cold_sharing.record_head(state, event, now=now)
                 return answer_heads.handle_head(state, event, now=now)
             case events.UpstreamEnded():
+                cold_sharing.record_end(state, event, now=now)
                 return answers.handle_end(state, event, now=now)
             case events.RequestArrived(request):
                 return intake.handle_request(state, request, now=now)
@@ -174,6 +178,7 @@
             extra=bounds.retry_extra,
             window_s=bounds.retry_window_s,
         )
+        cold_sharing.update_terms(state)
 
     def apply_store_event(
         self, now: float, event: events.AnyEvent
@@ -262,6 +267,7 @@
         if current is not None and found.precedence == current.precedence:
             return []
         state.routes = route_match.RouteIndex(routes=found.routes)
+        cold_sharing.update_terms(state)
         return [
             *store_reading.send_updates(state, now=now),
             fx.LogDecision(
@@ -358,6 +364,7 @@
         out += rollouts.tick(state, now=now)
         out += store_reading.tick(state, now=now)
         out += store_eras.record_settled_era(state, now=now)
+        out += cold_sharing.log_changes(state, now=now)
         keep = state.outages.may_renew(now=now)
         for upstream_id in state.view.drop_lapsed(keep=keep, now=now):
             out.append(
