Hedge requests that are slower than their route's usual times

Cause: a few slow answers decide the callers' tail latency. Change: a setting, hedging.max_share. A request may have two attempts in progress: all places that took the current attempt go over the open ones, and a failure beside another attempt isn't retried.

--- a/packages/rhubarbbank-router/src/rhubarbbank_router/answer_heads.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/answer_heads.py
@@ -18,6 +18,7 @@
 from rhubarbbank_router import dispatch
 from rhubarbbank_router import effects
 from rhubarbbank_router import events
+from rhubarbbank_router import hedges
 from rhubarbbank_router import limit_sharing
 from rhubarbbank_router import state as states
 
@@ -139,6 +140,8 @@
         inputs=(("status", head.status),),
     )
     count = fx.Count("upstream_refusals")
+    if opened.open_attempts:
+        return [log, count, *cancelled]
     if dispatch.acquire_retry(state, opened, now=now):
         resent = dispatch.send(state, opened, now=now, cause="refused")
         return [log, count, *cancelled, *resent]
@@ -188,6 +191,7 @@
         state, opened, attempt, now=now, failed=False
     )
     cancelled = attempt_ends.cancel_attempt(state, opened, attempt, now=now)
+    cancelled += hedges.settle(state, opened, attempt, now=now)
     log = fx.LogDecision(
         decision="stepped_up",
         request_id=opened.request.attempt_id,
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/answers.py
@@ -21,6 +21,7 @@
 from rhubarbbank_router import effects
 from rhubarbbank_router import event_stream
 from rhubarbbank_router import events
+from rhubarbbank_router import hedges
 from rhubarbbank_router import state as states
 from rhubarbbank_router import upstreams
 
@@ -130,6 +131,7 @@
     if last and not event_stream.follows(event.event_id, last):
         return out
     if not opened.answer_started:
+        out += hedges.settle(state, opened, attempt, now=now)
         opened.answer_started = True
         opened.version = attempt.version
         out.append(
@@ -157,10 +159,14 @@
     if not attempt_evidence.is_on_trial(state, attempt):
         times.first_event_s = upstreams.smooth(times.first_event_s, waited_s)
     state.prefill_speeds.learn(attempt, waited_s=waited_s)
+    attempt_evidence.record_response_time(state, opened, attempt, now=now)
     if opened.answer_started:
         return []
     total_s = now - opened.arrived_at
-    return [fx.Timing("first_event", total_s * MS_PER_S)]
+    return [
+        fx.Timing("first_event", total_s * MS_PER_S),
+        *hedges.time_answer(state, opened, "first_event", now=now),
+    ]
 
 
 def handle_end(
@@ -212,6 +218,8 @@
     out += attempt_ends.record_upstream_failure(
         state, attempt.upstream, now=now, weight=3
     )
+    if opened.open_attempts:
+        return out
     if dispatch.acquire_retry(state, opened, now=now, uses_budget=False):
         resent = dispatch.send(state, opened, now=now, cause="unreached")
         return [*out, *resent]
@@ -237,7 +245,7 @@
             state, opened, attempt, "ended before the first event", now=now
         )
     failed = attempt.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR
-    if failed:
+    if failed or hedges.waits_for_other(opened, attempt):
         retry = attempt_ends.retry_after_error_status(
             state, opened, attempt, now=now
         )
@@ -254,6 +262,7 @@
         return withhold_answer(state, opened, attempt, now=now)
     request_id = opened.request.request_id
     del state.open_requests[request_id]
+    settled = hedges.settle(state, opened, attempt, now=now)
     cleared = crash_evidence.record_whole_answer(
         state, opened, attempt, now=now, ended_by_close=ended_by_close
     )
@@ -281,6 +290,8 @@
         *cleared,
         log,
         timing,
+        *hedges.time_answer(state, opened, "answer", now=now),
+        *settled,
         effects.RelayAnswer(
             request_id=request_id,
             status=attempt.status,
@@ -345,8 +356,7 @@
         inputs=(("age_s", round(now - opened.arrived_at, 3)),),
     )
     out: list[effects.Effect] = [log, fx.Count("callers_left")]
-    attempt = opened.current_attempt
-    if attempt is not None:
+    for attempt in opened.open_attempts:
         out += attempt_ends.cancel_attempt(state, opened, attempt, now=now)
         crash_evidence.record_unanswered(state, opened, attempt, now=now)
     return out
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_ends.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_ends.py
@@ -26,8 +26,16 @@
 ) -> list[effects.Effect] | None:
     """Retries after a 5xx status; None if it is not retried.
 
-    A gateway timeout (504) isn't retried.
+    A gateway timeout (504) isn't retried. While another attempt is in
+    progress, that one takes the retry's place.
     """
+    if opened.open_attempts:
+        opened.excluded.add(attempt.upstream)
+        failed = attempt.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR
+        attempt_evidence.record_outcome(
+            state, opened, attempt, now=now, failed=failed
+        )
+        return [build_error_line(opened, attempt), fx.Count("failed_attempts")]
     if attempt.status == http.HTTPStatus.GATEWAY_TIMEOUT:
         return None
     opened.excluded.add(attempt.upstream)
@@ -36,15 +44,22 @@
     attempt_evidence.record_outcome(
         state, opened, attempt, now=now, failed=True
     )
-    log = attempt_log.build_attempt_line(
+    log = build_error_line(opened, attempt)
+    resent = dispatch.send(state, opened, now=now, cause="failure")
+    return [log, fx.Count("failed_attempts"), *resent]
+
+
+def build_error_line(
+    opened: states.OpenRequest, attempt: attempt_states.Attempt
+) -> fx.LogDecision:
+    """Returns the log line on an attempt whose status is a failure."""
+    return attempt_log.build_attempt_line(
         opened,
         attempt,
         decision="failed_attempt",
         reason="failure of the upstream",
         inputs=(("status", attempt.status),),
     )
-    resent = dispatch.send(state, opened, now=now, cause="failure")
-    return [log, fx.Count("failed_attempts"), *resent]
 
 
 def handle_failure(
@@ -90,6 +105,8 @@
         ),
         fx.Count("failed_attempts"),
     ]
+    if opened.open_attempts:
+        return out
     if dispatch.acquire_retry(state, opened, now=now):
         resent = dispatch.send(state, opened, now=now, cause="broken off")
         return [*out, *resent]
@@ -126,6 +143,10 @@
     now: float,
 ) -> list[effects.Effect]:
     """Cancels an attempt at its upstream."""
+    if attempt.first_event_at is None:
+        attempt_evidence.record_response_time(
+            state, opened, attempt, now=now, censored=True
+        )
     release_attempt(state, opened, attempt, now=now)
     return [effects.CancelAttempt(opened.request.request_id, attempt.number)]
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_evidence.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_evidence.py
@@ -53,6 +53,8 @@
         state.view.record_failure(attempt.upstream, now=now)
         return
     state.view.record_success(attempt.upstream)
+    if attempt.status == http.HTTPStatus.OK and not opened.is_stream:
+        record_response_time(state, opened, attempt, now=now)
     if attempt.status == http.HTTPStatus.OK and is_typical:
         took_s = now - attempt.sent_at
         times.answer_s = upstreams.smooth(times.answer_s, took_s)
@@ -62,6 +64,72 @@
             times.answer_s_by_route[route] = upstreams.smooth(usual_s, took_s)
 
 
+def record_response_time(
+    state: states.RouterState,
+    opened: states.OpenRequest,
+    attempt: attempt_states.Attempt,
+    *,
+    now: float,
+    censored: bool = False,
+) -> None:
+    """Records how long an attempt took, for the delay of hedges.
+
+    Args:
+        state: The router's state.
+        opened: The request.
+        attempt: The attempt, at its first event or its end.
+        now: In seconds.
+        censored: Whether it was cancelled before.
+    """
+    settings = state.settings.hedging
+    if settings is None or not opened.route.repeatable:
+        return
+    if attempt.state in attempt_states.NOT_RUN_STATES:
+        return
+    if is_on_trial(state, attempt):
+        return
+    state.usual_times.record(
+        (opened.route.name, attempt.model),
+        now - attempt.sent_at,
+        max_share=settings.max_share,
+        censored=censored,
+        now=now,
+    )
+
+
+def record_lost_attempt(
+    state: states.RouterState,
+    opened: states.OpenRequest,
+    attempt: attempt_states.Attempt,
+    *,
+    now: float,
+) -> None:
+    """Records an attempt that was cancelled since another answered first.
+
+    It would have taken longer than it did. So it enters the usual times, which
+    would otherwise fall as slow answers are cancelled, and counts as slow in
+    the trial of its version.
+    """
+    record_trial_evidence(
+        state, opened, attempt, failed=False, slow=True, now=now
+    )
+    if is_on_trial(state, attempt):
+        return
+    times = state.view.get_service_times(attempt.service)
+    took_s = now - attempt.sent_at
+    if opened.is_stream:
+        if took_s > times.first_event_s:
+            times.first_event_s = upstreams.smooth(times.first_event_s, took_s)
+        return
+    if took_s > times.answer_s:
+        times.answer_s = upstreams.smooth(times.answer_s, took_s)
+    usual_s = times.answer_s_by_route.get(opened.route.name)
+    if usual_s is not None and took_s > usual_s:
+        times.answer_s_by_route[opened.route.name] = upstreams.smooth(
+            usual_s, took_s
+        )
+
+
 def is_on_trial(
     state: states.RouterState, attempt: attempt_states.Attempt
 ) -> bool:
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_states.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_states.py
@@ -72,6 +72,7 @@
             of crashing upstreams.
         backlog_s: Expected work queued at the upstream before it, as far as
             this entry knows, in seconds.
+        is_hedge: Whether it was sent because another attempt was slow.
     """
 
     number: int
@@ -102,6 +103,7 @@
     backlog_s: float = 0.0
     is_sound: bool = False
     tried_traits: frozenset[str] = frozenset()
+    is_hedge: bool = False
 
 
 def has_not_run(attempts: list[Attempt]) -> bool:
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/crash_evidence.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/crash_evidence.py
@@ -77,8 +77,8 @@
     open_attempts = [
         (opened, attempt)
         for opened in state.open_requests.values()
-        if (attempt := opened.current_attempt)
-        and attempt.upstream == ended.upstream_id
+        for attempt in opened.open_attempts
+        if attempt.upstream == ended.upstream_id
         and attempt.upstream_started_ms == ended.started_ms
     ]
     heard_at = max(
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/crash_guard.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/crash_guard.py
@@ -51,7 +51,8 @@
     return any(
         attempt.tried_traits & traits
         for opened in state.open_requests.values()
-        if (attempt := opened.current_attempt) and not attempt.is_sound
+        for attempt in opened.open_attempts
+        if not attempt.is_sound
     )
 
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
@@ -276,6 +276,7 @@
     state.sessions.remove_expired(now=now, alive_s=alive_s)
     state.peer_workload.drop_expired(now=now)
     state.unanswered.remove_expired(now=now)
+    state.usual_times.remove_expired(now=now)
     out = [
         *log_removed_suspects(
             state.suspects.remove_expired(now=now), reason="old"
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/intake.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/intake.py
@@ -195,6 +195,12 @@
     )
     state.open_requests[request.request_id] = opened
     state.budget.count_request(opened.service, now=now)
+    if state.settings.hedging is not None and route.repeatable:
+        state.hedge_counts.count_request(
+            opened.service,
+            window_s=state.settings.bounds.retry_window_s,
+            now=now,
+        )
     if route.sizes and not (request.generation and request.generation.model):
         context = dispatch.build_size_context(opened, now=now)
         opened.model = state.sizing_policy.choose_first(context)
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/options.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/options.py
@@ -4,6 +4,9 @@
 
 from rhubarbbank_core import options
 
+# More hedges would repeat answers that are no slower than others.
+MAX_HEDGE_SHARE = 0.2
+
 
 class RouterBounds(msgspec.Struct, frozen=True, kw_only=True):
     """Service-level bounds that the operators guarantee to their users.
@@ -31,6 +34,19 @@
     session_s: float = 5.0
 
 
+class HedgingSettings(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """Limit on hedges: second attempts for requests that are slow.
+
+    Attributes:
+        max_share: Largest share of the requests that may be repeated which
+            get a hedge; above 0, at most MAX_HEDGE_SHARE.
+    """
+
+    max_share: float
+
+
 class RouterSettings(
     msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
 ):
@@ -51,6 +67,7 @@
         log_level: Name of the lowest level to log, such as INFO.
         seed: Seed of the random number generator; 0 to seed it from the
             system.
+        hedging: Limit on hedges; None for no hedges.
     """
 
     name: str
@@ -63,6 +80,7 @@
     bounds: RouterBounds = RouterBounds()
     log_level: str = "INFO"
     seed: int = 0
+    hedging: HedgingSettings | None = None
 
 
 ADDRESS_FIELDS = (
@@ -110,4 +128,21 @@
                 remedy="Set a name that no other entry has.",
             )
         )
+    faults += check_hedging(settings.hedging)
     return faults or settings
+
+
+def check_hedging(
+    settings: HedgingSettings | None,
+) -> list[options.SettingsFault]:
+    """Returns the faults in the limit on hedges."""
+    if settings is None or 0.0 < settings.max_share <= MAX_HEDGE_SHARE:
+        return []
+    return [
+        options.SettingsFault(
+            field="hedging.max_share",
+            fault=f"{settings.max_share} isn't above 0 and at most"
+            f" {MAX_HEDGE_SHARE}",
+            remedy="Set a share such as 0.05, or leave out hedging.",
+        )
+    ]
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/rollouts.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/rollouts.py
@@ -498,10 +498,10 @@
 ) -> int:
     """Returns this entry's open attempts on other versions."""
     return sum(
-        opened.current_attempt is not None
-        and opened.service == trial.order.service
-        and opened.current_attempt.version != trial.order.target
+        attempt.version != trial.order.target
         for opened in state.open_requests.values()
+        if opened.service == trial.order.service
+        for attempt in opened.open_attempts
     )
 
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
@@ -20,6 +20,7 @@
 from rhubarbbank_router import events
 from rhubarbbank_router import freshness_proof
 from rhubarbbank_router import heartbeats
+from rhubarbbank_router import hedges
 from rhubarbbank_router import intake
 from rhubarbbank_router import options
 from rhubarbbank_router import peers
@@ -324,6 +325,7 @@
         """Performs the actions that are due at time `now` (seconds)."""
         state = self.state
         out = timeouts.check_requests(state, now=now)
+        out += hedges.begin_due(state, now=now)
         out += intake.admit_held(state, now=now)
         out += rollouts.tick(state, now=now)
         out += store_reading.tick(state, now=now)
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
@@ -21,6 +21,9 @@
 from rhubarbbank_router import engine_work
 from rhubarbbank_router import events
 from rhubarbbank_router import freshness_proof
+from rhubarbbank_router import hedge_budget
+from rhubarbbank_router import hedge_delays
+from rhubarbbank_router import hedge_policy
 from rhubarbbank_router import options
 from rhubarbbank_router import peer_work
 from rhubarbbank_router import peers
@@ -64,6 +67,8 @@
         last_event_at: When the last event was sent to the caller.
         longest_pause_s: The longest gap between two of these events.
         excluded: Upstreams on which an attempt failed.
+        hedge_check_at: Until then it isn't checked whether to hedge it.
+        hedge_declined: Why it wasn't hedged when that was last checked.
     """
 
     request: callers.IncomingRequest
@@ -85,17 +90,25 @@
     last_event_at: float = 0.0
     longest_pause_s: float = 0.0
     excluded: set[str] = dataclasses.field(default_factory=set)
+    hedge_check_at: float = 0.0
+    hedge_declined: str = ""
 
     @property
     def fingerprint(self) -> str:
         """Hash that is equal each time the same request is sent."""
         return self.traits[0]
 
+    @property
+    def open_attempts(self) -> list[attempt_states.Attempt]:
+        """The attempts in progress, oldest first; two if one is a hedge."""
+        return [each for each in self.attempts if each.open]
+
     @property
     def current_attempt(self) -> attempt_states.Attempt | None:
-        """The attempt in progress, or None."""
-        if self.attempts and self.attempts[-1].open:
-            return self.attempts[-1]
+        """The newest attempt in progress, or None."""
+        for attempt in reversed(self.attempts):
+            if attempt.open:
+                return attempt
         return None
 
     def record_event(self, *, now: float) -> None:
@@ -217,6 +230,9 @@
             all entries.
         next_load_update_at: When the next load update is sent to the entries
             of the data centre; None if none is due.
+        hedger: Decides which slow requests are hedged.
+        usual_times: The usual times of routes.
+        hedge_counts: Keeps hedges within the operators' share.
     """
 
     settings: options.RouterSettings
@@ -292,6 +308,15 @@
     forwarder_rank: int | None = None
     is_heartbeat_urgent: bool = False
     next_load_update_at: float | None = None
+    hedger: hedge_policy.HedgePolicy = dataclasses.field(
+        default_factory=hedge_policy.HedgeWhenSlow
+    )
+    usual_times: hedge_delays.RouteDelays = dataclasses.field(
+        default_factory=hedge_delays.RouteDelays
+    )
+    hedge_counts: hedge_budget.HedgeBudget = dataclasses.field(
+        default_factory=hedge_budget.HedgeBudget
+    )
 
     @property
     def is_initialised(self) -> bool:
@@ -324,7 +349,7 @@
         opened = self.open_requests.get(request_id)
         if opened is None:
             return None
-        attempt = opened.current_attempt
-        if attempt is None or attempt.number != number:
-            return None
-        return opened, attempt
+        for attempt in opened.open_attempts:
+            if attempt.number == number:
+                return opened, attempt
+        return None
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/timeouts.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/timeouts.py
@@ -26,7 +26,7 @@
         if now >= opened.deadline:
             out += abort_request(state, opened, now=now)
         else:
-            out += retry_silent_attempt(state, opened, now=now)
+            out += check_silence(state, opened, now=now)
     return out
 
 
@@ -46,8 +46,7 @@
         code: The error that its caller gets.
     """
     out: list[effects.Effect] = []
-    attempt = opened.current_attempt
-    if attempt is not None:
+    for attempt in opened.open_attempts:
         out += attempt_ends.cancel_attempt(state, opened, attempt, now=now)
         crash_evidence.record_unanswered(state, opened, attempt, now=now)
         if attempt.status == 0:
@@ -57,19 +56,36 @@
     return [*out, *dispatch.give_up(state, opened, code, now=now)]
 
 
-def retry_silent_attempt(
+def check_silence(
     state: states.RouterState, opened: states.OpenRequest, *, now: float
 ) -> list[effects.Effect]:
-    """Sends a request elsewhere if its attempt is silent for too long."""
-    attempt = opened.current_attempt
-    if attempt is None or not opened.route.repeatable:
+    """Ends the attempts of a request that are silent for too long."""
+    if not opened.route.repeatable:
         return []
+    out: list[effects.Effect] = []
+    for attempt in opened.open_attempts:
+        out += retry_silent_attempt(state, opened, attempt, now=now)
+    return out
+
+
+def retry_silent_attempt(
+    state: states.RouterState,
+    opened: states.OpenRequest,
+    attempt: attempt_states.Attempt,
+    *,
+    now: float,
+) -> list[effects.Effect]:
+    """Sends a request elsewhere if its attempt is silent for too long.
+
+    While another attempt is in progress, that one takes the retry's place.
+    """
     silent_s = now - attempt.last_progress_at
     timeout_s = compute_timeout_s(state, opened, attempt, now=now)
     if silent_s < timeout_s:
         return []
     opened.excluded.add(attempt.upstream)
-    if not dispatch.acquire_retry(state, opened, now=now):
+    has_other = len(opened.open_attempts) > 1
+    if not has_other and not dispatch.acquire_retry(state, opened, now=now):
         opened.excluded.discard(attempt.upstream)
         # Checked again at the next tick, when a retry may be possible.
         return []
@@ -91,8 +107,10 @@
             ("patience_s", round(timeout_s, 3)),
         ),
     )
-    resent = dispatch.send(state, opened, now=now, cause="silent")
-    return [log, fx.Count("silent_attempts"), *cancelled, *resent]
+    out: list[effects.Effect] = [log, fx.Count("silent_attempts"), *cancelled]
+    if has_other:
+        return out
+    return [*out, *dispatch.send(state, opened, now=now, cause="silent")]
 
 
 def compute_timeout_s(
