--- a/packages/rhubarbbank-router/src/rhubarbbank_router/hedge_delays.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/hedge_delays.py
@@ -9,6 +9,8 @@
 import dataclasses
 import math
 
+from rhubarbbank_router import defaults
+
 # Route and model.
 RouteModel = tuple[str, str]
 
@@ -29,7 +31,8 @@
     """What is known of a route's times.
 
     Attributes:
-        delay_s: The quantile that was asked for, in seconds.
+        delay_s: Within which answers usually come, in seconds: the quantile
+            that leaves half of the limit on hedges, or SLOW_FACTOR medians.
         typical_s: The median, in seconds.
         samples: Weighted number of samples.
         age_s: Age of the newest sample, in seconds.
@@ -155,9 +158,15 @@
         age_s = now - histogram.sampled_at
         if age_s > MAX_AGE_S or histogram.total * beyond < MIN_BEYOND:
             return None
+        typical_s = histogram.find_quantile(0.5)
+        # If more are slow than may be hedged, the quantile is one of the slow.
+        delay_s = min(
+            histogram.find_quantile(1.0 - beyond),
+            defaults.SLOW_FACTOR * typical_s,
+        )
         return UsualTime(
-            delay_s=histogram.find_quantile(1.0 - beyond),
-            typical_s=histogram.find_quantile(0.5),
+            delay_s=delay_s,
+            typical_s=typical_s,
             samples=histogram.total,
             age_s=age_s,
         )
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/hedges.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/hedges.py
@@ -100,7 +100,7 @@
     )
     reason = policy.decide(context)
     if reason is hedge_policy.HedgeReason.SLOW:
-        reason = take_budgets(state, opened, settings, now=now)
+        reason = take_budgets(state, opened, now=now)
     if best is None or reason is not hedge_policy.HedgeReason.SLOW:
         return decline(opened, attempt, reason, context, usual, now=now)
     tracked = state.view.tracked[best.name]
@@ -219,7 +219,6 @@
 def take_budgets(
     state: states.RouterState,
     opened: states.OpenRequest,
-    settings: options.HedgingSettings,
     *,
     now: float,
 ) -> hedge_policy.HedgeReason:
@@ -233,13 +232,11 @@
         return hedge_policy.HedgeReason.NEVER
     if opened.deadline - now < defaults.MIN_ATTEMPT_S:
         return hedge_policy.HedgeReason.TOO_LATE
-    if not state.hedge_counts.has_room(
-        service, max_share=settings.max_share, window_s=window_s, now=now
-    ):
+    if not state.hedge_counts.has_room(service, window_s=window_s, now=now):
         return hedge_policy.HedgeReason.NO_SHARE
     if not state.budget.take(service, now=now, share=RETRY_BUDGET_SHARE):
         return hedge_policy.HedgeReason.NO_BUDGET
-    state.hedge_counts.count_hedge(service, window_s=window_s, now=now)
+    state.hedge_counts.take(service, window_s=window_s, now=now)
     return hedge_policy.HedgeReason.SLOW
 
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/intake.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/intake.py
@@ -195,9 +195,11 @@
     )
     state.open_requests[request.request_id] = opened
     state.budget.count_request(opened.service, now=now)
-    if state.settings.hedging is not None and route.repeatable:
+    hedging = state.settings.hedging
+    if hedging is not None and route.repeatable:
         state.hedge_counts.count_request(
             opened.service,
+            max_share=hedging.max_share,
             window_s=state.settings.bounds.retry_window_s,
             now=now,
         )
