--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_states.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_states.py
@@ -75,6 +75,7 @@
         slowdown: By which factor work took longer on the upstream's host than
             usual, as reported with the answer.
         request_bytes: Size of the request's target, headers and body.
+        is_hedge: Whether it was sent because another attempt was slow.
     """
 
     number: int
@@ -107,6 +108,7 @@
     tried_traits: frozenset[str] = frozenset()
     slowdown: float = 1.0
     request_bytes: int = 0
+    is_hedge: bool = False
 
 
 def has_not_run(attempts: list[Attempt]) -> bool:
