Bound what all callers of an entry hold together

Cause: each connection kept its body, its input sent ahead and its unread answer without regard to the others; nothing bounded their number either. aiohttp kept an error for each further piece of input that it couldn't parse (1.1 GB in the scenario "one endless field"), and unpacked compressed bodies, so that an upstream got other bytes than the caller sent.

Change: an account of all connections (`held_bytes`, without I/O) chooses who gives way: the most bytes times seconds, never a request that runs. Its limits come from the settings' key `host`, or the process's own limits. An entry whose connections are all taken by running requests isn't ready.

Test changes: the crowd's settings name the host's limits, which exist now. All members of a crowd connect before any misbehaves: else the busy ones kept the test's own thread from connecting the rest ("22" of 64 connected). Count, conduct and bounds are unchanged.

--- a/experiments/src/rhubarbbank_experiments/platform_fleet.py
+++ b/experiments/src/rhubarbbank_experiments/platform_fleet.py
@@ -161,10 +161,14 @@
         runners: Runners by name.
         entries: The entries.
         loop: The event loop of the stand-ins' thread.
+        host: The limits of the entries' hosts, as in their settings.
     """
 
-    def __init__(self, *, entries: int = 1) -> None:
+    def __init__(
+        self, *, entries: int = 1, host: dict[str, float] | None = None
+    ) -> None:
         self.count = entries
+        self.host = host or {}
         self.store = platform_store.PlatformStore()
         self.runners: dict[str, platform_runner.PlatformRunner] = {}
         self.entries: list[EntryProcess] = []
@@ -266,6 +270,8 @@
             "store_address": f"{LOCAL}:{self.store_ports[number]}",
             "bounds": {"retry_ratio": 0.9, "retry_extra": 56.0},
         }
+        if self.host:
+            settings["host"] = self.host
         path = self.folder / f"{name}.json"
         path.write_text(json.dumps(settings), encoding="utf-8")
         log = self.folder / f"{name}-{time.monotonic_ns()}.log"
--- a/features/platform_path.feature
+++ b/features/platform_path.feature
@@ -16,6 +16,11 @@
     When a caller sends the platform a chunked body
     Then the platform's response is the runner's, including its signature
 
+  Scenario: A compressed body is forwarded as it is
+    When a caller sends the platform a compressed body
+    Then the platform's response is the runner's, including its signature
+    And the runner received the method, target and body as sent
+
   Scenario: Headers reserved for the system aren't forwarded
     When a caller sends the platform headers that only the system may set
     Then the runner received none of these headers
--- /dev/null
+++ b/features/steps/held_bytes_steps.py
@@ -0,0 +1,164 @@
+"""Steps for the account of what connections hold."""
+
+from behave import given
+from behave import then
+from behave import when
+
+from rhubarbbank_runtime import caller_connection
+from rhubarbbank_runtime import held_bytes
+from rhubarbbank_runtime import host_limits
+
+MB = host_limits.BYTES_PER_MB
+Stage = held_bytes.Stage
+RESIDENT_BYTES = 55 * MB
+BODY_BYTES = 4_194_304
+ORDINARY_BYTES = 2_000
+# An ordinary caller is there for as long as this many others take to come.
+ORDINARY_COUNT = 20
+CROWDS = {
+    "unfinished uploads": (BODY_BYTES - 1, Stage.RECEIVING),
+    "idle connections": (0, Stage.RECEIVING),
+    "unread answers": (100_000, Stage.ANSWERING),
+}
+
+
+def build_account(context, policy=None):
+    return held_bytes.HeldBytes(limits=context.limits, policy=policy)
+
+
+def hold(account, size, stage, *, now):
+    """Opens a connection; returns it, and those that have given way."""
+    holder = account.open(now=now)
+    leaving = reduce(account, now=now)
+    account.resize(holder, size)
+    account.move(holder, stage, now=now)
+    return holder, leaving + reduce(account, now=now)
+
+
+def reduce(account, *, now):
+    leaving = account.choose_leaving(now=now)
+    for each in leaving:
+        account.close(each)
+    assert account.held_bytes <= account.limits.max_bytes
+    assert len(account.holders) <= account.limits.max_connections
+    return leaving
+
+
+def play(account, crowd, *, count, duration_s):
+    """Returns the numbers of all, and of ordinary ones, that gave way."""
+    size, stage = CROWDS[crowd]
+    ordinary, gone = [], []
+    for number in range(count):
+        now = duration_s * number / count
+        if number % 2:
+            gone += hold(account, size, stage, now=now)[1]
+            continue
+        holder, leaving = hold(
+            account, ORDINARY_BYTES, Stage.RECEIVING, now=now
+        )
+        gone += leaving
+        ordinary.append(holder)
+        if len(ordinary) >= ORDINARY_COUNT:
+            account.close(ordinary[-ORDINARY_COUNT])
+    return gone, [each for each in ordinary if each in gone]
+
+
+@given("an entry on a host with {memory:d} MB and {count:d} descriptors")
+def set_limits(context, memory, count):
+    context.limits = host_limits.compute_limits(
+        memory_bytes=memory * MB,
+        max_descriptors=count,
+        resident_bytes=RESIDENT_BYTES,
+    )
+
+
+@given("an entry without limits")
+def set_no_limits(context):
+    context.limits = caller_connection.UNLIMITED
+
+
+@when(
+    "{count:d} {crowd} come within {time:g} s, and ordinary callers beside them"
+)
+def play_crowd(context, count, crowd, time):
+    context.play = {"crowd": crowd, "count": count * 2, "duration_s": time}
+    context.gone, context.harmed = play(build_account(context), **context.play)
+
+
+@then("what is held stays within the limits")
+def check_within(context):
+    # Each step of the load has checked it; some had to give way for that.
+    assert context.gone
+
+
+@then("no ordinary caller has given way")
+def check_ordinary(context):
+    assert not context.harmed, len(context.harmed)
+
+
+@then("with the naive policy, ordinary callers give way")
+def check_naive(context):
+    account = build_account(context, held_bytes.Newest())
+    assert play(account, **context.play)[1]
+
+
+@then("nobody has given way")
+def check_nobody(context):
+    assert not context.gone
+
+
+@when("requests of {size:d} bytes arrive until one may not run")
+def fill_with_requests(context, size):
+    context.account = build_account(context)
+    context.running = []
+    while True:
+        holder, _ = hold(context.account, size, Stage.RECEIVING, now=0.0)
+        if not context.account.may_run(holder):
+            context.account.close(holder)
+            return
+        context.account.move(holder, Stage.RUNNING, now=0.0)
+        context.running.append(holder)
+
+
+@then(
+    "at least {count:d} of them runs, and a small request may run beside them"
+)
+def check_small(context, count):
+    assert len(context.running) >= count
+    small, leaving = hold(
+        context.account, ORDINARY_BYTES, Stage.RECEIVING, now=1.0
+    )
+    assert not leaving
+    assert context.account.may_run(small)
+
+
+@then("none of those that run gives way to {count:d} unfinished uploads")
+def check_running(context, count):
+    gone, _ = play(
+        context.account, "unfinished uploads", count=count, duration_s=10.0
+    )
+    assert gone
+    assert not set(gone) & set(context.running)
+
+
+@then("connections and requests that run use at most {count:d} descriptors")
+def check_descriptors(context, count):
+    used = context.limits.max_connections + len(context.running)
+    assert used <= count, used
+
+
+@then("the entry can still take connections")
+def check_can_take(context):
+    assert context.account.can_take()
+
+
+@when("as many requests run as connections are allowed")
+def run_most(context):
+    context.account = build_account(context)
+    for _ in range(context.limits.max_connections):
+        hold(context.account, 0, Stage.RUNNING, now=0.0)
+
+
+@then("the entry can't take connections")
+def check_full(context):
+    assert not context.account.can_take()
--- a/features/steps/platform_crowd_steps.py
+++ b/features/steps/platform_crowd_steps.py
@@ -18,7 +18,9 @@
 
 @given("an entry on a small host")
 def start_entry(context):
-    context.platform = platform_fleet.PlatformFleet()
+    context.platform = platform_fleet.PlatformFleet(
+        host={"memory_mb": MEMORY_MB, "max_descriptors": MAX_DESCRIPTORS}
+    )
     context.stack.enter_context(context.platform)
     context.platform.configure(2, max_body_bytes=MAX_BODY_BYTES)
     context.entry = context.platform.entries[0]
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -1,6 +1,7 @@
 """Steps for entry processes on loopback addresses."""
 
 import contextlib
+import gzip
 import http.client
 import itertools
 import json
@@ -119,6 +120,16 @@
     )
 
 
+@when("a caller sends the platform a compressed body")
+def send_compressed_body(context):
+    platform_callers.prepare_fleet(context)
+    context.path = "/book/compressed"
+    context.body = gzip.compress(b"court 2")
+    context.reply = context.platform.ask(
+        context.path, body=context.body, headers={"Content-Encoding": "gzip"}
+    )
+
+
 @when("a caller sends the platform headers that only the system may set")
 def send_system_headers(context):
     platform_callers.prepare_fleet(context)
--- a/features/support/crowds.py
+++ b/features/support/crowds.py
@@ -212,33 +212,44 @@
         self.loop.close()
 
     async def gather(self):
+        # All connect first, so that the busy ones keep none of them away.
+        writers = await asyncio.gather(
+            *(self.connect() for _ in range(self.size))
+        )
         members = [
-            asyncio.create_task(self.misbehave()) for _ in range(self.size)
+            asyncio.create_task(self.misbehave(writer))
+            for writer in writers
+            if writer is not None
         ]
         await self.ended.wait()
         for member in members:
             member.cancel()
         await asyncio.gather(*members, return_exceptions=True)
 
-    async def misbehave(self):
-        with contextlib.suppress(OSError):
-            try:
-                # The limit keeps each member from reading its answers.
-                _, writer = await asyncio.open_connection(
-                    platform_fleet.LOCAL, self.port, limit=1
-                )
-            finally:
-                self.open_count += 1
-            try:
+    async def connect(self):
+        try:
+            # The limit keeps each member from reading its answers.
+            _, writer = await asyncio.open_connection(
+                platform_fleet.LOCAL, self.port, limit=1
+            )
+        except OSError:
+            return None
+        finally:
+            self.open_count += 1
+        return writer
+
+    async def misbehave(self, writer):
+        try:
+            with contextlib.suppress(OSError):
                 async with contextlib.aclosing(
                     self.conduct(self.target)
                 ) as pieces:
                     async for piece in pieces:
                         writer.write(piece)
                         await writer.drain()
-                await self.ended.wait()
-            finally:
-                writer.transport.abort()
+            await self.ended.wait()
+        finally:
+            writer.transport.abort()
 
     def watch(self, process, usage: Usage, *, duration_s: float) -> None:
         """Samples a process while the crowd misbehaves."""
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/options.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/options.py
@@ -31,6 +31,18 @@
     session_s: float = 5.0
 
 
+class HostSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """The host's limits on the process; None for those that it finds itself.
+
+    Attributes:
+        memory_mb: Memory, in MB.
+        max_descriptors: Descriptors that the process may open.
+    """
+
+    memory_mb: float | None = None
+    max_descriptors: int | None = None
+
+
 class RouterSettings(
     msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
 ):
@@ -51,6 +63,7 @@
         log_level: Name of the lowest level to log, such as INFO.
         seed: Seed of the random number generator; 0 to seed it from the
             system.
+        host: The host's limits on the process.
     """
 
     name: str
@@ -63,6 +76,7 @@
     bounds: RouterBounds = RouterBounds()
     log_level: str = "INFO"
     seed: int = 0
+    host: HostSettings = HostSettings()
 
 
 ADDRESS_FIELDS = (
