--- a/experiments/src/rhubarbbank_experiments/platform_fleet.py
+++ b/experiments/src/rhubarbbank_experiments/platform_fleet.py
@@ -162,10 +162,14 @@
         entries: The entries.
         bounds: Bounds in the entries' settings.
         loop: The event loop of the stand-ins' thread.
+        host: The limits of the entries' hosts, as in their settings.
     """
 
-    def __init__(self, *, entries: int = 1) -> None:
+    def __init__(
+        self, *, entries: int = 1, host: dict[str, float] | None = None
+    ) -> None:
         self.count = entries
+        self.host = host or {}
         self.store = platform_store.PlatformStore()
         self.runners: dict[str, platform_runner.PlatformRunner] = {}
         self.entries: list[EntryProcess] = []
@@ -268,6 +272,8 @@
             "store_address": f"{LOCAL}:{self.store_ports[number]}",
             "bounds": self.bounds,
         }
+        if self.host:
+            settings["host"] = self.host
         path = self.folder / f"{name}.json"
         path.write_text(json.dumps(settings), encoding="utf-8")
         log = self.folder / f"{name}-{time.monotonic_ns()}.log"
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/options.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/options.py
@@ -56,6 +56,18 @@
     max_share: float
 
 
+class HostSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """The host's limits on the process; None for those that it finds itself.
+
+    Attributes:
+        memory_mb: Memory, in MB.
+        max_descriptors: Descriptors that the process may open.
+    """
+
+    memory_mb: float | None = None
+    max_descriptors: int | None = None
+
+
 class RouterSettings(
     msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
 ):
@@ -77,6 +89,7 @@
         seed: Seed of the random number generator; 0 to seed it from the
             system.
         hedging: Limit on hedges; None for no hedges.
+        host: The host's limits on the process.
     """
 
     name: str
@@ -90,6 +103,7 @@
     log_level: str = "INFO"
     seed: int = 0
     hedging: HedgingSettings | None = None
+    host: HostSettings = HostSettings()
 
 
 ADDRESS_FIELDS = (
