Complete no roll-out whose target is evacuated

Cause: a target that has all requests counted as complete although its only data centre is evacuated; the old upstreams then end, and nothing is left. Change: such a roll-out stays running until the target takes requests again.

--- a/features/router_evacuations.feature
+++ b/features/router_evacuations.feature
@@ -110,6 +110,16 @@
     Then all of them ran on upstreams 0 and 1
     And the roll-out isn't recorded as completed
 
+  Scenario: The target's data centre is evacuated as the target gets all requests
+    When a roll-out to the version of upstream 2 is ordered, for 20 s
+    And the target gets all requests, and "west-b" is evacuated
+    And 10 s of requests for "look" pass
+    Then all of them ran on upstreams 0 and 1
+    And the roll-out isn't recorded as completed
+    When the evacuation of "west-b" is taken back
+    Then 20 requests for "look" go to data centre "west-b"
+    And the roll-out is recorded as completed
+
   Scenario: An entry isn't ready before it has read the evacuations
     Given a router that follows evacuations and has read all else
     Then the router isn't ready
--- a/features/steps/evacuation_steps.py
+++ b/features/steps/evacuation_steps.py
@@ -256,6 +256,13 @@
         world.configure()
 
 
+@when('the target gets all requests, and "{name}" is evacuated')
+def reach_all_requests(context, name):
+    (trial,) = context.world.state.trials.values()
+    trial.set_step(len(trial.plan.steps) - 1, now=context.world.now)
+    evacuate(context, name)
+
+
 @then("all of them ran on upstreams 0 and 1")
 def check_ran(context):
     for request in context.requests:
@@ -263,16 +270,24 @@
         assert found == ["west-a"], found
 
 
+def list_recorded(world):
+    return [
+        x.state for x in world.effects if isinstance(x, effects.RecordRollout)
+    ]
+
+
 @then("the roll-out isn't recorded as completed")
 def check_not_completed(context):
-    recorded = [
-        x.state
-        for x in context.world.effects
-        if isinstance(x, effects.RecordRollout)
-    ]
+    recorded = list_recorded(context.world)
     assert version_trial.OrderState.COMPLETED not in recorded, recorded
 
 
+@then("the roll-out is recorded as completed")
+def check_completed(context):
+    context.world.run(2.0)
+    assert version_trial.OrderState.COMPLETED in list_recorded(context.world)
+
+
 @then("the router is ready")
 def check_ready(context):
     assert context.world.router.is_ready(now=context.world.now)
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/rollouts.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/rollouts.py
@@ -484,6 +484,9 @@
         return version_trial.OrderState.ROLLED_BACK
     if not trial.has_all_traffic or count_other_attempts(state, trial):
         return version_trial.OrderState.RUNNING
+    if state.view.is_evacuated(trial.order.service, trial.order.target):
+        # The other versions end once the roll-out is recorded as completed.
+        return version_trial.OrderState.RUNNING
     for heartbeat in state.entries.list_live(now=now):
         theirs = [
             each for each in heartbeat.trials if each.key == trial.order.key
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
@@ -352,6 +352,19 @@
             )
         ]
 
+    def is_evacuated(self, service: str, version: str) -> bool:
+        """Returns whether a version runs only in evacuated data centres."""
+        data_centres = {
+            tracked.listed.data_centre
+            for tracked in self.tracked.values()
+            if tracked.listed.service == service
+            and tracked.listed.version == version
+            and not tracked.listed.leaving
+        }
+        return bool(data_centres) and all(
+            self.evacuations.is_evacuated(each) for each in data_centres
+        )
+
     def find_reopening_time(self, service: str, *, now: float) -> float | None:
         """Returns when the first closed upstream accepts requests again.
 
