Count upstreams as cold at entries that are cut off from all

An entry now keeps its permits for 24 s of a cut, and takes every upstream for cold once it hears neither most of the others nor the store. An answer no longer shortens what the list has said.

--- a/features/router_cold.feature
+++ b/features/router_cold.feature
@@ -62,6 +62,7 @@
       | "up-0" is listed with another start                  | 3    |
       | "up-0" isn't reached                                 | 9    |
       | "up-0" isn't reached, and answers the next request   | 3    |
+      | it is listed as cold for 8 s, fails and answers       | 7    |
       | another entry tells that "up-0" is cold for 2 s      | 2    |
 
   Scenario: An entry doesn't pass on what it was told
--- a/features/steps/cold_steps.py
+++ b/features/steps/cold_steps.py
@@ -22,6 +22,8 @@
 WARM_UP_S = 8.0
 HISTORY_DURATION_S = 25.0
 FULL_USE = 0.8
+# After this time, an entry knows that it is cut off from all.
+CUT_KNOWN_S = 6.0
 
 
 def build_fleet(entries, centres, *, rate=10.0, seed=1, **given):
@@ -102,6 +104,7 @@
 def cut_off(context, duration):
     fleet = context.fleet
     fleet.isolated = {"west-0"}
+    fleet.run(CUT_KNOWN_S)
     for upstream in fleet.listed:
         fleet.list_changed(upstream, cold_left_s=2.0 * duration)
     fleet.run(duration)
@@ -231,6 +234,15 @@
     world.answer_whole(world.ask("open"))
 
 
+@when("it is listed as cold for 8 s, fails and answers")
+def list_and_reach_again(context):
+    context.world.run(cold_upstreams.defaults.COLD_HOLD_S + 1.0)
+    list_cold(context, 8.0)
+    fail_to_reach(context)
+    context.world.run(1.0)
+    context.world.answer_whole(context.world.ask("open"))
+
+
 @when('another entry tells that "up-0" is cold for {left:g} s')
 def tell_cold(context, left):
     report = messages.ColdReport(COLD_KEY[0], 0, round(left * 1000))
--- a/features/support/cold_fleet.py
+++ b/features/support/cold_fleet.py
@@ -86,13 +86,14 @@
     # Upstreams.
 
     def list_changed(self, upstream, **changes):
-        """Lists a change of an upstream, at all entries."""
+        """Lists a change of an upstream; isolated entries don't hear it."""
         listed = dataclasses.replace(self.listed[upstream], **changes)
         self.listed[upstream] = listed
         self.cold_from[upstream] = self.now
         for world in self.worlds.values():
-            world.now = self.now
-            world.apply(events.UpstreamChanged(listed))
+            if world.state.settings.data_centre not in self.isolated:
+                world.now = self.now
+                world.apply(events.UpstreamChanged(listed))
 
     def end_evacuation(self, data_centre):
         for upstream, listed in self.listed.items():
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/cold_sharing.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/cold_sharing.py
@@ -160,9 +160,9 @@
         return ()
     for upstream_id, key in limit_sharing.list_keys(state):
         belief = cold.beliefs.get(key)
-        if belief is None or now >= belief.seen_until:
+        if belief is None or now >= belief.own_until:
             continue
-        left_s = belief.seen_until - now
+        left_s = belief.own_until - now
         terms = cold.terms.get(state.view.tracked[upstream_id].listed.service)
         if belief.unanswered_at is not None and terms is not None:
             left_s = terms.cold_s
@@ -192,27 +192,64 @@
     return tuple(reports)
 
 
-def update_views(state: states.RouterState, *, now: float) -> None:
-    """Divides the permits by the demands that are known now."""
+def update_views(
+    state: states.RouterState, *, now: float
+) -> list[effects.Effect]:
+    """Divides the permits by the demands that are known now.
+
+    An entry that may be cut off from most of the others keeps its permits for
+    as long as they keep its part for it.
+
+    Returns:
+        A log line if it has become unknown which upstreams are cold, or known.
+    """
     cold = state.view.cold
+    if not cold.terms:
+        return []
     cold.remove_old_sends(now=now)
+    hears_most = has_majority(state, now=now)
+    if hears_most:
+        cold.heard_most_at = now
+    heard_most_at = cold.heard_most_at
     for service in cold.terms:
-        demands = build_demands(state, service, now=now)
-        cold.add_view(service, demands, now=now)
+        if hears_most:
+            demands = build_demands(state, service)
+            cold.add_view(service, demands, now=now)
+        elif (
+            heard_most_at is None or now - heard_most_at > defaults.COLD_KEEP_S
+        ):
+            cold.add_view(service, {}, now=now)
+    was_unknown = cold.is_unknown
+    cold.is_unknown = (
+        heard_most_at is not None
+        and not hears_most
+        and not state.proof.is_valid(now=now)
+    )
+    if cold.is_unknown == was_unknown:
+        return []
+    return [
+        fx.LogDecision(
+            decision="coldness_unknown"
+            if cold.is_unknown
+            else "coldness_known",
+            reason="hears neither most of the entries nor the store"
+            if cold.is_unknown
+            else "hears most of the entries or the store",
+            inputs=(
+                ("entries", len(cold.members)),
+                ("heard_age_s", round(now - (heard_most_at or now), 3)),
+            ),
+        )
+    ]
 
 
-def build_demands(
-    state: states.RouterState, service: str, *, now: float
-) -> dict[str, float]:
+def build_demands(state: states.RouterState, service: str) -> dict[str, float]:
     """Returns the demand of each entry that may send requests, by name.
 
     Entries that are silent keep their part as long as they are registered, as
-    they may be cut off from this one alone. Empty if this entry may be cut off
-    from most of the others.
+    they may be cut off from this one alone.
     """
     entries = state.entries
-    if not has_majority(state, now=now):
-        return {}
     demands = dict.fromkeys(entries.registered, defaults.MIN_COLD_DEMAND_PER_S)
     service_hash = name_hashes.hash_name(service)
     for name, known in entries.peers.items():
@@ -266,7 +303,7 @@
         return []
     changes = cold.list_changes(now=now)
     if cold.terms and any(
-        x.is_cold and now < x.belief.seen_until for x in changes
+        x.is_cold and now < x.belief.own_until for x in changes
     ):
         state.expedite_heartbeat(now=now)
     if not changes:
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/cold_upstreams.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/cold_upstreams.py
@@ -222,6 +222,7 @@
         reason: What it was.
         unanswered_at: When a connection to it last failed, if nothing has been
             heard from it since; it may start at any later time.
+        unanswered_until: Until when it is cold because of that.
         is_logged: Whether a log line has reported that it is cold.
     """
 
@@ -230,12 +231,18 @@
     known_at: float = 0.0
     reason: str = ""
     unanswered_at: float | None = None
+    unanswered_until: float = -math.inf
     is_logged: bool = False
 
+    @property
+    def own_until(self) -> float:
+        """Until when it counts as cold without what others have told."""
+        return max(self.seen_until, self.unanswered_until)
+
     @property
     def until(self) -> float:
         """Until when it counts as cold."""
-        return max(self.seen_until, self.told_until)
+        return max(self.own_until, self.told_until)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -266,6 +273,9 @@
         views: The entries' demands by service, the oldest first.
         members: Names of the entries that may send requests, also of silent
             ones; removed only on fresh news from the store.
+        heard_most_at: When this entry last heard most of them; None before.
+        is_unknown: Whether it hears neither them nor the store; then every
+            upstream counts as cold.
     """
 
     def __init__(
@@ -281,6 +291,8 @@
         self.demands: dict[str, Demand] = {}
         self.views: dict[str, collections.deque[DemandView]] = {}
         self.members: set[str] = set()
+        self.heard_most_at: float | None = None
+        self.is_unknown = False
 
     def set_terms(self, terms: dict[str, ColdTerms]) -> None:
         """Replaces the terms of all services."""
@@ -340,13 +352,10 @@
         terms = self.terms.get(service)
         if terms is None:
             return
-        self.record_cold(
-            key,
-            left_s=defaults.UNANSWERED_START_S + terms.cold_s,
-            reason="no answer",
-            now=now,
-        )
-        self.beliefs[key].unanswered_at = now
+        belief = self.get_belief(key, reason="no answer", now=now)
+        belief.unanswered_at = now
+        left_s = defaults.UNANSWERED_START_S + terms.cold_s
+        belief.unanswered_until = now + left_s
 
     def record_answer(
         self,
@@ -370,12 +379,15 @@
             return
         if sent_at > belief.unanswered_at:
             belief.unanswered_at = None
-            belief.seen_until = now + terms.cold_s
-            belief.reason = "answers again"
-            belief.known_at = now
+            belief.unanswered_until = -math.inf
+            self.record_cold(
+                key, left_s=terms.cold_s, reason="answers again", now=now
+            )
 
     def is_cold(self, key: upstream_limits.LimitKey, *, now: float) -> bool:
         """Returns whether an upstream counts as cold."""
+        if self.is_unknown:
+            return True
         belief = self.beliefs.get(key)
         return belief is not None and now < belief.until
 
@@ -384,7 +396,7 @@
     ) -> ColdTerms | None:
         """Returns the terms that hold for an upstream; None if it is warm."""
         terms = self.terms.get(service)
-        if terms is None or not self.beliefs:
+        if terms is None or not (self.beliefs or self.is_unknown):
             return None
         key = upstream_limits.build_key(upstream_id, started_ms)
         return terms if self.is_cold(key, now=now) else None
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -177,6 +177,10 @@
 # How long a gain of permits for cold upstreams is delayed: an entry that is
 # heard later counts as silent (see PEER_TIMEOUT_S).
 COLD_HOLD_S = 3.0
+# How long an entry that may be cut off keeps its permits: the others keep its
+# part for it until they deregister it (see PEER_EXPIRY_S below), and give it to
+# others COLD_HOLD_S later.
+COLD_KEEP_S = 24.0
 # Number of views of the entries' demands that are kept, each in force for a
 # heartbeat interval or longer.
 MAX_COLD_VIEWS = 64
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
@@ -172,7 +172,7 @@
     if known:
         state.budget.record_entry_count(known + 1, now=now)
     limit_sharing.update_shares(state, now=now)
-    cold_sharing.update_views(state, now=now)
+    out += cold_sharing.update_views(state, now=now)
     heartbeat = build_heartbeat(state, now=now)
     nearby = state.entries.list_addresses_in(state.settings.data_centre)
     out += [core_effects.Send(address, heartbeat) for address in nearby]
