Name what a service's cold upstreams tolerate in our own words

features/platform_names.feature failed on cold_s and cold_per_s, which are the configuration's names, in the packages.

--- a/features/steps/cold_steps.py
+++ b/features/steps/cold_steps.py
@@ -190,7 +190,10 @@
 def start_entry(context):
     world = router_world.World(**cold_fleet.BOUNDS)
     service = configuration.Service(
-        name="pool", max_connections=100, cold_s=3.0, cold_per_s=10.0
+        name="pool",
+        max_connections=100,
+        cold_duration_s=3.0,
+        cold_rate_per_s=10.0,
     )
     world.apply(events.EntriesListed(()))
     world.start(1)
@@ -303,7 +306,7 @@
     service = wire.build_service(
         wire.WireService(name="pool", cold_s=3.0, cold_per_s=10.0)
     )
-    assert (service.cold_s, service.cold_per_s) == (3.0, 10.0)
+    assert (service.cold_duration_s, service.cold_rate_per_s) == (3.0, 10.0)
     spec = {"service": "pool", "addr": "127.0.0.1:1", "state": wire.READY}
     stored = wire.StoredObject(
         metadata=wire.Metadata(name="up-0"),
--- a/features/support/cold_fleet.py
+++ b/features/support/cold_fleet.py
@@ -41,8 +41,8 @@
         service = configuration.Service(
             name="pool",
             max_connections=100,
-            cold_s=COLD_S,
-            cold_per_s=rate_per_s,
+            cold_duration_s=COLD_S,
+            cold_rate_per_s=rate_per_s,
         )
         self.configuration = dataclasses.replace(
             router_world.build_configuration(2), services={"pool": service}
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/cold_sharing.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/cold_sharing.py
@@ -76,7 +76,7 @@
     terms = cold.terms.get(listed.service)
     if is_new and not is_first_list and terms is not None:
         cold.record_cold(
-            key, left_s=terms.cold_s, reason="new in the list", now=now
+            key, left_s=terms.cold_duration_s, reason="new in the list", now=now
         )
 
 
@@ -129,7 +129,7 @@
         if listed.data_centre == data_centre and terms is not None:
             cold.record_cold(
                 key,
-                left_s=terms.cold_s,
+                left_s=terms.cold_duration_s,
                 reason="end of an evacuation",
                 now=now,
             )
@@ -165,7 +165,7 @@
         left_s = belief.own_until - now
         terms = cold.terms.get(state.view.tracked[upstream_id].listed.service)
         if belief.unanswered_at is not None and terms is not None:
-            left_s = terms.cold_s
+            left_s = terms.cold_duration_s
         reports.append(
             messages.ColdReport(
                 upstream=key[0],
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/cold_upstreams.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/cold_upstreams.py
@@ -32,13 +32,14 @@
 
     Attributes:
         rate_per_s: Requests a second from all entries.
-        cold_s: For how long an upstream that starts during traffic is cold.
+        cold_duration_s: For how long an upstream that starts during traffic is
+            cold.
         permits: Requests that all entries together may send it in a window.
         window_s: Length of the window, at least a second.
     """
 
     rate_per_s: float
-    cold_s: float
+    cold_duration_s: float
     permits: int
     window_s: float
 
@@ -63,9 +64,9 @@
     """
     if overshoot is None or slack is None:
         return None
-    if service.cold_per_s <= 0.0 or service.cold_s <= 0.0:
+    if service.cold_rate_per_s <= 0.0 or service.cold_duration_s <= 0.0:
         return None
-    rate_per_s = service.cold_per_s
+    rate_per_s = service.cold_rate_per_s
     allowed = rate_per_s * overshoot + slack
     permits_per_s = min(
         rate_per_s * max(1.0, overshoot),
@@ -74,7 +75,7 @@
     permits = min(int(allowed), max(1, int(permits_per_s)))
     return ColdTerms(
         rate_per_s=rate_per_s,
-        cold_s=service.cold_s,
+        cold_duration_s=service.cold_duration_s,
         permits=permits,
         window_s=max(1.0, permits / permits_per_s),
     )
@@ -354,7 +355,7 @@
             return
         belief = self.get_belief(key, reason="no answer", now=now)
         belief.unanswered_at = now
-        left_s = defaults.UNANSWERED_START_S + terms.cold_s
+        left_s = defaults.UNANSWERED_START_S + terms.cold_duration_s
         belief.unanswered_until = now + left_s
 
     def record_answer(
@@ -381,7 +382,10 @@
             belief.unanswered_at = None
             belief.unanswered_until = -math.inf
             self.record_cold(
-                key, left_s=terms.cold_s, reason="answers again", now=now
+                key,
+                left_s=terms.cold_duration_s,
+                reason="answers again",
+                now=now,
             )
 
     def is_cold(self, key: upstream_limits.LimitKey, *, now: float) -> bool:
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/configuration.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/configuration.py
@@ -107,17 +107,17 @@
         max_connections: The number of connections that one upstream accepts
             from all callers together.
         models: The service's models; empty if it isn't an engine.
-        cold_s: For how long an upstream that starts during traffic is cold, in
-            seconds.
-        cold_per_s: Requests a second that a cold upstream tolerates from all
-            entries together; 0 if upstreams are never cold.
+        cold_duration_s: For how long an upstream that starts during traffic is
+            cold, in seconds.
+        cold_rate_per_s: Requests a second that a cold upstream tolerates from
+            all entries together; 0 if upstreams are never cold.
     """
 
     name: str
     max_connections: int
     models: tuple[ModelPrice, ...] = ()
-    cold_s: float = 0.0
-    cold_per_s: float = 0.0
+    cold_duration_s: float = 0.0
+    cold_rate_per_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
