--- a/packages/rhubarbbank-router/src/rhubarbbank_router/cold_upstreams.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/cold_upstreams.py
@@ -32,13 +32,14 @@
 
     Attributes:
         rate_per_s: Requests a second from all entries.
-        cold_s: For how long an upstream that starts during traffic is cold.
+        cold_duration_s: For how long an upstream that starts during traffic is
+            cold.
         permits: Requests that all entries together may send it in a window.
         window_s: Length of the window, at least a second.
     """
 
     rate_per_s: float
-    cold_s: float
+    cold_duration_s: float
     permits: int
     window_s: float
 
@@ -63,9 +64,9 @@
     """
     if overshoot is None or slack is None:
         return None
-    if service.cold_per_s <= 0.0 or service.cold_s <= 0.0:
+    if service.cold_rate_per_s <= 0.0 or service.cold_duration_s <= 0.0:
         return None
-    rate_per_s = service.cold_per_s
+    rate_per_s = service.cold_rate_per_s
     allowed = rate_per_s * overshoot + slack
     permits_per_s = min(
         rate_per_s * max(1.0, overshoot),
@@ -74,7 +75,7 @@
     permits = min(int(allowed), max(1, int(permits_per_s)))
     return ColdTerms(
         rate_per_s=rate_per_s,
-        cold_s=service.cold_s,
+        cold_duration_s=service.cold_duration_s,
         permits=permits,
         window_s=max(1.0, permits / permits_per_s),
     )
@@ -222,6 +223,7 @@
         reason: What it was.
         unanswered_at: When a connection to it last failed, if nothing has been
             heard from it since; it may start at any later time.
+        unanswered_until: Until when it is cold because of that.
         is_logged: Whether a log line has reported that it is cold.
     """
 
@@ -230,12 +232,18 @@
     known_at: float = 0.0
     reason: str = ""
     unanswered_at: float | None = None
+    unanswered_until: float = -math.inf
     is_logged: bool = False
 
+    @property
+    def own_until(self) -> float:
+        """Until when it counts as cold without what others have told."""
+        return max(self.seen_until, self.unanswered_until)
+
     @property
     def until(self) -> float:
         """Until when it counts as cold."""
-        return max(self.seen_until, self.told_until)
+        return max(self.own_until, self.told_until)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -266,6 +274,9 @@
         views: The entries' demands by service, the oldest first.
         members: Names of the entries that may send requests, also of silent
             ones; removed only on fresh news from the store.
+        heard_most_at: When this entry last heard most of them; None before.
+        is_unknown: Whether it hears neither them nor the store; then every
+            upstream counts as cold.
     """
 
     def __init__(
@@ -281,6 +292,8 @@
         self.demands: dict[str, Demand] = {}
         self.views: dict[str, collections.deque[DemandView]] = {}
         self.members: set[str] = set()
+        self.heard_most_at: float | None = None
+        self.is_unknown = False
 
     def set_terms(self, terms: dict[str, ColdTerms]) -> None:
         """Replaces the terms of all services."""
@@ -340,13 +353,10 @@
         terms = self.terms.get(service)
         if terms is None:
             return
-        self.record_cold(
-            key,
-            left_s=defaults.UNANSWERED_START_S + terms.cold_s,
-            reason="no answer",
-            now=now,
-        )
-        self.beliefs[key].unanswered_at = now
+        belief = self.get_belief(key, reason="no answer", now=now)
+        belief.unanswered_at = now
+        left_s = defaults.UNANSWERED_START_S + terms.cold_duration_s
+        belief.unanswered_until = now + left_s
 
     def record_answer(
         self,
@@ -370,12 +380,18 @@
             return
         if sent_at > belief.unanswered_at:
             belief.unanswered_at = None
-            belief.seen_until = now + terms.cold_s
-            belief.reason = "answers again"
-            belief.known_at = now
+            belief.unanswered_until = -math.inf
+            self.record_cold(
+                key,
+                left_s=terms.cold_duration_s,
+                reason="answers again",
+                now=now,
+            )
 
     def is_cold(self, key: upstream_limits.LimitKey, *, now: float) -> bool:
         """Returns whether an upstream counts as cold."""
+        if self.is_unknown:
+            return True
         belief = self.beliefs.get(key)
         return belief is not None and now < belief.until
 
@@ -384,7 +400,7 @@
     ) -> ColdTerms | None:
         """Returns the terms that hold for an upstream; None if it is warm."""
         terms = self.terms.get(service)
-        if terms is None or not self.beliefs:
+        if terms is None or not (self.beliefs or self.is_unknown):
             return None
         key = upstream_limits.build_key(upstream_id, started_ms)
         return terms if self.is_cold(key, now=now) else None
