Check that no retry runs beside another attempt, and that cuts are censored

Cause: two mutants passed: a retry after a refusal beside an open attempt, and a cancelled attempt taken as a complete one. Change: the histories allow one open attempt that isn't a hedge; the stream scenario looks at the censored samples.

--- a/features/steps/router_hedging_steps.py
+++ b/features/steps/router_hedging_steps.py
@@ -273,6 +273,8 @@
 def check_stream(context):
     world = context.world
     assert world.cancelled_attempts(context.request) == [1]
+    histogram = world.state.usual_times.histograms["chat", "small"]
+    assert sum(histogram.censored) == 1, histogram.censored
     deliver(context, 1, build_head(), send_event, build_end("broken"))
     assert world.written_event_ids(context.request) == [1]
     deliver(context, 2, build_end("complete"))
--- a/features/steps/router_history_steps.py
+++ b/features/steps/router_history_steps.py
@@ -190,6 +190,7 @@
         open_attempts = [x for x in opened.attempts if x.open]
         self.hedged += len(open_attempts) > 1
         assert len(open_attempts) <= 1 + self.hedges, opened.attempts
+        assert sum(not x.is_hedge for x in open_attempts) <= 1, opened.attempts
         hedges = sum(x.is_hedge for x in opened.attempts)
         assert hedges <= self.hedges, opened.attempts
 
