--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_evidence.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_evidence.py
@@ -108,10 +108,8 @@
 
     It would have taken longer than it did. So it enters the usual times, which
     would otherwise fall as slow answers are cancelled, and counts as slow in
-    the trial of its version. It also counts as a failure of its upstream, or
-    an upstream on which all answers are slow would get more and more requests.
+    the trial of its version.
     """
-    state.view.record_failure(attempt.upstream, now=now)
     record_trial_evidence(
         state, opened, attempt, failed=False, slow=True, now=now
     )
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/hedges.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/hedges.py
@@ -360,11 +360,18 @@
     *,
     now: float,
 ) -> list[effects.Effect]:
-    """Cancels an attempt, and records that it was slow."""
+    """Cancels an attempt, and records that it was slow.
+
+    This counts as a failure of its upstream, as silence does: otherwise an
+    upstream on which all answers are slow would keep its share of requests.
+    """
     is_late = loser.status != 0
     out = attempt_ends.cancel_attempt(state, opened, loser, now=now)
     attempt_evidence.record_lost_attempt(state, opened, loser, now=now)
     crash_evidence.record_unanswered(state, opened, loser, now=now)
+    out += attempt_ends.record_upstream_failure(
+        state, loser.upstream, now=now, weight=1
+    )
     outcome = "won" if winner.is_hedge else "lost"
     out += [
         attempt_log.build_attempt_line(
