Count only bytes of heads toward the limit on a head

Cause: between the turn in which aiohttp takes a request from its queue and the one in which its handler begins, the first bytes of the body counted as a head, so that an upload could get 431.

Change: bytes count while no body is being received. A refused body, which isn't kept, no longer counts as held.

--- a/features/held_bytes.feature
+++ b/features/held_bytes.feature
@@ -35,3 +35,16 @@
     Given an entry without limits
     When 1000 unfinished uploads come within 10 s, and ordinary callers beside them
     Then nobody has given way
+
+  Scenario Outline: Only a head without end counts as too large
+    When a caller sends <first>, and 68000 bytes more after <turns> turns
+    Then the connection is <state>
+
+    Examples:
+      | first          | turns | state  |
+      | a head         | 0     | open   |
+      | a head         | 1     | open   |
+      | a head         | 2     | open   |
+      | a head         | 3     | open   |
+      | half of a head | 0     | closed |
+      | half of a head | 3     | closed |
--- a/features/platform_path.feature
+++ b/features/platform_path.feature
@@ -21,6 +21,10 @@
     Then the platform's response is the runner's, including its signature
     And the runner received the method, target and body as sent
 
+  Scenario: Bodies of the largest size are forwarded completely
+    When a caller sends the platform 20 bodies of 100000 bytes in small pieces
+    Then each response is the runner's, and each body was received completely
+
   Scenario: Headers reserved for the system aren't forwarded
     When a caller sends the platform headers that only the system may set
     Then the runner received none of these headers
--- a/features/steps/held_bytes_steps.py
+++ b/features/steps/held_bytes_steps.py
@@ -1,5 +1,9 @@
 """Steps for the account of what connections hold."""
 
+import asyncio
+from unittest import mock
+
+from aiohttp import web
 from behave import given
 from behave import then
 from behave import when
@@ -8,6 +12,8 @@
 from rhubarbbank_runtime import held_bytes
 from rhubarbbank_runtime import host_limits
 
+TIMEOUTS = caller_connection.ConnectionTimeouts(header_s=5.0, idle_s=5.0)
+HEAD = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 100000\r\n\r\n"
 MB = host_limits.BYTES_PER_MB
 Stage = held_bytes.Stage
 RESIDENT_BYTES = 55 * MB
@@ -162,3 +168,40 @@
 @then("the entry can't take connections")
 def check_full(context):
     assert not context.account.can_take()
+
+
+async def receive(first, more, *, turns):
+    """Returns whether a connection is closed that received two pieces."""
+
+    async def read_body(request):
+        with caller_connection.suspend_timeouts(request):
+            await request.read()
+            return web.Response()
+
+    server = caller_connection.CallerServer(
+        read_body, get_timeouts=lambda: TIMEOUTS
+    )
+    connection = server()
+    transport = mock.Mock(asyncio.Transport)
+    transport.get_write_buffer_size.return_value = 0
+    connection.connection_made(transport)
+    connection.data_received(first)
+    for _ in range(turns):
+        await asyncio.sleep(0)
+    connection.data_received(more)
+    is_closed = transport.close.called
+    connection.connection_lost(None)
+    return is_closed
+
+
+@when("a caller sends {first}, and {size:d} bytes more after {turns:d} turns")
+def send_pieces(context, first, size, turns):
+    head = HEAD if first == "a head" else HEAD[:-4] + b"\r\nA: "
+    field = b"x" * 4_000 + b"\r\nA: "
+    more = field * (size // len(field))
+    context.is_closed = asyncio.run(receive(head, more, turns=turns))
+
+
+@then("the connection is {state}")
+def check_connection(context, state):
+    assert context.is_closed == (state == "closed")
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -44,6 +44,7 @@
     "delays writes": platform_store.Fault.LATE,
 }
 REQUEST_PERIOD_S = 0.1
+PIECE_BYTES = 20_000
 STATUS_LINE = re.compile(rb"HTTP/1\.[01] (\d{3}) ")
 
 
@@ -130,6 +131,32 @@
     )
 
 
+@when(
+    "a caller sends the platform {count:d} bodies of {size:d} bytes in small "
+    "pieces"
+)
+def send_largest_bodies(context, count, size):
+    platform_callers.prepare_fleet(context)
+    context.body = b"x" * size
+    length = {"Content-Length": str(size)}
+    pieces = [
+        context.body[start : start + PIECE_BYTES]
+        for start in range(0, size, PIECE_BYTES)
+    ]
+    context.replies = [
+        context.platform.ask("/book/large", body=iter(pieces), headers=length)
+        for _ in range(count)
+    ]
+
+
+@then("each response is the runner's, and each body was received completely")
+def check_largest_bodies(context):
+    statuses = [reply.status for reply in context.replies]
+    assert statuses == [200] * len(statuses), statuses
+    bodies = [run.body for run in context.platform.list_runs("/book/large")]
+    assert bodies == [context.body] * len(statuses), len(bodies)
+
+
 @when("a caller sends the platform headers that only the system may set")
 def send_system_headers(context):
     platform_callers.prepare_fleet(context)
--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/caller_connection.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/caller_connection.py
@@ -19,6 +19,7 @@
 import sys
 from typing import Any
 
+import aiohttp
 from aiohttp import web
 
 from rhubarbbank_runtime import held_bytes
@@ -73,6 +74,7 @@
         server: The server, whose account has this connection.
         holder: What the connection holds; None before it is opened.
         head_bytes: Bytes received of the next request's head.
+        payload: The body of the last request whose head has arrived.
         is_received: Whether the request that is being served has arrived.
         is_refused: Whether a request was refused before it had arrived.
         is_broken: Whether the input can't be parsed any further.
@@ -96,6 +98,7 @@
         self.server = manager
         self.holder: held_bytes.Holder | None = None
         self.head_bytes = 0
+        self.payload: aiohttp.StreamReader = aiohttp.streams.EMPTY_PAYLOAD
         self.is_received = False
         self.is_refused = False
         self.is_broken = False
@@ -122,7 +125,8 @@
             return
         if self.is_broken:
             return
-        self.hold(self.request_bytes + len(data))
+        if not self.is_refused:
+            self.hold(self.request_bytes + len(data))
         if self.transport is None:
             return
         if self.is_received:
@@ -133,8 +137,15 @@
         if not self.is_serving and not self.head_started:
             self.head_started = True
             self.start_timer(self.get_timeouts().header_s)
+        is_complete = not self.payload.is_eof()
         super().data_received(data)
-        self.check_head(len(data))
+        if self._messages:
+            _, self.payload = self._messages[-1]
+            is_complete = True
+        if is_complete or self.is_serving or self.is_refused:
+            self.head_bytes = 0
+        else:
+            self.check_head(len(data))
 
     def handle_error(
         self,
@@ -149,10 +160,7 @@
         return super().handle_error(request, status, exc, message)
 
     def check_head(self, new_bytes: int) -> None:
-        """Closes the connection if a head that is incomplete is too large."""
-        if self.is_serving or self.is_refused or self._messages:
-            self.head_bytes = 0
-            return
+        """Closes the connection if an incomplete head has become too large."""
         self.head_bytes += new_bytes
         most = HEAD_TOLERANCE * self.get_timeouts().max_head_bytes
         if self.head_bytes > most and self.transport is not None:
