--- a/features/platform_cancel.feature
+++ b/features/platform_cancel.feature
@@ -4,6 +4,10 @@
   Scenario: An attempt at an upstream
     Then cancelling an attempt while it connects closes no other socket
 
+  Scenario: An attempt that is cancelled before it begins
+    When an attempt is cancelled in the turn in which it is sent
+    Then its upstream gets no connection
+
   Scenario: A call to the store
     Then cancelling a store call while it connects closes no other socket
 
--- a/features/router_hedging.feature
+++ b/features/router_hedging.feature
@@ -91,6 +91,7 @@
       | look  | the other upstreams have named a limit   |
       | look  | the other upstreams have asked for nothing |
       | look  | the other upstreams have just failed     |
+      | look  | the other upstreams are cold             |
       | look  | a version is on trial                    |
       | look  | the entry is stopping                    |
       | look  | the deadline is near                     |
--- a/features/steps/platform_cancel_steps.py
+++ b/features/steps/platform_cancel_steps.py
@@ -11,12 +11,14 @@
 
 import aiohttp
 from behave import then
+from behave import when
 from support import raw_servers
 import uvloop
 
 from rhubarbbank_core import store
 from rhubarbbank_platform import runners
 from rhubarbbank_platform import store_api
+from rhubarbbank_router import effects
 from rhubarbbank_runtime import exchange_socket
 from rhubarbbank_runtime import http_session
 from rhubarbbank_runtime import store_http
@@ -88,6 +90,40 @@
     assert uvloop.run(cancel_exchanges(call_upstream)) == 0
 
 
+async def cancel_before_start(context):
+    """Sends and cancels an attempt without a turn of the loop in between."""
+    context.connections = 0
+
+    def count(_reader, writer):
+        context.connections += 1
+        writer.close()
+
+    server = await asyncio.start_server(count, raw_servers.LOCALHOST, 0)
+    tasks = []
+    async with aiohttp.ClientSession() as session:
+        client = runners.UpstreamClient(
+            session=session,
+            apply=lambda _: None,
+            spawn=lambda x: tasks.append(asyncio.ensure_future(x)),
+        )
+        port = server.sockets[0].getsockname()[1]
+        client.send(raw_servers.build_send_attempt(port=port))
+        client.cancel(effects.CancelAttempt("a1", 1))
+        await asyncio.wait(tasks)
+        assert not client.attempts
+    server.close()
+
+
+@when("an attempt is cancelled in the turn in which it is sent")
+def cancel_at_once(context):
+    uvloop.run(cancel_before_start(context))
+
+
+@then("its upstream gets no connection")
+def check_no_connection(context):
+    assert context.connections == 0
+
+
 @then("cancelling a store call while it connects closes no other socket")
 def check_store_calls(context):
     assert uvloop.run(cancel_exchanges(call_store)) == 0
--- a/features/steps/router_hedging_steps.py
+++ b/features/steps/router_hedging_steps.py
@@ -9,12 +9,14 @@
 from support import hedge_fleet
 from support import router_world
 
+from rhubarbbank_router import cold_upstreams
 from rhubarbbank_router import events
 from rhubarbbank_router import hedge_budget
 from rhubarbbank_router import hedge_delays
 from rhubarbbank_router import hedge_policy
 from rhubarbbank_router import limit_sharing
 from rhubarbbank_router import options
+from rhubarbbank_router import upstream_limits
 from rhubarbbank_router import upstreams
 
 START_S = 100.0 + hedge_fleet.WARM_UP_S
@@ -309,6 +311,20 @@
         context.world.state.view.record_closed(name, 5.0, now=context.world.now)
 
 
+def turn_cold(context):
+    """Turns all upstreams cold, with more permits than are needed."""
+    cold = context.world.state.view.cold
+    terms = cold_upstreams.ColdTerms(
+        rate_per_s=1000.0, cold_duration_s=60.0, permits=1000, window_s=1.0
+    )
+    cold.set_terms({"pool": terms})
+    cold.add_view("pool", {cold.name: 1.0}, now=0.0)
+    for name in ("up-0", "up-1", "up-2"):
+        key = upstream_limits.build_key(name, 0)
+        cold.record_cold(key, left_s=60.0, reason="test", now=100.0)
+    assert not cold.is_exhausted("pool", "up-0", 0, now=100.0)
+
+
 def use_up(context, *, until):
     state = context.world.state
     while state.budget.take("pool", now=100.0, share=until):
@@ -342,6 +358,7 @@
     "the other upstreams have just failed": lambda context: change_others(
         context, failures=1
     ),
+    "the other upstreams are cold": turn_cold,
     "a version is on trial": begin_trial,
     "the entry is stopping": lambda context: context.world.apply(
         router_world.core_events.StopRequested()
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/hedges.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/hedges.py
@@ -120,6 +120,7 @@
     """
     excluded = opened.excluded | {attempt.upstream}
     limits = state.view.limits
+    cold = state.view.cold
     return [
         tracked
         for tracked in state.view.list_accepting(opened.service, now=now)
@@ -132,6 +133,12 @@
         and not limits.is_limited(
             tracked.listed.upstream_id, tracked.listed.started_ms
         )
+        and not cold.find_terms(
+            opened.service,
+            tracked.listed.upstream_id,
+            tracked.listed.started_ms,
+            now=now,
+        )
     ]
 
 
