--- a/features/held_bytes.feature
+++ b/features/held_bytes.feature
@@ -48,3 +48,7 @@
       | a head         | 3     | open   |
       | half of a head | 0     | closed |
       | half of a head | 3     | closed |
+
+  Scenario: A request sent ahead whose body comes later is answered
+    When a second request of 100000 bytes begins while the first is served
+    Then both are answered, whenever the rest of the body comes
--- a/features/steps/held_bytes_steps.py
+++ b/features/steps/held_bytes_steps.py
@@ -205,3 +205,54 @@
 @then("the connection is {state}")
 def check_connection(context, state):
     assert context.is_closed == (state == "closed")
+
+
+async def serve_slowly(request):
+    """Serves a request as the ingress does, with some work in between."""
+    with caller_connection.suspend_timeouts(request):
+        body = await request.read()
+        connection = caller_connection.find_connection(request)
+        assert connection.start_running()
+        await asyncio.sleep(0.05)
+        response = web.Response(text=str(len(body)))
+        return await caller_connection.send_whole(request, response)
+
+
+async def ask_ahead(size, early):
+    """Returns what a caller gets whose second body comes in two parts."""
+    server = caller_connection.CallerServer(
+        serve_slowly, get_timeouts=lambda: TIMEOUTS
+    )
+    listening = await asyncio.get_running_loop().create_server(
+        server, "127.0.0.1", 0
+    )
+    port = listening.sockets[0].getsockname()[1]
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+    await asyncio.sleep(0.01)
+    writer.write(HEAD + b"x" * early)
+    await asyncio.sleep(0.01)
+    writer.write(b"x" * (size - early))
+    received = b""
+    while piece := await asyncio.wait_for(reader.read(65_536), 5.0):
+        received += piece
+        if received.count(b"HTTP/1.1") > 1 and received.endswith(b"000"):
+            break
+    writer.close()
+    listening.close()
+    await server.shutdown(0.1)
+    return received
+
+
+@when("a second request of {size:d} bytes begins while the first is served")
+def send_ahead(context, size):
+    context.received = [
+        asyncio.run(ask_ahead(size, early)) for early in (0, 5_000, size)
+    ]
+
+
+@then("both are answered, whenever the rest of the body comes")
+def check_both(context):
+    for received in context.received:
+        assert received.count(b"HTTP/1.1 200") == 2, received
+        assert received.endswith(b"100000"), received
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/cold_sharing.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/cold_sharing.py
@@ -44,7 +44,7 @@
             for each in listed:
                 record_listed(state, each, is_first_list=is_first, now=now)
         case events.UpstreamChanged(listed):
-            record_listed(state, listed, is_first_list=False, now=now)
+            record_listed(state, listed, is_change=True, now=now)
         case _:
             pass
 
@@ -53,14 +53,16 @@
     state: states.RouterState,
     listed: upstreams.Upstream,
     *,
-    is_first_list: bool,
+    is_first_list: bool = False,
+    is_change: bool = False,
     now: float,
 ) -> None:
     """Records what the list says of an upstream.
 
     One that is new in the list may have started just now. That isn't known of
     those in this entry's first list, of which the figures in the list tell. A
-    figure has no age; it counts from its arrival.
+    figure has no age; it counts from its arrival. The same figure in a change
+    that comes once the upstream is warm is a new one.
     """
     cold = state.view.cold
     tracked = state.view.tracked.get(listed.upstream_id)
@@ -68,7 +70,11 @@
     is_new = known is None or known.started_ms != listed.started_ms
     key = upstream_limits.build_key(listed.upstream_id, listed.started_ms)
     if listed.cold_left_s > 0.0:
-        if is_new or (known and known.cold_left_s != listed.cold_left_s):
+        is_other = known is not None and (
+            known.cold_left_s != listed.cold_left_s
+        )
+        is_again = is_change and not cold.is_cold(key, now=now)
+        if is_new or is_other or is_again:
             cold.record_cold(
                 key, left_s=listed.cold_left_s, reason="the list", now=now
             )
@@ -289,8 +295,8 @@
 ) -> float:
     """Returns the demand for a service that an entry has reported."""
     for report in heartbeat.demands:
-        if report.service == service_hash and report.rate_per_s > 0.0:
-            return report.rate_per_s
+        if report.service == service_hash:
+            return max(report.rate_per_s, defaults.MIN_COLD_DEMAND_PER_S)
     return defaults.MIN_COLD_DEMAND_PER_S
 
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/cold_upstreams.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/cold_upstreams.py
@@ -320,6 +320,12 @@
             self.beliefs.popitem(last=False)
         return belief
 
+    @property
+    def longest_s(self) -> float:
+        """The longest time that news may claim an upstream to be cold."""
+        durations = [each.cold_duration_s for each in self.terms.values()]
+        return max([defaults.MAX_COLD_S, *durations])
+
     def record_cold(
         self,
         key: upstream_limits.LimitKey,
@@ -330,7 +336,7 @@
     ) -> None:
         """Records that this entry has seen that an upstream may be cold."""
         belief = self.get_belief(key, reason=reason, now=now)
-        left_s = min(left_s, defaults.MAX_COLD_S)
+        left_s = min(left_s, self.longest_s)
         belief.seen_until = max(belief.seen_until, now + left_s)
 
     def record_told(
@@ -343,7 +349,7 @@
     ) -> None:
         """Records what another entry has seen."""
         belief = self.get_belief(key, reason=peer, now=now)
-        left_s = min(left_s, defaults.MAX_COLD_S)
+        left_s = min(left_s, self.longest_s)
         belief.told_until = max(belief.told_until, now + left_s)
 
     def record_unanswered(
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
@@ -287,6 +287,8 @@
 ) -> float:
     """Returns by which factor a request would take longer at an upstream.
 
+    The factor is relative to the hosts on which usual times were learnt.
+
     Args:
         state: The router's state.
         opened: The request.
@@ -296,19 +298,20 @@
     """
     mean = state.view.get_service_times(opened.service).slowdown
     if tracked.slowdown == mean:
-        return mean
+        return 1.0
     usual_s = find_answer_s(state, opened)
     if usual_s == 0.0:
         prompt_s = count_prompt_blocks(opened) * compute_prefill_s_per_block(
             state, opened
         )
         usual_s = backlog_s + prompt_s
-    return state.slowdowns.predict(
+    slowdown = state.slowdowns.predict(
         tracked.slowdown,
         mean=mean,
         age_s=now - tracked.load_at,
         duration_s=usual_s,
     )
+    return slowdown / mean
 
 
 def find_answer_s(
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/evacuation_list.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/evacuation_list.py
@@ -133,6 +133,8 @@
         The evacuated data centres in which the service has upstreams, and the
         age of that knowledge; nothing if there are none.
     """
+    if not state.evacuations.active:
+        return ()
     withheld = {
         tracked.listed.data_centre
         for tracked in state.view.tracked.values()
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/hedge_budget.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/hedge_budget.py
@@ -50,6 +50,9 @@
         """
         number = int(now / (window_s / BUCKETS))
         ring = self.buckets.setdefault(service, collections.deque())
+        if ring and ring[-1].number > number:
+            # The window has become longer, and the numbers smaller.
+            ring.clear()
         while ring and ring[0].number <= number - BUCKETS:
             ring.popleft()
         if not ring or ring[-1].number != number:
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/hedges.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/hedges.py
@@ -88,6 +88,12 @@
     if now < attempt.sent_at + delay_s:
         opened.hedge_check_at = attempt.sent_at + delay_s
         return []
+    if not state.hedge_counts.has_room(
+        opened.service,
+        window_s=state.settings.bounds.retry_window_s,
+        now=now,
+    ):
+        return skip_without_share(opened, delay_s, now=now)
     others = list_others(state, opened, attempt, now=now)
     best = choose_other(state, opened, others, now=now)
     context = hedge_policy.HedgeContext(
@@ -107,6 +113,18 @@
     return begin(state, opened, tracked, context, usual, now=now)
 
 
+def skip_without_share(
+    opened: states.OpenRequest, delay_s: float, *, now: float
+) -> list[effects.Effect]:
+    """Declines a hedge before its upstreams are compared."""
+    opened.hedge_check_at = now + max(defaults.TICK_S, delay_s)
+    reason = hedge_policy.HedgeReason.NO_SHARE
+    if opened.hedge_declined == reason.value:
+        return []
+    opened.hedge_declined = reason.value
+    return [fx.Count(f"hedges_declined.{reason.name.lower()}")]
+
+
 def list_others(
     state: states.RouterState,
     opened: states.OpenRequest,
@@ -288,9 +306,10 @@
 ) -> list[effects.Effect]:
     """Logs why a slow request isn't hedged, once for each reason in a row.
 
-    It is checked again after as long as an answer typically takes.
+    It is checked again after as long as it has waited so far.
     """
-    opened.hedge_check_at = now + max(defaults.TICK_S, context.typical_s)
+    pause_s = max(defaults.TICK_S, context.typical_s, context.waited_s)
+    opened.hedge_check_at = now + pause_s
     if reason.value == opened.hedge_declined:
         return []
     opened.hedge_declined = reason.value
@@ -370,15 +389,18 @@
     """Cancels an attempt, and records that it was slow.
 
     This counts as a failure of its upstream, as silence does: otherwise an
-    upstream on which all answers are slow would keep its share of requests.
+    upstream on which all answers are slow would keep its share of requests. A
+    hedge that has had less time than the first attempt before it wasn't slow.
     """
     is_late = loser.status != 0
     out = attempt_ends.cancel_attempt(state, opened, loser, now=now)
-    attempt_evidence.record_lost_attempt(state, opened, loser, now=now)
     crash_evidence.record_unanswered(state, opened, loser, now=now)
-    out += attempt_ends.record_upstream_failure(
-        state, loser.upstream, now=now, weight=1
-    )
+    usual_s = loser.sent_at - winner.sent_at if loser.is_hedge else 0.0
+    if now - loser.sent_at >= usual_s:
+        attempt_evidence.record_lost_attempt(state, opened, loser, now=now)
+        out += attempt_ends.record_upstream_failure(
+            state, loser.upstream, now=now, weight=1
+        )
     outcome = "won" if winner.is_hedge else "lost"
     out += [
         attempt_log.build_attempt_line(
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
@@ -330,6 +330,8 @@
         self, service: str, *, now: float
     ) -> list[TrackedUpstream]:
         """Returns the service's upstreams that accept new requests."""
+        evacuated = self.evacuations.active
+        may_be_cold = service in self.cold.terms
         return [
             tracked
             for tracked in self.tracked.values()
@@ -337,15 +339,18 @@
             and not tracked.listed.leaving
             and not tracked.misdirected
             and tracked.doubtful_until is None
-            and not self.evacuations.is_evacuated(tracked.listed.data_centre)
+            and tracked.listed.data_centre not in evacuated
             and not self.limits.is_exhausted(
                 tracked.listed.upstream_id, tracked.listed.started_ms, now=now
             )
-            and not self.cold.is_exhausted(
-                service,
-                tracked.listed.upstream_id,
-                tracked.listed.started_ms,
-                now=now,
+            and not (
+                may_be_cold
+                and self.cold.is_exhausted(
+                    service,
+                    tracked.listed.upstream_id,
+                    tracked.listed.started_ms,
+                    now=now,
+                )
             )
             and not self.notices.is_closed(
                 tracked.listed.upstream_id, tracked.listed.started_ms, now=now
--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/caller_connection.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/caller_connection.py
@@ -130,13 +130,19 @@
         if self.transport is None:
             return
         if self.is_received:
-            # The next request waits, and so does its sender.
+            # The next request waits, and so does its sender. Reading goes on
+            # for a while, since only then the loss of the connection shows.
             self.early_input += data
-            self._pause_transport_reading()
+            if len(self.early_input) >= READ_BUFFER_BYTES:
+                self._pause_transport_reading()
             return
         if not self.is_serving and not self.head_started:
             self.head_started = True
             self.start_timer(self.get_timeouts().header_s)
+        self.parse(data)
+
+    def parse(self, data: bytes) -> None:
+        """Parses bytes, and checks the size of a head without an end."""
         is_complete = not self.payload.is_eof()
         super().data_received(data)
         if self._messages:
@@ -191,7 +197,13 @@
         """Records that the request is complete; returns whether it may run.
 
         From now on the connection isn't closed to make room for others.
+
+        Raises:
+            ConnectionResetError: It has been closed; its caller may have been
+                told that the request won't run.
         """
+        if self.transport is None or self.transport.is_closing():
+            raise ConnectionResetError
         self.is_received = True
         if self.holder is not None:
             if not self.server.account.may_run(self.holder):
@@ -223,7 +235,7 @@
     @property
     def is_idle(self) -> bool:
         """Whether no request is being served or received."""
-        return not self.is_serving and not self.head_started
+        return not (self.is_serving or self.head_started or self._messages)
 
     def start_request(self) -> None:
         """Stops the timer while a request is served."""
@@ -249,7 +261,7 @@
             return
         self.head_started = True
         self.start_timer(self.get_timeouts().header_s)
-        super().data_received(data)
+        self.parse(data)
         if not self._reading_paused and not self._buffer_paused:
             self._resume_transport_reading()
 
--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/held_bytes.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/held_bytes.py
@@ -13,9 +13,11 @@
 from typing import Protocol
 
 # What a connection without a request costs: parser, task and buffers.
-CONNECTION_BYTES = 32_768
+CONNECTION_BYTES = 12_288
 # Large requests that run leave this share of the memory to others.
 RESERVED_SHARE = 0.25
+# Small requests that run leave this share to new connections.
+SMALL_RESERVED_SHARE = 0.05
 SMALL_BODY_BYTES = 65_536
 # How far usage is reduced at once, so that candidates are seldom compared.
 REDUCED_SHARE = 0.875
@@ -169,31 +171,43 @@
         """Returns whether a received request leaves enough to others."""
         if self.running_count >= self.limits.max_running:
             return False
-        if holder.held_bytes <= SMALL_BODY_BYTES + CONNECTION_BYTES:
-            return True
-        allowed_bytes = self.limits.max_bytes * (1.0 - RESERVED_SHARE)
+        is_small = holder.held_bytes <= SMALL_BODY_BYTES + CONNECTION_BYTES
+        reserved_share = SMALL_RESERVED_SHARE if is_small else RESERVED_SHARE
+        allowed_bytes = self.limits.max_bytes * (1.0 - reserved_share)
         return self.running_bytes + holder.held_bytes <= allowed_bytes
 
     def can_take(self) -> bool:
         """Returns whether a new connection would be accepted."""
+        if self.running_bytes + CONNECTION_BYTES > self.limits.max_bytes:
+            return False
         return len(self.holders) < self.limits.max_connections or any(
             each.stage is not Stage.RUNNING for each in self.holders.values()
         )
 
     def choose_leaving(self, *, now: float) -> list[Holder]:
-        """Returns the connections that have to give way now."""
+        """Returns the connections that have to give way now.
+
+        More than necessary leave at once, but no unread answers for that.
+        """
         limits = self.limits
         surplus_bytes = self.held_bytes - limits.max_bytes
         surplus_connections = len(self.holders) - limits.max_connections
         if surplus_bytes <= 0 and surplus_connections <= 0:
             return []
+        spare_bytes = spare_connections = 0
         if surplus_bytes > 0:
-            surplus_bytes += int(limits.max_bytes * (1.0 - REDUCED_SHARE))
+            spare_bytes = int(limits.max_bytes * (1.0 - REDUCED_SHARE))
         if surplus_connections > 0:
-            surplus_connections += REDUCED_CONNECTIONS - 1
+            spare_connections = REDUCED_CONNECTIONS - 1
         leaving = []
         for holder in self.order(now=now):
-            if surplus_bytes <= 0 and surplus_connections <= 0:
+            if (
+                surplus_bytes <= -spare_bytes
+                and surplus_connections <= -spare_connections
+            ):
+                break
+            is_needed = surplus_bytes > 0 or surplus_connections > 0
+            if holder.stage is Stage.ANSWERING and not is_needed:
                 break
             leaving.append(holder)
             surplus_bytes -= holder.held_bytes
