--- a/features/router_cold.feature
+++ b/features/router_cold.feature
@@ -42,6 +42,11 @@
     When an evacuation of a data centre ends
     Then no cold upstream gets more than allowed in any second
 
+  Scenario: Entries that start just after an evacuation keep to the bound
+    Given 5 entries in 3 data centres under a burst
+    When an evacuation of a data centre ends, and two entries start
+    Then no cold upstream gets more than allowed in any second
+
   Scenario: An upstream that has started again counts as cold
     Given 27 entries and 6 upstreams under a burst
     When an upstream has started again, and the list doesn't say it is cold
--- a/features/steps/cold_steps.py
+++ b/features/steps/cold_steps.py
@@ -94,6 +94,31 @@
     context.fleet.run(cold_fleet.COLD_S)
 
 
+@given("5 entries in 3 data centres under a burst")
+def start_five(context):
+    fleet = context.fleet = cold_fleet.ColdFleet(
+        rng=random.Random(0),
+        data_centres=3,
+        entries=1,
+        rate_per_s=10.0,
+        upstreams=2,
+        demand_per_s=200.0,
+    )
+    for data_centre in ("west-0", "west-1"):
+        fleet.add(data_centre)
+    fleet.run(WARM_UP_S)
+    assert len(fleet.worlds) == 5
+
+
+@when("an evacuation of a data centre ends, and two entries start")
+def start_after_evacuation(context):
+    context.fleet.end_evacuation("west-0")
+    context.fleet.run(0.6)
+    context.fleet.add("west-0")
+    context.fleet.add("west-1")
+    context.fleet.run(2.2)
+
+
 @when("an upstream has started again, and the list doesn't say it is cold")
 def restart(context):
     context.fleet.list_changed("up-0", started_ms=2)
