Log whether the upstreams of a suspect's crashes are still listed

Hypotheses, before any change of logic:

A connection that ends without an answer counts as a crash of its upstream, whether the upstream goes on or not. Would show: `failed_attempt` names an incarnation that stays listed. 2. Each refusal postpones the suspicion's expiry. Would show: refusals more than a minute after the last crash, or with a last crash that gets ever older. 3. Nothing can clear a suspect with three crashes of its own. Would show: no `placed` and no `suspect_cleared` after the third. 4. The request is refused for another reason, such as upstreams that are set aside. Would show: `no_upstream`.

The lines didn't name the incarnation, nor say what became of it. Now `failed_attempt` has `started_ms`, and a refusal has `last_crash_s` and `still_listed`.

--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_ends.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_ends.py
@@ -98,6 +98,7 @@
             reason=detail,
             inputs=(
                 ("age_s", round(now - attempt.sent_at, 3)),
+                ("started_ms", attempt.upstream_started_ms),
                 ("events", attempt.events),
                 ("shared_parts", attempt_log.list_shared_parts(opened)),
                 *state.suspects.build_log_inputs(opened.fingerprint),
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/crash_evidence.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/crash_evidence.py
@@ -180,3 +180,27 @@
     return crash_suspects.hash_incarnation(
         attempt.upstream, attempt.upstream_started_ms
     )
+
+
+def build_refusal_inputs(
+    state: states.RouterState, trait: str, *, now: float
+) -> tuple[fx.LogInput, ...]:
+    """Returns log inputs on the crashes for which a trait is refused.
+
+    They show since when the last crash is known, and under how many of them the
+    upstream's incarnation is still listed, as if it hadn't crashed.
+    """
+    suspect = state.suspects.suspects.get(trait)
+    if suspect is None or not suspect.crashes:
+        return ()
+    listed = {
+        crash_suspects.hash_incarnation(
+            each.listed.upstream_id, each.listed.started_ms
+        )
+        for each in state.view.tracked.values()
+        if not each.lapsed
+    }
+    return (
+        ("last_crash_s", round(now - max(suspect.crashes.values()), 3)),
+        ("still_listed", len(listed & suspect.crashes.keys())),
+    )
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/intake.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/intake.py
@@ -12,6 +12,7 @@
 from rhubarbbank_core import program_effects as fx
 from rhubarbbank_router import callers
 from rhubarbbank_router import configuration
+from rhubarbbank_router import crash_evidence
 from rhubarbbank_router import crash_guard
 from rhubarbbank_router import defaults
 from rhubarbbank_router import dispatch
@@ -229,7 +230,11 @@
     blamed = permission.assessment.traits or {traits[0]}
     state.suspects.record_refusal(blamed, now=now)
     refusal = CRASH_SUSPECT if permission.is_final else CAUSE_UNDER_TEST
-    known = state.suspects.build_log_inputs(min(blamed, key=traits.index))
+    trait = min(blamed, key=traits.index)
+    known = (
+        *state.suspects.build_log_inputs(trait),
+        *crash_evidence.build_refusal_inputs(state, trait, now=now),
+    )
     probability = round(permission.assessment.probability, 3)
     return refuse(
         state,
