Withdraw crashes of upstreams that turn out to have run on

Cause: a connection that ends without an answer was recorded as a crash of its upstream, and nothing ever looked at whether the upstream went on. The set of crashes only grew, by merging, until a good answer cleared it, and a request with three crashes is sent nowhere, so that it can't have one.

The refusals, up to 40 s after the last loss, named crashes of two incarnations that were still listed.

Change: each such end is an observation, which may be refuted. An upstream that is still registered after the lease, that has changed its registration, or that answers an attempt which no later process can have got, has run on (`crash_review`). Its crashes are withdrawn, for fingerprints and parts alike. Other entries are told by the ids of the observations, since ages grow if messages are late; an entry that still reports a withdrawn crash is told again. An observation of an entry that was suspended, or that heard of it late, can be refuted by the list alone. Until it is settled a suspicion holds, as the third loss may be the third crash.

Why this works: a process that has crashed can do none of these things.

--- a/features/support/part_fleet.py
+++ b/features/support/part_fleet.py
@@ -50,6 +50,8 @@
         events_left: Number of events that are still to come.
         next_event_at: When the next one comes.
         has_begun: Whether the upstream has begun it.
+        lost_at: When the upstream loses its answer, and goes on; None if it
+            doesn't.
     """
 
     world: router_world.World
@@ -62,6 +64,7 @@
     next_event_at: float
     crashes_at: float | None = None
     has_begun: bool = False
+    lost_at: float | None = None
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/answer_heads.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/answer_heads.py
@@ -14,6 +14,7 @@
 from rhubarbbank_router import attempt_log
 from rhubarbbank_router import attempt_states
 from rhubarbbank_router import crash_guard
+from rhubarbbank_router import crash_review
 from rhubarbbank_router import defaults
 from rhubarbbank_router import dispatch
 from rhubarbbank_router import effects
@@ -40,6 +41,8 @@
         out.append(fx.Count("load_reports"))
     if head.has_invalid_load:
         out.append(fx.Count("load_reports_invalid"))
+    if is_from_upstream(head):
+        out += crash_review.review_answering(state, attempt, now=now)
     out += apply_upstream_notices(state, attempt, head, now=now)
     if head.refused or head.misdirected:
         return [*out, *handle_refusal(state, opened, attempt, head, now=now)]
@@ -60,6 +63,11 @@
     return [*out, *try_step_up(state, opened, attempt, head, now=now)]
 
 
+def is_from_upstream(head: events.UpstreamHead) -> bool:
+    """Returns whether a head shows that the upstream itself has answered."""
+    return not head.misdirected and (head.genuine or head.refused)
+
+
 def apply_upstream_notices(
     state: states.RouterState,
     attempt: attempt_states.Attempt,
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/cold_upstreams.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/cold_upstreams.py
@@ -361,7 +361,7 @@
             return
         belief = self.get_belief(key, reason="no answer", now=now)
         belief.unanswered_at = now
-        left_s = defaults.UNANSWERED_START_S + terms.cold_duration_s
+        left_s = defaults.REGISTRATION_RENEWAL_S + terms.cold_duration_s
         belief.unanswered_until = now + left_s
 
     def record_answer(
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/crash_evidence.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/crash_evidence.py
@@ -9,9 +9,11 @@
 
 from rhubarbbank_core import program_effects as fx
 from rhubarbbank_router import attempt_states
+from rhubarbbank_router import crash_review
 from rhubarbbank_router import crash_suspects
 from rhubarbbank_router import defaults
 from rhubarbbank_router import effects
+from rhubarbbank_router import heartbeat_forwarding
 from rhubarbbank_router import name_hashes
 from rhubarbbank_router import state as states
 from rhubarbbank_router import upstreams
@@ -32,7 +34,12 @@
     crash = hash_upstream(attempt)
     traits = opened.traits[:1] if attempt.is_sound else opened.traits
     also = state.unanswered.take_interrupted(crash, now=now)
-    recorded = state.suspects.record_crashes([traits, *also], crash, now=now)
+    recorded = state.suspects.record_crashes(
+        [traits, *also],
+        crash,
+        now=now,
+        is_late=not heartbeat_forwarding.has_run_steadily(state, now=now),
+    )
     if any(
         state.suspects.count_crashes(x) >= defaults.CRASHES_TO_SHARE
         for x in recorded
@@ -61,7 +68,11 @@
         record_upstream_crash(state, opened, attempt, now=now)
         return
     state.unanswered.add(
-        opened.traits, hash_upstream(attempt), may_be_whole=False, now=now
+        opened.traits,
+        hash_upstream(attempt),
+        sent_at=attempt.sent_at,
+        may_be_whole=False,
+        now=now,
     )
 
 
@@ -116,7 +127,13 @@
     if state.unanswered.has_just_crashed(crash, now=now):
         record_upstream_crash(state, opened, attempt, now=now)
         return []
-    state.unanswered.add(opened.traits, crash, may_be_whole=True, now=now)
+    state.unanswered.add(
+        opened.traits,
+        crash,
+        sent_at=attempt.sent_at,
+        may_be_whole=True,
+        now=now,
+    )
     return []
 
 
@@ -128,7 +145,7 @@
     now: float,
 ) -> list[effects.Effect]:
     """Records that an attempt has received an event or a part of an answer."""
-    out: list[effects.Effect] = []
+    out = crash_review.review_answering(state, attempt, now=now)
     if state.unanswered.attempts:
         for traits in state.unanswered.take_whole(
             hash_upstream(attempt), sent_at=attempt.sent_at, now=now
@@ -194,13 +211,12 @@
     if suspect is None or not suspect.crashes:
         return ()
     listed = {
-        crash_suspects.hash_incarnation(
-            each.listed.upstream_id, each.listed.started_ms
-        )
+        crash_review.hash_listed(each.listed)
         for each in state.view.tracked.values()
         if not each.lapsed
     }
+    crashes = suspect.crashes.values()
     return (
-        ("last_crash_s", round(now - max(suspect.crashes.values()), 3)),
-        ("still_listed", len(listed & suspect.crashes.keys())),
+        ("last_crash_s", round(now - max(x.at for x in crashes), 3)),
+        ("still_listed", sum(x.incarnation in listed for x in crashes)),
     )
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/crash_suspects.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/crash_suspects.py
@@ -5,7 +5,8 @@
 sends it to the other entries with its heartbeats. A received set is merged by
 union, so that messages may be lost, repeated or reordered, and what an entry
 has sent survives its process. A good answer to a request clears its traits of
-all earlier crashes.
+all earlier crashes. A crash is withdrawn once its observations are refuted
+(see `crash_review`).
 
     caller --> entry 1 --> upstream a crashes    {a}
            --> entry 2 --> upstream b crashes    {a, b}
@@ -19,7 +20,10 @@
 import dataclasses
 import math
 
+import msgspec
+
 from rhubarbbank_core import program_effects as fx
+from rhubarbbank_router import crash_observations
 from rhubarbbank_router import defaults
 from rhubarbbank_router import messages
 from rhubarbbank_router import name_hashes
@@ -40,7 +44,8 @@
     Attributes:
         seen_at: When a request with it last crashed an upstream or was
             refused, in seconds.
-        crashes: Time of each crash, by hash of the upstream's incarnation.
+        crashes: The crashes, by hash of the upstream's incarnation, or of that
+            and a number if the same incarnation seems to have crashed before.
         seen_locally: Those of them that this entry observed itself.
         cleared_at: When a request with it last had a good answer; None if
             none had.
@@ -56,30 +61,46 @@
     share_until: float = 0.0
     tried_at: float = -math.inf
     probes: int = 0
-    crashes: dict[name_hashes.NameHash, float] = dataclasses.field(
-        default_factory=dict
+    crashes: dict[name_hashes.NameHash, crash_observations.Crash] = (
+        dataclasses.field(default_factory=dict)
     )
     seen_locally: set[name_hashes.NameHash] = dataclasses.field(
         default_factory=set
     )
 
-    def add_crash(self, crash: name_hashes.NameHash, *, at: float) -> None:
-        """Adds a crash, unless a later good answer has cleared it.
-
-        If it is already known, the earlier time is kept.
-        """
-        if self.cleared_at is not None and at <= self.cleared_at:
+    def add_crash(
+        self, key: name_hashes.NameHash, crash: crash_observations.Crash
+    ) -> None:
+        """Adds a crash, unless a later good answer has cleared it."""
+        if self.cleared_at is not None and crash.at <= self.cleared_at:
             return
-        self.crashes[crash] = min(at, self.crashes.get(crash, at))
-        self.seen_at = max(self.seen_at, at)
+        known = self.crashes.get(key)
+        self.crashes[key] = crash if known is None else known.join(crash)
+        self.seen_at = max(self.seen_at, crash.at)
+
+    def withdraw_refuted(self, log: crash_observations.ObservationLog) -> bool:
+        """Withdraws crashes that were no crashes; returns whether any were."""
+        left: dict[name_hashes.NameHash, crash_observations.Crash] = {}
+        for key, crash in self.crashes.items():
+            unrefuted = log.find_unrefuted(crash, key=key)
+            if unrefuted is not None:
+                left[key] = unrefuted
+        before, self.crashes = self.crashes, left
+        if len(left) == len(before):
+            return False
+        self.seen_locally &= left.keys()
+        if not left:
+            self.probes = 0
+            self.tried_at = -math.inf
+        return True
 
     def clear(self, *, at: float) -> None:
         """Clears the trait of all crashes up to a time."""
         self.cleared_at = max(at, self.cleared_at or at)
         self.crashes = {
-            crash: crashed_at
-            for crash, crashed_at in self.crashes.items()
-            if crashed_at > self.cleared_at
+            key: crash
+            for key, crash in self.crashes.items()
+            if crash.at > self.cleared_at
         }
         self.seen_locally &= self.crashes.keys()
 
@@ -92,7 +113,7 @@
         if self.cleared_at is None:
             return len(self.crashes)
         count, last_at = 0, -math.inf
-        for at in sorted(self.crashes.values()):
+        for at in sorted(crash.at for crash in self.crashes.values()):
             if at - last_at > defaults.MIN_RESTART_S:
                 count, last_at = count + 1, at
         return count
@@ -105,61 +126,89 @@
         suspects: By trait, the most recently changed last.
         good_at: When a request with a part last had a good answer, in
             seconds, by trait; the most recent last.
+        observer: Name of this entry's process, which makes the ids of its
+            observations unique.
+        log: The observations of crashes, and which were mistaken.
         revision: Rises with each change of known crashes.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, observer: str) -> None:
         self.suspects: collections.OrderedDict[str, Suspect] = (
             collections.OrderedDict()
         )
         self.good_at: collections.OrderedDict[str, float] = (
             collections.OrderedDict()
         )
+        self.observer = observer
+        self.log = crash_observations.ObservationLog()
         self.revision = 0
 
     def record_crashes(
         self,
         found: list[tuple[str, ...]],
-        crash: name_hashes.NameHash,
+        incarnation: name_hashes.NameHash,
         *,
         now: float,
+        is_late: bool = False,
     ) -> list[str]:
-        """Records a crash for several requests; returns their traits."""
-        traits = list(dict.fromkeys(x for each in found for x in each))
-        for trait in traits:
-            self.record_crash(trait, crash, now=now)
-        return traits
-
-    def record_crash(
-        self, trait: str, crash: name_hashes.NameHash, *, now: float
-    ) -> None:
         """Records a crash that this entry observed.
 
         Args:
-            trait: A trait of a request that the upstream was running.
-            crash: Hash of the upstream's incarnation.
+            found: Traits of each request that the upstream was running.
+            incarnation: Hash of the upstream's incarnation.
             now: In seconds.
+            is_late: Whether it may have happened long before.
+
+        Returns:
+            The traits of all of them.
         """
+        observation = crash_observations.Observation(
+            name_hashes.hash_name(f"{self.observer}/{incarnation}/{now}"),
+            at=now,
+            earliest_at=-math.inf if is_late else now,
+        )
+        crash = crash_observations.Crash(
+            incarnation=incarnation, first=observation, last=observation
+        )
+        traits = list(dict.fromkeys(x for each in found for x in each))
+        for trait in traits:
+            self.record_crash(trait, crash)
+        if traits:
+            self.log.add(crash)
+        return traits
+
+    def record_crash(self, trait: str, crash: crash_observations.Crash) -> None:
+        """Records a crash that this entry observed for one trait."""
+        now = crash.at
         suspect = self.find_or_create(trait, now=now)
-        last_at = suspect.crashes.get(crash)
+        key = crash.incarnation
+        known = suspect.crashes.get(key)
         if (
-            crash in suspect.seen_locally
-            and last_at is not None
-            and now - last_at > defaults.MIN_RESTART_S
+            key in suspect.seen_locally
+            and known is not None
+            and now - known.at > defaults.MIN_RESTART_S
         ):
-            # The upstream has restarted and crashed again before its restart
-            # was listed, so that the hash is still that of the first crash.
-            crash = name_hashes.hash_name(
-                f"{crash}/{len(suspect.seen_locally)}"
-            )
-        suspect.add_crash(crash, at=now)
+            # The upstream may have restarted, and crashed again before its
+            # restart was listed, so that the hash is that of the first crash.
+            key = name_hashes.hash_name(f"{key}/{len(suspect.seen_locally)}")
+        suspect.add_crash(key, crash)
         suspect.seen_locally = {
             *suspect.seen_locally,
-            crash,
+            key,
         } & suspect.crashes.keys()
         suspect.share_until = now + defaults.SUSPECT_REPORT_S
         self.revision += 1
 
+    def withdraw_refuted(self) -> list[str]:
+        """Withdraws crashes that were no crashes; returns the traits."""
+        changed = [
+            trait
+            for trait, suspect in self.suspects.items()
+            if suspect.withdraw_refuted(self.log)
+        ]
+        self.revision += bool(changed)
+        return changed
+
     def record_refusal(self, traits: Iterable[str], *, now: float) -> None:
         """Records that suspects were refused, which postpones their expiry."""
         for trait in traits:
@@ -259,23 +308,41 @@
     ) -> bool:
         """Merges one suspect; returns whether its known crashes have changed.
 
-        Entries of earlier releases send no `ends`; those are ignored.
+        Entries of earlier releases send no `ends`; those are ignored. So are
+        crashes that have been withdrawn, which the sender then hears of.
         """
-        if not received.ends and received.cleared_ms is None:
+        crashes = self.read_crashes(received, now=now)
+        if not crashes and received.cleared_ms is None:
             return False
         seen_at = now - convert_to_s(received.age_ms)
         suspect = self.find_or_create(received.trait, now=seen_at)
         before = set(suspect.crashes)
         if received.cleared_ms is not None:
             suspect.clear(at=now - convert_to_s(received.cleared_ms))
-        for each in received.ends:
-            suspect.add_crash(each.upstream, at=now - convert_to_s(each.age_ms))
+        for key, crash in crashes.items():
+            suspect.add_crash(key, crash)
+            self.log.add(crash)
         if received.cleared_ms is None and suspect.cleared_at is not None:
             # The sender hasn't heard of the good answer.
             suspect.share_until = now + defaults.SUSPECT_REPORT_S
         suspect.seen_at = max(suspect.seen_at, seen_at)
         return before != suspect.crashes.keys()
 
+    def read_crashes(
+        self, received: messages.SuspectReport, *, now: float
+    ) -> dict[name_hashes.NameHash, crash_observations.Crash]:
+        """Returns the crashes in a report that haven't been withdrawn."""
+        crashes: dict[name_hashes.NameHash, crash_observations.Crash] = {}
+        for each in received.ends:
+            key, crash = each.upstream, read_crash(each, now=now)
+            unrefuted = self.log.find_unrefuted(crash, key=key)
+            if unrefuted is not None:
+                crashes[key] = unrefuted
+            for observation in (crash.first, crash.last):
+                if self.log.is_refuted(observation, key=key):
+                    self.log.share(observation.observation_id, now=now)
+        return crashes
+
     def count_crashes(self, trait: str) -> int:
         """Returns how many crashes of upstreams a trait is known for."""
         suspect = self.suspects.get(trait)
@@ -305,7 +372,9 @@
         period_s = defaults.SUSPECT_PROBE_PERIOD_S
         if suspect.cleared_at is not None:
             period_s = defaults.SOUND_SUSPECT_PROBE_PERIOD_S
-        last_at = max(suspect.tried_at, *suspect.crashes.values())
+        last_at = max(
+            suspect.tried_at, *(each.at for each in suspect.crashes.values())
+        )
         return last_at + period_s * 2.0**suspect.probes
 
     def build_log_inputs(self, trait: str) -> tuple[fx.LogInput, ...]:
@@ -329,6 +398,7 @@
             del self.suspects[trait]
         if old:
             self.revision += 1
+        self.log.remove_expired(now=now)
         return old
 
     def build_reports(
@@ -362,7 +432,7 @@
     trait: str, suspect: Suspect, *, now: float
 ) -> messages.SuspectReport:
     """Returns the report of one suspect in a heartbeat, with newest crashes."""
-    newest = sorted(suspect.crashes.items(), key=lambda each: -each[1])
+    newest = sorted(suspect.crashes.items(), key=lambda each: -each[1].at)
     cleared_ms = None
     if suspect.cleared_at is not None:
         cleared_ms = compute_age_ms(suspect.cleared_at, now=now)
@@ -371,13 +441,61 @@
         crashes=len(suspect.seen_locally),
         age_ms=compute_age_ms(suspect.seen_at, now=now),
         ends=tuple(
-            messages.CrashReport(crash, compute_age_ms(at, now=now))
-            for crash, at in newest[: defaults.MAX_REPORTED_CRASHES_EACH]
+            build_crash_report(key, crash, now=now)
+            for key, crash in newest[: defaults.MAX_REPORTED_CRASHES_EACH]
         ),
         cleared_ms=cleared_ms,
     )
 
 
+def build_crash_report(
+    key: name_hashes.NameHash, crash: crash_observations.Crash, *, now: float
+) -> messages.CrashReport:
+    """Returns the report of one crash."""
+    report = messages.CrashReport(
+        upstream=key,
+        age_ms=compute_age_ms(crash.at, now=now),
+        incarnation=0 if key == crash.incarnation else crash.incarnation,
+        observation=crash.first.observation_id,
+        is_late=crash.first.is_late or crash.last.is_late,
+    )
+    if crash.last == crash.first:
+        return report
+    return msgspec.structs.replace(
+        report,
+        last_age_ms=compute_age_ms(crash.last.at, now=now),
+        last_observation=crash.last.observation_id,
+    )
+
+
+def read_crash(
+    report: messages.CrashReport, *, now: float
+) -> crash_observations.Crash:
+    """Returns the crash that another entry reports.
+
+    Reports of earlier releases have no ids; the crash's key stands for them.
+    """
+    at = now - convert_to_s(report.age_ms)
+    first = crash_observations.Observation(
+        report.observation or report.upstream,
+        at=at,
+        earliest_at=-math.inf if report.is_late else at,
+    )
+    last = first
+    if report.last_age_ms is not None:
+        at = now - convert_to_s(report.last_age_ms)
+        last = crash_observations.Observation(
+            report.last_observation,
+            at=at,
+            earliest_at=-math.inf if report.is_late else at,
+        )
+    return crash_observations.Crash(
+        incarnation=report.incarnation or report.upstream,
+        first=first,
+        last=last,
+    )
+
+
 def compute_age_ms(at: float, *, now: float) -> int:
     """Returns the time since then, in milliseconds."""
     return int((now - at) * MS_PER_S)
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -195,9 +195,9 @@
 # Number of views of the entries' demands that are kept, each in force for a
 # heartbeat interval or longer.
 MAX_COLD_VIEWS = 64
-# An upstream that is still registered this long after it didn't answer has
-# renewed its registration since.
-UNANSWERED_START_S = 6.0
+# An upstream that is still registered after this time has renewed its
+# registration since.
+REGISTRATION_RENEWAL_S = 6.0
 # Longest time for which an upstream counts as cold after the last news.
 MAX_COLD_S = 60.0
 # Number of cold upstreams that a heartbeat reports at most.
@@ -362,6 +362,11 @@
 # it; suspects with the fewest are left out if there are too many in all.
 MAX_REPORTED_CRASHES_EACH = 8
 MAX_REPORTED_CRASHES = 256
+# Bytes of an upstream that runs arrive within this time, unless this host's
+# link is overloaded.
+ANSWER_DELAY_S = 0.5
+# A heartbeat names at most this many mistaken observations of crashes.
+MAX_REPORTED_REFUTATIONS = 128
 
 # A graceful stop serves open connections for at least this long, and the
 # process ends this long before it would be killed.
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeat_forwarding.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeat_forwarding.py
@@ -79,8 +79,11 @@
     return 0.0 < state.next_heartbeat_at < now - defaults.SUSPENDED_S
 
 
-def may_forward(state: states.RouterState, *, now: float) -> bool:
-    """Returns whether the ages of received heartbeats can be trusted."""
+def has_run_steadily(state: states.RouterState, *, now: float) -> bool:
+    """Returns whether this entry hasn't been suspended lately.
+
+    Otherwise the ages of what it receives can't be trusted.
+    """
     return now >= state.may_forward_from and not is_heartbeat_late(
         state, now=now
     )
@@ -88,7 +91,7 @@
 
 def compute_rank(state: states.RouterState, *, now: float) -> int | None:
     """Returns this entry's rank as a forwarder; None if it isn't one."""
-    if state.stopping or not may_forward(state, now=now):
+    if state.stopping or not has_run_steadily(state, now=now):
         return None
     settings = state.settings
     nearby = state.entries.list_live_in(settings.data_centre, now=now)
@@ -122,7 +125,7 @@
         return f"place {rank + 1} by name"
     if state.stopping:
         return "stopping"
-    if not may_forward(state, now=now):
+    if not has_run_steadily(state, now=now):
         return "was suspended"
     return "others come first by name"
 
@@ -203,7 +206,7 @@
     state: states.RouterState, bundle: messages.HeartbeatBundle, *, now: float
 ) -> list[effects.Effect]:
     """Forwards a remote bundle to the entries of this data centre."""
-    if not bundle.onward or not may_forward(state, now=now):
+    if not bundle.onward or not has_run_steadily(state, now=now):
         return []
     onward = msgspec.structs.replace(bundle, onward=False)
     return [
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
@@ -10,6 +10,7 @@
 from rhubarbbank_core import effects as core_effects
 from rhubarbbank_core import program_effects as fx
 from rhubarbbank_router import cold_sharing
+from rhubarbbank_router import crash_review
 from rhubarbbank_router import defaults
 from rhubarbbank_router import effects
 from rhubarbbank_router import engine_load
@@ -93,14 +94,9 @@
         now: Time at which it was first received, in seconds.
     """
     is_new_incarnation = state.entries.update(message, now=now)
-    reported = state.suspects.merge(message.suspects, now=now)
+    out = crash_review.merge_reports(state, message, now=now)
     state.peer_workload.update(message.name, message.loads, now=now)
     rollouts.merge_trial_reports(state, message, now=now)
-    out = [
-        log_reported_suspect(state, message.name, trait)
-        for trait in reported
-        if state.suspects.count_crashes(trait) != 1
-    ]
     out += record_leaving_upstreams(state, message)
     out += limit_sharing.merge_reports(state, message, now=now)
     cold_sharing.merge_reports(state, message, now=now)
@@ -137,17 +133,6 @@
     return [core_effects.Send(message.address, build_heartbeat(state, now=now))]
 
 
-def log_reported_suspect(
-    state: states.RouterState, peer: str, trait: str
-) -> effects.Effect:
-    """Returns the log line for a crash suspect that a peer reported."""
-    return fx.LogDecision(
-        decision="suspect_told",
-        reason=peer,
-        inputs=state.suspects.build_log_inputs(trait),
-    )
-
-
 def record_leaving_upstreams(
     state: states.RouterState, message: messages.Heartbeat
 ) -> list[effects.Effect]:
@@ -176,6 +161,7 @@
     state.next_heartbeat_at = now + defaults.HEARTBEAT_PERIOD_S
     state.next_load_update_at = None
     out = remove_expired(state, now=now)
+    out += crash_review.review_registered(state, now=now)
     live = state.entries.list_live(now=now)
     known = max(len(live), len(state.entries.registered))
     if known:
@@ -233,6 +219,7 @@
         else int((now - state.era_seen_at) * MS_PER_S),
         cold=cold_sharing.build_reports(state, now=now),
         demands=cold_sharing.build_demand_reports(state, now=now),
+        refuted=state.suspects.log.list_shared(now=now),
     )
 
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/messages.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/messages.py
@@ -70,12 +70,25 @@
     """A crash of an upstream that was running a request.
 
     Attributes:
-        upstream: Hash of the upstream's incarnation.
-        age_ms: Time since the crash, in milliseconds.
+        upstream: Hash of the upstream's incarnation, or of that and a number if
+            it may have crashed before.
+        age_ms: Time since the crash was first observed, in milliseconds.
+        incarnation: Hash of the upstream's incarnation if `upstream` is
+            another; else 0.
+        observation: Id of the first observation; 0 from earlier releases.
+        last_age_ms: Time since it was last observed, in milliseconds; None if
+            that was the only time.
+        last_observation: Id of the last observation.
+        is_late: Whether it may have happened long before it was observed.
     """
 
     upstream: int
     age_ms: int
+    incarnation: int = 0
+    observation: int = 0
+    last_age_ms: int | None = None
+    last_observation: int = 0
+    is_late: bool = False
 
 
 class SuspectReport(msgspec.Struct, frozen=True, array_like=True):
@@ -199,6 +212,7 @@
             that era, in milliseconds; None if it knows none.
         cold: Upstreams that it has seen to be cold.
         demands: Its demands for services whose upstreams may be cold.
+        refuted: Ids of observations of crashes that were mistaken.
     """
 
     name: str
@@ -219,6 +233,7 @@
     era_age_ms: int | None = None
     cold: tuple[ColdReport, ...] = ()
     demands: tuple[DemandReport, ...] = ()
+    refuted: tuple[int, ...] = ()
 
 
 class ForwardedHeartbeat(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
@@ -67,7 +67,9 @@
         placer: placement.Placement | None = None,
     ) -> None:
         bounds = settings.bounds
-        suspects = crash_suspects.CrashSuspects()
+        suspects = crash_suspects.CrashSuspects(
+            observer=f"{settings.name}/{incarnation}"
+        )
         self.state = states.RouterState(
             settings=settings,
             incarnation=incarnation,
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/unanswered_attempts.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/unanswered_attempts.py
@@ -8,6 +8,7 @@
 import dataclasses
 import math
 
+from rhubarbbank_router import crash_observations
 from rhubarbbank_router import defaults
 from rhubarbbank_router import name_hashes
 
@@ -18,12 +19,14 @@
 
     Attributes:
         traits: Traits of the request.
-        ended_at: When it ended, in seconds.
+        sent_at: When it was sent, in seconds.
+        ended_at: When it ended.
         may_be_whole: Whether the end of its connection may have completed its
             answer; otherwise it was cancelled.
     """
 
     traits: tuple[str, ...]
+    sent_at: float
     ended_at: float
     may_be_whole: bool
 
@@ -46,6 +49,7 @@
         traits: tuple[str, ...],
         crash: name_hashes.NameHash,
         *,
+        sent_at: float,
         may_be_whole: bool,
         now: float,
     ) -> None:
@@ -54,11 +58,26 @@
         Args:
             traits: Traits of the request.
             crash: Hash of the upstream's incarnation.
+            sent_at: When it was sent, in seconds.
             may_be_whole: Whether its answer may be complete.
             now: In seconds.
         """
         attempts = self.attempts.setdefault(crash, [])
-        attempts.append(UnansweredAttempt(traits, now, may_be_whole))
+        attempts.append(UnansweredAttempt(traits, sent_at, now, may_be_whole))
+
+    def drop_running(
+        self, crash: name_hashes.NameHash, period: crash_observations.Period
+    ) -> None:
+        """Removes cancelled attempts during which their upstream ran on."""
+        self.take(
+            crash,
+            [
+                each
+                for each in self.attempts.get(crash, [])
+                if not each.may_be_whole
+                and period.covers(each.sent_at, each.ended_at)
+            ],
+        )
 
     def take_ended(
         self, crash: name_hashes.NameHash, *, now: float
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/upstream_list.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/upstream_list.py
@@ -8,6 +8,7 @@
 from rhubarbbank_core import program_effects as fx
 from rhubarbbank_router import cold_sharing
 from rhubarbbank_router import crash_evidence
+from rhubarbbank_router import crash_review
 from rhubarbbank_router import crash_suspects
 from rhubarbbank_router import effects
 from rhubarbbank_router import events
@@ -23,8 +24,12 @@
 ) -> list[effects.Effect]:
     """Applies an event, and confirms crashes of upstreams that it removes."""
     previous = list_running_upstreams(state, event)
+    listed_at = state.relay.list_confirmed_at
     cold_sharing.record_listing(state, event, now=now)
     out = apply_event(state, event, now=now)
+    out += crash_review.review_changed(
+        state, previous, listed_at=listed_at, now=now
+    )
     return [*out, *confirm_crashes(state, previous, now=now)]
 
 
