Don't count planned shutdowns of upstreams as crashes

An attempt that ended without an answer counted as a crash also where the list, or an answer, had said that its upstream would leave. Once the list had dropped it, so did an attempt that its caller gave up.

Change: such ends are no evidence. That an upstream was leaving stays known after the list has dropped it, with the other notices on its incarnation.

--- a/features/router_lost_answers.feature
+++ b/features/router_lost_answers.feature
@@ -76,6 +76,20 @@
     Then at least 3 answers were lost
     And every entry sends a poll to an upstream
 
+  # Guards against planned shutdowns that count as crashes of the requests that they
+  # interrupt, or whose callers leave meanwhile.
+  Scenario Outline: An upstream that leaves as planned while it runs a request hasn't crashed
+    Given 5 entries in 1 data centres, and upstreams that lose the answers of "<route>" polls by <end>
+    When 4 upstreams leave as planned, each while it runs a poll
+    Then at least 3 answers were lost
+    And every entry sends a poll to an upstream
+
+    Examples:
+      | route | end    |
+      | note  | reset  |
+      | note  | caller |
+      | book  | reset  |
+
   # Guards against a link between an entry and an upstream that is cut, which ends
   # all that runs there, as a crash would.
   Scenario: A link that is cut three times isn't three crashes
--- a/features/steps/lost_answer_steps.py
+++ b/features/steps/lost_answer_steps.py
@@ -183,6 +183,25 @@
     fleet.run(SETTLE_S)
 
 
+@when("{count:d} upstreams leave as planned, each while it runs a poll")
+def play_with_planned_ends(context, count):
+    fleet = context.loss_fleet
+    fleet.lossy.clear()
+    for _ in range(count):
+        fleet.poll()
+        if not fleet.running:
+            # It was refused, which the check of the entries shows.
+            continue
+        attempt = fleet.running[-1]
+        fleet.run(0.02)
+        fleet.begin_leaving(attempt.upstream)
+        fleet.run(0.02)
+        fleet.end_planned(attempt.upstream)
+        fleet.lose_answer(attempt)
+        fleet.down[attempt.upstream] = fleet.now + SETTLE_S
+        fleet.run(SETTLE_S)
+
+
 @when(
     "the links of an entry to all upstreams are reset every {gap:g} s for "
     "{duration:g} s"
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/crash_evidence.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/crash_evidence.py
@@ -29,8 +29,11 @@
     """Attributes the crash of an attempt's upstream to its request's traits.
 
     The parts of the prompt of a stream that had long begun are innocent. Other
-    entries are told soon once a trait has several crashes.
+    entries are told soon once a trait has several crashes. An upstream that
+    shuts down as planned ends its requests without a crash.
     """
+    if has_planned_end(state, attempt):
+        return
     crash = hash_upstream(attempt)
     traits = opened.traits[:1] if attempt.is_sound else opened.traits
     also = state.unanswered.take_interrupted(crash, now=now)
@@ -62,6 +65,8 @@
     """
     if attempt.is_sound or (attempt.status and not opened.is_stream):
         return
+    if has_planned_end(state, attempt):
+        return
     tracked = state.view.tracked.get(attempt.upstream)
     started_ms = attempt.upstream_started_ms
     if tracked is None or tracked.listed.started_ms != started_ms:
@@ -192,6 +197,15 @@
     ]
 
 
+def has_planned_end(
+    state: states.RouterState, attempt: attempt_states.Attempt
+) -> bool:
+    """Returns whether an attempt's upstream shuts down as planned."""
+    return state.view.leaves_as_planned(
+        attempt.upstream, attempt.upstream_started_ms
+    )
+
+
 def hash_upstream(attempt: attempt_states.Attempt) -> name_hashes.NameHash:
     """Returns the hash by which a crash of an attempt's upstream is known."""
     return crash_suspects.hash_incarnation(
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
@@ -271,6 +271,9 @@
     def drop(self, upstream_id: str, *, now: float) -> None:
         """Drops an upstream, and records that the list has dropped it."""
         listed = self.tracked.pop(upstream_id).listed
+        if listed.leaving:
+            # It may still be running requests.
+            self.notices.record_leaving(upstream_id, listed.started_ms)
         self.removed_at[upstream_id, listed.started_ms] = now
         for oldest, removed_at in list(self.removed_at.items()):
             if now - removed_at <= defaults.MAX_COPY_AGE_S:
@@ -326,6 +329,16 @@
         notice = self.notices.find(listed.upstream_id, listed.started_ms)
         return listed.leaving or (notice is not None and notice.leaving)
 
+    def leaves_as_planned(self, upstream_id: str, started_ms: int) -> bool:
+        """Returns whether an incarnation shuts down, or has done so."""
+        notice = self.notices.find(upstream_id, started_ms)
+        if notice is not None and notice.leaving:
+            return True
+        return any(
+            each.listed.leaving and each.listed.started_ms == started_ms
+            for each in self.list_known(upstream_id)
+        )
+
     def list_accepting(
         self, service: str, *, now: float
     ) -> list[TrackedUpstream]:
