Tell callers of suspects when the suspicion is settled

What callers saw: a refusal as a crash suspect said Retry-After 60 s, also while the crashes could still turn out to be lost answers, which takes 1 to 6 s.

Change: while an upstream of these crashes is still registered, Retry-After is the time at which its other answers may have settled the question, and after that the time at which the list does. For certain crashes it stays 60 s.

--- a/features/router_lost_answers.feature
+++ b/features/router_lost_answers.feature
@@ -27,6 +27,17 @@
       | 27      | 3      | look  | reset  |
       | 27      | 3      | chat  | reset  |
 
+  # Guards against callers of sound requests who are told to stay away for a minute.
+  Scenario Outline: A caller that returns when it is told to is served
+    Given 5 entries in 1 data centres, and upstreams that lose the answers of "look" polls by reset
+    When they lose them until a poll is refused, beside <rate> other requests a second
+    Then a poll that returns whenever it is told to is served at most <most> s later, at its <returns>. return
+
+    Examples:
+      | rate | most | returns |
+      | 0    | 8    | 2       |
+      | 60   | 3    | 1       |
+
   # Guards against a suspicion that only the list of upstreams can end: it is late,
   # and doesn't change while the store is away.
   Scenario Outline: Other answers of the same upstreams settle a suspicion at once
--- a/features/steps/lost_answer_steps.py
+++ b/features/steps/lost_answer_steps.py
@@ -17,6 +17,7 @@
 SERVED_AFTER_S = 8.0
 MIN_POLLS = 5
 MAX_LATE = 3
+MAX_POLLS = 100
 HISTORY_S = 45.0
 FAULTLESS_S = 12.0
 
@@ -61,6 +62,42 @@
     play(context.loss_fleet, lost, after)
 
 
+@when(
+    "they lose them until a poll is refused, beside {rate:g} other requests a "
+    "second"
+)
+def play_until_refused(context, rate):
+    fleet = context.loss_fleet
+    context.rate = rate
+    for _ in range(MAX_POLLS):
+        fleet.play_polls(0.3, "poll", sound_per_s=rate)
+        if find_last_poll(fleet).refused == "crash_suspect":
+            break
+    fleet.lossy.clear()
+
+
+@then(
+    "a poll that returns whenever it is told to is served at most {most:g} s "
+    "later, at its {returns:d}. return"
+)
+def check_return(context, most, returns):
+    fleet = context.loss_fleet
+    began_at = fleet.now
+    for _ in range(returns):
+        poll = find_last_poll(fleet)
+        assert poll.refused == "crash_suspect", poll
+        wait_s = poll.arrived_at + poll.retry_after_s - fleet.now
+        fleet.play_polls(wait_s, sound_per_s=context.rate)
+        fleet.poll()
+    assert fleet.now <= began_at + most, (began_at, fleet.now)
+    fleet.run(SETTLE_S)
+    assert find_last_poll(fleet).is_served, find_last_poll(fleet)
+
+
+def find_last_poll(fleet):
+    return list(fleet.polls.values())[-1]
+
+
 @when(
     "they lose them for {lost:g} s, and polls come for {after:g} s more beside "
     "{rate:g} other requests a second"
--- a/features/support/loss_fleet.py
+++ b/features/support/loss_fleet.py
@@ -34,6 +34,7 @@
         entry: The entry that got it.
         arrived_at: When it was sent, in seconds.
         refused: The code with which it was refused, or "".
+        retry_after_s: When its caller was told to return.
         is_served: Whether it had a whole answer.
     """
 
@@ -41,6 +42,7 @@
     entry: str
     arrived_at: float
     refused: str = ""
+    retry_after_s: float | None = None
     is_served: bool = False
 
 
@@ -271,6 +273,7 @@
                     poll = self.polls.get((world, effect.request_id))
                     if poll is not None:
                         poll.refused = effect.code
+                        poll.retry_after_s = effect.retry_after_s
                 case effects.FinishAnswer():
                     self.record_served(world, effect.request_id)
                 case effects.RelayAnswer() if effect.status == OK:
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/crash_review.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/crash_review.py
@@ -160,6 +160,39 @@
     return out
 
 
+def find_settling_s(
+    state: states.RouterState, traits: frozenset[str], *, now: float
+) -> float | None:
+    """Returns when suspected traits may be cleared, in seconds from now.
+
+    Other answers of their upstreams may show soon that these run on, the list
+    shows it later.
+
+    Returns:
+        The time; None if none of the upstreams is registered any more, so that
+        their crashes are certain.
+    """
+    running = {
+        hash_listed(tracked.listed)
+        for tracked in state.view.tracked.values()
+        if is_registration_current(tracked)
+    }
+    observed_at = [
+        crash.last.at
+        for trait in traits
+        if trait in state.suspects.suspects
+        for crash in state.suspects.suspects[trait].crashes.values()
+        if crash.incarnation in running
+    ]
+    if not observed_at:
+        return None
+    age_s = now - max(observed_at)
+    answered_s = defaults.MIN_RESTART_S + defaults.ANSWER_DELAY_S
+    if age_s < answered_s:
+        return answered_s - age_s
+    return max(0.0, defaults.REGISTRATION_RENEWAL_S - age_s)
+
+
 def hash_listed(listed: upstreams.Upstream) -> name_hashes.NameHash:
     """Returns the hash of a registered upstream's incarnation."""
     return crash_suspects.hash_incarnation(
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/intake.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/intake.py
@@ -14,6 +14,7 @@
 from rhubarbbank_router import configuration
 from rhubarbbank_router import crash_evidence
 from rhubarbbank_router import crash_guard
+from rhubarbbank_router import crash_review
 from rhubarbbank_router import defaults
 from rhubarbbank_router import dispatch
 from rhubarbbank_router import effects
@@ -226,7 +227,11 @@
     *,
     now: float,
 ) -> list[effects.Effect]:
-    """Refuses a request that may crash its upstream."""
+    """Refuses a request that may crash its upstream.
+
+    While the crashes may turn out to be lost answers, its caller is told to
+    return when that has been settled.
+    """
     blamed = permission.assessment.traits or {traits[0]}
     state.suspects.record_refusal(blamed, now=now)
     refusal = CRASH_SUSPECT if permission.is_final else CAUSE_UNDER_TEST
@@ -236,6 +241,12 @@
         *crash_evidence.build_refusal_inputs(state, trait, now=now),
     )
     probability = round(permission.assessment.probability, 3)
+    settling_s = crash_review.find_settling_s(state, frozenset(blamed), now=now)
+    if permission.is_final and settling_s is not None:
+        retry_after_s = settling_s + dispatch.draw_retry_after_s(state)
+        refusal = dataclasses.replace(
+            refusal, retry_after_s=round(retry_after_s, 2)
+        )
     return refuse(
         state,
         request,
