Count no answer in the moment of a crash as proof that the upstream ran on

A request that was sent in between and answered refuted the crash, so that the request that caused it was sent to one upstream after the other.

Change: an answer proves that its upstream ran up to CRASH_DETECTION_S before its request was sent, the time within which a crash ends all connections.

--- a/features/router_lost_answers.feature
+++ b/features/router_lost_answers.feature
@@ -150,6 +150,15 @@
     When the store is away for 25 s, and both come meanwhile
     Then at most 3 attempts of the fatal polls are sent later than 3 s after the third crash
 
+  # Guards against an upstream that answers others in the moment in which it crashes.
+  Scenario: A crash that ends connections one after the other stays known
+    Given 1 entries in 1 data centres, and upstreams that lose the answers of "note" polls by reset
+    And "fatal" polls crash upstreams, which get other ids
+    And a crash goes on to answer others for 0.08 s
+    When 300 other requests a second and fatal polls come for 15 s
+    Then at most 3 attempts of the fatal polls are sent later than 3 s after the third crash
+    And at most 5 upstreams crash
+
   # Guards against an entry that observes a crash long after it happened, and takes
   # the answers of the next process for those of the one that crashed.
   Scenario Outline: A crash that an entry learns of late stays known
--- a/features/steps/lost_answer_steps.py
+++ b/features/steps/lost_answer_steps.py
@@ -57,6 +57,19 @@
     fleet.keeps_ids = restart == "keep their ids"
 
 
+@given("a crash goes on to answer others for {takes:g} s")
+def delay_crashes(context, takes):
+    context.loss_fleet.crash_takes_s = takes
+
+
+@when(
+    "{rate:g} other requests a second and fatal polls come for {duration:g} s"
+)
+def play_fatal_beside(context, rate, duration):
+    fleet = context.loss_fleet
+    fleet.play_polls(duration, "fatal", sound_per_s=rate)
+
+
 @when("they lose them for {lost:g} s, and polls come for {after:g} s more")
 def play_losses(context, lost, after):
     play(context.loss_fleet, lost, after)
--- a/features/support/loss_fleet.py
+++ b/features/support/loss_fleet.py
@@ -68,6 +68,9 @@
         differ: Whether the polls of one name differ, and share only `parts`.
         store_is_away: Whether the store answers nobody.
         keeps_ids: Whether an upstream restarts under its id.
+        crash_takes_s: How long a crash goes on to answer others after it has
+            ended the connection of its cause, in seconds.
+        crashing: When each upstream of these crashes, by id.
         held_events: Events of upstreams for suspended entries, by name.
         confirmed_at: When the lists were last confirmed.
         revision: The store's revision at that time.
@@ -88,6 +91,8 @@
         self.differ = False
         self.store_is_away = False
         self.keeps_ids = False
+        self.crash_takes_s = 0.0
+        self.crashing = {}
         self.held_events = {}
         self.confirmed_at = 0.0
         self.revision = 0
@@ -97,6 +102,10 @@
 
     def step_upstreams(self):
         super().step_upstreams()
+        for upstream_id, at in list(self.crashing.items()):
+            if self.now >= at:
+                del self.crashing[upstream_id]
+                super().crash_upstream(upstream_id)
         if self.store_is_away:
             return
         if self.now >= self.confirmed_at + LIST_PERIOD_S:
@@ -218,7 +227,12 @@
         ]
         if causes:
             self.poll_crashes.append(self.now)
-        super().crash_upstream(upstream_id)
+        if not self.crash_takes_s:
+            super().crash_upstream(upstream_id)
+            return
+        for each in causes:
+            self.end(each, events.AttemptEnd.BROKEN)
+        self.crashing.setdefault(upstream_id, self.now + self.crash_takes_s)
 
     def restart_upstream(self, upstream_id):
         if not self.keeps_ids:
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/crash_review.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/crash_review.py
@@ -55,8 +55,11 @@
     period = crash_observations.Period(
         since=attempt.sent_at - defaults.MIN_RESTART_S,
         # Bytes may have been under way for some time, but not for longer than
-        # the request.
-        until=max(attempt.sent_at, now - defaults.ANSWER_DELAY_S),
+        # the request. A crash may end other connections a little earlier.
+        until=max(
+            attempt.sent_at - defaults.CRASH_DETECTION_S,
+            now - defaults.ANSWER_DELAY_S,
+        ),
     )
     state.unanswered.drop_running(incarnation, period)
     return refute(
