Don't give up responses of the store that are still arriving

Cause: a call to the store had 0.9 s from its start to the last byte of its response. On a link of 5 Mbit/s a configuration of 1,400 routes takes 0.53 to 0.59 s and one of 2,800 about 1 s. Each read failed, the next one began from the first byte, and the aborted reads filled the link.

Change: the limit bounds the time without a byte of the response; a transfer that goes on may take 5 s longer. The same on related paths: lists and watches of the store, the own interface's lists of objects and hosts.

--- a/features/steps/platform_configuration_steps.py
+++ b/features/steps/platform_configuration_steps.py
@@ -8,63 +8,14 @@
 from behave import given
 from behave import then
 from behave import when
-import msgspec
+from support import configuration_store
 from support import router_world
 
-from rhubarbbank_platform import store_api
 from rhubarbbank_platform import store_follower
 
 MS_PER_S = 1000.0
 
 
-def build_route(number):
-    return {
-        "name": f"route-{number}",
-        "host": f"club-{number % 40}.example",
-        "path_prefix": f"/part{number}/",
-        "kind": "stream",
-        "service": "pool",
-        "max_attempts": 3,
-        "timeout_ms": 20_000,
-        "target_latency_ms": 2_000,
-        "gap_aim_ms": 1_500,
-        "priority": 1,
-        "sizes": ["small", "large"],
-        "resumable": True,
-    }
-
-
-def build_tenants(keys):
-    return [
-        {"name": f"club-{n}", "api_keys": [f"key-{n}-{k}" for k in range(10)]}
-        for n in range(keys // 10)
-    ]
-
-
-class ConfigurationStore:
-    """A store that holds one configuration."""
-
-    def __init__(self):
-        self.revision = 0
-        self.body = b""
-
-    def put(self, routes, keys=10):
-        self.revision += 1
-        spec = {
-            "version": self.revision,
-            "routes": routes,
-            "services": [{"name": "pool"}],
-            "tenants": build_tenants(keys),
-        }
-        metadata = {"name": "main", "revision": self.revision}
-        self.body = msgspec.json.encode({"metadata": metadata, "spec": spec})
-
-    async def get(self, kind, name):
-        return store_api.CallResult(
-            outcome=store_api.CallOutcome.OK, body=self.body
-        )
-
-
 @contextlib.contextmanager
 def freeze_old_objects():
     """Excludes the objects of earlier scenarios from garbage collection.
@@ -105,14 +56,14 @@
 @given("an entry that has read a configuration of {count:d} routes")
 def read_first(context, count):
     context.world = router_world.World()
-    context.objects = ConfigurationStore()
+    context.objects = configuration_store.ConfigurationStore()
     context.follower = store_follower.StoreFollower(
         api=context.objects,
         apply=context.world.apply,
         clock=lambda: context.world.now,
         read_policy=context.world.router,
     )
-    context.routes = [build_route(n) for n in range(count)]
+    context.routes = [configuration_store.build_route(n) for n in range(count)]
     context.objects.put(context.routes)
     read_configuration(context)
     context.previous = context.world.state.active_configuration
@@ -121,7 +72,9 @@
 
 @when("it reads a configuration of {count:d} routes and {keys:d} keys")
 def read_large(context, count, keys):
-    context.objects.put([build_route(n) for n in range(count)], keys)
+    context.objects.put(
+        [configuration_store.build_route(n) for n in range(count)], keys
+    )
     context.count = count
     read_configuration(context)
 
@@ -141,7 +94,7 @@
 )
 def read_changed(context, new, changed):
     count = len(context.routes)
-    routes = [build_route(n) for n in range(count + new)]
+    routes = [configuration_store.build_route(n) for n in range(count + new)]
     for route in routes[:changed]:
         route["max_attempts"] = 2
     context.expected_names = [x["name"] for x in routes]
@@ -164,7 +117,10 @@
 
 @when("it reads a configuration with an invalid route")
 def read_invalid(context):
-    routes = [*context.routes, build_route(900) | {"kind": "unheard-of"}]
+    routes = [
+        *context.routes,
+        configuration_store.build_route(900) | {"kind": "unheard-of"},
+    ]
     context.objects.put(routes)
     read_configuration(context)
 
--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/hosts_http.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/hosts_http.py
@@ -12,8 +12,9 @@
 import msgspec
 
 from rhubarbbank_core import wire
+from rhubarbbank_runtime import progress_timeout
 
-TIMEOUT = aiohttp.ClientTimeout(total=2.0)
+TIMEOUT = progress_timeout.build_timeout(silence_s=2.0, transfer_s=5.0)
 NOT_MODIFIED = 304
 
 
--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/store_http.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/store_http.py
@@ -1,6 +1,5 @@
 """HTTP client of the platform's object API."""
 
-import asyncio
 import base64
 import http
 
@@ -8,9 +7,13 @@
 import msgspec
 
 from rhubarbbank_core import store
+from rhubarbbank_runtime import progress_timeout
 
 IF_ABSENT_HEADERS = {"If-None-Match": "*"}
 WATCH_TIMEOUT_MARGIN_S = 2.0
+# How much longer a list may take whose bytes keep arriving. Other responses are
+# small, and a write's outcome has to be known by the call's timeout.
+TRANSFER_TIMEOUT_S = 5.0
 
 
 class ListedObject(msgspec.Struct, frozen=True):
@@ -57,14 +60,8 @@
 
     async def call(self, call: store.StoreCall) -> store.StoreReply:
         """Makes a call; reports failures as outcomes, not as exceptions."""
-        margin_s = (
-            WATCH_TIMEOUT_MARGIN_S
-            if call.operation is store.StoreOperation.WATCH
-            else 0.0
-        )
         try:
-            async with asyncio.timeout(call.timeout_s + margin_s):
-                return await self.send(call)
+            return await self.send(call)
         except aiohttp.ClientConnectorError:
             outcome = store.StoreOutcome.UNAVAILABLE
         except (
@@ -88,11 +85,25 @@
             params=build_params(call),
             data=call.value or None,
             headers=headers,
+            timeout=build_timeout(call),
         ) as response:
             body = await response.read()
             return read_reply(call, response, body)
 
 
+def build_timeout(call: store.StoreCall) -> aiohttp.ClientTimeout:
+    """Returns the time limits of a call."""
+    silence_s, transfer_s = call.timeout_s, 0.0
+    match call.operation:
+        case store.StoreOperation.WATCH:
+            silence_s += WATCH_TIMEOUT_MARGIN_S
+        case store.StoreOperation.LIST:
+            transfer_s = TRANSFER_TIMEOUT_S
+    return progress_timeout.build_timeout(
+        silence_s=silence_s, transfer_s=transfer_s
+    )
+
+
 def build_target(call: store.StoreCall) -> tuple[str, str]:
     """Returns the HTTP method and path of a call."""
     match call.operation:
