Send compressed copies of a new configuration from readers to other entries

Callers of small entries saw a new configuration late, and those of entries that the store turned away not at all: a route that had been added got 404, one that had been dropped went on (CONFIG), and keys were refused until the store answered again.

Cause: a reader told the others of a newer version, and each had to read it from the store: 25 transfers of up to 1 MB at the same moment, 1.0 s each for 2,800 routes on a link of 5 Mbit/s without callers' traffic. An entry that the store turns away can't read, though its neighbours have the version. An entry whose own reads failed also kept asking the reader whose name sorts first, even if that one was turned away as well or didn't reply.

Readers that don't reply or are outdated come last for 2 s, and a reader whose reads fail asks any other.

Test: router_configuration_copies.

--- /dev/null
+++ b/features/router_configuration_copies.feature
@@ -0,0 +1,56 @@
+@quick
+Feature: A new configuration reaches entries that can't read it from the store
+
+  Scenario Outline: Entries that the store turns away learn of each version in time
+    Then in <count> histories in which the store turns a third of <entries> entries away all data stays within its age limits
+
+    Examples:
+      | entries | count |
+      | 3       | 10    |
+      | 9       | 10    |
+
+  Scenario: A reader sends its copy to entries whose configuration is older
+    Given a reader of version 5 with a copy of it
+    When an entry with version 4 requests an update
+    Then the update has the copy
+    When the reader's list of upstreams changes
+    Then the update has no copy
+    When an entry with version 5 requests an update
+    Then the update has no copy
+    When an entry of a release without copies requests an update
+    Then the update has no copy
+
+  Scenario: A copy is decoded in place of a read
+    Given an entry that another one informs
+    When a reader's update has version 5 with a copy
+    Then it decodes the copy, and doesn't read the configuration
+    When the copy is decoded
+    Then version 5 is active, confirmed when the reader read it
+
+  Scenario: A copy that can't be decoded is replaced by a read
+    Given an entry that another one informs
+    When a reader's update has version 5 with a copy
+    And the copy is rejected
+    Then it reads the configuration, and the log names the reader
+
+  Scenario: An update without a copy is followed by a read
+    Given an entry that another one informs
+    When a reader's update has version 5 without a copy
+    Then it reads the configuration
+
+  Scenario: A copy has the whole configuration, and a tenth of its size
+    Given a reader's configuration of 2800 routes
+    When another entry decodes its copy
+    Then both have the same configuration, and the copy a tenth of its bytes
+    And the event loop was never blocked for more than 19 ms of CPU time
+
+  Scenario Outline: A damaged copy is rejected
+    Given a reader's configuration of 50 routes
+    When another entry decodes its copy, <damage>
+    Then the copy is rejected
+
+    Examples:
+      | damage             |
+      | cut off            |
+      | overwritten        |
+      | of another version |
--- a/features/steps/platform_configuration_steps.py
+++ b/features/steps/platform_configuration_steps.py
@@ -1,14 +1,12 @@
 """Steps for reading configurations from the platform's store."""
 
 import asyncio
-import contextlib
-import gc
-import time
 
 from behave import given
 from behave import then
 from behave import when
 from support import configuration_store
+from support import loop_blocks
 from support import router_world
 
 from rhubarbbank_platform import store_follower
@@ -16,41 +14,14 @@
 MS_PER_S = 1000.0
 
 
-@contextlib.contextmanager
-def freeze_old_objects():
-    """Excludes the objects of earlier scenarios from garbage collection.
-
-    Otherwise collecting them would count as time that the decoder blocks.
-    """
-    gc.collect()
-    gc.freeze()
-    try:
-        yield
-    finally:
-        gc.unfreeze()
-
-
-async def measure_longest_block_s(work):
-    """Returns the longest time for which a coroutine blocks the event loop.
-
-    The time is CPU time of this thread, in seconds.
-    """
-    longest = 0.0
-    task = asyncio.ensure_future(work)
-    while not task.done():
-        started = time.thread_time()
-        await asyncio.sleep(0)
-        longest = max(longest, time.thread_time() - started)
-    await task
-    return longest
-
-
 def read_configuration(context):
     """Lets the entry read the configuration that the store holds."""
     follower = context.follower
     work = follower.read_configuration(context.world.now)
-    with freeze_old_objects():
-        context.longest_s = asyncio.run(measure_longest_block_s(work))
+    with loop_blocks.freeze_old_objects():
+        context.longest_s = asyncio.run(
+            loop_blocks.measure_longest_block_s(work)
+        )
 
 
 @given("an entry that has read a configuration of {count:d} routes")
--- a/features/support/relay_fleet.py
+++ b/features/support/relay_fleet.py
@@ -12,6 +12,7 @@
 
 from rhubarbbank_core import effects as core_effects
 from rhubarbbank_core import events as core_events
+from rhubarbbank_router import effects
 from rhubarbbank_router import events
 from rhubarbbank_router import peers
 from rhubarbbank_router import store_position
@@ -32,6 +33,7 @@
 REWRITE_S = (0.1, 1.8)
 # The store drops the registration of an upstream that is silent for so long.
 LEASE_S = 3.6
+DECODING_S = 0.05
 # A reply, or the next heartbeat if it is lost, reaches an entry that starts
 # within this.
 HEARD_S = 0.8
@@ -83,6 +85,7 @@
         faulty_until: When its latest fault ends.
         partitioned_until: Until when it can't reach the store.
         suspended_until: Until when it is suspended.
+        turned_away_until: Until when the store refuses its calls.
         next_read_at: When it reads the configuration next.
         watch_started_at: When its watch began; None if it has no watch.
         position: The store's position from which it watches.
@@ -96,6 +99,7 @@
     faulty_until: float = 0.0
     partitioned_until: float = 0.0
     suspended_until: float = 0.0
+    turned_away_until: float = 0.0
     next_read_at: float = 0.0
     watch_started_at: float | None = None
     position: store_position.StorePosition = store_position.START
@@ -116,21 +120,31 @@
             have ended.
         violations: Descriptions of violated conditions.
         bounds: Bounds in the entries' settings.
+        copies: Number of copies of configurations that entries have decoded.
     """
 
     bounds = BOUNDS
 
     def __init__(
-        self, *, rng, entries, loss_rate=0.0, faults=True, restores=False
+        self,
+        *,
+        rng,
+        entries,
+        loss_rate=0.0,
+        faults=True,
+        restores=False,
+        turns_away=False,
     ):
         self.rng = rng
         self.loss_rate = loss_rate
         self.faults = faults
         self.restores = restores
+        self.turns_away = turns_away
         self.now = 100.0
         self.numbers = itertools.count()
         self.scheduled = []
         self.calls = 0
+        self.copies = 0
         self.violations = []
         self.revision = 10
         self.era = 1
@@ -261,13 +275,18 @@
         self.calls += 1
         stored = self.stored
         node.world.apply(events.StoreEraRead(stored.era))
-        node.world.configure(
-            router_world.build_configuration(
-                stored.revision, version=stored.version, era=stored.era
-            )
-        )
+        node.world.configure(self.build_configuration(stored))
         node.next_read_at = self.now + READ_PERIOD_S
 
+    def build_configuration(self, stored):
+        found = router_world.build_configuration(
+            stored.revision, version=stored.version, era=stored.era
+        )
+        if not self.turns_away:
+            # As read by a release that makes no copies.
+            return found
+        return dataclasses.replace(found, encoded=b"copy")
+
     def list_all(self, node):
         self.calls += 1
         node.world.apply(events.StoreEraRead(self.era))
@@ -314,6 +333,8 @@
             self.schedule(3.0, self.inject_fault)
         if self.restores:
             self.schedule(6.0, self.restore)
+        if self.turns_away:
+            self.schedule(5.0, self.turn_away)
         while self.now < end:
             self.now = round(self.now + STEP_S, 3)
             while self.scheduled and self.scheduled[0][0] <= self.now:
@@ -328,6 +349,14 @@
         self.change()
         self.schedule(self.rng.uniform(0.2, 3.0), self.make_changes)
 
+    def turn_away(self):
+        """Lets the store refuse the calls of a third of the entries."""
+        until = self.now + self.rng.uniform(4.0, 20.0)
+        count = max(1, len(self.nodes) // 3)
+        for name in self.rng.sample(sorted(self.nodes), count):
+            self.nodes[name].turned_away_until = until
+        self.schedule(until - self.now + 5.0, self.turn_away)
+
     def inject_fault(self):
         name = self.rng.choice(list(self.nodes))
         if self.rng.random() < 0.5:
@@ -353,7 +382,8 @@
     def step(self, node):
         world = node.world
         world.now = self.now
-        if node.partitioned_until <= self.now:
+        reaches_store = max(node.partitioned_until, node.turned_away_until)
+        if reaches_store <= self.now:
             router = world.router
             subject = events.Subject.CONFIGURATION
             if router.should_read(subject) and self.now >= node.next_read_at:
@@ -384,6 +414,8 @@
 
     def send(self, world):
         for effect in world.effects:
+            if isinstance(effect, effects.DecodeConfiguration):
+                self.schedule(DECODING_S, self.decode, world, effect)
             if not isinstance(effect, core_effects.Send):
                 continue
             if self.rng.random() >= self.loss_rate:
@@ -391,6 +423,24 @@
                 self.schedule(delay_s, self.deliver, effect)
         world.effects.clear()
 
+    def decode(self, world, effect):
+        self.copies += 1
+        stored = Accepted(
+            at=self.now,
+            version=effect.version,
+            revision=effect.revision,
+            era=effect.era,
+        )
+        world.now = self.now
+        world.apply(
+            events.ConfigurationRead(
+                asked_at=effect.confirmed_at,
+                found=self.build_configuration(stored),
+                source=effect.source,
+            )
+        )
+        self.send(world)
+
     def deliver(self, effect):
         node = self.by_address.get(effect.address)
         if node is None:
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/configuration.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/configuration.py
@@ -161,6 +161,8 @@
         revision: The store's revision of this version; it grows with every
             change in the store, until the store is restored from a copy.
         era: The store's era in which it was read.
+        encoded: Its content in compressed form, as one entry sends it to
+            another; empty if unknown. Only the platform adapter can decode it.
         routes: All routes.
         services: All services by name.
         keys: The organisation of each API key; None if the deployment uses
@@ -175,6 +177,7 @@
     keys: dict[str, Organisation] | None
     limits: CallerLimits = CallerLimits()
     era: int = 0
+    encoded: bytes = dataclasses.field(default=b"", repr=False, compare=False)
 
     @property
     def precedence(self) -> Precedence:
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -156,6 +156,9 @@
 # data for as long counts as lost.
 UPDATE_REQUEST_PERIOD_S = 0.4
 UPDATE_REQUEST_EXPIRY_S = 1.2
+# How long a reader that doesn't reply, or whose data is outdated, comes last
+# when an entry chooses one.
+READER_DEFERRAL_S = 2.0
 # An entry stops reading the store after a reader has kept it informed for this
 # long.
 RELAY_PROVEN_S = 1.0
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/effects.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/effects.py
@@ -150,6 +150,29 @@
     name: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class DecodeConfiguration:
+    """Decodes a copy of the configuration that another entry has sent.
+
+    Ends with a `ConfigurationRead`, or with a `CopyRejected`.
+
+    Attributes:
+        source: Name of the entry that sent it.
+        encoded: The copy.
+        version: The operators' version.
+        era: The store's era in which it was read.
+        revision: The store's revision.
+        confirmed_at: When the read was sent that last confirmed it, in seconds.
+    """
+
+    source: str
+    encoded: bytes
+    version: int
+    era: int
+    revision: int
+    confirmed_at: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class DisableKeepAlive:
     """Makes the ingress close each connection after its next answer."""
@@ -172,6 +195,7 @@
     | RecordRollout
     | RegisterEntry
     | DeregisterEntry
+    | DecodeConfiguration
     | DisableKeepAlive
     | StopAccepting
     | effects.Send
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/events.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/events.py
@@ -136,10 +136,25 @@
     Attributes:
         asked_at: When the read was sent.
         found: The configuration; None if the store has none.
+        source: Name of the entry that read it; empty for this one.
     """
 
     asked_at: float
     found: configuration.Configuration | None
+    source: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class CopyRejected:
+    """A copy of the configuration couldn't be decoded.
+
+    Attributes:
+        source: Name of the entry that sent it.
+        detail: The error, for the log.
+    """
+
+    source: str
+    detail: str
 
 
 class Subject(enum.StrEnum):
@@ -339,6 +354,7 @@
     | UpstreamData
     | UpstreamEnded
     | ConfigurationRead
+    | CopyRejected
     | StoreFailed
     | WatchCut
     | StoreAnswered
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
@@ -10,6 +10,7 @@
 from rhubarbbank_core import effects as core_effects
 from rhubarbbank_core import program_effects as fx
 from rhubarbbank_router import cold_sharing
+from rhubarbbank_router import configuration_copies
 from rhubarbbank_router import crash_review
 from rhubarbbank_router import defaults
 from rhubarbbank_router import effects
@@ -58,12 +59,14 @@
     out = store_eras.record_era(state, era, now=now) if era else []
     if not state.relay.is_reader:
         store_reading.record_store_answer(state, update, now=now)
+    out += configuration_copies.apply_update(state, update)
     is_current = store_reading.apply_proof(state, update)
     for event in store_reading.build_upstream_events(state, update):
         out += upstream_list.handle_event(state, event, now=now)
     out += evacuation_list.apply_update(state, update, now=now)
-    if is_current:
-        store_reading.record_reader_freshness(state, update, now=now)
+    store_reading.record_reader_freshness(
+        state, update, is_current=is_current, now=now
+    )
     return out
 
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/messages.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/messages.py
@@ -271,6 +271,8 @@
         position: Store revision up to which the sender knows all changes of
             the list of upstreams.
         list_era: The store's era in which that revision was given out.
+        configuration: Version, era and revision of the sender's active
+            configuration; None from releases that can't decode a copy.
     """
 
     name: str
@@ -278,6 +280,7 @@
     asked_at: float
     position: int
     list_era: int = 0
+    configuration: tuple[int, int, int] | None = None
 
     @property
     def list_position(self) -> store_position.StorePosition:
@@ -327,6 +330,8 @@
         evacuations_era: The store's era in which that revision was given out.
         evacuations_age_s: Time since these were last known to be complete, in
             seconds.
+        encoded: A copy of the confirmed configuration, if the requester's is
+            older.
     """
 
     name: str
@@ -346,6 +351,7 @@
     evacuations_position: int = 0
     evacuations_era: int = 0
     evacuations_age_s: float = 0.0
+    encoded: bytes = b""
 
     @property
     def list_position(self) -> store_position.StorePosition:
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
@@ -13,7 +13,7 @@
 from rhubarbbank_router import answer_heads
 from rhubarbbank_router import answers
 from rhubarbbank_router import cold_sharing
-from rhubarbbank_router import configuration
+from rhubarbbank_router import configuration_copies
 from rhubarbbank_router import crash_causes
 from rhubarbbank_router import crash_suspects
 from rhubarbbank_router import defaults
@@ -189,8 +189,8 @@
         """Applies the outcome of a call to the platform's store."""
         state = self.state
         match event:
-            case events.ConfigurationRead(asked_at=asked_at, found=found):
-                return self.apply_configuration(now, asked_at, found)
+            case events.ConfigurationRead() | events.CopyRejected():
+                return self.handle_configuration(now, event)
             case (
                 events.StoreAnswered()
                 | events.StoreFailed()
@@ -246,14 +246,20 @@
                 entries.remove_registered(name)
         return []
 
+    def handle_configuration(
+        self, now: float, event: events.ConfigurationRead | events.CopyRejected
+    ) -> list[effects.Effect]:
+        """Handles a configuration from the store or from another entry."""
+        if isinstance(event, events.CopyRejected):
+            return configuration_copies.reject_copy(self.state, event)
+        return self.apply_configuration(now, event)
+
     def apply_configuration(
-        self,
-        now: float,
-        asked_at: float,
-        found: configuration.Configuration | None,
+        self, now: float, event: events.ConfigurationRead
     ) -> list[effects.Effect]:
         """Activates a configuration unless a newer one is active."""
         state = self.state
+        asked_at, found = event.asked_at, event.found
         if found is None:
             return []
         current = state.active_configuration
@@ -282,6 +288,8 @@
                     ("routes", len(found.routes)),
                     ("keys", len(found.keys or {})),
                     ("age_s", round(now - asked_at, 3)),
+                    ("bytes", len(found.encoded)),
+                    ("source", event.source or "store"),
                 ),
             ),
             fx.Gauge("configuration_version", found.version),
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/store_reading.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/store_reading.py
@@ -7,9 +7,12 @@
 
 import math
 
+import msgspec
+
 from rhubarbbank_core import effects as core_effects
 from rhubarbbank_core import program_effects as fx
 from rhubarbbank_router import configuration
+from rhubarbbank_router import configuration_copies
 from rhubarbbank_router import defaults
 from rhubarbbank_router import effects
 from rhubarbbank_router import evacuation_relay
@@ -43,7 +46,8 @@
     if relay.is_reader:
         return True
     if subject is events.Subject.CONFIGURATION:
-        return relay.newest_configuration > get_active_precedence(state)
+        known = max(get_active_precedence(state), relay.copy_in_progress)
+        return relay.newest_configuration > known
     return subject is not events.Subject.UPSTREAMS
 
 
@@ -64,13 +68,14 @@
     out = update_role(state, reader, now=now)
     if reader is None or not relay.is_request_due(now=now):
         return out
-    relay.requested_at = now
+    relay.record_request_sent(reader.name, now=now)
     request = messages.StoreUpdateRequest(
         name=state.settings.name,
         address=state.settings.peer_address,
         asked_at=now,
         position=relay.change_log.position.revision,
         list_era=relay.change_log.position.era,
+        configuration=get_active_precedence(state),
     )
     return [*out, core_effects.Send(reader.address, request)]
 
@@ -80,14 +85,20 @@
 ) -> messages.Heartbeat | None:
     """Returns the data centre's reader whose name sorts first, if any.
 
-    A reader requests updates only from readers whose names sort before its own.
+    Readers that don't reply, or whose own data is outdated, come last. A reader
+    requests updates only from readers whose names sort before its own, unless
+    its own reads fail.
     """
-    settings = state.settings
+    settings, relay = state.settings, state.relay
     near = state.entries.list_live_in(settings.data_centre, now=now)
     readers = [each for each in near if each.reads]
-    if state.relay.is_reader:
+    if relay.is_reader and not is_data_outdated(state, now=now):
         readers = [each for each in readers if each.name < settings.name]
-    return min(readers, key=lambda each: each.name, default=None)
+    return min(
+        readers,
+        key=lambda each: (relay.get_deferral(each.name, now=now), each.name),
+        default=None,
+    )
 
 
 def update_role(
@@ -142,17 +153,23 @@
     relay = state.relay
     if relay.is_reader:
         return reader is None or not relay.is_informed_by_reader(now=now)
+    if is_data_outdated(state, now=now):
+        return True
+    return reader is None and is_first_in_data_centre(state, now=now)
+
+
+def is_data_outdated(state: states.RouterState, *, now: float) -> bool:
+    """Returns whether the entry's data is older than its limits."""
     proof_age_s = state.proof.age(now=now)
-    list_age_s = relay.list_age(now=now)
+    list_age_s = state.relay.list_age(now=now)
     if proof_age_s is None or list_age_s is None:
         return True
-    limits = relay.limits
-    stale = (
+    limits = state.relay.limits
+    return (
         proof_age_s > limits.configuration_s
         or list_age_s > limits.upstreams_s
         or evacuation_relay.is_stale(state, now=now)
     )
-    return stale or (reader is None and is_first_in_data_centre(state, now=now))
 
 
 def is_first_in_data_centre(state: states.RouterState, *, now: float) -> bool:
@@ -209,6 +226,14 @@
     if reply is None:
         return []
     reply = evacuation_relay.add_to_update(state, reply, now=now)
+    encoded = configuration_copies.select_copy(
+        state.active_configuration, request
+    )
+    if encoded:
+        reply = msgspec.structs.replace(reply, encoded=encoded)
+        state.relay.record_copy_sent(
+            request.address, get_active_precedence(state)
+        )
     return [core_effects.Send(request.address, reply)]
 
 
@@ -219,8 +244,6 @@
         Whether the reader confirmed the configuration that is active here.
     """
     theirs = (reply.version, reply.era, reply.revision)
-    relay = state.relay
-    relay.newest_configuration = max(relay.newest_configuration, theirs)
     if get_active_precedence(state) != theirs:
         return False
     store_eras.confirm_configuration(
@@ -272,17 +295,27 @@
 
 
 def record_reader_freshness(
-    state: states.RouterState, reply: messages.StoreUpdate, *, now: float
+    state: states.RouterState,
+    reply: messages.StoreUpdate,
+    *,
+    is_current: bool,
+    now: float,
 ) -> None:
-    """Records whether the reader's data is fresh enough to rely on."""
-    limits = state.relay.limits
-    proof_age_s = state.proof.age(now=now)
-    list_age_s = state.relay.list_age(now=now)
+    """Records whether the reader's data is fresh enough to rely on.
+
+    `is_current` says whether it has confirmed the active configuration.
+    """
+    relay, limits = state.relay, state.relay.limits
     is_fresh = (
-        proof_age_s is not None
-        and list_age_s is not None
-        and now - reply.asked_at + reply.proof_age_s <= limits.configuration_s
+        now - reply.asked_at + reply.proof_age_s <= limits.configuration_s
         and now - reply.asked_at + reply.list_age_s <= limits.upstreams_s
         and evacuation_relay.is_update_fresh(state, reply, now=now)
     )
-    state.relay.record_reply(now=now, is_fresh=is_fresh)
+    relay.record_reader_reply(reply.name, is_fresh=is_fresh, now=now)
+    if not is_current:
+        return
+    is_complete = (
+        state.proof.read_sent_at is not None
+        and relay.list_confirmed_at is not None
+    )
+    relay.record_reply(now=now, is_fresh=is_fresh and is_complete)
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/store_relay.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/store_relay.py
@@ -24,6 +24,8 @@
 import dataclasses
 import math
 
+import msgspec
+
 from rhubarbbank_router import configuration
 from rhubarbbank_router import defaults
 from rhubarbbank_router import messages
@@ -143,10 +145,16 @@
         informed_since: Since when readers have done so without interruption;
             None while they don't.
         requested_at: When an update was last requested from a reader.
+        requested_from: Name of that reader.
+        unanswered_since: When the oldest request to it was sent that it hasn't
+            replied to; None if it has replied to all.
+        deferred: Readers that come last when one is chosen, and until when.
         last_requests: The last request from each address, and when it was
             received.
         newest_configuration: Precedence of the newest configuration that a
             reader has reported.
+        copy_in_progress: Precedence of the newest configuration whose copy
+            is being decoded.
     """
 
     def __init__(self, *, limits: AgeLimits) -> None:
@@ -158,10 +166,26 @@
         self.informed_at: float | None = None
         self.informed_since: float | None = None
         self.requested_at = 0.0
+        self.requested_from = ""
+        self.unanswered_since: float | None = None
+        self.deferred: dict[str, float] = {}
         self.last_requests: dict[
             str, tuple[messages.StoreUpdateRequest, float]
         ] = {}
         self.newest_configuration = configuration.NO_CONFIGURATION
+        self.copy_in_progress = configuration.NO_CONFIGURATION
+
+    def record_copy_sent(
+        self, address: str, precedence: configuration.Precedence
+    ) -> None:
+        """Records that an entry has been sent a configuration.
+
+        Until its next request, it isn't sent again with other changes.
+        """
+        request, at = self.last_requests.get(address, (None, 0.0))
+        if request is not None:
+            sent = msgspec.structs.replace(request, configuration=precedence)
+            self.last_requests[address] = (sent, at)
 
     def record_change(self, change: UpstreamChange) -> None:
         """Records a change that was read from the store."""
@@ -219,6 +243,37 @@
         """Returns whether the next request to a reader is due."""
         return now - self.requested_at >= defaults.UPDATE_REQUEST_PERIOD_S
 
+    def record_request_sent(self, name: str, *, now: float) -> None:
+        """Records a request to a reader, and defers one that doesn't reply."""
+        self.requested_at = now
+        if name != self.requested_from:
+            self.requested_from = name
+            self.unanswered_since = None
+        if self.unanswered_since is None:
+            self.unanswered_since = now
+        elif now - self.unanswered_since > defaults.UPDATE_REQUEST_EXPIRY_S:
+            self.defer(name, now=now)
+
+    def record_reader_reply(
+        self, name: str, *, is_fresh: bool, now: float
+    ) -> None:
+        """Records a reader's reply, and defers one whose data is outdated."""
+        if name == self.requested_from:
+            self.unanswered_since = None
+        if is_fresh:
+            self.deferred.pop(name, None)
+        else:
+            self.defer(name, now=now)
+
+    def defer(self, name: str, *, now: float) -> None:
+        """Lets a reader come last for a while when one is chosen."""
+        self.deferred[name] = now + defaults.READER_DEFERRAL_S
+
+    def get_deferral(self, name: str, *, now: float) -> float:
+        """Returns until when a reader comes last; 0 if it doesn't."""
+        until = self.deferred.get(name, 0.0)
+        return until if until > now else 0.0
+
     def build_reply(
         self,
         request: messages.StoreUpdateRequest,
