Deny routes and keys only with a proof within the bound on configurations

Cause: the bound on revoked keys (5 s less a margin) decided whether the configuration was fresh enough for any answer. A request that is refused for good because of what the configuration lacks needs the bound on configurations (2 to 4 s), which is shorter.

Change: with an older proof such a request gets a 503 with Retry-After, which it may repeat elsewhere. All changes acknowledged before the proof's read are known, so that a denial within the bound is never late.

--- a/features/router_configuration_copies.feature
+++ b/features/router_configuration_copies.feature
@@ -38,6 +38,20 @@
     When a reader's update has version 5 without a copy
     Then it reads the configuration
 
+  Scenario Outline: A 401 or 404 needs a proof within the bound on configurations
+    Given a router that knows its configuration and 3 upstreams
+    When <age> s pass without a read of the configuration
+    And a caller with key "<key>" asks "<route>"
+    Then <outcome>
+
+    Examples:
+      | age | key           | route  | outcome                                  |
+      | 1.8 | key-unknown   | look   | the caller has a 401 without Retry-After |
+      | 1.8 | key-innsbruck | nosuch | the caller has a 404 without Retry-After |
+      | 2.2 | key-unknown   | look   | the caller has a 503 with Retry-After    |
+      | 2.2 | key-innsbruck | nosuch | the caller has a 503 with Retry-After    |
+      | 2.2 | key-innsbruck | look   | the request has been sent 1 times        |
+
   Scenario: A copy has the whole configuration, and a tenth of its size
     Given a reader's configuration of 2800 routes
     When another entry decodes its copy
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/intake.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/intake.py
@@ -21,6 +21,8 @@
 from rhubarbbank_router import request_traits
 from rhubarbbank_router import state as states
 
+MS_PER_S = 1000.0
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Refusal:
@@ -145,7 +147,8 @@
 
     While the configuration isn't proven fresh, a request that needs a key
     gets a retryable 503 rather than a 401 or 404: its route or key may be
-    newer than the configuration in force.
+    newer than the configuration in force. A 401 or 404 is final, so that it
+    needs a fresher proof than an answer of the upstream.
     """
     if state.is_exiting:
         # Nothing waits for an answer to this request any more.
@@ -159,14 +162,24 @@
     if needs_key and not state.proof.is_valid(now=now):
         return NO_CONFIGURATION
     if route is None:
-        return NO_ROUTE
+        return NO_ROUTE if may_deny(state, now=now) else NO_CONFIGURATION
     if may_outlast_stop(state, route, now=now):
         return STOPPING
     if needs_key and request.key not in (current.keys or {}):
-        return UNKNOWN_KEY
+        return UNKNOWN_KEY if may_deny(state, now=now) else NO_CONFIGURATION
     return None
 
 
+def may_deny(state: states.RouterState, *, now: float) -> bool:
+    """Returns whether what the configuration lacks may be denied for good.
+
+    Any change that had to be in force when the request was sent is then known.
+    """
+    age_s = state.proof.age(now=now)
+    apply_s = state.settings.bounds.config_apply_ms / MS_PER_S
+    return age_s is not None and age_s <= apply_s
+
+
 def open_request(
     state: states.RouterState,
     request: callers.IncomingRequest,
