Refuse requests at entries that lack a configuration that readers have

Cause: requests that need no key aren't bound by the proof of freshness, since they are to be served while the store is away. That an entry knows of a newer version, which others have, didn't count.

It ends when no reader has reported that version for 1.2 s, as a restored store may have lost it. While the store is away for all, nobody reports a newer version, and public routes are served as before.

Test: router_configuration_copies, "An outdated entry refuses requests that others can serve" and "A version that no reader reports any more refuses nobody"; 4 examples failed before.

--- a/features/router_configuration_copies.feature
+++ b/features/router_configuration_copies.feature
@@ -38,6 +38,28 @@
     When a reader's update has version 5 without a copy
     Then it reads the configuration
 
+  Scenario Outline: An outdated entry refuses requests that others can serve
+    Given an entry that another one informs
+    When readers report version 5 without a copy for <reported> s
+    And a caller asks "<route>"
+    Then <outcome>
+
+    Examples:
+      | reported | route  | outcome                               |
+      | 1.5      | look   | the request has been sent 1 times     |
+      | 1.5      | open   | the request has been sent 1 times     |
+      | 2.5      | look   | the caller has a 503 with Retry-After |
+      | 2.5      | open   | the caller has a 503 with Retry-After |
+      | 2.5      | nosuch | the caller has a 503 with Retry-After |
+
+  Scenario: A version that no reader reports any more refuses nobody
+    Given an entry that another one informs
+    When readers report version 5 without a copy for 2.5 s
+    Then the router isn't ready
+    When 1.5 s pass
+    And a caller asks "open"
+    Then the request has been sent 1 times
+
   Scenario Outline: A 401 or 404 needs a proof within the bound on configurations
     Given a router that knows its configuration and 3 upstreams
     When <age> s pass without a read of the configuration
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/configuration_copies.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/configuration_copies.py
@@ -8,6 +8,7 @@
 
 from rhubarbbank_core import program_effects as fx
 from rhubarbbank_router import configuration
+from rhubarbbank_router import defaults
 from rhubarbbank_router import effects
 from rhubarbbank_router import events
 from rhubarbbank_router import messages
@@ -26,7 +27,7 @@
 
 
 def apply_update(
-    state: states.RouterState, update: messages.StoreUpdate
+    state: states.RouterState, update: messages.StoreUpdate, *, now: float
 ) -> list[effects.Effect]:
     """Records which configuration a reader has, and decodes its copy."""
     relay = state.relay
@@ -34,8 +35,13 @@
     known = active.precedence if active else configuration.NO_CONFIGURATION
     theirs = (update.version, update.era, update.revision)
     relay.newest_configuration = max(relay.newest_configuration, theirs)
-    newest = max(known, relay.copy_in_progress)
-    if not update.encoded or theirs <= newest:
+    if theirs <= known:
+        relay.outdated_since = None
+        return []
+    relay.outdated_reported_at = now
+    if relay.outdated_since is None:
+        relay.outdated_since = now
+    if not update.encoded or relay.copy_in_progress >= theirs:
         return []
     relay.copy_in_progress = theirs
     return [
@@ -62,3 +68,19 @@
             inputs=(("detail", event.detail),),
         )
     ]
+
+
+def is_outdated(state: states.RouterState, *, now: float) -> bool:
+    """Returns whether a newer configuration should have been active by now.
+
+    A reader reports that one still, so that it isn't one that a restored store
+    has lost.
+    """
+    relay = state.relay
+    if relay.outdated_since is None:
+        return False
+    is_reported = (
+        now - relay.outdated_reported_at <= defaults.UPDATE_REQUEST_EXPIRY_S
+    )
+    outdated_s = now - relay.outdated_since
+    return is_reported and outdated_s > relay.limits.configuration_s
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
@@ -59,7 +59,7 @@
     out = store_eras.record_era(state, era, now=now) if era else []
     if not state.relay.is_reader:
         store_reading.record_store_answer(state, update, now=now)
-    out += configuration_copies.apply_update(state, update)
+    out += configuration_copies.apply_update(state, update, now=now)
     is_current = store_reading.apply_proof(state, update)
     for event in store_reading.build_upstream_events(state, update):
         out += upstream_list.handle_event(state, event, now=now)
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/intake.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/intake.py
@@ -12,6 +12,7 @@
 from rhubarbbank_core import program_effects as fx
 from rhubarbbank_router import callers
 from rhubarbbank_router import configuration
+from rhubarbbank_router import configuration_copies
 from rhubarbbank_router import crash_evidence
 from rhubarbbank_router import crash_guard
 from rhubarbbank_router import crash_review
@@ -159,6 +160,8 @@
     if len(state.open_requests) >= defaults.MAX_OPEN_REQUESTS:
         return OVERLOADED
     needs_key = current.keys is not None and not (route and route.public)
+    if configuration_copies.is_outdated(state, now=now):
+        return NO_CONFIGURATION
     if needs_key and not state.proof.is_valid(now=now):
         return NO_CONFIGURATION
     if route is None:
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
@@ -136,6 +136,7 @@
             not state.stopping
             and state.is_initialised
             and state.proof.is_valid(now=now)
+            and not configuration_copies.is_outdated(state, now=now)
         )
 
     def should_read(self, subject: events.Subject) -> bool:
@@ -275,6 +276,7 @@
         store_eras.confirm_configuration(state, asked_at=asked_at)
         if current is not None and found.precedence == current.precedence:
             return []
+        state.relay.outdated_since = None
         state.routes = route_match.RouteIndex(routes=found.routes)
         cold_sharing.update_terms(state)
         return [
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/store_relay.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/store_relay.py
@@ -155,6 +155,9 @@
             reader has reported.
         copy_in_progress: Precedence of the newest configuration whose copy
             is being decoded.
+        outdated_since: Since when readers have reported a newer configuration
+            than the active one; None while they don't.
+        outdated_reported_at: When a reader last did so.
     """
 
     def __init__(self, *, limits: AgeLimits) -> None:
@@ -174,6 +177,8 @@
         ] = {}
         self.newest_configuration = configuration.NO_CONFIGURATION
         self.copy_in_progress = configuration.NO_CONFIGURATION
+        self.outdated_since: float | None = None
+        self.outdated_reported_at = 0.0
 
     def record_copy_sent(
         self, address: str, precedence: configuration.Precedence
