Take an answer without a length as whole only if its connection was closed

The sidecar of the own interface had the fault: aiohttp ends a response without a length at a reset as at a close, and only the platform's client asked how the connection had ended.

Change: the check moves from the platform's client to the runtime (close_delimited), and the sidecar's client asks as well. The middleware against double closes leaves requests alone whose sender tracks the socket itself.

Not covered: a reset that arrives together with the last bytes on a connection that the sidecar used before.

--- a/features/steps/platform_cancel_steps.py
+++ b/features/steps/platform_cancel_steps.py
@@ -19,6 +19,7 @@
 from rhubarbbank_platform import runners
 from rhubarbbank_platform import store_api
 from rhubarbbank_router import effects
+from rhubarbbank_runtime import close_delimited
 from rhubarbbank_runtime import exchange_socket
 from rhubarbbank_runtime import http_session
 from rhubarbbank_runtime import store_http
@@ -48,7 +49,7 @@
         connector=aiohttp.TCPConnector(
             force_close=True, socket_factory=exchange_socket.open_socket
         ),
-        response_class=runners.CloseTrackingResponse,
+        response_class=close_delimited.CloseTrackingResponse,
         middlewares=middlewares,
     ) as session:
         for iterations in list(range(MAX_ITERATIONS)) * ROUNDS:
--- a/features/steps/platform_endless_steps.py
+++ b/features/steps/platform_endless_steps.py
@@ -11,6 +11,7 @@
 
 from rhubarbbank_platform import runners
 from rhubarbbank_router import events
+from rhubarbbank_runtime import close_delimited
 from rhubarbbank_runtime import exchange_socket
 from rhubarbbank_runtime import http_once
 
@@ -24,7 +25,7 @@
         connector=aiohttp.TCPConnector(
             force_close=True, socket_factory=exchange_socket.open_socket
         ),
-        response_class=runners.CloseTrackingResponse,
+        response_class=close_delimited.CloseTrackingResponse,
         max_line_size=runners.MAX_LINE_BYTES,
         max_field_size=runners.MAX_LINE_BYTES,
         middlewares=(http_once.send_once,),
--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/exchange_socket.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/exchange_socket.py
@@ -57,18 +57,14 @@
 )
 
 
-def track_next_socket(stack: contextlib.ExitStack) -> ExchangeSocket:
-    """Returns an `ExchangeSocket` for the next socket this task opens."""
-    exchange = ExchangeSocket(stack=stack)
-    CURRENT_EXCHANGE.set(exchange)
-    return exchange
-
-
 @contextlib.asynccontextmanager
 async def track_socket() -> AsyncIterator[ExchangeSocket]:
     """Tracks the socket that this task opens during the block."""
     with contextlib.ExitStack() as stack:
-        yield track_next_socket(stack)
+        exchange = ExchangeSocket(stack=stack)
+        token = CURRENT_EXCHANGE.set(exchange)
+        stack.callback(CURRENT_EXCHANGE.reset, token)
+        yield exchange
 
 
 async def prevent_double_close(
@@ -76,8 +72,10 @@
 ) -> aiohttp.ClientResponse:
     """Prevents a double close of the socket that a request opens.
 
-    A client middleware for sessions that don't read the socket's error.
+    A client middleware for requests whose sender doesn't track the socket.
     """
+    if CURRENT_EXCHANGE.get(None) is not None:
+        return await handler(request)
     async with track_socket():
         return await handler(request)
 
--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/http_session.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/http_session.py
@@ -2,7 +2,7 @@
 
 import aiohttp
 
-from rhubarbbank_runtime import bounded_answer
+from rhubarbbank_runtime import close_delimited
 from rhubarbbank_runtime import exchange_socket
 from rhubarbbank_runtime import http_once
 
@@ -21,6 +21,6 @@
             limit_per_host=0,
             socket_factory=exchange_socket.open_socket,
         ),
-        response_class=bounded_answer.BoundedResponse,
+        response_class=close_delimited.CloseTrackingResponse,
         middlewares=MIDDLEWARES,
     )
--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/upstream_http.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/upstream_http.py
@@ -13,6 +13,8 @@
 from rhubarbbank_core import events
 from rhubarbbank_core import path_messages
 from rhubarbbank_core import program_effects as fx
+from rhubarbbank_runtime import close_delimited
+from rhubarbbank_runtime import exchange_socket
 
 LOG = logging.getLogger(__name__)
 EVENT_END = b"\n\n"
@@ -176,15 +178,18 @@
 
     async def send(self, call: fx.CallUpstream) -> events.UpstreamEnded:
         """Sends a call, and receives its response."""
-        async with self.session.request(
-            call.method,
-            f"{self.url}{call.path}",
-            data=call.body or None,
-            headers=build_headers(call),
-            timeout=aiohttp.ClientTimeout(total=None),
-        ) as response:
+        async with (
+            exchange_socket.track_socket() as tracked_socket,
+            self.session.request(
+                call.method,
+                f"{self.url}{call.path}",
+                data=call.body or None,
+                headers=build_headers(call),
+                timeout=aiohttp.ClientTimeout(total=None),
+            ) as response,
+        ):
             if not call.streamed:
-                return await self.receive_whole(call, response)
+                return await self.receive_whole(call, response, tracked_socket)
             if response.status >= MIN_ERROR_STATUS:
                 return build_end_event(
                     call,
@@ -195,10 +200,15 @@
             return await self.receive_stream(call, response)
 
     async def receive_whole(
-        self, call: fx.CallUpstream, response: aiohttp.ClientResponse
+        self,
+        call: fx.CallUpstream,
+        response: aiohttp.ClientResponse,
+        tracked_socket: exchange_socket.ExchangeSocket,
     ) -> events.UpstreamEnded:
         """Receives a response that isn't streamed."""
         body = await read_body(response)
+        if close_delimited.is_ended_by_close(response):
+            await close_delimited.check_clean_close(response, tracked_socket)
         self.apply(events.UpstreamData(call.request_id, call.attempt, [body]))
         return build_end_event(
             call,
