Don't take an answer with a status that doesn't exist for an upstream's

Change: a status outside 200 to 599 is not genuine at an entry, which tries another upstream or answers 502, as for other garbled answers; a sidecar's call counts as broken.

Test: platform_broken_answers, 4 of 4 examples failed before (000, 099, 600, 999), at the entry and at the sidecar.

--- a/features/platform_broken_answers.feature
+++ b/features/platform_broken_answers.feature
@@ -23,3 +23,16 @@
       | 1    | 0    | resets | 0    | broken   |
       | 1    | 0    | resets | 20   | broken   |
       | 1    | 0    | closes | 20   | complete |
+
+  Scenario Outline: An answer with a status that doesn't exist is no answer
+    When an upstream answers an entry with status <status>
+    Then the answer isn't genuine
+    When a service answers its sidecar with status <status>
+    Then the call is broken
+
+    Examples:
+      | status |
+      | 000    |
+      | 099    |
+      | 600    |
+      | 999    |
--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/bounded_answer.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/bounded_answer.py
@@ -13,6 +13,8 @@
 import aiohttp
 from aiohttp import connector
 
+# Final statuses that exist; the HTTP client accepts any three digits.
+FINAL_STATUSES = range(200, 600)
 # Larger than one read of the event loop, which may hold both head and body.
 MAX_BYTES_WITHOUT_BODY = 512 * 1024
 
--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/upstream_http.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/upstream_http.py
@@ -13,6 +13,7 @@
 from rhubarbbank_core import events
 from rhubarbbank_core import path_messages
 from rhubarbbank_core import program_effects as fx
+from rhubarbbank_runtime import bounded_answer
 from rhubarbbank_runtime import close_delimited
 from rhubarbbank_runtime import exchange_socket
 
@@ -72,6 +73,19 @@
         )
 
 
+class InvalidStatusError(aiohttp.ClientError):
+    """An answer has a status that doesn't exist.
+
+    Args:
+        status: The status.
+    """
+
+    def __init__(self, status: int) -> None:
+        super().__init__(
+            f"the answer has the status {status:03d}; check the upstream"
+        )
+
+
 class EventParser:
     """Splits a byte stream into server-sent events.
 
@@ -188,6 +202,8 @@
                 timeout=aiohttp.ClientTimeout(total=None),
             ) as response,
         ):
+            if response.status not in bounded_answer.FINAL_STATUSES:
+                raise InvalidStatusError(response.status)
             if not call.streamed:
                 return await self.receive_whole(call, response, tracked_socket)
             if response.status >= MIN_ERROR_STATUS:
