--- a/features/support/configuration_store.py
+++ b/features/support/configuration_store.py
@@ -47,6 +47,12 @@
         metadata = {"name": "main", "revision": self.revision}
         self.body = msgspec.json.encode({"metadata": metadata, "spec": spec})
 
+    async def list_page(self, kind, *, after):
+        body = {"items": [], "store_revision": self.revision}
+        return store_api.CallResult(
+            outcome=store_api.CallOutcome.OK, body=msgspec.json.encode(body)
+        )
+
     async def get(self, kind, name):
         return store_api.CallResult(
             outcome=store_api.CallOutcome.OK, body=self.body
--- a/features/support/followed_store.py
+++ b/features/support/followed_store.py
@@ -12,6 +12,7 @@
 from rhubarbbank_router import events
 from rhubarbbank_runtime import http_once
 from rhubarbbank_standins import platform_store
+from support import configuration_store
 from support import router_world
 
 POLL_S = 0.02
@@ -44,12 +45,22 @@
         store: The stand-in.
         world: The router that the follower reports to.
         versions: The versions that the follower passed on.
+        routes: The number of routes beside the usual ones.
+        transfers: How often the store has sent the configuration.
     """
 
     def __init__(self):
         self.store = platform_store.PlatformStore()
         self.world = router_world.World()
         self.versions = []
+        self.routes = 0
+        self.transfers = 0
+        self.get_object = self.store.get
+        self.store.get = self.count_transfer
+
+    async def count_transfer(self, request):
+        self.transfers += 1
+        return await self.get_object(request)
 
     async def run(self, changes):
         """Reads the configuration after each of some changes of the store."""
@@ -70,7 +81,10 @@
             self.versions.append(event.found.version)
 
     def put(self, version):
-        spec = platform_fleet.build_configuration(version)
+        extra = tuple(
+            configuration_store.build_route(n) for n in range(self.routes)
+        )
+        spec = platform_fleet.build_configuration(version, extra=extra)
         self.store.put(
             wire.CONFIGURATION_KIND, wire.CONFIGURATION_NAME, spec=spec
         )
