End the hold of a version when its roll-out is completed

Cause: a mark without an end. The hold was set by evidence or by a peer's hold, and went before the state of the order; completion ended neither.

Change: once an order is completed its target gets all requests; its hold ends here, and a peer's is no longer taken over.

Test: router_rollouts, "A hold doesn't outlast the completion of the roll-out" and "A peer's hold isn't taken over after the completion"; both failed before.

--- a/features/router_rollouts.feature
+++ b/features/router_rollouts.feature
@@ -96,6 +96,20 @@
     When requests succeed for 1 s
     Then none of 50 requests goes to version "v2"
 
+  Scenario: A hold doesn't outlast the completion of the roll-out
+    Given a router with a roll-out to version "v2" over 20 s
+    When a third of the target's answers fail for 10 s
+    Then none of 50 requests goes to version "v2"
+    When the roll-out to "v2" is completed
+    Then all of 50 requests go to version "v2"
+
+  Scenario: A peer's hold isn't taken over after the completion
+    Given a router with a roll-out to version "v2" over 20 s
+    When the roll-out to "v2" is completed
+    And a peer holds version "v2"
+    And requests succeed for 1 s
+    Then all of 50 requests go to version "v2"
+
   Scenario: Only one entry records states, and another takes over when it dies
     Given a router with a roll-out to version "v2" over 20 s
     And a live peer whose name sorts first
--- a/features/steps/router_rollout_steps.py
+++ b/features/steps/router_rollout_steps.py
@@ -186,6 +186,7 @@
 
 
 @given('a peer that holds version "{version}"')
+@when('a peer holds version "{version}"')
 def add_holding_peer(context, version):
     context.peer_trials["entry-7"] = build_trial_report(held=True)
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/rollouts.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/rollouts.py
@@ -54,6 +54,8 @@
         trial.held = True
     settled = state.settled_versions.setdefault(order.service, set())
     if order.state is version_trial.OrderState.COMPLETED:
+        # The operators have stopped the other versions.
+        trial.held = False
         settled.clear()
         settled.add(order.target)
     else:
@@ -236,9 +238,10 @@
     others = select_versions(others, settled) or others
     if trial.held:
         return others
+    if trial.order.state is version_trial.OrderState.COMPLETED:
+        return on_target
     if trial.has_all_traffic:
-        completed = trial.order.state is version_trial.OrderState.COMPLETED
-        return on_target or ([] if completed else others)
+        return on_target or others
     if routes_to_target(state, trial, opened, now=now):
         return on_target or others
     return others or on_target
@@ -384,7 +387,8 @@
         if trial is None or theirs.key != trial.order.key:
             continue
         trial.started_at = min(trial.started_at, now - theirs.age_s)
-        trial.held = trial.held or theirs.held
+        if trial.order.state is not version_trial.OrderState.COMPLETED:
+            trial.held = trial.held or theirs.held
         trial.adopt_step(theirs.step, now=now)
         trial.kept_sessions.update(theirs.kept_sessions)
 
