Bound how long a 421 takes an upstream out of use

Cause: a mark without an end. Each 421 was taken for the answer of another process at the upstream's address, until that address or start time changed. The upstream gives the same status to a request that it turns away itself.

Change: a 421 that names the addressed upstream is that upstream's refusal, and marks nothing. Otherwise the mark lasts for 5 s, after which the list has dropped an upstream that has ended, and is withdrawn when a second upstream turns the same request away.

--- a/features/platform_broken_answers.feature
+++ b/features/platform_broken_answers.feature
@@ -36,3 +36,13 @@
       | 099    |
       | 600    |
       | 999    |
+
+  Scenario Outline: A 421 is the addressed upstream's own if it names itself
+    When an upstream turns an entry away with 421, as "<name>"
+    Then the answer is a refusal of <whom>
+
+    Examples:
+      | name    | whom            |
+      | i       | the upstream    |
+      | i-other | another process |
+      |         | another process |
--- a/features/router_requests.feature
+++ b/features/router_requests.feature
@@ -116,3 +116,21 @@
     And its upstream answers 200
     Then the logged decisions on the request are "placed, failed_attempt, placed, answered"
     And each logged placement has candidates, load age and time left
+
+  Scenario: A request that all upstreams turn away marks none of them
+    Given a router that knows its configuration and 3 upstreams
+    When a caller asks "look"
+    And each of its upstreams answers 421 without naming itself
+    Then all 3 upstreams accept requests
+
+  Scenario Outline: An upstream at whose address another process answers is used again later
+    Given a router that knows its configuration and 1 upstreams
+    When a caller asks "look"
+    And each of its upstreams answers 421 without naming itself
+    And <pause> s pass
+    Then all <count> upstreams accept requests
+
+    Examples:
+      | pause | count |
+      | 4.5   | 0     |
+      | 5.5   | 1     |
--- a/features/steps/broken_answer_steps.py
+++ b/features/steps/broken_answer_steps.py
@@ -122,3 +122,22 @@
         status=f"{status} Odd", resets=False, has_length=True
     )
     context.found = uvloop.run(call_service(server, b"{}"))
+
+
+@when('an upstream turns an entry away with 421, as "{name}"')
+@when('an upstream turns an entry away with 421, as ""')
+def turn_away(context, name=""):
+    server = broken_answers.BrokenServer(
+        status="421 Odd",
+        resets=False,
+        has_length=True,
+        fields=f"X-Instance-Id: {name}\r\n" if name else "",
+    )
+    context.found = uvloop.run(send_attempt(server, b"{}"))
+
+
+@then("the answer is a refusal of {whom}")
+def check_refusal(context, whom):
+    (head,) = [x for x in context.found if isinstance(x, events.UpstreamHead)]
+    assert head.refused, head
+    assert head.misdirected == (whom == "another process"), head
--- a/features/steps/router_steps.py
+++ b/features/steps/router_steps.py
@@ -508,3 +508,19 @@
             world.data(context.request, b"x")
         world.configure(world.state.active_configuration)
         world.run(pause)
+
+
+@when("each of its upstreams answers 421 without naming itself")
+def turn_away_everywhere(context):
+    world, request = context.world, context.request
+    known = 0
+    while len(world.sent(request)) > known:
+        known = len(world.sent(request))
+        world.head(request, 421, refused=True, misdirected=True, genuine=False)
+
+
+@then("all {count:d} upstreams accept requests")
+def check_accepting(context, count):
+    world = context.world
+    found = world.state.view.list_accepting("pool", now=world.now)
+    assert len(found) == count, found
--- a/features/support/broken_answers.py
+++ b/features/support/broken_answers.py
@@ -23,6 +23,7 @@
         wait_s: Time between the answer and the end of the connection.
         resets: Whether the connection is reset in place of a clean close.
         has_length: Whether the answer has a length, and is whole.
+        fields: Further header fields, each with its line break.
     """
 
     status: str = "200 OK"
@@ -30,6 +31,7 @@
     wait_s: float = 0.0
     resets: bool = True
     has_length: bool = False
+    fields: str = ""
 
     @contextlib.asynccontextmanager
     async def serve(self):
@@ -49,7 +51,7 @@
                 framing = f"Content-Length: {len(PART)}"
             head = (
                 f"HTTP/1.1 {self.status}\r\nX-Attempt-Id: a1\r\n"
-                f"X-Response-Stamp: s\r\n{framing}\r\n\r\n"
+                f"X-Response-Stamp: s\r\n{self.fields}{framing}\r\n\r\n"
             )
             writer.write(head.encode() + PART)
             await writer.drain()
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/answer_heads.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/answer_heads.py
@@ -142,7 +142,7 @@
     cancelled = attempt_ends.cancel_attempt(state, opened, attempt, now=now)
     opened.excluded.add(attempt.upstream)
     if head.misdirected:
-        state.view.record_misdirected(attempt.upstream)
+        record_misdirection(state, opened, attempt, now=now)
     elif head.status == http.HTTPStatus.SERVICE_UNAVAILABLE:
         state.view.record_full(attempt.upstream, now=now)
     log = attempt_log.build_attempt_line(
@@ -167,6 +167,24 @@
     ]
 
 
+def record_misdirection(
+    state: states.RouterState,
+    opened: states.OpenRequest,
+    attempt: attempt_states.Attempt,
+    *,
+    now: float,
+) -> None:
+    """Records that another process seems to have the upstream's address.
+
+    If several upstreams turn the same request away, the reason is the request.
+    """
+    opened.misdirected.add(attempt.upstream)
+    if len(opened.misdirected) > 1:
+        state.view.clear_misdirected(opened.misdirected)
+    else:
+        state.view.record_misdirected(attempt.upstream, now=now)
+
+
 def try_step_up(
     state: states.RouterState,
     opened: states.OpenRequest,
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/crash_review.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/crash_review.py
@@ -83,7 +83,7 @@
         return []
     out: list[effects.Effect] = []
     for tracked in state.view.tracked.values():
-        if is_registration_current(tracked):
+        if is_registration_current(tracked, now=now):
             out += refute(
                 state,
                 hash_listed(tracked.listed),
@@ -114,7 +114,9 @@
     return crash_observations.Period(until=until)
 
 
-def is_registration_current(tracked: upstreams.TrackedUpstream) -> bool:
+def is_registration_current(
+    tracked: upstreams.TrackedUpstream, *, now: float
+) -> bool:
     """Returns whether an upstream's registration says that it runs.
 
     Without its start time, a later process of the same id looks the same.
@@ -123,7 +125,7 @@
         tracked.listed.started_ms != 0
         and tracked.doubtful_until is None
         and not tracked.lapsed
-        and not tracked.misdirected
+        and tracked.misdirected_until <= now
     )
 
 
@@ -148,7 +150,7 @@
     period = crash_observations.Period(until=listed_at)
     for before in previous:
         tracked = state.view.tracked.get(before.upstream_id)
-        if tracked is None or not is_registration_current(tracked):
+        if tracked is None or not is_registration_current(tracked, now=now):
             continue
         listed = tracked.listed
         if listed != before and listed.started_ms == before.started_ms:
@@ -178,7 +180,7 @@
     running = {
         hash_listed(tracked.listed)
         for tracked in state.view.tracked.values()
-        if is_registration_current(tracked)
+        if is_registration_current(tracked, now=now)
     }
     observed_at = [
         crash.last.at
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -51,6 +51,9 @@
 # How long an upstream that refused a request for lack of capacity is chosen
 # only if there is no other.
 FULL_BACKOFF_S = 0.3
+# How long an upstream isn't used after another process answered at its address;
+# the list drops one that has ended sooner.
+MISDIRECTED_S = 5.0
 # Longest time for which an upstream can ask to be sent no requests.
 MAX_CLOSED_S = 60.0
 # Number of upstreams whose notices are kept.
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/events.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/events.py
@@ -54,8 +54,8 @@
         status: HTTP status.
         headers: Headers to forward to the caller.
         refused: Whether the upstream states that the request didn't run.
-        misdirected: Whether a process other than the addressed upstream
-            answered (status 421).
+        misdirected: Whether a process other than the addressed upstream may
+            have answered (status 421).
         genuine: Whether the head has the upstream's signature and the id of
             this attempt.
         confidence: The model's confidence in its answer, 0 to 100; None if
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
@@ -69,6 +69,7 @@
         last_event_at: When the last event was sent to the caller.
         longest_pause_s: The longest gap between two of these events.
         excluded: Upstreams on which an attempt failed.
+        misdirected: Those at whose addresses another process seemed to answer.
         hedge_check_at: Until then it isn't checked whether to hedge it.
         hedge_declined: Why it wasn't hedged when that was last checked.
     """
@@ -92,6 +93,7 @@
     last_event_at: float = 0.0
     longest_pause_s: float = 0.0
     excluded: set[str] = dataclasses.field(default_factory=set)
+    misdirected: set[str] = dataclasses.field(default_factory=set)
     hedge_check_at: float = 0.0
     hedge_declined: str = ""
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
@@ -90,7 +90,8 @@
         full_until: It refused a request for lack of capacity; until then it
             is used only if there is no other.
         lapsed: Whether the list dropped it while the store was unreliable.
-        misdirected: Whether another process answered at its address.
+        misdirected_until: Another process answered at its address; until then
+            it isn't used.
         doubtful_until: It isn't used until a list of this time or later has
             it, or its entry changes, as only a restored copy has it now; None
             if it isn't in doubt.
@@ -110,7 +111,7 @@
     timed_out_at: float | None = None
     full_until: float = 0.0
     lapsed: bool = False
-    misdirected: bool = False
+    misdirected_until: float = 0.0
     doubtful_until: float | None = None
 
     @property
@@ -233,7 +234,7 @@
         if tracked.listed.leaving and not listed.leaving:
             listed = dataclasses.replace(listed, leaving=True)
         if tracked.listed.address != listed.address:
-            tracked.misdirected = False
+            tracked.misdirected_until = 0.0
         if not tracked.listed.is_same(listed):
             tracked.doubtful_until = None
         tracked.listed = listed
@@ -350,7 +351,7 @@
             for tracked in self.tracked.values()
             if tracked.listed.service == service
             and not tracked.listed.leaving
-            and not tracked.misdirected
+            and tracked.misdirected_until <= now
             and tracked.doubtful_until is None
             and tracked.listed.data_centre not in evacuated
             and not self.limits.is_exhausted(
@@ -566,11 +567,18 @@
             if upstream_id in self.tracked
         )
 
-    def record_misdirected(self, upstream_id: str) -> None:
+    def record_misdirected(self, upstream_id: str, *, now: float) -> None:
         """Records that another process answered at an upstream's address."""
         tracked = self.tracked.get(upstream_id)
         if tracked is not None:
-            tracked.misdirected = True
+            tracked.misdirected_until = now + defaults.MISDIRECTED_S
+
+    def clear_misdirected(self, upstream_ids: set[str]) -> None:
+        """Withdraws that other processes answered at upstreams' addresses."""
+        for upstream_id in upstream_ids:
+            tracked = self.tracked.get(upstream_id)
+            if tracked is not None:
+                tracked.misdirected_until = 0.0
 
     def get_service_times(self, service: str) -> ServiceTimes:
         """Returns the service's moving averages; creates them if need be."""
