Don't pass on a reader's changes that are known already

A reader applied the changes of an update also if it stood at the update's position already, and passed them on to those that had asked it, among them the sender: the same changes went to and fro, a thousand times a second, and filled the small links.

Change: an update at the position that the entry has reached confirms its list, and changes nothing.

--- a/features/support/relay_fleet.py
+++ b/features/support/relay_fleet.py
@@ -9,11 +9,13 @@
 import dataclasses
 import heapq
 import itertools
+import random
 
 from rhubarbbank_core import effects as core_effects
 from rhubarbbank_core import events as core_events
 from rhubarbbank_router import effects
 from rhubarbbank_router import events
+from rhubarbbank_router import messages
 from rhubarbbank_router import peers
 from rhubarbbank_router import store_position
 from support import router_world
@@ -27,6 +29,9 @@
 # Age limits are checked once an entry has had no fault for this long.
 RECOVERY_S = 5.0
 MAX_ROLE_CHANGES_PER_S = 2
+# Replies to 2.5 requests a second, and up to five changes a second from each of
+# two readers.
+MAX_UPDATES_PER_S = 15
 # Age of the copy from which the store is restored, and when writes that it lost
 # are repeated.
 COPY_AGE_S = (0.5, 4.0)
@@ -91,6 +96,7 @@
         position: The store's position from which it watches.
         leaving: Upstreams that it has seen as leaving.
         role_changes: When it became a reader or stopped being one.
+        updated_at: When it got readers' updates in the last second.
     """
 
     world: router_world.World
@@ -105,6 +111,7 @@
     position: store_position.StorePosition = store_position.START
     leaving: set[str] = dataclasses.field(default_factory=set)
     role_changes: list[float] = dataclasses.field(default_factory=list)
+    updated_at: list[float] = dataclasses.field(default_factory=list)
 
 
 class RelayFleet:
@@ -136,6 +143,8 @@
         turns_away=False,
     ):
         self.rng = rng
+        # What operators and upstreams do doesn't depend on the messages.
+        self.change_rng = random.Random(rng.random())
         self.loss_rate = loss_rate
         self.faults = faults
         self.restores = restores
@@ -195,16 +204,16 @@
 
     def change(self):
         """Changes the configuration or the list of upstreams."""
-        self.revision += self.rng.randrange(3)
-        if self.rng.random() < 0.4:
+        self.revision += self.change_rng.randrange(3)
+        if self.change_rng.random() < 0.4:
             self.put_configuration(self.accepted[-1].version + 1)
         else:
             self.change_upstream()
         self.back_up()
 
     def change_upstream(self):
-        leaving = self.rng.random() < 0.6
-        name = self.rng.choice(list(self.live))
+        leaving = self.change_rng.random() < 0.6
+        name = self.change_rng.choice(list(self.live))
         changed = dataclasses.replace(self.live[name], leaving=leaving)
         if self.live[name].leaving:
             # An upstream that has left is replaced under another name.
@@ -347,7 +356,8 @@
 
     def make_changes(self):
         self.change()
-        self.schedule(self.rng.uniform(0.2, 3.0), self.make_changes)
+        delay_s = self.change_rng.uniform(0.2, 3.0)
+        self.schedule(delay_s, self.make_changes)
 
     def turn_away(self):
         """Lets the store refuse the calls of a third of the entries."""
@@ -449,10 +459,20 @@
             # The message is read once the process resumes.
             self.schedule(node.suspended_until - self.now, self.deliver, effect)
             return
+        if isinstance(effect.message, messages.StoreUpdate):
+            self.record_update(node)
         node.world.now = self.now
         node.world.apply(core_events.MessageReceived(effect.message))
         self.send(node.world)
 
+    def record_update(self, node):
+        """Records an update that an entry gets; too many are a violation."""
+        recent = [at for at in node.updated_at if at > self.now - 1.0]
+        node.updated_at = [*recent, self.now]
+        if len(node.updated_at) > MAX_UPDATES_PER_S:
+            name = node.world.state.settings.name
+            self.report(name, f"got {len(node.updated_at)} updates in 1 s")
+
     # The checked conditions.
 
     def find_version(self, at):
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/store_reading.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/store_reading.py
@@ -287,10 +287,17 @@
                 reply.whole, position=reply.list_position, asked_at=at
             )
         ]
+    confirmed = events.UpstreamsConfirmed(
+        position=reply.list_position, current_at=at
+    )
+    if reply.list_position == relay.change_log.position:
+        # Its changes are known. Passing them on again would never end between
+        # two readers that request updates from each other.
+        return [confirmed]
     return [
         *(events.UpstreamChanged(x) for x in reply.changed),
         *(events.UpstreamUnlisted(x) for x in reply.gone),
-        events.UpstreamsConfirmed(position=reply.list_position, current_at=at),
+        confirmed,
     ]
 
 
