--- a/features/support/relay_fleet.py
+++ b/features/support/relay_fleet.py
@@ -29,9 +29,9 @@
 # Age limits are checked once an entry has had no fault for this long.
 RECOVERY_S = 5.0
 MAX_ROLE_CHANGES_PER_S = 2
-# Replies to 2.5 requests a second, and up to five changes a second from each of
-# two readers.
-MAX_UPDATES_PER_S = 15
+# Replies to 2.5 requests a second, and up to five changes a second, of two kinds,
+# from each of three readers.
+MAX_UPDATES_PER_S = 32
 # Age of the copy from which the store is restored, and when writes that it lost
 # are repeated.
 COPY_AGE_S = (0.5, 4.0)
