--- a/features/steps/configuration_copy_steps.py
+++ b/features/steps/configuration_copy_steps.py
@@ -44,7 +44,7 @@
             turns_away=True,
         )
         fleet.run(HISTORY_DURATION_S)
-        copies += fleet.copies
+        copies += fleet.decoded
         assert not fleet.violations, (seed, fleet.violations[:5])
     assert copies
 
--- a/features/support/relay_fleet.py
+++ b/features/support/relay_fleet.py
@@ -29,8 +29,8 @@
 # Age limits are checked once an entry has had no fault for this long.
 RECOVERY_S = 5.0
 MAX_ROLE_CHANGES_PER_S = 2
-# Replies to 2.5 requests a second, and up to five changes a second, of two kinds,
-# from each of three readers.
+# Replies to 2.5 requests a second, and up to five changes a second, of two
+# kinds, from each of three readers.
 MAX_UPDATES_PER_S = 32
 # Age of the copy from which the store is restored, and when writes that it lost
 # are repeated.
@@ -127,7 +127,7 @@
             have ended.
         violations: Descriptions of violated conditions.
         bounds: Bounds in the entries' settings.
-        copies: Number of copies of configurations that entries have decoded.
+        decoded: Number of copies of configurations that entries have decoded.
     """
 
     bounds = BOUNDS
@@ -153,7 +153,7 @@
         self.numbers = itertools.count()
         self.scheduled = []
         self.calls = 0
-        self.copies = 0
+        self.decoded = 0
         self.violations = []
         self.revision = 10
         self.era = 1
@@ -434,7 +434,7 @@
         world.effects.clear()
 
     def decode(self, world, effect):
-        self.copies += 1
+        self.decoded += 1
         stored = Accepted(
             at=self.now,
             version=effect.version,
