Draw the changes of simulated fleets apart from their messages where that decides

While trying, one of 80 seeds showed a fault on and on this code: an evacuation that is taken back just after a restore is believed in for longer than the bound.

--- a/features/router_evacuations.feature
+++ b/features/router_evacuations.feature
@@ -141,5 +141,8 @@
     And without the setting, the kind isn't read
     And a bound of 0 is refused, and none isn't
 
+  Scenario: An evacuation that ends just after a restore isn't believed in for longer than the bound
+    Then in history 51 with 6 entries and restores no evacuation is unknown after its bound
+
   Scenario: Readers' updates keep a fleet within the bound, also through faults and restores
     Then in 20 histories with 6 entries no evacuation is unknown after its bound
--- a/features/steps/evacuation_steps.py
+++ b/features/steps/evacuation_steps.py
@@ -370,6 +370,22 @@
     assert options.parse_settings(template % b'"evac_ms":9').bounds.evac_ms == 9
 
 
+@then(
+    "in history {seed:d} with {entries:d} entries and restores no evacuation "
+    "is unknown after its bound"
+)
+def check_history(context, seed, entries):
+    fleet = evacuation_fleet.EvacuationFleet(
+        rng=random.Random(seed),
+        entries=entries,
+        loss_rate=0.03,
+        restores=True,
+        own_changes=True,
+    )
+    fleet.run(40.0)
+    assert not fleet.violations, (seed, fleet.violations[:5])
+
+
 @then(
     "in {count:d} histories with {entries:d} entries no evacuation is unknown "
     "after its bound"
@@ -381,6 +397,7 @@
             entries=entries,
             loss_rate=0.03,
             restores=seed % 2 == 1,
+            own_changes=True,
         )
         fleet.run(40.0)
         assert fleet.checked, seed
--- a/features/steps/store_relay_steps.py
+++ b/features/steps/store_relay_steps.py
@@ -20,7 +20,10 @@
 @when("{entries:d} entries run for {duration:g} s")
 def run_fleet(context, entries, duration):
     context.fleet = relay_fleet.RelayFleet(
-        rng=random.Random(entries), entries=entries, faults=False
+        rng=random.Random(entries),
+        entries=entries,
+        faults=False,
+        own_changes=True,
     )
     context.fleet.run(duration)
 
--- a/features/support/evacuation_fleet.py
+++ b/features/support/evacuation_fleet.py
@@ -41,8 +41,8 @@
 
     def change(self):
         super().change()
-        if self.rng.random() < 0.4:
-            name = self.rng.choice(DATA_CENTRES)
+        if self.change_rng.random() < 0.4:
+            name = self.change_rng.choice(DATA_CENTRES)
             is_wanted = not self.wanted.get(name, (False, 0.0))[0]
             self.wanted[name] = (is_wanted, self.now)
             self.write(name, is_wanted)
--- a/features/support/relay_fleet.py
+++ b/features/support/relay_fleet.py
@@ -141,10 +141,12 @@
         faults=True,
         restores=False,
         turns_away=False,
+        own_changes=False,
     ):
         self.rng = rng
-        # What operators and upstreams do doesn't depend on the messages.
-        self.change_rng = random.Random(rng.random())
+        # Where changes have a generator of their own, what operators and
+        # upstreams do doesn't depend on the number of messages.
+        self.change_rng = random.Random(rng.random()) if own_changes else rng
         self.loss_rate = loss_rate
         self.faults = faults
         self.restores = restores
