--- a/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
@@ -19,10 +19,12 @@
 from rhubarbbank_router import engine_load
 from rhubarbbank_router import engine_work
 from rhubarbbank_router import evacuation_list
+from rhubarbbank_router import name_hashes
 from rhubarbbank_router import rollouts
 from rhubarbbank_router import size_policy
 from rhubarbbank_router import state as states
 from rhubarbbank_router import upstreams
+from rhubarbbank_router import version_choice
 
 MAX_PRIORITY = 9
 MS_PER_S = 1000.0
@@ -49,7 +51,8 @@
     usable = state.view.list_usable(
         opened.service, now=now, excluded=opened.excluded
     )
-    usable = rollouts.filter_by_version(state, opened, usable, now=now)
+    choice = version_choice.choose(state, opened, usable, now=now)
+    usable = choice.usable
     if not usable:
         return give_up(state, opened, errors.ErrorCode.NO_UPSTREAM, now=now)
     candidates = [
@@ -72,8 +75,12 @@
         code = errors.ErrorCode.OVERLOADED
         return give_up(state, opened, code, now=now, min_retry_after_s=excess_s)
     tracked = state.view.tracked[decision.upstream]
+    session_version = version_choice.find_session_version(
+        state, opened, now=now
+    )
     attempt = begin_attempt(state, opened, tracked, now=now)
     return [
+        *count_version_change(session_version, attempt.version, choice.reason),
         fx.LogDecision(
             decision="placed",
             request_id=opened.request.attempt_id,
@@ -91,12 +98,42 @@
                 ("slowdown", tracked.slowdown),
                 ("held_bytes", tracked.held_bytes),
                 ("left_s", round(opened.deadline - now, 3)),
+                ("version_reason", choice.reason.value),
+                *list_session_inputs(opened, session_version),
             ),
         ),
         build_send_effect(opened, tracked.listed, attempt, now=now),
     ]
 
 
+def count_version_change(
+    session_version: str, version: str, reason: version_choice.ChoiceReason
+) -> list[effects.Effect]:
+    """Counts an attempt on another version than its session's last one."""
+    if session_version in ("", version):
+        return []
+    return [fx.Count(f"session_version_changes.{reason.value}")]
+
+
+def list_session_inputs(
+    opened: states.OpenRequest, session_version: str
+) -> tuple[fx.LogInput, ...]:
+    """Returns a request's session in the form that log lines have.
+
+    Args:
+        opened: The request.
+        session_version: Version of the session's last request at this entry;
+            empty if it isn't alive here.
+    """
+    session = opened.request.session
+    if not session:
+        return ()
+    return (
+        ("session", f"{name_hashes.hash_name(session):08x}"),
+        ("session_version", session_version),
+    )
+
+
 def compute_excess_wait_s(
     opened: states.OpenRequest,
     decision: placement.PlacementDecision,
@@ -450,7 +487,7 @@
     usable = state.view.list_usable(
         opened.service, now=now, excluded=opened.excluded
     )
-    return bool(rollouts.filter_by_version(state, opened, usable, now=now))
+    return bool(version_choice.choose(state, opened, usable, now=now).usable)
 
 
 def give_up(
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/rollouts.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/rollouts.py
@@ -16,7 +16,6 @@
 from rhubarbbank_router import name_hashes
 from rhubarbbank_router import state as states
 from rhubarbbank_router import store_eras
-from rhubarbbank_router import upstreams
 from rhubarbbank_router import version_trial
 
 # Minimum time between two attempts to record a state.
@@ -218,84 +217,6 @@
         init_settled_versions(state, service)
 
 
-def filter_by_version(
-    state: states.RouterState,
-    opened: states.OpenRequest,
-    usable: list[upstreams.TrackedUpstream],
-    *,
-    now: float,
-) -> list[upstreams.TrackedUpstream]:
-    """Returns the usable upstreams whose version the request may run on."""
-    if opened.answer_started:
-        return select_versions(usable, {opened.version})
-    settled = state.settled_versions.get(opened.service) or set()
-    trial = state.trials.get(opened.service)
-    if trial is None:
-        return select_versions(usable, settled) or usable
-    target = trial.order.target
-    on_target = select_versions(usable, {target})
-    others = [each for each in usable if each.listed.version != target]
-    others = select_versions(others, settled) or others
-    if trial.held:
-        return others
-    if trial.order.state is version_trial.OrderState.COMPLETED:
-        return on_target
-    if trial.has_all_traffic:
-        return on_target or others
-    if routes_to_target(state, trial, opened, now=now):
-        return on_target or others
-    return others or on_target
-
-
-def select_versions(
-    usable: list[upstreams.TrackedUpstream], versions: set[str]
-) -> list[upstreams.TrackedUpstream]:
-    """Returns the upstreams that run one of the versions."""
-    return [each for each in usable if each.listed.version in versions]
-
-
-def find_session_version(
-    state: states.RouterState, opened: states.OpenRequest, *, now: float
-) -> str:
-    """Returns the version of the request's live session, or an empty string."""
-    return state.sessions.find_version(
-        opened.request.session,
-        now=now,
-        alive_s=state.settings.bounds.session_s,
-    )
-
-
-def routes_to_target(
-    state: states.RouterState,
-    trial: version_trial.VersionTrial,
-    opened: states.OpenRequest,
-    *,
-    now: float,
-) -> bool:
-    """Returns whether a request should run on the roll-out's target.
-
-    In the first half, sessions that were alive at the time of the order keep
-    their version. Other entries may have seen such sessions, so no session
-    goes to the target until the peers' first heartbeats after the order.
-    """
-    session = opened.request.session
-    is_selected = trial.routes_to_target(opened.request.affinity_key)
-    if not session:
-        return is_selected
-    pinned = find_session_version(state, opened, now=now)
-    if pinned == trial.order.target:
-        return True
-    if trial.may_move_sessions:
-        return is_selected
-    age_s = now - trial.started_at
-    if pinned or age_s < defaults.SESSIONS_REPORTED_S:
-        return False
-    return (
-        is_selected
-        and name_hashes.hash_name(session) not in trial.kept_sessions
-    )
-
-
 def keep_live_sessions(
     state: states.RouterState,
     trial: version_trial.VersionTrial,
