--- a/features/support/session_fleet.py
+++ b/features/support/session_fleet.py
@@ -79,9 +79,9 @@
                 rng.uniform(0, 6), self.send_request, Session(f"s{number}")
             )
 
-    def build_world(self, number):
+    def build_world(self, number, incarnation=None):
         world = router_world.World(
-            seed=number + 1,
+            seed=incarnation or number + 1,
             name=f"entry-{number}",
             data_centre=f"west-{number % self.data_centres}",
             session_s=SESSION_S,
@@ -98,15 +98,8 @@
         heapq.heappush(self.scheduled, entry)
 
     def run(self, duration_s):
-        listed = tuple(
-            peers.PeerAddress(
-                name=x.state.settings.name,
-                address=x.state.settings.peer_address,
-            )
-            for x in self.worlds
-        )
         for world in self.worlds:
-            world.apply(events.EntriesListed(listed))
+            world.apply(events.EntriesListed(self.list_entries()))
         self.schedule(ORDER_AT_S, self.issue_order)
         end = self.now + duration_s
         while self.now < end:
@@ -117,6 +110,15 @@
             for world in self.worlds:
                 self.step(world)
 
+    def list_entries(self):
+        return tuple(
+            peers.PeerAddress(
+                name=x.state.settings.name,
+                address=x.state.settings.peer_address,
+            )
+            for x in self.worlds
+        )
+
     def issue_order(self):
         for world in self.worlds:
             self.schedule(
