--- a/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/dispatch.py
@@ -48,13 +48,11 @@
         cause: Why an attempt is made, for the log.
     """
     state.view.cold.record_demand(opened.service, now=now)
-    usable = state.view.list_usable(
-        opened.service, now=now, excluded=opened.excluded
-    )
-    choice = version_choice.choose(state, opened, usable, now=now)
+    choice = version_choice.choose(state, opened, now=now)
     usable = choice.usable
     if not usable:
-        return give_up(state, opened, errors.ErrorCode.NO_UPSTREAM, now=now)
+        code = errors.ErrorCode.NO_UPSTREAM
+        return give_up(state, opened, code, now=now, awaited=choice.awaited)
     candidates = [
         build_candidate(state, opened, tracked, now=now) for tracked in usable
     ]
@@ -484,10 +482,7 @@
     state: states.RouterState, opened: states.OpenRequest, *, now: float
 ) -> bool:
     """Returns whether the request could be sent to an upstream now."""
-    usable = state.view.list_usable(
-        opened.service, now=now, excluded=opened.excluded
-    )
-    return bool(version_choice.choose(state, opened, usable, now=now).usable)
+    return bool(version_choice.choose(state, opened, now=now).usable)
 
 
 def give_up(
@@ -497,6 +492,7 @@
     *,
     now: float,
     min_retry_after_s: float = 0.0,
+    awaited: frozenset[str] = upstreams.ALL_VERSIONS,
 ) -> list[effects.Effect]:
     """Ends a request that no upstream has answered in full.
 
@@ -510,6 +506,8 @@
         code: Why it ends.
         now: Current time, in seconds.
         min_retry_after_s: Lower bound of Retry-After, in seconds.
+        awaited: The versions that its session has to wait for; empty if it
+            would run on any.
     """
     request = opened.request
     del state.open_requests[request.request_id]
@@ -523,7 +521,7 @@
     retry_after_s = None
     if status == http.HTTPStatus.SERVICE_UNAVAILABLE:
         retry_after_s = min_retry_after_s + compute_retry_after_s(
-            state, opened.service, now=now
+            state, opened.service, now=now, versions=awaited
         )
         retry_after_s = round(retry_after_s, 2)
     log = fx.LogDecision(
@@ -538,6 +536,7 @@
             ("status", 0 if opened.answer_started else int(status)),
             ("age_s", round(now - opened.arrived_at, 3)),
             ("states", ",".join(x.state.value for x in opened.attempts)),
+            *([("awaited", ",".join(sorted(awaited)))] if awaited else []),
             *evacuation_list.build_refusal_inputs(
                 state, opened.service, now=now
             ),
@@ -562,22 +561,39 @@
 
 
 def compute_retry_after_s(
-    state: states.RouterState, service: str, *, now: float
+    state: states.RouterState,
+    service: str,
+    *,
+    now: float,
+    versions: frozenset[str] = upstreams.ALL_VERSIONS,
 ) -> float:
     """Returns the Retry-After of a service's request, in seconds.
 
     If no upstream of the service accepts requests, it is counted from the time
     at which the next one accepts them again. Where limits are the reason,
     requests get successive times at the rate that the limits allow.
+
+    Args:
+        state: The router's state.
+        service: The service.
+        now: In seconds.
+        versions: The versions that may run the request; empty for all.
     """
     random_s = draw_retry_after_s(state)
-    if state.view.list_accepting(service, now=now):
+    accepting = state.view.list_accepting(service, now=now)
+    if versions:
+        accepting = version_choice.select_versions(accepting, versions)
+    if accepting:
         return random_s
     waits_s: list[float] = []
-    reopening = state.view.find_reopening_time(service, now=now)
+    reopening = state.view.find_reopening_time(
+        service, now=now, versions=versions
+    )
     if reopening is not None:
         waits_s.append(reopening - now)
-    limits_per_s = state.view.sum_limits_per_s(service, now=now)
+    limits_per_s = state.view.sum_limits_per_s(
+        service, now=now, versions=versions
+    )
     if limits_per_s > 0.0:
         entries = 1 + len(state.entries.list_live(now=now))
         waits_s.append(
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/upstreams.py
@@ -1,7 +1,7 @@
 """Tracks the upstreams: the platform's list, their load and their failures.
 
 The list comes from the platform, with a delay; the load from the headers of
-answers; failures from this entry's own attempts. Dispatch calls `list_usable`.
+answers; failures from this entry's own attempts. Dispatch calls `list_untried`.
 """
 
 import collections.abc
@@ -14,6 +14,8 @@
 from rhubarbbank_router import upstream_limits
 from rhubarbbank_router import upstream_notices
 
+ALL_VERSIONS: frozenset[str] = frozenset()
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Upstream:
@@ -177,6 +179,19 @@
     return mean + defaults.SERVICE_SMOOTHING * (value - mean)
 
 
+def prefer_healthy(
+    accepting: list[TrackedUpstream], *, now: float
+) -> list[TrackedUpstream]:
+    """Returns the upstreams that aren't set aside and have capacity.
+
+    Those that are set aside or lack capacity are returned only if there are
+    no others.
+    """
+    healthy = [each for each in accepting if each.set_aside_until <= now]
+    available = [each for each in healthy if each.full_until <= now]
+    return available or healthy or accepting
+
+
 class UpstreamView:
     """All upstreams that this entry knows.
 
@@ -384,12 +399,23 @@
             self.evacuations.is_evacuated(each) for each in data_centres
         )
 
-    def find_reopening_time(self, service: str, *, now: float) -> float | None:
+    def find_reopening_time(
+        self,
+        service: str,
+        *,
+        now: float,
+        versions: collections.abc.Set[str] = ALL_VERSIONS,
+    ) -> float | None:
         """Returns when the first closed upstream accepts requests again.
 
+        Args:
+            service: The service.
+            now: In seconds.
+            versions: The versions that count; empty for all.
+
         Returns:
-            The time in seconds; None if none of the service's upstreams has
-            asked to be sent no requests for a time.
+            The time in seconds; None if none of these upstreams has asked to
+            be sent no requests for a time.
         """
         times: list[float] = []
         for tracked in self.tracked.values():
@@ -397,16 +423,25 @@
             notice = self.notices.find(listed.upstream_id, listed.started_ms)
             if listed.service != service or listed.leaving or notice is None:
                 continue
+            if versions and listed.version not in versions:
+                continue
             if self.evacuations.is_evacuated(listed.data_centre):
                 continue
             if notice.closed_until > now and not notice.leaving:
                 times.append(notice.closed_until)
         return min(times, default=None)
 
-    def sum_limits_per_s(self, service: str, *, now: float) -> float:
+    def sum_limits_per_s(
+        self,
+        service: str,
+        *,
+        now: float,
+        versions: collections.abc.Set[str] = ALL_VERSIONS,
+    ) -> float:
         """Returns what a service's limited upstreams accept, in requests/s.
 
-        Cold ones are limited, too.
+        Cold ones are limited, too. Only upstreams of the given versions count;
+        all if there are none.
         """
         total = 0.0
         for tracked in self.tracked.values():
@@ -417,6 +452,7 @@
             )
             if (
                 listed.service != service
+                or (versions and listed.version not in versions)
                 or listed.leaving
                 or (limit is None and cold is None)
                 or self.evacuations.is_evacuated(listed.data_centre)
@@ -432,26 +468,34 @@
             total += min(rates)
         return total
 
-    def list_usable(
+    def list_untried(
         self,
         service: str,
         *,
         now: float,
         excluded: collections.abc.Set[str],
     ) -> list[TrackedUpstream]:
-        """Returns upstreams for a new attempt.
-
-        Those that are set aside or lack capacity are returned only if there
-        are no others.
-        """
-        accepting = [
+        """Returns the accepting upstreams that a request may be sent to."""
+        return [
             tracked
             for tracked in self.list_accepting(service, now=now)
             if tracked.listed.upstream_id not in excluded
         ]
-        healthy = [each for each in accepting if each.set_aside_until <= now]
-        available = [each for each in healthy if each.full_until <= now]
-        return available or healthy or accepting
+
+    def list_remaining(self, service: str) -> list[TrackedUpstream]:
+        """Returns the upstreams that accept requests now or soon again.
+
+        Those that shut down, are in doubt, or whose data centre is evacuated
+        may never do so.
+        """
+        return [
+            tracked
+            for tracked in self.tracked.values()
+            if tracked.listed.service == service
+            and not self.is_leaving(tracked.listed)
+            and tracked.doubtful_until is None
+            and not self.evacuations.is_evacuated(tracked.listed.data_centre)
+        ]
 
     def start_attempt(
         self, request_id: str, attempt: attempt_states.Attempt
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/version_choice.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/version_choice.py
@@ -2,8 +2,14 @@
 
 Without a roll-out, requests run on the settled versions. During one, the hash
 of a request's key decides, except for sessions that keep their version.
+
+A session's version goes before the state of upstreams: other entries decide by
+the same hash, so that a session that runs elsewhere while its version can't be
+used here would change its version twice. It waits, unless no upstream of the
+version remains. Requests without a session run on what is usable.
 """
 
+import collections.abc
 import dataclasses
 import enum
 
@@ -42,52 +48,125 @@
     UNAVAILABLE = "unavailable"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class VersionChoice:
-    """The upstreams whose version a request may run on, and the reason."""
+    """The upstreams that a request may be sent to, by their version.
+
+    Attributes:
+        usable: The upstreams.
+        reason: Why their version may run the request.
+        awaited: If there are none, the versions that the request has to wait
+            for; empty if it would run on any.
+    """
 
     usable: list[upstreams.TrackedUpstream]
     reason: ChoiceReason
+    awaited: frozenset[str] = upstreams.ALL_VERSIONS
 
 
 def choose(
     state: states.RouterState,
     opened: states.OpenRequest,
-    usable: list[upstreams.TrackedUpstream],
     *,
     now: float,
 ) -> VersionChoice:
-    """Returns those of the usable upstreams that a request may run on."""
+    """Returns the upstreams that a request may be sent to now."""
+    accepting = state.view.list_untried(
+        opened.service, now=now, excluded=opened.excluded
+    )
     if opened.answer_started:
-        return VersionChoice(
-            select_versions(usable, {opened.version}), ChoiceReason.STARTED
+        return build_choice(
+            select_versions(accepting, {opened.version}),
+            ChoiceReason.STARTED,
+            now=now,
         )
     settled = state.settled_versions.get(opened.service) or set()
     trial = state.trials.get(opened.service)
     if trial is None:
-        return VersionChoice(
-            select_versions(usable, settled) or usable, ChoiceReason.SETTLED
+        return build_choice(
+            select_versions(accepting, settled) or accepting,
+            ChoiceReason.SETTLED,
+            now=now,
         )
-    target = trial.order.target
-    on_target = select_versions(usable, {target})
-    others = [each for each in usable if each.listed.version != target]
-    others = select_versions(others, settled) or others
+    versions = split_versions(accepting, trial.order.target, settled)
     if trial.held:
-        return VersionChoice(others, ChoiceReason.HELD)
+        return build_choice(versions.others, ChoiceReason.HELD, now=now)
     if trial.order.state is version_trial.OrderState.COMPLETED:
-        return VersionChoice(on_target, ChoiceReason.COMPLETED)
+        return build_choice(versions.target, ChoiceReason.COMPLETED, now=now)
     is_target, reason = decide(state, trial, opened, now=now)
-    preferred, rest = (on_target, others) if is_target else (others, on_target)
+    if not opened.request.session:
+        usable = upstreams.prefer_healthy(accepting, now=now)
+        return prefer(
+            split_versions(usable, trial.order.target, settled),
+            is_target=is_target,
+            reason=reason,
+        )
+    choice = build_choice(versions.get(is_target), reason, now=now)
+    if choice.usable:
+        return choice
+    remaining = split_versions(
+        state.view.list_remaining(opened.service), trial.order.target, settled
+    ).get(is_target)
+    if remaining:
+        awaited = frozenset(each.listed.version for each in remaining)
+        return dataclasses.replace(choice, awaited=awaited)
+    return build_choice(
+        versions.get(not is_target), ChoiceReason.UNAVAILABLE, now=now
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class SplitVersions:
+    """Upstreams of the version on trial, and those of the others."""
+
+    target: list[upstreams.TrackedUpstream]
+    others: list[upstreams.TrackedUpstream]
+
+    def get(self, is_target: bool) -> list[upstreams.TrackedUpstream]:
+        """Returns the upstreams of the version on trial, or the others."""
+        return self.target if is_target else self.others
+
+
+def split_versions(
+    listed: list[upstreams.TrackedUpstream], target: str, settled: set[str]
+) -> SplitVersions:
+    """Splits upstreams by version; the others are the settled ones, if any."""
+    others = [each for each in listed if each.listed.version != target]
+    return SplitVersions(
+        target=select_versions(listed, {target}),
+        others=select_versions(others, settled) or others,
+    )
+
+
+def build_choice(
+    accepting: list[upstreams.TrackedUpstream],
+    reason: ChoiceReason,
+    *,
+    now: float,
+) -> VersionChoice:
+    """Returns the choice among upstreams of a version."""
+    return VersionChoice(
+        usable=upstreams.prefer_healthy(accepting, now=now), reason=reason
+    )
+
+
+def prefer(
+    usable: SplitVersions, *, is_target: bool, reason: ChoiceReason
+) -> VersionChoice:
+    """Returns upstreams of the preferred version, or else of the other one."""
+    preferred = usable.get(is_target)
+    rest = usable.get(not is_target)
     if preferred or not rest:
-        return VersionChoice(preferred, reason)
-    return VersionChoice(rest, ChoiceReason.UNAVAILABLE)
+        return VersionChoice(usable=preferred, reason=reason)
+    return VersionChoice(usable=rest, reason=ChoiceReason.UNAVAILABLE)
 
 
 def select_versions(
-    usable: list[upstreams.TrackedUpstream], versions: set[str]
+    listed: list[upstreams.TrackedUpstream],
+    versions: collections.abc.Set[str],
 ) -> list[upstreams.TrackedUpstream]:
     """Returns the upstreams that run one of the versions."""
-    return [each for each in usable if each.listed.version in versions]
+    return [each for each in listed if each.listed.version in versions]
 
 
 def find_session_version(
