--- a/features/support/router_world.py
+++ b/features/support/router_world.py
@@ -174,9 +174,9 @@
     def list_upstreams(self, *listed):
         self.apply(events.UpstreamsListed(listed))
 
-    def start(self, count=3):
+    def start(self, count=3, orders=()):
         """Answers the first reads of orders, upstreams and configuration."""
-        self.apply(events.RolloutsListed(()))
+        self.apply(events.RolloutsListed(orders))
         self.list_upstreams(*(build_upstream(n) for n in range(count)))
         self.apply(events.EvacuationsListed(()))
         self.configure()
--- a/features/support/session_fleet.py
+++ b/features/support/session_fleet.py
@@ -79,7 +79,7 @@
                 rng.uniform(0, 6), self.send_request, Session(f"s{number}")
             )
 
-    def build_world(self, number, incarnation=None):
+    def build_world(self, number, incarnation=None, orders=()):
         world = router_world.World(
             seed=incarnation or number + 1,
             name=f"entry-{number}",
@@ -87,7 +87,7 @@
             session_s=SESSION_S,
         )
         world.now = self.now
-        world.start(0)
+        world.start(0, orders)
         world.list_upstreams(
             *(router_world.build_upstream(n) for n in range(3))
         )
--- a/features/support/session_histories.py
+++ b/features/support/session_histories.py
@@ -91,6 +91,8 @@
         for effect in world.effects[begun:]:
             if isinstance(effect, effects.RecordRollout):
                 self.schedule(self.record_s, self.write_record, effect)
+            elif self.is_send_attempt(effect):
+                self.send_effects[world, effect.request_id] = [effect]
         super().deliver_heartbeats(world, begun)
 
     def write_record(self, effect):
@@ -151,12 +153,16 @@
 
     def start_again(self, stopped):
         place = self.worlds.index(stopped)
-        world = self.build_world(place, incarnation=int(self.now * 1000))
+        is_ordered = self.now >= session_fleet.ORDER_AT_S
+        world = self.build_world(
+            place,
+            incarnation=int(self.now * 1000),
+            orders=(self.record,) if is_ordered else (),
+        )
         self.worlds[place] = world
         self.world_by_address[world.state.settings.peer_address] = world
-        self.list_target(world)
-        if self.now >= session_fleet.ORDER_AT_S:
-            world.apply(events.RolloutsListed((self.record,)))
+        if is_ordered:
+            self.list_target(world)
         world.apply(events.EntriesListed(self.list_entries()))
         self.stopping.discard(world.state.settings.name)
 
@@ -197,7 +203,7 @@
             world.end(request, "unreached")
         if request in world.state.held_requests:
             # The entry is starting; its caller waits.
-            self.schedule(0.1, self.follow_held, world, request, session, begun)
+            self.schedule(0.1, self.follow_held, world, request, session)
             return
         if request not in world.state.open_requests:
             self.refused += 1
@@ -208,9 +214,13 @@
             return
         self.serve(world, request, session, begun)
 
-    def follow_held(self, world, request, session, begun):
+    def follow_held(self, world, request, session):
+        """Plays what happens to a request that waited for the entry."""
         world.now = self.now
+        begun = len(world.effects)
+        world.effects += self.send_effects.pop((world, request), [])
         self.follow(world, request, session, begun)
+        del world.effects[begun:]
 
     def serve(self, world, request, session, begun):
         sending = world.sent(request)[-1]
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -265,6 +265,9 @@
 # This long after the order, every entry has reported the sessions that it saw
 # on the previous version: the watch's delay, a heartbeat, and a lost one.
 SESSIONS_REPORTED_S = 2.0
+# Number of entries of a data centre that tell one that starts there at once
+# how far a roll-out is; the messages of all would fill its link.
+ROLLOUT_REPORTERS = 3
 # A session may last this much longer at another entry: the time that a
 # stream's last events take to arrive.
 SESSION_MARGIN_S = 1.0
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
@@ -128,14 +128,40 @@
 def greet_entry(
     state: states.RouterState, message: messages.Heartbeat, *, now: float
 ) -> list[effects.Effect]:
-    """Replies at once to an entry that may have read a store's older copy."""
+    """Replies at once to an entry that needs to know what this one knows.
+
+    It may have read a store's older copy, or not know how far a roll-out is.
+    """
     is_current = message.configuration_version >= get_active_version(state)
     is_near = message.data_centre == state.settings.data_centre
-    if not is_near or (is_current and store_eras.has_settled(state, now)):
+    may_be_outdated = is_near and not (
+        is_current and store_eras.has_settled(state, now)
+    )
+    if not may_be_outdated and not reports_rollouts(state, message, now=now):
         return []
     return [core_effects.Send(message.address, build_heartbeat(state, now=now))]
 
 
+def reports_rollouts(
+    state: states.RouterState, message: messages.Heartbeat, *, now: float
+) -> bool:
+    """Returns whether to tell an entry that has started of roll-outs.
+
+    In its data centre a few entries do, elsewhere one in each.
+    """
+    if all(each.is_finished for each in state.trials.values()):
+        return False
+    data_centre = state.settings.data_centre
+    nearby = state.entries.list_live_in(data_centre, now=now)
+    rank = sum(
+        each.name < state.settings.name
+        for each in nearby
+        if each.name != message.name
+    )
+    is_near = message.data_centre == data_centre
+    return rank < (defaults.ROLLOUT_REPORTERS if is_near else 1)
+
+
 def record_leaving_upstreams(
     state: states.RouterState, message: messages.Heartbeat
 ) -> list[effects.Effect]:
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/intake.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/intake.py
@@ -20,6 +20,7 @@
 from rhubarbbank_router import dispatch
 from rhubarbbank_router import effects
 from rhubarbbank_router import request_traits
+from rhubarbbank_router import rollouts
 from rhubarbbank_router import state as states
 
 MS_PER_S = 1000.0
@@ -93,8 +94,13 @@
 
 
 def is_starting(state: states.RouterState, *, now: float) -> bool:
-    """Returns whether the first reads of the store may still be pending."""
-    if state.is_initialised and state.unproven_read_at is None:
+    """Returns whether the entry may still lack data that it starts with.
+
+    It reads the store, and hears from other entries of a roll-out that they
+    have begun.
+    """
+    is_complete = state.is_initialised and state.unproven_read_at is None
+    if is_complete and not rollouts.awaits_reports(state):
         return False
     started_at = now if state.started_at is None else state.started_at
     return now - started_at < defaults.START_WAIT_S
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/rollouts.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/rollouts.py
@@ -12,6 +12,7 @@
 from rhubarbbank_core import program_effects as fx
 from rhubarbbank_router import defaults
 from rhubarbbank_router import effects
+from rhubarbbank_router import events
 from rhubarbbank_router import messages
 from rhubarbbank_router import name_hashes
 from rhubarbbank_router import state as states
@@ -150,9 +151,29 @@
             remove_order(state, service)
         else:
             out += apply_order(state, order, now=now)
+            await_report(state, service)
     return out
 
 
+def await_report(state: states.RouterState, service: str) -> None:
+    """Records that other entries know more of a roll-out than this one.
+
+    That is so if the first list of orders has one that has begun.
+    """
+    trial = state.trials[service]
+    is_first = events.Subject.ROLLOUTS not in state.listed_subjects
+    if is_first and trial.order.state is version_trial.OrderState.RUNNING:
+        trial.awaits_report = True
+
+
+def awaits_reports(state: states.RouterState) -> bool:
+    """Returns whether other entries have yet to report on a roll-out."""
+    if not any(each.awaits_report for each in state.trials.values()):
+        return False
+    is_listed = events.Subject.ENTRIES in state.listed_subjects
+    return bool(state.entries.registered) or not is_listed
+
+
 def contradicts_trial(
     state: states.RouterState,
     service: str,
@@ -307,6 +328,7 @@
         trial = state.trials.get(theirs.service)
         if trial is None or theirs.key != trial.order.key:
             continue
+        trial.awaits_report = False
         trial.started_at = min(trial.started_at, now - theirs.age_s)
         if trial.order.state is not version_trial.OrderState.COMPLETED:
             trial.held = trial.held or theirs.held
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
@@ -201,8 +201,9 @@
             case events.StoreEraRead(era):
                 return store_eras.record_era(state, era, now=now)
             case events.RolloutsListed(orders):
+                out = rollouts.apply_orders(state, orders, now=now)
                 state.listed_subjects.add(events.Subject.ROLLOUTS)
-                return rollouts.apply_orders(state, orders, now=now)
+                return out
             case events.RolloutChanged(order):
                 return rollouts.apply_order(state, order, now=now)
             case events.RolloutRemoved(service):
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/version_trial.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/version_trial.py
@@ -246,6 +246,8 @@
         target_answers: Answers of the target at all entries, as of the last
             call of `advance`.
         target_answers_at_step: The same when the share last grew.
+        awaits_report: Whether the roll-out had begun when this entry started,
+            and no other entry has reported on it yet.
         kept_sessions: Hashes of sessions that stay on the incumbent in the
             first half although the hash of their key selects the target.
     """
@@ -268,6 +270,7 @@
         self.stepped_at = now
         self.target_answers = 0
         self.target_answers_at_step = 0
+        self.awaits_report = False
         self.kept_sessions: set[name_hashes.NameHash] = set()
 
     def add_counts(
