--- a/features/steps/restored_order_steps.py
+++ b/features/steps/restored_order_steps.py
@@ -47,7 +47,7 @@
 
 @when("the target is rejected")
 def reject_target(context):
-    context.world.state.trials["pool"].held = True
+    context.world.state.trials["pool"].hold(now=context.world.now)
 
 
 @given("a router with a completed roll-out at revision 90 of era 1")
--- a/features/support/session_histories.py
+++ b/features/support/session_histories.py
@@ -171,7 +171,7 @@
         world = self.rng.choice(self.worlds)
         trial = world.state.trials[session_fleet.SERVICE]
         if not trial.is_finished:
-            trial.held = True
+            trial.hold(now=self.now)
 
     # Sessions.
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/defaults.py
@@ -265,6 +265,10 @@
 # This long after the order, every entry has reported the sessions that it saw
 # on the previous version: the watch's delay, a heartbeat, and a lost one.
 SESSIONS_REPORTED_S = 2.0
+# How long sessions stay on a target that is held while the outcome isn't
+# recorded. Five seconds after its bad answers show, a bad target must get no
+# requests (deployment bound).
+HELD_SESSIONS_S = 2.0
 # Number of entries of a data centre that tell one that starts there at once
 # how far a roll-out is; the messages of all would fill its link.
 ROLLOUT_REPORTERS = 3
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/peers.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/peers.py
@@ -181,12 +181,16 @@
         )
         return sorted(addresses)
 
-    def has_first_name(self, *, now: float) -> bool:
-        """Returns whether this entry's name sorts first of all live entries."""
-        names = [
-            each.name for each in self.list_live(now=now) if not each.stopping
-        ]
-        return all(self.name < name for name in names)
+    def count_names_before(self, *, now: float) -> int:
+        """Returns how many live entries have names that sort before this one.
+
+        Entries that are stopping don't count.
+        """
+        return sum(
+            each.name < self.name
+            for each in self.list_live(now=now)
+            if not each.stopping
+        )
 
     def sum_evidence(
         self, service: str, order_key: str
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/rollouts.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/rollouts.py
@@ -21,6 +21,10 @@
 
 # Minimum time between two attempts to record a state.
 RECORD_RETRY_S = 0.5
+# By how much each entry waits longer than the one before by name to record a
+# hold, and the number of such waits at most.
+RECORD_TURN_S = 0.25
+MAX_RECORD_TURNS = 4
 
 
 def apply_order(
@@ -35,7 +39,7 @@
         return []
     state.doubtful_orders.pop(order.service, None)
     if trial is not None and is_repeated(trial.order, order):
-        trial.keep_outcome()
+        trial.keep_outcome(now=now)
         state.entries.rename_ended_evidence(
             order.service, trial.order.key, order.key
         )
@@ -51,11 +55,11 @@
         keep_live_sessions(state, trial, now=now)
     trial.order = order
     if order.state is version_trial.OrderState.ROLLED_BACK:
-        trial.held = True
+        trial.hold(now=now)
     settled = state.settled_versions.setdefault(order.service, set())
     if order.state is version_trial.OrderState.COMPLETED:
         # The operators have stopped the other versions.
-        trial.held = False
+        trial.release()
         settled.clear()
         settled.add(order.target)
     else:
@@ -330,8 +334,9 @@
             continue
         trial.awaits_report = False
         trial.started_at = min(trial.started_at, now - theirs.age_s)
-        if trial.order.state is not version_trial.OrderState.COMPLETED:
-            trial.held = trial.held or theirs.held
+        is_completed = trial.order.state is version_trial.OrderState.COMPLETED
+        if theirs.held and not is_completed:
+            trial.hold(now=now)
         trial.adopt_step(theirs.step, now=now)
         trial.kept_sessions.update(theirs.kept_sessions)
 
@@ -350,6 +355,9 @@
         )
         if trial.advance(evidence, now=now):
             out.append(build_step_log(service, trial, evidence, now=now))
+            if trial.held:
+                # Sessions stay on the target until the outcome is recorded.
+                state.expedite_heartbeat(now=now)
         out += record_state(state, service, trial, now=now)
     return out
 
@@ -406,7 +414,7 @@
         return []
     if now - state.rollout_recorded_at.get(service, 0.0) < RECORD_RETRY_S:
         return []
-    if state.stopping or not state.entries.has_first_name(now=now):
+    if state.stopping or not may_record(state, trial, now=now):
         return []
     state.rollout_recorded_at[service] = now
     return [
@@ -420,6 +428,24 @@
     ]
 
 
+def may_record(
+    state: states.RouterState,
+    trial: version_trial.VersionTrial,
+    *,
+    now: float,
+) -> bool:
+    """Returns whether it is this entry's turn to record a roll-out's state.
+
+    A hold must be recorded soon. If an entry hasn't done so, the next one by
+    name tries: the others may be slow, about to end, or cut off.
+    """
+    rank = state.entries.count_names_before(now=now)
+    if trial.held_at is None:
+        return rank == 0
+    turn = min(rank, MAX_RECORD_TURNS)
+    return now - trial.held_at >= turn * RECORD_TURN_S
+
+
 def determine_state(
     state: states.RouterState,
     trial: version_trial.VersionTrial,
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/version_choice.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/version_choice.py
@@ -89,12 +89,13 @@
             now=now,
         )
     versions = split_versions(accepting, trial.order.target, settled)
-    if trial.held:
+    has_session = bool(opened.request.session)
+    if trial.held and not (has_session and trial.keeps_sessions(now=now)):
         return build_choice(versions.others, ChoiceReason.HELD, now=now)
     if trial.order.state is version_trial.OrderState.COMPLETED:
         return build_choice(versions.target, ChoiceReason.COMPLETED, now=now)
     is_target, reason = decide(state, trial, opened, now=now)
-    if not opened.request.session:
+    if not has_session:
         usable = upstreams.prefer_healthy(accepting, now=now)
         return prefer(
             split_versions(usable, trial.order.target, settled),
@@ -193,12 +194,15 @@
     their version. Other entries may have seen such sessions, so no session
     goes to the target until the peers' first heartbeats after the order.
     """
-    if trial.has_all_traffic:
-        return True, ChoiceReason.WHOLE
     session = opened.request.session
-    is_selected = trial.routes_to_target(opened.request.affinity_key)
+    affinity_key = opened.request.affinity_key
     if not session:
-        return is_selected, ChoiceReason.DRAWN
+        if trial.has_all_traffic:
+            return True, ChoiceReason.WHOLE
+        return trial.routes_to_target(affinity_key), ChoiceReason.DRAWN
+    if trial.session_share >= 1.0:
+        return True, ChoiceReason.WHOLE
+    is_selected = trial.routes_session_to_target(affinity_key)
     pinned = find_session_version(state, opened, now=now)
     if pinned == trial.order.target:
         return True, ChoiceReason.PINNED
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/version_trial.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/version_trial.py
@@ -240,7 +240,9 @@
         plan: Parameters of the roll-out.
         started_at: When the order was first seen, here or by a peer.
         own_evidence: Counts of the attempts of this entry.
-        held: Whether the target was rejected and gets no new requests.
+        held: Whether the target was rejected. It gets no new requests; sessions
+            stay on it until the outcome is recorded (see `keeps_sessions`).
+        held_at: When that became known here; None if it isn't held.
         step: Index into the plan's steps; -1 during the first half.
         stepped_at: When the share last grew.
         target_answers: Answers of the target at all entries, as of the last
@@ -265,7 +267,10 @@
         self.judge = judge
         self.started_at = now
         self.own_evidence = TrialEvidence()
-        self.held = order.state is OrderState.ROLLED_BACK
+        self.held = False
+        self.held_at: float | None = None
+        if order.state is OrderState.ROLLED_BACK:
+            self.hold(now=now)
         self.step = -1
         self.stepped_at = now
         self.target_answers = 0
@@ -284,13 +289,39 @@
             TrialEvidence({route: comparison})
         )
 
+    def hold(self, *, now: float) -> None:
+        """Rejects the target."""
+        if not self.held:
+            self.held = True
+            self.held_at = now
+
+    def release(self) -> None:
+        """Ends a hold."""
+        self.held = False
+        self.held_at = None
+
+    def keeps_sessions(self, *, now: float) -> bool:
+        """Returns whether sessions stay on a target that is held.
+
+        The target may be good, as long as it isn't rolled back. If no entry
+        can record that for some seconds, the target is more likely to be bad.
+        """
+        if not self.held or self.held_at is None or self.is_finished:
+            return False
+        return now - self.held_at < defaults.HELD_SESSIONS_S
+
     @property
     def share(self) -> float:
         """Share of affinity keys that are routed to the target, 0 to 1."""
         if self.order.state is OrderState.COMPLETED:
             return 1.0
-        if self.held:
-            return 0.0
+        return 0.0 if self.held else self.session_share
+
+    @property
+    def session_share(self) -> float:
+        """The share that sessions were routed by, also if it is held."""
+        if self.order.state is OrderState.COMPLETED:
+            return 1.0
         if self.step < 0:
             return self.plan.initial_share
         return max(self.plan.initial_share, self.plan.steps[self.step])
@@ -321,7 +352,7 @@
             return False
         is_worse = self.judge.is_worse(evidence, plan=self.plan)
         if is_worse or self.should_stop_in_doubt(evidence, now=now):
-            self.held = True
+            self.hold(now=now)
             return True
         self.target_answers = evidence.pooled.target.answers
         if self.step + 1 >= len(self.plan.steps):
@@ -352,10 +383,10 @@
             required = defaults.TRIAL_MIN_ANSWERS
         return self.target_answers - self.target_answers_at_step >= required
 
-    def keep_outcome(self) -> None:
+    def keep_outcome(self, *, now: float) -> None:
         """Keeps the outcome if the store has lost the record of it."""
         if self.order.state is OrderState.ROLLED_BACK:
-            self.held = True
+            self.hold(now=now)
         if self.order.state is OrderState.COMPLETED:
             self.step = len(self.plan.steps) - 1
 
@@ -399,6 +430,12 @@
 
     def routes_to_target(self, affinity_key: str) -> bool:
         """Returns whether new requests with this key go to the target."""
-        return (
-            hash_to_unit_interval(affinity_key, self.order.target) < self.share
-        )
+        return self.is_selected(affinity_key, share=self.share)
+
+    def routes_session_to_target(self, affinity_key: str) -> bool:
+        """Returns whether sessions with this key run on the target."""
+        return self.is_selected(affinity_key, share=self.session_share)
+
+    def is_selected(self, affinity_key: str, *, share: float) -> bool:
+        """Returns whether a key is among a share of all keys."""
+        return hash_to_unit_interval(affinity_key, self.order.target) < share
