--- a/features/router_rollouts.feature
+++ b/features/router_rollouts.feature
@@ -16,6 +16,12 @@
     When a session has run on version "v1"
     Then its next request within 5 s runs on version "v1"
 
+  Scenario: A session keeps its version on each service that it uses
+    Given a router with a roll-out to version "v2" over 20 s
+    When a session has run on version "v1"
+    And it has run on version "v2" of another service
+    Then its next request within 5 s runs on version "v1"
+
   Scenario: A good target gets all requests, and completion is recorded
     Given a router with a roll-out to version "v2" over 20 s
     When requests succeed for 18 s
--- a/features/steps/router_rollout_steps.py
+++ b/features/steps/router_rollout_steps.py
@@ -14,6 +14,7 @@
 from rhubarbbank_router import effects
 from rhubarbbank_router import events
 from rhubarbbank_router import messages
+from rhubarbbank_router import session_pins
 from rhubarbbank_router import version_trial
 
 SERVICE = "pool"
@@ -132,10 +133,22 @@
             # Without the session, the key would be routed to the target.
             context.key = key
             break
+    run_session(context, SERVICE, version)
+
+
+def run_session(context, service, version):
+    """Records that a session's request has run on a service's version."""
+    world = context.world
+    key = session_pins.SessionKey(service, "s")
     world.state.sessions.begin_request(
-        "s", version=version, affinity_key=context.key, now=world.now
+        key, version=version, affinity_key=context.key, now=world.now
     )
-    world.state.sessions.end_request("s", now=world.now)
+    world.state.sessions.end_request(key, now=world.now)
+
+
+@when('it has run on version "{version}" of another service')
+def record_session_elsewhere(context, version):
+    run_session(context, "other", version)
 
 
 @then('its next request within {wait:g} s runs on version "{version}"')
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_ends.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/attempt_ends.py
@@ -162,5 +162,5 @@
     """Closes an attempt, and releases its session and its upstream."""
     if attempt.open:
         attempt.open = False
-        state.sessions.end_request(opened.request.session, now=now)
+        state.sessions.end_request(opened.session_key, now=now)
         state.view.finish_attempt(opened.request.request_id, attempt.upstream)
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/rollouts.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/rollouts.py
@@ -254,7 +254,10 @@
     little later by another entry.
     """
     alive_s = state.settings.bounds.session_s + defaults.SESSION_MARGIN_S
-    for session, pin in state.sessions.list_alive(now=now, alive_s=alive_s):
+    service = trial.order.service
+    for session, pin in state.sessions.list_alive(
+        service, now=now, alive_s=alive_s
+    ):
         keep_session(
             state,
             trial,
@@ -303,7 +306,7 @@
     if not request.session:
         return
     state.sessions.begin_request(
-        request.session,
+        opened.session_key,
         version=version,
         affinity_key=request.affinity_key,
         now=now,
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
@@ -102,6 +102,11 @@
         """Hash that is equal each time the same request is sent."""
         return self.traits[0]
 
+    @property
+    def session_key(self) -> session_pins.SessionKey:
+        """The request's session on its service."""
+        return session_pins.SessionKey(self.service, self.request.session)
+
     @property
     def open_attempts(self) -> list[attempt_states.Attempt]:
         """The attempts in progress, oldest first; two if one is a hedge."""
@@ -197,7 +202,7 @@
         prefill_speeds: Estimates of how fast models process prompts.
         slowdowns: Predicts the speed of the upstreams' hosts.
         open_requests: Open requests, by id.
-        sessions: The version that served each session's last request.
+        sessions: The versions that served the sessions' last requests.
         trials: Roll-outs by service.
         doubtful_orders: Orders that contradict a trial and may come from a
             restored store's older copy, by service; None for a missing one.
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/version_choice.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/version_choice.py
@@ -175,7 +175,7 @@
 ) -> str:
     """Returns the version of the request's live session, or an empty string."""
     return state.sessions.find_version(
-        opened.request.session,
+        opened.session_key,
         now=now,
         alive_s=state.settings.bounds.session_s,
     )
