--- a/features/router_carriers.feature
+++ b/features/router_carriers.feature
@@ -24,6 +24,14 @@
     When heartbeat ages are measured for 6 s, starting after 0 s
     Then at most 40 messages and 30 KB a second were sent between data centres
 
+  Scenario: Heartbeats aren't forwarded over the slowest links
+    Given 3 data centres with 7 entries each, the last 2 of which have links ten times as fast
+    When the entries run on for 4 s
+    Then in each data centre the last 2 entries are the forwarders
+    And an entry with a slow link sends at most a quarter of what the busiest one sends
+    When heartbeat ages are measured for 6 s, starting after 0 s
+    Then each entry's latest heartbeat from any other was at most 2.7 s old
+
   Scenario: A forwarder is suspended
     Given 4 data centres with 6 entries each
     When the entries run on for 4 s
--- a/features/support/heartbeat_fleet.py
+++ b/features/support/heartbeat_fleet.py
@@ -4,6 +4,7 @@
 counted, along with their encoded size, and can get lost.
 """
 
+import collections
 import heapq
 import itertools
 
@@ -13,6 +14,7 @@
 from rhubarbbank_core import events as core_events
 from rhubarbbank_core import program_effects as fx
 from rhubarbbank_router import events
+from rhubarbbank_router import options
 from rhubarbbank_router import peers
 from support import router_world
 
@@ -33,6 +35,7 @@
         queued: Messages to suspended entries, by name.
         remote_messages: Number of messages sent between data centres.
         remote_bytes: Encoded size of these messages.
+        sent_bytes: Encoded size of all messages, by the sender's name.
         decisions: Logged decisions, each with the name of its entry.
         max_age_s: The greatest age that an entry's latest heartbeat from
             another one reached while it was measured, in seconds.
@@ -49,6 +52,7 @@
         self.queued = {}
         self.remote_messages = 0
         self.remote_bytes = 0
+        self.sent_bytes = collections.Counter()
         self.max_age_s = 0.0
         self.worlds = {}
         self.decisions = []
@@ -69,6 +73,16 @@
         world.start(3)
         self.worlds[world.state.settings.name] = world
 
+    def set_link(self, name, link_mbps):
+        """Sets the bandwidth of an entry's host."""
+        world = self.worlds[name]
+        world.router.apply_settings(
+            msgspec.structs.replace(
+                world.state.settings,
+                host=options.HostSettings(link_mbps=link_mbps),
+            )
+        )
+
     def register_entries(self):
         """Gives every entry the store's list of all entries."""
         self.by_address = {
@@ -127,10 +141,12 @@
             peer = self.by_address.get(effect.address)
             if peer is None:
                 continue
+            size = len(msgspec.msgpack.encode(effect.message))
+            self.sent_bytes[world.state.settings.name] += size
             peer_data_centre = peer.state.settings.data_centre
             if peer_data_centre != data_centre:
                 self.remote_messages += 1
-                self.remote_bytes += len(msgspec.msgpack.encode(effect.message))
+                self.remote_bytes += size
                 if (
                     self.isolated & {peer_data_centre, data_centre}
                     or self.rng.random() < self.loss_rate
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeat_forwarding.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeat_forwarding.py
@@ -2,11 +2,12 @@
 
 If every entry sent heartbeats to every remote entry, their number would grow
 with the square of the number of entries, and traffic between data centres is
-costly. So the entries whose names sort first in each data centre, its
-forwarders, bundle the latest heartbeats of their data centre. The first
-forwarder sends its bundle to the first forwarder of each other data centre, the
-second to the second. The receiver of a bundle forwards it within its own data
-centre.
+costly. So a few entries of each data centre, its forwarders, bundle the latest
+heartbeats of their data centre. The first forwarder sends its bundle to the
+first forwarder of each other data centre, the second to the second. The
+receiver of a bundle forwards it to all entries of its own data centre, which
+takes much of a slow link. So the forwarders are the entries whose hosts have
+the fastest links; among equals the names decide.
 
     west-a                              west-b
     entries --> forwarder 1 --bundle--> forwarder 1 --> entries
@@ -16,11 +17,13 @@
 Each heartbeat carries its age, so that a silent entry times out at the same
 time everywhere. A forwarder that was suspended does not know the age of the
 messages that queued meanwhile, so it stops forwarding for a while. Failover
-needs no agreement: the other forwarder continues, and the next entry by name
+needs no agreement: the other forwarder continues, and the next entry
 replaces the lost one once that one has timed out. Entries that have not been
 heard from lately get heartbeats directly.
 """
 
+import dataclasses
+import functools
 import math
 
 import msgspec
@@ -89,13 +92,37 @@
     )
 
 
+@functools.total_ordering
+@dataclasses.dataclass(frozen=True, slots=True)
+class ForwarderKey:
+    """Orders entries by how soon they become forwarders, the first one least.
+
+    Attributes:
+        link_mbps: Bandwidth of the entry's host, in Mbit/s; 0 if unknown.
+        name: The entry's name.
+    """
+
+    link_mbps: float
+    name: str
+
+    def __lt__(self, other: "ForwarderKey") -> bool:
+        """Returns whether this entry becomes a forwarder before the other."""
+        return (-self.link_mbps, self.name) < (-other.link_mbps, other.name)
+
+
+def build_forwarder_key(heartbeat: messages.Heartbeat) -> ForwarderKey:
+    """Returns the key of the entry that a heartbeat is from."""
+    return ForwarderKey(heartbeat.link_mbps, heartbeat.name)
+
+
 def compute_rank(state: states.RouterState, *, now: float) -> int | None:
     """Returns this entry's rank as a forwarder; None if it isn't one."""
     if state.stopping or not has_run_steadily(state, now=now):
         return None
     settings = state.settings
     nearby = state.entries.list_live_in(settings.data_centre, now=now)
-    rank = sum(each.name < settings.name for each in nearby)
+    own = ForwarderKey(settings.host.link_mbps or 0.0, settings.name)
+    rank = sum(build_forwarder_key(each) < own for each in nearby)
     return rank if rank < defaults.FORWARDERS_PER_DATA_CENTRE else None
 
 
@@ -122,12 +149,12 @@
 ) -> str:
     """Returns the reason for a rank, for the log."""
     if rank is not None:
-        return f"place {rank + 1} by name"
+        return f"place {rank + 1} by link and name"
     if state.stopping:
         return "stopping"
     if not has_run_steadily(state, now=now):
         return "was suspended"
-    return "others come first by name"
+    return "others come first by link and name"
 
 
 def list_receivers(
@@ -149,7 +176,7 @@
             )
     receivers: list[str] = []
     for live in by_data_centre.values():
-        live.sort(key=lambda each: each.name)
+        live.sort(key=build_forwarder_key)
         receivers.append(live[min(rank, len(live) - 1)].address)
     return receivers
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/heartbeats.py
@@ -249,6 +249,7 @@
         cold=cold_sharing.build_reports(state, now=now),
         demands=cold_sharing.build_demand_reports(state, now=now),
         refuted=state.suspects.log.list_shared(now=now),
+        link_mbps=settings.host.link_mbps or 0.0,
     )
 
 
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/messages.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/messages.py
@@ -213,6 +213,7 @@
         cold: Upstreams that it has seen to be cold.
         demands: Its demands for services whose upstreams may be cold.
         refuted: Ids of observations of crashes that were mistaken.
+        link_mbps: Bandwidth of its host's link, in Mbit/s; 0 if unknown.
     """
 
     name: str
@@ -234,6 +235,7 @@
     cold: tuple[ColdReport, ...] = ()
     demands: tuple[DemandReport, ...] = ()
     refuted: tuple[int, ...] = ()
+    link_mbps: float = 0.0
 
 
 class ForwardedHeartbeat(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/options.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/options.py
@@ -62,10 +62,12 @@
     Attributes:
         memory_mb: Memory, in MB.
         max_descriptors: Descriptors that the process may open.
+        link_mbps: Bandwidth of the host's link, in Mbit/s.
     """
 
     memory_mb: float | None = None
     max_descriptors: int | None = None
+    link_mbps: float | None = None
 
 
 class RouterSettings(
