--- a/review/harness-3/stand_ins.py
+++ b/review/harness-3/stand_ins.py
@@ -56,8 +56,13 @@
 async def read_message(reader: asyncio.StreamReader) -> Message | None:
     """Reads a whole message; returns None if the input ends before that."""
     message = await read_head(reader)
-    if message is None:
-        return None
+    return None if message is None else await read_body(reader, message)
+
+
+async def read_body(
+    reader: asyncio.StreamReader, message: Message
+) -> Message | None:
+    """Reads the body that follows a head; returns None if it is cut off."""
     try:
         if "chunked" in message.headers.get("transfer-encoding", "").lower():
             body = bytearray()
