--- a/review/14/case.py
+++ b/review/14/case.py
@@ -67,7 +67,9 @@
         await asyncio.sleep(0.3)
         at = time.monotonic()
         if entry.is_running():
-            record.append(f"{at - started_at:.2f} {entry.name}: change {number}: runs")
+            record.append(
+                f"{at - started_at:.2f} {entry.name}: change {number}: runs"
+            )
             await entry.wait_ready()
             continue
         code = entry.process.returncode
--- a/review/harness-3/fleet.py
+++ b/review/harness-3/fleet.py
@@ -178,7 +178,11 @@
             await entry.wait_ready()
 
     async def add_runner(
-        self, name: str, service: str, respond: stand_ins.Respond, **spec: object
+        self,
+        name: str,
+        service: str,
+        respond: stand_ins.Respond,
+        **spec: object,
     ) -> stand_ins.Runner:
         """Starts a runner and registers it."""
         runner = stand_ins.Runner(name, respond)
--- a/review/harness-3/stand_ins.py
+++ b/review/harness-3/stand_ins.py
@@ -16,6 +16,8 @@
 LOCAL = "127.0.0.1"
 POLL_S = 0.01
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+# Kind, name and "status", the part of an object that has a path of its own.
+STATUS_PARTS = 3
 
 
 def find_port() -> int:
@@ -130,7 +132,12 @@
             server.close()
 
     def put(
-        self, kind: str, name: str, *, spec: object = None, status: object = None
+        self,
+        kind: str,
+        name: str,
+        *,
+        spec: object = None,
+        status: object = None,
     ) -> dict:
         """Creates or changes an object."""
         stored = self.objects.setdefault(kind, {})
@@ -224,7 +231,7 @@
         if method == "DELETE":
             self.remove(kind, name)
             return 200, known
-        if len(parts) > 2:
+        if len(parts) == STATUS_PARTS:
             return 200, self.put(kind, name, status=body.get("status"))
         return 200, self.put(kind, name, spec=body.get("spec"))
 
