--- a/review/harness-3/memory.py
+++ b/review/harness-3/memory.py
@@ -30,6 +30,8 @@
 RESTART_DELAY_S = 0.5
 MAX_LOST = 3
 RUN_LIMIT_S = 100.0
+# Lines of the record that are printed: the counts, and what six runners ran.
+SUMMARY_LINES = 10
 
 
 async def stream(
@@ -135,6 +137,8 @@
                         answer = await stand_ins.read_body(reader, head)
                 except ConnectionError:
                     pass
+                if answer is not None:
+                    self.note(f"stream {name}: answered {answer.words[1]}")
                 if answer is not None and answer.words[1] == "200":
                     self.streams["whole"] += 1
                     continue
@@ -200,9 +204,12 @@
     async def close(self, folder: pathlib.Path) -> None:
         """Ends all processes, and writes the record."""
         await self.fleet.close()
+        for name, runner in sorted(self.fleet.runners.items()):
+            ids = " ".join(run.attempt_id for run in runner.runs)
+            self.record.append(f"{name} ran {len(runner.runs)}: {ids}")
         text = "\n".join(self.record) + "\n"
         (folder / "record.txt").write_text(text, encoding="utf-8")
-        print(text, end="")
+        print("\n".join(self.record[-SUMMARY_LINES:]))
 
 
 def run_case(work: Coroutine[Any, Any, int]) -> int:
