Start an entry of the fleet again with the same ports and settings

Cause: `PlatformFleet` could start an entry only on new ports with new settings, so that no scenario could change the file of a process that starts, and it left processes behind when an entry didn't get ready. Change: the settings are built apart from the start, `relaunch_entry` uses the same ports and the file as it is, and a start that fails ends what it began.

--- a/experiments/src/rhubarbbank_experiments/platform_fleet.py
+++ b/experiments/src/rhubarbbank_experiments/platform_fleet.py
@@ -136,6 +136,7 @@
         ports: Callers, ready, metrics and peers.
         process: The running process.
         log: Where its output goes.
+        settings: Its settings file.
     """
 
     name: str
@@ -143,6 +144,7 @@
     ports: list[int]
     process: "subprocess.Popen[bytes]"
     log: pathlib.Path
+    settings: pathlib.Path
 
     def read_log(self) -> list[dict[str, Any]]:
         """Returns the lines that it has written."""
@@ -181,6 +183,15 @@
         self.asked = 0
 
     def __enter__(self) -> "PlatformFleet":
+        """Starts everything and waits until the entries are ready."""
+        try:
+            self.start()
+        except BaseException:
+            self.stack.close()
+            raise
+        return self
+
+    def start(self) -> None:
         """Starts everything and waits until the entries are ready."""
         self.thread.start()
         self.stack.callback(self.stop_loop)
@@ -195,12 +206,11 @@
         for number in range(3):
             self.add_runner(f"m-{number}", MODELS)
             self.add_runner(f"b-{number}", BOOKINGS)
+        self.stack.callback(self.stop_entries)
         for number in range(self.count):
             self.entries.append(self.start_entry(number))
-        self.stack.callback(self.stop_entries)
         for entry in self.entries:
             self.wait_ready(entry)
-        return self
 
     def __exit__(self, *_: object) -> None:
         """Stops everything."""
@@ -258,12 +268,23 @@
         self.call(lambda: self.store.put("servers", name, spec=spec))
 
     def start_entry(self, number: int) -> EntryProcess:
-        """Starts an entry's process."""
-        name = f"entry-{number}"
+        """Starts an entry's process on ports of its own."""
         found = [ports.FINDER.find() for _ in range(4)]
+        path = self.folder / f"entry-{number}.json"
+        settings = self.build_settings(number, found)
+        path.write_text(json.dumps(settings), encoding="utf-8")
+        return self.launch_entry(number, found, path)
+
+    def build_settings(self, number: int, found: list[int]) -> dict[str, Any]:
+        """Returns an entry's settings.
+
+        Args:
+            number: Its place in the fleet.
+            found: Its ports, as in `EntryProcess`.
+        """
         callers, ready, metrics, peer = (f"{LOCAL}:{x}" for x in found)
         settings = {
-            "name": name,
+            "name": f"entry-{number}",
             "data_centre": "west-a",
             "caller_address": callers,
             "ready_address": ready,
@@ -274,8 +295,13 @@
         }
         if self.host:
             settings["host"] = self.host
-        path = self.folder / f"{name}.json"
-        path.write_text(json.dumps(settings), encoding="utf-8")
+        return settings
+
+    def launch_entry(
+        self, number: int, found: list[int], path: pathlib.Path
+    ) -> EntryProcess:
+        """Starts an entry's process with the settings file as it is."""
+        name = f"entry-{number}"
         log = self.folder / f"{name}-{time.monotonic_ns()}.log"
         with log.open("wb") as output:
             process = subprocess.Popen(
@@ -285,12 +311,19 @@
                 stderr=subprocess.STDOUT,
                 cwd=ROOT,
             )
-        return EntryProcess(name, number, found, process, log)
+        return EntryProcess(name, number, found, process, log, path)
 
     def restart_entry(self, number: int) -> None:
         """Starts an entry anew that has ended."""
         self.entries[number] = self.start_entry(number)
 
+    def relaunch_entry(self, number: int) -> None:
+        """Starts an entry that has ended with the same ports and settings."""
+        entry = self.entries[number]
+        self.entries[number] = self.launch_entry(
+            number, entry.ports, entry.settings
+        )
+
     def stop_entries(self) -> None:
         """Ends the entries that still run."""
         for entry in self.entries:
