--- a/packages/rhubarbbank-router/src/rhubarbbank_router/options.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/options.py
@@ -164,6 +164,23 @@
     return faults or settings
 
 
+def list_changes(
+    before: msgspec.Struct, after: msgspec.Struct, *, prefix: str = ""
+) -> list[str]:
+    """Returns the names of the fields that differ, such as "bounds.grace_s"."""
+    names: list[str] = []
+    for field in before.__struct_fields__:
+        old, new = getattr(before, field), getattr(after, field)
+        if old == new:
+            continue
+        name = prefix + field
+        if isinstance(old, msgspec.Struct) and isinstance(new, type(old)):
+            names += list_changes(old, new, prefix=f"{name}.")
+        else:
+            names.append(name)
+    return names
+
+
 def check_hedging(
     settings: HedgingSettings | None,
 ) -> list[options.SettingsFault]:
