Handle signals from a program's first line to its end

Cause: a handler was set only when the service had started, through the event loop. Until then, and again from the loop's `close` and the interpreter's shutdown on, each signal had its default action, which ends a process. Change: `ProcessSignals` catches signals before a program imports anything else and keeps them until the loop runs; `event_loop.run` delivers them, and ignores them once the service has stopped. A stop counts its grace time from the signal's arrival. The own interface's entry and sidecar do the same; SIGHUP, which ended them, is a graceful stop there, unless it is ignored (nohup). Why this works: no moment after the first line has a default action, and no signal that was caught is lost. What remains is the interpreter's own start.

--- a/features/platform_signals.feature
+++ b/features/platform_signals.feature
@@ -1,6 +1,52 @@
 @platform
 Feature: Signals from the start of an entry's process to its end
 
+  # A SIGHUP ended a process that was importing its libraries.
+  Scenario Outline: Settings that change while an entry starts are in force
+    Given 1 entries on the platform
+    When entry 0 starts again
+    And its settings change, with <count> SIGHUPs from <moment> s on
+    Then the process gets ready, with the changed settings within 2 s
+    And it has read changed settings at most once
+
+    Examples:
+      | count | moment |
+      | 1     | 0      |
+      | 1     | 0.05   |
+      | 1     | 0.15   |
+      | 30    | 0      |
+      | 20    | 0.3    |
+
+  # Without a handler, a signal ends the process.
+  Scenario: A signal meets a handler at any moment
+    Given 1 entries on the platform
+    When entry 0 starts again and is watched until it has been stopped
+    Then SIGHUP, SIGTERM and SIGINT were handled or ignored all the while
+
+  # Modules that load before the handlers are set prolong the time without.
+  Scenario: An entry catches signals before it imports anything else
+    Then an entry imports only the package of its signals before them
+
+  # A SIGTERM ended a process that was starting, and reset its callers.
+  Scenario Outline: A stop while an entry starts
+    Given 1 entries on the platform
+    When entry 0 starts again, and a caller's request waits for it
+    And <signal> arrives after <moment> s
+    Then the caller that waited is answered
+    And the process exits with code 0 within 5 s of the signal
+
+    Examples:
+      | signal  | moment |
+      | SIGTERM | 0      |
+      | SIGTERM | 0.15   |
+      | SIGINT  | 0.05   |
+
+  # The loop gave each signal its default action back before the process ended.
+  Scenario: Signals arrive throughout a stop
+    Given 1 entries on the platform
+    When entry 0 gets SIGTERM, SIGHUP and SIGINT every 5 ms until it is gone
+    Then the process exits with code 0 within 8 s of the signal
+
   # Nothing read the file between two signals.
   Scenario: Settings change without a signal
     Given 1 entries on the platform
--- /dev/null
+++ b/features/program_signals.feature
@@ -0,0 +1,28 @@
+Feature: Signals to the programs of the own interface, from start to end
+
+  # Until its handlers were set, a signal ended the process with its number.
+  Scenario Outline: A program is stopped while it loads its libraries
+    When the <program> is started, and gets <signal> while it loads
+    Then it exits with code 0 within 10 s
+
+    Examples:
+      | program   | signal  |
+      | entry     | SIGTERM |
+      | entry     | SIGINT  |
+      | entry     | SIGHUP  |
+      | sidecar   | SIGTERM |
+      | sidecar   | SIGHUP  |
+
+  # The loop gave signals their default action back before the process ended.
+  Scenario Outline: A program gets signals until it is gone
+    When the <program> is started, and gets SIGTERM and SIGHUP every 5 ms from then on
+    Then it exits with code 0 within 10 s
+
+    Examples:
+      | program   |
+      | entry     |
+      | sidecar   |
+
+  Scenario: An entry that ignores hang-ups goes on
+    When the entry is started with SIGHUP ignored, and gets it while it loads
+    Then it still runs after 2 s
--- a/packages/rhubarbbank-core/src/rhubarbbank_core/entry.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/entry.py
@@ -110,8 +110,8 @@
             case events.RetryDue(request_id):
                 opened = state.open.get(request_id)
                 return self.try_slice(now, opened) if opened else []
-            case events.StopRequested():
-                return self.stop(now)
+            case events.StopRequested(age_s):
+                return self.stop(now, age_s=age_s)
             case _:
                 return []
 
@@ -386,12 +386,17 @@
             fx.Gauge("entry.shards_owned", len(state.control.owner.owned)),
         ]
 
-    def stop(self, now: float) -> list[fx.Effect]:
-        """Begins a graceful stop: nothing new, what runs is finished."""
+    def stop(self, now: float, *, age_s: float) -> list[fx.Effect]:
+        """Begins a graceful stop: nothing new, what runs is finished.
+
+        Args:
+            now: The time in seconds.
+            age_s: Seconds since the process was asked to stop.
+        """
         if self.state.stopping:
             return []
         self.state.stopping = True
-        self.state.stop_at = now + self.stop_grace_s
+        self.state.stop_at = now - age_s + self.stop_grace_s
         return [*self.state.control.leave(now=now)]
 
     def exit_if_idle(self, now: float) -> list[fx.Effect]:
--- a/packages/rhubarbbank-core/src/rhubarbbank_core/events.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/events.py
@@ -157,7 +157,14 @@
 
 
 class StopRequested(Event, frozen=True, tag="stop_requested"):
-    """The process was asked to stop gracefully."""
+    """The process was asked to stop gracefully.
+
+    Attributes:
+        age_s: Seconds since it was asked. A process that is still starting is
+            told only once it has started.
+    """
+
+    age_s: float = 0.0
 
 
 AnyEvent = (
--- a/packages/rhubarbbank-core/src/rhubarbbank_core/sidecar.py
+++ b/packages/rhubarbbank-core/src/rhubarbbank_core/sidecar.py
@@ -105,8 +105,8 @@
                     now=now, order_id=order_id, status=status
                 )
                 return out + self.announce_orders(now)
-            case events.StopRequested():
-                return self.stop(now)
+            case events.StopRequested(age_s):
+                return self.stop(now, age_s=age_s)
             case _:
                 return []
 
@@ -494,12 +494,17 @@
             fx.Gauge(f"sidecar.{name}.held_records", len(self.held.records)),
         ]
 
-    def stop(self, now: float) -> list[fx.Effect]:
-        """Begins a graceful stop: only running attempts are finished."""
+    def stop(self, now: float, *, age_s: float) -> list[fx.Effect]:
+        """Begins a graceful stop: only running attempts are finished.
+
+        Args:
+            now: The time in seconds.
+            age_s: Seconds since the process was asked to stop.
+        """
         if self.stopping:
             return []
         self.stopping = True
-        self.stop_at = now + self.stop_grace_s
+        self.stop_at = now - age_s + self.stop_grace_s
         out: list[fx.Effect] = [*self.control.announce_leaving(now=now)]
         problem = errors.Problem(
             code=errors.ErrorCode.UPSTREAM_LEAVING,
--- a/packages/rhubarbbank-entry/src/rhubarbbank_entry/entry_service.py
+++ b/packages/rhubarbbank-entry/src/rhubarbbank_entry/entry_service.py
@@ -1,6 +1,8 @@
 """Entry process: connects the reducer to HTTP callers and the platform."""
 
 import asyncio
+from collections.abc import Callable
+from collections.abc import Mapping
 import time
 
 from aiohttp import web
@@ -17,6 +19,7 @@
 from rhubarbbank_runtime import caller_http
 from rhubarbbank_runtime import event_loop
 from rhubarbbank_runtime import platform_shell
+from rhubarbbank_runtime import process_signals
 from rhubarbbank_runtime import recorded_shell
 from rhubarbbank_runtime import shell
 
@@ -106,6 +109,12 @@
         ip, _, port = self.settings.http_address.rpartition(":")
         await web.TCPSite(runner, ip, int(port)).start()
 
+    def get_signal_handlers(self) -> Mapping[int, Callable[[float], None]]:
+        """Returns a graceful stop as the handler of each signal."""
+        return dict.fromkeys(
+            process_signals.PROGRAM_SIGNALS, self.shell.request_stop
+        )
+
     async def wait_stopped(self) -> None:
         """Waits until the graceful stop is complete."""
         await self.shell.stopped.wait()
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
@@ -124,8 +124,8 @@
                 return self.tick(now)
             case core_events.MessageReceived(message):
                 return heartbeats.handle_message(state, message, now=now)
-            case core_events.StopRequested():
-                return self.stop(now)
+            case core_events.StopRequested(age_s):
+                return self.stop(now, age_s=age_s)
             case _:
                 return self.apply_store_event(now, event)
 
@@ -400,17 +400,26 @@
             out += self.exit_if_idle(now)
         return out
 
-    def stop(self, now: float) -> list[effects.Effect]:
-        """Begins a graceful stop."""
+    def stop(self, now: float, *, age_s: float) -> list[effects.Effect]:
+        """Begins a graceful stop.
+
+        Args:
+            now: The time in seconds.
+            age_s: Seconds since the process was asked to stop, from which the
+                grace time counts.
+        """
         state = self.state
         if state.stopping:
             return []
-        state.stop_at = now
+        state.stop_at = now - age_s
         return [
             fx.LogDecision(
                 decision="stopping",
                 reason="asked to stop",
-                inputs=(("open", len(state.open_requests)),),
+                inputs=(
+                    ("open", len(state.open_requests)),
+                    ("asked_s_ago", round(age_s, 3)),
+                ),
             ),
             effects.DisableKeepAlive(),
             *heartbeats.send_urgent_heartbeat(state, now=now),
--- a/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/shell.py
+++ b/packages/rhubarbbank-runtime/src/rhubarbbank_runtime/shell.py
@@ -12,7 +12,6 @@
 import contextlib
 import dataclasses
 import logging
-import signal
 from typing import Any
 from typing import Protocol
 
@@ -152,7 +151,7 @@
         }
 
     async def open(self) -> None:
-        """Opens the peer link and starts signal handlers and timers."""
+        """Opens the peer link and starts the timers."""
         if self.parts.recorder is not None:
             self.parts.recorder.record_start()
         self.stack.push_async_callback(self.session.close)
@@ -161,16 +160,16 @@
         self.stack.callback(self.link.close)
         self.stack.push_async_callback(self.cancel_tasks)
         self.stack.callback(self.timers.close)
-        for signal_number in (signal.SIGTERM, signal.SIGINT):
-            self.loop.add_signal_handler(
-                signal_number, self.apply, events.StopRequested()
-            )
         self.timers.subscribe(period_s=self.parts.tick_s, callback=self.tick)
 
     async def close(self) -> None:
         """Closes all resources, in the reverse order of opening."""
         await self.stack.aclose()
 
+    def request_stop(self, age_s: float) -> None:
+        """Applies a request to stop that arrived `age_s` seconds ago."""
+        self.apply(events.StopRequested(age_s))
+
     def apply(self, event: Any) -> None:
         """Steps the reducer with an event and executes its effects."""
         now = self.clock()
--- a/packages/rhubarbbank-sidecar/src/rhubarbbank_sidecar/main.py
+++ b/packages/rhubarbbank-sidecar/src/rhubarbbank_sidecar/main.py
@@ -2,34 +2,17 @@
 
 import sys
 
-import fire
-
-from rhubarbbank_core import errors
-from rhubarbbank_core import options
-from rhubarbbank_runtime import event_loop
-from rhubarbbank_runtime import logs
-from rhubarbbank_runtime import settings_file
-from rhubarbbank_sidecar import sidecar_service
-
-
-def run(settings: str) -> None:
-    """Runs the sidecar of one upstream until it is asked to stop.
-
-    Args:
-        settings: Path of the JSON file.
-    """
-    checked = settings_file.read_settings(settings, options.SidecarSettings)
-    logs.configure(checked.log_level, lossless=checked.record_events)
-    event_loop.run(sidecar_service.SidecarService(settings=checked))
+from rhubarbbank_runtime import process_signals
 
 
 def main() -> None:
-    """Runs the command; prints an error and exits with status 1."""
-    try:
-        fire.Fire(run, name="rhubarbbank-sidecar")
-    except errors.RhubarbbankError as error:
-        print(error, file=sys.stderr)
-        sys.exit(1)
+    """Catches signals, then loads and runs the command."""
+    signals = process_signals.ProcessSignals()
+    signals.catch_stops()
+    # Loading takes long enough for signals to arrive meanwhile.
+    from rhubarbbank_sidecar import sidecar_command  # noqa: PLC0415
+
+    sys.exit(sidecar_command.run_command(signals))
 
 
 if __name__ == "__main__":
--- a/packages/rhubarbbank-sidecar/src/rhubarbbank_sidecar/sidecar_service.py
+++ b/packages/rhubarbbank-sidecar/src/rhubarbbank_sidecar/sidecar_service.py
@@ -1,5 +1,7 @@
 """Connects the sidecar's reducer with its shell and its upstream."""
 
+from collections.abc import Callable
+from collections.abc import Mapping
 import time
 
 from rhubarbbank_core import defaults
@@ -8,6 +10,7 @@
 from rhubarbbank_core import program_start
 from rhubarbbank_core import random_seed
 from rhubarbbank_runtime import event_loop
+from rhubarbbank_runtime import process_signals
 from rhubarbbank_runtime import recorded_shell
 from rhubarbbank_runtime import shell
 from rhubarbbank_runtime import upstream_http
@@ -54,6 +57,12 @@
             period_s=defaults.LOAD_PERIOD_S, callback=self.start_observation
         )
 
+    def get_signal_handlers(self) -> Mapping[int, Callable[[float], None]]:
+        """Returns a graceful stop as the handler of each signal."""
+        return dict.fromkeys(
+            process_signals.PROGRAM_SIGNALS, self.shell.request_stop
+        )
+
     async def wait_stopped(self) -> None:
         """Waits until the graceful stop is complete."""
         await self.shell.stopped.wait()
