--- a/features/program_signals.feature
+++ b/features/program_signals.feature
@@ -12,6 +12,7 @@
       | entry     | SIGHUP  |
       | sidecar   | SIGTERM |
       | sidecar   | SIGHUP  |
+      | stand-ins | SIGTERM |
 
   # The loop gave signals their default action back before the process ended.
   Scenario Outline: A program gets signals until it is gone
@@ -22,7 +23,19 @@
       | program   |
       | entry     |
       | sidecar   |
+      | stand-ins |
 
   Scenario: An entry that ignores hang-ups goes on
     When the entry is started with SIGHUP ignored, and gets it while it loads
     Then it still runs after 2 s
+
+  # The processes that the demo had started went on without it.
+  Scenario Outline: The demo is ended by a signal
+    When the demo has started processes, and gets <signal>
+    Then it exits with code <code> within 20 s
+    And none of its processes is left
+
+    Examples:
+      | signal  | code |
+      | SIGTERM | 143  |
+      | SIGHUP  | 129  |
--- a/standins/src/rhubarbbank_standins/bundle.py
+++ b/standins/src/rhubarbbank_standins/bundle.py
@@ -24,6 +24,7 @@
 ADDRESS = "127.0.0.1"
 SHUTDOWN_TIMEOUT_S = 0.2
 BACKLOG = 1024
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 
 def make_standin(configured: settings.StandinSettings) -> web.Standin:
@@ -68,13 +69,22 @@
 
 
 async def serve(configured: Sequence[settings.StandinSettings]) -> None:
-    """Serves stand-ins until SIGTERM or SIGINT; prints `ready` before."""
+    """Serves stand-ins until a stop signal; prints `ready` before."""
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopped.set)
+
+    def stop(number: int, frame: object) -> None:
+        del number, frame
+        loop.call_soon_threadsafe(stopped.set)
+
+    for number in STOP_SIGNALS:
+        signal.signal(number, stop)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, STOP_SIGNALS)
     async with contextlib.AsyncExitStack() as stack:
         for one in configured:
             await start_standin(stack, one)
         print("ready", flush=True)
         await stopped.wait()
+    # The interpreter removes handlers before the process ends.
+    for number in STOP_SIGNALS:
+        signal.signal(number, signal.SIG_IGN)
