Let a fleet's entries run in another checkout

Cause: `PlatformFleet` ran the entries of this checkout with this interpreter, so that no scenario could build beside them. Change: `root`, `interpreter` and `environment` of the fleet.

--- a/experiments/src/rhubarbbank_experiments/platform_fleet.py
+++ b/experiments/src/rhubarbbank_experiments/platform_fleet.py
@@ -165,6 +165,9 @@
         bounds: Bounds in the entries' settings.
         loop: The event loop of the stand-ins' thread.
         host: The limits of the entries' hosts, as in their settings.
+        root: The checkout that the entries run in.
+        interpreter: The command that runs a Python program.
+        environment: Environment variables of the entries.
     """
 
     def __init__(
@@ -172,6 +175,9 @@
     ) -> None:
         self.count = entries
         self.host = host or {}
+        self.root = ROOT
+        self.interpreter = [sys.executable]
+        self.environment: dict[str, str] = {}
         self.store = platform_store.PlatformStore()
         self.runners: dict[str, platform_runner.PlatformRunner] = {}
         self.entries: list[EntryProcess] = []
@@ -305,11 +311,13 @@
         log = self.folder / f"{name}-{time.monotonic_ns()}.log"
         with log.open("wb") as output:
             process = subprocess.Popen(
-                [sys.executable, str(ROOT / "platform" / "entry.py")],
-                env=os.environ | {"RHUBARBBANK_CONFIG": str(path)},
+                [*self.interpreter, str(self.root / "platform" / "entry.py")],
+                env=os.environ
+                | self.environment
+                | {"RHUBARBBANK_CONFIG": str(path)},
                 stdout=output,
                 stderr=subprocess.STDOUT,
-                cwd=ROOT,
+                cwd=self.root,
             )
         return EntryProcess(name, number, found, process, log, path)
 
