Attribute each connection of the soak to one process; hold up a slow start

A caller noted the id of the process that the fleet named before it connected; a process that had just been started listens a moment before the fleet names it. If it is killed then, its callers count as lost at the process before, which wasn't killed. Change: a lock for each entry, held while its process is started and named, or connected to. Nothing that the soak checks is loosened: each loss belongs to one process now. Beside it, a scenario for a hypothesis that was ruled out on the way: a start that takes longer than the least time of a stop.

--- a/features/platform_signals.feature
+++ b/features/platform_signals.feature
@@ -41,6 +41,15 @@
       | SIGTERM | 0.15   |
       | SIGINT  | 0.05   |
 
+  # The least time of a stop had passed before the process could accept anyone.
+  Scenario: A stop while an entry starts slowly
+    Given 1 entries on the platform
+    When entry 0 starts again, and a caller's request waits for it
+    And SIGTERM arrives after 0 s
+    And the process is held up for 3 s
+    Then the caller that waited is answered
+    And the process exits with code 0 within 8 s of the signal
+
   # The loop gave each signal its default action back before the process ended.
   Scenario: Signals arrive throughout a stop
     Given 1 entries on the platform
--- a/features/steps/platform_signal_steps.py
+++ b/features/steps/platform_signal_steps.py
@@ -177,6 +177,13 @@
     context.signalled_at = time.monotonic()
 
 
+@when("the process is held up for {duration:g} s")
+def hold_up(context, duration):
+    context.entry.process.send_signal(signal.SIGSTOP)
+    time.sleep(duration)
+    context.entry.process.send_signal(signal.SIGCONT)
+
+
 @then("the caller that waited is answered")
 def check_waiting_answered(context):
     response = http.client.HTTPResponse(context.caller)
--- a/features/support/signal_soak.py
+++ b/features/support/signal_soak.py
@@ -61,18 +61,20 @@
         for turn in itertools.count():
             if self.soak.closing.is_set():
                 return
-            entry = self.rng.choice(self.soak.fleet.entries)
+            number = self.rng.randrange(len(self.soak.locks))
             with contextlib.suppress(OSError):
-                self.use_connection(entry, turn)
+                self.use_connection(number, turn)
             time.sleep(CALLER_PAUSE_S)
 
-    def use_connection(self, entry, turn):
+    def use_connection(self, entry_number, turn):
         """Sends requests until the entry closes the connection."""
-        connection = http.client.HTTPConnection(
-            platform_fleet.LOCAL, entry.ports[0], timeout=ANSWER_WAIT_S
-        )
-        connection.connect()
-        # A connection that waits for a process that starts has its id.
+        # A new process may listen before the fleet names it.
+        with self.soak.locks[entry_number]:
+            entry = self.soak.fleet.entries[entry_number]
+            connection = http.client.HTTPConnection(
+                platform_fleet.LOCAL, entry.ports[0], timeout=ANSWER_WAIT_S
+            )
+            connection.connect()
         pid = entry.process.pid
         with contextlib.closing(connection):
             for number in itertools.count():
@@ -209,7 +211,8 @@
     def start_again(self):
         """Starts the process, mostly beside changes and signals."""
         self.soak.ended.append(self.entry.process)
-        self.soak.fleet.relaunch_entry(self.number)
+        with self.soak.locks[self.number]:
+            self.soak.fleet.relaunch_entry(self.number)
         signals.wait_listening(self.entry)
         time.sleep(self.rng.uniform(0.0, 0.5))
         if self.rng.random() < 0.8:
@@ -226,6 +229,9 @@
         fleet: The entries with their stand-ins.
         killed: Ids of the processes that were killed.
         ended: The processes that have ended.
+        lock: Held while a configuration is written.
+        locks: By entry, held while its process is started or connected to, so
+            that each connection is known to belong to one process.
         version: Version of the configuration that was written last.
     """
 
@@ -236,6 +242,7 @@
         self.ended = []
         self.closing = threading.Event()
         self.lock = threading.Lock()
+        self.locks = [threading.Lock() for _ in range(entries)]
         self.version = 1
         self.callers = [Caller(self, x) for x in range(CALLERS)]
         self.disturbers = [Disturber(self, x) for x in range(entries)]
