Begin the programs of the signal tests without ignored signals

Cause: the tests' own surroundings; the product did what its pages say. Change: the step sets SIGHUP for each program that it starts: default, or ignored where the scenario asks for it. The checks are the same, and no longer depend on who started the run.

--- a/features/steps/program_signal_steps.py
+++ b/features/steps/program_signal_steps.py
@@ -55,20 +55,30 @@
     }
 
 
-def start_program(context, program, **options):
+def receive_hang_up(number, frame):
+    """Handles SIGHUP here, so that a child begins with its default action."""
+    del number, frame
+
+
+def start_program(context, program, *, hang_up=receive_hang_up):
     folder = pathlib.Path(
         context.stack.enter_context(tempfile.TemporaryDirectory())
     )
     path = folder / "settings.json"
     path.write_text(json.dumps(build_settings(program)), encoding="utf-8")
     context.log = folder / "log"
-    with context.log.open("wb") as output:
-        context.process = subprocess.Popen(
-            [sys.executable, "-m", *MODULES[program], "--settings", str(path)],
-            stdout=output,
-            stderr=subprocess.STDOUT,
-            **options,
-        )
+    arguments = ["--settings", str(path)]
+    # A child inherits which signals are ignored, as they are under nohup.
+    before = signal.signal(signal.SIGHUP, hang_up)
+    try:
+        with context.log.open("wb") as output:
+            context.process = subprocess.Popen(
+                [sys.executable, "-m", *MODULES[program], *arguments],
+                stdout=output,
+                stderr=subprocess.STDOUT,
+            )
+    finally:
+        signal.signal(signal.SIGHUP, before)
     context.stack.callback(end, context.process)
 
 
@@ -108,12 +118,7 @@
 
 @when("the entry is started with SIGHUP ignored, and gets it while it loads")
 def signal_ignoring(context):
-    ignored = signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    try:
-        # A child inherits which signals are ignored.
-        start_program(context, "entry", restore_signals=False)
-    finally:
-        signal.signal(signal.SIGHUP, ignored)
+    start_program(context, "entry", hang_up=signal.SIG_IGN)
     signals.wait_mapped(context.process, LIBRARIES["entry"])
     context.process.send_signal(signal.SIGHUP)
 
