Serve callers for the least time of a stop after a slow start, too

Change: the grace time counts from the signal, the least time from when the process hears of it, which is when it can serve. Red before: "A process that was asked to stop long ago serves those who waited" (router_stop.feature). Beside it, a scenario that the grace time isn't prolonged. Green here: 10 of 10 scenarios of the feature.

--- a/features/router_stop.feature
+++ b/features/router_stop.feature
@@ -62,6 +62,25 @@
     When 0.5 s pass
     Then the process exits
 
+  # Callers that had waited for a slow start were reset as soon as it was over.
+  Scenario: A process that was asked to stop long ago serves those who waited
+    When the router is asked to stop, and hears of it 3 s later
+    And 2 s pass
+    Then the process keeps running
+    When a caller asks "look"
+    Then the request has been sent 1 times
+    When its upstream answers 200
+    And 0.6 s pass
+    Then the process exits
+
+  Scenario: A slow start doesn't prolong the grace time
+    When 1 caller is still sending a request
+    And the router is asked to stop, and hears of it 5 s later
+    And 1.5 s pass
+    Then the process keeps running
+    When 0.5 s pass
+    Then the process exits
+
   Scenario: A request that comes after the decision to exit doesn't run
     When the router is asked to stop
     And 3 s pass
--- a/features/steps/router_steps.py
+++ b/features/steps/router_steps.py
@@ -454,6 +454,11 @@
     context.world.apply(core_events.StopRequested())
 
 
+@when("the router is asked to stop, and hears of it {age:g} s later")
+def stop_late(context, age):
+    context.world.apply(core_events.StopRequested(age))
+
+
 @when("{count:d} caller is still sending a request")
 @when("{count:d} callers are still sending a request")
 def count_callers(context, count):
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/router.py
@@ -406,12 +406,14 @@
         Args:
             now: The time in seconds.
             age_s: Seconds since the process was asked to stop, from which the
-                grace time counts.
+                grace time counts. The least time of a stop counts from `now`.
         """
         state = self.state
         if state.stopping:
             return []
         state.stop_at = now - age_s
+        # Callers that waited for a slow start are served only from now on.
+        state.stop_served_until = now + defaults.STOP_MIN_S
         return [
             fx.LogDecision(
                 decision="stopping",
@@ -433,7 +435,7 @@
         elapsed_s = now - state.stop_at
         max_elapsed_s = state.settings.bounds.grace_s - defaults.STOP_MARGIN_S
         is_busy = state.open_requests or state.busy_callers
-        idle = not is_busy and elapsed_s >= defaults.STOP_MIN_S
+        idle = not is_busy and now >= state.stop_served_until
         if not idle and elapsed_s < max_elapsed_s:
             return []
         state.is_exiting = True
--- a/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
+++ b/packages/rhubarbbank-router/src/rhubarbbank_router/state.py
@@ -235,6 +235,7 @@
             id.
         listed_subjects: Subjects whose complete list has been read.
         stop_at: When the process was asked to stop; None if it wasn't.
+        stop_served_until: When a stop may end the process if it is idle.
         is_exiting: Whether the effect that ends the process has been returned.
         busy_callers: Number of callers' connections, when last counted, on
             which a request is being received or served; 0 before a stop.
@@ -326,6 +327,7 @@
     )
     listed_subjects: set[str] = dataclasses.field(default_factory=set)
     stop_at: float | None = None
+    stop_served_until: float = 0.0
     is_exiting: bool = False
     busy_callers: int = 0
     next_heartbeat_at: float = 0.0
