End the demo's processes also when a signal cuts a start off

Cause: the handler raises SystemExit wherever the program stands. While subprocess.Popen waits for the exec of a child, the child runs, and nothing refers to it yet; the exception loses it. Change: a start of a process is held until the process has been noted; a signal that comes meanwhile takes effect right after. The same for SIGINT, and for entries that are started anew. The step of the demo sets SIGHUP for its child, and watches for children until the demo has ended, where it listed them once before the signal: stricter than before.

--- a/experiments/src/rhubarbbank_experiments/__main__.py
+++ b/experiments/src/rhubarbbank_experiments/__main__.py
@@ -1,8 +1,6 @@
 """The load and experiment tool's command line."""
 
 from collections.abc import Sequence
-import signal
-import sys
 
 import fire
 
@@ -13,10 +11,7 @@
 from rhubarbbank_experiments import platform_added
 from rhubarbbank_experiments import replay_log
 from rhubarbbank_experiments import slopes_main
-
-STOP_SIGNALS = (signal.SIGTERM, signal.SIGHUP)
-# What a shell reports for a process that a signal has ended.
-SIGNAL_EXIT_BASE = 128
+from rhubarbbank_experiments import stop_signals
 
 
 class Commands:
@@ -124,18 +119,9 @@
     return [given] if isinstance(given, str) else given
 
 
-def exit_on_signal(number: int, frame: object) -> None:
-    """Ends the program by an exception, so that its processes are ended too."""
-    del frame
-    for other in (*STOP_SIGNALS, signal.SIGINT):
-        signal.signal(other, signal.SIG_IGN)
-    sys.exit(SIGNAL_EXIT_BASE + number)
-
-
 def main() -> None:
     """Runs the command line."""
-    for number in STOP_SIGNALS:
-        signal.signal(number, exit_on_signal)
+    stop_signals.STOP_SIGNALS.install()
     fire.Fire(Commands, name="rhubarbbank-experiments")
 
 
--- a/experiments/src/rhubarbbank_experiments/fleet.py
+++ b/experiments/src/rhubarbbank_experiments/fleet.py
@@ -24,6 +24,7 @@
 from rhubarbbank_core import rendezvous
 from rhubarbbank_experiments import deployment as deployments
 from rhubarbbank_experiments import ports
+from rhubarbbank_experiments import stop_signals
 
 READY_WAIT_S = 30.0
 POLL_S = 0.05
@@ -85,7 +86,8 @@
 
     def start(self) -> None:
         """Starts the process."""
-        with self.log.open("ab") as output:
+        holding = stop_signals.STOP_SIGNALS.hold()
+        with self.log.open("ab") as output, holding:
             self.process = subprocess.Popen(
                 self.command,
                 stdout=output,
--- a/experiments/src/rhubarbbank_experiments/platform_fleet.py
+++ b/experiments/src/rhubarbbank_experiments/platform_fleet.py
@@ -25,6 +25,7 @@
 from typing import TypeVar
 
 from rhubarbbank_experiments import ports
+from rhubarbbank_experiments import stop_signals
 from rhubarbbank_standins import platform_runner
 from rhubarbbank_standins import platform_store
 
@@ -214,7 +215,8 @@
             self.add_runner(f"b-{number}", BOOKINGS)
         self.stack.callback(self.stop_entries)
         for number in range(self.count):
-            self.entries.append(self.start_entry(number))
+            with stop_signals.STOP_SIGNALS.hold():
+                self.entries.append(self.start_entry(number))
         for entry in self.entries:
             self.wait_ready(entry)
 
@@ -323,14 +325,16 @@
 
     def restart_entry(self, number: int) -> None:
         """Starts an entry anew that has ended."""
-        self.entries[number] = self.start_entry(number)
+        with stop_signals.STOP_SIGNALS.hold():
+            self.entries[number] = self.start_entry(number)
 
     def relaunch_entry(self, number: int) -> None:
         """Starts an entry that has ended with the same ports and settings."""
         entry = self.entries[number]
-        self.entries[number] = self.launch_entry(
-            number, entry.ports, entry.settings
-        )
+        with stop_signals.STOP_SIGNALS.hold():
+            self.entries[number] = self.launch_entry(
+                number, entry.ports, entry.settings
+            )
 
     def stop_entries(self) -> None:
         """Ends the entries that still run."""
--- a/features/program_signals.feature
+++ b/features/program_signals.feature
@@ -39,3 +39,15 @@
       | signal  | code |
       | SIGTERM | 143  |
       | SIGHUP  | 129  |
+
+  # In CI the end came between fork and note; the process was left behind.
+  Scenario Outline: A signal comes while a process is being started
+    Given a program whose signals end it by an exception
+    When <signal> comes before the start of a process returns
+    Then the program ends with code <code>, and has noted the process
+
+    Examples:
+      | signal  | code |
+      | SIGTERM | 143  |
+      | SIGHUP  | 129  |
+      | SIGINT  | 130  |
--- a/features/steps/program_signal_steps.py
+++ b/features/steps/program_signal_steps.py
@@ -10,12 +10,16 @@
 import tempfile
 import threading
 import time
+from unittest import mock
 
+from behave import given
 from behave import then
 from behave import when
 from support import signals
 
+from rhubarbbank_experiments import fleet
 from rhubarbbank_experiments import ports
+from rhubarbbank_experiments import stop_signals
 
 LOCAL = "127.0.0.1"
 # Loaded early by each program; it says that the program's first line has run.
@@ -60,6 +64,16 @@
     del number, frame
 
 
+@contextlib.contextmanager
+def handle_hang_up(handler):
+    """Sets SIGHUP for children, which inherit whether it is ignored."""
+    before = signal.signal(signal.SIGHUP, handler)
+    try:
+        yield
+    finally:
+        signal.signal(signal.SIGHUP, before)
+
+
 def start_program(context, program, *, hang_up=receive_hang_up):
     folder = pathlib.Path(
         context.stack.enter_context(tempfile.TemporaryDirectory())
@@ -68,17 +82,12 @@
     path.write_text(json.dumps(build_settings(program)), encoding="utf-8")
     context.log = folder / "log"
     arguments = ["--settings", str(path)]
-    # A child inherits which signals are ignored, as they are under nohup.
-    before = signal.signal(signal.SIGHUP, hang_up)
-    try:
-        with context.log.open("wb") as output:
-            context.process = subprocess.Popen(
-                [sys.executable, "-m", *MODULES[program], *arguments],
-                stdout=output,
-                stderr=subprocess.STDOUT,
-            )
-    finally:
-        signal.signal(signal.SIGHUP, before)
+    with context.log.open("wb") as output, handle_hang_up(hang_up):
+        context.process = subprocess.Popen(
+            [sys.executable, "-m", *MODULES[program], *arguments],
+            stdout=output,
+            stderr=subprocess.STDOUT,
+        )
     context.stack.callback(end, context.process)
 
 
@@ -149,7 +158,7 @@
 def signal_demo(context, name):
     folder = context.stack.enter_context(tempfile.TemporaryDirectory())
     context.log = pathlib.Path(folder) / "log"
-    with context.log.open("wb") as output:
+    with context.log.open("wb") as output, handle_hang_up(receive_hang_up):
         context.process = subprocess.Popen(
             [sys.executable, "-m", "rhubarbbank_experiments", "demo"],
             stdout=output,
@@ -160,9 +169,13 @@
     while len(list_children(context.process.pid)) < 3:
         assert time.monotonic() < ends_at, context.log.read_text()
         time.sleep(0.02)
-    context.children = list_children(context.process.pid)
+    context.children = set(list_children(context.process.pid))
     context.stack.callback(kill_left, context.children)
     context.process.send_signal(signal.Signals[name])
+    # A start that was under way may become visible only now.
+    while context.process.poll() is None and time.monotonic() < ends_at:
+        context.children |= set(list_children(context.process.pid))
+        time.sleep(0.02)
 
 
 def list_left(pids):
@@ -182,3 +195,46 @@
 def check_none_left(context):
     left = list_left(context.children)
     assert not left, left
+
+
+@given("a program whose signals end it by an exception")
+def install_stop_signals(context):
+    stopping = stop_signals.STOP_SIGNALS
+    for number in stop_signals.NUMBERS:
+        before = signal.signal(number, stopping.handle)
+        context.stack.callback(signal.signal, number, before)
+
+    def forget():
+        stopping.pending = None
+
+    context.stack.callback(forget)
+
+
+@when("{name} comes before the start of a process returns")
+def signal_starting(context, name):
+    class SignalledStart(subprocess.Popen):
+        """Gets a signal when the process runs, and nobody knows it yet."""
+
+        def __init__(self, *arguments, **options):
+            super().__init__(*arguments, **options)
+            context.stack.callback(end, self)
+            signal.raise_signal(signal.Signals[name])
+
+    folder = pathlib.Path(
+        context.stack.enter_context(tempfile.TemporaryDirectory())
+    )
+    context.member = fleet.Member(
+        name="sleeper", command=["sleep", "60"], log=folder / "log"
+    )
+    context.code = None
+    with mock.patch.object(subprocess, "Popen", SignalledStart):
+        try:
+            context.member.start()
+        except SystemExit as error:
+            context.code = error.code
+
+
+@then("the program ends with code {code:d}, and has noted the process")
+def check_noted(context, code):
+    assert context.code == code, context.code
+    assert context.member.process is not None
