--- a/Makefile
+++ b/Makefile
@@ -39,4 +39,4 @@
 	$(BIN)/ruff check .
 
 types: setup
-	$(BIN)/mypy $(SOURCES)
+	$(BIN)/mypy $(SOURCES) deploy/build_release.py
