--- a/features/support/trial_fleet.py
+++ b/features/support/trial_fleet.py
@@ -119,9 +119,13 @@
     Attributes:
         rng: Decides everything that differs between histories.
         kind: What is wrong with the target.
-        entries: Number of routers.
         is_plain: Whether the service has no models, and its answers no events.
-        worlds: The routers, by name.
+        rate: Usual requests a second, at all routers together.
+        target_requests: Requests that the target has got.
+        all_requests: Requests since the order.
+        worlds: The routers.
+        burst: Begin, end and factor of a burst of requests.
+        crash: Begin and end of an upstream's absence.
         upstreams: The upstreams, by id.
         record: The order, as the store has it.
         states: The recorded states, oldest first.
