--- a/experiments/src/rhubarbbank_experiments/stop_signals.py
+++ b/experiments/src/rhubarbbank_experiments/stop_signals.py
@@ -20,6 +20,7 @@
     """Handles the signals that end a program.
 
     Attributes:
+        lock: Guards `holds`, as threads start processes, too.
         holds: How many starts of processes are under way.
         pending: A signal that came during one of them, or None.
     """
--- a/features/support/trial_fleet.py
+++ b/features/support/trial_fleet.py
@@ -35,6 +35,8 @@
 MEAN_S = 0.3
 EVENTS = 8
 HEARTBEAT_LOSS = 0.1
+BURST_FACTOR = 1.7
+DISRUPTION_S = 3.0
 BAD_SHARE = 0.5
 SLOW_TIMES = 8.0
 # What a bad version may get of all requests between order and deadline.
@@ -69,6 +71,14 @@
     is_down: bool = False
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Period:
+    """A disruption's begin and end, in seconds of the history."""
+
+    begin_s: float
+    end_s: float
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Outcome:
     """How a roll-out went.
@@ -124,8 +134,8 @@
         target_requests: Requests that the target has got.
         all_requests: Requests since the order.
         worlds: The routers.
-        burst: Begin, end and factor of a burst of requests.
-        crash: Begin and end of an upstream's absence.
+        burst: When there are more requests than usual, or None.
+        crash: When an upstream is absent, or None.
         upstreams: The upstreams, by id.
         record: The order, as the store has it.
         states: The recorded states, oldest first.
@@ -157,15 +167,15 @@
         self.states = []
         self.worlds = [self.build_world(number) for number in range(entries)]
         self.addresses = {x.state.settings.peer_address: x for x in self.worlds}
-        self.burst = self.draw_period(0.5, ORDER_AT_S, 1.7)
-        self.crash = self.draw_period(0.3, ORDER_AT_S + 1.0, 1.0)
+        self.burst = self.draw_period(0.5, ORDER_AT_S)
+        self.crash = self.draw_period(0.3, ORDER_AT_S + 1.0)
 
-    def draw_period(self, likelihood, earliest_s, factor):
-        """Returns begin, end and factor of a disruption; it may be none."""
-        begin = self.rng.uniform(earliest_s, ORDER_AT_S + DURATION_S)
+    def draw_period(self, likelihood, earliest_s):
+        """Returns when a disruption is, or None if there is none."""
+        begin_s = self.rng.uniform(earliest_s, ORDER_AT_S + DURATION_S)
         if self.rng.random() >= likelihood:
-            return (0.0, 0.0, 1.0)
-        return (begin, begin + 3.0, factor)
+            return None
+        return Period(begin_s=begin_s, end_s=begin_s + DISRUPTION_S)
 
     def add_upstream(self, number, version):
         listed = router_world.build_upstream(number, version, slots=SLOTS)
@@ -209,8 +219,8 @@
         for world in self.worlds:
             world.apply(events.EntriesListed(listed))
         self.schedule(ORDER_AT_S, self.give_order)
-        if self.crash[1] > 0.0:
-            self.schedule(self.crash[0], self.crash_upstream)
+        if self.crash is not None:
+            self.schedule(self.crash.begin_s, self.crash_upstream)
         self.schedule_request()
         end = ORDER_AT_S + DURATION_S
         while self.now < end:
@@ -254,14 +264,16 @@
         crashed.is_down = True
         for world, request, attempt in list(crashed.running):
             self.end(world, request, attempt, "broken")
-        self.schedule(self.crash[1] - self.crash[0], self.restore, crashed)
+        self.schedule(DISRUPTION_S, self.restore, crashed)
 
     def restore(self, crashed):
         crashed.is_down = False
 
     def schedule_request(self):
-        begin, end, factor = self.burst
-        rate = self.rate * (factor if begin <= self.now < end else 1.0)
+        rate = self.rate
+        burst = self.burst
+        if burst is not None and burst.begin_s <= self.now < burst.end_s:
+            rate *= BURST_FACTOR
         self.schedule(self.rng.expovariate(rate), self.send_request)
 
     def send_request(self):
